--- /dev/null
+++ b/src/base/random.ts
@@ -0,0 +1,51 @@
+/**
+ * Seeded random numbers, given to every decision so that a run can be repeated.
+ */
+import {randomInt} from 'node:crypto';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** A seeded generator of random numbers. */
+export class Random {
+	/**
+	 * @param seed - Equal seeds give equal sequences; without one the operating system chooses.
+	 */
+	static create(seed: number = randomInt(2 ** 31)): Random {
+		return new Random(seed);
+	}
+
+	readonly #generator;
+
+	private constructor(seed: number) {
+		this.#generator = xoroshiro128plus(seed);
+	}
+
+	/** @returns A number in [0, 1). */
+	next(): number {
+		return uniformFloat64(this.#generator);
+	}
+
+	/**
+	 * @param min - Least value.
+	 * @param max - Greatest value, inclusive.
+	 */
+	integer(min: number, max: number): number {
+		return uniformInt(this.#generator, min, max);
+	}
+
+	/**
+	 * @param list - A list with at least one element.
+	 * @returns One element.
+	 */
+	pick<Item>(list: readonly Item[]): Item {
+		return list[this.integer(0, list.length - 1)]!;
+	}
+
+	/**
+	 * @param meanValue - Mean of the exponential distribution.
+	 */
+	exponential(meanValue: number): number {
+		return -Math.log(1 - this.next()) * meanValue;
+	}
+}
--- /dev/null
+++ b/src/cli/dev.ts
@@ -0,0 +1,76 @@
+/**
+ * `redwingspool dev`: a node with an embedded platform and stand-ins in one process, for a first look.
+ */
+import {defineCommand} from 'citty';
+import {BookingStandIn} from '../../standins/booking.js';
+import {EngineStandIn} from '../../standins/engine.js';
+import {SystemClock} from '../base/clock.js';
+import {Log} from '../base/log.js';
+import {toArguments} from '../base/settings.js';
+import {Deployment, digestKey} from '../config/deployment.js';
+import {subtreeSchema} from '../config/schema.js';
+import {Node} from '../serve/node.js';
+import {commonSettings} from '../serve/node-settings.js';
+import {MemoryTable} from '../store/memory-table.js';
+import {readSettingsOrExit} from './read-settings-or-exit.js';
+import {stopOnSignal} from './stop-on-signal.js';
+
+/** The API key that `dev` accepts. */
+export const DEV_API_KEY = 'dev-key';
+
+const TOKEN_INTERVAL_MS = 20;
+const DEFAULT_TOKENS = 24;
+
+/** The embedded deployment. */
+function devDeployment(engines: readonly EngineStandIn[], booking: BookingStandIn): Deployment {
+	const tiers = [{name: 'advice', deadlineMs: 5000}, {name: 'summary', deadlineMs: 60_000}];
+	const location = {region: 'local', dataCentre: 'local-1'};
+	const subtree = subtreeSchema.parse({
+		services: {
+			advice: {
+				kind: 'model', models: ['crew-advice'], tiers, defaultTier: 'advice',
+			},
+			booking: {
+				kind: 'plain', tiers, defaultTier: 'advice', operations: [{method: 'POST', path: '/holds', idempotent: false}],
+			},
+		},
+		customers: {guest: {keyDigests: [digestKey(DEV_API_KEY)]}},
+		upstreams: {
+			...Object.fromEntries(engines.map((engine, index) => [`engine-${index + 1}`, {
+				service: 'advice', url: engine.url, canResume: true, checksFencing: true, ...location,
+			}])),
+			'booking-1': {service: 'booking', url: booking.url, ...location},
+		},
+	});
+	return Deployment.create(new Map([['dev', subtree]]));
+}
+
+/** The `dev` sub-command. */
+export const devCommand = defineCommand({
+	meta: {name: 'dev', description: 'Run a node with embedded stand-ins, to try it out'},
+	args: toArguments(commonSettings),
+	async run({args}) {
+		const settings = readSettingsOrExit(commonSettings, args);
+		const engineOptions = {tokenIntervalMs: TOKEN_INTERVAL_MS, defaultTokens: DEFAULT_TOKENS};
+		const engines = [await EngineStandIn.start(engineOptions), await EngineStandIn.start(engineOptions)];
+		const booking = await BookingStandIn.start();
+		const node = Node.create({
+			clock: SystemClock.create(),
+			log: Log.create(settings['log-level']),
+			table: MemoryTable.create(),
+			host: settings.host,
+			port: settings.port,
+			region: 'local',
+			dataCentre: 'local-1',
+			throwOnViolation: false,
+		});
+		node.settings.apply(devDeployment(engines, booking));
+		await node.start();
+		console.log(`listening on http://${node.address}`);
+		console.log(`try: curl -N http://${node.address}/v1/chat/completions -H 'Authorization: Bearer ${DEV_API_KEY}' -H 'Content-Type: application/json' -d '{"model":"crew-advice","stream":true,"messages":[{"role":"user","content":"Is the north pond safe today?"}]}'`);
+		stopOnSignal(async () => {
+			await node.stop();
+			await Promise.all([...engines, booking].map(async standIn => standIn.stop()));
+		});
+	},
+});
--- /dev/null
+++ b/src/config/deployment.ts
@@ -0,0 +1,134 @@
+/**
+ * The settings in force, indexed for the request path. Immutable; a change of settings makes a new one.
+ */
+import {createHash} from 'node:crypto';
+import {
+	type CustomerSettings, type ModelServiceSettings, type PlainServiceSettings, type Subtree, type UpstreamSettings,
+} from './schema.js';
+
+/** A customer with the team whose services it may use. */
+export type Customer = {
+	readonly team: string;
+	/** `<team>/<customer>`. */
+	readonly id: string;
+	readonly settings: CustomerSettings;
+};
+
+/** A service of a team. */
+export type Service<Settings> = {
+	readonly team: string;
+	readonly name: string;
+	/** `<team>/<service>`: the pool of upstreams that serve it. */
+	readonly pool: string;
+	readonly settings: Settings;
+};
+
+/** An upstream of a team. */
+export type Upstream = {
+	/** `<team>/<id>`. */
+	readonly id: string;
+	readonly pool: string;
+	readonly kind: 'model' | 'plain';
+	readonly settings: UpstreamSettings;
+};
+
+/** An operator with the team whose subtree it may change. */
+export type Operator = {
+	readonly team: string;
+	readonly name: string;
+};
+
+/** @returns The SHA-256 digest in hex under which an API key is kept. */
+export function digestKey(apiKey: string): string {
+	return createHash('sha256').update(apiKey).digest('hex');
+}
+
+/** All subtrees, indexed. Names are scoped by team, so that subtrees cannot collide. */
+export class Deployment {
+	/** @param subtrees - Checked subtrees by team. */
+	static create(subtrees: ReadonlyMap<string, Subtree>): Deployment {
+		return new Deployment(subtrees);
+	}
+
+	readonly upstreams: readonly Upstream[];
+	readonly #subtrees: ReadonlyMap<string, Subtree>;
+	readonly #customers = new Map<string, Customer>();
+	readonly #operators = new Map<string, Operator>();
+
+	private constructor(subtrees: ReadonlyMap<string, Subtree>) {
+		this.#subtrees = subtrees;
+		const upstreams: Upstream[] = [];
+		for (const [team, subtree] of subtrees) {
+			this.#addCustomers(team, subtree);
+			this.#addOperators(team, subtree);
+			upstreams.push(...upstreamsOf(team, subtree));
+		}
+
+		this.upstreams = upstreams;
+	}
+
+	/** @returns The customer that an API key belongs to. */
+	findCustomer(apiKey: string): Customer | undefined {
+		return this.#customers.get(digestKey(apiKey));
+	}
+
+	/** @returns The operator that an API key belongs to. */
+	findOperator(apiKey: string): Operator | undefined {
+		return this.#operators.get(digestKey(apiKey));
+	}
+
+	/** @returns The model services that a customer may use. */
+	modelServices(customer: Customer): ReadonlyArray<Service<ModelServiceSettings>> {
+		const services = Object.entries(this.#subtrees.get(customer.team)?.services ?? {});
+		return services.flatMap(([name, settings]) => settings.kind === 'model' && mayUse(customer, name)
+			? [toService(customer.team, name, settings)]
+			: []);
+	}
+
+	/** @returns The service that serves a model to a customer. */
+	findModelService(customer: Customer, model: string): Service<ModelServiceSettings> | undefined {
+		return this.modelServices(customer).find(service => service.settings.models.includes(model));
+	}
+
+	/** @returns A plain service that a customer may use. */
+	findPlainService(customer: Customer, name: string): Service<PlainServiceSettings> | undefined {
+		const settings = this.#subtrees.get(customer.team)?.services[name];
+		return settings?.kind === 'plain' && mayUse(customer, name) ? toService(customer.team, name, settings) : undefined;
+	}
+
+	#addCustomers(team: string, subtree: Subtree): void {
+		for (const [id, settings] of Object.entries(subtree.customers)) {
+			const customer = {team, id: `${team}/${id}`, settings};
+			for (const digest of settings.keyDigests) {
+				this.#customers.set(digest, customer);
+			}
+		}
+	}
+
+	#addOperators(team: string, subtree: Subtree): void {
+		for (const [name, settings] of Object.entries(subtree.operators)) {
+			for (const digest of settings.keyDigests) {
+				this.#operators.set(digest, {team, name});
+			}
+		}
+	}
+}
+
+function mayUse(customer: Customer, service: string): boolean {
+	return customer.settings.services?.includes(service) ?? true;
+}
+
+function toService<Settings>(team: string, name: string, settings: Settings): Service<Settings> {
+	return {
+		team, name, pool: `${team}/${name}`, settings,
+	};
+}
+
+function upstreamsOf(team: string, subtree: Subtree): Upstream[] {
+	return Object.entries(subtree.upstreams).map(([id, settings]) => ({
+		id: `${team}/${id}`,
+		pool: `${team}/${settings.service}`,
+		kind: subtree.services[settings.service]!.kind,
+		settings,
+	}));
+}
--- /dev/null
+++ b/src/dispatch/dispatcher.ts
@@ -0,0 +1,220 @@
+/**
+ * Takes requests from the callers' interface through claim, queue, upstream and answer.
+ */
+import {type Clock} from '../base/clock.js';
+import {ErrorKind, SchedulerError} from '../base/errors.js';
+import {type Invariants} from '../base/invariant.js';
+import {type Claim, type ClaimRequest, type Claims} from '../coordination/claims.js';
+import {
+	type Scheduler, type SchedulerEvents, type Work, WorkOutcome,
+} from '../policy/scheduler.js';
+import {type UpstreamRequest} from '../upstream/exchange.js';
+import {type UpstreamRegistry} from '../upstream/registry.js';
+import {type AnswerSink} from './answer-sink.js';
+import {Relay, type RelayOutcome} from './relay.js';
+import {type Ticket} from './ticket.js';
+
+const MAX_ATTEMPTS = 3;
+
+/** One request with all that is needed to run it. */
+export type Job = {
+	readonly ticket: Ticket;
+	readonly work: Work;
+	readonly request: UpstreamRequest;
+	/** Present for requests with an idempotency key. */
+	readonly claimRequest: ClaimRequest | undefined;
+	readonly sink: AnswerSink;
+	/** Aborted when the caller went away. */
+	readonly signal: AbortSignal;
+};
+
+type RunningJob = Job & {
+	attempts: number;
+	claim: Claim | undefined;
+	relay: Relay | undefined;
+	readonly resolve: () => void;
+};
+
+/** What a dispatcher works with. */
+export type DispatcherOptions = {
+	readonly clock: Clock;
+	readonly invariants: Invariants;
+	readonly upstreams: UpstreamRegistry;
+	readonly claims: Claims;
+	/** Makes the scheduler, which is given the dispatcher's side of the events. */
+	readonly createScheduler: (events: SchedulerEvents) => Scheduler;
+};
+
+/** The life of all requests of a node. */
+export class Dispatcher {
+	static create(options: DispatcherOptions): Dispatcher {
+		return new Dispatcher(options);
+	}
+
+	readonly scheduler: Scheduler;
+	readonly #invariants: Invariants;
+	readonly #upstreams: UpstreamRegistry;
+	readonly #claims: Claims;
+	readonly #jobs = new Map<string, RunningJob>();
+
+	private constructor(options: DispatcherOptions) {
+		this.#invariants = options.invariants;
+		this.#upstreams = options.upstreams;
+		this.#claims = options.claims;
+		this.scheduler = options.createScheduler({
+			start: (work, upstreamId) => {
+				this.#start(work, upstreamId);
+			},
+			refuse: (work, kind, retryAfterMs) => {
+				this.#refuse(work, SchedulerError.create(kind, undefined, retryAfterMs));
+			},
+		});
+	}
+
+	/** Requests that are not answered yet. */
+	get inFlightCount(): number {
+		return this.#jobs.size;
+	}
+
+	/**
+	 * Runs a request to its end.
+	 *
+	 * @returns Resolves when the caller has its whole answer or its error.
+	 */
+	async run(job: Job): Promise<void> {
+		const claim = await this.#acquireClaim(job);
+		if (claim === 'answered') {
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			const running: RunningJob = {
+				...job, attempts: 0, claim, relay: undefined, resolve,
+			};
+			this.#jobs.set(job.work.id, running);
+			job.signal.addEventListener('abort', () => {
+				this.#callerLeft(running);
+			}, {once: true});
+			if (job.signal.aborted) {
+				this.#callerLeft(running);
+				return;
+			}
+
+			this.scheduler.submit(job.work);
+		});
+	}
+
+	async #acquireClaim(job: Job): Promise<Claim | undefined | 'answered'> {
+		if (job.claimRequest === undefined) {
+			return undefined;
+		}
+
+		const decision = await this.#claims.acquire(job.claimRequest);
+		if (decision.kind === 'granted') {
+			job.ticket.noteClaimHeld();
+			return decision.claim;
+		}
+
+		if (decision.kind === 'replay') {
+			const {status, contentType, body} = decision.answer;
+			job.ticket.finish();
+			job.sink.start(status, {'content-type': contentType, 'idempotency-replayed': 'true'});
+			job.sink.write(body);
+			job.sink.end();
+		} else {
+			job.sink.fail(decision.err, job.ticket.fail(decision.err));
+		}
+
+		return 'answered';
+	}
+
+	#start(work: Work, upstreamId: string): void {
+		const job = this.#jobs.get(work.id);
+		const taken = job && this.#upstreams.acquire(upstreamId);
+		if (job === undefined || taken === undefined) {
+			// The upstream was removed between the decision and now. A task of its own, as the scheduler is still deciding.
+			queueMicrotask(() => {
+				this.scheduler.noteFinished(work.id, WorkOutcome.ConnectionRefused);
+				if (job !== undefined) {
+					this.#refuse(work, SchedulerError.create(ErrorKind.NoUpstream));
+				}
+			});
+			return;
+		}
+
+		job.attempts += 1;
+		job.relay = Relay.start({
+			job,
+			claims: this.#claims,
+			claim: job.claim,
+			invariants: this.#invariants,
+			scheduler: this.scheduler,
+			client: taken.client,
+			canResume: taken.upstream.settings.canResume,
+			onOutcome: outcome => {
+				taken.release();
+				this.#relayEnded(job, upstreamId, outcome);
+			},
+		});
+	}
+
+	#relayEnded(job: RunningJob, upstreamId: string, outcome: RelayOutcome): void {
+		job.relay = undefined;
+		this.scheduler.noteFinished(job.work.id, outcome.workOutcome);
+		if (outcome.err === undefined) {
+			job.ticket.finish();
+			this.#end(job);
+			return;
+		}
+
+		if (this.#mayTryAgain(job, outcome)) {
+			this.scheduler.submit({...job.work, excluded: [...job.work.excluded, upstreamId]});
+			return;
+		}
+
+		this.#fail(job, outcome.err);
+	}
+
+	#mayTryAgain(job: RunningJob, outcome: RelayOutcome): boolean {
+		const isSafe = outcome.workOutcome === WorkOutcome.ConnectionRefused
+			|| (job.ticket.isIdempotent && outcome.workOutcome === WorkOutcome.Lost);
+		const isRepeatable = job.request.body === undefined || job.request.body instanceof Uint8Array;
+		return isSafe && isRepeatable && !job.sink.hasStarted && !job.signal.aborted && job.attempts < MAX_ATTEMPTS;
+	}
+
+	#refuse(work: Work, err: SchedulerError): void {
+		const job = this.#jobs.get(work.id);
+		if (job !== undefined) {
+			this.#fail(job, err);
+		}
+	}
+
+	#fail(job: RunningJob, err: SchedulerError): void {
+		const ran = job.ticket.fail(err);
+		job.sink.fail(err, ran);
+		if (job.claim !== undefined && !job.ticket.wasCommitted) {
+			void this.#claims.release(job.claim);
+		}
+
+		this.#end(job);
+	}
+
+	#callerLeft(job: RunningJob): void {
+		if (!this.#jobs.has(job.work.id)) {
+			return;
+		}
+
+		if (job.relay === undefined) {
+			this.scheduler.withdraw(job.work.id);
+			this.#fail(job, SchedulerError.create(ErrorKind.Canceled));
+			return;
+		}
+
+		job.relay.callerLeft();
+	}
+
+	#end(job: RunningJob): void {
+		this.#jobs.delete(job.work.id);
+		job.resolve();
+	}
+}
--- /dev/null
+++ b/src/dispatch/ticket.ts
@@ -0,0 +1,104 @@
+/**
+ * The life of one request inside a node: waiting, committed, ended. Guards what the caller may be told.
+ */
+import {randomBytes} from 'node:crypto';
+import {
+	type KeyKnowledge, Ran, ranOf, type SchedulerError,
+} from '../base/errors.js';
+import {type Invariants, PromiseId} from '../base/invariant.js';
+
+/** Where a request stands. */
+export const TicketPhase = {
+	/** No byte has left for an upstream. */
+	Waiting: 'waiting',
+	/** The first byte is leaving or has left. */
+	Committed: 'committed',
+	/** Answered. */
+	Ended: 'ended',
+} as const;
+
+export type TicketPhase = (typeof TicketPhase)[keyof typeof TicketPhase];
+
+/** What a ticket is made of. */
+export type TicketOptions = {
+	readonly invariants: Invariants;
+	readonly key: KeyKnowledge;
+	/** Idempotent work may be committed again after a failed attempt. */
+	readonly isIdempotent: boolean;
+};
+
+const DISPATCH_ID_BYTES = 16;
+
+/** One request from its arrival to its answer. */
+export class Ticket {
+	static create(options: TicketOptions): Ticket {
+		return new Ticket(options);
+	}
+
+	/** Unguessable; upstreams that can echo it do. */
+	readonly id = randomBytes(DISPATCH_ID_BYTES).toString('hex');
+	readonly isIdempotent: boolean;
+	readonly #invariants: Invariants;
+	#key: KeyKnowledge;
+	#phase: TicketPhase = TicketPhase.Waiting;
+	#commits = 0;
+
+	private constructor(options: TicketOptions) {
+		this.#invariants = options.invariants;
+		this.#key = options.key;
+		this.isIdempotent = options.isIdempotent;
+	}
+
+	get phase(): TicketPhase {
+		return this.#phase;
+	}
+
+	/** Whether any byte ever left for an upstream. */
+	get wasCommitted(): boolean {
+		return this.#commits > 0;
+	}
+
+	/** Records that this attempt holds the claim of its idempotency key. */
+	noteClaimHeld(): void {
+		this.#key = {...this.#key, holdsClaim: true};
+	}
+
+	/**
+	 * Called right before the first byte leaves for an upstream.
+	 *
+	 * @returns False when the request must not be sent: it was answered, or it was sent before and is not idempotent.
+	 */
+	commit(): boolean {
+		if (this.#phase === TicketPhase.Ended) {
+			return false;
+		}
+
+		const isAllowed = this.#commits === 0 || this.isIdempotent;
+		if (!this.#invariants.check(PromiseId.DispatchedOnce, isAllowed, 'A request was to be dispatched again.')) {
+			return false;
+		}
+
+		this.#phase = TicketPhase.Committed;
+		this.#commits += 1;
+		return true;
+	}
+
+	/** Ends the ticket with an answer of the upstream. */
+	finish(): void {
+		this.#phase = TicketPhase.Ended;
+	}
+
+	/**
+	 * Ends the ticket with an error.
+	 *
+	 * @returns What the caller may be told about the execution; never `no` once a byte has left.
+	 */
+	fail(err: SchedulerError): Ran {
+		this.#phase = TicketPhase.Ended;
+		const ran = ranOf(err.kind, this.#key);
+		const isTrue = ran !== Ran.No || this.#commits === 0;
+		return this.#invariants.check(PromiseId.NotRunIsTrue, isTrue, () => `${err.kind} would say that a dispatched request did not run.`)
+			? ran
+			: Ran.Unknown;
+	}
+}
--- /dev/null
+++ b/src/entry/completions-controller.ts
@@ -0,0 +1,130 @@
+/**
+ * The completions protocol: `POST /v1/chat/completions` and `GET /v1/models`.
+ */
+import {createHash, randomUUID} from 'node:crypto';
+import {
+	Controller, Get, Inject, Post, Req, Res,
+} from '@nestjs/common';
+import {type FastifyReply, type FastifyRequest} from 'fastify';
+import Result, {ok} from 'true-myth/result';
+import {ErrorKind, SchedulerError} from '../base/errors.js';
+import {type Job} from '../dispatch/dispatcher.js';
+import {Ticket} from '../dispatch/ticket.js';
+import {readBody} from './body.js';
+import {parseCompletionRequest} from './completion-request.js';
+import {
+	answerError, callerSignal, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, keyKnowledgeOf, resolveTier,
+} from './context.js';
+import {ErrorFormat} from './error-body.js';
+import {HttpSink} from './http-sink.js';
+
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
+
+/** Routes of the completions protocol. */
+@Controller('v1')
+export class CompletionsController {
+	constructor(@Inject(ENTRY_CONTEXT) private readonly context: EntryContext) {}
+
+	@Get('models')
+	listModels(@Req() req: FastifyRequest, @Res() reply: FastifyReply): void {
+		const caller = identifyCaller(req.raw, this.context);
+		if (caller.isErr) {
+			void reply.hijack();
+			answerError(reply.raw, caller.error, ErrorFormat.Completions, keyKnowledgeOf(req.raw));
+			return;
+		}
+
+		const services = this.context.settings.deployment.modelServices(caller.value.customer);
+		const data = services.flatMap(service => service.settings.models.map(id => ({
+			id, object: 'model', created: 0, owned_by: service.name,
+		})));
+		void reply.send({object: 'list', data});
+	}
+
+	@Post('chat/completions')
+	async complete(@Req() req: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+		void reply.hijack();
+		const job = await this.#createJob(req, reply);
+		if (job.isErr) {
+			answerError(reply.raw, job.error, ErrorFormat.Completions, keyKnowledgeOf(req.raw));
+			return;
+		}
+
+		await this.context.dispatcher.run(job.value);
+	}
+
+	async #createJob(req: FastifyRequest, reply: FastifyReply): Promise<Result<Job, SchedulerError>> {
+		const caller = identifyCaller(req.raw, this.context);
+		if (caller.isErr) {
+			return Result.err(caller.error);
+		}
+
+		const body = await readBody(req.raw, MAX_BODY_BYTES);
+		return body.andThen(bytes => this.#toJob(req, reply, caller.value, bytes));
+	}
+
+	#toJob(req: FastifyRequest, reply: FastifyReply, caller: CallerRequest, body: Uint8Array): Result<Job, SchedulerError> {
+		const {clock, invariants, settings} = this.context;
+		const parsed = parseCompletionRequest(body);
+		if (parsed.isErr) {
+			return Result.err(parsed.error);
+		}
+
+		const completion = parsed.value;
+		const service = settings.deployment.findModelService(caller.customer, completion.model);
+		if (service === undefined) {
+			return Result.err(SchedulerError.create(ErrorKind.UnknownModel));
+		}
+
+		if (body.byteLength > service.settings.bodyLimitBytes) {
+			return Result.err(SchedulerError.create(ErrorKind.BodyTooLarge, `The body is over ${service.settings.bodyLimitBytes} bytes.`));
+		}
+
+		const tier = resolveTier(req.raw, service.settings.tiers, service.settings.defaultTier);
+		if (tier.isErr) {
+			return Result.err(tier.error);
+		}
+
+		const ticket = Ticket.create({invariants, key: caller.keyKnowledge, isIdempotent: false});
+		const digest = createHash('sha256').update(body).digest('hex');
+		const now = clock.now();
+		return ok({
+			ticket,
+			work: {
+				id: randomUUID(),
+				pool: service.pool,
+				customer: caller.customer.id,
+				customerWeight: caller.customer.settings.weight,
+				tier: tier.value.rank,
+				model: completion.model,
+				promptTokens: completion.promptTokens,
+				expectedOutputTokens: completion.maxOutputTokens,
+				prefix: completion.prefix,
+				arrivedAt: now,
+				deadlineAt: now + tier.value.deadlineMs,
+				fingerprint: `${service.pool}:${digest}`,
+				excluded: [],
+			},
+			request: {
+				dispatchId: ticket.id,
+				method: 'POST',
+				path: '/v1/chat/completions',
+				headers: {'content-type': 'application/json', 'dispatch-id': ticket.id},
+				body,
+				idleTimeoutMs: service.settings.idleTimeoutMs,
+			},
+			claimRequest: caller.idempotencyKey === undefined
+				? undefined
+				: {
+					pool: service.pool,
+					customer: caller.customer.id,
+					key: caller.idempotencyKey,
+					digest,
+					isFirstAttempt: caller.keyKnowledge.isFirstAttempt,
+					keepsAnswer: false,
+				},
+			sink: HttpSink.create(reply.raw, ErrorFormat.Completions),
+			signal: callerSignal(reply.raw),
+		});
+	}
+}
--- /dev/null
+++ b/src/entry/context.ts
@@ -0,0 +1,114 @@
+/**
+ * What the controllers of the callers' interface share.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import Result, {ok} from 'true-myth/result';
+import {type Clock} from '../base/clock.js';
+import {
+	ErrorKind, type KeyKnowledge, ranOf, SchedulerError,
+} from '../base/errors.js';
+import {type Invariants} from '../base/invariant.js';
+import {type Customer} from '../config/deployment.js';
+import {type CurrentSettings} from '../config/current-settings.js';
+import {type TierSettings} from '../config/schema.js';
+import {type Dispatcher} from '../dispatch/dispatcher.js';
+import {type ErrorFormat, formatError} from './error-body.js';
+
+/** Injection token of the context. */
+export const ENTRY_CONTEXT = 'EntryContext';
+
+/** Addresses for one caller. */
+export type EntriesAnswer = {
+	/** `host:port`, the one to try first in front. */
+	readonly addresses: readonly string[];
+	/** How long the caller may keep the answer, in seconds. */
+	readonly keepSeconds: number;
+};
+
+/** Everything that the controllers need from the rest of the node. */
+export type EntryContext = {
+	readonly clock: Clock;
+	readonly invariants: Invariants;
+	readonly settings: CurrentSettings;
+	readonly dispatcher: Dispatcher;
+	/** Addresses for a caller, by a stable identity of that caller. */
+	readonly entriesFor: (caller: string) => EntriesAnswer;
+	/** Metrics in the exposition format. */
+	readonly metrics: () => Promise<string>;
+	/** Whether the node takes requests, as `GET /readyz` answers. */
+	readonly isReady: () => boolean;
+};
+
+const MAX_KEY_LENGTH = 255;
+
+/** A request that belongs to a known customer. */
+export type CallerRequest = {
+	readonly customer: Customer;
+	/** Value of the Idempotency-Key header. */
+	readonly idempotencyKey: string | undefined;
+	readonly keyKnowledge: KeyKnowledge;
+};
+
+/** @returns What a request says about its idempotency key. */
+export function keyKnowledgeOf(req: IncomingMessage): KeyKnowledge {
+	return {
+		isKeyed: req.headers['idempotency-key'] !== undefined,
+		holdsClaim: false,
+		isFirstAttempt: req.headers['redwingspool-attempt'] === '1',
+	};
+}
+
+/** Finds the customer by API key and reads the idempotency key. */
+export function identifyCaller(req: IncomingMessage, context: EntryContext): Result<CallerRequest, SchedulerError> {
+	if (!context.settings.isLoaded) {
+		return Result.err(SchedulerError.create(ErrorKind.NotReady));
+	}
+
+	const apiKey = /^Bearer (?<key>\S+)$/v.exec(req.headers.authorization ?? '')?.groups?.key;
+	const customer = apiKey === undefined ? undefined : context.settings.deployment.findCustomer(apiKey);
+	if (customer === undefined) {
+		return Result.err(SchedulerError.create(ErrorKind.Unauthenticated));
+	}
+
+	const idempotencyKey = req.headers['idempotency-key']?.toString();
+	if (idempotencyKey !== undefined && (idempotencyKey === '' || idempotencyKey.length > MAX_KEY_LENGTH)) {
+		return Result.err(SchedulerError.create(ErrorKind.MalformedRequest, `Idempotency-Key needs 1 to ${MAX_KEY_LENGTH} characters.`));
+	}
+
+	return ok({customer, idempotencyKey, keyKnowledge: keyKnowledgeOf(req)});
+}
+
+/** The tier of a request: its header, else the default. */
+export function resolveTier(
+	req: IncomingMessage,
+	tiers: readonly TierSettings[],
+	defaultTier: string,
+): Result<{rank: number; deadlineMs: number}, SchedulerError> {
+	const wanted = req.headers['redwingspool-tier']?.toString() ?? defaultTier;
+	const rank = tiers.findIndex(tier => tier.name === wanted);
+	if (rank === -1) {
+		const names = tiers.map(tier => tier.name).join(', ');
+		return Result.err(SchedulerError.create(ErrorKind.MalformedRequest, `Redwingspool-Tier: expected one of ${names}.`));
+	}
+
+	return ok({rank, deadlineMs: tiers[rank]!.deadlineMs});
+}
+
+/** Answers a request that never reached the dispatcher. */
+export function answerError(res: ServerResponse, err: SchedulerError, format: ErrorFormat, key: KeyKnowledge): void {
+	const {status, headers, body} = formatError(err, ranOf(err.kind, key), format);
+	// The rest of an unread body is not waited for.
+	res.writeHead(status, {...headers, connection: 'close'});
+	res.end(body);
+}
+
+/** @returns A signal that is aborted when the caller closes the connection before its answer has ended. */
+export function callerSignal(res: ServerResponse): AbortSignal {
+	const controller = new AbortController();
+	res.once('close', () => {
+		if (!res.writableFinished) {
+			controller.abort();
+		}
+	});
+	return controller.signal;
+}
--- /dev/null
+++ b/src/entry/node-controller.ts
@@ -0,0 +1,47 @@
+/**
+ * Routes about the node itself: addresses for callers, health, readiness, metrics.
+ */
+import {
+	Controller, Get, Inject, Req, Res,
+} from '@nestjs/common';
+import {type FastifyReply, type FastifyRequest} from 'fastify';
+import {
+	answerError, ENTRY_CONTEXT, type EntryContext, identifyCaller, keyKnowledgeOf,
+} from './context.js';
+import {ErrorFormat} from './error-body.js';
+
+/** Routes that need no upstream. */
+@Controller()
+export class NodeController {
+	constructor(@Inject(ENTRY_CONTEXT) private readonly context: EntryContext) {}
+
+	@Get('v1/entries')
+	entries(@Req() req: FastifyRequest, @Res() reply: FastifyReply): void {
+		const caller = identifyCaller(req.raw, this.context);
+		if (caller.isErr) {
+			void reply.hijack();
+			answerError(reply.raw, caller.error, ErrorFormat.Problem, keyKnowledgeOf(req.raw));
+			return;
+		}
+
+		const answer = this.context.entriesFor(`${caller.value.customer.id}/${req.ip}`);
+		void reply.header('cache-control', `max-age=${answer.keepSeconds}`).send(answer);
+	}
+
+	@Get('healthz')
+	health(@Res() reply: FastifyReply): void {
+		void reply.send({status: 'ok'});
+	}
+
+	@Get('readyz')
+	ready(@Res() reply: FastifyReply): void {
+		const isReady = this.context.isReady();
+		void reply.status(isReady ? 200 : 503).send({status: isReady ? 'ready' : 'not-ready'});
+	}
+
+	@Get('metrics')
+	async metrics(@Res() reply: FastifyReply): Promise<void> {
+		const text = await this.context.metrics();
+		void reply.header('content-type', 'text/plain; version=0.0.4; charset=utf-8').send(text);
+	}
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,17 @@
+/**
+ * Entry of the binary.
+ */
+import process from 'node:process';
+import {defineCommand, runMain} from 'citty';
+import packageInfo from '../package.json' with {type: 'json'};
+import {devCommand} from './cli/dev.js';
+
+const mainCommand = defineCommand({
+	meta: {name: 'redwingspool', version: packageInfo.version, description: packageInfo.description},
+	subCommands: {
+		dev: devCommand,
+	},
+});
+
+// The one-binary bundle is CommonJS, which has no top-level await.
+void runMain(mainCommand, {rawArgs: process.argv.slice(2)});
--- /dev/null
+++ b/src/policy/scheduler.ts
@@ -0,0 +1,101 @@
+/**
+ * The interface between the life of a request (which does the I/O) and the decisions (which do none).
+ */
+import {type ErrorKind} from '../base/errors.js';
+
+/** A request as the decisions see it. Times are ms of the node's monotonic clock. */
+export type Work = {
+	/** Unique in this process. */
+	readonly id: string;
+	/** The upstreams that may run it: `<team>/<service>`. */
+	readonly pool: string;
+	/** `<team>/<customer>`. */
+	readonly customer: string;
+	/** Weight of the customer within a tier. */
+	readonly customerWeight: number;
+	/** 0 is the most important tier. */
+	readonly tier: number;
+	/** Model, where the pool serves several. */
+	readonly model: string | undefined;
+	/** Estimated tokens of the prompt; 0 for plain services. */
+	readonly promptTokens: number;
+	/** Expected tokens of the answer; 1 for plain services. */
+	readonly expectedOutputTokens: number;
+	/** Hashes of the prompt's blocks, each covering the blocks before it; empty for plain services. */
+	readonly prefix: readonly number[];
+	readonly arrivedAt: number;
+	/** The first byte of the answer has no value after this time. */
+	readonly deadlineAt: number;
+	/** Identifies the content, for the quarantine of requests that crash upstreams. */
+	readonly fingerprint: string;
+	/** Upstreams that an earlier attempt could not reach. */
+	readonly excluded: readonly string[];
+};
+
+/** An upstream as the decisions see it. */
+export type UpstreamView = {
+	/** `<team>/<id>`. */
+	readonly id: string;
+	readonly pool: string;
+	readonly region: string;
+	readonly dataCentre: string;
+	/** Models that it serves; `undefined` for all of the pool's. */
+	readonly models: readonly string[] | undefined;
+	/** Upper bound on requests in flight over all VMs. */
+	readonly maxConcurrency: number;
+	readonly isLeaving: boolean;
+};
+
+/** How a dispatched request ended. */
+export const WorkOutcome = {
+	/** A whole answer. */
+	Done: 'done',
+	/** The upstream answered with an error status. */
+	UpstreamError: 'upstream-error',
+	/** The connection was refused; no byte was sent. */
+	ConnectionRefused: 'connection-refused',
+	/** The connection was lost after the first byte was sent. */
+	Lost: 'lost',
+	/** The upstream did not answer in time. */
+	TimedOut: 'timed-out',
+	/** The caller went away or the work was preempted. */
+	Canceled: 'canceled',
+} as const;
+
+export type WorkOutcome = (typeof WorkOutcome)[keyof typeof WorkOutcome];
+
+/** What the scheduler decides; delivered synchronously or later, always on the one event loop. */
+export type SchedulerEvents = {
+	/** Send the work to an upstream now. */
+	start(work: Work, upstreamId: string): void;
+	/**
+	 * Answer the work as not run.
+	 *
+	 * @param retryAfterMs - When repeating may succeed; `undefined` takes the kind's default.
+	 */
+	refuse(work: Work, kind: ErrorKind, retryAfterMs?: number): void;
+};
+
+/** Queues, limits and routes work. Subclasses differ in policy. Does no I/O. */
+export abstract class Scheduler {
+	/** Takes a request; `start` or `refuse` follows exactly once unless it is withdrawn. */
+	abstract submit(work: Work): void;
+
+	/** Withdraws work that has not been started; no event follows. */
+	abstract withdraw(workId: string): void;
+
+	/** The first byte of the request is about to leave. */
+	abstract noteCommitted(workId: string): void;
+
+	/** Tokens (model services) or bytes (plain services) of the answer arrived. */
+	abstract noteProgress(workId: string, count: number): void;
+
+	/** Started work ended and its slot is free. */
+	abstract noteFinished(workId: string, outcome: WorkOutcome): void;
+
+	/** Replaces the set of upstreams. */
+	abstract setUpstreams(upstreams: readonly UpstreamView[]): void;
+
+	/** Work that waits in the queues. */
+	abstract get waitingCount(): number;
+}
--- /dev/null
+++ b/src/upstream/http-transport.ts
@@ -0,0 +1,117 @@
+/**
+ * Exchanges over HTTP/1.1 without pipelining, by undici.
+ */
+import {Pool, type Dispatcher, errors} from 'undici';
+import {ErrorKind, SchedulerError} from '../base/errors.js';
+import {
+	Exchange, type ExchangeHandler, type UpstreamHeaders, type UpstreamRequest,
+} from './exchange.js';
+
+const CONNECT_TIMEOUT_MS = 1000;
+const KEEP_ALIVE_TIMEOUT_MS = 4000;
+
+/** Connections to one upstream. */
+export class HttpTransport {
+	/** @param url - Origin and optional path prefix of the upstream. */
+	static create(url: string): HttpTransport {
+		return new HttpTransport(new URL(url));
+	}
+
+	readonly #pool: Pool;
+	readonly #pathPrefix: string;
+
+	private constructor(url: URL) {
+		this.#pathPrefix = url.pathname === '/' ? '' : url.pathname.replace(/\/$/v, '');
+		this.#pool = new Pool(url.origin, {
+			pipelining: 1,
+			keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+			connect: {timeout: CONNECT_TIMEOUT_MS},
+		});
+	}
+
+	/** Starts an exchange; the handler receives its events. */
+	send(req: UpstreamRequest, handler: ExchangeHandler): Exchange {
+		const exchange = new HttpExchange(handler);
+		this.#pool.dispatch({
+			method: req.method,
+			path: this.#pathPrefix + req.path,
+			headers: req.headers,
+
+			body: (req.body ?? null),
+			headersTimeout: req.idleTimeoutMs,
+			bodyTimeout: req.idleTimeoutMs,
+		}, exchange);
+		return exchange;
+	}
+
+	/** Closes all connections at once. */
+	async destroy(): Promise<void> {
+		await this.#pool.destroy();
+	}
+}
+
+/** Adapts undici's handler interface to `ExchangeHandler`. */
+class HttpExchange extends Exchange implements Dispatcher.DispatchHandler {
+	readonly #handler: ExchangeHandler;
+	#controller: Dispatcher.DispatchController | undefined;
+	#wasSent = false;
+	#isEnded = false;
+	#isAborted = false;
+
+	constructor(handler: ExchangeHandler) {
+		super();
+		this.#handler = handler;
+	}
+
+	resume(): void {
+		this.#controller?.resume();
+	}
+
+	abort(): void {
+		this.#isAborted = true;
+		this.#controller?.abort(new errors.RequestAbortedError());
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController): void {
+		this.#controller = controller;
+		if (this.#isAborted || !this.#handler.onCommit()) {
+			controller.abort(new errors.RequestAbortedError());
+			return;
+		}
+
+		this.#wasSent = true;
+	}
+
+	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: UpstreamHeaders): void {
+		this.#handler.onHeaders(status, headers);
+	}
+
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		if (!this.#handler.onData(chunk)) {
+			controller.pause();
+		}
+	}
+
+	onResponseEnd(): void {
+		this.#isEnded = true;
+		this.#handler.onEnd();
+	}
+
+	onResponseError(_controller: Dispatcher.DispatchController, err: Error): void {
+		if (this.#isEnded) {
+			return;
+		}
+
+		this.#isEnded = true;
+		this.#handler.onError(toSchedulerError(err, this.#wasSent, this.#isAborted), this.#wasSent);
+	}
+}
+
+function toSchedulerError(err: Error, wasSent: boolean, isAborted: boolean): SchedulerError {
+	if (!wasSent) {
+		return SchedulerError.create(isAborted ? ErrorKind.Canceled : ErrorKind.NoUpstream);
+	}
+
+	const isTimeout = err instanceof errors.HeadersTimeoutError || err instanceof errors.BodyTimeoutError;
+	return SchedulerError.create(isTimeout ? ErrorKind.UpstreamTimeout : ErrorKind.UpstreamLost);
+}
--- /dev/null
+++ b/src/upstream/registry.ts
@@ -0,0 +1,87 @@
+/**
+ * The clients of all upstreams in the settings.
+ */
+import {type Deployment, type Upstream} from '../config/deployment.js';
+import {type UpstreamClient} from './engine.js';
+import {CompletionsEngine} from './completions-engine.js';
+import {HttpPlainService} from './http-plain-service.js';
+
+type Entry = {
+	readonly upstream: Upstream;
+	readonly client: UpstreamClient;
+	inFlight: number;
+	isRemoved: boolean;
+};
+
+/** Keeps a client for each upstream, and one that was removed until its last exchange has ended. */
+export class UpstreamRegistry {
+	static create(): UpstreamRegistry {
+		return new UpstreamRegistry();
+	}
+
+	readonly #entries = new Map<string, Entry>();
+
+	private constructor() {
+		// Use `create`.
+	}
+
+	/** Adds, replaces and removes clients so that they match the settings. */
+	update(deployment: Deployment): void {
+		const next = new Map(deployment.upstreams.map(upstream => [upstream.id, upstream]));
+		for (const [id, entry] of this.#entries) {
+			if (next.get(id)?.settings.url !== entry.upstream.settings.url) {
+				this.#entries.delete(id);
+				entry.isRemoved = true;
+				destroyIfIdle(entry);
+			}
+		}
+
+		for (const [id, upstream] of next) {
+			const client = this.#entries.get(id)?.client ?? createClient(upstream);
+			const inFlight = this.#entries.get(id)?.inFlight ?? 0;
+			this.#entries.set(id, {
+				upstream, client, inFlight, isRemoved: false,
+			});
+		}
+	}
+
+	/**
+	 * Takes a client for one exchange.
+	 *
+	 * @returns The client and a function that gives it back, or `undefined` where the upstream was removed.
+	 */
+	acquire(upstreamId: string): {client: UpstreamClient; upstream: Upstream; release: () => void} | undefined {
+		const entry = this.#entries.get(upstreamId);
+		if (entry === undefined) {
+			return undefined;
+		}
+
+		entry.inFlight += 1;
+		return {
+			client: entry.client,
+			upstream: entry.upstream,
+			release() {
+				entry.inFlight -= 1;
+				destroyIfIdle(entry);
+			},
+		};
+	}
+
+	/** Closes all clients at once. */
+	async destroy(): Promise<void> {
+		const entries = [...this.#entries.values()];
+		this.#entries.clear();
+		await Promise.all(entries.map(async entry => entry.client.destroy()));
+	}
+}
+
+function createClient(upstream: Upstream): UpstreamClient {
+	const {url} = upstream.settings;
+	return upstream.kind === 'model' ? CompletionsEngine.create(url) : HttpPlainService.create(url);
+}
+
+function destroyIfIdle(entry: Entry): void {
+	if (entry.isRemoved && entry.inFlight === 0) {
+		void entry.client.destroy();
+	}
+}
--- /dev/null
+++ b/standins/booking.ts
@@ -0,0 +1,72 @@
+/**
+ * A small stand-in for a booking service. It keeps no keys: each hold that arrives is placed.
+ */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {text} from 'node:stream/consumers';
+
+/** A hold as it was placed. */
+export type Hold = {
+	readonly number: number;
+	readonly dispatchId: string;
+	readonly body: string;
+};
+
+/** A booking service on a port of its own. */
+export class BookingStandIn {
+	static async start(): Promise<BookingStandIn> {
+		const booking = new BookingStandIn();
+		await new Promise<void>(resolve => {
+			booking.#server.listen(0, '127.0.0.1', resolve);
+		});
+		return booking;
+	}
+
+	/** All holds ever placed, in order. */
+	readonly holds: Hold[] = [];
+	/** Delay before a hold is answered, in ms. */
+	delayMs = 0;
+	readonly #server: Server;
+
+	private constructor() {
+		this.#server = createServer((req, res) => {
+			void this.#handle(req, res);
+		});
+	}
+
+	get url(): string {
+		return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	/** Ends at once, as a crash would. */
+	async stop(): Promise<void> {
+		this.#server.closeAllConnections();
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const body = await text(req);
+		if (req.method === 'GET') {
+			answer(res, 200, {path: req.url, holds: this.holds.length});
+			return;
+		}
+
+		const hold = {number: this.holds.length + 1, dispatchId: req.headers['dispatch-id']?.toString() ?? '', body};
+		this.holds.push(hold);
+		await new Promise(resolve => {
+			setTimeout(resolve, this.delayMs);
+		});
+		answer(res, 201, {hold: hold.number});
+	}
+}
+
+function answer(res: ServerResponse, status: number, body: Record<string, unknown>): void {
+	res.writeHead(status, {'content-type': 'application/json'});
+	res.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/standins/engine.ts
@@ -0,0 +1,277 @@
+/**
+ * A small stand-in for a model engine: the completions protocol, streams that can be resumed and canceled, load
+ * reports, a prefix cache with events, and orders with fencing numbers.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {json} from 'node:stream/consumers';
+
+/** Behaviour of a stand-in engine. */
+export type EngineStandInOptions = {
+	/** Time between two tokens of an answer, in ms; 0 sends as fast as the connection takes. */
+	readonly tokenIntervalMs: number;
+	/** Tokens of an answer where the request has no `max_tokens`. */
+	readonly defaultTokens: number;
+};
+
+type JsonObject = Record<string, unknown>;
+
+type CompletionBody = {
+	model: string;
+	stream?: boolean;
+	max_tokens?: number;
+	max_completion_tokens?: number;
+	messages: Array<{content: unknown}>;
+	stream_options?: {include_usage?: boolean};
+};
+
+type StreamLog = {
+	parts: Uint8Array[];
+	isWhole: boolean;
+	isCanceled: boolean;
+};
+
+/** The words that a stand-in answers a prompt with; a function of the prompt alone. */
+export function expectedWords(prompt: string, count: number): string[] {
+	let state = 7;
+	for (let index = 0; index < prompt.length; index++) {
+		state = ((state * 31) + prompt.codePointAt(index)!) % 1_000_003;
+	}
+
+	return Array.from({length: count}, (_, index) => `w${(state + (index * 7919)) % 99_991} `);
+}
+
+/** A model engine on a port of its own. */
+export class EngineStandIn {
+	static async start(options: EngineStandInOptions): Promise<EngineStandIn> {
+		const engine = new EngineStandIn(options);
+		await new Promise<void>(resolve => {
+			engine.#server.listen(0, '127.0.0.1', resolve);
+		});
+		return engine;
+	}
+
+	/** Completions that this engine accepted, by dispatch ID in order of arrival. */
+	readonly accepted: string[] = [];
+	/** Set to cut the connection of each stream after this many parts. */
+	cutAfterParts: number | undefined;
+	readonly #options: EngineStandInOptions;
+	readonly #server: Server;
+	readonly #streams = new Map<string, StreamLog>();
+	#running = 0;
+	#greatestFencingNumber = 0;
+
+	private constructor(options: EngineStandInOptions) {
+		this.#options = options;
+		this.#server = createServer((req, res) => {
+			void this.#handle(req, res);
+		});
+	}
+
+	get url(): string {
+		return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	/** Ends at once, as a crash would. */
+	async stop(): Promise<void> {
+		this.#server.closeAllConnections();
+		await new Promise<void>(resolve => {
+			this.#server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const url = new URL(req.url!, this.url);
+		if (url.pathname === '/v1/chat/completions') {
+			await this.#complete(req, res);
+		} else if (url.pathname.startsWith('/control/streams/')) {
+			await this.#stream(req, res, url);
+		} else {
+			switch (url.pathname) {
+				case '/control/load': {
+					answerJson(res, 200, {
+						runningCount: this.#running, waitingCount: 0, cacheCapacityTokens: 0, cacheUsedTokens: 0, ageMs: 0, isLeaving: false,
+					});
+
+					break;
+				}
+
+				case '/control/cache-events': {
+					answerJson(res, 200, []);
+
+					break;
+				}
+
+				case '/control/orders': {
+					await this.#order(req, res);
+
+					break;
+				}
+
+				default: {
+					answerJson(res, 404, {error: {message: 'not found'}});
+				}
+			}
+		}
+	}
+
+	async #complete(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const body = await json(req) as CompletionBody;
+		const id = req.headers['dispatch-id']?.toString() ?? '';
+		this.accepted.push(id);
+		this.#running += 1;
+		const prompt = body.messages.map(message => String(message.content)).join('\n');
+		const words = expectedWords(prompt, body.max_completion_tokens ?? body.max_tokens ?? this.#options.defaultTokens);
+		if (body.stream) {
+			await this.#sendStream(res, id, body, words);
+		} else {
+			answerJson(res, 200, wholeAnswer(body, words), id);
+		}
+
+		this.#running -= 1;
+	}
+
+	async #sendStream(res: ServerResponse, id: string, body: CompletionBody, words: string[]): Promise<void> {
+		const log: StreamLog = {parts: [], isWhole: false, isCanceled: false};
+		this.#streams.set(id, log);
+		res.writeHead(200, {'content-type': 'text/event-stream', 'dispatch-id': id});
+		for (const part of streamParts(id, body, words)) {
+			if (log.isCanceled) {
+				break;
+			}
+
+			log.parts.push(part);
+			if (!res.destroyed && !res.write(part)) {
+				// eslint-disable-next-line no-await-in-loop
+				await drained(res);
+			}
+
+			if (log.parts.length === this.cutAfterParts) {
+				// eslint-disable-next-line no-await-in-loop
+				await flushed(res);
+				res.destroy();
+			}
+
+			if (this.#options.tokenIntervalMs > 0) {
+				// eslint-disable-next-line no-await-in-loop
+				await pause(this.#options.tokenIntervalMs);
+			}
+		}
+
+		log.isWhole = true;
+		res.end();
+	}
+
+	async #stream(req: IncomingMessage, res: ServerResponse, url: URL): Promise<void> {
+		const id = url.pathname.split('/').at(-1)!;
+		const log = this.#streams.get(id);
+		if (log === undefined) {
+			answerJson(res, 404, {error: {message: 'no such stream'}});
+			return;
+		}
+
+		if (req.method === 'DELETE') {
+			log.isCanceled = true;
+			answerJson(res, 200, {});
+			return;
+		}
+
+		res.writeHead(200, {'content-type': 'text/event-stream', 'dispatch-id': id});
+		let offset = Number(url.searchParams.get('offset'));
+		while (!res.destroyed) {
+			const rest = Buffer.concat(log.parts).subarray(offset);
+			offset += rest.byteLength;
+			res.write(rest);
+			if (log.isWhole) {
+				break;
+			}
+
+			// eslint-disable-next-line no-await-in-loop
+			await pause(5);
+		}
+
+		res.end();
+	}
+
+	async #order(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const order = await json(req) as {fencingNumber: number};
+		const isStale = order.fencingNumber < this.#greatestFencingNumber;
+		this.#greatestFencingNumber = Math.max(this.#greatestFencingNumber, order.fencingNumber);
+		answerJson(res, isStale ? 412 : 200, {});
+	}
+}
+
+function * streamParts(id: string, body: CompletionBody, words: string[]): Generator<Uint8Array> {
+	const chunk = (delta: JsonObject, finishReason: string | undefined) => sse({
+		id: `chatcmpl-${id}`,
+		object: 'chat.completion.chunk',
+		created: 0,
+		model: body.model,
+		choices: [{index: 0, delta, finish_reason: finishReason ?? null}],
+	});
+	yield chunk({role: 'assistant', content: ''}, undefined);
+	for (const word of words) {
+		yield chunk({content: word}, undefined);
+	}
+
+	yield chunk({}, 'stop');
+	if (body.stream_options?.include_usage) {
+		yield sse({
+			id: `chatcmpl-${id}`, object: 'chat.completion.chunk', created: 0, model: body.model, choices: [], usage: usageOf(body, words),
+		});
+	}
+
+	yield Buffer.from('data: [DONE]\n\n');
+}
+
+function wholeAnswer(body: CompletionBody, words: string[]): JsonObject {
+	return {
+		id: 'chatcmpl-whole',
+		object: 'chat.completion',
+		created: 0,
+		model: body.model,
+		choices: [{index: 0, message: {role: 'assistant', content: words.join('')}, finish_reason: 'stop'}],
+		usage: usageOf(body, words),
+	};
+}
+
+function usageOf(body: CompletionBody, words: string[]): JsonObject {
+	const promptTokens = Math.ceil(JSON.stringify(body.messages).length / 4);
+	return {prompt_tokens: promptTokens, completion_tokens: words.length, total_tokens: promptTokens + words.length};
+}
+
+function sse(data: JsonObject): Uint8Array {
+	return Buffer.from(`data: ${JSON.stringify(data)}\n\n`);
+}
+
+function answerJson(res: ServerResponse, status: number, body: JsonObject | readonly JsonObject[], dispatchId?: string): void {
+	res.writeHead(status, {'content-type': 'application/json', ...(dispatchId && {'dispatch-id': dispatchId})});
+	res.end(JSON.stringify(body));
+}
+
+/** Waits until everything written so far has been handed to the operating system. */
+async function flushed(res: ServerResponse): Promise<void> {
+	await new Promise<void>(resolve => {
+		res.write('', () => {
+			resolve();
+		});
+	});
+}
+
+async function drained(res: ServerResponse): Promise<void> {
+	await new Promise<void>(resolve => {
+		res.once('drain', resolve);
+		res.once('close', resolve);
+	});
+}
+
+async function pause(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
--- /dev/null
+++ b/test/support/dev-cluster.ts
@@ -0,0 +1,88 @@
+/**
+ * A node with stand-in upstreams in the test's own process.
+ */
+import {SystemClock} from '../../src/base/clock.js';
+import {Log} from '../../src/base/log.js';
+import {Deployment, digestKey} from '../../src/config/deployment.js';
+import {subtreeSchema} from '../../src/config/schema.js';
+import {Node} from '../../src/serve/node.js';
+import {MemoryTable} from '../../src/store/memory-table.js';
+import {type Table} from '../../src/store/table.js';
+import {BookingStandIn} from '../../standins/booking.js';
+import {EngineStandIn, type EngineStandInOptions} from '../../standins/engine.js';
+
+export const testApiKey = 'test-key';
+
+/** What a test cluster is made of. */
+export type TestClusterOptions = {
+	readonly engineCount: number;
+	readonly engine: EngineStandInOptions;
+	readonly canResume?: boolean;
+	readonly table?: Table;
+};
+
+/** One node, its engines and its booking service. */
+export class TestCluster {
+	static async start(options: TestClusterOptions): Promise<TestCluster> {
+		const engines = await Promise.all(Array.from({length: options.engineCount}, async () => EngineStandIn.start(options.engine)));
+		const booking = await BookingStandIn.start();
+		const node = createTestNode(options.table ?? MemoryTable.create());
+		node.settings.apply(createDeployment(engines, booking, options.canResume ?? true));
+		await node.start();
+		return new TestCluster(node, engines, booking);
+	}
+
+	readonly node: Node;
+	readonly engines: readonly EngineStandIn[];
+	readonly booking: BookingStandIn;
+
+	private constructor(node: Node, engines: readonly EngineStandIn[], booking: BookingStandIn) {
+		this.node = node;
+		this.engines = engines;
+		this.booking = booking;
+	}
+
+	get url(): string {
+		return `http://${this.node.address}`;
+	}
+
+	async stop(): Promise<void> {
+		await this.node.stop();
+		await Promise.all([...this.engines, this.booking].map(async standIn => standIn.stop()));
+	}
+}
+
+/** @returns A node on a port of its own that throws on a violated promise. */
+export function createTestNode(table: Table): Node {
+	return Node.create({
+		clock: SystemClock.create(),
+		log: Log.create('silent'),
+		table,
+		host: '127.0.0.1',
+		port: 0,
+		region: 'local',
+		dataCentre: 'local-1',
+		throwOnViolation: true,
+	});
+}
+
+/** @returns Settings of one team with a model service `advice` and a plain service `booking`. */
+export function createDeployment(engines: readonly EngineStandIn[], booking: BookingStandIn, canResume: boolean): Deployment {
+	const tiers = [{name: 'advice', deadlineMs: 10_000}, {name: 'summary', deadlineMs: 60_000}];
+	const location = {region: 'local', dataCentre: 'local-1'};
+	const upstreams = Object.fromEntries(engines.map((engine, index) => [`engine-${index + 1}`, {
+		service: 'advice', url: engine.url, canResume, ...location,
+	}]));
+	return Deployment.create(new Map([['team', subtreeSchema.parse({
+		services: {
+			advice: {
+				kind: 'model', models: ['crew-advice'], tiers, defaultTier: 'advice',
+			},
+			booking: {
+				kind: 'plain', tiers, defaultTier: 'advice', operations: [],
+			},
+		},
+		customers: {guest: {keyDigests: [digestKey(testApiKey)]}},
+		upstreams: {...upstreams, 'booking-1': {service: 'booking', url: booking.url, ...location}},
+	})]]));
+}
