Let schedulers share upstreams between nodes

Cause: parts are built side by side and need the interface for shares and pressure marks first. Conclusion: interface only; the baseline scheduler ignores it.

--- a/src/policy/scheduler.ts
+++ b/src/policy/scheduler.ts
@@ -64,6 +64,17 @@
 
 export type WorkOutcome = (typeof WorkOutcome)[keyof typeof WorkOutcome];
 
+/** What this node wants of one upstream that it shares with other nodes. */
+export type UpstreamDemand = {
+	readonly upstreamId: string;
+	/** Requests in flight that this node's engine limit would allow over all nodes. */
+	readonly limitEstimate: number;
+	/** Requests of this node in flight there. */
+	readonly held: number;
+	/** Waiting requests that could run there, by tier; index 0 is the most important tier. */
+	readonly waitingByTier: readonly number[];
+};
+
 /** What the scheduler decides; delivered synchronously or later, always on the one event loop. */
 export type SchedulerEvents = {
 	/** Send the work to an upstream now. */
@@ -74,10 +85,37 @@
 	 * @param retryAfterMs - When repeating may succeed; `undefined` takes the kind's default.
 	 */
 	refuse(work: Work, kind: ErrorKind, retryAfterMs?: number): void;
+	/** Started work must stop so that more important work can start; `noteFinished` with `canceled` follows. */
+	preempt?(work: Work): void;
+	/** This node is about to refuse work of a tier in a pool; the other nodes must admit nothing below that tier. */
+	notePressure?(pool: string, tier: number): void;
 };
 
 /** Queues, limits and routes work. Subclasses differ in policy. Does no I/O. */
 export abstract class Scheduler {
+	/** What this node wants of each shared upstream. */
+	get demand(): readonly UpstreamDemand[] {
+		return [];
+	}
+
+	/**
+	 * Bounds this node's requests in flight at a shared upstream.
+	 *
+	 * @param _slots - Greatest number; `undefined` removes the bound.
+	 */
+	setShare(_upstreamId: string, _slots: number | undefined): void {
+		// Policies that do not share upstreams ignore it.
+	}
+
+	/**
+	 * Another node is about to refuse work of a tier: admit nothing below that tier for a while.
+	 *
+	 * @param _untilMs - End of the restriction on this node's monotonic clock.
+	 */
+	setPressure(_pool: string, _tier: number, _untilMs: number): void {
+		// Policies without tiers ignore it.
+	}
+
 	/** Takes a request; `start` or `refuse` follows exactly once unless it is withdrawn. */
 	abstract submit(work: Work): void;
 
