--- /dev/null
+++ b/test/supervisor/supervisor.test.ts
@@ -0,0 +1,80 @@
+import {expect} from 'chai';
+import {Log} from '../../src/base/log.js';
+import {VirtualClock} from '../../src/base/virtual-clock.js';
+import {Part} from '../../src/supervisor/part.js';
+import {Supervisor} from '../../src/supervisor/supervisor.js';
+
+class FakePart extends Part {
+	readonly name: string;
+	readonly events: string[];
+	failingStarts = 0;
+	#onFailure: ((err: Error) => void) | undefined;
+
+	constructor(name: string, events: string[]) {
+		super();
+		this.name = name;
+		this.events = events;
+	}
+
+	fail(err: Error): void {
+		this.#onFailure?.(err);
+	}
+
+	async start(onFailure: (err: Error) => void): Promise<void> {
+		this.events.push(`${this.name} start`);
+		this.#onFailure = onFailure;
+		if (this.failingStarts > 0) {
+			this.failingStarts -= 1;
+			throw new Error('cannot start');
+		}
+	}
+
+	async stop(): Promise<void> {
+		this.events.push(`${this.name} stop`);
+	}
+}
+
+describe('supervisor', () => {
+	let clock: VirtualClock;
+	let events: string[];
+	let first: FakePart;
+	let second: FakePart;
+	let supervisor: Supervisor;
+
+	beforeEach(async () => {
+		clock = VirtualClock.create();
+		events = [];
+		first = new FakePart('first', events);
+		second = new FakePart('second', events);
+		supervisor = Supervisor.create({
+			name: 'root', parts: [first, second], clock, log: Log.create('silent'),
+		});
+		await supervisor.start();
+		events.length = 0;
+	});
+
+	it('restarts a failed part and leaves the others alone', async () => {
+		second.fail(new Error('broken'));
+		await clock.advanceAsync(100);
+		expect(events).to.deep.equal(['second stop', 'second start']);
+		expect(supervisor.restarts.get('second')).to.equal(1);
+	});
+
+	// A part that fails at once in a tight loop would take the whole thread.
+	it('waits longer before each restart of a part that keeps failing', async () => {
+		second.failingStarts = 3;
+		second.fail(new Error('broken'));
+		await clock.advanceAsync(100 + 200 + 400 - 1);
+		expect(events.filter(event => event === 'second start')).to.have.length(2);
+		await clock.advanceAsync(1);
+		expect(events.filter(event => event === 'second start')).to.have.length(3);
+	});
+
+	it('stops the parts in reverse order and restarts none after a stop', async () => {
+		await supervisor.drain();
+		await supervisor.stop();
+		second.fail(new Error('late'));
+		await clock.advanceAsync(60_000);
+		expect(events).to.deep.equal(['second stop', 'first stop']);
+	});
+});
