--- a/src/store/memory-table.ts
+++ b/src/store/memory-table.ts
@@ -45,8 +45,8 @@
 		return ok(this.#rows.get(key));
 	}
 
-	async list(prefix: string, limit: number): Promise<Result<readonly Row[], StoreError>> {
-		const rows = [...this.#rows.values()].filter(row => row.key.startsWith(prefix));
+	async list(prefix: string, limit: number, after = ''): Promise<Result<readonly Row[], StoreError>> {
+		const rows = [...this.#rows.values()].filter(row => row.key.startsWith(prefix) && row.key > after);
 		rows.sort((a, b) => a.key < b.key ? -1 : 1);
 		return ok(rows.slice(0, limit));
 	}
--- a/src/store/table.ts
+++ b/src/store/table.ts
@@ -67,11 +67,12 @@
 	abstract get(key: string): Promise<Result<Row | undefined, StoreError>>;
 
 	/**
-	 * @param prefix - Keys to list start with it.
+	 * @param prefix - Keys to list start with it; contains the first segment of the keys and its slash.
 	 * @param limit - Greatest number of rows.
+	 * @param after - Only keys greater than this one, to read on after the last row of an earlier call.
 	 * @returns Rows ordered by key.
 	 */
-	abstract list(prefix: string, limit: number): Promise<Result<readonly Row[], StoreError>>;
+	abstract list(prefix: string, limit: number, after?: string): Promise<Result<readonly Row[], StoreError>>;
 
 	/** Writes all rows or none. */
 	abstract transact(writes: readonly Write[]): Promise<Result<WriteOutcome, StoreError>>;
