--- /dev/null
+++ b/src/coordination/claim-collector.ts
@@ -0,0 +1,95 @@
+/**
+ * Garbage collection of claim rows, at a bounded rate. One node at a time needs to run it.
+ */
+import {type Clock, type Timer} from '../base/clock.js';
+import {type Row, type Table, type Write} from '../store/table.js';
+import {CLAIM_PREFIX, parseClaim, SteadyWallClock} from './claim-row.js';
+
+const HOUR_MS = 3_600_000;
+/** Claims are kept 24 h; the margin covers wall clocks that differ between VMs. */
+const KEEP_MS = 25 * HOUR_MS;
+
+/** Rate of a collector. */
+export type CollectorRate = {
+	/** Rows read at a time; at most 100, the limit of one transaction. */
+	readonly pageRows: number;
+	/** Time between two pages, in ms. */
+	readonly intervalMs: number;
+};
+
+/** Deletes claim rows older than a day. */
+export class ClaimCollector {
+	static create(table: Table, clock: Clock, rate: CollectorRate): ClaimCollector {
+		return new ClaimCollector(table, clock, rate);
+	}
+
+	readonly #table: Table;
+	readonly #clock: Clock;
+	readonly #wall: SteadyWallClock;
+	readonly #rate: CollectorRate;
+	#after = '';
+	#deletedCount = 0;
+	#timer: Timer | undefined;
+
+	private constructor(table: Table, clock: Clock, rate: CollectorRate) {
+		this.#table = table;
+		this.#clock = clock;
+		this.#wall = SteadyWallClock.create(clock);
+		this.#rate = rate;
+	}
+
+	/** Rows deleted since the start. */
+	get deletedCount(): number {
+		return this.#deletedCount;
+	}
+
+	start(): void {
+		this.#timer = this.#clock.setTimer(this.#rate.intervalMs, () => {
+			void this.#tick();
+		});
+	}
+
+	stop(): void {
+		this.#timer?.cancel();
+		this.#timer = undefined;
+	}
+
+	/** Reads one page and deletes its old rows; the next call reads on. */
+	async collectPage(): Promise<void> {
+		const listed = await this.#table.list(CLAIM_PREFIX, this.#rate.pageRows, this.#after);
+		if (listed.isErr) {
+			return;
+		}
+
+		const rows = listed.value;
+		this.#after = rows.length < this.#rate.pageRows ? '' : rows.at(-1)!.key;
+		await this.#delete(rows.filter(row => this.#isOld(row)));
+	}
+
+	async #tick(): Promise<void> {
+		await this.collectPage();
+		if (this.#timer !== undefined) {
+			this.start();
+		}
+	}
+
+	/** A corrupt row is kept, since its age is unknown and its key may have been dispatched. */
+	#isOld(row: Row): boolean {
+		const claimedAt = parseClaim(row.value)?.claimedAt;
+		return claimedAt !== undefined && this.#wall.now() - claimedAt > KEEP_MS;
+	}
+
+	async #delete(rows: readonly Row[]): Promise<void> {
+		if (rows.length === 0) {
+			return;
+		}
+
+		const deletions = rows.map((row): Write => ({
+			key: row.key, value: undefined, condition: {kind: 'token', token: row.token}, token: row.token,
+		}));
+		const result = await this.#table.transact(deletions);
+		if (result.isOk && result.value === 'written') {
+			this.#deletedCount += rows.length;
+		}
+	}
+}
--- a/src/coordination/claims.ts
+++ b/src/coordination/claims.ts
@@ -34,6 +34,9 @@
 	readonly body: Uint8Array;
 };
 
+/** Largest answer that is kept for replay, in bytes; the relay records no more. */
+export const MAX_KEPT_ANSWER_BYTES = 1024 * 1024;
+
 /** What may be done with a keyed request. */
 export type ClaimDecision =
 	/** Run it; no other attempt can have run it or will. */
@@ -47,12 +50,19 @@
 export abstract class Claims {
 	abstract acquire(request: ClaimRequest): Promise<ClaimDecision>;
 
-	/** Called synchronously right before the first byte leaves; afterwards the claim can never be released. */
-	abstract noteCommitted(claim: Claim): void;
+	/**
+	 * Called synchronously right before the first byte leaves; afterwards the claim can never be released.
+	 *
+	 * @returns False when the claim is no longer held and the request must not be sent.
+	 */
+	abstract noteCommitted(claim: Claim): boolean;
 
 	/** Gives up a claim whose request was never sent; retried in the background while the store is down. */
 	abstract release(claim: Claim): Promise<void>;
 
+	/** Notes that a request that was sent ended without a complete answer; its outcome stays unknown. */
+	abstract abandon(claim: Claim): void;
+
 	/** Records the end of a claimed request; retried in the background while the store is down. */
 	abstract complete(claim: Claim, answer: RecordedAnswer | undefined): Promise<void>;
 }
--- /dev/null
+++ b/src/coordination/own-write.ts
@@ -0,0 +1,62 @@
+/**
+ * Conditional writes whose lost answers are resolved: the same write is repeated with the same token, and a strong read
+ * after a failed condition tells whether an earlier copy took effect.
+ */
+import {type Clock} from '../base/clock.js';
+import {
+	type Row, type Table, type Write, WriteOutcome,
+} from '../store/table.js';
+import {withTimeout} from './within-time.js';
+
+/** How a write ended. */
+export type OwnWriteResult =
+	/** The row held this write's token. */
+	| {readonly kind: 'written'}
+	/** The condition does not hold; the row as it was read afterwards. */
+	| {readonly kind: 'rejected'; readonly row: Row | undefined}
+	/** The store did not decide in time; the write may still take effect. */
+	| {readonly kind: 'undecided'};
+
+const BACK_OFF_MS = 50;
+
+/**
+ * Writes one row.
+ *
+ * @param timeoutMs - Time after which the outcome is left undecided.
+ */
+export async function writeOwn(table: Table, clock: Clock, write: Write, timeoutMs: number): Promise<OwnWriteResult> {
+	const end = clock.now() + timeoutMs;
+	let isRejected = false;
+	while (clock.now() < end) {
+		// eslint-disable-next-line no-await-in-loop
+		const result = isRejected ? await readBack(table, clock, write, end) : await writeOnce(table, clock, write, end);
+		if (result === 'rejected') {
+			isRejected = true;
+		} else if (result === undefined) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.sleep(Math.min(BACK_OFF_MS, Math.max(0, end - clock.now())));
+		} else {
+			return result;
+		}
+	}
+
+	return {kind: 'undecided'};
+}
+
+async function writeOnce(table: Table, clock: Clock, write: Write, end: number): Promise<OwnWriteResult | 'rejected' | undefined> {
+	const result = await withTimeout(clock, table.write(write), end - clock.now());
+	if (result.isErr) {
+		return undefined;
+	}
+
+	return result.value === WriteOutcome.Written ? {kind: 'written'} : 'rejected';
+}
+
+async function readBack(table: Table, clock: Clock, write: Write, end: number): Promise<OwnWriteResult | undefined> {
+	const result = await withTimeout(clock, table.get(write.key), end - clock.now());
+	if (result.isErr) {
+		return undefined;
+	}
+
+	return result.value?.token === write.token ? {kind: 'written'} : {kind: 'rejected', row: result.value};
+}
--- a/src/coordination/table-claims.ts
+++ b/src/coordination/table-claims.ts
@@ -3,116 +3,296 @@
  */
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
-import {z} from 'zod';
+import {type Clock, SystemClock} from '../base/clock.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
-import {type Table, WriteOutcome} from '../store/table.js';
+import {Invariants, PromiseId} from '../base/invariant.js';
+import {MemoryObjectStore} from '../store/memory-table.js';
+import {type ObjectStore} from '../store/object-store.js';
+import {type Condition, type Row, type Table} from '../store/table.js';
+import {BackgroundWrites, defaultBackgroundLimits} from './background-writes.js';
+import {ClaimAttempts} from './claim-attempts.js';
+import {
+	type ClaimHolder, type ClaimPeers, ClaimStatus, MemoryClaimPeers,
+} from './claim-peers.js';
+import {
+	claimRowKey, type ClaimValue, MAX_INLINE_BYTES, parseClaim, SteadyWallClock, storedAnswer, type StoredAnswer,
+} from './claim-row.js';
 import {
 	type Claim, type ClaimDecision, type ClaimRequest, Claims, type RecordedAnswer,
 } from './claims.js';
+import {writeOwn} from './own-write.js';
+import {withTimeout} from './within-time.js';
 
-const claimValueSchema = z.object({
-	state: z.enum(['claimed', 'done']),
-	holder: z.string(),
-	digest: z.string(),
-	answer: z.object({
-		status: z.number(),
-		contentType: z.string().optional(),
-		/** Base64. */
-		body: z.string(),
-	}).optional(),
-});
+/** What claims work with; the defaults serve one process on its own. */
+export type TableClaimsOptions = {
+	readonly clock?: Clock;
+	readonly invariants?: Invariants;
+	/** Holds the bodies of large answers. */
+	readonly objects?: ObjectStore;
+	/** Reaches the holders of other claims. */
+	readonly peers?: ClaimPeers;
+	/** Longest time that a caller waits for its claim, in ms. */
+	readonly acquireTimeoutMs?: number;
+	/** Longest time that a caller waits for the record of its answer, in ms. */
+	readonly completeWaitMs?: number;
+	readonly backgroundLimits?: typeof defaultBackgroundLimits;
+	/** Makes unguessable tokens. */
+	readonly createToken?: () => string;
+};
 
-type ClaimValue = z.infer<typeof claimValueSchema>;
+const ACQUIRE_TIMEOUT_MS = 2000;
+const COMPLETE_WAIT_MS = 250;
+const BACKGROUND_TIMEOUT_MS = 5000;
+/** A release or completion without its answer holds about this much memory, in bytes. */
+const JOB_BYTES = 500;
+/** Rows that one acquisition may find taken, released or taken over before it gives up. */
+const MAX_ROUNDS = 4;
 
 /** Claims by conditional writes. */
-export class TableClaims extends Claims {
+export class TableClaims extends Claims implements ClaimHolder {
 	/**
 	 * @param table - The platform's table service.
 	 * @param holder - Identity of this process, never used again by another.
 	 */
-	static create(table: Table, holder: string): TableClaims {
-		return new TableClaims(table, holder);
+	static create(table: Table, holder: string, options: TableClaimsOptions = {}): TableClaims {
+		return new TableClaims(table, holder, options);
 	}
 
+	/** Releases and completions that the store has not taken yet. */
+	readonly background: BackgroundWrites;
 	readonly #table: Table;
 	readonly #holder: string;
+	readonly #clock: Clock;
+	readonly #wall: SteadyWallClock;
+	readonly #invariants: Invariants;
+	readonly #objects: ObjectStore;
+	readonly #peers: ClaimPeers;
+	readonly #attempts: ClaimAttempts;
+	readonly #acquireTimeoutMs: number;
+	readonly #completeWaitMs: number;
+	readonly #createToken: () => string;
 
-	private constructor(table: Table, holder: string) {
+	private constructor(table: Table, holder: string, options: TableClaimsOptions) {
 		super();
 		this.#table = table;
 		this.#holder = holder;
+		this.#clock = options.clock ?? SystemClock.create();
+		this.#wall = SteadyWallClock.create(this.#clock);
+		this.#invariants = options.invariants ?? Invariants.create({throwOnViolation: false});
+		this.#objects = options.objects ?? MemoryObjectStore.create();
+		this.#peers = options.peers ?? MemoryClaimPeers.create();
+		this.#attempts = ClaimAttempts.create(this.#invariants);
+		this.#acquireTimeoutMs = options.acquireTimeoutMs ?? ACQUIRE_TIMEOUT_MS;
+		this.#completeWaitMs = options.completeWaitMs ?? COMPLETE_WAIT_MS;
+		this.#createToken = options.createToken ?? randomUUID;
+		this.background = BackgroundWrites.create(this.#clock, options.backgroundLimits ?? defaultBackgroundLimits);
+	}
+
+	/** Attempts that wait or run. */
+	get liveCount(): number {
+		return this.#attempts.liveCount;
 	}
 
 	async acquire(request: ClaimRequest): Promise<ClaimDecision> {
-		const rowKey = `claim/${request.customer}/${request.pool}/${request.key}`;
-		const token = randomUUID();
-		const value: ClaimValue = {state: 'claimed', holder: this.#holder, digest: request.digest};
-		const written = await this.#table.write({
-			key: rowKey, value: JSON.stringify(value), condition: {kind: 'absent'}, token,
-		});
-		if (written.isErr) {
-			return refuse(request.isFirstAttempt ? ErrorKind.StoreUnavailable : ErrorKind.EarlierAttemptUnknown);
-		}
+		const end = this.#clock.now() + this.#acquireTimeoutMs;
+		let condition: Condition = {kind: 'absent'};
+		for (let round = 0; round < MAX_ROUNDS; round++) {
+			// eslint-disable-next-line no-await-in-loop
+			const written = await this.#attempt(request, condition, end);
+			if ('kind' in written) {
+				return written;
+			}
 
-		if (written.value === WriteOutcome.Written) {
-			return {
-				kind: 'granted', claim: {
-					rowKey, token, request,
-				},
-			};
+			// eslint-disable-next-line no-await-in-loop
+			const next = await this.#decideRepeat(written.row, request);
+			if (next.kind !== 'write') {
+				return next;
+			}
+
+			condition = next.condition;
 		}
 
-		return this.#decideRepeat(rowKey, request);
+		return refuse(ErrorKind.InProgress);
 	}
 
-	noteCommitted(): void {
-		// The row says `claimed` until it is completed.
+	noteCommitted(claim: Claim): boolean {
+		return this.#attempts.commit(claim.token);
 	}
 
 	async release(claim: Claim): Promise<void> {
-		await this.#table.write({
-			key: claim.rowKey, value: undefined, condition: {kind: 'token', token: claim.token}, token: randomUUID(),
-		});
+		this.#giveUp(claim.rowKey, claim.token);
+	}
+
+	abandon(claim: Claim): void {
+		if (claim.request.keepsAnswer) {
+			this.#attempts.forget(claim.token);
+		} else {
+			this.#attempts.finish(claim.token);
+		}
 	}
 
 	async complete(claim: Claim, answer: RecordedAnswer | undefined): Promise<void> {
+		if (!claim.request.keepsAnswer) {
+			// The claim row of a note already tells that it was dispatched.
+			this.#attempts.finish(claim.token);
+			return;
+		}
+
+		const token = this.#createToken();
+		const finished = new AbortController();
+		this.background.add({
+			bytes: JOB_BYTES + (answer?.body.byteLength ?? 0),
+			run: async () => {
+				const isDecided = await this.#record(claim, token, answer);
+				if (isDecided) {
+					this.#attempts.finish(claim.token);
+					finished.abort();
+				}
+
+				return isDecided;
+			},
+			onDropped: () => {
+				this.#attempts.forget(claim.token);
+				finished.abort();
+			},
+		});
+		await this.#clock.sleep(this.#completeWaitMs, finished.signal);
+	}
+
+	statusOf(token: string): ClaimStatus {
+		return this.#attempts.statusOf(token);
+	}
+
+	/** Writes one claim; a row of another attempt is returned as it was read. */
+	async #attempt(request: ClaimRequest, condition: Condition, end: number): Promise<ClaimDecision | {readonly row: Row | undefined}> {
+		const rowKey = claimRowKey(request);
+		const token = this.#createToken();
+		this.#attempts.begin(token);
+		const value = JSON.stringify(this.#valueOf(request));
+		const result = await writeOwn(this.#table, this.#clock, {
+			key: rowKey, value, condition, token,
+		}, end - this.#clock.now());
+		if (result.kind === 'written') {
+			this.#attempts.hold(token);
+			return {kind: 'granted', claim: {rowKey, token, request}};
+		}
+
+		if (result.kind === 'rejected') {
+			this.#attempts.giveUp(token);
+			return {row: result.row};
+		}
+
+		this.#giveUp(rowKey, token);
+		return refuse(request.isFirstAttempt ? ErrorKind.StoreUnavailable : ErrorKind.EarlierAttemptUnknown);
+	}
+
+	#giveUp(rowKey: string, token: string): void {
+		if (!this.#attempts.giveUp(token)) {
+			return;
+		}
+
+		const write = {
+			key: rowKey, value: undefined, condition: {kind: 'token', token}, token: this.#createToken(),
+		} as const;
+		this.background.add({
+			bytes: JOB_BYTES,
+			run: async () => {
+				const result = await withTimeout(this.#clock, this.#table.write(write), BACKGROUND_TIMEOUT_MS);
+				return result.isOk;
+			},
+			onDropped() {
+				// The row stays; this node still answers that the attempt was never dispatched.
+			},
+		});
+	}
+
+	async #record(claim: Claim, token: string, answer: RecordedAnswer | undefined): Promise<boolean> {
+		const isLarge = answer !== undefined && answer.body.byteLength > MAX_INLINE_BYTES;
+		const objectKey = isLarge ? `claim-answer/${claim.token}` : undefined;
+		if (isLarge) {
+			const put = await withTimeout(this.#clock, this.#objects.put(objectKey!, answer.body), BACKGROUND_TIMEOUT_MS);
+			if (put.isErr) {
+				return false;
+			}
+		}
+
 		const value: ClaimValue = {
-			state: 'done',
-			holder: this.#holder,
-			digest: claim.request.digest,
-			...(answer && {
-				answer: {status: answer.status, contentType: answer.contentType, body: Buffer.from(answer.body).toString('base64')},
-			}),
+			...this.#valueOf(claim.request), state: 'done', ...(answer && {answer: storedAnswer(answer, objectKey)}),
 		};
-		await this.#table.write({
-			key: claim.rowKey, value: JSON.stringify(value), condition: {kind: 'token', token: claim.token}, token: randomUUID(),
-		});
+		const result = await withTimeout(this.#clock, this.#table.write({
+			key: claim.rowKey, value: JSON.stringify(value), condition: {kind: 'token', token: claim.token}, token,
+		}), BACKGROUND_TIMEOUT_MS);
+		return result.isOk;
 	}
 
-	async #decideRepeat(rowKey: string, request: ClaimRequest): Promise<ClaimDecision> {
-		const read = await this.#table.get(rowKey);
-		if (read.isErr || read.value === undefined) {
-			return refuse(ErrorKind.EarlierAttemptUnknown);
+	async #decideRepeat(row: Row | undefined, request: ClaimRequest): Promise<ClaimDecision | {kind: 'write'; condition: Condition}> {
+		if (row === undefined) {
+			return {kind: 'write', condition: {kind: 'absent'}};
+		}
+
+		const value = parseClaim(row.value);
+		if (value === undefined) {
+			return refuse(ErrorKind.OutcomeUnknown);
 		}
 
-		const value = claimValueSchema.parse(JSON.parse(read.value.value));
 		if (value.digest !== request.digest) {
 			return refuse(ErrorKind.KeyConflict);
 		}
 
-		if (value.answer !== undefined) {
-			const {status, contentType, body} = value.answer;
-			return {kind: 'replay', answer: {status, contentType, body: Buffer.from(body, 'base64')}};
+		if (value.state === 'done') {
+			return value.answer === undefined ? refuse(ErrorKind.AlreadyDispatched) : this.#replay(value.answer);
 		}
 
-		if (value.state === 'done') {
+		const status = value.holder === this.#holder ? this.statusOf(row.token) : await this.#peers.ask(value.holder, row.token);
+		return status === ClaimStatus.Done ? this.#decideDone(row, value) : this.#decideClaimed(row, status);
+	}
+
+	#decideClaimed(row: Row, status: ClaimStatus): ClaimDecision | {kind: 'write'; condition: Condition} {
+		if (status !== ClaimStatus.NeverDispatched) {
+			return refuse(status === ClaimStatus.Running ? ErrorKind.InProgress : ErrorKind.OutcomeUnknown);
+		}
+
+		const isGivenUp = this.#invariants.check(PromiseId.BookingOnce, this.statusOf(row.token) !== ClaimStatus.Running, 'A claim of a live attempt was to be taken over.');
+		return isGivenUp ? {kind: 'write', condition: {kind: 'token', token: row.token}} : refuse(ErrorKind.Internal);
+	}
+
+	/** Decides after the holder said that the attempt ended; a booking's row then holds its answer. */
+	async #decideDone(row: Row, value: ClaimValue): Promise<ClaimDecision> {
+		if (!value.keepsAnswer) {
 			return refuse(ErrorKind.AlreadyDispatched);
 		}
 
-		return refuse(value.holder === this.#holder ? ErrorKind.InProgress : ErrorKind.OutcomeUnknown);
+		const read = await withTimeout(this.#clock, this.#table.get(row.key), this.#acquireTimeoutMs);
+		if (read.isErr) {
+			return refuse(ErrorKind.EarlierAttemptUnknown);
+		}
+
+		const answer = read.value && parseClaim(read.value.value)?.answer;
+		return answer === undefined ? refuse(ErrorKind.OutcomeUnknown) : this.#replay(answer);
+	}
+
+	async #replay({status, contentType, body, objectKey}: StoredAnswer): Promise<ClaimDecision> {
+		if (objectKey === undefined) {
+			return {kind: 'replay', answer: {status, contentType, body: Buffer.from(body ?? '', 'base64')}};
+		}
+
+		const read = await withTimeout(this.#clock, this.#objects.get(objectKey), this.#acquireTimeoutMs);
+		if (read.isErr) {
+			return refuse(ErrorKind.EarlierAttemptUnknown);
+		}
+
+		return read.value === undefined
+			? refuse(ErrorKind.OutcomeUnknown)
+			: {kind: 'replay', answer: {status, contentType, body: read.value}};
+	}
+
+	#valueOf(request: ClaimRequest): ClaimValue {
+		return {
+			state: 'claimed', holder: this.#holder, digest: request.digest, keepsAnswer: request.keepsAnswer, claimedAt: this.#wall.now(),
+		};
 	}
 }
 
-function refuse(kind: ErrorKind): ClaimDecision {
+function refuse(kind: ErrorKind): {readonly kind: 'refused'; readonly err: SchedulerError} {
 	return {kind: 'refused', err: SchedulerError.create(kind)};
 }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -192,13 +192,21 @@
 	#fail(job: RunningJob, err: SchedulerError): void {
 		const ran = job.ticket.fail(err);
 		job.sink.fail(err, ran);
-		if (job.claim !== undefined && !job.ticket.wasCommitted) {
-			void this.#claims.release(job.claim);
+		if (job.claim !== undefined) {
+			this.#endClaim(job.claim, job.ticket.wasCommitted);
 		}
 
 		this.#end(job);
 	}
 
+	#endClaim(claim: Claim, wasCommitted: boolean): void {
+		if (wasCommitted) {
+			this.#claims.abandon(claim);
+		} else {
+			void this.#claims.release(claim);
+		}
+	}
+
 	#callerLeft(job: RunningJob): void {
 		if (!this.#jobs.has(job.work.id)) {
 			return;
--- a/src/dispatch/relay.ts
+++ b/src/dispatch/relay.ts
@@ -4,13 +4,12 @@
 import {Buffer} from 'node:buffer';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {type Invariants, PromiseId} from '../base/invariant.js';
-import {type Claim, type Claims} from '../coordination/claims.js';
+import {type Claim, type Claims, MAX_KEPT_ANSWER_BYTES} from '../coordination/claims.js';
 import {type Scheduler, WorkOutcome} from '../policy/scheduler.js';
 import {Engine, type UpstreamClient} from '../upstream/engine.js';
 import {type Exchange, ExchangeHandler, type UpstreamHeaders} from '../upstream/exchange.js';
 import {type Job} from './dispatcher.js';
 
-const MAX_RECORDED_BYTES = 64 * 1024;
 const MAX_RESUMES = 3;
 const ERROR_STATUS = 500;
 const PARTIAL_STATUS = 200;
@@ -68,8 +67,8 @@
 			return false;
 		}
 
-		if (claim !== undefined) {
-			claims.noteCommitted(claim);
+		if (claim !== undefined && !claims.noteCommitted(claim)) {
+			return false;
 		}
 
 		scheduler.noteCommitted(job.work.id);
@@ -134,7 +133,7 @@
 	#record(chunk: Uint8Array): void {
 		if (this.#options.claim?.request.keepsAnswer) {
 			this.#recordedBytes += chunk.byteLength;
-			if (this.#recordedBytes <= MAX_RECORDED_BYTES) {
+			if (this.#recordedBytes <= MAX_KEPT_ANSWER_BYTES) {
 				this.#recorded.push(chunk);
 			}
 		}
@@ -143,7 +142,7 @@
 	async #complete(): Promise<void> {
 		const {job, claim, claims} = this.#options;
 		if (claim !== undefined) {
-			const isWhole = claim.request.keepsAnswer && this.#recordedBytes <= MAX_RECORDED_BYTES;
+			const isWhole = claim.request.keepsAnswer && this.#recordedBytes <= MAX_KEPT_ANSWER_BYTES;
 			await claims.complete(claim, isWhole
 				? {status: this.#status, contentType: this.#contentType, body: Buffer.concat(this.#recorded)}
 				: undefined);
