--- /dev/null
+++ b/src/members/topics.ts
@@ -0,0 +1,212 @@
+/**
+ * What rides on gossip besides members: typed publication and subscription.
+ */
+import {type Entry} from '../peer/generated/redwingspool/peer/v1/peer_pb.js';
+import {hashText} from './hash.js';
+import {type EntryInit} from './entry-store.js';
+import {type Membership} from './membership.js';
+
+/** Published again while the upstream is still leaving; see `publishLeaving`. */
+const LEAVING_LIFETIME_MS = 2 * 60 * 60_000;
+const SUSPICION_LIFETIME_MS = 10 * 60_000;
+/** Time for which other nodes admit nothing below a tier under pressure. */
+export const PRESSURE_LIFETIME_MS = 2000;
+/** While a mark of another node lasts longer than this, none is added to it. */
+const PRESSURE_RENEWAL_MS = 700;
+
+/** An upstream that takes no new work, or takes it again. */
+export type LeavingNews = {
+	readonly upstreamId: string;
+	readonly isLeaving: boolean;
+};
+
+/** The highest version of a settings subtree that a node of a region applied. */
+export type AppliedNews = {
+	readonly subtree: string;
+	readonly region: string;
+	readonly version: number;
+};
+
+/** Crashes seen by one node while a request was in flight. */
+export type SuspicionNews = {
+	readonly fingerprint: string;
+	readonly owner: string;
+	readonly crashes: number;
+	/** Crashes in which the request was the only suspect in flight. */
+	readonly crashesAlone: number;
+	/** The request ran to its end at this node. */
+	readonly isCleared: boolean;
+	readonly remainingMs: number;
+};
+
+/** Nothing below the tier may be admitted in the pool for the remaining time. */
+export type PressureNews = {
+	readonly pool: string;
+	readonly tier: number;
+	readonly remainingMs: number;
+};
+
+type News = {
+	leaving: LeavingNews;
+	config: AppliedNews;
+	suspicion: SuspicionNews;
+	pressure: PressureNews;
+};
+
+type Listener<Topic extends keyof News> = (news: News[Topic]) => void;
+
+type Listeners = {[Topic in keyof News]: Set<Listener<Topic>>};
+
+/** The topics of one node. Subscribers hear what other nodes and this one publish, each version once. */
+export class Topics {
+	static create(): Topics {
+		return new Topics();
+	}
+
+	readonly #listeners: Listeners = {
+		leaving: new Set(), config: new Set(), suspicion: new Set(), pressure: new Set(),
+	};
+
+	#membership: Membership | undefined;
+	#publications = 0;
+
+	private constructor() {
+		// Subscribers come before the membership.
+	}
+
+	/** Joins the topics with the membership that has `accept` as its `onEntry`. */
+	attach(membership: Membership): void {
+		this.#membership = membership;
+	}
+
+	/** @returns A function that ends the subscription. */
+	subscribe<Topic extends keyof News>(topic: Topic, listener: Listener<Topic>): () => void {
+		this.#listeners[topic].add(listener);
+		return () => {
+			this.#listeners[topic].delete(listener);
+		};
+	}
+
+	/** Takes a new entry; the `onEntry` of the membership. */
+	readonly accept = (entry: Entry): void => {
+		const {value} = entry;
+		switch (value.case) {
+			case 'leaving': {
+				this.#notify('leaving', {upstreamId: value.value.upstreamId, isLeaving: value.value.isLeaving});
+				break;
+			}
+
+			case 'config': {
+				this.#notify('config', {subtree: value.value.subtree, region: value.value.region, version: entry.version});
+				break;
+			}
+
+			case 'suspicion': {
+				const {fingerprint, crashes, crashesAlone, isCleared} = value.value;
+				this.#notify('suspicion', {
+					fingerprint, crashes, crashesAlone, isCleared, owner: entry.key.slice(entry.key.lastIndexOf('/') + 1), remainingMs: entry.remainingMs,
+				});
+				break;
+			}
+
+			case 'pressure': {
+				this.#notify('pressure', {pool: value.value.pool, tier: value.value.tier, remainingMs: entry.remainingMs});
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	};
+
+	/**
+	 * Reports that an upstream leaves, or that it serves again. A source that lags, such as the VM list, must not
+	 * report `false` merely because it does not yet show an upstream as leaving. May be called at every poll.
+	 *
+	 * @returns Whether this was news.
+	 */
+	publishLeaving(upstreamId: string, isLeaving: boolean, now: number): boolean {
+		const {membership} = this;
+		const key = `l/${upstreamId}`;
+		const known = membership.store.get(key);
+		const isKnown = known?.value.case === 'leaving' && known.value.value.isLeaving === isLeaving;
+		if ((isKnown && membership.store.remaining(key, now) > LEAVING_LIFETIME_MS / 2) || (!known && !isLeaving)) {
+			return false;
+		}
+
+		return this.#publish({
+			key,
+			generation: 0,
+			version: (membership.store.newest(key)?.version ?? 0) + 1,
+			lifetimeMs: LEAVING_LIFETIME_MS,
+			value: {case: 'leaving', value: {$typeName: 'redwingspool.peer.v1.LeavingUpstream', upstreamId, isLeaving}},
+		}, now);
+	}
+
+	/** Reports that this node applied a version of a subtree. */
+	publishApplied(subtree: string, version: number, now: number): boolean {
+		const {region} = this.membership.self;
+		return this.#publish({
+			key: `c/${subtree}/${region}`,
+			generation: 0,
+			version,
+			lifetimeMs: 0,
+			value: {case: 'config', value: {$typeName: 'redwingspool.peer.v1.AppliedConfig', subtree, region}},
+		}, now);
+	}
+
+	/** Reports this node's own totals for a suspected request; `remainingMs` counts from now. */
+	publishSuspicion(suspicion: Pick<SuspicionNews, 'fingerprint' | 'crashes' | 'crashesAlone' | 'isCleared'>, now: number): boolean {
+		return this.#publish({
+			...this.#owned(`q/${suspicion.fingerprint}`),
+			lifetimeMs: SUSPICION_LIFETIME_MS,
+			value: {case: 'suspicion', value: {$typeName: 'redwingspool.peer.v1.Suspicion', ...suspicion}},
+		}, now);
+	}
+
+	/**
+	 * Marks pressure, unless a mark that is at least as strict lasts long enough; with 360 nodes that shed at once,
+	 * a mark of each would take most of the bytes a node may send.
+	 */
+	publishPressure(pool: string, tier: number, now: number): boolean {
+		const {store} = this.membership;
+		for (const entry of store.entries()) {
+			const {value} = entry;
+			if (value.case === 'pressure' && value.value.pool === pool && value.value.tier <= tier && store.remaining(entry.key, now) > PRESSURE_RENEWAL_MS) {
+				return false;
+			}
+		}
+
+		return this.#publish({
+			...this.#owned(`p/${hashText(pool).toString(36)}/${tier}`),
+			lifetimeMs: PRESSURE_LIFETIME_MS,
+			value: {case: 'pressure', value: {$typeName: 'redwingspool.peer.v1.Pressure', pool, tier}},
+		}, now);
+	}
+
+	private get membership(): Membership {
+		if (!this.#membership) {
+			throw new Error('The topics have no membership yet.');
+		}
+
+		return this.#membership;
+	}
+
+	/** Keys of their owner, so that nodes that do not know of each other never use one version twice. */
+	#owned(key: string): Pick<EntryInit, 'key' | 'generation' | 'version'> {
+		this.#publications += 1;
+		const {self, incarnation} = this.membership;
+		return {key: `${key}/${self.id}`, generation: incarnation, version: this.#publications};
+	}
+
+	#publish(init: EntryInit, now: number): boolean {
+		return this.membership.publish(init, now, true);
+	}
+
+	#notify<Topic extends keyof News>(topic: Topic, news: News[Topic]): void {
+		for (const listener of this.#listeners[topic]) {
+			listener(news);
+		}
+	}
+}
