--- /dev/null
+++ b/test/members/cluster.ts
@@ -0,0 +1,239 @@
+/**
+ * Nodes of one process on virtual time with their gossip over the in-memory transport, for randomised runs and benches.
+ */
+import {type Result} from 'true-myth/result';
+import {Clock, type Timer} from '../../src/base/clock.js';
+import {Random} from '../../src/base/random.js';
+import {VirtualClock} from '../../src/base/virtual-clock.js';
+import {GossipPart} from '../../src/members/gossip-part.js';
+import {MemberStatus, type MemberView} from '../../src/members/member.js';
+import {Membership} from '../../src/members/membership.js';
+import {Topics} from '../../src/members/topics.js';
+import {MemoryNetwork} from '../../src/peer/memory-transport.js';
+import {
+	PeerTransport, type PeerError, type PeerHandlers, type PeerMethod, type PeerRequestInit, type PeerResponse,
+} from '../../src/peer/peer-transport.js';
+
+/** Time of one node; while the node is paused its timers wait. */
+class PausableClock extends Clock {
+	resumed: Promise<void> | undefined;
+	#resume: (() => void) | undefined;
+
+	constructor(readonly base: Clock) {
+		super();
+	}
+
+	now(): number {
+		return this.base.now();
+	}
+
+	wallNow(): number {
+		return this.base.wallNow();
+	}
+
+	setTimer(ms: number, action: () => void): Timer {
+		return this.base.setTimer(ms, () => {
+			if (this.resumed) {
+				void this.resumed.then(action);
+			} else {
+				action();
+			}
+		});
+	}
+
+	pause(): void {
+		this.resumed ??= new Promise(resolve => {
+			this.#resume = resolve;
+		});
+	}
+
+	resume(): void {
+		this.resumed = undefined;
+		this.#resume?.();
+	}
+}
+
+/** Delivers answers to a paused node when it resumes. */
+class PausableTransport extends PeerTransport {
+	constructor(readonly base: PeerTransport, readonly clock: PausableClock) {
+		super();
+	}
+
+	async call<Method extends PeerMethod>(address: string, method: Method, req: PeerRequestInit<Method>, timeoutMs: number): Promise<Result<PeerResponse<Method>, PeerError>> {
+		const answer = await this.base.call(address, method, req, timeoutMs);
+		await this.clock.resumed;
+		return answer;
+	}
+
+	close(): void {
+		this.base.close();
+	}
+}
+
+export type ClusterNode = {
+	readonly index: number;
+	readonly id: string;
+	readonly process: string;
+	readonly address: string;
+	readonly region: string;
+	readonly membership: Membership;
+	readonly topics: Topics;
+	readonly gossip: GossipPart;
+	readonly clock: PausableClock;
+	readonly transport: PeerTransport;
+	/** When this node first saw each news, by its text. */
+	readonly seen: Map<string, number>;
+	isSuperseded: boolean;
+};
+
+export type ClusterOptions = {
+	readonly seed: number;
+	readonly regions: readonly string[];
+	readonly loss?: number;
+	readonly duplication?: number;
+	readonly maxDelayMs?: number;
+	/** Further calls that a node answers. */
+	readonly handlersOf?: (node: ClusterNode) => PeerHandlers;
+};
+
+export class Cluster {
+	readonly clock = VirtualClock.create();
+	readonly random: Random;
+	readonly network: MemoryNetwork;
+	readonly nodes = new Map<number, ClusterNode>();
+	/** Group of an address; addresses of different groups can't reach each other. */
+	groupOf: (address: string) => number = () => 0;
+	loss: number;
+	readonly #processes = new Map<number, number>();
+
+	constructor(readonly options: ClusterOptions) {
+		this.random = Random.create(options.seed);
+		this.loss = options.loss ?? 0;
+		const delays = Random.create(options.seed + 1);
+		this.network = MemoryNetwork.create(this.clock, Random.create(options.seed + 2), (from, to) => this.groupOf(from) === this.groupOf(to)
+			? {loss: this.loss, duplication: options.duplication ?? 0, delayMs: () => 0.5 + (delays.next() * (options.maxDelayMs ?? 10))}
+			: undefined);
+	}
+
+	static address(index: number): string {
+		return `10.0.${Math.floor(index / 250)}.${index % 250}:7000`;
+	}
+
+	/** Starts a node; a second start of the same index is a new process of the same VM. */
+	start(index: number, seeds: readonly number[], incarnation = 1): ClusterNode {
+		const count = (this.#processes.get(index) ?? 0) + 1;
+		this.#processes.set(index, count);
+		const {regions} = this.options;
+		const region = regions[index % regions.length]!;
+		const self = {
+			id: `vm-${index}`, process: `${index}.${count}`, address: Cluster.address(index), entryAddress: `${Cluster.address(index)}0`, region, dataCentre: `${region}-1`,
+		};
+		const topics = Topics.create();
+		const seen = new Map<string, number>();
+		for (const topic of ['leaving', 'config', 'pressure', 'suspicion'] as const) {
+			topics.subscribe(topic, news => {
+				const {remainingMs: _, ...rest} = {remainingMs: 0, ...news};
+				const text = `${topic} ${JSON.stringify(rest)}`;
+				if (!seen.has(text)) {
+					seen.set(text, this.clock.now());
+				}
+			});
+		}
+
+		const clock = new PausableClock(this.clock);
+		const random = Random.create(this.random.integer(0, 2 ** 30));
+		const membership = Membership.create({
+			self, incarnation, random, now: this.clock.now(), onEntry: topics.accept, onSuperseded() {
+				node.isSuperseded = true;
+			},
+		});
+		membership.setSeeds(seeds.map(seed => Cluster.address(seed)));
+		topics.attach(membership);
+		const node = {
+			index, ...self, membership, topics, clock, seen, isSuperseded: false,
+		} as unknown as {-readonly [Key in keyof ClusterNode]: ClusterNode[Key]};
+		const handlers: PeerHandlers = {
+			exchange: async req => {
+				await clock.resumed;
+				return node.gossip.handlers.exchange!(req);
+			},
+			...this.options.handlersOf?.(node),
+		};
+		node.transport = new PausableTransport(this.network.attach(self.address, handlers), clock);
+		node.gossip = GossipPart.create({membership, transport: node.transport, clock, random});
+		void node.gossip.start(err => {
+			throw err;
+		});
+		this.nodes.set(index, node);
+		return node;
+	}
+
+	/** Ends a node without any message. */
+	crash(index: number): void {
+		const node = this.nodes.get(index);
+		if (node) {
+			this.nodes.delete(index);
+			this.network.detach(node.address);
+			void node.gossip.stop();
+			node.transport.close();
+		}
+	}
+
+	/** Ends a node after it said so. */
+	async leave(index: number): Promise<void> {
+		const node = this.nodes.get(index)!;
+		await node.gossip.drain();
+		await this.run(2000);
+		void node.gossip.announceLeft();
+		await this.run(500);
+		this.crash(index);
+	}
+
+	async run(ms: number): Promise<void> {
+		await this.clock.advanceAsync(ms);
+	}
+
+	view(node: ClusterNode): MemberView[] {
+		return node.membership.members(this.clock.now());
+	}
+}
+
+/** Throws unless every live node sees exactly the live nodes as alive, in their present incarnations. */
+export function checkConverged(cluster: Cluster): void {
+	const expected = [...cluster.nodes.values()].map(node => `${node.id}#${node.membership.incarnation}`).toSorted().join(' ');
+	for (const node of cluster.nodes.values()) {
+		const seen = cluster.view(node).filter(view => view.status === MemberStatus.Alive).map(view => `${view.id}#${view.incarnation}`).toSorted().join(' ');
+		if (seen !== expected) {
+			throw new Error(`${node.id} sees ${seen}; expected ${expected}`);
+		}
+	}
+}
+
+/** Remembers who was dead at which node, and throws when such an incarnation comes back there. */
+export class ResurrectionCheck {
+	readonly #ended = new Set<string>();
+
+	check(cluster: Cluster): void {
+		for (const node of cluster.nodes.values()) {
+			for (const view of cluster.view(node)) {
+				const key = `${node.process} ${view.id}#${view.incarnation}`;
+				const isEnded = view.status === MemberStatus.Dead || view.status === MemberStatus.Left;
+				if (isEnded) {
+					this.#ended.add(key);
+				} else if (this.#ended.has(key)) {
+					throw new Error(`${node.id} sees ${view.id}#${view.incarnation} again as ${view.status}`);
+				}
+			}
+		}
+	}
+}
+
+/** Throws unless all nodes saw the news within the time. */
+export function checkSeen(cluster: Cluster, text: string, since: number, withinMs: number): void {
+	for (const node of cluster.nodes.values()) {
+		const at = node.seen.get(text);
+		if (at === undefined || at - since > withinMs) {
+			throw new Error(`${node.id} saw ${text} after ${at === undefined ? 'never' : at - since} ms; at most ${withinMs} are allowed`);
+		}
+	}
+}
