--- a/src/config/schema.ts
+++ b/src/config/schema.ts
@@ -2,12 +2,16 @@
  * Schema of the settings tree. Each team owns one subtree, checked as a whole by this schema.
  */
 import {z} from 'zod';
+import {crossReferenceProblems} from './cross-references.js';
 
 const KIB = 1024;
 const MIB = 1024 * KIB;
 
 const name = z.string().regex(/^[a-z\d][a-z\d\-]{0,62}$/v, 'expected lower-case letters, digits and hyphens');
 const durationMs = z.int().min(1).max(3_600_000);
+const keyDigests = z.array(z.string().regex(/^[\da-f]{64}$/v, 'expected a SHA-256 digest in hex')).max(20);
+/** Text for people; has no effect. */
+const description = z.string().max(500).optional();
 
 /** A tier of importance; the order in the list is the order of importance, the first being the highest. */
 const tierSchema = z.strictObject({
@@ -19,6 +23,7 @@
 /** A service of language-model engines, reached by `/v1/chat/completions`. */
 const modelServiceSchema = z.strictObject({
 	kind: z.literal('model'),
+	description,
 	models: z.array(z.string().min(1).max(200)).min(1).max(100),
 	tiers: z.array(tierSchema).min(1).max(5),
 	defaultTier: name,
@@ -39,6 +44,7 @@
 /** A plain service, reached by `/services/<name>/...`. Undeclared operations are idempotent if they are GET or HEAD. */
 const plainServiceSchema = z.strictObject({
 	kind: z.literal('plain'),
+	description,
 	operations: z.array(operationSchema).max(500).default([]),
 	tiers: z.array(tierSchema).min(1).max(5),
 	defaultTier: name,
@@ -53,7 +59,8 @@
 
 /** A customer; its API keys are kept as SHA-256 digests only. */
 const customerSchema = z.strictObject({
-	keyDigests: z.array(z.string().regex(/^[\da-f]{64}$/v, 'expected a SHA-256 digest in hex')).max(20),
+	description,
+	keyDigests,
 	/** Share of a contended tier in proportion to the other customers' weights. */
 	weight: z.number().min(0.01).max(1000).default(1),
 	/** Services that the customer may use; all of the subtree's where absent. */
@@ -64,6 +71,7 @@
 
 /** An upstream: a model server or a back end of a plain service. */
 const upstreamSchema = z.strictObject({
+	description,
 	service: name,
 	url: z.url({protocol: /^https?$/v}),
 	region: name,
@@ -82,7 +90,8 @@
 
 /** An operator of the team; the key is kept as a SHA-256 digest. */
 const operatorSchema = z.strictObject({
-	keyDigests: z.array(z.string().regex(/^[\da-f]{64}$/v, 'expected a SHA-256 digest in hex')).max(20),
+	description,
+	keyDigests,
 });
 
 /** One team's subtree. */
@@ -92,12 +101,10 @@
 	upstreams: z.record(name, upstreamSchema).default({}),
 	operators: z.record(name, operatorSchema).default({}),
 }).check(ctx => {
-	for (const [id, upstream] of Object.entries(ctx.value.upstreams)) {
-		if (ctx.value.services[upstream.service] === undefined) {
-			ctx.issues.push({
-				code: 'custom', path: ['upstreams', id, 'service'], message: 'expected the name of a service of this subtree', input: upstream.service,
-			});
-		}
+	for (const {path, message} of crossReferenceProblems(ctx.value)) {
+		ctx.issues.push({
+			code: 'custom', path: [...path], message, input: undefined,
+		});
 	}
 });
 
