--- a/src/config/settings-tree.ts
+++ b/src/config/settings-tree.ts
@@ -100,10 +100,15 @@
 		});
 	}
 
-	/** @returns The newest version of a subtree, or `undefined` where there is none. */
+	/**
+	 * @returns The newest version of a subtree, or `undefined` where there is none. A corrupt row gives a head without
+	 * a body, so that operators can replace it.
+	 */
 	async head(team: string): Promise<Result<Head | undefined, StoreError>> {
 		const row = await withTimeout(this.#clock, this.#table.get(headKey(team)));
-		return row.map(value => value && decodeHead(value));
+		return row.map(value => value && (decodeHead(value) ?? {
+			team, version: value.version, digest: '', bytes: 0,
+		}));
 	}
 
 	/** @returns The record of one version. */
--- /dev/null
+++ b/test/config/config-world.ts
@@ -0,0 +1,117 @@
+/**
+ * Several nodes over one faulty table and in-memory peers, in virtual time.
+ */
+import {Invariants} from '../../src/base/invariant.js';
+import {Log} from '../../src/base/log.js';
+import {Random} from '../../src/base/random.js';
+import {VirtualClock} from '../../src/base/virtual-clock.js';
+import {AppliedVersions} from '../../src/config/applied.js';
+import {ConfigService} from '../../src/config/config-service.js';
+import {ConfigSync} from '../../src/config/config-sync.js';
+import {CurrentSettings} from '../../src/config/current-settings.js';
+import {FreshnessWriter} from '../../src/config/freshness-writer.js';
+import {MemoryPeerNetwork} from '../../src/config/memory-peers.js';
+import {SettingsTree} from '../../src/config/settings-tree.js';
+import {SubtreeStore} from '../../src/config/subtree-store.js';
+import {MemoryObjectStore, MemoryTable} from '../../src/store/memory-table.js';
+import {type Table} from '../../src/store/table.js';
+import {FaultyTable, ObservedTable} from './faulty-table.js';
+
+/** Deliberate faults in the code under test. */
+export type Breaks = {
+	readonly applied?: (invariants: Invariants) => AppliedVersions;
+	readonly table?: (table: Table) => Table;
+	readonly alwaysForce?: boolean;
+};
+
+export type WorldNode = {
+	readonly id: string;
+	readonly region: string;
+	readonly table: FaultyTable;
+	readonly settings: CurrentSettings;
+	readonly sync: ConfigSync;
+	readonly writer: FreshnessWriter;
+	readonly service: ConfigService;
+	readonly tree: SettingsTree;
+	readonly startedAt: number;
+};
+
+export class ConfigWorld {
+	readonly clock = VirtualClock.create();
+	readonly random: Random;
+	readonly memory = MemoryTable.create();
+	readonly objects = MemoryObjectStore.create();
+	readonly network = MemoryPeerNetwork.create(this.clock, 8);
+	readonly invariants = Invariants.create({throwOnViolation: false});
+	readonly nodes = new Map<string, WorldNode>();
+	/** When each version's history row was written, by key. */
+	readonly writtenAt = new Map<string, number>();
+	readonly failures: string[] = [];
+	readonly #shared: Table;
+	#incarnations = 0;
+
+	constructor(seed: number, readonly breaks: Breaks = {}) {
+		this.random = Random.create(seed);
+		this.#shared = new ObservedTable(this.memory, write => {
+			this.writtenAt.set(write.key, this.clock.now());
+		});
+	}
+
+	/** Starts a node, or replaces it by a new process. */
+	async boot(id: string, region: string, isDown = false): Promise<WorldNode> {
+		await this.halt(id);
+		this.#incarnations += 1;
+		const {clock, invariants} = this;
+		const random = Random.create(this.random.integer(0, 2 ** 30));
+		const table = FaultyTable.create(this.#shared, clock, random);
+		table.faults.isDown = isDown;
+		const peers = this.network.join(id, region);
+		const tree = SettingsTree.create({table: this.breaks.table?.(table) ?? table, objects: this.objects, clock});
+		const settings = CurrentSettings.create();
+		const applied = this.breaks.applied?.(invariants) ?? AppliedVersions.create(invariants);
+		const sync = ConfigSync.create({
+			clock, log: Log.create('silent'), random, tree, peers, subtrees: SubtreeStore.create(applied, settings),
+		});
+		const writer = FreshnessWriter.create({
+			clock, tree, region, nodeId: id, isWriter: () => this.#firstOf(region) === id,
+		});
+		const node: WorldNode = {
+			id, region, table, settings, sync, writer, tree, startedAt: clock.now(), service: ConfigService.create({
+				clock, tree, sync, peers, nodeId: id, region,
+			}),
+		};
+		this.nodes.set(id, node);
+		const onFailure = (err: Error) => this.failures.push(`${id}: ${err.message}`);
+		await sync.start(onFailure);
+		await writer.start(onFailure);
+		return node;
+	}
+
+	async halt(id: string): Promise<void> {
+		const node = this.nodes.get(id);
+		await node?.sync.stop();
+		await node?.writer.stop();
+		this.nodes.delete(id);
+		this.network.leave(id);
+	}
+
+	/** Waits in virtual time for a promise. */
+	async settle<Value>(promise: Promise<Value>): Promise<Value> {
+		let isDone = false;
+		const finish = () => {
+			isDone = true;
+		};
+
+		promise.then(finish, finish);
+		while (!isDone) {
+			// eslint-disable-next-line no-await-in-loop
+			await this.clock.advanceAsync(50);
+		}
+
+		return promise;
+	}
+
+	#firstOf(region: string): string | undefined {
+		return [...this.nodes.values()].find(node => node.region === region)?.id;
+	}
+}
