Resume answers by stated offsets and end broken streams visibly

Cause: a resumed answer was trusted to start at the wanted offset, a connection lost before the headers was never resumed, an answer with another dispatch ID was a violated promise instead of a refused answer, and a retry that found no further upstream told a committed request's caller that it had not run. Change: dispatch/answer.ts tracks delivered bytes; overlaps are dropped, gaps end the stream with an error event. Engines are told to cancel when the caller leaves. Retries spend a budget by customer and service.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -2,9 +2,10 @@
  * Takes requests from the callers' interface through claim, queue, upstream and answer.
  */
 import {type Clock} from '../base/clock.js';
-import {ErrorKind, SchedulerError} from '../base/errors.js';
+import {ErrorKind, Ran, SchedulerError} from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
 import {type Claim, type ClaimRequest, type Claims} from '../coordination/claims.js';
+import {RetryBudget} from '../policy/retry-budget.js';
 import {
 	type Scheduler, type SchedulerEvents, type Work, WorkOutcome,
 } from '../policy/scheduler.js';
@@ -28,10 +29,13 @@
 	readonly signal: AbortSignal;
 };
 
-type RunningJob = Job & {
+type RunningJob = Omit<Job, 'work'> & {
+	work: Work;
 	attempts: number;
 	claim: Claim | undefined;
 	relay: Relay | undefined;
+	/** Why the last attempt failed. */
+	lastErr: SchedulerError | undefined;
 	readonly resolve: () => void;
 };
 
@@ -55,12 +59,14 @@
 	readonly #invariants: Invariants;
 	readonly #upstreams: UpstreamRegistry;
 	readonly #claims: Claims;
+	readonly #retryBudget: RetryBudget;
 	readonly #jobs = new Map<string, RunningJob>();
 
 	private constructor(options: DispatcherOptions) {
 		this.#invariants = options.invariants;
 		this.#upstreams = options.upstreams;
 		this.#claims = options.claims;
+		this.#retryBudget = RetryBudget.create(options.clock);
 		this.scheduler = options.createScheduler({
 			start: (work, upstreamId) => {
 				this.#start(work, upstreamId);
@@ -87,9 +93,10 @@
 			return;
 		}
 
+		this.#retryBudget.noteRequest(job.work.customer, job.work.pool);
 		await new Promise<void>(resolve => {
 			const running: RunningJob = {
-				...job, attempts: 0, claim, relay: undefined, resolve,
+				...job, attempts: 0, claim, relay: undefined, lastErr: undefined, resolve,
 			};
 			this.#jobs.set(job.work.id, running);
 			job.signal.addEventListener('abort', () => {
@@ -151,6 +158,7 @@
 			scheduler: this.scheduler,
 			client: taken.client,
 			canResume: taken.upstream.settings.canResume,
+			shouldRetry: () => job.ticket.isIdempotent && this.#mayRetry(job),
 			onOutcome: outcome => {
 				taken.release();
 				this.#relayEnded(job, upstreamId, outcome);
@@ -167,19 +175,27 @@
 			return;
 		}
 
-		if (this.#mayTryAgain(job, outcome)) {
-			this.scheduler.submit({...job.work, excluded: [...job.work.excluded, upstreamId]});
+		job.lastErr = outcome.err;
+		// A relay ends with an upstream's error answer only after `shouldRetry` granted the retry.
+		const isGranted = outcome.workOutcome === WorkOutcome.UpstreamError
+			|| (isSafeToRepeat(job, outcome) && this.#mayRetry(job));
+		if (isGranted && !job.signal.aborted) {
+			job.work = {...job.work, excluded: [...job.work.excluded, upstreamId]};
+			this.scheduler.submit(job.work);
 			return;
 		}
 
 		this.#fail(job, outcome.err);
 	}
 
-	#mayTryAgain(job: RunningJob, outcome: RelayOutcome): boolean {
-		const isSafe = outcome.workOutcome === WorkOutcome.ConnectionRefused
-			|| (job.ticket.isIdempotent && outcome.workOutcome === WorkOutcome.Lost);
-		const isRepeatable = job.request.body === undefined || job.request.body instanceof Uint8Array;
-		return isSafe && isRepeatable && !job.sink.hasStarted && !job.signal.aborted && job.attempts < MAX_ATTEMPTS;
+	/** Whether another attempt may follow; spends the retry budget. */
+	#mayRetry(job: RunningJob): boolean {
+		const isRepeatable = job.request.body === undefined || job.request.body instanceof Uint8Array || !job.request.body.readableDidRead;
+		return isRepeatable
+			&& !job.sink.hasStarted
+			&& !job.signal.aborted
+			&& job.attempts < MAX_ATTEMPTS
+			&& this.#retryBudget.spend(job.work.customer, job.work.pool);
 	}
 
 	#refuse(work: Work, err: SchedulerError): void {
@@ -189,16 +205,29 @@
 		}
 	}
 
-	#fail(job: RunningJob, err: SchedulerError): void {
+	#fail(job: RunningJob, reason: SchedulerError): void {
+		// What refuses a further attempt says nothing about the attempt that was sent before.
+		const err = job.ticket.wasCommitted && reason.answer.ran === Ran.No ? job.lastErr ?? SchedulerError.create(ErrorKind.UpstreamLost) : reason;
 		const ran = job.ticket.fail(err);
 		job.sink.fail(err, ran);
-		if (job.claim !== undefined && !job.ticket.wasCommitted) {
-			void this.#claims.release(job.claim);
-		}
+		this.#settleClaim(job);
 
 		this.#end(job);
 	}
 
+	#settleClaim(job: RunningJob): void {
+		if (job.claim === undefined) {
+			return;
+		}
+
+		if (job.ticket.wasCommitted) {
+			// Without an answer, but no longer in progress: repeats are told so at once.
+			void this.#claims.complete(job.claim, undefined);
+		} else {
+			void this.#claims.release(job.claim);
+		}
+	}
+
 	#callerLeft(job: RunningJob): void {
 		if (!this.#jobs.has(job.work.id)) {
 			return;
@@ -218,3 +247,8 @@
 		job.resolve();
 	}
 }
+
+function isSafeToRepeat(job: RunningJob, outcome: RelayOutcome): boolean {
+	return outcome.workOutcome === WorkOutcome.ConnectionRefused
+		|| (job.ticket.isIdempotent && outcome.workOutcome === WorkOutcome.Lost);
+}
--- /dev/null
+++ b/src/dispatch/hop-headers.ts
@@ -0,0 +1,26 @@
+/**
+ * Headers that end at this hop.
+ */
+import {type UpstreamHeaders} from '../upstream/exchange.js';
+
+/** Hop-by-hop headers of RFC 9110 section 7.6.1. */
+export const hopHeaders: ReadonlySet<string> = new Set([
+	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade',
+]);
+
+/** @returns Lower-case names of the headers that a message's own Connection header declares hop-by-hop. */
+export function namedByConnection(connection: string | string[] | undefined): ReadonlySet<string> {
+	const names = connection?.toString().split(',') ?? [];
+	return new Set(names.map(name => name.trim().toLowerCase()));
+}
+
+/**
+ * @param headers - Headers as they were received, names in lower case.
+ * @param alsoWithheld - Further names that are not passed on.
+ * @returns The headers that are passed on.
+ */
+export function endToEndHeaders(headers: UpstreamHeaders, alsoWithheld: readonly string[] = []): UpstreamHeaders {
+	const named = namedByConnection(headers.connection);
+	return Object.fromEntries(Object.entries(headers).filter(([name]) =>
+		!hopHeaders.has(name) && !named.has(name) && !alsoWithheld.includes(name)));
+}
--- a/src/dispatch/relay.ts
+++ b/src/dispatch/relay.ts
@@ -3,22 +3,25 @@
  */
 import {Buffer} from 'node:buffer';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
-import {type Invariants, PromiseId} from '../base/invariant.js';
+import {type Invariants} from '../base/invariant.js';
 import {type Claim, type Claims} from '../coordination/claims.js';
 import {type Scheduler, WorkOutcome} from '../policy/scheduler.js';
 import {Engine, type UpstreamClient} from '../upstream/engine.js';
 import {type Exchange, ExchangeHandler, type UpstreamHeaders} from '../upstream/exchange.js';
+import {Answer} from './answer.js';
 import {type Job} from './dispatcher.js';
+import {endToEndHeaders} from './hop-headers.js';
 
 const MAX_RECORDED_BYTES = 64 * 1024;
-const MAX_RESUMES = 3;
+/** Resumes in a row that deliver nothing new. */
+const MAX_FRUITLESS_RESUMES = 3;
 const ERROR_STATUS = 500;
-const PARTIAL_STATUS = 200;
-
-/** Hop-by-hop headers of RFC 9110 section 7.6.1, which end at this hop. */
-const hopHeaders = new Set([
-	'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade',
-]);
+const OK_STATUS = 200;
+const NOT_FOUND_STATUS = 404;
+/** Statuses of answers that an idempotent operation is tried again after. */
+const retriedStatuses = new Set([502, 503, 504]);
+/** The offset of the first byte of a resumed answer, where the engine states it. */
+export const OFFSET_HEADER = 'stream-offset';
 
 /** How a relay ended; without an error the caller has its whole answer. */
 export type RelayOutcome = {
@@ -35,34 +38,41 @@
 	readonly scheduler: Scheduler;
 	readonly client: UpstreamClient;
 	readonly canResume: boolean;
+	/** Asked once, before an answer with a retried status would go to the caller; true discards the answer. */
+	readonly shouldRetry: () => boolean;
 	readonly onOutcome: (outcome: RelayOutcome) => void;
 };
 
 /** One attempt of one request. */
-export class Relay extends ExchangeHandler {
+export class Relay {
 	/** Sends the request; `onOutcome` is called once, later. */
 	static start(options: RelayOptions): Relay {
 		const relay = new Relay(options);
-		relay.#exchange = options.client.send(options.job.request, relay);
+		relay.#exchange = options.client.send(options.job.request, new FirstLeg(relay));
 		return relay;
 	}
 
 	readonly #options: RelayOptions;
+	readonly #answer: Answer;
 	readonly #recorded: Uint8Array[] = [];
 	#recordedBytes = 0;
 	#exchange: Exchange | undefined;
 	#status = 0;
 	#contentType: string | undefined;
-	#received = 0;
-	#resumes = 0;
+	#fruitlessResumes = 0;
 	#hasCallerLeft = false;
+	#isEnded = false;
 
 	private constructor(options: RelayOptions) {
-		super();
 		this.#options = options;
+		this.#answer = Answer.create(options.job.ticket.id, options.invariants);
 	}
 
-	onCommit(): boolean {
+	get isAnswerRecorded(): boolean {
+		return this.#options.claim?.request.keepsAnswer ?? false;
+	}
+
+	commit(): boolean {
 		const {job, claim, claims, scheduler} = this.#options;
 		if (!job.ticket.commit()) {
 			return false;
@@ -76,27 +86,56 @@
 		return true;
 	}
 
-	onHeaders(status: number, headers: UpstreamHeaders): void {
-		this.#status = status;
-		this.#contentType = headers['content-type']?.toString();
-		const {job, invariants} = this.#options;
-		const echoed = headers['dispatch-id'];
-		if (!invariants.check(PromiseId.WholeAnswer, echoed === undefined || echoed === job.ticket.id, 'The answer belongs to another dispatch.')) {
-			this.#exchange?.abort();
+	/** Takes the headers of a first or resumed answer. */
+	begin(status: number, headers: UpstreamHeaders): void {
+		const echoed = headers['dispatch-id']?.toString();
+		if (!this.#answer.bind(echoed)) {
+			this.#breakOff(SchedulerError.create(ErrorKind.UpstreamLost, 'The upstream sent the answer to another request.'), WorkOutcome.Lost);
 			return;
 		}
 
+		if (this.#status !== 0) {
+			return;
+		}
+
+		if (retriedStatuses.has(status) && this.#options.shouldRetry()) {
+			this.#breakOff(SchedulerError.create(ErrorKind.UpstreamError, `The upstream answered ${status}.`), WorkOutcome.UpstreamError);
+			return;
+		}
+
+		this.#status = status;
+		this.#contentType = headers['content-type']?.toString();
 		if (!this.#hasCallerLeft) {
-			job.sink.start(status, endToEndHeaders(headers));
+			this.#options.job.sink.start(status, endToEndHeaders(headers, [OFFSET_HEADER, 'redwingspool-ran']));
 		}
 	}
 
-	onData(chunk: Uint8Array): boolean {
+	/**
+	 * Takes a part of the body.
+	 *
+	 * @param offset - Where in the body the part starts.
+	 * @returns False when the caller is slow.
+	 */
+	deliver(offset: number, chunk: Uint8Array): boolean {
+		if (this.#isEnded) {
+			return true;
+		}
+
 		const {job, scheduler} = this.#options;
-		this.#received += chunk.byteLength;
+		const fresh = this.#answer.accept(offset, chunk);
+		if (fresh === undefined) {
+			this.#breakOff(SchedulerError.create(ErrorKind.AnswerIncomplete), WorkOutcome.Lost);
+			return true;
+		}
+
+		if (fresh.byteLength === 0) {
+			return true;
+		}
+
+		this.#fruitlessResumes = 0;
 		scheduler.noteProgress(job.work.id, 1);
-		this.#record(chunk);
-		if (this.#hasCallerLeft || job.sink.write(chunk)) {
+		this.#record(fresh);
+		if (this.#hasCallerLeft || job.sink.write(fresh)) {
 			return true;
 		}
 
@@ -104,38 +143,61 @@
 		return false;
 	}
 
-	onEnd(): void {
-		void this.#complete();
+	/** The upstream ended its answer. */
+	end(): void {
+		if (!this.#isEnded) {
+			this.#isEnded = true;
+			void this.#complete();
+		}
 	}
 
-	onError(err: SchedulerError, wasSent: boolean): void {
+	/** A connection broke off; the answer is resumed if possible. */
+	lose(err: SchedulerError, wasSent: boolean): void {
+		if (this.#isEnded) {
+			return;
+		}
+
 		if (wasSent && this.#canResume()) {
 			this.#resume();
 			return;
 		}
 
-		const brokeOff = wasSent && this.#options.job.sink.hasStarted;
-		this.#options.onOutcome({
-			workOutcome: outcomeOf(err, wasSent),
-			err: brokeOff ? SchedulerError.create(ErrorKind.AnswerIncomplete) : err,
-		});
+		const hasBegun = wasSent && this.#status !== 0;
+		const isAborted = this.#hasCallerLeft && !this.isAnswerRecorded;
+		this.#finish(isAborted ? WorkOutcome.Canceled : outcomeOf(err, wasSent), hasBegun ? SchedulerError.create(ErrorKind.AnswerIncomplete) : err);
 	}
 
-	/** The caller went away. A keyed request goes on, as its answer is recorded for the caller's repeat. */
+	/** The engine refused to resume: it never had the dispatch, or no longer has it. */
+	refuseResume(): void {
+		const kind = this.#status === 0 ? ErrorKind.UpstreamLost : ErrorKind.AnswerIncomplete;
+		this.#breakOff(SchedulerError.create(kind), WorkOutcome.Lost);
+	}
+
+	/**
+	 * The caller went away. An operation whose answer is recorded goes on, for the caller's repeat; anything else is
+	 * stopped at the engine too, which would go on generating for a resume.
+	 */
 	callerLeft(): void {
 		this.#hasCallerLeft = true;
-		if (this.#options.claim === undefined) {
-			this.#exchange?.abort();
-		} else {
+		if (this.isAnswerRecorded) {
 			this.#exchange?.resume();
+			return;
+		}
+
+		const {client, job} = this.#options;
+		if (client instanceof Engine && job.ticket.wasCommitted) {
+			void client.cancel(job.ticket.id);
 		}
+
+		this.#exchange?.abort();
 	}
 
 	#record(chunk: Uint8Array): void {
-		if (this.#options.claim?.request.keepsAnswer) {
+		if (this.isAnswerRecorded) {
 			this.#recordedBytes += chunk.byteLength;
 			if (this.#recordedBytes <= MAX_RECORDED_BYTES) {
-				this.#recorded.push(chunk);
+				// A copy, as a small part would keep the whole network buffer alive.
+				this.#recorded.push(Uint8Array.from(chunk));
 			}
 		}
 	}
@@ -143,7 +205,7 @@
 	async #complete(): Promise<void> {
 		const {job, claim, claims} = this.#options;
 		if (claim !== undefined) {
-			const isWhole = claim.request.keepsAnswer && this.#recordedBytes <= MAX_RECORDED_BYTES;
+			const isWhole = this.isAnswerRecorded && this.#recordedBytes <= MAX_RECORDED_BYTES;
 			await claims.complete(claim, isWhole
 				? {status: this.#status, contentType: this.#contentType, body: Buffer.concat(this.#recorded)}
 				: undefined);
@@ -156,32 +218,79 @@
 		this.#options.onOutcome({workOutcome: this.#status >= ERROR_STATUS ? WorkOutcome.UpstreamError : WorkOutcome.Done});
 	}
 
+	/** Ends the attempt and destroys the connection, so that nothing late can follow. */
+	#breakOff(err: SchedulerError, workOutcome: WorkOutcome): void {
+		if (!this.#isEnded) {
+			this.#finish(workOutcome, err);
+			this.#exchange?.abort();
+		}
+	}
+
+	#finish(workOutcome: WorkOutcome, err: SchedulerError): void {
+		this.#isEnded = true;
+		this.#options.onOutcome({workOutcome, err});
+	}
+
 	#canResume(): boolean {
 		const {client, canResume} = this.#options;
 		return canResume
 			&& client instanceof Engine
-			&& this.#status === PARTIAL_STATUS
-			&& this.#resumes < MAX_RESUMES
+			&& (this.#status === 0 || this.#status === OK_STATUS)
+			&& this.#fruitlessResumes < MAX_FRUITLESS_RESUMES
 			&& !this.#hasCallerLeft;
 	}
 
 	#resume(): void {
 		const {client, job} = this.#options;
-		this.#resumes += 1;
-		this.#exchange = (client as Engine).resume(job.ticket.id, this.#received, job.request.idleTimeoutMs, new ResumedHandler(this, job.ticket.id));
+		this.#fruitlessResumes += 1;
+		const offset = this.#answer.delivered;
+		this.#exchange = (client as Engine).resume(job.ticket.id, offset, job.request.idleTimeoutMs, new ResumedLeg(this, offset));
+	}
+}
+
+/** The connection that the request was sent over. */
+class FirstLeg extends ExchangeHandler {
+	readonly #relay: Relay;
+	#offset = 0;
+
+	constructor(relay: Relay) {
+		super();
+		this.#relay = relay;
+	}
+
+	onCommit(): boolean {
+		return this.#relay.commit();
+	}
+
+	onHeaders(status: number, headers: UpstreamHeaders): void {
+		this.#relay.begin(status, headers);
+	}
+
+	onData(chunk: Uint8Array): boolean {
+		const offset = this.#offset;
+		this.#offset += chunk.byteLength;
+		return this.#relay.deliver(offset, chunk);
+	}
+
+	onEnd(): void {
+		this.#relay.end();
+	}
+
+	onError(err: SchedulerError, wasSent: boolean): void {
+		this.#relay.lose(err, wasSent);
 	}
 }
 
-/** Passes the rest of a resumed answer to its relay; nothing is committed again. */
-class ResumedHandler extends ExchangeHandler {
+/** A connection that continues the answer; nothing is committed again. */
+class ResumedLeg extends ExchangeHandler {
 	readonly #relay: Relay;
-	readonly #dispatchId: string;
+	#offset: number;
 	#isRefused = false;
 
-	constructor(relay: Relay, dispatchId: string) {
+	constructor(relay: Relay, offset: number) {
 		super();
 		this.#relay = relay;
-		this.#dispatchId = dispatchId;
+		this.#offset = offset;
 	}
 
 	onCommit(): boolean {
@@ -189,30 +298,45 @@
 	}
 
 	onHeaders(status: number, headers: UpstreamHeaders): void {
-		this.#isRefused = status !== PARTIAL_STATUS || headers['dispatch-id'] !== this.#dispatchId;
+		// An engine that resumes streams must echo the dispatch ID, as a resumed answer has no other tie to its request.
+		const isContinued = status === OK_STATUS && headers['dispatch-id'] !== undefined;
+		if (!isContinued) {
+			this.#isRefused = true;
+			if (status >= NOT_FOUND_STATUS && status < ERROR_STATUS) {
+				this.#relay.refuseResume();
+			}
+
+			return;
+		}
+
+		const stated = Number(headers[OFFSET_HEADER] ?? this.#offset);
+		this.#offset = Number.isSafeInteger(stated) && stated >= 0 ? stated : Number.POSITIVE_INFINITY;
+		this.#relay.begin(status, headers);
 	}
 
 	onData(chunk: Uint8Array): boolean {
-		return this.#isRefused || this.#relay.onData(chunk);
+		if (this.#isRefused) {
+			return true;
+		}
+
+		const offset = this.#offset;
+		this.#offset += chunk.byteLength;
+		return this.#relay.deliver(offset, chunk);
 	}
 
 	onEnd(): void {
 		if (this.#isRefused) {
-			this.#relay.onError(SchedulerError.create(ErrorKind.AnswerIncomplete), true);
+			this.#relay.lose(SchedulerError.create(ErrorKind.UpstreamLost), true);
 		} else {
-			this.#relay.onEnd();
+			this.#relay.end();
 		}
 	}
 
 	onError(err: SchedulerError): void {
-		this.#relay.onError(err, true);
+		this.#relay.lose(err, true);
 	}
 }
 
-function endToEndHeaders(headers: UpstreamHeaders): UpstreamHeaders {
-	return Object.fromEntries(Object.entries(headers).filter(([name]) => !hopHeaders.has(name)));
-}
-
 function outcomeOf(err: SchedulerError, wasSent: boolean): WorkOutcome {
 	if (err.kind === ErrorKind.Canceled) {
 		return WorkOutcome.Canceled;
--- a/src/entry/http-sink.ts
+++ b/src/entry/http-sink.ts
@@ -4,7 +4,10 @@
 import {type ServerResponse} from 'node:http';
 import {type Ran, type SchedulerError} from '../base/errors.js';
 import {type AnswerHeaders, AnswerSink} from '../dispatch/answer-sink.js';
-import {type ErrorFormat, formatError} from './error-body.js';
+import {ErrorFormat, formatError} from './error-body.js';
+
+/** How long a slow caller may take to read the event that ends a broken stream. */
+const LAST_EVENT_TIMEOUT_MS = 5000;
 
 /** An answer over HTTP/1.1. */
 export class HttpSink extends AnswerSink {
@@ -55,8 +58,7 @@
 
 	fail(err: SchedulerError, ran: Ran): void {
 		if (this.hasStarted) {
-			// The status is sent; a destroyed connection is the only sign that a caller cannot take for a whole answer.
-			this.#res.destroy();
+			this.#breakOff(err, ran);
 			return;
 		}
 
@@ -64,4 +66,23 @@
 		this.#res.writeHead(status, headers);
 		this.#res.end(body);
 	}
+
+	/** Ends an answer that has started: a destroyed connection cannot be taken for a whole answer. */
+	#breakOff(err: SchedulerError, ran: Ran): void {
+		const res = this.#res;
+		const isEventStream = res.getHeader('content-type')?.toString().startsWith('text/event-stream') ?? false;
+		if (!isEventStream || res.destroyed) {
+			res.destroy();
+			return;
+		}
+
+		res.socket?.setTimeout(LAST_EVENT_TIMEOUT_MS, () => {
+			res.destroy();
+		});
+		// The empty line ends an event that broke off in the middle.
+		const {body} = formatError(err, ran, ErrorFormat.Completions);
+		res.write(`\n\nevent: error\ndata: ${body}\n\n`, () => {
+			res.destroy();
+		});
+	}
 }
--- a/src/upstream/http-transport.ts
+++ b/src/upstream/http-transport.ts
@@ -36,8 +36,7 @@
 			method: req.method,
 			path: this.#pathPrefix + req.path,
 			headers: req.headers,
-
-			body: (req.body ?? null),
+			body: req.body ?? null,
 			headersTimeout: req.idleTimeoutMs,
 			bodyTimeout: req.idleTimeoutMs,
 		}, exchange);
@@ -83,11 +82,14 @@
 	}
 
 	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: UpstreamHeaders): void {
-		this.#handler.onHeaders(status, headers);
+		// An informational answer (RFC 9110 section 15.2) comes before the answer itself.
+		if (status >= 200) {
+			this.#handler.onHeaders(status, headers);
+		}
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
-		if (!this.#handler.onData(chunk)) {
+		if (!this.#isAborted && !this.#handler.onData(chunk)) {
 			controller.pause();
 		}
 	}
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -17,6 +17,22 @@
 	readonly defaultTokens: number;
 };
 
+/** Faults of a stand-in engine; all can be changed while it runs. */
+export type EngineFaults = {
+	/** Cuts the connection of each stream before its headers. The dispatch runs on. */
+	cutBeforeHeaders?: boolean;
+	/** Cuts the connection as if the request had never arrived. */
+	loseRequests?: boolean;
+	/** Cuts each resumed connection after this many bytes. */
+	cutResumesAfterBytes?: number;
+	/** Resumes this many bytes after the wanted offset (a gap) or before it (a repeat), and states where. */
+	resumeShiftBytes?: number;
+	/** Echoes this dispatch ID in place of the request's. */
+	echoedId?: string;
+	/** Sends a second, late answer on the same connection after each whole answer. */
+	repeatsAnswers?: boolean;
+};
+
 type JsonObject = Record<string, unknown>;
 
 type CompletionBody = {
@@ -58,6 +74,11 @@
 	readonly accepted: string[] = [];
 	/** Set to cut the connection of each stream after this many parts. */
 	cutAfterParts: number | undefined;
+	faults: EngineFaults = {};
+	/** Parts of streams that were generated so far. */
+	sentParts = 0;
+	/** Dispatches that were canceled, in order. */
+	readonly canceled: string[] = [];
 	readonly #options: EngineStandInOptions;
 	readonly #server: Server;
 	readonly #streams = new Map<string, StreamLog>();
@@ -123,6 +144,11 @@
 	async #complete(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const body = await json(req) as CompletionBody;
 		const id = req.headers['dispatch-id']?.toString() ?? '';
+		if (this.faults.loseRequests) {
+			res.destroy();
+			return;
+		}
+
 		this.accepted.push(id);
 		this.#running += 1;
 		const prompt = body.messages.map(message => String(message.content)).join('\n');
@@ -130,7 +156,12 @@
 		if (body.stream) {
 			await this.#sendStream(res, id, body, words);
 		} else {
-			answerJson(res, 200, wholeAnswer(body, words), id);
+			const answer = wholeAnswer(body, words);
+			answerJson(res, 200, answer, this.faults.echoedId ?? id);
+			if (this.faults.repeatsAnswers) {
+				const late = JSON.stringify(answer);
+				res.socket?.write(`HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ndispatch-id: ${id}\r\ncontent-length: ${late.length}\r\n\r\n${late}`);
+			}
 		}
 
 		this.#running -= 1;
@@ -139,13 +170,19 @@
 	async #sendStream(res: ServerResponse, id: string, body: CompletionBody, words: string[]): Promise<void> {
 		const log: StreamLog = {parts: [], isWhole: false, isCanceled: false};
 		this.#streams.set(id, log);
-		res.writeHead(200, {'content-type': 'text/event-stream', 'dispatch-id': id});
+		if (this.faults.cutBeforeHeaders) {
+			res.destroy();
+		} else {
+			res.writeHead(200, {'content-type': 'text/event-stream', 'dispatch-id': this.faults.echoedId ?? id});
+		}
+
 		for (const part of streamParts(id, body, words)) {
 			if (log.isCanceled) {
 				break;
 			}
 
 			log.parts.push(part);
+			this.sentParts += 1;
 			if (!res.destroyed && !res.write(part)) {
 				// eslint-disable-next-line no-await-in-loop
 				await drained(res);
@@ -177,17 +214,28 @@
 
 		if (req.method === 'DELETE') {
 			log.isCanceled = true;
+			this.canceled.push(id);
 			answerJson(res, 200, {});
 			return;
 		}
 
-		res.writeHead(200, {'content-type': 'text/event-stream', 'dispatch-id': id});
-		let offset = Number(url.searchParams.get('offset'));
+		await this.#sendRest(res, id, log, Number(url.searchParams.get('offset')));
+	}
+
+	async #sendRest(res: ServerResponse, id: string, log: StreamLog, wanted: number): Promise<void> {
+		let offset = Math.max(0, wanted + (this.faults.resumeShiftBytes ?? 0));
+		let allowance = this.faults.cutResumesAfterBytes ?? Number.POSITIVE_INFINITY;
+		res.writeHead(200, {'content-type': 'text/event-stream', 'dispatch-id': this.faults.echoedId ?? id, 'stream-offset': offset});
 		while (!res.destroyed) {
-			const rest = Buffer.concat(log.parts).subarray(offset);
+			const rest = Buffer.concat(log.parts).subarray(offset, offset + allowance);
 			offset += rest.byteLength;
+			allowance -= rest.byteLength;
 			res.write(rest);
-			if (log.isWhole) {
+			if (allowance === 0) {
+				// eslint-disable-next-line no-await-in-loop
+				await flushed(res);
+				res.destroy();
+			} else if (log.isWhole) {
 				break;
 			}
 
@@ -265,8 +313,14 @@
 
 async function drained(res: ServerResponse): Promise<void> {
 	await new Promise<void>(resolve => {
-		res.once('drain', resolve);
-		res.once('close', resolve);
+		const finish = () => {
+			res.off('drain', finish);
+			res.off('close', finish);
+			resolve();
+		};
+
+		res.on('drain', finish);
+		res.on('close', finish);
 	});
 }
 
