Refuse bad input with closed error kinds at once

Cause: unknown routes, parser errors and framework errors were answered in formats of the framework or not at all; path spellings escaped declared operations; a caller's Dispatch-Id header replaced the system's. Change: http-limits.ts, problem-filter.ts, service-path.ts, rate-limiter.ts and send-error.ts; bodies are bounded together; Expect: 100-continue is answered by the reader of the body.

--- a/src/entry/completion-request.ts
+++ b/src/entry/completion-request.ts
@@ -46,7 +46,14 @@
 	}
 
 	const {model, messages, max_tokens: maxTokens, max_completion_tokens: maxCompletionTokens} = parsed.data;
-	const prompt = messages.map(message => `${message.role}\n${textOf(message.content)}\n`).join('');
+	let prompt: string;
+	try {
+		prompt = messages.map(message => `${message.role}\n${textOf(message.content)}\n`).join('');
+	} catch {
+		// Values nested deeper than the stack, which JSON.parse reads but JSON.stringify does not write.
+		return Result.err(SchedulerError.create(ErrorKind.MalformedRequest, 'messages: nested too deeply.'));
+	}
+
 	return ok({
 		model,
 		promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -13,13 +13,11 @@
 import {readBody} from './body.js';
 import {parseCompletionRequest} from './completion-request.js';
 import {
-	answerError, callerSignal, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, keyKnowledgeOf, resolveTier,
+	admitCaller, answerError, callerSignal, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
 
-const MAX_BODY_BYTES = 64 * 1024 * 1024;
-
 /** Routes of the completions protocol. */
 @Controller('v1')
 export class CompletionsController {
@@ -30,7 +28,7 @@
 		const caller = identifyCaller(req.raw, this.context);
 		if (caller.isErr) {
 			void reply.hijack();
-			answerError(reply.raw, caller.error, ErrorFormat.Completions, keyKnowledgeOf(req.raw));
+			answerError(reply.raw, caller.error, ErrorFormat.Completions);
 			return;
 		}
 
@@ -46,7 +44,7 @@
 		void reply.hijack();
 		const job = await this.#createJob(req, reply);
 		if (job.isErr) {
-			answerError(reply.raw, job.error, ErrorFormat.Completions, keyKnowledgeOf(req.raw));
+			answerError(reply.raw, job.error, ErrorFormat.Completions);
 			return;
 		}
 
@@ -54,12 +52,14 @@
 	}
 
 	async #createJob(req: FastifyRequest, reply: FastifyReply): Promise<Result<Job, SchedulerError>> {
-		const caller = identifyCaller(req.raw, this.context);
+		const caller = admitCaller(req.raw, this.context);
 		if (caller.isErr) {
 			return Result.err(caller.error);
 		}
 
-		const body = await readBody(req.raw, MAX_BODY_BYTES);
+		const services = this.context.settings.deployment.modelServices(caller.value.customer);
+		const limitBytes = Math.max(0, ...services.map(service => service.settings.bodyLimitBytes));
+		const body = await readBody(reply.raw, limitBytes, this.context.bodyBudget);
 		return body.andThen(bytes => this.#toJob(req, reply, caller.value, bytes));
 	}
 
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -12,7 +12,10 @@
 import {type CurrentSettings} from '../config/current-settings.js';
 import {type TierSettings} from '../config/schema.js';
 import {type Dispatcher} from '../dispatch/dispatcher.js';
-import {type ErrorFormat, formatError} from './error-body.js';
+import {type BodyBudget} from './body.js';
+import {type ErrorFormat} from './error-body.js';
+import {type RateLimiter} from './rate-limiter.js';
+import {sendError} from './send-error.js';
 
 /** Injection token of the context. */
 export const ENTRY_CONTEXT = 'EntryContext';
@@ -25,8 +28,8 @@
 	readonly keepSeconds: number;
 };
 
-/** Everything that the controllers need from the rest of the node. */
-export type EntryContext = {
+/** Everything that the callers' interface needs from the rest of the node. */
+export type EntryDependencies = {
 	readonly clock: Clock;
 	readonly invariants: Invariants;
 	readonly settings: CurrentSettings;
@@ -39,7 +42,15 @@
 	readonly isReady: () => boolean;
 };
 
+/** What the controllers work with. */
+export type EntryContext = EntryDependencies & {
+	readonly rateLimiter: RateLimiter;
+	readonly bodyBudget: BodyBudget;
+};
+
 const MAX_KEY_LENGTH = 255;
+/** Headers whose repetition would leave open which value applies. */
+const singleHeaders = ['authorization', 'idempotency-key', 'redwingspool-attempt', 'redwingspool-tier'];
 
 /** A request that belongs to a known customer. */
 export type CallerRequest = {
@@ -70,6 +81,11 @@
 		return Result.err(SchedulerError.create(ErrorKind.Unauthenticated));
 	}
 
+	const repeated = singleHeaders.find(name => (req.headersDistinct[name]?.length ?? 0) > 1);
+	if (repeated !== undefined) {
+		return Result.err(SchedulerError.create(ErrorKind.MalformedRequest, `${repeated}: expected one value.`));
+	}
+
 	const idempotencyKey = req.headers['idempotency-key']?.toString();
 	if (idempotencyKey !== undefined && (idempotencyKey === '' || idempotencyKey.length > MAX_KEY_LENGTH)) {
 		return Result.err(SchedulerError.create(ErrorKind.MalformedRequest, `Idempotency-Key needs 1 to ${MAX_KEY_LENGTH} characters.`));
@@ -78,6 +94,11 @@
 	return ok({customer, idempotencyKey, keyKnowledge: keyKnowledgeOf(req)});
 }
 
+/** Identifies the caller of a request that is to be run, and counts it against the customer's rate. */
+export function admitCaller(req: IncomingMessage, context: EntryContext): Result<CallerRequest, SchedulerError> {
+	return identifyCaller(req, context).andThen(caller => context.rateLimiter.take(caller.customer).map(() => caller));
+}
+
 /** The tier of a request: its header, else the default. */
 export function resolveTier(
 	req: IncomingMessage,
@@ -95,16 +116,17 @@
 }
 
 /** Answers a request that never reached the dispatcher. */
-export function answerError(res: ServerResponse, err: SchedulerError, format: ErrorFormat, key: KeyKnowledge): void {
-	const {status, headers, body} = formatError(err, ranOf(err.kind, key), format);
-	// The rest of an unread body is not waited for.
-	res.writeHead(status, {...headers, connection: 'close'});
-	res.end(body);
+export function answerError(res: ServerResponse, err: SchedulerError, format: ErrorFormat): void {
+	sendError(res, err, ranOf(err.kind, keyKnowledgeOf(res.req)), format);
 }
 
 /** @returns A signal that is aborted when the caller closes the connection before its answer has ended. */
 export function callerSignal(res: ServerResponse): AbortSignal {
 	const controller = new AbortController();
+	if (res.closed && !res.writableFinished) {
+		controller.abort();
+	}
+
 	res.once('close', () => {
 		if (!res.writableFinished) {
 			controller.abort();
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -6,10 +6,18 @@
 import {type DynamicModule, Module} from '@nestjs/common';
 import {NestFactory} from '@nestjs/core';
 import {FastifyAdapter, type NestFastifyApplication} from '@nestjs/platform-fastify';
+import {type FastifyReply, type FastifyRequest} from 'fastify';
+import {type Log, LogPrefix} from '../base/log.js';
 import {Part} from '../supervisor/part.js';
+import {BodyBudget} from './body.js';
 import {CompletionsController} from './completions-controller.js';
-import {ENTRY_CONTEXT, type EntryContext} from './context.js';
+import {ENTRY_CONTEXT, type EntryContext, type EntryDependencies} from './context.js';
+import {
+	ClientErrors, defaultHttpLimits, findAmbiguity, type HttpLimits, toServerOptions,
+} from './http-limits.js';
 import {NodeController} from './node-controller.js';
+import {ProblemFilter} from './problem-filter.js';
+import {RateLimiter} from './rate-limiter.js';
 import {ServicesController} from './services-controller.js';
 
 /** Nest's module of the callers' interface. */
@@ -29,12 +37,15 @@
 	readonly host: string;
 	/** 0 lets the operating system choose. */
 	readonly port: number;
+	readonly limits?: HttpLimits;
+	readonly log?: Log;
 };
 
 /** Runs the HTTP server for callers. */
 export class EntryPart extends Part {
-	static create(context: EntryContext, options: ListenOptions): EntryPart {
-		return new EntryPart(context, options);
+	static create(dependencies: EntryDependencies, options: ListenOptions): EntryPart {
+		const {clock} = dependencies;
+		return new EntryPart({...dependencies, rateLimiter: RateLimiter.create(clock), bodyBudget: BodyBudget.create()}, options);
 	}
 
 	readonly #context: EntryContext;
@@ -58,15 +69,26 @@
 	}
 
 	async start(onFailure: (err: Error) => void): Promise<void> {
-		const adapter = new FastifyAdapter({bodyLimit: Number.MAX_SAFE_INTEGER});
-		// Bodies are left unread; the controllers read them within the limit of their service.
-		const fastify = adapter.getInstance();
-		fastify.removeAllContentTypeParsers();
-		fastify.addContentTypeParser('*', async () => undefined);
+		const {limits = defaultHttpLimits, log} = this.#options;
+		const clientErrors = ClientErrors.create();
+		const filter = new ProblemFilter(log?.part(LogPrefix.Entry));
+		const adapter = new FastifyAdapter({
+			bodyLimit: Number.MAX_SAFE_INTEGER,
+			http: toServerOptions(limits),
+			// Long path segments are bounded by the size of the headers.
+			routerOptions: {maxParamLength: limits.maxHeaderBytes},
+			clientErrorHandler: clientErrors.handle,
+			frameworkErrors(err: Error, req: FastifyRequest, reply: FastifyReply) {
+				filter.answer(err, req, reply);
+			},
+		});
+		leaveBodiesUnread(adapter);
 		const app = await NestFactory.create<NestFastifyApplication>(EntryModule.create(this.#context), adapter, {
 			logger: false, bodyParser: false, abortOnError: false,
 		});
+		app.useGlobalFilters(filter);
 		this.#app = app;
+		clientErrors.attach(this.#server);
 		await app.listen(this.#options.port, this.#options.host);
 		this.#server.on('error', onFailure);
 	}
@@ -80,3 +102,16 @@
 		return this.#app!.getHttpServer();
 	}
 }
+
+/** The controllers read bodies within the limit of their service. */
+function leaveBodiesUnread(adapter: FastifyAdapter): void {
+	const fastify = adapter.getInstance();
+	fastify.removeAllContentTypeParsers();
+	fastify.addContentTypeParser('*', async () => undefined);
+	fastify.addHook('onRequest', async req => {
+		const err = findAmbiguity(req.raw);
+		if (err !== undefined) {
+			throw err;
+		}
+	});
+}
--- a/src/entry/http-sink.ts
+++ b/src/entry/http-sink.ts
@@ -5,6 +5,7 @@
 import {type Ran, type SchedulerError} from '../base/errors.js';
 import {type AnswerHeaders, AnswerSink} from '../dispatch/answer-sink.js';
 import {ErrorFormat, formatError} from './error-body.js';
+import {sendError} from './send-error.js';
 
 /** How long a slow caller may take to read the event that ends a broken stream. */
 const LAST_EVENT_TIMEOUT_MS = 5000;
@@ -62,9 +63,7 @@
 			return;
 		}
 
-		const {status, headers, body} = formatError(err, ran, this.#errorFormat);
-		this.#res.writeHead(status, headers);
-		this.#res.end(body);
+		sendError(this.#res, err, ran, this.#errorFormat);
 	}
 
 	/** Ends an answer that has started: a destroyed connection cannot be taken for a whole answer. */
--- a/src/entry/node-controller.ts
+++ b/src/entry/node-controller.ts
@@ -6,7 +6,7 @@
 } from '@nestjs/common';
 import {type FastifyReply, type FastifyRequest} from 'fastify';
 import {
-	answerError, ENTRY_CONTEXT, type EntryContext, identifyCaller, keyKnowledgeOf,
+	answerError, ENTRY_CONTEXT, type EntryContext, identifyCaller,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 
@@ -20,7 +20,7 @@
 		const caller = identifyCaller(req.raw, this.context);
 		if (caller.isErr) {
 			void reply.hijack();
-			answerError(reply.raw, caller.error, ErrorFormat.Problem, keyKnowledgeOf(req.raw));
+			answerError(reply.raw, caller.error, ErrorFormat.Problem);
 			return;
 		}
 
--- a/src/entry/operation.ts
+++ b/src/entry/operation.ts
@@ -24,8 +24,9 @@
 }
 
 function matches(operation: OperationSettings, path: string): boolean {
-	const pattern = operation.path.split('/');
-	const segments = path.split('/');
+	// Servers commonly ignore empty segments, so `/holds/` must not escape a rule for `/holds`.
+	const pattern = operation.path.split('/').filter(Boolean);
+	const segments = path.split('/').filter(Boolean);
 	if (pattern.at(-1) === '**') {
 		pattern.pop();
 		segments.length = Math.min(segments.length, pattern.length);
--- /dev/null
+++ b/src/entry/problem-filter.ts
@@ -0,0 +1,91 @@
+/**
+ * Answers what no route answered: unknown paths, methods that a path does not have, requests that the framework
+ * refused, and faults of the program.
+ */
+import {type ServerResponse} from 'node:http';
+import {
+	type ArgumentsHost, Catch, type ExceptionFilter, HttpException,
+} from '@nestjs/common';
+import {type FastifyReply, type FastifyRequest} from 'fastify';
+import {ErrorKind, ranOf, SchedulerError} from '../base/errors.js';
+import {type Log} from '../base/log.js';
+import {keyKnowledgeOf} from './context.js';
+import {ErrorFormat} from './error-body.js';
+import {sendError} from './send-error.js';
+
+/** Methods of the paths that are routes in themselves. */
+const routeMethods: Readonly<Record<string, string>> = {
+	'/v1/models': 'GET',
+	'/v1/chat/completions': 'POST',
+	'/v1/entries': 'GET',
+	'/healthz': 'GET',
+	'/readyz': 'GET',
+	'/metrics': 'GET',
+};
+
+const kindsByStatus: Readonly<Record<number, ErrorKind>> = {
+	400: ErrorKind.MalformedRequest,
+	404: ErrorKind.NotFound,
+	405: ErrorKind.MethodNotAllowed,
+	408: ErrorKind.RequestTimeout,
+	413: ErrorKind.BodyTooLarge,
+	414: ErrorKind.HeaderTooLarge,
+	415: ErrorKind.MalformedRequest,
+	431: ErrorKind.HeaderTooLarge,
+};
+
+/** Nest's filter for all exceptions. */
+@Catch()
+export class ProblemFilter implements ExceptionFilter {
+	readonly #log: Log | undefined;
+
+	constructor(log: Log | undefined) {
+		this.#log = log;
+	}
+
+	catch(exception: unknown, host: ArgumentsHost): void {
+		const http = host.switchToHttp();
+		this.answer(exception, http.getRequest<FastifyRequest>(), http.getResponse<FastifyReply>());
+	}
+
+	/** Answers a request that failed with an exception. */
+	answer(exception: unknown, req: FastifyRequest, reply: FastifyReply): void {
+		void reply.hijack();
+		const err = this.#toError(exception, req);
+		if (err.kind === ErrorKind.MethodNotAllowed) {
+			reply.raw.setHeader('allow', routeMethods[pathOf(req)] ?? '');
+		}
+
+		const format = isCompletionsPath(pathOf(req)) ? ErrorFormat.Completions : ErrorFormat.Problem;
+		answerProblem(reply.raw, err, format);
+	}
+
+	#toError(exception: unknown, req: FastifyRequest): SchedulerError {
+		if (exception instanceof SchedulerError) {
+			return exception;
+		}
+
+		const status = exception instanceof HttpException ? exception.getStatus() : (exception as {statusCode?: number}).statusCode;
+		const kind = kindsByStatus[status ?? 0];
+		if (kind === undefined) {
+			this.#log?.error('A request failed by a fault of the program.', {err: (exception as Error).message});
+			return SchedulerError.create(ErrorKind.Internal);
+		}
+
+		const isWrongMethod = kind === ErrorKind.NotFound && Object.hasOwn(routeMethods, pathOf(req));
+		return SchedulerError.create(isWrongMethod ? ErrorKind.MethodNotAllowed : kind);
+	}
+}
+
+/** Answers with an error of the interface itself. */
+function answerProblem(res: ServerResponse, err: SchedulerError, format: ErrorFormat): void {
+	sendError(res, err, ranOf(err.kind, keyKnowledgeOf(res.req)), format);
+}
+
+function pathOf(req: FastifyRequest): string {
+	return (req.raw.url ?? '').split('?', 1)[0]!;
+}
+
+function isCompletionsPath(path: string): boolean {
+	return path === '/v1/models' || path === '/v1/chat/completions';
+}
--- a/src/entry/services-controller.ts
+++ b/src/entry/services-controller.ts
@@ -11,31 +11,33 @@
 import {type Service} from '../config/deployment.js';
 import {type PlainServiceSettings} from '../config/schema.js';
 import {type Job} from '../dispatch/dispatcher.js';
+import {hopHeaders, namedByConnection} from '../dispatch/hop-headers.js';
 import {Ticket} from '../dispatch/ticket.js';
 import {type UpstreamRequest} from '../upstream/exchange.js';
 import {readBody} from './body.js';
 import {
-	answerError, callerSignal, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, keyKnowledgeOf, resolveTier,
+	admitCaller, answerError, callerSignal, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
 import {type Operation, resolveOperation} from './operation.js';
+import {parseServicePath} from './service-path.js';
 
-/** Headers that are the caller's affair with this system alone, or end at this hop. */
+const forwardedMethods = new Set(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']);
+
+/** Headers that are between the caller and this system, or set by this system. */
 const withheldHeaders = new Set([
 	'authorization',
-	'connection',
 	'content-length',
+	'dispatch-id',
 	'expect',
 	'host',
-	'keep-alive',
-	'proxy-authorization',
 	'redwingspool-attempt',
 	'redwingspool-tier',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
+	// An upstream that obeys these would run another operation than the one that was checked.
+	'x-http-method',
+	'x-http-method-override',
+	'x-method-override',
 ]);
 
 /** A request whose service, operation and tier are known. */
@@ -58,7 +60,7 @@
 		void reply.hijack();
 		const job = await this.#createJob(req, reply);
 		if (job.isErr) {
-			answerError(reply.raw, job.error, ErrorFormat.Problem, keyKnowledgeOf(req.raw));
+			answerError(reply.raw, job.error, ErrorFormat.Problem);
 			return;
 		}
 
@@ -71,22 +73,31 @@
 			return Result.err(resolved.error);
 		}
 
-		const body = await readBody(req.raw, resolved.value.service.settings.bodyLimitBytes);
+		const body = await readBody(reply.raw, resolved.value.service.settings.bodyLimitBytes, this.context.bodyBudget);
 		return body.map(bytes => this.#toJob(req, reply, resolved.value, bytes));
 	}
 
 	#resolve(req: FastifyRequest): Result<ResolvedRequest, SchedulerError> {
-		const caller = identifyCaller(req.raw, this.context);
+		const caller = admitCaller(req.raw, this.context);
 		if (caller.isErr) {
 			return Result.err(caller.error);
 		}
 
-		const {name, path} = splitPath(req.raw.url!);
+		const target = parseServicePath(req.raw.url!);
+		if (target.isErr) {
+			return Result.err(target.error);
+		}
+
+		const {service: name, path} = target.value;
 		const service = this.context.settings.deployment.findPlainService(caller.value.customer, name);
 		if (service === undefined) {
 			return Result.err(SchedulerError.create(ErrorKind.NotFound));
 		}
 
+		if (!forwardedMethods.has(req.method)) {
+			return Result.err(SchedulerError.create(ErrorKind.MethodNotAllowed));
+		}
+
 		const operation = resolveOperation(service.settings, req.method, path);
 		if (!operation.isIdempotent && caller.value.idempotencyKey === undefined) {
 			return Result.err(SchedulerError.create(ErrorKind.KeyRequired));
@@ -141,16 +152,11 @@
 	}
 }
 
-function splitPath(url: string): {name: string; path: string} {
-	const match = /^\/services\/(?<name>[^\/?]*)(?<path>.*)$/sv.exec(url);
-	const path = match?.groups?.path ?? '';
-	return {name: match?.groups?.name ?? '', path: path.startsWith('/') ? path : `/${path}`};
-}
-
 function toUpstreamRequest(req: FastifyRequest, resolved: ResolvedRequest, dispatchId: string, body: Uint8Array): UpstreamRequest {
 	const headers: Record<string, string> = {'dispatch-id': dispatchId};
+	const named = namedByConnection(req.headers.connection);
 	for (const [name, value] of Object.entries(req.headers)) {
-		if (value !== undefined && !withheldHeaders.has(name)) {
+		if (value !== undefined && !withheldHeaders.has(name) && !hopHeaders.has(name) && !named.has(name)) {
 			headers[name] = Array.isArray(value) ? value.join(', ') : value;
 		}
 	}
--- a/standins/booking.ts
+++ b/standins/booking.ts
@@ -2,7 +2,7 @@
  * A small stand-in for a booking service. It keeps no keys: each hold that arrives is placed.
  */
 import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
+	createServer, type IncomingHttpHeaders, type IncomingMessage, type OutgoingHttpHeaders, type Server, type ServerResponse,
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {text} from 'node:stream/consumers';
@@ -28,6 +28,16 @@
 	readonly holds: Hold[] = [];
 	/** Delay before a hold is answered, in ms. */
 	delayMs = 0;
+	/** Headers of the last request. */
+	lastHeaders: IncomingHttpHeaders = {};
+	/** Further headers of each answer. */
+	answerHeaders: OutgoingHttpHeaders = {};
+	/** Status that every request is answered with, without being run. */
+	failureStatus: number | undefined;
+	/** Cuts the connection of every request, without running it. */
+	cutsRequests = false;
+	/** Requests that arrived. */
+	requestCount = 0;
 	readonly #server: Server;
 
 	private constructor() {
@@ -51,7 +61,23 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		this.requestCount += 1;
+		this.lastHeaders = req.headers;
+		for (const [name, value] of Object.entries(this.answerHeaders)) {
+			res.setHeader(name, value!);
+		}
+
+		if (this.cutsRequests) {
+			res.destroy();
+			return;
+		}
+
 		const body = await text(req);
+		if (this.failureStatus !== undefined) {
+			answer(res, this.failureStatus, {failed: true});
+			return;
+		}
+
 		if (req.method === 'GET') {
 			answer(res, 200, {path: req.url, holds: this.holds.length});
 			return;
--- a/test/dispatch/relay.test.ts
+++ b/test/dispatch/relay.test.ts
@@ -63,6 +63,7 @@
 		['and repeats bytes on resuming', {resumeShiftBytes: -37}, 4],
 	];
 	for (const [title, faults, cutAfterParts] of resumable) {
+		// eslint-disable-next-line @typescript-eslint/no-loop-func -- mocha runs the tests one after the other
 		it(`delivers each byte once when the engine cuts a stream ${title}`, async () => {
 			setFaults(faults, cutAfterParts);
 			const res = await post('cut');
--- /dev/null
+++ b/test/support/raw-http.ts
@@ -0,0 +1,50 @@
+import {Buffer} from 'node:buffer';
+import {connect, type Socket} from 'node:net';
+
+/** An answer read from a raw connection until it closed or the first whole answer arrived. */
+export type RawAnswer = {
+	readonly status: number;
+	readonly head: string;
+	readonly body: string;
+	/** Everything that was received. */
+	readonly text: string;
+};
+
+/** Sends bytes over a connection of its own and reads until it closes, or until one whole answer with a length is there. */
+export async function sendRaw(address: string, parts: ReadonlyArray<string | Uint8Array>): Promise<RawAnswer> {
+	const [host, port] = address.split(':');
+	const socket: Socket = connect(Number(port), host);
+	let text = '';
+	await new Promise<void>(resolve => {
+		socket.on('error', () => {
+			resolve();
+		});
+		socket.on('close', () => {
+			resolve();
+		});
+		socket.on('data', chunk => {
+			text += Buffer.from(chunk).toString('latin1');
+			if (isWhole(text)) {
+				resolve();
+			}
+		});
+		for (const part of parts) {
+			socket.write(part);
+		}
+	});
+	socket.destroy();
+	const [head = '', ...rest] = text.split('\r\n\r\n');
+	return {
+		status: Number(/^HTTP\/1\.1 (?<status>\d+)/v.exec(head)?.groups?.status ?? 0), head: head.toLowerCase(), body: rest.join('\r\n\r\n'), text,
+	};
+}
+
+function isWhole(text: string): boolean {
+	if (/transfer-encoding: chunked/iv.test(text)) {
+		return text.endsWith('\r\n0\r\n\r\n');
+	}
+
+	const length = /content-length: (?<length>\d+)/iv.exec(text)?.groups?.length;
+	const end = text.indexOf('\r\n\r\n');
+	return length !== undefined && end !== -1 && text.length >= end + 4 + Number(length);
+}
