--- a/src/members/topics.ts
+++ b/src/members/topics.ts
@@ -1,7 +1,7 @@
 /**
  * What rides on gossip besides members: typed publication and subscription.
  */
-import {type Entry} from '../peer/generated/redwingspool/peer/v1/peer_pb.js';
+import {type AppliedConfig, type Entry} from '../peer/generated/redwingspool/peer/v1/peer_pb.js';
 import {hashText} from './hash.js';
 import {type EntryInit} from './entry-store.js';
 import {type Membership} from './membership.js';
@@ -20,11 +20,21 @@
 	readonly isLeaving: boolean;
 };
 
-/** The highest version of a settings subtree that a node of a region applied. */
-export type AppliedNews = {
+/** A version of a settings subtree, with what identifies its body. */
+export type AppliedVersion = {
 	readonly subtree: string;
-	readonly region: string;
 	readonly version: number;
+	/** SHA-256 of the body in hex. */
+	readonly digest: string;
+	/** Size of the body. */
+	readonly bytes: number;
+};
+
+/** The highest version of a settings subtree that a node of a region applied. */
+export type AppliedNews = AppliedVersion & {
+	readonly region: string;
+	/** The node that reported the version first. */
+	readonly nodeId: string;
 };
 
 /** Crashes seen by one node while a request was in flight. */
@@ -97,7 +107,7 @@
 			}
 
 			case 'config': {
-				this.#notify('config', {subtree: value.value.subtree, region: value.value.region, version: entry.version});
+				this.#notify('config', toAppliedNews(entry.version, value.value));
 				break;
 			}
 
@@ -145,17 +155,27 @@
 	}
 
 	/** Reports that this node applied a version of a subtree. */
-	publishApplied(subtree: string, version: number, now: number): boolean {
-		const {region} = this.membership.self;
+	publishApplied({subtree, version, digest, bytes}: AppliedVersion, now: number): boolean {
+		const {region, id} = this.membership.self;
 		return this.#publish({
 			key: `c/${subtree}/${region}`,
 			generation: 0,
 			version,
 			lifetimeMs: 0,
-			value: {case: 'config', value: {$typeName: 'redwingspool.peer.v1.AppliedConfig', subtree, region}},
+			value: {
+				case: 'config',
+				value: {
+					$typeName: 'redwingspool.peer.v1.AppliedConfig', subtree, region, nodeId: id, digest, bytes,
+				},
+			},
 		}, now);
 	}
 
+	/** @returns The newest version of each subtree and region, as far as it was heard. */
+	applied(): AppliedNews[] {
+		return [...this.membership.store.entries()].flatMap(({version, value}) => value.case === 'config' ? [toAppliedNews(version, value.value)] : []);
+	}
+
 	/** Reports this node's own totals for a suspected request; `remainingMs` counts from now. */
 	publishSuspicion(suspicion: Pick<SuspicionNews, 'fingerprint' | 'crashes' | 'crashesAlone' | 'isCleared'>, now: number): boolean {
 		return this.#publish({
@@ -210,3 +230,9 @@
 		}
 	}
 }
+
+function toAppliedNews(version: number, {subtree, region, nodeId, digest, bytes}: AppliedConfig): AppliedNews {
+	return {
+		subtree, region, nodeId, version, digest, bytes,
+	};
+}
--- a/src/peer/claim-status.ts
+++ b/src/peer/claim-status.ts
@@ -1,61 +1,55 @@
 /**
- * Asking the holder of a claim what became of it.
+ * Asks the holders of claims over the peer service, and answers for this node's own claims.
  */
-import {type PeerHandlers, type PeerTransport} from './peer-transport.js';
+import {type ClaimHolder, ClaimPeers, ClaimStatus} from '../coordination/claim-peers.js';
+import {type MemberView} from '../members/member.js';
 import {ClaimState} from './generated/redwingspool/peer/v1/peer_pb.js';
+import {type PeerHandlers, type PeerTransport} from './peer-transport.js';
 
 const CALL_TIMEOUT_MS = 1000;
 
-/** What the holder of a claim knows about it. */
-export const ClaimStatus = {
-	/** The attempt is running or may still be sent. */
-	Running: 'running',
-	/** The attempt was never sent and never will be. */
-	GivenUp: 'given-up',
-	/** The attempt ended after it was sent. */
-	Done: 'done',
-	/** The process has no memory of the attempt. */
-	NotKnown: 'not-known',
-} as const;
-
-export type ClaimStatus = (typeof ClaimStatus)[keyof typeof ClaimStatus];
-
-const toState = {
+/** `unreachable` is what the asking side concludes; no node answers it. */
+const stateOf: Readonly<Record<ClaimStatus, ClaimState>> = {
 	[ClaimStatus.Running]: ClaimState.RUNNING,
-	[ClaimStatus.GivenUp]: ClaimState.GIVEN_UP,
+	[ClaimStatus.NeverDispatched]: ClaimState.NEVER_DISPATCHED,
 	[ClaimStatus.Done]: ClaimState.DONE,
 	[ClaimStatus.NotKnown]: ClaimState.NOT_KNOWN,
-} as const;
-
-const fromState = new Map<ClaimState, ClaimStatus>(Object.entries(toState).map(([status, state]) => [state, status as ClaimStatus]));
-
-/** Implemented by the claims of a node. */
-export abstract class ClaimHolder {
-	/**
-	 * Tells what became of an attempt of this process. `given-up` is binding: the attempt must not be sent afterwards.
-	 *
-	 * @param rowKey - Key of the claim row.
-	 * @param token - Token of the attempt, as in the row.
-	 */
-	abstract claimStatus(rowKey: string, token: string): ClaimStatus | Promise<ClaimStatus>;
-}
+	[ClaimStatus.Unreachable]: ClaimState.UNSPECIFIED,
+};
+
+const statusOf = new Map(Object.entries(stateOf).map(([status, state]) => [state, status as ClaimStatus]));
 
 /** @returns The peer handler that answers for a holder. */
 export function claimStatusHandler(holder: ClaimHolder): Pick<PeerHandlers, 'claimStatus'> {
 	return {
-		async claimStatus({rowKey, token}) {
-			return {state: toState[await holder.claimStatus(rowKey, token)]};
-		},
+		claimStatus: ({token}) => ({state: stateOf[holder.statusOf(token)]}),
 	};
 }
 
-/**
- * Asks the holder of a claim.
- *
- * @param address - Peer address of the holder.
- * @returns The status, or `undefined` when the holder could not be asked; the attempt may then be running.
- */
-export async function askClaimStatus(transport: PeerTransport, address: string, claim: {rowKey: string; token: string}): Promise<ClaimStatus | undefined> {
-	const answer = await transport.call(address, 'claimStatus', {rowKey: claim.rowKey, token: claim.token}, CALL_TIMEOUT_MS);
-	return answer.isOk ? fromState.get(answer.value.state) : undefined;
+/** Holders are processes of members. */
+export class NetworkClaimPeers extends ClaimPeers {
+	/** @param members - The members that this node knows now. */
+	static create(transport: PeerTransport, members: () => readonly MemberView[]): NetworkClaimPeers {
+		return new NetworkClaimPeers(transport, members);
+	}
+
+	readonly #transport: PeerTransport;
+	readonly #members: () => readonly MemberView[];
+
+	private constructor(transport: PeerTransport, members: () => readonly MemberView[]) {
+		super();
+		this.#transport = transport;
+		this.#members = members;
+	}
+
+	/** @param holder - Identity of the process that wrote the claim. */
+	async ask(holder: string, token: string): Promise<ClaimStatus> {
+		const member = this.#members().find(candidate => candidate.process === holder);
+		if (member === undefined) {
+			return ClaimStatus.Unreachable;
+		}
+
+		const answer = await this.#transport.call(member.address, 'claimStatus', {token}, CALL_TIMEOUT_MS);
+		return answer.map(({state}) => statusOf.get(state) ?? ClaimStatus.NotKnown).unwrapOr(ClaimStatus.Unreachable);
+	}
 }
--- a/src/peer/memory-transport.ts
+++ b/src/peer/memory-transport.ts
@@ -116,7 +116,7 @@
 
 	async call<Method extends PeerMethod>(address: string, method: Method, req: PeerRequestInit<Method>, timeoutMs: number): Promise<Result<PeerResponse<Method>, PeerError>> {
 		const {input, output} = PeerService.method[method] as {input: DescMessage; output: DescMessage};
-		const bytes = encode(input, req as MessageInitShape<DescMessage>);
+		const bytes = encode(input, req);
 		return new Promise(resolve => {
 			const timer = this.#network.clock.setTimer(timeoutMs, () => {
 				resolve(Result.err({kind: PeerErrorKind.Unreachable, detail: 'No answer in time.'}));
--- a/src/peer/peer-part.ts
+++ b/src/peer/peer-part.ts
@@ -1,7 +1,9 @@
 /**
  * Serves the peer service on a port of its own.
  */
-import {createServer, createSecureServer, type Http2Server, type ServerHttp2Session} from 'node:http2';
+import {
+	createServer, createSecureServer, type Http2Server, type ServerHttp2Session,
+} from 'node:http2';
 import {type AddressInfo} from 'node:net';
 import {once} from 'node:events';
 import {toBinary} from '@bufbuild/protobuf';
@@ -54,7 +56,7 @@
 	async start(onFailure: (err: Error) => void): Promise<void> {
 		const {host, port, tls} = this.#options;
 		const handler = connectNodeAdapter({
-			routes: (router: ConnectRouter) => router.service(PeerService, this.#options.handlers as Partial<ServiceImpl<typeof PeerService>>),
+			routes: (router: ConnectRouter) => router.service(PeerService, this.#options.handlers),
 			interceptors: [authenticate(this.#options.authenticator)],
 			readMaxBytes: MAX_MESSAGE_BYTES,
 			grpc: false,
--- a/test/members/membership.test.ts
+++ b/test/members/membership.test.ts
@@ -184,7 +184,9 @@
 	it('keeps entries while all nodes are replaced in turn', async () => {
 		const cluster = startAll(4, ['a', 'b']);
 		await cluster.run(5000);
-		cluster.nodes.get(0)!.topics.publishApplied('team', 7, cluster.clock.now());
+		cluster.nodes.get(0)!.topics.publishApplied({
+			subtree: 'team', version: 7, digest: 'd', bytes: 1,
+		}, cluster.clock.now());
 		for (const index of indexes) {
 			// eslint-disable-next-line no-await-in-loop
 			await cluster.leave(index);
@@ -194,7 +196,7 @@
 		}
 
 		checkConverged(cluster);
-		checkSeen(cluster, 'config {"subtree":"team","region":"a","version":7}', 0, Number.POSITIVE_INFINITY);
+		checkSeen(cluster, 'config {"subtree":"team","region":"a","nodeId":"vm-0","version":7,"digest":"d","bytes":1}', 0, Number.POSITIVE_INFINITY);
 	});
 
 	// Guards against checks that can't fail: each is given a run that breaks its rule.
