--- a/src/coordination/own-write.ts
+++ b/src/coordination/own-write.ts
@@ -18,6 +18,9 @@
 	| {readonly kind: 'undecided'};
 
 const BACK_OFF_MS = 50;
+/** One call gets half of the time that is left, so that a hung connection leaves time for a repeat. */
+const CALL_SHARE = 0.5;
+const MIN_CALL_MS = 100;
 
 /**
  * Writes one row.
@@ -44,7 +47,7 @@
 }
 
 async function writeOnce(table: Table, clock: Clock, write: Write, end: number): Promise<OwnWriteResult | 'rejected' | undefined> {
-	const result = await withTimeout(clock, table.write(write), end - clock.now());
+	const result = await withTimeout(clock, table.write(write), callLimit(clock, end));
 	if (result.isErr) {
 		return undefined;
 	}
@@ -53,10 +56,15 @@
 }
 
 async function readBack(table: Table, clock: Clock, write: Write, end: number): Promise<OwnWriteResult | undefined> {
-	const result = await withTimeout(clock, table.get(write.key), end - clock.now());
+	const result = await withTimeout(clock, table.get(write.key), callLimit(clock, end));
 	if (result.isErr) {
 		return undefined;
 	}
 
 	return result.value?.token === write.token ? {kind: 'written'} : {kind: 'rejected', row: result.value};
 }
+
+function callLimit(clock: Clock, end: number): number {
+	const leftMs = end - clock.now();
+	return Math.min(leftMs, Math.max(MIN_CALL_MS, leftMs * CALL_SHARE));
+}
