--- /dev/null
+++ b/bench/store.ts
@@ -0,0 +1,115 @@
+/**
+ * Measures claims, leases and placement plans through the store adapters against the platform stand-in, which runs as a
+ * process of its own: `node --import tsx bench/store.ts [--seconds N] [--concurrency N]`.
+ */
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import {createInterface} from 'node:readline';
+import {parseArgs} from 'node:util';
+import {build as buildHistogram} from 'hdr-histogram-js';
+import {SystemClock} from '../src/base/clock.js';
+import {type Claims} from '../src/coordination/claims.js';
+import {Lease} from '../src/coordination/lease.js';
+import {planPlacement} from '../src/coordination/placement-plan.js';
+import {TableClaims} from '../src/coordination/table-claims.js';
+import {DynamoTable} from '../src/store/dynamo-table.js';
+
+const {values: flags} = parseArgs({options: {seconds: {type: 'string', default: '5'}, concurrency: {type: 'string', default: '16'}}});
+const runMs = Number(flags.seconds) * 1000;
+const MICROSECONDS = 1000;
+
+const platform = spawn(process.execPath, ['--import', 'tsx', 'standins/platform-main.ts'], {stdio: ['ignore', 'pipe', 'inherit']});
+const [url] = await once(createInterface({input: platform.stdout}), 'line') as [string];
+const table = DynamoTable.create({
+	endpoint: url,
+	region: 'bench',
+	accessKeyId: 'bench',
+	secretAccessKey: 'bench',
+	connectTimeoutMs: 1000,
+	requestTimeoutMs: 2000,
+	maxConnections: 64,
+	tableName: 'redwingspool',
+});
+const clock = SystemClock.create();
+let sequence = 0;
+
+async function readCounts(): Promise<Map<string, number>> {
+	const res = await fetch(`${url}/control/counts`);
+	return new Map(Object.entries(await res.json() as Record<string, number>));
+}
+
+async function claimOnce(claims: Claims, keepsAnswer: boolean): Promise<void> {
+	sequence += 1;
+	const decision = await claims.acquire({
+		pool: 'bench/service', customer: 'bench/customer', key: String(sequence), digest: 'd', isFirstAttempt: true, keepsAnswer,
+	});
+	if (decision.kind !== 'granted' || !claims.noteCommitted(decision.claim)) {
+		throw new Error(`Claim ${sequence} was not granted.`);
+	}
+
+	await claims.complete(decision.claim, keepsAnswer
+		? {status: 201, contentType: 'application/json', body: new Uint8Array(300)}
+		: undefined);
+}
+
+/** Runs an operation in parallel for a while and prints rate, latency and store calls. */
+async function measure(name: string, concurrency: number, operation: () => Promise<unknown>): Promise<void> {
+	const histogram = buildHistogram();
+	const before = await readCounts();
+	const cpu = process.cpuUsage();
+	const end = performance.now() + runMs;
+	await Promise.all(Array.from({length: concurrency}, async () => {
+		while (performance.now() < end) {
+			const start = performance.now();
+			// eslint-disable-next-line no-await-in-loop
+			await operation();
+			histogram.recordValue(Math.round((performance.now() - start) * MICROSECONDS));
+		}
+	}));
+	const used = process.cpuUsage(cpu);
+	const after = await readCounts();
+	const calls = [...after].map(([call, count]) => [call, (count - (before.get(call) ?? 0)) / histogram.totalCount] as const)
+		.filter(([, share]) => share > 0);
+	console.log(JSON.stringify({
+		name,
+		concurrency,
+		perSecond: Math.round(histogram.totalCount / runMs * 1000),
+		p50Ms: histogram.getValueAtPercentile(50) / MICROSECONDS,
+		p99Ms: histogram.getValueAtPercentile(99) / MICROSECONDS,
+		cpuMsPerOperation: Number(((used.user + used.system) / MICROSECONDS / histogram.totalCount).toFixed(3)),
+		storeCallsPerOperation: Object.fromEntries(calls.map(([call, share]) => [call, Number(share.toFixed(3))])),
+	}));
+}
+
+function measurePlan(): void {
+	const engines = Array.from({length: 790}, (_, index) => ({
+		id: `e${index}`, models: [`m${index % 7}`], modelSlots: 2, rate: 100,
+	}));
+	const demand = new Map(Array.from({length: 7}, (_, index) => [`m${index}`, index === 0 ? 40_000 : 5000]));
+	const histogram = buildHistogram();
+	for (let run = 0; run < 50; run++) {
+		const start = performance.now();
+		planPlacement(engines, demand);
+		histogram.recordValue(Math.round((performance.now() - start) * MICROSECONDS));
+	}
+
+	console.log(JSON.stringify({
+		name: 'plan of 16 changes, 790 engines, 7 models', p50Ms: histogram.getValueAtPercentile(50) / MICROSECONDS, p99Ms: histogram.getValueAtPercentile(99) / MICROSECONDS,
+	}));
+}
+
+const claims = TableClaims.create(table, 'bench-node');
+const lease = Lease.create({
+	table, clock, name: 'bench', holder: 'bench-node',
+});
+const concurrency = Number(flags.concurrency);
+await measure('warm-up, keyed notes', concurrency, async () => claimOnce(claims, false));
+await measure('bookings', 1, async () => claimOnce(claims, true));
+await measure('bookings', concurrency, async () => claimOnce(claims, true));
+await measure('keyed notes', 1, async () => claimOnce(claims, false));
+await measure('keyed notes', concurrency, async () => claimOnce(claims, false));
+await lease.tryAcquire();
+await measure('lease renewals', 1, async () => lease.renew());
+measurePlan();
+table.destroy();
+platform.kill();
--- a/src/coordination/placement-plan.ts
+++ b/src/coordination/placement-plan.ts
@@ -19,8 +19,12 @@
 /** Target states by engine, for the engines whose models change. */
 export type PlacementPlan = ReadonlyMap<string, readonly string[]>;
 
-/** A change must win this share of the total demand, so that small shifts of demand move nothing. */
-const MIN_GAIN_SHARE = 0.02;
+/** A change must serve more demand by this share of the engine's rate, so that small shifts of demand move nothing. */
+const MIN_GAIN_SHARE = 0.2;
+/** Bounds the time of one plan, which runs on the event loop; the weight store takes few loads at once anyway. */
+const MAX_CHANGES = 16;
+/** Capacity below this share of the greatest rate is a rounding error. */
+const ROUNDING_SHARE = 1e-6;
 
 type Change = {
 	readonly engine: number;
@@ -30,12 +34,13 @@
 
 /**
  * Plans by single changes (add a model to a free slot, or exchange one for another), each time the one that reduces
- * the unserved demand most, until none reduces it enough. A model with demand that no engine holds counts at least as
- * the least gain, so that it is always placed where a slot can be had.
+ * the unserved demand most, until none reduces it enough. A model with demand that no engine holds counts for more than
+ * all demand together, so that it is placed wherever another model does not lose its last engine.
+ *
+ * @param maxChanges - Changes in one plan; later plans go on from there.
  */
-export function planPlacement(engines: readonly PlacementEngine[], demand: ModelDemand): PlacementPlan {
+export function planPlacement(engines: readonly PlacementEngine[], demand: ModelDemand, maxChanges = MAX_CHANGES): PlacementPlan {
 	const state = PlanState.create(engines, demand);
-	const maxChanges = engines.reduce((sum, engine) => sum + engine.modelSlots, 0);
 	for (let count = 0; count < maxChanges; count++) {
 		const best = state.bestChange();
 		if (best === undefined) {
@@ -58,7 +63,8 @@
 	readonly #demand: ModelDemand;
 	readonly #models: Array<readonly string[]>;
 	readonly #capacity = new Map<string, number>();
-	readonly #minGain: number;
+	readonly #missingPenalty: number;
+	readonly #roundingError: number;
 
 	private constructor(engines: readonly PlacementEngine[], demand: ModelDemand) {
 		this.#engines = engines;
@@ -69,7 +75,9 @@
 			total += value;
 		}
 
-		this.#minGain = Math.max(total * MIN_GAIN_SHARE, Number.MIN_VALUE);
+		const greatestRate = engines.reduce((greatest, engine) => Math.max(greatest, engine.rate), 0);
+		this.#missingPenalty = total + greatestRate;
+		this.#roundingError = greatestRate * ROUNDING_SHARE;
 		for (const [index, models] of this.#models.entries()) {
 			this.#count(index, models, 1);
 		}
@@ -78,10 +86,10 @@
 	bestChange(): Change | undefined {
 		const wanted = [...this.#demand.keys()].filter(model => this.#unserved(model, this.#capacityOf(model)) > 0);
 		let best: Change | undefined;
-		for (const index of this.#engines.keys()) {
+		for (const [index, engine] of this.#engines.entries()) {
 			for (const models of this.#options(index, wanted)) {
 				const gain = this.#gain(index, models);
-				if (gain >= this.#minGain && gain > (best?.gain ?? 0)) {
+				if (gain >= engine.rate * MIN_GAIN_SHARE && gain > (best?.gain ?? 0)) {
 					best = {engine: index, models, gain};
 				}
 			}
@@ -133,11 +141,11 @@
 		return gain;
 	}
 
-	/** Demand without capacity; a model that no engine holds counts as at least the least gain. */
+	/** Demand without capacity, and the penalty where no engine holds the model. */
 	#unserved(model: string, capacity: number): number {
 		const demand = this.#demand.get(model) ?? 0;
-		const isMissing = demand > 0 && capacity <= this.#minGain * 1e-9;
-		return Math.max(0, demand - capacity) + (isMissing ? this.#minGain * 2 : 0);
+		const isMissing = demand > 0 && capacity <= this.#roundingError;
+		return Math.max(0, demand - capacity) + (isMissing ? this.#missingPenalty : 0);
 	}
 
 	#capacityOf(model: string): number {
