Divide the fall-back of a share over all assigned nodes

Change: the fall-back divides by the assigned nodes. Conclusion: the fall-back uses fewer slots while no allocator is heard, in exchange for the bound.

--- a/src/policy/shares.ts
+++ b/src/policy/shares.ts
@@ -33,8 +33,6 @@
 	readonly slots: number;
 	/** Counted from when the demand was sent, so that it ends at the holder before it ends at the allocator. */
 	readonly lifetimeMs: number;
-	/** Nodes with demand, for the fall-back. */
-	readonly holders: number;
 	readonly limit: number;
 	readonly sequence: number;
 };
@@ -83,7 +81,7 @@
 		pool.sequence += 1;
 		holder.grants.push({sequence: pool.sequence, slots, until: now + SHARE_LIFETIME_MS});
 		return {
-			upstreamId: demand.upstreamId, slots, lifetimeMs: SHARE_LIFETIME_MS, holders: pool.holders.size, limit, sequence: pool.sequence,
+			upstreamId: demand.upstreamId, slots, lifetimeMs: SHARE_LIFETIME_MS, limit, sequence: pool.sequence,
 		};
 	}
 
@@ -188,15 +186,17 @@
 
 /** A demand that stays without answer for this long shows that the allocator is not heard. */
 const UNANSWERED_MS = 600;
-/** The number of holders in an older share says little about the present. */
-const HOLDERS_KNOWN_MS = 10_000;
 
 type HeldShare = Share & {readonly until: number};
 
-/** What a node falls back on where it never heard an allocator. */
+/** What a node falls back on while it does not hear the allocator. */
 export type ShareFallback = {
+	/** Limit where no allocator was ever heard. */
 	readonly limit: number;
-	/** Nodes that are assigned to the upstream. */
+	/**
+	 * Nodes that are assigned to the upstream. The number that had demand in the last share is too small when more
+	 * nodes become busy before a new allocator is heard.
+	 */
 	readonly holders: number;
 };
 
@@ -254,9 +254,7 @@
 			return FLOOR_SLOTS;
 		}
 
-		const isRecent = share && now - share.until < HOLDERS_KNOWN_MS;
-		const {limit, holders} = isRecent ? share : fallback;
-		return Math.max(FLOOR_SLOTS, Math.floor(limit / Math.max(1, holders)));
+		return Math.max(FLOOR_SLOTS, Math.floor((share?.limit ?? fallback.limit) / Math.max(1, fallback.holders)));
 	}
 
 	/** Ends the wait for an answer of an upstream without demand. */
--- /dev/null
+++ b/test/members/assignment.test.ts
@@ -0,0 +1,79 @@
+import {expect} from 'chai';
+import {Assignment, MAX_NODES_PER_UPSTREAM} from '../../src/members/assignment.js';
+import {chooseEntries, mayClose} from '../../src/members/entries.js';
+import {MemberStatus, type MemberView} from '../../src/members/member.js';
+
+function member(index: number, view: Partial<MemberView> = {}): MemberView {
+	return {
+		id: `vm-${index}`,
+		process: `p${index}`,
+		address: `10.0.0.${index}:7000`,
+		entryAddress: `10.0.0.${index}:80`,
+		region: index % 2 === 0 ? 'a' : 'b',
+		dataCentre: 'a-1',
+		incarnation: 1,
+		status: MemberStatus.Alive,
+		load: 0,
+		...view,
+	};
+}
+
+const members = (count: number) => Array.from({length: count}, (_, index) => member(index));
+const upstreams = Array.from({length: 200}, (_, index) => ({id: `team/u${index}`, region: index % 2 === 0 ? 'a' : 'b'}));
+
+function pairs(assignment: Assignment): Set<string> {
+	return new Set(upstreams.flatMap(({id}) => assignment.nodesOf(id).map(node => `${id} ${node.id}`)));
+}
+
+describe('assignment', () => {
+	// Guards against a join or leave that moves assignments of uninvolved nodes.
+	it('moves only assignments of the node that joins or leaves', () => {
+		const before = pairs(Assignment.create(members(60), upstreams));
+		const after = pairs(Assignment.create(members(60).filter(({id}) => id !== 'vm-7'), upstreams));
+		const lost = [...before].filter(pair => !after.has(pair));
+		expect(lost.every(pair => pair.endsWith(' vm-7'))).to.equal(true);
+		expect([...after].filter(pair => !before.has(pair)).length).to.equal(lost.length);
+		expect(before.size).to.equal(upstreams.length * MAX_NODES_PER_UPSTREAM);
+	});
+
+	// Guards against moves when a region is cut off, and against allocators that are not alive.
+	it('keeps suspects assigned but not as allocators, and prefers the same region', () => {
+		const cutOff = members(60).map(view => view.region === 'b' ? {...view, status: MemberStatus.Suspect} : view);
+		const assignment = Assignment.create(cutOff, upstreams);
+		expect(pairs(assignment)).to.deep.equal(pairs(Assignment.create(members(60), upstreams)));
+		expect(upstreams.every(({id, region}) => assignment.nodesOf(id).every(node => node.region === region))).to.equal(true);
+		expect(upstreams.every(({id}) => assignment.allocatorOf(id)?.status !== MemberStatus.Suspect)).to.equal(true);
+		expect(Assignment.create(members(3), upstreams).nodesOf('team/u0').length).to.equal(3);
+	});
+});
+
+describe('entries', () => {
+	// Guards against callers that are sent to a leaving or silent VM, or across regions without need.
+	it('returns three live addresses, the caller\'s region first, leaving VMs out at once', () => {
+		const views = members(8).map((view, index) => index === 0 ? {...view, status: MemberStatus.Leaving} : (index === 2 ? {...view, status: MemberStatus.Suspect} : view));
+		for (let caller = 0; caller < 100; caller += 1) {
+			const {addresses, keepSeconds} = chooseEntries({id: `team/c${caller}`, region: 'a'}, views);
+			expect(keepSeconds).to.equal(10);
+			expect(addresses.slice(0, 2).toSorted()).to.deep.equal(['10.0.0.4:80', '10.0.0.6:80']);
+			expect(addresses[2]).to.match(/\.[1357]:80$/v);
+		}
+	});
+
+	// Guards against loaded VMs that get as many callers as idle ones, and against callers that change their VM without need.
+	it('spreads callers by load and keeps a caller at its VM', () => {
+		const views = members(4).map((view, index) => ({...view, region: 'a', load: index === 0 ? 75 : 0}));
+		const first = (count: number, list: readonly MemberView[]) => Array.from({length: count}, (_, index) => chooseEntries({id: `c${index}`, region: 'a'}, list).addresses[0]!);
+		const chosen = first(4000, views);
+		const share = chosen.filter(address => address === '10.0.0.0:80').length / chosen.length;
+		expect(share).to.be.within(0.25 / 3.25 - 0.02, (0.25 / 3.25) + 0.02);
+		const without = first(4000, views.slice(0, 3));
+		expect(chosen.every((address, index) => address === '10.0.0.3:80' || address === without[index])).to.equal(true);
+	});
+
+	// Guards against a listener that closes while callers still hold its address or requests run.
+	it('closes a leaving VM after twice the keep time and its requests', () => {
+		expect(mayClose({leavingForMs: 19_999, inFlight: 0})).to.equal(false);
+		expect(mayClose({leavingForMs: 20_000, inFlight: 1})).to.equal(false);
+		expect(mayClose({leavingForMs: 20_000, inFlight: 0})).to.equal(true);
+	});
+});
