--- /dev/null
+++ b/src/cli/config-client.ts
@@ -0,0 +1,159 @@
+/**
+ * Client of the operators' HTTP interface.
+ */
+import Result, {ok} from 'true-myth/result';
+import {request} from 'undici';
+import {z} from 'zod';
+import {ErrorKind} from '../base/errors.js';
+import {type SettingDefinitions} from '../base/settings.js';
+import {type Change} from '../config/check-subtree.js';
+import {ExitStatus, type Failure} from './config-exit.js';
+
+/** Over the 5 s that a node waits for a change to come into force, and the 5 s for a region's state. */
+const ANSWER_TIMEOUT_MS = 30_000;
+
+/** Settings of every command that talks to a node. */
+export const clientSettings = {
+	address: {description: 'Address of a node', schema: z.string().default('127.0.0.1:8080'), valueHint: 'HOST:PORT'},
+	team: {description: 'Team whose subtree is meant', schema: z.string('expected a team'), valueHint: 'NAME'},
+	'operator-key': {
+		description: 'Operator key; better set in the environment, where other users cannot see it', schema: z.string('expected an operator key'), valueHint: 'KEY',
+	},
+} as const satisfies SettingDefinitions;
+
+/** Where and as whom to connect. */
+export type ClientOptions = {
+	readonly address: string;
+	readonly team: string;
+	readonly 'operator-key': string;
+};
+
+const changeSchema = z.object({
+	path: z.string(), type: z.enum(['add', 'remove', 'change']), from: z.unknown(), to: z.unknown(),
+});
+const problemSchema = z.object({
+	kind: z.string(),
+	detail: z.string(),
+	problems: z.array(z.object({path: z.string(), message: z.string()})).default([]),
+	currentVersion: z.number().optional(),
+	difference: z.array(changeSchema).default([]),
+});
+
+export const subtreeVersionSchema = z.object({version: z.number(), subtree: z.record(z.string(), z.unknown()), mayBeOld: z.boolean()});
+export const diffSchema = z.object({version: z.number(), changes: z.array(changeSchema)});
+export const putSchema = diffSchema.extend({
+	regions: z.array(z.object({
+		region: z.string(), inForce: z.boolean(), nodes: z.number(), nodesInForce: z.number(),
+	})),
+});
+export const logSchema = z.object({
+	versions: z.array(z.object({
+		version: z.number(), fromVersion: z.number(), author: z.string(), at: z.number(), digest: z.string(), bytes: z.number(),
+	})),
+});
+export const problemsSchema = z.object({problems: z.array(z.object({path: z.string(), message: z.string()}))});
+
+type Call = {
+	readonly method: 'GET' | 'PUT' | 'POST';
+	/** Path below the team's configuration, with its query. */
+	readonly path: string;
+	readonly body?: unknown;
+	/** The version that a change was made from. */
+	readonly fromVersion?: number;
+};
+
+const nextSteps: Partial<Record<string, string>> = {
+	[ErrorKind.VersionConflict]: 'get the newest version, make your change again, and put it',
+	[ErrorKind.InvalidConfig]: 'correct the values at these paths; `config validate FILE` checks a file without a node',
+	[ErrorKind.RegionUnreachable]: 'repeat later, or add --force to accept the change although a region will get it late',
+	[ErrorKind.StoreUnavailable]: 'nothing was changed; repeat when the store is back',
+	[ErrorKind.OutcomeUnknown]: 'read `config log` to see whether the change was accepted before you repeat it',
+	[ErrorKind.Unauthenticated]: 'set REDWINGSPOOL_OPERATOR_KEY to an operator key of this team',
+	[ErrorKind.Forbidden]: 'use an operator key of this team',
+};
+const notReachableKinds = new Set<string>([ErrorKind.StoreUnavailable, ErrorKind.OutcomeUnknown, ErrorKind.NotReady, ErrorKind.Draining]);
+
+/** Sends one request. */
+export async function callNode<Answer>(options: ClientOptions, call: Call, schema: z.ZodType<Answer>): Promise<Result<Answer, Failure>> {
+	try {
+		const res = await request(urlOf(options, call.path), {
+			method: call.method,
+			headers: headersOf(options, call),
+			...(call.body !== undefined && {body: JSON.stringify(call.body)}),
+			headersTimeout: ANSWER_TIMEOUT_MS,
+			bodyTimeout: ANSWER_TIMEOUT_MS,
+		});
+		const json: unknown = await res.body.json();
+		return res.statusCode === 200 ? ok(schema.parse(json)) : Result.err(toFailure(json));
+	} catch (error) {
+		return Result.err(notReachable(options, call, error as Error));
+	}
+}
+
+/** @returns The URL of a path below the team's configuration. */
+export function urlOf({address, team}: ClientOptions, path: string): string {
+	return `http://${address}/v1/teams/${encodeURIComponent(team)}/config${path}`;
+}
+
+/** @returns One line for each difference. */
+export function describeChanges(changes: ReadonlyArray<Pick<Change, 'path' | 'type' | 'from' | 'to'>>): string[] {
+	return changes.map(({path, type, from, to}) => {
+		switch (type) {
+			case 'add': {
+				return `+ ${path}: ${JSON.stringify(to)}`;
+			}
+
+			case 'remove': {
+				return `- ${path}: ${JSON.stringify(from)}`;
+			}
+
+			case 'change': {
+				return `~ ${path}: ${JSON.stringify(from)} -> ${JSON.stringify(to)}`;
+			}
+		}
+	});
+}
+
+function headersOf(options: ClientOptions, {body, fromVersion}: Call): Record<string, string> {
+	return {
+		authorization: `Bearer ${options['operator-key']}`,
+		...(body !== undefined && {'content-type': 'application/json'}),
+		...(fromVersion !== undefined && {'if-match': `"${fromVersion}"`}),
+	};
+}
+
+function toFailure(json: unknown): Failure {
+	const problem = problemSchema.safeParse(json);
+	if (!problem.success) {
+		return {
+			status: ExitStatus.NotReachable, message: 'the address did not answer as a node does', details: [], next: 'check --address',
+		};
+	}
+
+	const {kind, detail, problems, currentVersion, difference} = problem.data;
+	const details = problems.map(({path, message}) => `${path || '(whole file)'}: ${message}`);
+	if (currentVersion !== undefined) {
+		details.push(`the newest version is ${currentVersion}; it differs from yours by:`, ...describeChanges(difference));
+	}
+
+	return {
+		status: statusOf(kind), message: `${kind}: ${detail}`, details, next: nextSteps[kind] ?? '',
+	};
+}
+
+function statusOf(kind: string): ExitStatus {
+	if (kind === ErrorKind.VersionConflict) {
+		return ExitStatus.Conflict;
+	}
+
+	return notReachableKinds.has(kind) ? ExitStatus.NotReachable : ExitStatus.Refused;
+}
+
+function notReachable({address}: ClientOptions, {method}: Call, error: Error): Failure {
+	return {
+		status: ExitStatus.NotReachable,
+		message: `no answer from ${address}: ${error.message}`,
+		details: [],
+		next: method === 'PUT' ? 'the change may have been accepted: read `config log` at another address before you repeat it' : 'check --address, or use another node',
+	};
+}
--- /dev/null
+++ b/src/cli/config-files.ts
@@ -0,0 +1,86 @@
+/**
+ * Subtrees in files: YAML or JSON, with the version that they were read at.
+ */
+import {readFile} from 'node:fs/promises';
+import Result, {ok} from 'true-myth/result';
+import {parse, parseDocument, stringify, Document} from 'yaml';
+import {z} from 'zod';
+import {ExitStatus, type Failure} from './config-exit.js';
+
+/** A subtree from a file. */
+export type SubtreeFile = {
+	readonly subtree: unknown;
+	/** The version that the file was made from, where it says so. */
+	readonly fromVersion: number | undefined;
+};
+
+const wrapperSchema = z.strictObject({version: z.int().min(0), subtree: z.unknown(), mayBeOld: z.boolean().optional()});
+
+/** Reads a file; `-` is standard input. */
+export async function readSubtreeFile(path: string): Promise<Result<SubtreeFile, Failure>> {
+	try {
+		return parseSubtree(await readFile(path === '-' ? '/dev/stdin' : path, 'utf8'), path);
+	} catch (error) {
+		return Result.err(fileFailure(`cannot read ${path}: ${(error as Error).message}`));
+	}
+}
+
+/** @returns The subtree of a text in YAML or JSON. */
+export function parseSubtree(text: string, path: string): Result<SubtreeFile, Failure> {
+	const document = parseDocument(text);
+	if (document.errors.length > 0) {
+		return Result.err(fileFailure(`${path}: ${document.errors[0]!.message}`));
+	}
+
+	const value: unknown = document.toJS() ?? {};
+	const wrapper = wrapperSchema.safeParse(value);
+	if (wrapper.success) {
+		return ok({subtree: wrapper.data.subtree, fromVersion: wrapper.data.version});
+	}
+
+	const version = /^# .* version (?<version>\d+)$/mv.exec(text.split('\n', 1)[0]!)?.groups?.version;
+	return ok({subtree: value, fromVersion: version === undefined ? undefined : Number(version)});
+}
+
+/** @returns A subtree in YAML whose first line names the version, which `config put` reads. */
+export function formatSubtree(team: string, version: number, subtree: unknown): string {
+	return `# redwingspool ${team} version ${version}\n${stringify(subtree)}`;
+}
+
+/** An assignment such as `customers.guest.weight=2`; without a value the entry is removed. */
+export type Edit = {
+	readonly path: readonly string[];
+	readonly value: unknown;
+};
+
+/** @returns The edit of an assignment, or `undefined` for a text that is none. */
+export function parseEdit(text: string): Edit | undefined {
+	const match = /^(?<path>[^=]+)=(?<value>.*)$/sv.exec(text);
+	if (match === null) {
+		return undefined;
+	}
+
+	const value = match.groups!.value!;
+	return {path: match.groups!.path!.split('.'), value: value === '' ? undefined : parse(value)};
+}
+
+/** @returns The subtree with the edits made. */
+export function applyEdits(subtree: unknown, edits: readonly Edit[]): unknown {
+	const document = new Document(subtree);
+	for (const {path, value} of edits) {
+		const segments = path.map(segment => /^\d+$/v.test(segment) ? Number(segment) : segment);
+		if (value === undefined) {
+			document.deleteIn(segments);
+		} else {
+			document.setIn(segments, value);
+		}
+	}
+
+	return document.toJS();
+}
+
+function fileFailure(message: string): Failure {
+	return {
+		status: ExitStatus.Usage, message, details: [], next: 'give a file in YAML or JSON',
+	};
+}
--- /dev/null
+++ b/src/cli/config.ts
@@ -0,0 +1,167 @@
+/**
+ * `redwingspool config`: the team's settings from the command line.
+ */
+import process from 'node:process';
+import {defineCommand} from 'citty';
+import {toArguments} from '../base/settings.js';
+import {checkSubtree} from '../config/check-subtree.js';
+import {
+	callNode, type ClientOptions, clientSettings, describeChanges, diffSchema, logSchema, putSchema, subtreeVersionSchema,
+} from './config-client.js';
+import {
+	applyEdits, formatSubtree, parseEdit, readSubtreeFile, type SubtreeFile,
+} from './config-files.js';
+import {EXIT_STATUS_HELP, ExitStatus, unwrapOrExit} from './config-exit.js';
+import {printEvents} from './config-watch.js';
+import {readSettingsOrExit} from './read-settings-or-exit.js';
+
+const json = {type: 'boolean', description: 'Print JSON', default: false} as const;
+const force = {type: 'boolean', description: 'Accept the change although a region is cut off', default: false} as const;
+const file = {type: 'positional', description: 'File in YAML or JSON; - is standard input', required: true} as const;
+const connection = toArguments(clientSettings);
+
+function meta(name: string, description: string): {name: string; description: string} {
+	return {name, description: `${description}. ${EXIT_STATUS_HELP}`};
+}
+
+function readOptions(args: Readonly<Record<string, unknown>>): ClientOptions {
+	return readSettingsOrExit(clientSettings, args);
+}
+
+async function readFileOrExit(path: string, isJson: boolean): Promise<SubtreeFile> {
+	return unwrapOrExit(await readSubtreeFile(path), isJson);
+}
+
+async function putOrExit(options: ClientOptions, change: {subtree: unknown; fromVersion: number; force: boolean}, isJson: boolean): Promise<void> {
+	const answer = unwrapOrExit(await callNode(options, {
+		method: 'PUT', path: change.force ? '?force=true' : '', body: change.subtree, fromVersion: change.fromVersion,
+	}, putSchema), isJson);
+	if (isJson) {
+		console.log(JSON.stringify(answer));
+		return;
+	}
+
+	console.log(`accepted version ${answer.version}`);
+	for (const line of describeChanges(answer.changes)) {
+		console.log(`  ${line}`);
+	}
+
+	for (const region of answer.regions) {
+		const state = region.inForce ? 'in force' : 'not yet in force on every node';
+		console.log(`${region.region}: ${state} (${region.nodesInForce} of ${region.nodes} nodes)`);
+	}
+}
+
+function exitUsage(message: string): never {
+	console.error(`error: ${message}`);
+	process.exit(ExitStatus.Usage);
+}
+
+const getCommand = defineCommand({
+	meta: meta('get', 'Print the subtree'),
+	args: {...connection, json, version: {type: 'string', description: 'An older version', valueHint: 'N'}},
+	async run({args}) {
+		const options = readOptions(args);
+		const path = args.version ? `?version=${encodeURIComponent(String(args.version))}` : '';
+		const answer = unwrapOrExit(await callNode(options, {method: 'GET', path}, subtreeVersionSchema), args.json);
+		if (answer.mayBeOld) {
+			console.error('warning: the store does not answer; this version may be old');
+		}
+
+		process.stdout.write(args.json ? `${JSON.stringify(answer)}\n` : formatSubtree(options.team, answer.version, answer.subtree));
+	},
+});
+
+const putCommand = defineCommand({
+	meta: meta('put', 'Replace the subtree by a file'),
+	args: {
+		file, ...connection, json, force, from: {type: 'string', description: 'Version that the file was made from; read from the file where absent', valueHint: 'N'},
+	},
+	async run({args}) {
+		const options = readOptions(args);
+		const {subtree, fromVersion} = await readFileOrExit(args.file, args.json);
+		const from = args.from === undefined ? fromVersion : Number(args.from);
+		if (from === undefined || !Number.isInteger(from)) {
+			exitUsage('the version that the file was made from is missing; give --from N, or --from 0 for a new subtree');
+		}
+
+		await putOrExit(options, {subtree, fromVersion: from, force: args.force}, args.json);
+	},
+});
+
+const editCommand = defineCommand({
+	meta: meta('edit', 'Change single values: `config edit customers.guest.weight=2`; an empty value removes the entry'),
+	args: {
+		edit: {type: 'positional', description: 'PATH=VALUE, the value in YAML; may be repeated', required: true}, ...connection, json, force,
+	},
+	async run({args}) {
+		const options = readOptions(args);
+		const edits = args._.map(text => parseEdit(text) ?? exitUsage(`expected PATH=VALUE, got '${text}'`));
+		const {version, subtree} = unwrapOrExit(await callNode(options, {method: 'GET', path: ''}, subtreeVersionSchema), args.json);
+		await putOrExit(options, {subtree: applyEdits(subtree, edits), fromVersion: version, force: args.force}, args.json);
+	},
+});
+
+const diffCommand = defineCommand({
+	meta: meta('diff', 'Show what a file would change'),
+	args: {file, ...connection, json},
+	async run({args}) {
+		const options = readOptions(args);
+		const {subtree} = await readFileOrExit(args.file, args.json);
+		const answer = unwrapOrExit(await callNode(options, {method: 'POST', path: '/diff', body: subtree}, diffSchema), args.json);
+		console.log(args.json ? JSON.stringify(answer) : [`from version ${answer.version}:`, ...describeChanges(answer.changes)].join('\n'));
+	},
+});
+
+const validateCommand = defineCommand({
+	meta: meta('validate', 'Check a file; needs no node'),
+	args: {file, json},
+	async run({args}) {
+		const {subtree} = await readFileOrExit(args.file, args.json);
+		const problems = checkSubtree(subtree).match({Ok: () => [], Err: list => list});
+		if (args.json) {
+			console.log(JSON.stringify({problems}));
+		} else if (problems.length === 0) {
+			console.log(`${args.file}: valid`);
+		}
+
+		for (const {path, message} of problems) {
+			console.error(`${args.file}: ${path || '(whole file)'}: ${message}`);
+		}
+
+		process.exit(problems.length === 0 ? ExitStatus.Done : ExitStatus.Refused);
+	},
+});
+
+const logCommand = defineCommand({
+	meta: meta('log', 'List the newest versions: version, from which, when, who, size'),
+	args: {...connection, json, limit: {type: 'string', description: 'Greatest number of versions', default: '20'}},
+	async run({args}) {
+		const options = readOptions(args);
+		const answer = unwrapOrExit(await callNode(options, {method: 'GET', path: `/log?limit=${encodeURIComponent(String(args.limit))}`}, logSchema), args.json);
+		if (args.json) {
+			console.log(JSON.stringify(answer));
+			return;
+		}
+
+		for (const {version, fromVersion, at, author, bytes} of answer.versions) {
+			console.log([version, fromVersion, new Date(at).toISOString(), author, bytes].join('\t'));
+		}
+	},
+});
+
+const watchCommand = defineCommand({
+	meta: meta('watch', 'Print a line for each version as it comes into force on the node, until interrupted'),
+	args: {...connection, json},
+	async run({args}) {
+		unwrapOrExit(await printEvents(readOptions(args), args.json), args.json);
+	},
+});
+
+/** The `config` sub-command. */
+export const configCommand = defineCommand({
+	meta: meta('config', 'Read and change the settings of a team'),
+	subCommands: {
+		get: getCommand, put: putCommand, edit: editCommand, diff: diffCommand, validate: validateCommand, log: logCommand, watch: watchCommand,
+	},
+});
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -10,16 +10,18 @@
 import {CompletionsController} from './completions-controller.js';
 import {ENTRY_CONTEXT, type EntryContext} from './context.js';
 import {NodeController} from './node-controller.js';
+import {OPERATOR_CONTEXT, type OperatorContext} from './operator-context.js';
+import {OperatorController} from './operator-controller.js';
 import {ServicesController} from './services-controller.js';
 
 /** Nest's module of the callers' interface. */
 @Module({})
 class EntryModule {
-	static create(context: EntryContext): DynamicModule {
+	static create(context: EntryContext, operators: OperatorContext | undefined): DynamicModule {
 		return {
 			module: EntryModule,
-			controllers: [CompletionsController, ServicesController, NodeController],
-			providers: [{provide: ENTRY_CONTEXT, useValue: context}],
+			controllers: [CompletionsController, ServicesController, NodeController, ...(operators ? [OperatorController] : [])],
+			providers: [{provide: ENTRY_CONTEXT, useValue: context}, {provide: OPERATOR_CONTEXT, useValue: operators}],
 		};
 	}
 }
@@ -33,18 +35,25 @@
 
 /** Runs the HTTP server for callers. */
 export class EntryPart extends Part {
-	static create(context: EntryContext, options: ListenOptions): EntryPart {
-		return new EntryPart(context, options);
+	/**
+	 * @param context - What the callers' routes need.
+	 * @param options - Where to listen.
+	 * @param operators - What the operators' routes need; they are absent without it.
+	 */
+	static create(context: EntryContext, options: ListenOptions, operators?: OperatorContext): EntryPart {
+		return new EntryPart(context, options, operators);
 	}
 
 	readonly #context: EntryContext;
 	readonly #options: ListenOptions;
+	readonly #operators: OperatorContext | undefined;
 	#app: NestFastifyApplication | undefined;
 
-	private constructor(context: EntryContext, options: ListenOptions) {
+	private constructor(context: EntryContext, options: ListenOptions, operators: OperatorContext | undefined) {
 		super();
 		this.#context = context;
 		this.#options = options;
+		this.#operators = operators;
 	}
 
 	get name(): string {
@@ -63,7 +72,7 @@
 		const fastify = adapter.getInstance();
 		fastify.removeAllContentTypeParsers();
 		fastify.addContentTypeParser('*', async () => undefined);
-		const app = await NestFactory.create<NestFastifyApplication>(EntryModule.create(this.#context), adapter, {
+		const app = await NestFactory.create<NestFastifyApplication>(EntryModule.create(this.#context, this.#operators), adapter, {
 			logger: false, bodyParser: false, abortOnError: false,
 		});
 		this.#app = app;
--- /dev/null
+++ b/src/entry/operator-context.ts
@@ -0,0 +1,121 @@
+/**
+ * What the operators' routes share: authentication, limits, bodies of answers.
+ */
+import {Buffer} from 'node:buffer';
+import {timingSafeEqual} from 'node:crypto';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import Result, {ok} from 'true-myth/result';
+import {type Clock} from '../base/clock.js';
+import {ErrorKind, Ran, SchedulerError} from '../base/errors.js';
+import {type ConfigRefusal, refusal} from '../config/config-refusal.js';
+import {type ConfigService} from '../config/config-service.js';
+import {type ConfigSync} from '../config/config-sync.js';
+import {digestKey} from '../config/deployment.js';
+import {readBody} from './body.js';
+import {ErrorFormat, formatError} from './error-body.js';
+
+/** Injection token of the operators' context. */
+export const OPERATOR_CONTEXT = 'OperatorContext';
+
+/** Greatest size of a subtree in a request, in bytes. */
+export const SUBTREE_LIMIT_BYTES = 8 * 1024 * 1024;
+const BODY_TIMEOUT_MS = 10_000;
+
+/** Everything that the operators' routes need from the node. */
+export type OperatorContext = {
+	readonly clock: Clock;
+	readonly service: ConfigService;
+	readonly sync: ConfigSync;
+	/** SHA-256 digest in hex of the key that makes a team's first operator; none where absent. */
+	readonly bootstrapDigest: string | undefined;
+};
+
+/** Who sent a request. */
+export type OperatorIdentity = {
+	readonly team: string;
+	readonly name: string;
+	/** May only make the first operator of the team. */
+	readonly isBootstrap: boolean;
+};
+
+const teamPattern = /^[a-z\d][a-z\d\-]{0,62}$/v;
+
+/** Authenticates an operator of a team by the digests in the team's subtree in force. */
+export function identifyOperator(req: IncomingMessage, team: string, context: OperatorContext): Result<OperatorIdentity, ConfigRefusal> {
+	const apiKey = /^Bearer (?<key>\S{1,500})$/v.exec(req.headers.authorization ?? '')?.groups?.key;
+	if (apiKey === undefined) {
+		return Result.err(refusal(ErrorKind.Unauthenticated, 'An operator key is required as a bearer token.'));
+	}
+
+	if (!teamPattern.test(team)) {
+		return Result.err(refusal(ErrorKind.NotFound, 'There is no such team.'));
+	}
+
+	const digest = digestKey(apiKey);
+	const operators = Object.entries(context.sync.subtrees.find(team)?.subtree.operators ?? {});
+	const operator = operators.find(([, {keyDigests}]) => keyDigests.includes(digest));
+	if (operator !== undefined) {
+		return ok({team, name: operator[0], isBootstrap: false});
+	}
+
+	if (isBootstrapDigest(digest, context.bootstrapDigest)) {
+		return operators.some(([, {keyDigests}]) => keyDigests.length > 0)
+			? Result.err(refusal(ErrorKind.Forbidden, 'The team has an operator; the bootstrap key no longer applies to it.'))
+			: ok({team, name: 'bootstrap', isBootstrap: true});
+	}
+
+	return isOperatorElsewhere(digest, context)
+		? Result.err(refusal(ErrorKind.Forbidden, 'The key belongs to another team; an operator may use only its own subtree.'))
+		: Result.err(refusal(ErrorKind.Unauthenticated, 'The operator key is not known.'));
+}
+
+/** Reads a JSON body within the limits of size and time. */
+export async function readJson(req: IncomingMessage, clock: Clock): Promise<Result<unknown, ConfigRefusal>> {
+	const timer = clock.setTimer(BODY_TIMEOUT_MS, () => {
+		req.destroy(new Error('The body took too long.'));
+	});
+	const body = await readBody(req, SUBTREE_LIMIT_BYTES);
+	timer.cancel();
+	if (body.isErr) {
+		return Result.err({err: body.error});
+	}
+
+	try {
+		return ok(JSON.parse(Buffer.from(body.value).toString('utf8')));
+	} catch {
+		return Result.err(refusal(ErrorKind.MalformedRequest, 'The body is not JSON.'));
+	}
+}
+
+/** Sends an answer, or the problem details of a refusal. */
+export function answerOperator(res: ServerResponse, answer: Result<unknown, ConfigRefusal>, version?: number): void {
+	if (answer.isOk) {
+		const headers = {'content-type': 'application/json', 'cache-control': 'no-store', ...(version !== undefined && {etag: `"${version}"`})};
+		res.writeHead(200, headers);
+		res.end(JSON.stringify(answer.value));
+		return;
+	}
+
+	const {err, ...details} = answer.error;
+	const ran = err.kind === ErrorKind.OutcomeUnknown ? Ran.Unknown : err.answer.ran;
+	const {status, headers, body} = formatError(err, ran, ErrorFormat.Problem);
+	// The rest of an unread body is not waited for.
+	res.writeHead(status, {...headers, connection: 'close'});
+	res.end(JSON.stringify({...JSON.parse(body) as Record<string, unknown>, ...details}));
+}
+
+/** @returns An error of the closed list for a fault of the program, without its text. */
+export function internalRefusal(): ConfigRefusal {
+	return {err: SchedulerError.create(ErrorKind.Internal)};
+}
+
+function isBootstrapDigest(digest: string, expected: string | undefined): boolean {
+	return expected?.length === digest.length && timingSafeEqual(Buffer.from(digest), Buffer.from(expected));
+}
+
+function isOperatorElsewhere(digest: string, {sync}: OperatorContext): boolean {
+	return sync.subtrees.heads.some(({team}) => {
+		const operators = Object.values(sync.subtrees.find(team)?.subtree.operators ?? {});
+		return operators.some(({keyDigests}) => keyDigests.includes(digest));
+	});
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,12 +4,16 @@
 import process from 'node:process';
 import {defineCommand, runMain} from 'citty';
 import packageInfo from '../package.json' with {type: 'json'};
+import {configCommand} from './cli/config.js';
 import {devCommand} from './cli/dev.js';
+import {keysCommand} from './cli/keys.js';
 
 const mainCommand = defineCommand({
 	meta: {name: 'redwingspool', version: packageInfo.version, description: packageInfo.description},
 	subCommands: {
 		dev: devCommand,
+		config: configCommand,
+		keys: keysCommand,
 	},
 });
 
--- /dev/null
+++ b/test/config/config-random.test.ts
@@ -0,0 +1,88 @@
+import {expect} from 'chai';
+import {Result} from 'true-myth/result';
+import {AppliedVersions} from '../../src/config/applied.js';
+import {headKey} from '../../src/config/rows.js';
+import {
+	type Row, type StoreError, StoreFailure, Table, type Write, type WriteOutcome,
+} from '../../src/store/table.js';
+import {randomRun} from './random-run.js';
+
+const SEEDS = 25;
+
+class ApplyAnyVersion extends AppliedVersions {
+	static override create(...args: Parameters<typeof AppliedVersions.create>): ApplyAnyVersion {
+		return new ApplyAnyVersion(...args);
+	}
+
+	override isNewer(): boolean {
+		return true;
+	}
+}
+
+class BrokenTable extends Table {
+	constructor(private readonly inner: Table, private readonly alter: {
+		write?: (write: Write) => Write;
+		answer?: (answer: Result<WriteOutcome, StoreError>) => Result<WriteOutcome, StoreError>;
+	}) {
+		super();
+	}
+
+	async get(key: string): Promise<Result<Row | undefined, StoreError>> {
+		return this.inner.get(key);
+	}
+
+	async list(prefix: string, limit: number): Promise<Result<readonly Row[], StoreError>> {
+		return this.inner.list(prefix, limit);
+	}
+
+	async transact(writes: readonly Write[]): Promise<Result<WriteOutcome, StoreError>> {
+		const answer = await this.inner.transact(writes.map(write => this.alter.write?.(write) ?? write));
+		return this.alter.answer?.(answer) ?? answer;
+	}
+}
+
+describe('settings tree under faults', () => {
+	it(`keeps its promises in ${SEEDS} randomised runs`, async () => {
+		let accepted = 0;
+		for (let seed = 1; seed <= SEEDS; seed++) {
+			const run = await randomRun(seed);
+			expect(run.problems, `seed ${seed}`).to.deep.equal([]);
+			accepted += run.accepted;
+		}
+
+		// Guards against runs in which the faults refuse every change.
+		expect(accepted).to.be.greaterThan(20 * SEEDS);
+	});
+
+	it('is repeatable', async () => {
+		expect(await randomRun(7)).to.deep.equal(await randomRun(7));
+	});
+
+	it('finds a node that applies any version', async () => {
+		const {problems} = await randomRun(1, {applied: invariants => ApplyAnyVersion.create(invariants)});
+		expect(problems.join('\n')).to.match(/P8 was violated/v);
+	});
+
+	it('finds a head that is written without a condition', async () => {
+		const {problems} = await randomRun(1, {
+			table: inner => new BrokenTable(inner, {
+				write: write => write.key.startsWith(headKey('')) || write.key.startsWith('config/version/') ? {...write, condition: {kind: 'any'}} : write,
+			}),
+		});
+		expect(problems.join('\n')).to.match(/has two winners/v);
+	});
+
+	it('finds a lost answer that is treated as a failure', async () => {
+		const {problems} = await randomRun(1, {
+			table: inner => new BrokenTable(inner, {
+				answer: answer => answer.mapErr(err => ({...err, failure: StoreFailure.Unavailable})),
+			}),
+		});
+		expect(problems.join('\n')).to.match(/was answered version-conflict; the history has it/v);
+	});
+
+	it('finds a change that is accepted while a region is cut off', async () => {
+		const problems = await Promise.all([1, 2, 3].map(async seed => (await randomRun(seed, {alwaysForce: true})).problems));
+		expect(problems.flat().join('\n')).to.match(/was accepted at .* was cut off/v);
+	});
+});
