--- a/src/cli/config-client.ts
+++ b/src/cli/config-client.ts
@@ -14,10 +14,10 @@
 
 /** Settings of every command that talks to a node. */
 export const clientSettings = {
-	address: {description: 'Address of a node', schema: z.string().default('127.0.0.1:8080'), valueHint: 'HOST:PORT'},
+	address: {description: 'Address of a node', schema: z.string().regex(/^[^\s\/]+:\d{1,5}$/v, 'expected HOST:PORT').default('127.0.0.1:8080'), valueHint: 'HOST:PORT'},
 	team: {description: 'Team whose subtree is meant', schema: z.string('expected a team'), valueHint: 'NAME'},
 	'operator-key': {
-		description: 'Operator key; better set in the environment, where other users cannot see it', schema: z.string('expected an operator key'), valueHint: 'KEY',
+		description: 'Operator key; better set in the environment, where other users cannot see it', schema: z.string('expected an operator key').min(1, 'expected an operator key'), valueHint: 'KEY',
 	},
 } as const satisfies SettingDefinitions;
 
@@ -29,7 +29,7 @@
 };
 
 const changeSchema = z.object({
-	path: z.string(), type: z.enum(['add', 'remove', 'change']), from: z.unknown(), to: z.unknown(),
+	path: z.string(), type: z.enum(['add', 'remove', 'change']), from: z.unknown().optional(), to: z.unknown().optional(),
 });
 const problemSchema = z.object({
 	kind: z.string(),
@@ -84,7 +84,12 @@
 			bodyTimeout: ANSWER_TIMEOUT_MS,
 		});
 		const json: unknown = await res.body.json();
-		return res.statusCode === 200 ? ok(schema.parse(json)) : Result.err(toFailure(json));
+		if (res.statusCode !== 200) {
+			return Result.err(toFailure(json));
+		}
+
+		const answer = schema.safeParse(json);
+		return answer.success ? ok(answer.data) : Result.err(toFailure(undefined));
 	} catch (error) {
 		return Result.err(notReachable(options, call, error as Error));
 	}
--- a/src/cli/keys.ts
+++ b/src/cli/keys.ts
@@ -5,12 +5,15 @@
 import {randomBytes} from 'node:crypto';
 import process from 'node:process';
 import {defineCommand} from 'citty';
+import {type Result} from 'true-myth/result';
 import {toArguments} from '../base/settings.js';
 import {digestKey} from '../config/deployment.js';
 import {
 	callNode, type ClientOptions, clientSettings, putSchema, subtreeVersionSchema,
 } from './config-client.js';
-import {EXIT_STATUS_HELP, ExitStatus, unwrapOrExit} from './config-exit.js';
+import {
+	EXIT_STATUS_HELP, ExitStatus, type Failure, unwrapOrExit,
+} from './config-exit.js';
 import {
 	addDigest, findHolder, type HolderGroup, listHolders, removeDigest,
 } from './keys-subtree.js';
@@ -44,11 +47,10 @@
 	return unwrapOrExit(await callNode(options, {method: 'GET', path: ''}, subtreeVersionSchema), isJson);
 }
 
-async function putOrExit(options: ClientOptions, fromVersion: number, subtree: Record<string, unknown>, isJson: boolean): Promise<number> {
-	const answer = unwrapOrExit(await callNode(options, {
+async function put(options: ClientOptions, fromVersion: number, subtree: Record<string, unknown>): Promise<Result<{version: number}, Failure>> {
+	return callNode(options, {
 		method: 'PUT', path: '', body: subtree, fromVersion,
-	}, putSchema), isJson);
-	return answer.version;
+	}, putSchema);
 }
 
 const makeCommand = defineCommand({
@@ -59,7 +61,13 @@
 		const {group, name} = readHolder(args);
 		const {version, subtree} = await getOrExit(options, args.json);
 		const key = `rws_${randomBytes(KEY_BYTES).toString('base64url')}`;
-		const accepted = await putOrExit(options, version, addDigest(subtree, group, name, digestKey(key)), args.json);
+		const answer = await put(options, version, addDigest(subtree, group, name, digestKey(key)));
+		if (answer.isErr && answer.error.status === ExitStatus.NotReachable) {
+			// The change may have been accepted, and the key cannot be shown again.
+			console.error(`the key is ${key}; it works only if the change was accepted`);
+		}
+
+		const accepted = unwrapOrExit(answer, args.json).version;
 		console.log(args.json ? JSON.stringify({key, digest: digestKey(key), version: accepted}) : key);
 		console.error(`made a key in version ${accepted}; it is not shown again`);
 	},
@@ -94,7 +102,7 @@
 			process.exit(ExitStatus.Refused);
 		}
 
-		const accepted = await putOrExit(options, version, removeDigest(subtree, holder), args.json);
+		const accepted = unwrapOrExit(await put(options, version, removeDigest(subtree, holder)), args.json).version;
 		console.log(args.json ? JSON.stringify({digest: holder.digest, version: accepted}) : `revoked the key of ${holder.name} in version ${accepted}`);
 	},
 });
