--- a/src/config/memory-peers.ts
+++ b/src/config/memory-peers.ts
@@ -24,6 +24,8 @@
 	/** Regions whose nodes exchange nothing with other regions. */
 	readonly cutRegions = new Set<string>();
 	readonly nodes = new Map<string, MemoryPeers>();
+	/** Whether no node exchanges anything. */
+	isDown = false;
 	pushCount = 0;
 
 	private constructor(clock: Clock, latencyMs: number) {
@@ -43,7 +45,7 @@
 	}
 
 	isConnected(a: MemoryPeers, b: MemoryPeers): boolean {
-		return a.region === b.region || !(this.cutRegions.has(a.region) || this.cutRegions.has(b.region));
+		return !this.isDown && (a.region === b.region || !(this.cutRegions.has(a.region) || this.cutRegions.has(b.region)));
 	}
 }
 
--- a/test/config/faulty-table.ts
+++ b/test/config/faulty-table.ts
@@ -31,23 +31,33 @@
 		isDown: false, readFailure: 0, lostAnswer: 0, lateWrite: 0,
 	};
 
-	reads = 0;
-	writes = 0;
+	gets = 0;
+	lists = 0;
+	/** Writes of versions; the others are of freshness rows. */
+	versionWrites = 0;
+	freshnessWrites = 0;
 
 	private constructor(private readonly inner: Table, private readonly clock: Clock, private readonly random: Random) {
 		super();
 	}
 
 	async get(key: string): Promise<Result<Row | undefined, StoreError>> {
+		this.gets += 1;
 		return this.#read(async () => this.inner.get(key));
 	}
 
 	async list(prefix: string, limit: number): Promise<Result<readonly Row[], StoreError>> {
+		this.lists += 1;
 		return this.#read(async () => this.inner.list(prefix, limit));
 	}
 
 	async transact(writes: readonly Write[]): Promise<Result<WriteOutcome, StoreError>> {
-		this.writes += 1;
+		if (writes.length > 1) {
+			this.versionWrites += 1;
+		} else {
+			this.freshnessWrites += 1;
+		}
+
 		await this.clock.sleep(this.random.integer(1, 20));
 		if (this.faults.isDown) {
 			return Result.err(unavailable);
@@ -67,7 +77,6 @@
 	}
 
 	async #read<Value>(read: () => Promise<Result<Value, StoreError>>): Promise<Result<Value, StoreError>> {
-		this.reads += 1;
 		await this.clock.sleep(this.random.integer(1, 20));
 		return this.faults.isDown || this.random.next() < this.faults.readFailure ? Result.err(unavailable) : read();
 	}
