--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -16,6 +16,8 @@
 	ClientErrors, defaultHttpLimits, findAmbiguity, type HttpLimits, toServerOptions,
 } from './http-limits.js';
 import {NodeController} from './node-controller.js';
+import {OPERATOR_CONTEXT, type OperatorContext} from './operator-context.js';
+import {OperatorController} from './operator-controller.js';
 import {ProblemFilter} from './problem-filter.js';
 import {RateLimiter} from './rate-limiter.js';
 import {ServicesController} from './services-controller.js';
@@ -23,11 +25,11 @@
 /** Nest's module of the callers' interface. */
 @Module({})
 class EntryModule {
-	static create(context: EntryContext): DynamicModule {
+	static create(context: EntryContext, operators: OperatorContext | undefined): DynamicModule {
 		return {
 			module: EntryModule,
-			controllers: [CompletionsController, ServicesController, NodeController],
-			providers: [{provide: ENTRY_CONTEXT, useValue: context}],
+			controllers: [CompletionsController, ServicesController, NodeController, ...(operators ? [OperatorController] : [])],
+			providers: [{provide: ENTRY_CONTEXT, useValue: context}, {provide: OPERATOR_CONTEXT, useValue: operators}],
 		};
 	}
 }
@@ -43,19 +45,27 @@
 
 /** Runs the HTTP server for callers. */
 export class EntryPart extends Part {
-	static create(dependencies: EntryDependencies, options: ListenOptions): EntryPart {
+	/**
+	 * @param dependencies - What the callers' routes need.
+	 * @param options - Where to listen.
+	 * @param operators - What the operators' routes need; they are absent without it.
+	 */
+	static create(dependencies: EntryDependencies, options: ListenOptions, operators?: OperatorContext): EntryPart {
 		const {clock} = dependencies;
-		return new EntryPart({...dependencies, rateLimiter: RateLimiter.create(clock), bodyBudget: BodyBudget.create()}, options);
+		const context = {...dependencies, rateLimiter: RateLimiter.create(clock), bodyBudget: BodyBudget.create()};
+		return new EntryPart(context, options, operators);
 	}
 
 	readonly #context: EntryContext;
 	readonly #options: ListenOptions;
+	readonly #operators: OperatorContext | undefined;
 	#app: NestFastifyApplication | undefined;
 
-	private constructor(context: EntryContext, options: ListenOptions) {
+	private constructor(context: EntryContext, options: ListenOptions, operators: OperatorContext | undefined) {
 		super();
 		this.#context = context;
 		this.#options = options;
+		this.#operators = operators;
 	}
 
 	get name(): string {
@@ -83,7 +93,7 @@
 			},
 		});
 		leaveBodiesUnread(adapter);
-		const app = await NestFactory.create<NestFastifyApplication>(EntryModule.create(this.#context), adapter, {
+		const app = await NestFactory.create<NestFastifyApplication>(EntryModule.create(this.#context, this.#operators), adapter, {
 			logger: false, bodyParser: false, abortOnError: false,
 		});
 		app.useGlobalFilters(filter);
--- a/src/peer/peer-part.ts
+++ b/src/peer/peer-part.ts
@@ -8,7 +8,7 @@
 import {once} from 'node:events';
 import {toBinary} from '@bufbuild/protobuf';
 import {
-	Code, ConnectError, type ConnectRouter, type Interceptor, type ServiceImpl,
+	Code, ConnectError, type ConnectRouter, type Interceptor,
 } from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {Part} from '../supervisor/part.js';
--- a/test/config/config-world.ts
+++ b/test/config/config-world.ts
@@ -102,7 +102,7 @@
 			isDone = true;
 		};
 
-		promise.then(finish, finish);
+		promise.catch(finish).then(finish);
 		while (!isDone) {
 			// eslint-disable-next-line no-await-in-loop
 			await this.clock.advanceAsync(50);
--- a/test/peer/peer.test.ts
+++ b/test/peer/peer.test.ts
@@ -4,7 +4,9 @@
 import {
 	AuthFailure, Authenticator, type AuthFields,
 } from '../../src/peer/authentication.js';
-import {askClaimStatus, ClaimHolder, claimStatusHandler, ClaimStatus} from '../../src/peer/claim-status.js';
+import {ClaimHolder, ClaimStatus} from '../../src/coordination/claim-peers.js';
+import {MemberStatus, type MemberView} from '../../src/members/member.js';
+import {claimStatusHandler, NetworkClaimPeers} from '../../src/peer/claim-status.js';
 import {ConnectTransport, type PeerTls} from '../../src/peer/connect-transport.js';
 import {PeerErrorKind, type PeerTransport} from '../../src/peer/peer-transport.js';
 import {PeerPart} from '../../src/peer/peer-part.js';
@@ -13,8 +15,8 @@
 const TIMEOUT_MS = 2000;
 
 class OneClaim extends ClaimHolder {
-	claimStatus(rowKey: string, token: string): ClaimStatus {
-		return rowKey === 'row' && token === 'token' ? ClaimStatus.GivenUp : ClaimStatus.NotKnown;
+	statusOf(token: string): ClaimStatus {
+		return token === 'token' ? ClaimStatus.NeverDispatched : ClaimStatus.NotKnown;
 	}
 }
 
@@ -44,8 +46,14 @@
 	}
 }
 
+function memberAt(address: string): MemberView {
+	return {
+		id: 'vm', process: 'process', address, entryAddress: '', region: 'a', dataCentre: 'a-1', incarnation: 1, status: MemberStatus.Alive, load: 0,
+	};
+}
+
 async function ask(transport: PeerTransport, address: string): Promise<string> {
-	const answer = await transport.call(address, 'claimStatus', {rowKey: 'row', token: 'token'}, TIMEOUT_MS);
+	const answer = await transport.call(address, 'claimStatus', {token: 'token'}, TIMEOUT_MS);
 	return answer.isOk ? 'ok' : answer.error.kind;
 }
 
@@ -58,13 +66,14 @@
 	// Guards against calls that work only in the in-memory form, and against a lost answer of a claim's holder.
 	it('asks the holder of a claim over HTTP/2, also after the holder was restarted', async () => {
 		await withSides([startSide(key), startSide(key)], async (a, b) => {
-			expect(await askClaimStatus(a.transport, b.part.address, {rowKey: 'row', token: 'token'})).to.equal(ClaimStatus.GivenUp);
-			expect(await askClaimStatus(a.transport, b.part.address, {rowKey: 'row', token: 'other'})).to.equal(ClaimStatus.NotKnown);
-			const {address} = b.part;
+			const peers = NetworkClaimPeers.create(a.transport, () => [memberAt(b.part.address)]);
+			expect(await peers.ask('process', 'token')).to.equal(ClaimStatus.NeverDispatched);
+			expect(await peers.ask('process', 'other')).to.equal(ClaimStatus.NotKnown);
+			expect(await peers.ask('earlier process', 'token')).to.equal(ClaimStatus.Unreachable);
 			await b.part.stop();
-			expect(await askClaimStatus(a.transport, address, {rowKey: 'row', token: 'token'})).to.equal(undefined);
+			expect(await peers.ask('process', 'token')).to.equal(ClaimStatus.Unreachable);
 			await b.part.start(() => undefined);
-			expect(await askClaimStatus(a.transport, address, {rowKey: 'row', token: 'token'})).to.equal(ClaimStatus.GivenUp);
+			expect(await peers.ask('process', 'token')).to.equal(ClaimStatus.NeverDispatched);
 		});
 	});
 
