--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -37,8 +37,8 @@
 	readonly host: string;
 	/** 0 lets the operating system choose. */
 	readonly port: number;
-	readonly limits?: HttpLimits;
-	readonly log?: Log;
+	readonly limits?: HttpLimits | undefined;
+	readonly log?: Log | undefined;
 };
 
 /** Runs the HTTP server for callers. */
@@ -75,6 +75,8 @@
 		const adapter = new FastifyAdapter({
 			bodyLimit: Number.MAX_SAFE_INTEGER,
 			http: toServerOptions(limits),
+			// Fastify overwrites the server's own with this.
+			requestTimeout: limits.requestTimeoutMs,
 			// Long path segments are bounded by the size of the headers.
 			routerOptions: {maxParamLength: limits.maxHeaderBytes},
 			clientErrorHandler: clientErrors.handle,
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -10,6 +10,7 @@
 import {TableClaims} from '../coordination/table-claims.js';
 import {Dispatcher} from '../dispatch/dispatcher.js';
 import {EntryPart} from '../entry/entry-part.js';
+import {type HttpLimits} from '../entry/http-limits.js';
 import {LeastInFlightScheduler} from '../policy/least-in-flight.js';
 import {type UpstreamView} from '../policy/scheduler.js';
 import {type Table} from '../store/table.js';
@@ -30,6 +31,8 @@
 	readonly dataCentre: string;
 	/** Tests and randomised runs throw on a violated promise. */
 	readonly throwOnViolation: boolean;
+	/** Limits of the HTTP server for callers. */
+	readonly httpLimits?: HttpLimits;
 };
 
 /** One entry VM's process: the root of the supervisor tree. */
@@ -103,7 +106,7 @@
 	}
 
 	#createEntry(): EntryPart {
-		const {clock, host, port} = this.#options;
+		const {clock, host, port, log, httpLimits: limits} = this.#options;
 		return EntryPart.create({
 			clock,
 			invariants: this.invariants,
@@ -112,7 +115,9 @@
 			entriesFor: () => ({addresses: [this.address], keepSeconds: ENTRIES_KEEP_SECONDS}),
 			metrics: async () => '',
 			isReady: () => this.settings.isLoaded && !this.#isDraining,
-		}, {host, port});
+		}, {
+			host, port, limits, log,
+		});
 	}
 }
 
