--- /dev/null
+++ b/bench/relay-engine.ts
@@ -0,0 +1,15 @@
+/**
+ * Relay bench: one stand-in engine as a process. Arguments: ms between tokens, tokens of an answer.
+ */
+import process from 'node:process';
+import {EngineStandIn} from '../standins/engine.js';
+import {announce} from './relay-child.js';
+
+async function main(): Promise<void> {
+	const [tokenIntervalMs, defaultTokens] = process.argv.slice(2).map(Number) as [number, number];
+	const engine = await EngineStandIn.start({tokenIntervalMs, defaultTokens});
+	announce(engine.url);
+}
+
+// eslint-disable-next-line unicorn/prefer-top-level-await -- the bundle is CommonJS
+void main();
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -60,6 +60,9 @@
 	return Array.from({length: count}, (_, index) => `w${(state + (index * 7919)) % 99_991} `);
 }
 
+/** Streams that can be resumed at a time; older ones are forgotten. */
+const MAX_KEPT_STREAMS = 2000;
+
 /** A model engine on a port of its own. */
 export class EngineStandIn {
 	static async start(options: EngineStandInOptions): Promise<EngineStandIn> {
@@ -170,6 +173,11 @@
 	async #sendStream(res: ServerResponse, id: string, body: CompletionBody, words: string[]): Promise<void> {
 		const log: StreamLog = {parts: [], isWhole: false, isCanceled: false};
 		this.#streams.set(id, log);
+		if (this.#streams.size > MAX_KEPT_STREAMS) {
+			const [oldest] = this.#streams.keys();
+			this.#streams.delete(oldest!);
+		}
+
 		if (this.faults.cutBeforeHeaders) {
 			res.destroy();
 		} else {
