--- a/src/dispatch/answer-sink.ts
+++ b/src/dispatch/answer-sink.ts
@@ -11,6 +11,12 @@
 	/** Whether `start` was called, after which an error can no longer change the status. */
 	abstract get hasStarted(): boolean;
 
+	/** Whether the caller closed the connection before its answer ended. */
+	abstract get hasCallerLeft(): boolean;
+
+	/** Calls the function once when the caller closes the connection before its answer has ended. */
+	abstract onCallerLeft(listener: () => void): void;
+
 	/** Sends status and headers. */
 	abstract start(status: number, headers: AnswerHeaders): void;
 
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -25,8 +25,6 @@
 	/** Present for requests with an idempotency key. */
 	readonly claimRequest: ClaimRequest | undefined;
 	readonly sink: AnswerSink;
-	/** Aborted when the caller went away. */
-	readonly signal: AbortSignal;
 };
 
 type RunningJob = Omit<Job, 'work'> & {
@@ -99,10 +97,10 @@
 				...job, attempts: 0, claim, relay: undefined, lastErr: undefined, resolve,
 			};
 			this.#jobs.set(job.work.id, running);
-			job.signal.addEventListener('abort', () => {
+			job.sink.onCallerLeft(() => {
 				this.#callerLeft(running);
-			}, {once: true});
-			if (job.signal.aborted) {
+			});
+			if (job.sink.hasCallerLeft) {
 				this.#callerLeft(running);
 				return;
 			}
@@ -179,7 +177,7 @@
 		// A relay ends with an upstream's error answer only after `shouldRetry` granted the retry.
 		const isGranted = outcome.workOutcome === WorkOutcome.UpstreamError
 			|| (isSafeToRepeat(job, outcome) && this.#mayRetry(job));
-		if (isGranted && !job.signal.aborted) {
+		if (isGranted && !job.sink.hasCallerLeft) {
 			job.work = {...job.work, excluded: [...job.work.excluded, upstreamId]};
 			this.scheduler.submit(job.work);
 			return;
@@ -193,7 +191,7 @@
 		const isRepeatable = job.request.body === undefined || job.request.body instanceof Uint8Array || !job.request.body.readableDidRead;
 		return isRepeatable
 			&& !job.sink.hasStarted
-			&& !job.signal.aborted
+			&& !job.sink.hasCallerLeft
 			&& job.attempts < MAX_ATTEMPTS
 			&& this.#retryBudget.spend(job.work.customer, job.work.pool);
 	}
--- a/src/dispatch/hop-headers.ts
+++ b/src/dispatch/hop-headers.ts
@@ -20,7 +20,13 @@
  * @returns The headers that are passed on.
  */
 export function endToEndHeaders(headers: UpstreamHeaders, alsoWithheld: readonly string[] = []): UpstreamHeaders {
-	const named = namedByConnection(headers.connection);
-	return Object.fromEntries(Object.entries(headers).filter(([name]) =>
-		!hopHeaders.has(name) && !named.has(name) && !alsoWithheld.includes(name)));
+	const named = headers.connection === undefined ? undefined : namedByConnection(headers.connection);
+	const kept: Record<string, string | string[]> = {};
+	for (const [name, value] of Object.entries(headers)) {
+		if (value !== undefined && !hopHeaders.has(name) && !named?.has(name) && !alsoWithheld.includes(name)) {
+			kept[name] = value;
+		}
+	}
+
+	return kept;
 }
--- a/src/dispatch/ticket.ts
+++ b/src/dispatch/ticket.ts
@@ -1,7 +1,7 @@
 /**
  * The life of one request inside a node: waiting, committed, ended. Guards what the caller may be told.
  */
-import {randomBytes} from 'node:crypto';
+import {randomUUID} from 'node:crypto';
 import {
 	type KeyKnowledge, Ran, ranOf, type SchedulerError,
 } from '../base/errors.js';
@@ -27,16 +27,14 @@
 	readonly isIdempotent: boolean;
 };
 
-const DISPATCH_ID_BYTES = 16;
-
 /** One request from its arrival to its answer. */
 export class Ticket {
 	static create(options: TicketOptions): Ticket {
 		return new Ticket(options);
 	}
 
-	/** Unguessable; upstreams that can echo it do. */
-	readonly id = randomBytes(DISPATCH_ID_BYTES).toString('hex');
+	/** Unguessable (122 random bits, drawn in batches by Node); upstreams that can echo it do. */
+	readonly id = randomUUID().replaceAll('-', '');
 	readonly isIdempotent: boolean;
 	readonly #invariants: Invariants;
 	#key: KeyKnowledge;
--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -81,29 +81,46 @@
 	}
 
 	inviteBody(res);
+	return collect(res, limitBytes, budget);
+}
+
+/** Listeners in place of an async iterator, which costs several promises for each request. */
+async function collect(res: ServerResponse, limitBytes: number, budget: BodyBudget): Promise<Result<Uint8Array, SchedulerError>> {
+	const {req} = res;
 	const chunks: Uint8Array[] = [];
 	let size = 0;
-	res.once('close', () => {
-		budget.release(size);
-	});
-	try {
-		for await (const chunk of req.iterator({destroyOnReturn: false}) as AsyncIterable<Uint8Array>) {
+	return new Promise(resolve => {
+		const settle = (result: Result<Uint8Array, SchedulerError>) => {
+			req.off('data', take);
+			resolve(result);
+		};
+
+		const take = (chunk: Uint8Array) => {
 			if (size + chunk.byteLength > limitBytes) {
-				return refuseTooLarge(limitBytes);
+				settle(refuseTooLarge(limitBytes));
+			} else if (budget.take(chunk.byteLength)) {
+				size += chunk.byteLength;
+				chunks.push(chunk);
+			} else {
+				settle(Result.err(SchedulerError.create(ErrorKind.Overloaded, 'There is no memory for the body now.')));
 			}
-
-			if (res.closed || !budget.take(chunk.byteLength)) {
-				return Result.err(SchedulerError.create(ErrorKind.Overloaded, 'There is no memory for the body now.'));
+		};
+
+		req.on('data', take);
+		req.once('end', () => {
+			settle(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+		});
+		req.once('error', err => {
+			settle(Result.err(err instanceof SchedulerError ? err : SchedulerError.create(ErrorKind.RequestTimeout, 'The request body broke off.')));
+		});
+		res.once('close', () => {
+			req.off('data', take);
+			budget.release(size);
+			if (!req.readableEnded) {
+				settle(Result.err(SchedulerError.create(ErrorKind.RequestTimeout, 'The request body broke off.')));
 			}
-
-			size += chunk.byteLength;
-			chunks.push(chunk);
-		}
-	} catch (error) {
-		return Result.err(error instanceof SchedulerError ? error : SchedulerError.create(ErrorKind.RequestTimeout, 'The request body broke off.'));
-	}
-
-	return ok(Buffer.concat(chunks));
+		});
+	});
 }
 
 function refuseTooLarge(limitBytes: number): Result<Uint8Array, SchedulerError> {
--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -13,7 +13,7 @@
 import {readBody} from './body.js';
 import {parseCompletionRequest} from './completion-request.js';
 import {
-	admitCaller, answerError, callerSignal, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier,
+	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
@@ -124,7 +124,6 @@
 					keepsAnswer: false,
 				},
 			sink: HttpSink.create(reply.raw, ErrorFormat.Completions),
-			signal: callerSignal(reply.raw),
 		});
 	}
 }
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -119,18 +119,3 @@
 export function answerError(res: ServerResponse, err: SchedulerError, format: ErrorFormat): void {
 	sendError(res, err, ranOf(err.kind, keyKnowledgeOf(res.req)), format);
 }
-
-/** @returns A signal that is aborted when the caller closes the connection before its answer has ended. */
-export function callerSignal(res: ServerResponse): AbortSignal {
-	const controller = new AbortController();
-	if (res.closed && !res.writableFinished) {
-		controller.abort();
-	}
-
-	res.once('close', () => {
-		if (!res.writableFinished) {
-			controller.abort();
-		}
-	});
-	return controller.signal;
-}
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -109,11 +109,11 @@
 function leaveBodiesUnread(adapter: FastifyAdapter): void {
 	const fastify = adapter.getInstance();
 	fastify.removeAllContentTypeParsers();
-	fastify.addContentTypeParser('*', async () => undefined);
-	fastify.addHook('onRequest', async req => {
-		const err = findAmbiguity(req.raw);
-		if (err !== undefined) {
-			throw err;
-		}
+	// Callbacks, as Fastify wraps promises of hooks and parsers at a cost on each request.
+	fastify.addContentTypeParser('*', (_req: FastifyRequest, _payload: unknown, done: (err: Error | null) => void) => { // eslint-disable-line @typescript-eslint/no-restricted-types -- Fastify's own type
+		done(null);
+	});
+	fastify.addHook('onRequest', (req: FastifyRequest, _reply: FastifyReply, done: (err?: Error) => void) => {
+		done(findAmbiguity(req.raw));
 	});
 }
--- a/src/entry/http-limits.ts
+++ b/src/entry/http-limits.ts
@@ -96,7 +96,7 @@
 	/** Handles the server's event `clientError`. */
 	readonly handle = (err: ClientError, socket: Duplex): void => {
 		const res = this.#current.get(socket);
-		if (res !== undefined && !res.headersSent && !res.req.complete) {
+		if (res !== undefined && !res.req.complete) {
 			// The body is at fault; whoever reads it answers.
 			res.shouldKeepAlive = false;
 			noteBodyFault(res.req, toSchedulerError(err));
--- a/src/entry/http-sink.ts
+++ b/src/entry/http-sink.ts
@@ -1,7 +1,7 @@
 /**
  * Writes an answer to a caller's HTTP connection.
  */
-import {type ServerResponse} from 'node:http';
+import {type OutgoingHttpHeaders, type ServerResponse} from 'node:http';
 import {type Ran, type SchedulerError} from '../base/errors.js';
 import {type AnswerHeaders, AnswerSink} from '../dispatch/answer-sink.js';
 import {ErrorFormat, formatError} from './error-body.js';
@@ -22,6 +22,7 @@
 
 	readonly #res: ServerResponse;
 	readonly #errorFormat: ErrorFormat;
+	#isEventStream = false;
 
 	private constructor(res: ServerResponse, errorFormat: ErrorFormat) {
 		super();
@@ -33,16 +34,26 @@
 		return this.#res.headersSent;
 	}
 
-	start(status: number, headers: AnswerHeaders): void {
-		for (const [name, value] of Object.entries(headers)) {
-			if (value !== undefined) {
-				this.#res.setHeader(name, value);
+	get hasCallerLeft(): boolean {
+		return this.#res.closed && !this.#res.writableFinished;
+	}
+
+	onCallerLeft(listener: () => void): void {
+		this.#res.once('close', () => {
+			if (!this.#res.writableFinished) {
+				listener();
 			}
-		}
+		});
+	}
 
-		this.#res.writeHead(status);
-		// Headers of a stream go out before its first token.
-		this.#res.flushHeaders();
+	start(status: number, headers: AnswerHeaders): void {
+		const contentType = headers['content-type'];
+		this.#isEventStream = typeof contentType === 'string' && contentType.startsWith('text/event-stream');
+		this.#res.writeHead(status, headers as OutgoingHttpHeaders);
+		if (this.#isEventStream) {
+			// Headers of a stream go out before its first token; those of other answers together with their body.
+			this.#res.flushHeaders();
+		}
 	}
 
 	write(chunk: Uint8Array): boolean {
@@ -69,8 +80,7 @@
 	/** Ends an answer that has started: a destroyed connection cannot be taken for a whole answer. */
 	#breakOff(err: SchedulerError, ran: Ran): void {
 		const res = this.#res;
-		const isEventStream = res.getHeader('content-type')?.toString().startsWith('text/event-stream') ?? false;
-		if (!isEventStream || res.destroyed) {
+		if (!this.#isEventStream || res.destroyed) {
 			res.destroy();
 			return;
 		}
--- a/src/entry/services-controller.ts
+++ b/src/entry/services-controller.ts
@@ -16,7 +16,7 @@
 import {type UpstreamRequest} from '../upstream/exchange.js';
 import {readBody} from './body.js';
 import {
-	admitCaller, answerError, callerSignal, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier,
+	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
@@ -147,7 +147,6 @@
 					keepsAnswer: true,
 				},
 			sink: HttpSink.create(reply.raw, ErrorFormat.Problem),
-			signal: callerSignal(reply.raw),
 		};
 	}
 }
