--- a/bench/relay-child.ts
+++ b/bench/relay-child.ts
@@ -33,7 +33,7 @@
 export function announce(url: string): void {
 	process.on('message', () => {
 		const {user, system} = process.cpuUsage();
-		process.send!({rssBytes: process.memoryUsage.rss(), cpuMs: (user + system) / 1000} satisfies Usage);
+		process.send!({rssBytes: process.memoryUsage.rss(), cpuMs: (user + system) / 1000} satisfies Usage, () => undefined);
 	});
 	process.on('disconnect', () => {
 		process.exit(0);
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -9,7 +9,7 @@
 import {
 	type Scheduler, type SchedulerEvents, type Work, WorkOutcome,
 } from '../policy/scheduler.js';
-import {type UpstreamRequest} from '../upstream/exchange.js';
+import {StreamedBody, type UpstreamRequest} from '../upstream/exchange.js';
 import {type UpstreamRegistry} from '../upstream/registry.js';
 import {type AnswerSink} from './answer-sink.js';
 import {Relay, type RelayOutcome} from './relay.js';
@@ -188,7 +188,7 @@
 
 	/** Whether another attempt may follow; spends the retry budget. */
 	#mayRetry(job: RunningJob): boolean {
-		const isRepeatable = job.request.body === undefined || job.request.body instanceof Uint8Array || !job.request.body.readableDidRead;
+		const isRepeatable = !(job.request.body instanceof StreamedBody && job.request.body.wasRead);
 		return isRepeatable
 			&& !job.sink.hasStarted
 			&& !job.sink.hasCallerLeft
--- a/src/entry/services-controller.ts
+++ b/src/entry/services-controller.ts
@@ -6,7 +6,7 @@
 	All, Controller, Inject, Req, Res,
 } from '@nestjs/common';
 import {type FastifyReply, type FastifyRequest} from 'fastify';
-import Result from 'true-myth/result';
+import Result, {ok} from 'true-myth/result';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {type Service} from '../config/deployment.js';
 import {type PlainServiceSettings} from '../config/schema.js';
@@ -14,7 +14,8 @@
 import {hopHeaders, namedByConnection} from '../dispatch/hop-headers.js';
 import {Ticket} from '../dispatch/ticket.js';
 import {type UpstreamRequest} from '../upstream/exchange.js';
-import {readBody} from './body.js';
+import {declaredLength, readBody} from './body.js';
+import {CallerBody} from './caller-body.js';
 import {
 	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier,
 } from './context.js';
@@ -73,7 +74,15 @@
 			return Result.err(resolved.error);
 		}
 
-		const body = await readBody(reply.raw, resolved.value.service.settings.bodyLimitBytes, this.context.bodyBudget);
+		const {operation, service} = resolved.value;
+		const {bodyLimitBytes} = service.settings;
+		const length = declaredLength(req.raw);
+		// A digest needs the whole body, and only the end of a body of undeclared size shows that it is within the limit.
+		if (operation.isIdempotent && length !== undefined && length > 0 && length <= bodyLimitBytes) {
+			return ok(this.#toJob(req, reply, resolved.value, CallerBody.create(reply.raw, length)));
+		}
+
+		const body = await readBody(reply.raw, bodyLimitBytes, this.context.bodyBudget);
 		return body.map(bytes => this.#toJob(req, reply, resolved.value, bytes));
 	}
 
@@ -109,14 +118,16 @@
 		}));
 	}
 
-	#toJob(req: FastifyRequest, reply: FastifyReply, resolved: ResolvedRequest, body: Uint8Array): Job {
+	#toJob(req: FastifyRequest, reply: FastifyReply, resolved: ResolvedRequest, body: Uint8Array | CallerBody): Job {
 		const {clock, invariants} = this.context;
 		const {
 			caller, service, operation, tier,
 		} = resolved;
 		const ticket = Ticket.create({invariants, key: caller.keyKnowledge, isIdempotent: operation.isIdempotent});
 		const request = toUpstreamRequest(req, resolved, ticket.id, body);
-		const digest = createHash('sha256').update(`${request.method} ${request.path}\n`).update(body).digest('hex');
+		// Bodies that are passed on unread are left out of the fingerprint.
+		const digest = createHash('sha256').update(`${request.method} ${request.path}\n`)
+			.update(body instanceof CallerBody ? String(body.length) : body).digest('hex');
 		const now = clock.now();
 		return {
 			ticket,
@@ -151,7 +162,7 @@
 	}
 }
 
-function toUpstreamRequest(req: FastifyRequest, resolved: ResolvedRequest, dispatchId: string, body: Uint8Array): UpstreamRequest {
+function toUpstreamRequest(req: FastifyRequest, resolved: ResolvedRequest, dispatchId: string, body: Uint8Array | CallerBody): UpstreamRequest {
 	const headers: Record<string, string> = {'dispatch-id': dispatchId};
 	const named = namedByConnection(req.headers.connection);
 	for (const [name, value] of Object.entries(req.headers)) {
@@ -165,7 +176,7 @@
 		method: req.method,
 		path: resolved.path,
 		headers,
-		body: body.byteLength > 0 ? body : undefined,
+		body: body instanceof CallerBody || body.byteLength > 0 ? body : undefined,
 		idleTimeoutMs: resolved.service.settings.idleTimeoutMs,
 	};
 }
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -1,9 +1,19 @@
 /**
  * One request to an upstream and its answer, over any protocol.
  */
-import {type Readable} from 'node:stream';
 import {type SchedulerError} from '../base/errors.js';
 
+/** A body that is passed on while it arrives. It is read once, when the first attempt is sent. */
+export abstract class StreamedBody {
+	/** Size that was declared for the body. */
+	abstract get length(): number;
+
+	/** Whether any part was read, after which no further attempt can send it. */
+	abstract get wasRead(): boolean;
+
+	abstract [Symbol.asyncIterator](): AsyncIterator<Uint8Array>;
+}
+
 /** A request as it is sent to an upstream. */
 export type UpstreamRequest = {
 	readonly dispatchId: string;
@@ -11,8 +21,7 @@
 	/** Path and query. */
 	readonly path: string;
 	readonly headers: Readonly<Record<string, string>>;
-	/** A stream can be sent once only. */
-	readonly body: Uint8Array | Readable | undefined;
+	readonly body: Uint8Array | StreamedBody | undefined;
 	/** Longest wait for the answer's headers, and between two parts of its body, in ms. */
 	readonly idleTimeoutMs: number;
 };
--- a/src/upstream/http-transport.ts
+++ b/src/upstream/http-transport.ts
@@ -4,7 +4,7 @@
 import {Pool, type Dispatcher, errors} from 'undici';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {
-	Exchange, type ExchangeHandler, type UpstreamHeaders, type UpstreamRequest,
+	Exchange, type ExchangeHandler, StreamedBody, type UpstreamHeaders, type UpstreamRequest,
 } from './exchange.js';
 
 const CONNECT_TIMEOUT_MS = 1000;
@@ -35,8 +35,10 @@
 		this.#pool.dispatch({
 			method: req.method,
 			path: this.#pathPrefix + req.path,
-			headers: req.headers,
-			body: req.body ?? null,
+			// A declared size lets the upstream notice a body that broke off.
+			headers: req.body instanceof StreamedBody ? {...req.headers, 'content-length': String(req.body.length)} : req.headers,
+			// Undici sends any async iterable, although its type names streams only.
+			body: (req.body ?? null) as Uint8Array | undefined,
 			headersTimeout: req.idleTimeoutMs,
 			bodyTimeout: req.idleTimeoutMs,
 		}, exchange);
--- a/standins/booking.ts
+++ b/standins/booking.ts
@@ -21,6 +21,7 @@
 		await new Promise<void>(resolve => {
 			booking.#server.listen(0, '127.0.0.1', resolve);
 		});
+		booking.#port = (booking.#server.address() as AddressInfo).port;
 		return booking;
 	}
 
@@ -39,6 +40,7 @@
 	/** Requests that arrived. */
 	requestCount = 0;
 	readonly #server: Server;
+	#port = 0;
 
 	private constructor() {
 		this.#server = createServer((req, res) => {
@@ -47,7 +49,14 @@
 	}
 
 	get url(): string {
-		return `http://127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+		return `http://127.0.0.1:${this.#port}`;
+	}
+
+	/** Listens again on the port of before. */
+	async restart(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.#server.listen(this.#port, '127.0.0.1', resolve);
+		});
 	}
 
 	/** Ends at once, as a crash would. */
