--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -86,7 +86,7 @@
 	 * @returns Resolves when the caller has its whole answer or its error.
 	 */
 	async run(job: Job): Promise<void> {
-		const claim = await this.#acquireClaim(job);
+		const claim = job.claimRequest === undefined ? undefined : await this.#acquireClaim(job, job.claimRequest);
 		if (claim === 'answered') {
 			return;
 		}
@@ -109,12 +109,8 @@
 		});
 	}
 
-	async #acquireClaim(job: Job): Promise<Claim | undefined | 'answered'> {
-		if (job.claimRequest === undefined) {
-			return undefined;
-		}
-
-		const decision = await this.#claims.acquire(job.claimRequest);
+	async #acquireClaim(job: Job, request: ClaimRequest): Promise<Claim | 'answered'> {
+		const decision = await this.#claims.acquire(request);
 		if (decision.kind === 'granted') {
 			job.ticket.noteClaimHeld();
 			return decision.claim;
--- a/src/entry/caller-body.ts
+++ b/src/entry/caller-body.ts
@@ -1,7 +1,7 @@
 /**
  * A caller's body that is passed on to an upstream while it arrives.
  */
-import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type ServerResponse} from 'node:http';
 import {StreamedBody} from '../upstream/exchange.js';
 import {inviteBody} from './body.js';
 
--- a/src/entry/completion-request.ts
+++ b/src/entry/completion-request.ts
@@ -72,6 +72,10 @@
  * @returns One 32-bit hash a block, covering all text up to the end of the block.
  */
 export function hashBlocks(prompt: string): number[] {
+	if (prompt.length < BLOCK_CHARACTERS) {
+		return [];
+	}
+
 	const running = createHash('sha1');
 	const hashes: number[] = [];
 	for (let end = BLOCK_CHARACTERS; end <= prompt.length; end += BLOCK_CHARACTERS) {
--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -8,6 +8,7 @@
 import {type FastifyReply, type FastifyRequest} from 'fastify';
 import Result, {ok} from 'true-myth/result';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
+import {type Customer} from '../config/deployment.js';
 import {type Job} from '../dispatch/dispatcher.js';
 import {Ticket} from '../dispatch/ticket.js';
 import {readBody} from './body.js';
@@ -21,6 +22,9 @@
 /** Routes of the completions protocol. */
 @Controller('v1')
 export class CompletionsController {
+	/** A change of the settings makes new customers. */
+	readonly #bodyLimits = new WeakMap<Customer, number>();
+
 	constructor(@Inject(ENTRY_CONTEXT) private readonly context: EntryContext) {}
 
 	@Get('models')
@@ -57,12 +61,22 @@
 			return Result.err(caller.error);
 		}
 
-		const services = this.context.settings.deployment.modelServices(caller.value.customer);
-		const limitBytes = Math.max(0, ...services.map(service => service.settings.bodyLimitBytes));
-		const body = await readBody(reply.raw, limitBytes, this.context.bodyBudget);
+		const body = await readBody(reply.raw, this.#bodyLimitOf(caller.value.customer), this.context.bodyBudget);
 		return body.andThen(bytes => this.#toJob(req, reply, caller.value, bytes));
 	}
 
+	/** The greatest limit of the customer's services, as the body tells which of them is called. */
+	#bodyLimitOf(customer: Customer): number {
+		let limitBytes = this.#bodyLimits.get(customer);
+		if (limitBytes === undefined) {
+			const services = this.context.settings.deployment.modelServices(customer);
+			limitBytes = Math.max(0, ...services.map(service => service.settings.bodyLimitBytes));
+			this.#bodyLimits.set(customer, limitBytes);
+		}
+
+		return limitBytes;
+	}
+
 	#toJob(req: FastifyRequest, reply: FastifyReply, caller: CallerRequest, body: Uint8Array): Result<Job, SchedulerError> {
 		const {clock, invariants, settings} = this.context;
 		const parsed = parseCompletionRequest(body);
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -50,7 +50,7 @@
 
 const MAX_KEY_LENGTH = 255;
 /** Headers whose repetition would leave open which value applies. */
-const singleHeaders = ['authorization', 'idempotency-key', 'redwingspool-attempt', 'redwingspool-tier'];
+const singleHeaders = new Set(['authorization', 'idempotency-key', 'redwingspool-attempt', 'redwingspool-tier']);
 
 /** A request that belongs to a known customer. */
 export type CallerRequest = {
@@ -81,7 +81,7 @@
 		return Result.err(SchedulerError.create(ErrorKind.Unauthenticated));
 	}
 
-	const repeated = singleHeaders.find(name => (req.headersDistinct[name]?.length ?? 0) > 1);
+	const repeated = findRepeatedHeader(req.rawHeaders);
 	if (repeated !== undefined) {
 		return Result.err(SchedulerError.create(ErrorKind.MalformedRequest, `${repeated}: expected one value.`));
 	}
@@ -94,6 +94,22 @@
 	return ok({customer, idempotencyKey, keyKnowledge: keyKnowledgeOf(req)});
 }
 
+function findRepeatedHeader(rawHeaders: readonly string[]): string | undefined {
+	const seen: string[] = [];
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index]!.toLowerCase();
+		if (singleHeaders.has(name)) {
+			if (seen.includes(name)) {
+				return name;
+			}
+
+			seen.push(name);
+		}
+	}
+
+	return undefined;
+}
+
 /** Identifies the caller of a request that is to be run, and counts it against the customer's rate. */
 export function admitCaller(req: IncomingMessage, context: EntryContext): Result<CallerRequest, SchedulerError> {
 	return identifyCaller(req, context).andThen(caller => context.rateLimiter.take(caller.customer).map(() => caller));
--- a/src/entry/http-limits.ts
+++ b/src/entry/http-limits.ts
@@ -56,6 +56,8 @@
 	return undefined;
 }
 
+const ignore = (): void => undefined;
+
 /** Answers what Node's HTTP parser refuses. */
 export class ClientErrors {
 	static create(): ClientErrors {
@@ -75,7 +77,7 @@
 		server.prependListener('request', (req: IncomingMessage, res: ServerResponse) => {
 			this.#current.set(req.socket, res);
 			// A body that breaks off while nobody reads it must not end the process.
-			req.on('error', () => undefined);
+			req.on('error', ignore);
 			res.once('close', () => {
 				if (this.#current.get(req.socket) === res) {
 					this.#current.delete(req.socket);
@@ -88,7 +90,7 @@
 			writeRaw(res.socket!, SchedulerError.create(ErrorKind.MalformedRequest, 'Expect: only 100-continue is supported.'), true);
 		});
 		server.on('connect', (_req, socket: Duplex) => {
-			socket.on('error', () => undefined);
+			socket.on('error', ignore);
 			writeRaw(socket, SchedulerError.create(ErrorKind.MethodNotAllowed), false);
 		});
 	}
--- a/test/dispatch/retries.test.ts
+++ b/test/dispatch/retries.test.ts
@@ -52,6 +52,7 @@
 	}
 
 	for (const fault of ['cut', 502, 503, 504] as const) {
+		// eslint-disable-next-line @typescript-eslint/no-loop-func -- mocha runs the tests one after the other
 		it(`tries an idempotent operation at another upstream after ${fault}`, async () => {
 			for (const upstream of upstreams.slice(0, 2)) {
 				upstream.cutsRequests = fault === 'cut';
