--- /dev/null
+++ b/src/base/metrics.ts
@@ -0,0 +1,132 @@
+/**
+ * Metrics of a node in the exposition format of Prometheus. Labels take values of closed lists only.
+ */
+import {build, type Histogram} from 'hdr-histogram-js';
+import {
+	Counter, Gauge, type Metric, Registry,
+} from 'prom-client';
+import {type ErrorKind} from './errors.js';
+import {type Invariants} from './invariant.js';
+
+const MICROSECONDS_PER_MS = 1000;
+const MICROSECONDS_PER_SECOND = 1_000_000;
+const MAX_TRACKED_MICROSECONDS = 3_600_000_000;
+const SIGNIFICANT_DIGITS = 2;
+const MAX_TIER = 4;
+const quantiles = [0.5, 0.9, 0.95, 0.99, 0.999];
+
+/** How a request ended: with an answer of its upstream, with an error after dispatch, or without dispatch. */
+export const RequestOutcome = {
+	Done: 'done',
+	Failed: 'failed',
+	Refused: 'refused',
+} as const;
+
+export type RequestOutcome = (typeof RequestOutcome)[keyof typeof RequestOutcome];
+
+/** Values that are read when the metrics are. */
+export type MetricSources = {
+	readonly invariants: Invariants;
+	readonly inFlight: () => number;
+	readonly waiting: () => number;
+};
+
+/** A duration recorded in an HDR histogram and exposed as a summary in seconds, over the life of the process. */
+export class Timing {
+	readonly #name: string;
+	readonly #help: string;
+	readonly #histogram: Histogram = build({highestTrackableValue: MAX_TRACKED_MICROSECONDS, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS});
+	#sumMs = 0;
+
+	constructor(name: string, help: string, registry: Registry) {
+		this.#name = name;
+		this.#help = help;
+		// The registry asks of a metric its name and its values only.
+		// eslint-disable-next-line @typescript-eslint/no-this-alias, unicorn/no-this-assignment
+		const timing = this;
+		registry.registerMetric({name, get: async () => timing.#expose()} as unknown as Metric);
+	}
+
+	/** @param ms - The duration in ms. */
+	record(ms: number): void {
+		this.#sumMs += ms;
+		this.#histogram.recordValue(Math.min(MAX_TRACKED_MICROSECONDS, Math.max(0, Math.round(ms * MICROSECONDS_PER_MS))));
+	}
+
+	#expose() {
+		const values = quantiles.map(quantile => ({
+			labels: {quantile}, value: this.#histogram.getValueAtPercentile(quantile * 100) / MICROSECONDS_PER_SECOND,
+		}));
+		return {
+			name: this.#name,
+			help: this.#help,
+			type: 'summary',
+			aggregator: 'sum',
+			values: [
+				...values,
+				{metricName: `${this.#name}_sum`, labels: {}, value: this.#sumMs / 1000},
+				{metricName: `${this.#name}_count`, labels: {}, value: this.#histogram.totalCount},
+			],
+		};
+	}
+}
+
+/** All metrics of one node. */
+export class Metrics {
+	static create(): Metrics {
+		return new Metrics();
+	}
+
+	readonly registry = new Registry();
+	readonly queueWait = new Timing('redwingspool_queue_wait_seconds', 'From arrival to dispatch.', this.registry);
+	readonly timeToFirstToken = new Timing('redwingspool_time_to_first_token_seconds', 'From arrival to the first part of a model\'s answer.', this.registry);
+	readonly timeBetweenTokens = new Timing('redwingspool_time_between_tokens_seconds', 'Between two parts of a model\'s answer.', this.registry);
+	readonly #requests: Counter<'tier' | 'outcome'>;
+	readonly #errors: Counter<'kind'>;
+
+	private constructor() {
+		this.#requests = new Counter({
+			name: 'redwingspool_requests_total', help: 'Requests that ended, by rank of their tier.', labelNames: ['tier', 'outcome'], registers: [this.registry],
+		});
+		this.#errors = new Counter({
+			name: 'redwingspool_errors_total', help: 'Errors answered, by kind.', labelNames: ['kind'], registers: [this.registry],
+		});
+	}
+
+	/** Exposes values that other parts keep. */
+	observe(sources: MetricSources): void {
+		const registers = [this.registry];
+		const gauge = (name: string, help: string, read: () => number) => new Gauge({
+			name, help, registers, collect() {
+				this.set(read());
+			},
+		});
+		gauge('redwingspool_in_flight', 'Requests that are not answered yet.', sources.inFlight);
+		gauge('redwingspool_waiting', 'Requests that wait in the queues.', sources.waiting);
+		for (const state of ['evaluated', 'violated'] as const) {
+			// eslint-disable-next-line no-new -- registers itself
+			new Counter({
+				name: `redwingspool_promises_${state}_total`, help: `How often each promise was ${state}.`, labelNames: ['promise'], registers, collect() {
+					this.reset();
+					for (const [promise, count] of sources.invariants.counts) {
+						this.inc({promise}, count[state]);
+					}
+				},
+			});
+		}
+	}
+
+	/** @param tier - Rank of the tier. */
+	countRequest(tier: number, outcome: RequestOutcome): void {
+		this.#requests.inc({tier: String(Math.min(tier, MAX_TIER)), outcome});
+	}
+
+	countError(kind: ErrorKind): void {
+		this.#errors.inc({kind});
+	}
+
+	/** @returns All metrics as text. */
+	async expose(): Promise<string> {
+		return this.registry.metrics();
+	}
+}
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -1,9 +1,12 @@
 /**
  * Takes requests from the callers' interface through claim, queue, upstream and answer.
  */
+import {type Span} from '@opentelemetry/api';
 import {type Clock} from '../base/clock.js';
 import {ErrorKind, Ran, SchedulerError} from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
+import {type Metrics, RequestOutcome} from '../base/metrics.js';
+import {endSpan, type RequestTrace, SpanName} from '../base/trace.js';
 import {type Claim, type ClaimRequest, type Claims} from '../coordination/claims.js';
 import {RetryBudget} from '../policy/retry-budget.js';
 import {
@@ -25,6 +28,8 @@
 	/** Present for requests with an idempotency key. */
 	readonly claimRequest: ClaimRequest | undefined;
 	readonly sink: AnswerSink;
+	/** Present where traces are set up. */
+	readonly trace?: RequestTrace | undefined;
 };
 
 type RunningJob = Omit<Job, 'work'> & {
@@ -32,6 +37,8 @@
 	attempts: number;
 	claim: Claim | undefined;
 	relay: Relay | undefined;
+	/** Span of the hop that the request is in. */
+	hop: Span | undefined;
 	/** Why the last attempt failed. */
 	lastErr: SchedulerError | undefined;
 	readonly resolve: () => void;
@@ -43,6 +50,7 @@
 	readonly invariants: Invariants;
 	readonly upstreams: UpstreamRegistry;
 	readonly claims: Claims;
+	readonly metrics?: Metrics | undefined;
 	/** Makes the scheduler, which is given the dispatcher's side of the events. */
 	readonly createScheduler: (events: SchedulerEvents) => Scheduler;
 };
@@ -58,12 +66,17 @@
 	readonly #upstreams: UpstreamRegistry;
 	readonly #claims: Claims;
 	readonly #retryBudget: RetryBudget;
+	readonly #clock: Clock;
+	readonly #metrics: Metrics | undefined;
+	#claimingCount = 0;
 	readonly #jobs = new Map<string, RunningJob>();
 
 	private constructor(options: DispatcherOptions) {
 		this.#invariants = options.invariants;
 		this.#upstreams = options.upstreams;
 		this.#claims = options.claims;
+		this.#clock = options.clock;
+		this.#metrics = options.metrics;
 		this.#retryBudget = RetryBudget.create(options.clock);
 		this.scheduler = options.createScheduler({
 			start: (work, upstreamId) => {
@@ -77,7 +90,7 @@
 
 	/** Requests that are not answered yet. */
 	get inFlightCount(): number {
-		return this.#jobs.size;
+		return this.#jobs.size + this.#claimingCount;
 	}
 
 	/**
@@ -94,7 +107,7 @@
 		this.#retryBudget.noteRequest(job.work.customer, job.work.pool);
 		await new Promise<void>(resolve => {
 			const running: RunningJob = {
-				...job, attempts: 0, claim, relay: undefined, lastErr: undefined, resolve,
+				...job, attempts: 0, claim, relay: undefined, hop: undefined, lastErr: undefined, resolve,
 			};
 			this.#jobs.set(job.work.id, running);
 			job.sink.onCallerLeft(() => {
@@ -105,12 +118,21 @@
 				return;
 			}
 
-			this.scheduler.submit(job.work);
+			this.#submit(running);
 		});
 	}
 
+	#submit(job: RunningJob): void {
+		job.hop = job.trace?.startHop(SpanName.Queue);
+		this.scheduler.submit(job.work);
+	}
+
 	async #acquireClaim(job: Job, request: ClaimRequest): Promise<Claim | 'answered'> {
+		this.#claimingCount += 1;
+		const span = job.trace?.startHop(SpanName.Claim);
 		const decision = await this.#claims.acquire(request);
+		this.#claimingCount -= 1;
+		endSpan(span, decision.kind === 'refused' ? decision.err.kind : undefined);
 		if (decision.kind === 'granted') {
 			job.ticket.noteClaimHeld();
 			return decision.claim;
@@ -122,8 +144,10 @@
 			job.sink.start(status, {'content-type': contentType, 'idempotency-replayed': 'true'});
 			job.sink.write(body);
 			job.sink.end();
+			this.#report(job, RequestOutcome.Done);
 		} else {
 			job.sink.fail(decision.err, job.ticket.fail(decision.err));
+			this.#report(job, RequestOutcome.Refused, decision.err);
 		}
 
 		return 'answered';
@@ -144,7 +168,12 @@
 		}
 
 		job.attempts += 1;
+		endSpan(job.hop);
+		job.hop = job.trace?.startHop(SpanName.Upstream, {upstream: upstreamId, attempt: job.attempts});
+		this.#metrics?.queueWait.record(this.#clock.now() - work.arrivedAt);
 		job.relay = Relay.start({
+			clock: this.#clock,
+			metrics: this.#metrics,
 			job,
 			claims: this.#claims,
 			claim: job.claim,
@@ -162,10 +191,12 @@
 
 	#relayEnded(job: RunningJob, upstreamId: string, outcome: RelayOutcome): void {
 		job.relay = undefined;
+		endSpan(job.hop, outcome.err?.kind);
+		job.hop = undefined;
 		this.scheduler.noteFinished(job.work.id, outcome.workOutcome);
 		if (outcome.err === undefined) {
 			job.ticket.finish();
-			this.#end(job);
+			this.#end(job, RequestOutcome.Done);
 			return;
 		}
 
@@ -175,7 +206,7 @@
 			|| (isSafeToRepeat(job, outcome) && this.#mayRetry(job));
 		if (isGranted && !job.sink.hasCallerLeft) {
 			job.work = {...job.work, excluded: [...job.work.excluded, upstreamId]};
-			this.scheduler.submit(job.work);
+			this.#submit(job);
 			return;
 		}
 
@@ -205,8 +236,7 @@
 		const ran = job.ticket.fail(err);
 		job.sink.fail(err, ran);
 		this.#settleClaim(job);
-
-		this.#end(job);
+		this.#end(job, job.ticket.wasCommitted ? RequestOutcome.Failed : RequestOutcome.Refused, err);
 	}
 
 	#settleClaim(job: RunningJob): void {
@@ -236,10 +266,20 @@
 		job.relay.callerLeft();
 	}
 
-	#end(job: RunningJob): void {
+	#end(job: RunningJob, outcome: RequestOutcome, err?: SchedulerError): void {
 		this.#jobs.delete(job.work.id);
+		endSpan(job.hop, err?.kind);
+		this.#report(job, outcome, err);
 		job.resolve();
 	}
+
+	#report(job: Job, outcome: RequestOutcome, err?: SchedulerError): void {
+		job.trace?.end(err?.kind);
+		this.#metrics?.countRequest(job.work.tier, outcome);
+		if (err !== undefined) {
+			this.#metrics?.countError(err.kind);
+		}
+	}
 }
 
 function isSafeToRepeat(job: RunningJob, outcome: RelayOutcome): boolean {
--- a/src/dispatch/relay.ts
+++ b/src/dispatch/relay.ts
@@ -2,8 +2,12 @@
  * Sends one request to one upstream and passes its answer on.
  */
 import {Buffer} from 'node:buffer';
+import {type Span} from '@opentelemetry/api';
+import {type Clock} from '../base/clock.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
+import {type Metrics} from '../base/metrics.js';
+import {endSpan, SpanName} from '../base/trace.js';
 import {type Claim, type Claims} from '../coordination/claims.js';
 import {type Scheduler, WorkOutcome} from '../policy/scheduler.js';
 import {Engine, type UpstreamClient} from '../upstream/engine.js';
@@ -31,6 +35,8 @@
 
 /** What a relay works with. */
 export type RelayOptions = {
+	readonly clock: Clock;
+	readonly metrics: Metrics | undefined;
 	readonly job: Job;
 	readonly claims: Claims;
 	readonly claim: Claim | undefined;
@@ -62,6 +68,8 @@
 	#fruitlessResumes = 0;
 	#hasCallerLeft = false;
 	#isEnded = false;
+	#lastPartAt: number | undefined;
+	#resumeSpan: Span | undefined;
 
 	private constructor(options: RelayOptions) {
 		this.#options = options;
@@ -134,6 +142,7 @@
 
 		this.#fruitlessResumes = 0;
 		scheduler.noteProgress(job.work.id, 1);
+		this.#recordTiming();
 		this.#record(fresh);
 		if (this.#hasCallerLeft || job.sink.write(fresh)) {
 			return true;
@@ -192,6 +201,22 @@
 		this.#exchange?.abort();
 	}
 
+	#recordTiming(): void {
+		const {clock, metrics, job: {work}} = this.#options;
+		if (metrics === undefined || work.model === undefined) {
+			return;
+		}
+
+		const now = clock.now();
+		if (this.#lastPartAt === undefined) {
+			metrics.timeToFirstToken.record(now - work.arrivedAt);
+		} else {
+			metrics.timeBetweenTokens.record(now - this.#lastPartAt);
+		}
+
+		this.#lastPartAt = now;
+	}
+
 	#record(chunk: Uint8Array): void {
 		if (this.isAnswerRecorded) {
 			this.#recordedBytes += chunk.byteLength;
@@ -203,6 +228,7 @@
 	}
 
 	async #complete(): Promise<void> {
+		endSpan(this.#resumeSpan);
 		const {job, claim, claims} = this.#options;
 		if (claim !== undefined) {
 			const isWhole = this.isAnswerRecorded && this.#recordedBytes <= MAX_RECORDED_BYTES;
@@ -228,6 +254,7 @@
 
 	#finish(workOutcome: WorkOutcome, err: SchedulerError): void {
 		this.#isEnded = true;
+		endSpan(this.#resumeSpan, err.kind);
 		this.#options.onOutcome({workOutcome, err});
 	}
 
@@ -244,6 +271,8 @@
 		const {client, job} = this.#options;
 		this.#fruitlessResumes += 1;
 		const offset = this.#answer.delivered;
+		endSpan(this.#resumeSpan, ErrorKind.UpstreamLost);
+		this.#resumeSpan = job.trace?.startHop(SpanName.Resume, {offset});
 		this.#exchange = (client as Engine).resume(job.ticket.id, offset, job.request.idleTimeoutMs, new ResumedLeg(this, offset));
 	}
 }
--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -14,7 +14,7 @@
 import {readBody} from './body.js';
 import {parseCompletionRequest} from './completion-request.js';
 import {
-	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier,
+	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier, startTrace, traceHeaders,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
@@ -32,7 +32,7 @@
 		const caller = identifyCaller(req.raw, this.context);
 		if (caller.isErr) {
 			void reply.hijack();
-			answerError(reply.raw, caller.error, ErrorFormat.Completions);
+			answerError(reply.raw, caller.error, ErrorFormat.Completions, this.context.instruments);
 			return;
 		}
 
@@ -48,7 +48,7 @@
 		void reply.hijack();
 		const job = await this.#createJob(req, reply);
 		if (job.isErr) {
-			answerError(reply.raw, job.error, ErrorFormat.Completions);
+			answerError(reply.raw, job.error, ErrorFormat.Completions, this.context.instruments);
 			return;
 		}
 
@@ -99,6 +99,7 @@
 			return Result.err(tier.error);
 		}
 
+		const trace = startTrace(req.raw, this.context, service.pool, tier.value.rank);
 		const ticket = Ticket.create({invariants, key: caller.keyKnowledge, isIdempotent: false});
 		const digest = createHash('sha256').update(body).digest('hex');
 		const now = clock.now();
@@ -123,7 +124,7 @@
 				dispatchId: ticket.id,
 				method: 'POST',
 				path: '/v1/chat/completions',
-				headers: {'content-type': 'application/json', 'dispatch-id': ticket.id},
+				headers: {'content-type': 'application/json', 'dispatch-id': ticket.id, ...traceHeaders(req.raw, trace)},
 				body,
 				idleTimeoutMs: service.settings.idleTimeoutMs,
 			},
@@ -137,6 +138,7 @@
 					isFirstAttempt: caller.keyKnowledge.isFirstAttempt,
 					keepsAnswer: false,
 				},
+			trace,
 			sink: HttpSink.create(reply.raw, ErrorFormat.Completions),
 		});
 	}
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -8,6 +8,8 @@
 	ErrorKind, type KeyKnowledge, ranOf, SchedulerError,
 } from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
+import {type Metrics} from '../base/metrics.js';
+import {type RequestTrace, type Tracing} from '../base/trace.js';
 import {type Customer} from '../config/deployment.js';
 import {type CurrentSettings} from '../config/current-settings.js';
 import {type TierSettings} from '../config/schema.js';
@@ -38,6 +40,10 @@
 	readonly entriesFor: (caller: string) => EntriesAnswer;
 	/** Metrics in the exposition format. */
 	readonly metrics: () => Promise<string>;
+	/** Where errors are counted that never reach the dispatcher. */
+	readonly instruments?: Metrics | undefined;
+	/** Present where traces are set up. */
+	readonly tracing?: Tracing | undefined;
 	/** Whether the node takes requests, as `GET /readyz` answers. */
 	readonly isReady: () => boolean;
 };
@@ -132,6 +138,25 @@
 }
 
 /** Answers a request that never reached the dispatcher. */
-export function answerError(res: ServerResponse, err: SchedulerError, format: ErrorFormat): void {
+export function answerError(res: ServerResponse, err: SchedulerError, format: ErrorFormat, metrics: Metrics | undefined): void {
+	metrics?.countError(err.kind);
 	sendError(res, err, ranOf(err.kind, keyKnowledgeOf(res.req)), format);
 }
+
+/** Starts the trace of a request; `traceHeaders` has what is passed on to the upstream. */
+export function startTrace(req: IncomingMessage, context: EntryContext, pool: string, tier: number): RequestTrace | undefined {
+	return context.tracing?.start(req.headers, {pool, tier});
+}
+
+/** @returns The trace headers for the upstream: those of this request's trace, else the caller's own. */
+export function traceHeaders(req: IncomingMessage, trace: RequestTrace | undefined): Record<string, string> {
+	if (trace !== undefined) {
+		return trace.headers();
+	}
+
+	const {traceparent, tracestate} = req.headers;
+	return {
+		...(typeof traceparent === 'string' && {traceparent}),
+		...(typeof tracestate === 'string' && {tracestate}),
+	};
+}
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -71,7 +71,7 @@
 	async start(onFailure: (err: Error) => void): Promise<void> {
 		const {limits = defaultHttpLimits, log} = this.#options;
 		const clientErrors = ClientErrors.create();
-		const filter = new ProblemFilter(log?.part(LogPrefix.Entry));
+		const filter = new ProblemFilter(log?.part(LogPrefix.Entry), this.#context.instruments);
 		const adapter = new FastifyAdapter({
 			bodyLimit: Number.MAX_SAFE_INTEGER,
 			http: toServerOptions(limits),
--- a/src/entry/node-controller.ts
+++ b/src/entry/node-controller.ts
@@ -20,7 +20,7 @@
 		const caller = identifyCaller(req.raw, this.context);
 		if (caller.isErr) {
 			void reply.hijack();
-			answerError(reply.raw, caller.error, ErrorFormat.Problem);
+			answerError(reply.raw, caller.error, ErrorFormat.Problem, this.context.instruments);
 			return;
 		}
 
--- a/src/entry/problem-filter.ts
+++ b/src/entry/problem-filter.ts
@@ -2,16 +2,15 @@
  * Answers what no route answered: unknown paths, methods that a path does not have, requests that the framework
  * refused, and faults of the program.
  */
-import {type ServerResponse} from 'node:http';
 import {
 	type ArgumentsHost, Catch, type ExceptionFilter, HttpException,
 } from '@nestjs/common';
 import {type FastifyReply, type FastifyRequest} from 'fastify';
-import {ErrorKind, ranOf, SchedulerError} from '../base/errors.js';
+import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {type Log} from '../base/log.js';
-import {keyKnowledgeOf} from './context.js';
+import {type Metrics} from '../base/metrics.js';
+import {answerError} from './context.js';
 import {ErrorFormat} from './error-body.js';
-import {sendError} from './send-error.js';
 
 /** Methods of the paths that are routes in themselves. */
 const routeMethods: Readonly<Record<string, string>> = {
@@ -39,8 +38,11 @@
 export class ProblemFilter implements ExceptionFilter {
 	readonly #log: Log | undefined;
 
-	constructor(log: Log | undefined) {
+	readonly #metrics: Metrics | undefined;
+
+	constructor(log: Log | undefined, metrics: Metrics | undefined) {
 		this.#log = log;
+		this.#metrics = metrics;
 	}
 
 	catch(exception: unknown, host: ArgumentsHost): void {
@@ -57,7 +59,7 @@
 		}
 
 		const format = isCompletionsPath(pathOf(req)) ? ErrorFormat.Completions : ErrorFormat.Problem;
-		answerProblem(reply.raw, err, format);
+		answerError(reply.raw, err, format, this.#metrics);
 	}
 
 	#toError(exception: unknown, req: FastifyRequest): SchedulerError {
@@ -77,11 +79,6 @@
 	}
 }
 
-/** Answers with an error of the interface itself. */
-function answerProblem(res: ServerResponse, err: SchedulerError, format: ErrorFormat): void {
-	sendError(res, err, ranOf(err.kind, keyKnowledgeOf(res.req)), format);
-}
-
 function pathOf(req: FastifyRequest): string {
 	return (req.raw.url ?? '').split('?', 1)[0]!;
 }
--- a/src/entry/services-controller.ts
+++ b/src/entry/services-controller.ts
@@ -17,7 +17,7 @@
 import {declaredLength, readBody} from './body.js';
 import {CallerBody} from './caller-body.js';
 import {
-	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier,
+	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier, startTrace, traceHeaders,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
@@ -61,7 +61,7 @@
 		void reply.hijack();
 		const job = await this.#createJob(req, reply);
 		if (job.isErr) {
-			answerError(reply.raw, job.error, ErrorFormat.Problem);
+			answerError(reply.raw, job.error, ErrorFormat.Problem, this.context.instruments);
 			return;
 		}
 
@@ -123,8 +123,9 @@
 		const {
 			caller, service, operation, tier,
 		} = resolved;
+		const trace = startTrace(req.raw, this.context, service.pool, tier.rank);
 		const ticket = Ticket.create({invariants, key: caller.keyKnowledge, isIdempotent: operation.isIdempotent});
-		const request = toUpstreamRequest(req, resolved, ticket.id, body);
+		const request = toUpstreamRequest(req, resolved, {'dispatch-id': ticket.id, ...traceHeaders(req.raw, trace)}, body);
 		// Bodies that are passed on unread are left out of the fingerprint.
 		const digest = createHash('sha256').update(`${request.method} ${request.path}\n`)
 			.update(body instanceof CallerBody ? String(body.length) : body).digest('hex');
@@ -157,13 +158,14 @@
 					isFirstAttempt: caller.keyKnowledge.isFirstAttempt,
 					keepsAnswer: true,
 				},
+			trace,
 			sink: HttpSink.create(reply.raw, ErrorFormat.Problem),
 		};
 	}
 }
 
-function toUpstreamRequest(req: FastifyRequest, resolved: ResolvedRequest, dispatchId: string, body: Uint8Array | CallerBody): UpstreamRequest {
-	const headers: Record<string, string> = {'dispatch-id': dispatchId};
+function toUpstreamRequest(req: FastifyRequest, resolved: ResolvedRequest, ownHeaders: Record<string, string>, body: Uint8Array | CallerBody): UpstreamRequest {
+	const headers: Record<string, string> = {};
 	const named = namedByConnection(req.headers.connection);
 	for (const [name, value] of Object.entries(req.headers)) {
 		if (value !== undefined && !withheldHeaders.has(name) && !hopHeaders.has(name) && !named.has(name)) {
@@ -172,10 +174,10 @@
 	}
 
 	return {
-		dispatchId,
+		dispatchId: ownHeaders['dispatch-id']!,
 		method: req.method,
 		path: resolved.path,
-		headers,
+		headers: {...headers, ...ownHeaders},
 		body: body instanceof CallerBody || body.byteLength > 0 ? body : undefined,
 		idleTimeoutMs: resolved.service.settings.idleTimeoutMs,
 	};
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -5,6 +5,8 @@
 import {type Clock} from '../base/clock.js';
 import {Invariants, PromiseId} from '../base/invariant.js';
 import {type Log, LogPrefix} from '../base/log.js';
+import {Metrics} from '../base/metrics.js';
+import {type Tracing} from '../base/trace.js';
 import {CurrentSettings} from '../config/current-settings.js';
 import {type Deployment} from '../config/deployment.js';
 import {TableClaims} from '../coordination/table-claims.js';
@@ -33,6 +35,8 @@
 	readonly throwOnViolation: boolean;
 	/** Limits of the HTTP server for callers. */
 	readonly httpLimits?: HttpLimits;
+	/** Present where traces are exported. */
+	readonly tracing?: Tracing;
 };
 
 /** One entry VM's process: the root of the supervisor tree. */
@@ -45,6 +49,7 @@
 	readonly id = randomUUID();
 	readonly settings = CurrentSettings.create();
 	readonly invariants: Invariants;
+	readonly metrics = Metrics.create();
 	readonly dispatcher: Dispatcher;
 	readonly #options: NodeOptions;
 	readonly #log: Log;
@@ -67,9 +72,15 @@
 			clock: options.clock,
 			invariants: this.invariants,
 			upstreams: this.#upstreams,
+			metrics: this.metrics,
 			claims: TableClaims.create(options.table, this.id),
 			createScheduler: events => LeastInFlightScheduler.create(options.clock, events),
 		});
+		this.metrics.observe({
+			invariants: this.invariants,
+			inFlight: () => this.dispatcher.inFlightCount,
+			waiting: () => this.dispatcher.scheduler.waitingCount,
+		});
 		this.settings.subscribe(deployment => {
 			this.#upstreams.update(deployment);
 			this.dispatcher.scheduler.setUpstreams(toViews(deployment));
@@ -113,7 +124,9 @@
 			settings: this.settings,
 			dispatcher: this.dispatcher,
 			entriesFor: () => ({addresses: [this.address], keepSeconds: ENTRIES_KEEP_SECONDS}),
-			metrics: async () => '',
+			metrics: async () => this.metrics.expose(),
+			instruments: this.metrics,
+			tracing: this.#options.tracing,
 			isReady: () => this.settings.isLoaded && !this.#isDraining,
 		}, {
 			host, port, limits, log,
