--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -8,12 +8,13 @@
 import {type FastifyReply, type FastifyRequest} from 'fastify';
 import Result, {ok} from 'true-myth/result';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
+import {type Customer} from '../config/deployment.js';
 import {type Job} from '../dispatch/dispatcher.js';
 import {Ticket} from '../dispatch/ticket.js';
 import {readBody} from './body.js';
 import {parseCompletionRequest} from './completion-request.js';
 import {
-	admitCaller, answerError, callerSignal, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier,
+	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier, startTrace, traceHeaders,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
@@ -21,6 +22,9 @@
 /** Routes of the completions protocol. */
 @Controller('v1')
 export class CompletionsController {
+	/** A change of the settings makes new customers. */
+	readonly #bodyLimits = new WeakMap<Customer, number>();
+
 	constructor(@Inject(ENTRY_CONTEXT) private readonly context: EntryContext) {}
 
 	@Get('models')
@@ -28,7 +32,7 @@
 		const caller = identifyCaller(req.raw, this.context);
 		if (caller.isErr) {
 			void reply.hijack();
-			answerError(reply.raw, caller.error, ErrorFormat.Completions);
+			answerError(reply.raw, caller.error, ErrorFormat.Completions, this.context.instruments);
 			return;
 		}
 
@@ -44,7 +48,7 @@
 		void reply.hijack();
 		const job = await this.#createJob(req, reply);
 		if (job.isErr) {
-			answerError(reply.raw, job.error, ErrorFormat.Completions);
+			answerError(reply.raw, job.error, ErrorFormat.Completions, this.context.instruments);
 			return;
 		}
 
@@ -57,12 +61,22 @@
 			return Result.err(caller.error);
 		}
 
-		const services = this.context.settings.deployment.modelServices(caller.value.customer);
-		const limitBytes = Math.max(0, ...services.map(service => service.settings.bodyLimitBytes));
-		const body = await readBody(reply.raw, limitBytes, this.context.bodyBudget);
+		const body = await readBody(reply.raw, this.#bodyLimitOf(caller.value.customer), this.context.bodyBudget);
 		return body.andThen(bytes => this.#toJob(req, reply, caller.value, bytes));
 	}
 
+	/** The greatest limit of the customer's services, as the body tells which of them is called. */
+	#bodyLimitOf(customer: Customer): number {
+		let limitBytes = this.#bodyLimits.get(customer);
+		if (limitBytes === undefined) {
+			const services = this.context.settings.deployment.modelServices(customer);
+			limitBytes = Math.max(0, ...services.map(service => service.settings.bodyLimitBytes));
+			this.#bodyLimits.set(customer, limitBytes);
+		}
+
+		return limitBytes;
+	}
+
 	#toJob(req: FastifyRequest, reply: FastifyReply, caller: CallerRequest, body: Uint8Array): Result<Job, SchedulerError> {
 		const {clock, invariants, settings} = this.context;
 		const parsed = parseCompletionRequest(body);
@@ -85,6 +99,7 @@
 			return Result.err(tier.error);
 		}
 
+		const trace = startTrace(req.raw, this.context, service.pool, tier.value.rank);
 		const ticket = Ticket.create({invariants, key: caller.keyKnowledge, isIdempotent: false});
 		const digest = createHash('sha256').update(body).digest('hex');
 		const now = clock.now();
@@ -109,7 +124,7 @@
 				dispatchId: ticket.id,
 				method: 'POST',
 				path: '/v1/chat/completions',
-				headers: {'content-type': 'application/json', 'dispatch-id': ticket.id},
+				headers: {'content-type': 'application/json', 'dispatch-id': ticket.id, ...traceHeaders(req.raw, trace)},
 				body,
 				idleTimeoutMs: service.settings.idleTimeoutMs,
 			},
@@ -123,8 +138,8 @@
 					isFirstAttempt: caller.keyKnowledge.isFirstAttempt,
 					keepsAnswer: false,
 				},
+			trace,
 			sink: HttpSink.create(reply.raw, ErrorFormat.Completions),
-			signal: callerSignal(reply.raw),
 		});
 	}
 }
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -8,6 +8,8 @@
 	ErrorKind, type KeyKnowledge, ranOf, SchedulerError,
 } from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
+import {type Metrics} from '../base/metrics.js';
+import {type RequestTrace, type Tracing} from '../base/trace.js';
 import {type Customer} from '../config/deployment.js';
 import {type CurrentSettings} from '../config/current-settings.js';
 import {type TierSettings} from '../config/schema.js';
@@ -38,6 +40,10 @@
 	readonly entriesFor: (caller: string) => EntriesAnswer;
 	/** Metrics in the exposition format. */
 	readonly metrics: () => Promise<string>;
+	/** Where errors are counted that never reach the dispatcher. */
+	readonly instruments?: Metrics | undefined;
+	/** Present where traces are set up. */
+	readonly tracing?: Tracing | undefined;
 	/** Whether the node takes requests, as `GET /readyz` answers. */
 	readonly isReady: () => boolean;
 };
@@ -50,7 +56,7 @@
 
 const MAX_KEY_LENGTH = 255;
 /** Headers whose repetition would leave open which value applies. */
-const singleHeaders = ['authorization', 'idempotency-key', 'redwingspool-attempt', 'redwingspool-tier'];
+const singleHeaders = new Set(['authorization', 'idempotency-key', 'redwingspool-attempt', 'redwingspool-tier']);
 
 /** A request that belongs to a known customer. */
 export type CallerRequest = {
@@ -81,7 +87,7 @@
 		return Result.err(SchedulerError.create(ErrorKind.Unauthenticated));
 	}
 
-	const repeated = singleHeaders.find(name => (req.headersDistinct[name]?.length ?? 0) > 1);
+	const repeated = findRepeatedHeader(req.rawHeaders);
 	if (repeated !== undefined) {
 		return Result.err(SchedulerError.create(ErrorKind.MalformedRequest, `${repeated}: expected one value.`));
 	}
@@ -94,6 +100,22 @@
 	return ok({customer, idempotencyKey, keyKnowledge: keyKnowledgeOf(req)});
 }
 
+function findRepeatedHeader(rawHeaders: readonly string[]): string | undefined {
+	const seen: string[] = [];
+	for (let index = 0; index < rawHeaders.length; index += 2) {
+		const name = rawHeaders[index]!.toLowerCase();
+		if (singleHeaders.has(name)) {
+			if (seen.includes(name)) {
+				return name;
+			}
+
+			seen.push(name);
+		}
+	}
+
+	return undefined;
+}
+
 /** Identifies the caller of a request that is to be run, and counts it against the customer's rate. */
 export function admitCaller(req: IncomingMessage, context: EntryContext): Result<CallerRequest, SchedulerError> {
 	return identifyCaller(req, context).andThen(caller => context.rateLimiter.take(caller.customer).map(() => caller));
@@ -116,21 +138,25 @@
 }
 
 /** Answers a request that never reached the dispatcher. */
-export function answerError(res: ServerResponse, err: SchedulerError, format: ErrorFormat): void {
+export function answerError(res: ServerResponse, err: SchedulerError, format: ErrorFormat, metrics: Metrics | undefined): void {
+	metrics?.countError(err.kind);
 	sendError(res, err, ranOf(err.kind, keyKnowledgeOf(res.req)), format);
 }
 
-/** @returns A signal that is aborted when the caller closes the connection before its answer has ended. */
-export function callerSignal(res: ServerResponse): AbortSignal {
-	const controller = new AbortController();
-	if (res.closed && !res.writableFinished) {
-		controller.abort();
+/** Starts the trace of a request; `traceHeaders` has what is passed on to the upstream. */
+export function startTrace(req: IncomingMessage, context: EntryContext, pool: string, tier: number): RequestTrace | undefined {
+	return context.tracing?.start(req.headers, {pool, tier});
+}
+
+/** @returns The trace headers for the upstream: those of this request's trace, else the caller's own. */
+export function traceHeaders(req: IncomingMessage, trace: RequestTrace | undefined): Record<string, string> {
+	if (trace !== undefined) {
+		return trace.headers();
 	}
 
-	res.once('close', () => {
-		if (!res.writableFinished) {
-			controller.abort();
-		}
-	});
-	return controller.signal;
+	const {traceparent, tracestate} = req.headers;
+	return {
+		...(typeof traceparent === 'string' && {traceparent}),
+		...(typeof tracestate === 'string' && {tracestate}),
+	};
 }
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -39,8 +39,8 @@
 	readonly host: string;
 	/** 0 lets the operating system choose. */
 	readonly port: number;
-	readonly limits?: HttpLimits;
-	readonly log?: Log;
+	readonly limits?: HttpLimits | undefined;
+	readonly log?: Log | undefined;
 };
 
 /** Runs the HTTP server for callers. */
@@ -81,10 +81,12 @@
 	async start(onFailure: (err: Error) => void): Promise<void> {
 		const {limits = defaultHttpLimits, log} = this.#options;
 		const clientErrors = ClientErrors.create();
-		const filter = new ProblemFilter(log?.part(LogPrefix.Entry));
+		const filter = new ProblemFilter(log?.part(LogPrefix.Entry), this.#context.instruments);
 		const adapter = new FastifyAdapter({
 			bodyLimit: Number.MAX_SAFE_INTEGER,
 			http: toServerOptions(limits),
+			// Fastify overwrites the server's own with this.
+			requestTimeout: limits.requestTimeoutMs,
 			// Long path segments are bounded by the size of the headers.
 			routerOptions: {maxParamLength: limits.maxHeaderBytes},
 			clientErrorHandler: clientErrors.handle,
@@ -117,11 +119,11 @@
 function leaveBodiesUnread(adapter: FastifyAdapter): void {
 	const fastify = adapter.getInstance();
 	fastify.removeAllContentTypeParsers();
-	fastify.addContentTypeParser('*', async () => undefined);
-	fastify.addHook('onRequest', async req => {
-		const err = findAmbiguity(req.raw);
-		if (err !== undefined) {
-			throw err;
-		}
+	// Callbacks, as Fastify wraps promises of hooks and parsers at a cost on each request.
+	fastify.addContentTypeParser('*', (_req: FastifyRequest, _payload: unknown, done: (err: Error | null) => void) => { // eslint-disable-line @typescript-eslint/no-restricted-types -- Fastify's own type
+		done(null);
+	});
+	fastify.addHook('onRequest', (req: FastifyRequest, _reply: FastifyReply, done: (err?: Error) => void) => {
+		done(findAmbiguity(req.raw));
 	});
 }
--- a/src/entry/services-controller.ts
+++ b/src/entry/services-controller.ts
@@ -6,7 +6,7 @@
 	All, Controller, Inject, Req, Res,
 } from '@nestjs/common';
 import {type FastifyReply, type FastifyRequest} from 'fastify';
-import Result from 'true-myth/result';
+import Result, {ok} from 'true-myth/result';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {type Service} from '../config/deployment.js';
 import {type PlainServiceSettings} from '../config/schema.js';
@@ -14,9 +14,10 @@
 import {hopHeaders, namedByConnection} from '../dispatch/hop-headers.js';
 import {Ticket} from '../dispatch/ticket.js';
 import {type UpstreamRequest} from '../upstream/exchange.js';
-import {readBody} from './body.js';
+import {declaredLength, readBody} from './body.js';
+import {CallerBody} from './caller-body.js';
 import {
-	admitCaller, answerError, callerSignal, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier,
+	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier, startTrace, traceHeaders,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
@@ -60,7 +61,7 @@
 		void reply.hijack();
 		const job = await this.#createJob(req, reply);
 		if (job.isErr) {
-			answerError(reply.raw, job.error, ErrorFormat.Problem);
+			answerError(reply.raw, job.error, ErrorFormat.Problem, this.context.instruments);
 			return;
 		}
 
@@ -73,7 +74,15 @@
 			return Result.err(resolved.error);
 		}
 
-		const body = await readBody(reply.raw, resolved.value.service.settings.bodyLimitBytes, this.context.bodyBudget);
+		const {operation, service} = resolved.value;
+		const {bodyLimitBytes} = service.settings;
+		const length = declaredLength(req.raw);
+		// A digest needs the whole body, and only the end of a body of undeclared size shows that it is within the limit.
+		if (operation.isIdempotent && length !== undefined && length > 0 && length <= bodyLimitBytes) {
+			return ok(this.#toJob(req, reply, resolved.value, CallerBody.create(reply.raw, length)));
+		}
+
+		const body = await readBody(reply.raw, bodyLimitBytes, this.context.bodyBudget);
 		return body.map(bytes => this.#toJob(req, reply, resolved.value, bytes));
 	}
 
@@ -109,14 +118,17 @@
 		}));
 	}
 
-	#toJob(req: FastifyRequest, reply: FastifyReply, resolved: ResolvedRequest, body: Uint8Array): Job {
+	#toJob(req: FastifyRequest, reply: FastifyReply, resolved: ResolvedRequest, body: Uint8Array | CallerBody): Job {
 		const {clock, invariants} = this.context;
 		const {
 			caller, service, operation, tier,
 		} = resolved;
+		const trace = startTrace(req.raw, this.context, service.pool, tier.rank);
 		const ticket = Ticket.create({invariants, key: caller.keyKnowledge, isIdempotent: operation.isIdempotent});
-		const request = toUpstreamRequest(req, resolved, ticket.id, body);
-		const digest = createHash('sha256').update(`${request.method} ${request.path}\n`).update(body).digest('hex');
+		const request = toUpstreamRequest(req, resolved, {'dispatch-id': ticket.id, ...traceHeaders(req.raw, trace)}, body);
+		// Bodies that are passed on unread are left out of the fingerprint.
+		const digest = createHash('sha256').update(`${request.method} ${request.path}\n`)
+			.update(body instanceof CallerBody ? String(body.length) : body).digest('hex');
 		const now = clock.now();
 		return {
 			ticket,
@@ -146,14 +158,14 @@
 					isFirstAttempt: caller.keyKnowledge.isFirstAttempt,
 					keepsAnswer: true,
 				},
+			trace,
 			sink: HttpSink.create(reply.raw, ErrorFormat.Problem),
-			signal: callerSignal(reply.raw),
 		};
 	}
 }
 
-function toUpstreamRequest(req: FastifyRequest, resolved: ResolvedRequest, dispatchId: string, body: Uint8Array): UpstreamRequest {
-	const headers: Record<string, string> = {'dispatch-id': dispatchId};
+function toUpstreamRequest(req: FastifyRequest, resolved: ResolvedRequest, ownHeaders: Record<string, string>, body: Uint8Array | CallerBody): UpstreamRequest {
+	const headers: Record<string, string> = {};
 	const named = namedByConnection(req.headers.connection);
 	for (const [name, value] of Object.entries(req.headers)) {
 		if (value !== undefined && !withheldHeaders.has(name) && !hopHeaders.has(name) && !named.has(name)) {
@@ -162,11 +174,11 @@
 	}
 
 	return {
-		dispatchId,
+		dispatchId: ownHeaders['dispatch-id']!,
 		method: req.method,
 		path: resolved.path,
-		headers,
-		body: body.byteLength > 0 ? body : undefined,
+		headers: {...headers, ...ownHeaders},
+		body: body instanceof CallerBody || body.byteLength > 0 ? body : undefined,
 		idleTimeoutMs: resolved.service.settings.idleTimeoutMs,
 	};
 }
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -5,11 +5,14 @@
 import {type Clock} from '../base/clock.js';
 import {Invariants, PromiseId} from '../base/invariant.js';
 import {type Log, LogPrefix} from '../base/log.js';
+import {Metrics} from '../base/metrics.js';
+import {type Tracing} from '../base/trace.js';
 import {CurrentSettings} from '../config/current-settings.js';
 import {type Deployment} from '../config/deployment.js';
 import {TableClaims} from '../coordination/table-claims.js';
 import {Dispatcher} from '../dispatch/dispatcher.js';
 import {EntryPart} from '../entry/entry-part.js';
+import {type HttpLimits} from '../entry/http-limits.js';
 import {LeastInFlightScheduler} from '../policy/least-in-flight.js';
 import {type UpstreamView} from '../policy/scheduler.js';
 import {type Table} from '../store/table.js';
@@ -30,6 +33,10 @@
 	readonly dataCentre: string;
 	/** Tests and randomised runs throw on a violated promise. */
 	readonly throwOnViolation: boolean;
+	/** Limits of the HTTP server for callers. */
+	readonly httpLimits?: HttpLimits;
+	/** Present where traces are exported. */
+	readonly tracing?: Tracing;
 };
 
 /** One entry VM's process: the root of the supervisor tree. */
@@ -42,6 +49,7 @@
 	readonly id = randomUUID();
 	readonly settings = CurrentSettings.create();
 	readonly invariants: Invariants;
+	readonly metrics = Metrics.create();
 	readonly dispatcher: Dispatcher;
 	readonly #options: NodeOptions;
 	readonly #log: Log;
@@ -64,9 +72,15 @@
 			clock: options.clock,
 			invariants: this.invariants,
 			upstreams: this.#upstreams,
+			metrics: this.metrics,
 			claims: TableClaims.create(options.table, this.id),
 			createScheduler: events => LeastInFlightScheduler.create(options.clock, events),
 		});
+		this.metrics.observe({
+			invariants: this.invariants,
+			inFlight: () => this.dispatcher.inFlightCount,
+			waiting: () => this.dispatcher.scheduler.waitingCount,
+		});
 		this.settings.subscribe(deployment => {
 			this.#upstreams.update(deployment);
 			this.dispatcher.scheduler.setUpstreams(toViews(deployment));
@@ -103,16 +117,20 @@
 	}
 
 	#createEntry(): EntryPart {
-		const {clock, host, port} = this.#options;
+		const {clock, host, port, log, httpLimits: limits} = this.#options;
 		return EntryPart.create({
 			clock,
 			invariants: this.invariants,
 			settings: this.settings,
 			dispatcher: this.dispatcher,
 			entriesFor: () => ({addresses: [this.address], keepSeconds: ENTRIES_KEEP_SECONDS}),
-			metrics: async () => '',
+			metrics: async () => this.metrics.expose(),
+			instruments: this.metrics,
+			tracing: this.#options.tracing,
 			isReady: () => this.settings.isLoaded && !this.#isDraining,
-		}, {host, port});
+		}, {
+			host, port, limits, log,
+		});
 	}
 }
 
