Keep releases of refused requests from displacing recorded answers

In a long outage each refused request queued a release, and a full queue drops its oldest jobs, which are the answers from the start of the outage. Releases have a queue of their own, and a claim whose every copy the store refused needs none. TableClaims.stop flushes both queues.

--- a/src/coordination/claim-row.ts
+++ b/src/coordination/claim-row.ts
@@ -1,27 +1,15 @@
 /**
  * Keys and values of claim rows.
  */
-import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
 import {z} from 'zod';
 import {type Clock} from '../base/clock.js';
-import {type ClaimRequest, type RecordedAnswer} from './claims.js';
+import {storedAnswerSchema} from './claim-answers.js';
+import {type ClaimRequest} from './claims.js';
 
 /** Prefix of all claim rows. */
 export const CLAIM_PREFIX = 'claim/';
 
-/** Bytes of an answer that are kept in the row; a larger body goes to the object store. */
-export const MAX_INLINE_BYTES = 64 * 1024;
-
-const answerSchema = z.object({
-	status: z.number().int(),
-	contentType: z.string().optional(),
-	/** Base64; absent where the body is an object. */
-	body: z.string().optional(),
-	/** Key of the object that holds the body. */
-	objectKey: z.string().optional(),
-});
-
 const claimValueSchema = z.object({
 	state: z.enum(['claimed', 'done']),
 	/** Identity of the node whose attempt wrote the row. */
@@ -31,13 +19,11 @@
 	keepsAnswer: z.boolean(),
 	/** Wall-clock time of the claim in ms since the epoch, for garbage collection only. */
 	claimedAt: z.number(),
-	answer: answerSchema.optional(),
+	answer: storedAnswerSchema.optional(),
 });
 
 export type ClaimValue = z.infer<typeof claimValueSchema>;
 
-export type StoredAnswer = z.infer<typeof answerSchema>;
-
 /** @returns The row key of a request; a hash, since customers and keys contain any characters in any length. */
 export function claimRowKey({customer, pool, key}: Pick<ClaimRequest, 'customer' | 'pool' | 'key'>): string {
 	return CLAIM_PREFIX + createHash('sha256').update(JSON.stringify([customer, pool, key])).digest('hex');
@@ -52,14 +38,6 @@
 	}
 }
 
-/** @returns The stored form of an answer. */
-export function storedAnswer(answer: RecordedAnswer, objectKey: string | undefined): StoredAnswer {
-	const {status, contentType, body} = answer;
-	return objectKey === undefined
-		? {status, contentType, body: Buffer.from(body).toString('base64')}
-		: {status, contentType, objectKey};
-}
-
 /** Wall-clock time that later jumps of the VM's clock do not change. */
 export class SteadyWallClock {
 	static create(clock: Clock): SteadyWallClock {
--- a/src/coordination/own-write.ts
+++ b/src/coordination/own-write.ts
@@ -4,7 +4,7 @@
  */
 import {type Clock} from '../base/clock.js';
 import {
-	type Row, type Table, type Write, WriteOutcome,
+	type Row, StoreFailure, type Table, type Write, WriteOutcome,
 } from '../store/table.js';
 import {withTimeout} from './within-time.js';
 
@@ -14,8 +14,8 @@
 	| {readonly kind: 'written'}
 	/** The condition does not hold; the row as it was read afterwards. */
 	| {readonly kind: 'rejected'; readonly row: Row | undefined}
-	/** The store did not decide in time; the write may still take effect. */
-	| {readonly kind: 'undecided'};
+	/** The store did not decide in time; where it refused every copy, the write cannot take effect later. */
+	| {readonly kind: 'undecided'; readonly mayTakeEffect: boolean};
 
 const BACK_OFF_MS = 50;
 /** One call gets half of the time that is left, so that a hung connection leaves time for a repeat. */
@@ -30,35 +30,37 @@
 export async function writeOwn(table: Table, clock: Clock, write: Write, timeoutMs: number): Promise<OwnWriteResult> {
 	const end = clock.now() + timeoutMs;
 	let isRejected = false;
+	let mayTakeEffect = false;
 	while (clock.now() < end) {
 		// eslint-disable-next-line no-await-in-loop
 		const result = isRejected ? await readBack(table, clock, write, end) : await writeOnce(table, clock, write, end);
 		if (result === 'rejected') {
 			isRejected = true;
-		} else if (result === undefined) {
+		} else if (typeof result === 'object') {
+			return result;
+		} else {
+			mayTakeEffect ||= result === StoreFailure.OutcomeUnknown;
 			// eslint-disable-next-line no-await-in-loop
 			await clock.sleep(Math.min(BACK_OFF_MS, Math.max(0, end - clock.now())));
-		} else {
-			return result;
 		}
 	}
 
-	return {kind: 'undecided'};
+	return {kind: 'undecided', mayTakeEffect};
 }
 
-async function writeOnce(table: Table, clock: Clock, write: Write, end: number): Promise<OwnWriteResult | 'rejected' | undefined> {
+async function writeOnce(table: Table, clock: Clock, write: Write, end: number): Promise<OwnWriteResult | 'rejected' | StoreFailure> {
 	const result = await withTimeout(clock, table.write(write), callLimit(clock, end));
 	if (result.isErr) {
-		return undefined;
+		return result.error.failure;
 	}
 
 	return result.value === WriteOutcome.Written ? {kind: 'written'} : 'rejected';
 }
 
-async function readBack(table: Table, clock: Clock, write: Write, end: number): Promise<OwnWriteResult | undefined> {
+async function readBack(table: Table, clock: Clock, write: Write, end: number): Promise<OwnWriteResult | StoreFailure> {
 	const result = await withTimeout(clock, table.get(write.key), callLimit(clock, end));
 	if (result.isErr) {
-		return undefined;
+		return StoreFailure.Unavailable;
 	}
 
 	return result.value?.token === write.token ? {kind: 'written'} : {kind: 'rejected', row: result.value};
--- a/src/coordination/table-claims.ts
+++ b/src/coordination/table-claims.ts
@@ -1,7 +1,6 @@
 /**
  * Claims kept in the platform's table service.
  */
-import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {type Clock, SystemClock} from '../base/clock.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
@@ -10,12 +9,13 @@
 import {type ObjectStore} from '../store/object-store.js';
 import {type Condition, type Row, type Table} from '../store/table.js';
 import {BackgroundWrites, defaultBackgroundLimits} from './background-writes.js';
+import {ClaimAnswers, type StoredAnswer} from './claim-answers.js';
 import {ClaimAttempts} from './claim-attempts.js';
 import {
 	type ClaimHolder, type ClaimPeers, ClaimStatus, MemoryClaimPeers,
 } from './claim-peers.js';
 import {
-	claimRowKey, type ClaimValue, MAX_INLINE_BYTES, parseClaim, SteadyWallClock, storedAnswer, type StoredAnswer,
+	claimRowKey, type ClaimValue, parseClaim, SteadyWallClock,
 } from './claim-row.js';
 import {
 	type Claim, type ClaimDecision, type ClaimRequest, Claims, type RecordedAnswer,
@@ -58,14 +58,16 @@
 		return new TableClaims(table, holder, options);
 	}
 
-	/** Releases and completions that the store has not taken yet. */
+	/** Completions that the store has not taken yet. */
 	readonly background: BackgroundWrites;
+	/** Releases apart, so that the refused requests of a long outage displace no answers. */
+	readonly #releases: BackgroundWrites;
 	readonly #table: Table;
 	readonly #holder: string;
 	readonly #clock: Clock;
 	readonly #wall: SteadyWallClock;
 	readonly #invariants: Invariants;
-	readonly #objects: ObjectStore;
+	readonly #answers: ClaimAnswers;
 	readonly #peers: ClaimPeers;
 	readonly #attempts: ClaimAttempts;
 	readonly #acquireTimeoutMs: number;
@@ -79,13 +81,15 @@
 		this.#clock = options.clock ?? SystemClock.create();
 		this.#wall = SteadyWallClock.create(this.#clock);
 		this.#invariants = options.invariants ?? Invariants.create({throwOnViolation: false});
-		this.#objects = options.objects ?? MemoryObjectStore.create();
+		this.#answers = ClaimAnswers.create(this.#clock, options.objects ?? MemoryObjectStore.create());
 		this.#peers = options.peers ?? MemoryClaimPeers.create();
 		this.#attempts = ClaimAttempts.create(this.#invariants);
 		this.#acquireTimeoutMs = options.acquireTimeoutMs ?? ACQUIRE_TIMEOUT_MS;
 		this.#completeWaitMs = options.completeWaitMs ?? COMPLETE_WAIT_MS;
 		this.#createToken = options.createToken ?? randomUUID;
-		this.background = BackgroundWrites.create(this.#clock, options.backgroundLimits ?? defaultBackgroundLimits);
+		const limits = options.backgroundLimits ?? defaultBackgroundLimits;
+		this.background = BackgroundWrites.create(this.#clock, limits);
+		this.#releases = BackgroundWrites.create(this.#clock, limits);
 	}
 
 	/** Attempts that wait or run. */
@@ -93,6 +97,27 @@
 		return this.#attempts.liveCount;
 	}
 
+	/** Background writes of both kinds that are left. */
+	get pendingCount(): number {
+		return this.background.pendingCount + this.#releases.pendingCount;
+	}
+
+	/**
+	 * Ends the background writes, at a planned stop after all requests have ended.
+	 *
+	 * @param timeoutMs - Longest time that the store is given to take them.
+	 * @returns Whether it took them all.
+	 */
+	async stop(timeoutMs: number): Promise<boolean> {
+		const queues = [this.background, this.#releases];
+		const areEmpty = await Promise.all(queues.map(async queue => queue.flush(timeoutMs)));
+		for (const queue of queues) {
+			queue.stop();
+		}
+
+		return !areEmpty.includes(false);
+	}
+
 	async acquire(request: ClaimRequest): Promise<ClaimDecision> {
 		const end = this.#clock.now() + this.#acquireTimeoutMs;
 		let condition: Condition = {kind: 'absent'};
@@ -120,7 +145,9 @@
 	}
 
 	async release(claim: Claim): Promise<void> {
-		this.#giveUp(claim.rowKey, claim.token);
+		if (this.#attempts.giveUp(claim.token)) {
+			this.#deleteRow(claim.rowKey, claim.token);
+		}
 	}
 
 	abandon(claim: Claim): void {
@@ -182,19 +209,19 @@
 			return {row: result.row};
 		}
 
-		this.#giveUp(rowKey, token);
+		if (this.#attempts.giveUp(token) && result.mayTakeEffect) {
+			this.#deleteRow(rowKey, token);
+		}
+
 		return refuse(request.isFirstAttempt ? ErrorKind.StoreUnavailable : ErrorKind.EarlierAttemptUnknown);
 	}
 
-	#giveUp(rowKey: string, token: string): void {
-		if (!this.#attempts.giveUp(token)) {
-			return;
-		}
-
+	/** Deletes the row of an attempt that was given up, in the background. */
+	#deleteRow(rowKey: string, token: string): void {
 		const write = {
 			key: rowKey, value: undefined, condition: {kind: 'token', token}, token: this.#createToken(),
 		} as const;
-		this.background.add({
+		this.#releases.add({
 			bytes: JOB_BYTES,
 			run: async () => {
 				const result = await withTimeout(this.#clock, this.#table.write(write), BACKGROUND_TIMEOUT_MS);
@@ -207,18 +234,12 @@
 	}
 
 	async #record(claim: Claim, token: string, answer: RecordedAnswer | undefined): Promise<boolean> {
-		const isLarge = answer !== undefined && answer.body.byteLength > MAX_INLINE_BYTES;
-		const objectKey = isLarge ? `claim-answer/${claim.token}` : undefined;
-		if (isLarge) {
-			const put = await withTimeout(this.#clock, this.#objects.put(objectKey!, answer.body), BACKGROUND_TIMEOUT_MS);
-			if (put.isErr) {
-				return false;
-			}
+		const stored = answer && await this.#answers.store(claim.token, answer);
+		if (stored === 'failed') {
+			return false;
 		}
 
-		const value: ClaimValue = {
-			...this.#valueOf(claim.request), state: 'done', ...(answer && {answer: storedAnswer(answer, objectKey)}),
-		};
+		const value: ClaimValue = {...this.#valueOf(claim.request), state: 'done', answer: stored};
 		const result = await withTimeout(this.#clock, this.#table.write({
 			key: claim.rowKey, value: JSON.stringify(value), condition: {kind: 'token', token: claim.token}, token,
 		}), BACKGROUND_TIMEOUT_MS);
@@ -271,19 +292,21 @@
 		return answer === undefined ? refuse(ErrorKind.OutcomeUnknown) : this.#replay(answer);
 	}
 
-	async #replay({status, contentType, body, objectKey}: StoredAnswer): Promise<ClaimDecision> {
-		if (objectKey === undefined) {
-			return {kind: 'replay', answer: {status, contentType, body: Buffer.from(body ?? '', 'base64')}};
-		}
+	async #replay(stored: StoredAnswer): Promise<ClaimDecision> {
+		const answer = await this.#answers.load(stored, this.#acquireTimeoutMs);
+		switch (answer) {
+			case 'failed': {
+				return refuse(ErrorKind.EarlierAttemptUnknown);
+			}
 
-		const read = await withTimeout(this.#clock, this.#objects.get(objectKey), this.#acquireTimeoutMs);
-		if (read.isErr) {
-			return refuse(ErrorKind.EarlierAttemptUnknown);
-		}
+			case 'missing': {
+				return refuse(ErrorKind.OutcomeUnknown);
+			}
 
-		return read.value === undefined
-			? refuse(ErrorKind.OutcomeUnknown)
-			: {kind: 'replay', answer: {status, contentType, body: read.value}};
+			default: {
+				return {kind: 'replay', answer};
+			}
+		}
 	}
 
 	#valueOf(request: ClaimRequest): ClaimValue {
--- a/test/coordination/claim-run.ts
+++ b/test/coordination/claim-run.ts
@@ -93,7 +93,7 @@
 		this.#result.takeoverCount = this.#table.effects.filter(({condition, value}) =>
 			condition.kind === 'token' && value?.includes('"claimed"')).length;
 		for (const node of this.#nodes) {
-			this.#assert(node.claims.background.pendingCount === 0, 'A background write was left after the store came back.');
+			this.#assert(node.claims.pendingCount === 0, 'A background write was left after the store came back.');
 			this.#assert(node.claims.liveCount === 0, 'An attempt was left after the end of all requests.');
 		}
 	}
--- a/test/coordination/table-claims.test.ts
+++ b/test/coordination/table-claims.test.ts
@@ -190,6 +190,9 @@
 		}
 
 		expect(c.background.droppedCount).to.equal(3);
+		await nodes.settle(Promise.all(Array.from({length: 10}, async (_, index) => c.acquire({...booking, key: `refused-${index}`}))));
+		expect(c.background.droppedCount, 'refused requests displace no answers').to.equal(3);
+		expect(c.pendingCount, 'a write that the store refused needs no release').to.equal(2);
 		nodes.table.isDown = false;
 		expect(await nodes.settle(c.background.flush(1000))).to.equal(true);
 		expect(await nodes.acquire(nodes.b, {...booking, key: '5'})).to.equal('replay');
