--- a/src/coordination/lease-keeper.ts
+++ b/src/coordination/lease-keeper.ts
@@ -10,6 +10,8 @@
 	readonly onAcquired: (fencingNumber: number) => void;
 	/** The lease is no longer held. Orders must be checked against `Lease.fencingNumber` all the same. */
 	readonly onLost: () => void;
+	/** The keeper ended by an exception, which is a bug; the lease lapses. */
+	readonly onFailure: (err: Error) => void;
 };
 
 /** Renewals in one lifetime of a lease. */
@@ -35,7 +37,7 @@
 	}
 
 	start(): void {
-		this.#work ??= this.#run();
+		this.#work ??= this.#runGuarded();
 	}
 
 	/** Stops and releases the lease. */
@@ -45,6 +47,15 @@
 		await this.#lease.release(RELEASE_TIMEOUT_MS);
 	}
 
+	async #runGuarded(): Promise<void> {
+		try {
+			await this.#run();
+		} catch (err) {
+			this.#lease.invalidate();
+			this.#events.onFailure(err as Error);
+		}
+	}
+
 	async #run(): Promise<void> {
 		const intervalMs = this.#lease.times.ttlMs / RENEWALS_PER_TTL;
 		let isHeld = false;
--- a/src/coordination/table-claims.ts
+++ b/src/coordination/table-claims.ts
@@ -21,7 +21,7 @@
 	type Claim, type ClaimDecision, type ClaimRequest, Claims, type RecordedAnswer,
 } from './claims.js';
 import {writeOwn} from './own-write.js';
-import {withTimeout} from './within-time.js';
+import {withinTime, withTimeout} from './within-time.js';
 
 /** What claims work with; the defaults serve one process on its own. */
 export type TableClaimsOptions = {
@@ -264,10 +264,15 @@
 			return value.answer === undefined ? refuse(ErrorKind.AlreadyDispatched) : this.#replay(value.answer);
 		}
 
-		const status = value.holder === this.#holder ? this.statusOf(row.token) : await this.#peers.ask(value.holder, row.token);
+		const status = value.holder === this.#holder ? this.statusOf(row.token) : await this.#ask(value.holder, row.token);
 		return status === ClaimStatus.Done ? this.#decideDone(row, value) : this.#decideClaimed(row, status);
 	}
 
+	async #ask(holder: string, token: string): Promise<ClaimStatus> {
+		const status = await withinTime(this.#clock, this.#peers.ask(holder, token), this.#acquireTimeoutMs);
+		return status ?? ClaimStatus.Unreachable;
+	}
+
 	#decideClaimed(row: Row, status: ClaimStatus): ClaimDecision | {kind: 'write'; condition: Condition} {
 		if (status !== ClaimStatus.NeverDispatched) {
 			return refuse(status === ClaimStatus.Running ? ErrorKind.InProgress : ErrorKind.OutcomeUnknown);
--- a/test/coordination/lease-run.ts
+++ b/test/coordination/lease-run.ts
@@ -117,6 +117,9 @@
 			onLost() {
 				// The lease itself tells that it ended.
 			},
+			onFailure: err => {
+				this.#result.violations.push(err.message);
+			},
 		}).start();
 		return {lease, clock, table};
 	}
--- a/test/coordination/lease.test.ts
+++ b/test/coordination/lease.test.ts
@@ -138,6 +138,9 @@
 			onLost() {
 				log.push(`lost at ${clock.now()}`);
 			},
+			onFailure(err) {
+				log.push(err.message);
+			},
 		});
 		keeper.start();
 		await clock.advanceAsync(61_000);
