--- a/src/coordination/placement.ts
+++ b/src/coordination/placement.ts
@@ -7,6 +7,15 @@
 import {type ModelDemand, type PlacementEngine, planPlacement} from './placement-plan.js';
 import {TokenBucket} from './token-bucket.js';
 
+/** Time for an engine to load what it was ordered to; afterwards its own report is believed. */
+const LOAD_TIME_MS = 60_000;
+
+/** A target that an engine accepted, on this process's clock. */
+type AcceptedTarget = {
+	readonly target: OrderTarget;
+	readonly acceptedAt: number;
+};
+
 /** An engine with the way to give it orders. */
 export type PlacedEngine = PlacementEngine & {
 	readonly adapters: readonly string[];
@@ -43,7 +52,7 @@
 	readonly #weightStore: TokenBucket;
 	readonly #orders = new Map<string, FencedOrders>();
 	/** Targets that engines accepted in this holding of the lease. */
-	readonly #targets = new Map<string, OrderTarget>();
+	readonly #targets = new Map<string, AcceptedTarget>();
 	#fencingNumber: number | undefined;
 
 	private constructor(options: PlacementOptions) {
@@ -69,12 +78,31 @@
 
 		const {engines, demand} = this.#options.view();
 		this.#forgetRemoved(engines);
-		const present = engines.map(engine => ({...engine, models: this.#targets.get(engine.id)?.models ?? engine.models}));
+		const present = engines.map(engine => ({...engine, models: this.#modelsOf(engine)}));
 		const plan = planPlacement(present, demand);
 		const accepted = await Promise.all(present.map(async engine => this.#follow(engine, plan.get(engine.id))));
 		return accepted.filter(Boolean).length;
 	}
 
+	/**
+	 * The models to plan with. An engine that restarted without its models is planned anew once its time to load is over;
+	 * one that ignores fencing numbers keeps its target, which is asserted again.
+	 */
+	#modelsOf(engine: PlacedEngine): readonly string[] {
+		const accepted = this.#targets.get(engine.id);
+		if (accepted === undefined) {
+			return engine.models;
+		}
+
+		const isLoading = this.#options.clock.now() - accepted.acceptedAt < LOAD_TIME_MS;
+		if (isLoading || !engine.checksFencing) {
+			return accepted.target.models;
+		}
+
+		this.#targets.delete(engine.id);
+		return engine.models;
+	}
+
 	async #follow(engine: PlacedEngine, models: readonly string[] | undefined): Promise<boolean> {
 		const orders = this.#ordersOf(engine);
 		if (orders.waitMs !== 0) {
@@ -94,7 +122,7 @@
 
 		const result = await orders.order(target);
 		if (result.isOk) {
-			this.#targets.set(engine.id, target);
+			this.#targets.set(engine.id, {target, acceptedAt: this.#options.clock.now()});
 		}
 
 		return result.isOk;
--- a/test/coordination/placement.test.ts
+++ b/test/coordination/placement.test.ts
@@ -81,4 +81,34 @@
 		clock.advance(100);
 		expect(await controller.round(), 'the lease has ended').to.equal(0);
 	});
+
+	it('plans an engine anew that lost its models after its time to load, and asserts targets again where fencing is ignored', async () => {
+		for (const checksFencing of [true, false]) {
+			const clock = VirtualClock.create();
+			const lease = Lease.create({
+				table: MemoryTable.create(), clock, name: 'placement/advice', holder: 'a',
+			});
+			const receiver = new RecordingReceiver();
+			const engine = {
+				...engineOf('e', []), adapters: [], role: 'both', checksFencing, receiver,
+			} as const;
+			const controller = PlacementController.create({
+				clock, lease, view: () => ({engines: [engine], demand: new Map([['a', 100]])}), loadsPerSecond: 1, loadBurst: 1,
+			});
+			// eslint-disable-next-line no-await-in-loop
+			await lease.tryAcquire();
+			const orderedAt: number[] = [];
+			for (let seconds = 0; seconds < 80; seconds += 5) {
+				const count = receiver.taken.length;
+				// eslint-disable-next-line no-await-in-loop
+				await controller.round();
+				orderedAt.push(...receiver.taken.slice(count).map(() => seconds));
+				clock.advance(5000);
+				// eslint-disable-next-line no-await-in-loop
+				await lease.renew();
+			}
+
+			expect(orderedAt).to.deep.equal(checksFencing ? [0, 60] : [15, 25, 35, 45, 55, 65, 75]);
+		}
+	});
 });
