Assign upstreams in groups and renew satisfied shares less often

Cause: at 8 nodes and 790 upstreams each node sent 226.7 KB/s of demand and gossip, because each upstream was asked for every 200 ms. Change: 64 groups of upstreams for each region share their nodes and allocator, and a demand without waiting work is sent only when its share is 600 ms old.

--- a/src/members/assignment.ts
+++ b/src/members/assignment.ts
@@ -10,6 +10,12 @@
 /** Nodes of one upstream, where there are that many. */
 export const MAX_NODES_PER_UPSTREAM = 16;
 
+/**
+ * Upstreams of a region are assigned in this many groups, so that a node sends its demand for several upstreams to one
+ * allocator in one message. Without groups a node with 35 upstreams has about 35 allocators.
+ */
+const GROUPS_PER_REGION = 64;
+
 /** What an upstream is assigned by. */
 export type AssignedUpstream = {
 	readonly id: string;
@@ -36,8 +42,11 @@
 
 	private constructor(members: readonly MemberView[], upstreams: readonly AssignedUpstream[]) {
 		const candidates = members.filter(member => isAssignable(member)).map(member => ({member, hash: hashText(member.id)}));
+		const ranked = new Map<string, readonly MemberView[]>();
 		for (const upstream of upstreams) {
-			const nodes = rank(candidates, upstream);
+			const group = `${upstream.region}/${hashText(upstream.id) % GROUPS_PER_REGION}`;
+			const nodes = ranked.get(group) ?? rank(candidates, hashText(group), upstream.region);
+			ranked.set(group, nodes);
 			this.#nodesOf.set(upstream.id, nodes);
 			for (const node of nodes) {
 				const list = this.#upstreamsOf.get(node.id) ?? [];
@@ -69,12 +78,11 @@
 }
 
 /** Same region first, then by rendezvous hashing; keeps the best few by insertion. */
-function rank(candidates: readonly Candidate[], upstream: AssignedUpstream): MemberView[] {
-	const hash = hashText(upstream.id);
+function rank(candidates: readonly Candidate[], hash: number, region: string): MemberView[] {
 	const best: MemberView[] = [];
 	const scores: number[] = [];
 	for (const candidate of candidates) {
-		const score = mixHashes(candidate.hash, hash) + (candidate.member.region === upstream.region ? 2 ** 32 : 0);
+		const score = mixHashes(candidate.hash, hash) + (candidate.member.region === region ? 2 ** 32 : 0);
 		let position = best.length;
 		while (position > 0 && scores[position - 1]! < score) {
 			position -= 1;
--- a/src/peer/shares-part.ts
+++ b/src/peer/shares-part.ts
@@ -93,6 +93,11 @@
 		const now = this.#options.clock.now();
 		const batches = new Map<string, Wish[]>();
 		for (const demand of this.#currentDemand()) {
+			this.#options.setShare(demand.upstreamId, this.slots(demand.upstreamId));
+			if (!this.#holder.isDue(demand, now)) {
+				continue;
+			}
+
 			const allocator = this.#options.allocatorOf(demand.upstreamId);
 			if (demand.held === 0 && demand.waitingByTier.length === 0) {
 				this.#holder.noteIdle(demand.upstreamId);
@@ -105,8 +110,6 @@
 				batch.push({demand, allocator});
 				batches.set(allocator.id, batch);
 			}
-
-			this.#options.setShare(demand.upstreamId, this.slots(demand.upstreamId));
 		}
 
 		for (const batch of batches.values()) {
--- a/src/policy/shares.ts
+++ b/src/policy/shares.ts
@@ -12,6 +12,8 @@
 /** Time between the demands of a node. */
 export const DEMAND_INTERVAL_MS = 200;
 const FLOOR_SLOTS = 1;
+/** A share whose demand did not change is renewed at this age, which leaves time for one repetition. */
+const RENEW_AFTER_MS = 600;
 
 /** What one node wants of one upstream. */
 export type ShareDemand = {
@@ -240,6 +242,18 @@
 		}
 	}
 
+	/**
+	 * Whether a demand must be sent now: work waits for slots, few are left, or the share is about to end. Each message
+	 * costs more than its content, so a satisfied node only renews.
+	 */
+	isDue(demand: ShareDemand, now: number): boolean {
+		const share = this.#shares.get(demand.upstreamId);
+		const waiting = sum(demand.waitingByTier);
+		const isIdle = waiting === 0 && demand.held === 0;
+		return !share || isIdle || share.until - now <= SHARE_LIFETIME_MS - RENEW_AFTER_MS
+			|| (demand.held + waiting > share.slots && share.slots < share.limit);
+	}
+
 	/**
 	 * Slots that this node may use now: the share, one slot for a node that has not asked, or an even part of the limit
 	 * where the allocator is not heard.
