--- a/src/members/topics.ts
+++ b/src/members/topics.ts
@@ -124,7 +124,8 @@
 				break;
 			}
 
-			default: {
+			case 'member':
+			case undefined: {
 				break;
 			}
 		}
--- a/src/peer/memory-transport.ts
+++ b/src/peer/memory-transport.ts
@@ -15,12 +15,12 @@
 
 /** How messages travel from one node to another. */
 export type LinkBehaviour = {
-	/** Delay of a message in ms; unequal delays reorder messages. */
-	delayMs(): number;
 	/** Probability that a message is lost, from 0 to 1. */
 	readonly loss: number;
 	/** Probability that a request arrives twice, from 0 to 1. */
 	readonly duplication: number;
+	/** Delay of a message in ms; unequal delays reorder messages. */
+	delayMs(): number;
 };
 
 /** Bytes and messages that one node sent. */
--- a/src/peer/peer-part.ts
+++ b/src/peer/peer-part.ts
@@ -37,7 +37,6 @@
 		return new PeerPart(options);
 	}
 
-	readonly name = 'peer';
 	readonly #options: PeerPartOptions;
 	readonly #sessions = new Set<ServerHttp2Session>();
 	#server: Http2Server | undefined;
@@ -48,6 +47,10 @@
 		this.#options = options;
 	}
 
+	get name(): string {
+		return 'peer';
+	}
+
 	/** `host:port` for peers, once started. */
 	get address(): string {
 		return this.#address;
--- a/src/policy/shares.ts
+++ b/src/policy/shares.ts
@@ -12,6 +12,8 @@
 /** Time between the demands of a node. */
 export const DEMAND_INTERVAL_MS = 200;
 const FLOOR_SLOTS = 1;
+/** A share whose demand did not change is renewed at this age, which leaves time for one repetition. */
+const RENEW_AFTER_MS = 600;
 
 /** What one node wants of one upstream. */
 export type ShareDemand = {
@@ -29,10 +31,7 @@
 
 /** The allocator's answer. */
 export type Share = {
-	readonly upstreamId: string;
 	readonly slots: number;
-	/** Counted from when the demand was sent, so that it ends at the holder before it ends at the allocator. */
-	readonly lifetimeMs: number;
 	readonly limit: number;
 	readonly sequence: number;
 };
@@ -80,9 +79,7 @@
 		const slots = isIdle ? 0 : slotsFor(pool, holder, limit, now);
 		pool.sequence += 1;
 		holder.grants.push({sequence: pool.sequence, slots, until: now + SHARE_LIFETIME_MS});
-		return {
-			upstreamId: demand.upstreamId, slots, lifetimeMs: SHARE_LIFETIME_MS, limit, sequence: pool.sequence,
-		};
+		return {slots, limit, sequence: pool.sequence};
 	}
 
 	/** Drops upstreams without holders and those that this node no longer allocates. */
@@ -229,17 +226,31 @@
 	/**
 	 * Takes an answer. One that arrives after a later one is ignored.
 	 *
-	 * @param sentAt - When the demand was sent.
+	 * @param sentAt - When the demand was sent; the share ends here before it ends at the allocator.
 	 * @param isNewAllocator - Another process than before answered; its sequences start anew.
 	 */
-	accept(share: Share, sentAt: number, isNewAllocator: boolean): void {
-		const known = this.#shares.get(share.upstreamId);
+	accept(upstreamId: string, share: Share, sentAt: number, isNewAllocator: boolean): void {
+		const known = this.#shares.get(upstreamId);
 		if (!known || isNewAllocator || share.sequence > known.sequence) {
-			this.#shares.set(share.upstreamId, {...share, until: sentAt + share.lifetimeMs});
-			this.#unansweredSince.delete(share.upstreamId);
+			this.#shares.set(upstreamId, {
+				slots: share.slots, limit: share.limit, sequence: share.sequence, until: sentAt + SHARE_LIFETIME_MS,
+			});
+			this.#unansweredSince.delete(upstreamId);
 		}
 	}
 
+	/**
+	 * Whether a demand must be sent now: work waits for slots, few are left, or the share is about to end. Each message
+	 * costs more than its content, so a satisfied node only renews.
+	 */
+	isDue(demand: ShareDemand, now: number): boolean {
+		const share = this.#shares.get(demand.upstreamId);
+		const waiting = sum(demand.waitingByTier);
+		const isIdle = waiting === 0 && demand.held === 0;
+		return !share || isIdle || share.until - now <= SHARE_LIFETIME_MS - RENEW_AFTER_MS
+			|| (demand.held + waiting > share.slots && share.slots < share.limit);
+	}
+
 	/**
 	 * Slots that this node may use now: the share, one slot for a node that has not asked, or an even part of the limit
 	 * where the allocator is not heard.
--- a/test/peer/peer.test.ts
+++ b/test/peer/peer.test.ts
@@ -1,3 +1,4 @@
+import {Buffer} from 'node:buffer';
 import {createHmac, randomBytes} from 'node:crypto';
 import {expect} from 'chai';
 import {generate} from 'selfsigned';
