--- a/src/cli/keys.ts
+++ b/src/cli/keys.ts
@@ -53,6 +53,10 @@
 	}, putSchema);
 }
 
+function makeKey(): string {
+	return `rws_${randomBytes(KEY_BYTES).toString('base64url')}`;
+}
+
 const makeCommand = defineCommand({
 	meta: meta('make', 'Make a key and print it once; a customer or operator that does not exist is made too'),
 	args: shared,
@@ -60,7 +64,7 @@
 		const options = readSettingsOrExit(clientSettings, args);
 		const {group, name} = readHolder(args);
 		const {version, subtree} = await getOrExit(options, args.json);
-		const key = `rws_${randomBytes(KEY_BYTES).toString('base64url')}`;
+		const key = makeKey();
 		const answer = await put(options, version, addDigest(subtree, group, name, digestKey(key)));
 		if (answer.isErr && answer.error.status === ExitStatus.NotReachable) {
 			// The change may have been accepted, and the key cannot be shown again.
@@ -107,8 +111,20 @@
 	},
 });
 
+const bootstrapCommand = defineCommand({
+	meta: meta('bootstrap', 'Make a bootstrap key and its digest for the setting --bootstrap-digest; needs no node'),
+	args: {json: shared.json},
+	run({args}) {
+		const key = makeKey();
+		const digest = digestKey(key);
+		console.log(args.json ? JSON.stringify({key, digest}) : `key\t${key}\ndigest\t${digest}`);
+	},
+});
+
 /** The `keys` sub-command. */
 export const keysCommand = defineCommand({
 	meta: meta('keys', 'Make, list and revoke the keys of customers and operators'),
-	subCommands: {make: makeCommand, list: listCommand, revoke: revokeCommand},
+	subCommands: {
+		make: makeCommand, list: listCommand, revoke: revokeCommand, bootstrap: bootstrapCommand,
+	},
 });
