Back off reads of the heads while the store is down

Cause: each node repeated a failed read after 500 ms, so 360 nodes sent up to 720 reads/s to a store that fails at once. Change: the delay doubles up to 4 s. Edits address list elements and map entries with numeric names correctly. Conclusion: a change still comes into force within 5 s of the store's return.

--- a/src/cli/config-files.ts
+++ b/src/cli/config-files.ts
@@ -4,7 +4,7 @@
 import {readFile} from 'node:fs/promises';
 import Result, {ok} from 'true-myth/result';
 import {
-	parse, parseDocument, stringify, Document,
+	Document, isSeq, parse, parseDocument, stringify,
 } from 'yaml';
 import {z} from 'zod';
 import {ExitStatus, type Failure} from './config-exit.js';
@@ -66,19 +66,25 @@
 	return {path: match.groups!.path!.split('.'), value: value === '' ? undefined : parse(value)};
 }
 
-/** @returns The subtree with the edits made. */
-export function applyEdits(subtree: unknown, edits: readonly Edit[]): unknown {
+/** @returns The subtree with the edits made, or the edit that does not fit it. */
+export function applyEdits(subtree: unknown, edits: readonly Edit[]): Result<unknown, Failure> {
 	const document = new Document(subtree);
 	for (const {path, value} of edits) {
-		const segments = path.map(segment => /^\d+$/v.test(segment) ? Number(segment) : segment);
-		if (value === undefined) {
-			document.deleteIn(segments);
-		} else {
-			document.setIn(segments, value);
+		const segments = path.map((segment, index) => isSeq(document.getIn(path.slice(0, index))) ? Number(segment) : segment);
+		try {
+			if (value === undefined) {
+				document.deleteIn(segments);
+			} else {
+				document.setIn(segments, value);
+			}
+		} catch {
+			return Result.err({
+				status: ExitStatus.Usage, message: `${path.join('.')}: there is no such place in the subtree`, details: [], next: 'look at `config get`',
+			});
 		}
 	}
 
-	return document.toJS();
+	return ok(document.toJS());
 }
 
 function fileFailure(message: string): Failure {
--- a/src/cli/config.ts
+++ b/src/cli/config.ts
@@ -98,7 +98,8 @@
 		const options = readOptions(args);
 		const edits = args._.map(text => parseEdit(text) ?? exitUsage(`expected PATH=VALUE, got '${text}'`));
 		const {version, subtree} = unwrapOrExit(await callNode(options, {method: 'GET', path: ''}, subtreeVersionSchema), args.json);
-		await putOrExit(options, {subtree: applyEdits(subtree, edits), fromVersion: version, force: args.force}, args.json);
+		const edited = unwrapOrExit(applyEdits(subtree, edits), args.json);
+		await putOrExit(options, {subtree: edited, fromVersion: version, force: args.force}, args.json);
 	},
 });
 
--- a/src/config/config-metrics.ts
+++ b/src/config/config-metrics.ts
@@ -6,22 +6,22 @@
 
 /** Registers gauges that are read when the metrics are scraped. */
 export function registerConfigMetrics(registry: Registry, sync: ConfigSync): void {
-	const registers = [registry];
-	new Gauge({
+	const registers: Registry[] = [];
+	registry.registerMetric(new Gauge({
 		name: 'redwingspool_config_version', help: 'Version of the subtree in force.', labelNames: ['team'], registers, collect() {
 			for (const {team, version} of sync.status.applied) {
 				this.set({team}, version);
 			}
 		},
-	});
-	new Gauge({
+	}));
+	registry.registerMetric(new Gauge({
 		name: 'redwingspool_config_may_be_old', help: '1 while the heads were not read recently.', registers, collect() {
 			this.set(Number(sync.status.mayBeOld));
 		},
-	});
-	new Gauge({
+	}));
+	registry.registerMetric(new Gauge({
 		name: 'redwingspool_config_rejected', help: 'Accepted versions that are not applied because their bodies are corrupt or invalid.', registers, collect() {
 			this.set(sync.status.rejected.length);
 		},
-	});
+	}));
 }
--- a/src/config/config-sync.ts
+++ b/src/config/config-sync.ts
@@ -16,6 +16,7 @@
 const READ_INTERVAL_MS = 4000;
 /** Part of the interval by which reads are spread over the nodes. */
 const READ_JITTER = 0.2;
+/** First delay after a failed read, in ms; doubles up to the interval, so that many nodes do not crowd a store that comes back. */
 const READ_RETRY_MS = 500;
 /** Settings may be old when the heads were not read for this long, in ms. */
 const OLD_AFTER_MS = 10_000;
@@ -175,6 +176,7 @@
 
 	async #run(signal: AbortSignal, onFailure: (err: Error) => void): Promise<void> {
 		const {clock, random} = this.#options;
+		let retryMs = READ_RETRY_MS;
 		try {
 			while (!signal.aborted) {
 				// eslint-disable-next-line no-await-in-loop
@@ -185,7 +187,8 @@
 				}
 
 				const isDone = hasRead && !this.#isIncomplete;
-				const delay = isDone ? READ_INTERVAL_MS * (1 - (READ_JITTER * random.next())) : READ_RETRY_MS;
+				const delay = (isDone ? READ_INTERVAL_MS : retryMs) * (1 - (READ_JITTER * random.next()));
+				retryMs = isDone ? READ_RETRY_MS : Math.min(2 * retryMs, READ_INTERVAL_MS);
 				// eslint-disable-next-line no-await-in-loop
 				await clock.sleep(delay, signal);
 			}
--- a/test/config/settings-tree.test.ts
+++ b/test/config/settings-tree.test.ts
@@ -132,6 +132,12 @@
 		expect(alone.sync.status).to.deep.include({source: 'store', mayBeOld: false});
 	});
 
+	it('reads less often while the store is down', async () => {
+		const node = await world.boot('a', 'north', true);
+		await world.clock.advanceAsync(60_000);
+		expect(node.table.lists).to.be.within(14, 22);
+	});
+
 	it('refuses a change while a region is cut off, unless it is forced', async () => {
 		const near = await world.boot('a', 'north');
 		const far = await world.boot('b', 'south');
