--- a/test/cli/config.test.ts
+++ b/test/cli/config.test.ts
@@ -104,6 +104,15 @@
 		expect(await unversioned.body.text()).to.include('If-Match');
 	});
 
+	it('lets the bootstrap key change nothing but the operators', async () => {
+		const res = await request(`http://${node.address}/v1/teams/tea-rooms/config`, {
+			method: 'PUT', headers: {authorization: `Bearer ${bootstrapKey}`, 'if-match': '"0"'}, body: '{"customers":{"guest":{"keyDigests":[]}}}',
+		});
+		const text = await res.body.text();
+		expect(res.statusCode).to.equal(403);
+		expect(text).to.not.include(bootstrapKey);
+	});
+
 	it('sends the version in force and later ones to watchers', async () => {
 		const res = await request(`http://${node.address}/v1/teams/skimmers/config/watch`, {headers: {authorization: `Bearer ${env.REDWINGSPOOL_OPERATOR_KEY}`}});
 		const edit = redwingspool(env, 'config', 'edit', 'customers.guest.weight=3');
--- a/test/config/config-random.test.ts
+++ b/test/config/config-random.test.ts
@@ -23,6 +23,7 @@
 class BrokenTable extends Table {
 	constructor(private readonly inner: Table, private readonly alter: {
 		write?: (write: Write) => Write;
+		hidesRows?: boolean;
 		answer?: (answer: Result<WriteOutcome, StoreError>) => Result<WriteOutcome, StoreError>;
 	}) {
 		super();
@@ -33,7 +34,8 @@
 	}
 
 	async list(prefix: string, limit: number): Promise<Result<readonly Row[], StoreError>> {
-		return this.inner.list(prefix, limit);
+		const rows = await this.inner.list(prefix, limit);
+		return this.alter.hidesRows ? rows.map(() => []) : rows;
 	}
 
 	async transact(writes: readonly Write[]): Promise<Result<WriteOutcome, StoreError>> {
@@ -86,4 +88,9 @@
 		const runs = await Promise.all([1, 2, 3].map(async seed => randomRun(seed, {alwaysForce: true})));
 		expect(runs.flatMap(run => run.problems).join('\n')).to.match(/was accepted at .* was cut off/v);
 	});
+
+	it('finds nodes that rely on pushes alone', async () => {
+		const runs = await Promise.all([1, 2, 3].map(async seed => randomRun(seed, {table: inner => new BrokenTable(inner, {hidesRows: true})})));
+		expect(runs.flatMap(run => run.problems).join('\n')).to.match(/was accepted over 5 s ago/v);
+	});
 });
