Assemble the settings parts in one place and end watches on a stop

Cause: the HTTP server waits for open responses, so a node with a watch did not stop for up to 30 minutes. Change: a node's watches are kept together and ended when the entry part stops; createConfigParts gives a node its settings parts. Conclusion: a test stops a node with an open watch.

--- /dev/null
+++ b/src/config/config-parts.ts
@@ -0,0 +1,61 @@
+/**
+ * Assembles what a node needs for its settings.
+ */
+import {type Clock} from '../base/clock.js';
+import {type Invariants} from '../base/invariant.js';
+import {type Log} from '../base/log.js';
+import {type Random} from '../base/random.js';
+import {type ObjectStore} from '../store/object-store.js';
+import {type Table} from '../store/table.js';
+import {type Part} from '../supervisor/part.js';
+import {ConfigService} from './config-service.js';
+import {ConfigSync} from './config-sync.js';
+import {type CurrentSettings} from './current-settings.js';
+import {FreshnessWriter} from './freshness-writer.js';
+import {type ConfigPeers} from './peers.js';
+import {SettingsTree} from './settings-tree.js';
+import {SubtreeStore} from './subtree-store.js';
+
+/** What the node provides. */
+export type ConfigPartsOptions = {
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly random: Random;
+	readonly invariants: Invariants;
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly peers: ConfigPeers;
+	/** Receives each version that comes into force. */
+	readonly settings: CurrentSettings;
+	readonly nodeId: string;
+	readonly region: string;
+	/** Whether this node writes the freshness row of its region now, decided from the live members of the region. */
+	readonly isFreshnessWriter: () => boolean;
+};
+
+/** The settings of one node. */
+export type ConfigParts = {
+	/** To run under the node's supervisor, before the entry part. */
+	readonly parts: readonly Part[];
+	readonly sync: ConfigSync;
+	readonly service: ConfigService;
+};
+
+/** Creates the parts that read, apply and change settings on a node. */
+export function createConfigParts(options: ConfigPartsOptions): ConfigParts {
+	const {
+		clock, log, random, invariants, table, objects, peers, settings, nodeId, region, isFreshnessWriter,
+	} = options;
+	const tree = SettingsTree.create({table, objects, clock});
+	const subtrees = SubtreeStore.withInvariants(invariants, settings);
+	const sync = ConfigSync.create({
+		clock, log, random, tree, peers, subtrees,
+	});
+	const writer = FreshnessWriter.create({
+		clock, tree, region, nodeId, isWriter: isFreshnessWriter,
+	});
+	const service = ConfigService.create({
+		clock, tree, sync, peers, nodeId, region,
+	});
+	return {parts: [sync, writer], sync, service};
+}
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -81,6 +81,8 @@
 	}
 
 	async stop(): Promise<void> {
+		// The server waits for open responses, and watches end only by themselves.
+		this.#operators?.watches.endAll();
 		await this.#app?.close();
 		this.#app = undefined;
 	}
--- a/src/entry/operator-context.ts
+++ b/src/entry/operator-context.ts
@@ -13,6 +13,7 @@
 import {digestKey} from '../config/deployment.js';
 import {readBody} from './body.js';
 import {ErrorFormat, formatError} from './error-body.js';
+import {type SubtreeWatches} from './operator-watch.js';
 
 /** Injection token of the operators' context. */
 export const OPERATOR_CONTEXT = 'OperatorContext';
@@ -26,6 +27,7 @@
 	readonly clock: Clock;
 	readonly service: ConfigService;
 	readonly sync: ConfigSync;
+	readonly watches: SubtreeWatches;
 	/** SHA-256 digest in hex of the key that makes a team's first operator; none where absent. */
 	readonly bootstrapDigest: string | undefined;
 };
--- a/src/entry/operator-controller.ts
+++ b/src/entry/operator-controller.ts
@@ -13,7 +13,7 @@
 import {
 	answerOperator, identifyOperator, internalRefusal, OPERATOR_CONTEXT, type OperatorContext, type OperatorIdentity, readJson,
 } from './operator-context.js';
-import {canWatch, MAX_WATCHES, watchSubtree} from './operator-watch.js';
+import {MAX_WATCHES} from './operator-watch.js';
 
 const DEFAULT_LOG_LIMIT = 20;
 const MAX_LOG_LIMIT = 200;
@@ -99,10 +99,10 @@
 		const operator = identifyOperator(req.raw, req.params.team, this.context);
 		if (operator.isErr) {
 			answerOperator(reply.raw, operator);
-		} else if (canWatch()) {
-			watchSubtree(reply.raw, operator.value.team, this.context);
-		} else {
+		} else if (this.context.watches.isFull) {
 			answerOperator(reply.raw, Result.err(refusal(ErrorKind.Overloaded, `This node has ${MAX_WATCHES} watches; use another address.`)));
+		} else {
+			this.context.watches.start(reply.raw, operator.value.team);
 		}
 	}
 
--- a/test/cli/config.test.ts
+++ b/test/cli/config.test.ts
@@ -113,6 +113,19 @@
 		expect(text).to.not.include(bootstrapKey);
 	});
 
+	it('stops while a watch is open', async () => {
+		const other = await OperatorNode.start();
+		const digest = 'e'.repeat(64);
+		const url = `http://${other.address}/v1/teams/tea-rooms/config`;
+		const authorization = `Bearer ${bootstrapKey}`;
+		const watch = await request(`${url}/watch`, {headers: {authorization}});
+		const put = await request(url, {method: 'PUT', headers: {authorization, 'if-match': '"0"'}, body: `{"operators":{"o":{"keyDigests":["${digest}"]}}}`});
+		expect(put.statusCode).to.equal(200);
+		await put.body.dump();
+		await other.stop();
+		expect(await watch.body.text()).to.include('id: 1');
+	});
+
 	it('sends the version in force and later ones to watchers', async () => {
 		const res = await request(`http://${node.address}/v1/teams/skimmers/config/watch`, {headers: {authorization: `Bearer ${env.REDWINGSPOOL_OPERATOR_KEY}`}});
 		const edit = redwingspool(env, 'config', 'edit', 'customers.guest.weight=3');
--- a/test/config/operator-node.ts
+++ b/test/config/operator-node.ts
@@ -5,15 +5,14 @@
 import {Invariants} from '../../src/base/invariant.js';
 import {Log} from '../../src/base/log.js';
 import {Random} from '../../src/base/random.js';
-import {ConfigService} from '../../src/config/config-service.js';
-import {ConfigSync} from '../../src/config/config-sync.js';
+import {createConfigParts} from '../../src/config/config-parts.js';
+import {type ConfigSync} from '../../src/config/config-sync.js';
 import {CurrentSettings} from '../../src/config/current-settings.js';
 import {digestKey} from '../../src/config/deployment.js';
 import {MemoryPeerNetwork} from '../../src/config/memory-peers.js';
-import {SettingsTree} from '../../src/config/settings-tree.js';
-import {SubtreeStore} from '../../src/config/subtree-store.js';
 import {type EntryContext} from '../../src/entry/context.js';
 import {EntryPart} from '../../src/entry/entry-part.js';
+import {SubtreeWatches} from '../../src/entry/operator-watch.js';
 import {MemoryObjectStore, MemoryTable} from '../../src/store/memory-table.js';
 
 export const bootstrapKey = 'bootstrap-key';
@@ -25,16 +24,13 @@
 		const invariants = Invariants.create({throwOnViolation: true});
 		const settings = CurrentSettings.create();
 		const peers = MemoryPeerNetwork.create(clock, 0).join('node-1', 'azraq');
-		const tree = SettingsTree.create({table, objects: MemoryObjectStore.create(), clock});
-		const sync = ConfigSync.create({
-			clock, log: Log.create('silent'), random: Random.create(1), tree, peers, subtrees: SubtreeStore.withInvariants(invariants, settings),
-		});
-		const service = ConfigService.create({
-			clock, tree, sync, peers, nodeId: 'node-1', region: 'azraq',
+		const {sync, service} = createConfigParts({
+			clock, log: Log.create('silent'), random: Random.create(1), invariants, table, objects: MemoryObjectStore.create(), peers, settings,
+			nodeId: 'node-1', region: 'azraq', isFreshnessWriter: () => true,
 		});
 		// The operators' routes use none of the callers' context.
 		const entry = EntryPart.create({} as EntryContext, {host: '127.0.0.1', port: 0}, {
-			clock, service, sync, bootstrapDigest: digestKey(bootstrapKey),
+			clock, service, sync, watches: SubtreeWatches.create(clock, sync), bootstrapDigest: digestKey(bootstrapKey),
 		});
 		await sync.start(error => {
 			throw error;
