--- a/bench/config.ts
+++ b/bench/config.ts
@@ -31,6 +31,8 @@
 	/** Longest time from the put to its answer that all nodes have the version, in virtual ms. */
 	inForceMs: number;
 	inForceWithoutPeersMs: number;
+	/** Keys, values and tokens of one list call, with 1 team and 2 regions. */
+	listBytes: number;
 };
 
 function sum(world: ConfigWorld, counter: 'gets' | 'lists' | 'versionWrites' | 'freshnessWrites'): number {
@@ -51,6 +53,7 @@
 	const pushed = await change(world, 0);
 	world.network.isDown = true;
 	const read = await change(world, CHANGES);
+	const listed = await world.memory.list('config/current/', 1000);
 	for (const id of world.nodes.keys()) {
 		await world.halt(id);
 	}
@@ -58,6 +61,7 @@
 	return {
 		nodes: size, idleListsPerHour, idleFreshnessWritesPerHour, changeGets: pushed.gets, changeWrites: pushed.writes,
 		changeGetsWithoutPeers: read.gets, inForceMs: pushed.inForceMs, inForceWithoutPeersMs: read.inForceMs,
+		listBytes: JSON.stringify(listed.unwrapOr([])).length,
 	};
 }
 
--- a/test/config/faulty-table.ts
+++ b/test/config/faulty-table.ts
@@ -16,9 +16,12 @@
 	lostAnswer: number;
 	/** Share of writes that take effect up to `lateMs` after their answer was lost. */
 	lateWrite: number;
+	/** Share of calls that are answered after `SLOW_MS`. */
+	slow: number;
 };
 
 export const LATE_MS = 3000;
+const SLOW_MS = 10_000;
 const unavailable: StoreError = {failure: StoreFailure.Unavailable, detail: 'injected'};
 const unknown: StoreError = {failure: StoreFailure.OutcomeUnknown, detail: 'injected'};
 
@@ -28,7 +31,7 @@
 	}
 
 	readonly faults: Faults = {
-		isDown: false, readFailure: 0, lostAnswer: 0, lateWrite: 0,
+		isDown: false, readFailure: 0, lostAnswer: 0, lateWrite: 0, slow: 0,
 	};
 
 	gets = 0;
@@ -72,12 +75,16 @@
 		}
 
 		const written = await this.inner.transact(writes);
-		await this.clock.sleep(this.random.integer(1, 20));
+		await this.#answerTime();
 		return fate < this.faults.lateWrite + this.faults.lostAnswer ? Result.err(unknown) : written;
 	}
 
+	async #answerTime(): Promise<void> {
+		await this.clock.sleep(this.random.next() < this.faults.slow ? SLOW_MS : this.random.integer(1, 20));
+	}
+
 	async #read<Value>(read: () => Promise<Result<Value, StoreError>>): Promise<Result<Value, StoreError>> {
-		await this.clock.sleep(this.random.integer(1, 20));
+		await this.#answerTime();
 		return this.faults.isDown || this.random.next() < this.faults.readFailure ? Result.err(unavailable) : read();
 	}
 }
--- a/test/config/random-run.ts
+++ b/test/config/random-run.ts
@@ -80,6 +80,7 @@
 			const {faults} = random.pick([...this.world.nodes.values()]).table;
 			faults.lostAnswer = random.pick([0, 0.3, 0.6]);
 			faults.lateWrite = random.pick([0, 0.2]);
+			faults.slow = random.pick([0, 0, 0.3]);
 		}
 	}
 
@@ -108,7 +109,9 @@
 
 		this.world.network.cutRegions.clear();
 		for (const {table: {faults}} of this.world.nodes.values()) {
-			Object.assign(faults, {isDown: false, lostAnswer: 0, lateWrite: 0});
+			Object.assign(faults, {
+				isDown: false, lostAnswer: 0, lateWrite: 0, slow: 0,
+			});
 		}
 	}
 
@@ -146,7 +149,7 @@
 	#checkNodes(): void {
 		const now = this.world.clock.now();
 		for (const node of this.world.nodes.values()) {
-			if (node.table.faults.isDown) {
+			if (node.table.faults.isDown || node.table.faults.slow > 0) {
 				this.#disturbedAt.set(node.id, now);
 			}
 
