Balance the assignment of grouped upstreams

Cause: with 64 groups a region some of 360 nodes had no upstream (0 to 74 each). Change: a node that has 1.15 times the mean is passed over while others of its region have room. Conclusion: balance is worth the moves; no node may be without upstreams.

--- a/src/members/assignment.ts
+++ b/src/members/assignment.ts
@@ -15,6 +15,11 @@
  * allocator in one message. Without groups a node with 35 upstreams has about 35 allocators.
  */
 const GROUPS_PER_REGION = 64;
+/**
+ * A node takes at most this multiple of the mean number of upstreams while others have room. Without it some of 360
+ * nodes had no upstream at all, because the groups are few.
+ */
+const LOAD_CAP = 1.15;
 
 /** What an upstream is assigned by. */
 export type AssignedUpstream = {
@@ -42,17 +47,10 @@
 
 	private constructor(members: readonly MemberView[], upstreams: readonly AssignedUpstream[]) {
 		const candidates = members.filter(member => isAssignable(member)).map(member => ({member, hash: hashText(member.id)}));
-		const ranked = new Map<string, readonly MemberView[]>();
-		for (const upstream of upstreams) {
-			const group = `${upstream.region}/${hashText(upstream.id) % GROUPS_PER_REGION}`;
-			const nodes = ranked.get(group) ?? rank(candidates, hashText(group), upstream.region);
-			ranked.set(group, nodes);
-			this.#nodesOf.set(upstream.id, nodes);
-			for (const node of nodes) {
-				const list = this.#upstreamsOf.get(node.id) ?? [];
-				list.push(upstream.id);
-				this.#upstreamsOf.set(node.id, list);
-			}
+		const groups = groupUpstreams(upstreams);
+		for (const name of [...groups.keys()].toSorted()) {
+			const group = groups.get(name)!;
+			this.#assign(candidates, name, group, capOf(group[0]!.region, candidates, upstreams));
 		}
 	}
 
@@ -70,6 +68,25 @@
 	allocatorOf(upstreamId: string): MemberView | undefined {
 		return this.nodesOf(upstreamId).find(member => member.status === MemberStatus.Alive);
 	}
+
+	#assign(candidates: readonly Candidate[], name: string, group: readonly AssignedUpstream[], cap: number): void {
+		const ranked = rank(candidates, hashText(name), group[0]!.region);
+		const isFull = (member: MemberView) => this.upstreamsOf(member.id).length + group.length > cap;
+		const {region} = group[0]!;
+		const nodes = [
+			...ranked.filter(member => member.region === region && !isFull(member)),
+			...ranked.filter(member => member.region === region && isFull(member)),
+			...ranked.filter(member => member.region !== region),
+		].slice(0, MAX_NODES_PER_UPSTREAM);
+		for (const {id} of group) {
+			this.#nodesOf.set(id, nodes);
+			for (const node of nodes) {
+				const list = this.#upstreamsOf.get(node.id) ?? [];
+				list.push(id);
+				this.#upstreamsOf.set(node.id, list);
+			}
+		}
+	}
 }
 
 /** A leaving node finishes its requests, so it takes no new assignments. */
@@ -77,24 +94,29 @@
 	return member.status === MemberStatus.Alive || member.status === MemberStatus.Suspect;
 }
 
-/** Same region first, then by rendezvous hashing; keeps the best few by insertion. */
-function rank(candidates: readonly Candidate[], hash: number, region: string): MemberView[] {
-	const best: MemberView[] = [];
-	const scores: number[] = [];
-	for (const candidate of candidates) {
-		const score = mixHashes(candidate.hash, hash) + (candidate.member.region === region ? 2 ** 32 : 0);
-		let position = best.length;
-		while (position > 0 && scores[position - 1]! < score) {
-			position -= 1;
-		}
+/** Upstreams that a node of a region takes before nodes with fewer are preferred. */
+function capOf(region: string, candidates: readonly Candidate[], upstreams: readonly AssignedUpstream[]): number {
+	const nodes = candidates.filter(({member}) => member.region === region).length;
+	const pairs = upstreams.filter(upstream => upstream.region === region).length * Math.min(nodes, MAX_NODES_PER_UPSTREAM);
+	return LOAD_CAP * pairs / Math.max(1, nodes);
+}
 
-		if (position < MAX_NODES_PER_UPSTREAM) {
-			best.splice(position, 0, candidate.member);
-			scores.splice(position, 0, score);
-			best.length = Math.min(best.length, MAX_NODES_PER_UPSTREAM);
-			scores.length = best.length;
-		}
+function groupUpstreams(upstreams: readonly AssignedUpstream[]): Map<string, AssignedUpstream[]> {
+	const groups = new Map<string, AssignedUpstream[]>();
+	for (const upstream of upstreams) {
+		const name = `${upstream.region}/${hashText(upstream.id) % GROUPS_PER_REGION}`;
+		const group = groups.get(name) ?? [];
+		group.push(upstream);
+		groups.set(name, group);
 	}
 
-	return best;
+	return groups;
+}
+
+/** Same region first, then by rendezvous hashing. */
+function rank(candidates: readonly Candidate[], hash: number, region: string): MemberView[] {
+	return candidates
+		.map(({member, hash: own}) => ({member, score: mixHashes(own, hash) + (member.region === region ? 2 ** 32 : 0)}))
+		.toSorted((a, b) => b.score - a.score)
+		.map(({member}) => member);
 }
