Test that urgent entries are pushed before the next tick

Cause: with the push removed on a scratch copy, the 3 s test still passed, because ticks alone meet 3 s at 8 nodes. Change: a test that needs 7 of 8 nodes informed within 60 ms; with the push removed it fails with 4.

--- a/test/members/membership.test.ts
+++ b/test/members/membership.test.ts
@@ -119,7 +119,7 @@
 		});
 	}
 
-	// Guards against a spread that waits for ticks or stops at nodes that the first pushes miss.
+	// Guards against a spread that stops at nodes that the first pushes miss.
 	it('tells all connected nodes of a leaving upstream within 3 s', async () => {
 		for (let seed = 0; seed < 20; seed += 1) {
 			const cluster = startAll(seed, ['a', 'b'], {loss: 0.2, duplication: 0.1, maxDelayMs: 50});
@@ -135,6 +135,18 @@
 		}
 	});
 
+	// Guards against urgent news that waits for the next tick; the 3 s alone are also met by ticks at 8 nodes.
+	it('pushes a leaving upstream before the next tick', async () => {
+		const cluster = startAll(6, ['a']);
+		await cluster.run(8000);
+		const node = cluster.nodes.get(0)!;
+		node.topics.publishLeaving('team/u', true, cluster.clock.now());
+		node.gossip.pushUrgent();
+		await cluster.run(60);
+		const informed = [...cluster.nodes.values()].filter(({seen}) => seen.size > 0).length;
+		expect(informed).to.be.greaterThan(NODES - 2);
+	});
+
 	// Guards against an old process that is taken for its successor after a pause.
 	it('ends the older of two processes of one VM', async () => {
 		const cluster = startAll(1, ['a']);
