Add the policy decision modules

Cause: the scheduler chose the upstream with the fewest requests in flight and learned nothing. Change: queues by tier with fair queueing, admission with pressure marks, learned limits, ejection, routing by one cost, prefix index, shares and quarantine. Conclusion: compiles; behaviour is not measured yet.

--- /dev/null
+++ b/src/policy/lane.ts
@@ -0,0 +1,49 @@
+/**
+ * Waiting work of one pool and model, with the upstreams that may run it.
+ */
+import {TIER_COUNT} from './admission.js';
+import {FairQueue} from './fair-queue.js';
+import {FreeSet} from './free-set.js';
+import {type UpstreamView} from './scheduler.js';
+import {type UpstreamState} from './upstream-state.js';
+
+/** One lane. */
+export class Lane {
+	/** @param region - Region of this node. */
+	static create(model: string | undefined, region: string): Lane {
+		return new Lane(model, region);
+	}
+
+	readonly model: string | undefined;
+	readonly queues = Array.from({length: TIER_COUNT}, () => FairQueue.create());
+	readonly members = new Map<string, UpstreamState>();
+	/** Upstreams of this node's region with free slots. */
+	readonly nearFree = FreeSet.create<UpstreamState>();
+	/** Upstreams of other regions with free slots. */
+	readonly farFree = FreeSet.create<UpstreamState>();
+	readonly #region: string;
+
+	private constructor(model: string | undefined, region: string) {
+		this.model = model;
+		this.#region = region;
+	}
+
+	serves(view: UpstreamView): boolean {
+		return this.model === undefined || view.models === undefined || view.models.includes(this.model);
+	}
+
+	setMember(state: UpstreamState, isMember: boolean): void {
+		if (isMember) {
+			this.members.set(state.view.id, state);
+		} else {
+			this.members.delete(state.view.id);
+			this.setFree(state, false);
+		}
+	}
+
+	/** @returns Whether this changed anything. */
+	setFree(state: UpstreamState, isFree: boolean): boolean {
+		const set = state.view.region === this.#region ? this.nearFree : this.farFree;
+		return set.set(state, isFree && this.members.has(state.view.id));
+	}
+}
--- /dev/null
+++ b/src/policy/policy-scheduler.ts
@@ -0,0 +1,285 @@
+/**
+ * The scheduler of a node: tiers, fair queueing, learned limits, cost-based routing, ejection and quarantine.
+ */
+import {type Clock, type Timer} from '../base/clock.js';
+import {ErrorKind} from '../base/errors.js';
+import {type Invariants} from '../base/invariant.js';
+import {type Random} from '../base/random.js';
+import {TIER_COUNT} from './admission.js';
+import {OutputEstimate} from './output-estimate.js';
+import {Pool} from './pool.js';
+import {PrefixIndex} from './prefix-index.js';
+import {Quarantine, Standing} from './quarantine.js';
+import {Router} from './router.js';
+import {RunningWorks} from './running-works.js';
+import {
+	Scheduler, type SchedulerEvents, type UpstreamDemand, type UpstreamView, type Work, type WorkOutcome,
+} from './scheduler.js';
+import {UpstreamState} from './upstream-state.js';
+
+const TICK_MS = 200;
+const DEFAULT_MAX_WAITING = 512;
+
+/** A change of an upstream's prefix cache, as its cache events tell. */
+export type CacheChange = {
+	readonly kind: 'stored' | 'evicted' | 'cleared';
+	readonly blocks: readonly number[];
+};
+
+/** Mechanisms that a bench can switch off. */
+export const Ablation = {
+	Prefixes: 'prefixes',
+	Regions: 'regions',
+	Holding: 'holding',
+	WarmWork: 'warm-work',
+	Stalls: 'stalls',
+	Limits: 'limits',
+	Shares: 'shares',
+} as const;
+
+export type Ablation = (typeof Ablation)[keyof typeof Ablation];
+
+/** What a scheduler works with. */
+export type PolicySchedulerOptions = {
+	readonly clock: Clock;
+	readonly events: SchedulerEvents;
+	readonly invariants: Invariants;
+	readonly random: Random;
+	/** Unique for this incarnation of the node. */
+	readonly nodeId: string;
+	readonly region: string;
+	/** Greatest number of waiting requests of a pool. */
+	readonly maxWaiting?: number;
+	/** A mechanism to do without; for measurements only. */
+	readonly ablation?: Ablation;
+};
+
+/** Composition of the decision modules. */
+export class PolicyScheduler extends Scheduler {
+	static create(options: PolicySchedulerOptions): PolicyScheduler {
+		return new PolicyScheduler(options);
+	}
+
+	/** Suspicions, for the exchange with other nodes. */
+	readonly quarantine: Quarantine;
+	readonly #options: PolicySchedulerOptions;
+	readonly #outputs = OutputEstimate.create();
+	readonly #index = PrefixIndex.create();
+	readonly #router: Router;
+	readonly #running: RunningWorks;
+	readonly #pools = new Map<string, Pool>();
+	readonly #states = new Map<string, UpstreamState>();
+	#tickTimer: Timer | undefined;
+
+	private constructor(options: PolicySchedulerOptions) {
+		super();
+		this.#options = options;
+		this.quarantine = Quarantine.create(options.nodeId);
+		this.#router = Router.create({
+			region: options.region,
+			random: options.random,
+			invariants: options.invariants,
+			index: this.#index,
+			ignoresPrefixes: options.ablation === Ablation.Prefixes,
+			ignoresRegions: options.ablation === Ablation.Regions,
+			neverHolds: options.ablation === Ablation.Holding,
+		});
+		this.#running = RunningWorks.create({
+			clock: options.clock, outputs: this.#outputs, index: this.#index, quarantine: this.quarantine,
+		});
+	}
+
+	override get demand(): readonly UpstreamDemand[] {
+		const demands: UpstreamDemand[] = [];
+		for (const state of this.#states.values()) {
+			const {waitingByTier} = this.#poolOf(state.view.pool);
+			if (state.inFlight > 0 || waitingByTier.some(count => count > 0)) {
+				demands.push({
+					upstreamId: state.view.id, limitEstimate: state.limit.value, held: state.inFlight, waitingByTier: [...waitingByTier],
+				});
+			}
+		}
+
+		return demands;
+	}
+
+	get waitingCount(): number {
+		let count = 0;
+		for (const pool of this.#pools.values()) {
+			count += pool.waitingCount;
+		}
+
+		return count;
+	}
+
+	override setShare(upstreamId: string, slots: number | undefined): void {
+		const state = this.#states.get(upstreamId);
+		if (state !== undefined && this.#options.ablation !== Ablation.Shares) {
+			state.share = slots;
+			this.#refreshAndPump(state);
+		}
+	}
+
+	override setPressure(pool: string, tier: number, untilMs: number): void {
+		this.#poolOf(pool).admission.setPressure(tier, untilMs);
+	}
+
+	/** @param total - Running and waiting requests that the upstream reported. */
+	noteLoad(upstreamId: string, total: number, ageMs: number): void {
+		const state = this.#states.get(upstreamId);
+		if (state !== undefined) {
+			state.noteLoad(total, ageMs, this.#options.clock.now());
+			this.#refreshAndPump(state);
+		}
+	}
+
+	/** Corrects the prefix index; late or missing events make it less accurate only. */
+	noteCacheChange(upstreamId: string, change: CacheChange): void {
+		const now = this.#options.clock.now();
+		if (change.kind === 'cleared') {
+			this.#index.clear(upstreamId, now);
+		} else if (change.kind === 'evicted') {
+			this.#index.evict(change.blocks, upstreamId);
+		} else {
+			this.#index.store(change.blocks, upstreamId, now);
+		}
+	}
+
+	submit(work: Work): void {
+		const now = this.#options.clock.now();
+		const standing = this.quarantine.standing(work.fingerprint, now);
+		if (standing === Standing.Quarantined) {
+			this.#options.events.refuse(work, ErrorKind.Quarantined, this.quarantine.remaining(work.fingerprint, now));
+			return;
+		}
+
+		if (standing === Standing.Suspect && work.excluded.length > 0) {
+			// An earlier attempt may have crashed an upstream; the system does not repeat suspects.
+			this.#options.events.refuse(work, ErrorKind.UpstreamLost);
+			return;
+		}
+
+		const pool = this.#poolOf(work.pool);
+		const tier = Math.min(TIER_COUNT - 1, Math.max(0, work.tier));
+		this.#startTicking();
+		pool.submit(tier === work.tier ? work : {...work, tier}, standing === Standing.Suspect, this.#cachedTokens(work, now));
+	}
+
+	withdraw(workId: string): void {
+		for (const pool of this.#pools.values()) {
+			if (pool.withdraw(workId)) {
+				return;
+			}
+		}
+	}
+
+	noteCommitted(workId: string): void {
+		this.#running.noteCommitted(workId);
+	}
+
+	noteProgress(workId: string, count: number): void {
+		const state = this.#running.noteProgress(workId, count);
+		if (state !== undefined) {
+			this.#refreshAndPump(state);
+		}
+	}
+
+	noteFinished(workId: string, outcome: WorkOutcome): void {
+		const state = this.#running.noteFinished(workId, outcome);
+		if (state !== undefined) {
+			const pool = this.#poolOf(state.view.pool);
+			pool.refresh(state);
+			pool.pump();
+		}
+	}
+
+	setUpstreams(upstreams: readonly UpstreamView[]): void {
+		const now = this.#options.clock.now();
+		const ids = new Set(upstreams.map(view => view.id));
+		for (const [id, state] of this.#states) {
+			this.#poolOf(state.view.pool).setMember(state, false);
+			if (!ids.has(id)) {
+				this.#states.delete(id);
+			}
+		}
+
+		for (const view of upstreams) {
+			const state = this.#states.get(view.id) ?? UpstreamState.create(view, now);
+			this.#states.set(view.id, state);
+			state.view = view;
+			state.limit.setMaximum(view.maxConcurrency);
+			state.leavingSince = view.isLeaving ? state.leavingSince ?? now : undefined;
+			this.#poolOf(view.pool).setMember(state, true);
+			this.#poolOf(view.pool).refresh(state);
+		}
+
+		for (const pool of this.#pools.values()) {
+			pool.pump();
+		}
+	}
+
+	#poolOf(name: string): Pool {
+		let pool = this.#pools.get(name);
+		if (pool === undefined) {
+			const {clock, invariants, events, region, maxWaiting} = this.#options;
+			pool = Pool.create({
+				name,
+				clock,
+				invariants,
+				events,
+				region,
+				router: this.#router,
+				outputs: this.#outputs,
+				maxWaiting: maxWaiting ?? DEFAULT_MAX_WAITING,
+				ignoresWarmWork: this.#options.ablation === Ablation.WarmWork,
+				occupy: (waiting, choice) => {
+					this.#running.occupy(waiting, choice);
+					this.#poolOf(name).refresh(choice.state);
+				},
+			});
+			this.#pools.set(name, pool);
+		}
+
+		return pool;
+	}
+
+	#cachedTokens(work: Work, now: number): number {
+		if (work.prefix.length === 0) {
+			return 0;
+		}
+
+		return work.promptTokens * this.#index.knownDepth(work.prefix, now) / work.prefix.length;
+	}
+
+	#refreshAndPump(state: UpstreamState): void {
+		const pool = this.#poolOf(state.view.pool);
+		if (pool.refresh(state)) {
+			pool.pump();
+		}
+	}
+
+	#startTicking(): void {
+		this.#tickTimer ??= this.#options.clock.setTimer(TICK_MS, () => {
+			this.#tickTimer = undefined;
+			this.#tick();
+		});
+	}
+
+	/** Finds stalls and returns ejected upstreams; runs only while there is work. */
+	#tick(): void {
+		const now = this.#options.clock.now();
+		for (const state of this.#states.values()) {
+			if (this.#options.ablation !== Ablation.Stalls && state.isStalled(now) && state.health.eject(now)) {
+				state.limit.restart();
+			}
+		}
+
+		for (const pool of this.#pools.values()) {
+			pool.tick();
+		}
+
+		if (this.#running.size > 0 || this.waitingCount > 0) {
+			this.#startTicking();
+		}
+	}
+}
--- /dev/null
+++ b/src/policy/pool.ts
@@ -0,0 +1,372 @@
+/**
+ * Waiting work of one pool: order of tiers, deadlines, bounds and starts.
+ */
+import {Heap} from 'heap-js';
+import {type Clock, type Timer} from '../base/clock.js';
+import {ErrorKind} from '../base/errors.js';
+import {type Invariants} from '../base/invariant.js';
+import {Admission, PRESSURE_LEAD_MS, TIER_COUNT} from './admission.js';
+import {Lane} from './lane.js';
+import {costOf, type OutputEstimate} from './output-estimate.js';
+import {type Choice, type Router} from './router.js';
+import {type SchedulerEvents, type Work} from './scheduler.js';
+import {type UpstreamState} from './upstream-state.js';
+
+const DEFAULT_PREFILL_MS_PER_TOKEN = 0.1;
+/** Customers and works of each that are compared when a slot becomes free. */
+const WINDOW_CUSTOMERS = 3;
+const WINDOW_DEPTH = 3;
+/** Work that was passed over this often in favour of warmer work starts next. */
+const MAX_PASSES = 4;
+/** Work that must start within this time is not passed over. */
+const URGENT_MS = 400;
+
+/** Work in a queue. */
+export type Waiting = {
+	readonly work: Work;
+	readonly lane: Lane;
+	readonly cost: number;
+	readonly isSuspect: boolean;
+	/** Later starts cannot meet the deadline even on the fastest upstream. */
+	readonly latestStart: number;
+	passes: number;
+};
+
+type Due = {
+	readonly at: number;
+	readonly waiting: Waiting;
+};
+
+/** What a pool works with. */
+export type PoolOptions = {
+	readonly name: string;
+	readonly region: string;
+	readonly clock: Clock;
+	readonly invariants: Invariants;
+	readonly events: SchedulerEvents;
+	readonly router: Router;
+	readonly outputs: OutputEstimate;
+	/** Greatest number of waiting requests. */
+	readonly maxWaiting: number;
+	/** Take work in strict fair order, for ablations. */
+	readonly ignoresWarmWork?: boolean;
+	/** Occupies a slot of the chosen upstream. */
+	readonly occupy: (waiting: Waiting, choice: Choice) => void;
+};
+
+/** One pool. */
+export class Pool {
+	static create(options: PoolOptions): Pool {
+		return new Pool(options);
+	}
+
+	readonly admission: Admission;
+	readonly #options: PoolOptions;
+	readonly #lanes = new Map<string | undefined, Lane>();
+	readonly #members = new Map<string, UpstreamState>();
+	readonly #waiting = new Map<string, Waiting>();
+	readonly #waitingByTier = Array.from({length: TIER_COUNT}, () => 0);
+	readonly #dues = new Heap<Due>((a, b) => a.at - b.at);
+	#dueTimer: Timer | undefined;
+	#dueAt = Number.POSITIVE_INFINITY;
+	#trimTimer: Timer | undefined;
+	#isPumping = false;
+	#bestPrefillMsPerToken = DEFAULT_PREFILL_MS_PER_TOKEN;
+
+	private constructor(options: PoolOptions) {
+		this.#options = options;
+		this.admission = Admission.create(options.invariants, tier => {
+			options.events.notePressure?.(options.name, tier);
+		});
+	}
+
+	get waitingCount(): number {
+		return this.#waiting.size;
+	}
+
+	get waitingByTier(): readonly number[] {
+		return this.#waitingByTier;
+	}
+
+	/** Adds or removes an upstream of this pool, or notes that its models or region changed. */
+	setMember(state: UpstreamState, isMember: boolean): void {
+		if (isMember) {
+			this.#members.set(state.view.id, state);
+		} else {
+			this.#members.delete(state.view.id);
+		}
+
+		for (const lane of this.#lanes.values()) {
+			lane.setMember(state, isMember && lane.serves(state.view));
+		}
+	}
+
+	/**
+	 * Notes that the free slots of an upstream may have changed.
+	 *
+	 * @returns Whether it had no free slot before and has one now.
+	 */
+	refresh(state: UpstreamState): boolean {
+		const isFree = state.isFree(this.#options.clock.now());
+		let isChanged = false;
+		for (const lane of this.#lanes.values()) {
+			isChanged = lane.setFree(state, isFree) || isChanged;
+		}
+
+		return isFree && isChanged;
+	}
+
+	/** Updates what depends on all upstreams; called a few times per second. */
+	tick(): void {
+		let best = Number.POSITIVE_INFINITY;
+		for (const state of this.#members.values()) {
+			best = Math.min(best, state.prefillMsPerToken);
+			this.refresh(state);
+		}
+
+		this.#bestPrefillMsPerToken = best === Number.POSITIVE_INFINITY ? DEFAULT_PREFILL_MS_PER_TOKEN : best;
+		this.pump();
+	}
+
+	/** @param cachedTokens - Greatest part of the prompt that some upstream probably holds. */
+	submit(work: Work, isSuspect: boolean, cachedTokens: number): void {
+		const now = this.#options.clock.now();
+		const lane = this.#laneOf(work.model);
+		if (![...lane.members.keys()].some(id => !work.excluded.includes(id))) {
+			this.#options.events.refuse(work, ErrorKind.NoUpstream);
+			return;
+		}
+
+		const prefillMs = (work.promptTokens - cachedTokens) * this.#bestPrefillMsPerToken;
+		const latestStart = work.deadlineAt - prefillMs;
+		if (now > latestStart) {
+			this.#options.events.refuse(work, ErrorKind.DeadlineUnreachable);
+			return;
+		}
+
+		const cost = costOf(work.promptTokens - cachedTokens, this.#options.outputs.expected(work));
+		const waiting: Waiting = {
+			work, lane, cost, isSuspect, latestStart, passes: 0,
+		};
+		this.#add(waiting);
+		if (this.admission.blockedUntil(work.tier) > now) {
+			this.admission.prepareShed(work.tier, now);
+			this.#shed(waiting, ErrorKind.Overloaded);
+			return;
+		}
+
+		this.pump();
+		if (this.#waiting.has(work.id)) {
+			this.#addDue(latestStart - PRESSURE_LEAD_MS, waiting);
+			this.#trim();
+		}
+	}
+
+	withdraw(workId: string): boolean {
+		const waiting = this.#waiting.get(workId);
+		if (waiting !== undefined) {
+			this.#remove(waiting);
+			waiting.lane.queues[waiting.work.tier]!.drop(waiting.work, waiting.cost);
+		}
+
+		return waiting !== undefined;
+	}
+
+	/** Starts what can start, the most important tier first. */
+	pump(): void {
+		if (this.#isPumping) {
+			return;
+		}
+
+		this.#isPumping = true;
+		try {
+			const now = this.#options.clock.now();
+			for (let tier = 0; tier < TIER_COUNT; tier += 1) {
+				if (this.#waitingByTier[tier]! > 0 && this.admission.blockedUntil(tier) <= now) {
+					this.#pumpTier(tier, now);
+				}
+			}
+		} finally {
+			this.#isPumping = false;
+		}
+	}
+
+	#pumpTier(tier: number, now: number): void {
+		for (const lane of this.#lanes.values()) {
+			while (lane.queues[tier]!.size > 0 && lane.nearFree.size + lane.farFree.size > 0) {
+				const next = this.#pick(lane, tier, now);
+				if (next === undefined) {
+					break;
+				}
+
+				this.#start(next.waiting, next.choice, now);
+			}
+		}
+	}
+
+	/** Takes the work whose prefix is warmest on a free upstream, among the first few in fair order. */
+	#pick(lane: Lane, tier: number, now: number): {waiting: Waiting; choice: Choice} | undefined {
+		const isWide = !this.#options.ignoresWarmWork;
+		const works = lane.queues[tier]!.next(WINDOW_CUSTOMERS, isWide ? WINDOW_DEPTH : 1);
+		let best: {waiting: Waiting; choice: Choice} | undefined;
+		let first: Waiting | undefined;
+		for (const work of works) {
+			const waiting = this.#waiting.get(work.id)!;
+			const choice = this.#options.router.choose(lane, work, waiting.isSuspect, now);
+			if (choice === undefined || now + choice.firstTokenMs > work.deadlineAt) {
+				continue;
+			}
+
+			first ??= waiting;
+			if (best === undefined || choice.cachedTokens > best.choice.cachedTokens) {
+				best = {waiting, choice};
+			}
+
+			if (!isWide || first.passes >= MAX_PASSES || first.latestStart - now < URGENT_MS) {
+				break;
+			}
+		}
+
+		if (first !== undefined && best?.waiting !== first) {
+			first.passes += 1;
+		}
+
+		return best;
+	}
+
+	#start(waiting: Waiting, choice: Choice, now: number): void {
+		const {work, lane} = waiting;
+		this.#remove(waiting);
+		lane.queues[work.tier]!.take(work);
+		if (!this.admission.noteStart(work.tier, now)) {
+			this.#options.events.refuse(work, ErrorKind.Internal);
+			return;
+		}
+
+		this.#options.occupy(waiting, choice);
+		this.#options.events.start(work, choice.state.view.id);
+	}
+
+	#laneOf(model: string | undefined): Lane {
+		let lane = this.#lanes.get(model);
+		if (lane === undefined) {
+			lane = Lane.create(model, this.#options.region);
+			this.#lanes.set(model, lane);
+			const now = this.#options.clock.now();
+			for (const state of this.#members.values()) {
+				lane.setMember(state, lane.serves(state.view));
+				lane.setFree(state, state.isFree(now));
+			}
+		}
+
+		return lane;
+	}
+
+	#add(waiting: Waiting): void {
+		const {work, lane, cost} = waiting;
+		this.#waiting.set(work.id, waiting);
+		this.#waitingByTier[work.tier]! += 1;
+		lane.queues[work.tier]!.push(work, cost);
+	}
+
+	#remove(waiting: Waiting): void {
+		this.#waiting.delete(waiting.work.id);
+		this.#waitingByTier[waiting.work.tier]! -= 1;
+	}
+
+	/** Refuses work because of load; all lower work is refused first. */
+	#shed(waiting: Waiting, kind: ErrorKind): void {
+		const {tier} = waiting.work;
+		for (let lower = TIER_COUNT - 1; lower > tier; lower -= 1) {
+			this.#shedTier(lower);
+		}
+
+		this.#shedOne(waiting, kind);
+	}
+
+	#shedTier(tier: number): void {
+		if (this.#waitingByTier[tier] === 0) {
+			return;
+		}
+
+		for (const waiting of this.#waiting.values()) {
+			if (waiting.work.tier === tier) {
+				this.#shedOne(waiting, ErrorKind.Overloaded);
+			}
+		}
+	}
+
+	#shedOne(waiting: Waiting, kind: ErrorKind): void {
+		const now = this.#options.clock.now();
+		this.withdraw(waiting.work.id);
+		this.admission.noteShed(waiting.work.tier, this.#waitingByTier, now);
+		this.#options.events.refuse(waiting.work, kind);
+	}
+
+	/** Sheds the least entitled work of the lowest tier while too much waits. */
+	#trim(): void {
+		const {maxWaiting, clock} = this.#options;
+		while (this.#waiting.size > maxWaiting) {
+			const victim = this.#victim();
+			const allowedAt = this.admission.prepareShed(victim.work.tier, clock.now());
+			if (allowedAt > clock.now() && this.#waiting.size < 2 * maxWaiting) {
+				this.#trimTimer ??= clock.setTimer(allowedAt - clock.now(), () => {
+					this.#trimTimer = undefined;
+					this.#trim();
+				});
+				return;
+			}
+
+			this.#shed(victim, ErrorKind.Overloaded);
+		}
+	}
+
+	#victim(): Waiting {
+		const tier = this.#waitingByTier.findLastIndex(count => count > 0);
+		for (const lane of this.#lanes.values()) {
+			const work = lane.queues[tier]!.leastEntitled();
+			if (work !== undefined) {
+				return this.#waiting.get(work.id)!;
+			}
+		}
+
+		throw new Error('No work waits in the lowest tier.');
+	}
+
+	#addDue(at: number, waiting: Waiting): void {
+		this.#dues.push({at, waiting});
+		this.#setDueTimer();
+	}
+
+	#setDueTimer(): void {
+		const next = this.#dues.peek();
+		if (next === undefined || (this.#dueTimer !== undefined && this.#dueAt <= next.at)) {
+			return;
+		}
+
+		this.#dueTimer?.cancel();
+		this.#dueAt = next.at;
+		this.#dueTimer = this.#options.clock.setTimer(Math.max(0, next.at - this.#options.clock.now()), () => {
+			this.#dueTimer = undefined;
+			this.#handleDues();
+		});
+	}
+
+	#handleDues(): void {
+		const now = this.#options.clock.now();
+		for (let due = this.#dues.peek(); due !== undefined && due.at <= now; due = this.#dues.peek()) {
+			this.#dues.pop();
+			const {waiting} = due;
+			if (this.#waiting.get(waiting.work.id) === waiting) {
+				const allowedAt = Math.max(waiting.latestStart, this.admission.prepareShed(waiting.work.tier, now));
+				if (allowedAt > now) {
+					this.#dues.push({at: allowedAt, waiting});
+				} else {
+					this.#shed(waiting, ErrorKind.DeadlineUnreachable);
+				}
+			}
+		}
+
+		this.#setDueTimer();
+	}
+}
--- /dev/null
+++ b/src/policy/router.ts
@@ -0,0 +1,161 @@
+/**
+ * Chooses an upstream for a request by one cost in ms.
+ */
+import {type Invariants, PromiseId} from '../base/invariant.js';
+import {type Random} from '../base/random.js';
+import {type Lane} from './lane.js';
+import {type PrefixIndex} from './prefix-index.js';
+import {type Work} from './scheduler.js';
+import {type UpstreamState} from './upstream-state.js';
+
+const NEAR_SAMPLE = 6;
+const FAR_SAMPLE = 8;
+const LOCAL_ROUND_TRIP_MS = 1;
+const REGION_ROUND_TRIP_MS = 16;
+const BYTES_PER_TOKEN = 4;
+/** Price of 1 MB between regions, as ms that a caller would rather wait. */
+const MS_PER_MEGABYTE = 400;
+/** Cost of a wholly used limit, as decoding slows down with the batch. */
+const FULL_LIMIT_MS = 60;
+/** Cost of each multiple of an engine's own usual speed. */
+const SLOWDOWN_MS = 300;
+const PROBATION_MS = 500;
+/** Waiting for a warm upstream must save at least this many times the expected wait. */
+const HOLD_FACTOR = 1.5;
+
+/** No new work may reach an upstream that has been leaving for this long (P6). */
+const LEAVING_LIMIT_MS = 3000;
+
+/** A candidate with its cost. */
+export type Choice = {
+	readonly state: UpstreamState;
+	/** Cost in ms, for comparison only. */
+	readonly score: number;
+	/** Expected ms to the first token. */
+	readonly firstTokenMs: number;
+	/** Prompt tokens that the upstream probably has in its cache. */
+	readonly cachedTokens: number;
+};
+
+/** What a router works with. */
+export type RouterOptions = {
+	readonly region: string;
+	readonly random: Random;
+	readonly index: PrefixIndex;
+	readonly invariants: Invariants;
+	/** Do without the prefix index, for ablations. */
+	readonly ignoresPrefixes?: boolean;
+	/** Do without the price of bytes, for ablations. */
+	readonly ignoresRegions?: boolean;
+	/** Do not wait for a warm upstream, for ablations. */
+	readonly neverHolds?: boolean;
+};
+
+/** Scores a bounded number of candidates. */
+export class Router {
+	static create(options: RouterOptions): Router {
+		return new Router(options);
+	}
+
+	readonly #options: RouterOptions;
+
+	private constructor(options: RouterOptions) {
+		this.#options = options;
+	}
+
+	/**
+	 * @param isSuspect - Whether the request must run beside no other suspect.
+	 * @returns The upstream to use now; `undefined` to wait.
+	 */
+	choose(lane: Lane, work: Work, isSuspect: boolean, now: number): Choice | undefined {
+		const holders = this.#holders(lane, work, now);
+		let best: Choice | undefined;
+		let bestBusy: Choice | undefined;
+		for (const state of this.#candidates(lane, holders)) {
+			if (work.excluded.includes(state.view.id) || state.view.isLeaving || (isSuspect && state.hasSuspect)) {
+				continue;
+			}
+
+			const choice = this.#score(state, work, holders.has(state), now);
+			if (state.isFree(now)) {
+				best = best === undefined || choice.score < best.score ? choice : best;
+			} else if (state.health.slots(now) > 0) {
+				bestBusy = bestBusy === undefined || choice.score < bestBusy.score ? choice : bestBusy;
+			}
+		}
+
+		if (best === undefined || !this.#mayUse(best.state, now) || this.#mustHold(best, bestBusy, work, now)) {
+			return undefined;
+		}
+
+		return best;
+	}
+
+	#mayUse(state: UpstreamState, now: number): boolean {
+		const leavingMs = now - (state.leavingSince ?? now);
+		return this.#options.invariants.check(
+			PromiseId.LeavingUpstream,
+			leavingMs <= LEAVING_LIMIT_MS,
+			() => `${state.view.id} has been leaving for ${leavingMs} ms`,
+		);
+	}
+
+	#holders(lane: Lane, work: Work, now: number): Set<UpstreamState> {
+		const states = new Set<UpstreamState>();
+		if (this.#options.ignoresPrefixes || work.prefix.length === 0) {
+			return states;
+		}
+
+		for (const id of this.#options.index.holders(work.prefix, now)) {
+			const state = lane.members.get(id);
+			if (state !== undefined) {
+				states.add(state);
+			}
+		}
+
+		return states;
+	}
+
+	#candidates(lane: Lane, holders: ReadonlySet<UpstreamState>): Set<UpstreamState> {
+		const {random} = this.#options;
+		return new Set([
+			...holders,
+			...lane.nearFree.sample(NEAR_SAMPLE, random),
+			...lane.farFree.sample(FAR_SAMPLE, random),
+		]);
+	}
+
+	#score(state: UpstreamState, work: Work, isHolder: boolean, now: number): Choice {
+		const blocks = isHolder ? this.#options.index.depth(work.prefix, state.view.id, now) : 0;
+		const cachedTokens = blocks === 0 ? 0 : Math.floor(work.promptTokens * blocks / work.prefix.length);
+		const {slowdown, usualGapMs} = state.limit;
+		const isFar = state.view.region !== this.#options.region;
+		const link = isFar ? REGION_ROUND_TRIP_MS : LOCAL_ROUND_TRIP_MS;
+		const prefill = (work.promptTokens - cachedTokens) * state.prefillMsPerToken;
+		const firstTokenMs = state.prefillQueueMs + prefill + link + usualGapMs;
+		const use = state.inFlight / Math.max(1, state.limit.value);
+		const score = firstTokenMs
+			+ (use * FULL_LIMIT_MS)
+			+ ((slowdown - 1) * SLOWDOWN_MS)
+			+ (state.health.isOnProbation ? PROBATION_MS : 0)
+			+ (isFar && !this.#options.ignoresRegions ? this.#priceOfBytes(work) : 0);
+		return {
+			state, score, firstTokenMs, cachedTokens,
+		};
+	}
+
+	#priceOfBytes(work: Work): number {
+		return (work.promptTokens + work.expectedOutputTokens) * BYTES_PER_TOKEN * MS_PER_MEGABYTE / 1e6;
+	}
+
+	/** Waiting for a busy warm upstream can be cheaper than prefilling again, as long as the deadline allows it. */
+	#mustHold(best: Choice, busy: Choice | undefined, work: Work, now: number): boolean {
+		if (busy === undefined || this.#options.neverHolds) {
+			return false;
+		}
+
+		const wait = busy.state.slotIntervalMs * HOLD_FACTOR;
+		const slack = work.deadlineAt - now - busy.firstTokenMs;
+		return best.score - busy.score > wait && slack > 2 * wait;
+	}
+}
--- /dev/null
+++ b/src/policy/upstream-state.ts
@@ -0,0 +1,99 @@
+/**
+ * What a node has learned about one upstream.
+ */
+import {ConcurrencyLimit} from './concurrency-limit.js';
+import {Health, stallThreshold} from './health.js';
+import {type UpstreamView} from './scheduler.js';
+
+const INITIAL_PREFILL_MS_PER_TOKEN = 0.15;
+const NEW_RATE_WEIGHT = 0.2;
+/** Shorter prompts say more about the link than about the prefill rate. */
+const MIN_RATE_SAMPLE_TOKENS = 200;
+const NEW_INTERVAL_WEIGHT = 0.2;
+const INITIAL_SLOT_INTERVAL_MS = 500;
+/** Older load reports say nothing about the present load of other nodes. */
+const REPORT_LIFETIME_MS = 6000;
+
+/** Times in ms of the caller's monotonic clock. */
+export class UpstreamState {
+	static create(view: UpstreamView, now: number): UpstreamState {
+		return new UpstreamState(view, now);
+	}
+
+	readonly limit: ConcurrencyLimit;
+	readonly health = Health.create();
+	view: UpstreamView;
+	inFlight = 0;
+	/** Uncached prompt tokens of this node's requests without a first token. */
+	pendingPrefillTokens = 0;
+	share: number | undefined;
+	/** When it was first seen leaving. */
+	leavingSince: number | undefined;
+	/** A request under suspicion of crashing upstreams runs here. */
+	hasSuspect = false;
+	/** Fingerprints of the requests lost since `lossStartedAt`. */
+	lost: string[] = [];
+	lossStartedAt = Number.NEGATIVE_INFINITY;
+	lastProgressAt: number;
+	lastFirstTokenAt = Number.NEGATIVE_INFINITY;
+	prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
+	slotIntervalMs = INITIAL_SLOT_INTERVAL_MS;
+	#lastFinishAt = Number.NEGATIVE_INFINITY;
+	#othersInFlight = 0;
+	#reportedAt = Number.NEGATIVE_INFINITY;
+
+	private constructor(view: UpstreamView, now: number) {
+		this.view = view;
+		this.limit = ConcurrencyLimit.create(view.maxConcurrency);
+		this.lastProgressAt = now;
+	}
+
+	/** @returns Greatest number of this node's requests in flight here. */
+	slots(now: number): number {
+		const fromLimit = this.share === undefined
+			? Math.max(1, this.limit.value - this.#others(now))
+			: Math.min(this.share, this.limit.value);
+		return Math.min(fromLimit, this.view.maxConcurrency, this.health.slots(now));
+	}
+
+	isFree(now: number): boolean {
+		return !this.view.isLeaving && this.inFlight < this.slots(now);
+	}
+
+	/** @returns Expected ms until the prompts ahead of a new request are prefilled. */
+	get prefillQueueMs(): number {
+		return this.pendingPrefillTokens * this.prefillMsPerToken;
+	}
+
+	/** @returns Whether the engine is silent for longer than its work explains. */
+	isStalled(now: number): boolean {
+		const threshold = stallThreshold(this.limit.usualGapMs, this.prefillQueueMs);
+		return this.inFlight > 0 && now - this.lastProgressAt > threshold;
+	}
+
+	/** Learns the load of other nodes from a report about all requests at the upstream. */
+	noteLoad(total: number, ageMs: number, now: number): void {
+		this.#othersInFlight = Math.max(0, total - this.inFlight);
+		this.#reportedAt = now - ageMs;
+	}
+
+	/** @param prefillMs - Time from the start of the prefill to the first token. */
+	notePrefill(tokens: number, prefillMs: number): void {
+		if (tokens >= MIN_RATE_SAMPLE_TOKENS) {
+			this.prefillMsPerToken += NEW_RATE_WEIGHT * ((prefillMs / tokens) - this.prefillMsPerToken);
+		}
+	}
+
+	noteSlotFreed(now: number): void {
+		if (this.#lastFinishAt !== Number.NEGATIVE_INFINITY) {
+			const interval = Math.min(5000, now - this.#lastFinishAt);
+			this.slotIntervalMs += NEW_INTERVAL_WEIGHT * (interval - this.slotIntervalMs);
+		}
+
+		this.#lastFinishAt = now;
+	}
+
+	#others(now: number): number {
+		return now - this.#reportedAt < REPORT_LIFETIME_MS ? this.#othersInFlight : 0;
+	}
+}
