Add the policy bench

Cause: the decision modules had no measurement. Also caps the deadline timer, which overflowed 32 bits and fired in a loop for distant deadlines.

--- /dev/null
+++ b/bench/policy/decision-time.ts
@@ -0,0 +1,68 @@
+/**
+ * Time of one decision of the scheduler, on the real clock.
+ */
+import {SystemClock} from '../../src/base/clock.js';
+import {Invariants} from '../../src/base/invariant.js';
+import {Random} from '../../src/base/random.js';
+import {PolicyScheduler} from '../../src/policy/policy-scheduler.js';
+import {WorkOutcome} from '../../src/policy/scheduler.js';
+import {ArrivalSource, MODEL_POOL, regions, workloads} from './workload.js';
+
+const WARM_UP = 5000;
+const DECISIONS = 20_000;
+const SLOTS = 6;
+
+/**
+ * @param upstreamCount - Upstreams of the pool; all are busy, so that each decision follows a freed slot.
+ * @returns Mean time in us of one decision: a submit, a finished request and the start that follows.
+ */
+export function measureDecisionTime(upstreamCount: number): number {
+	const random = Random.create(1);
+	const source = ArrivalSource.create(workloads['skimmers']!, random);
+	const running: string[] = [];
+	const scheduler = PolicyScheduler.create({
+		clock: SystemClock.create(),
+		random,
+		invariants: Invariants.create({throwOnViolation: true}),
+		nodeId: 'node',
+		region: regions[0],
+		events: {
+			start(work) {
+				running.push(work.id);
+			},
+			refuse() {
+				// Not part of the measure.
+			},
+		},
+	});
+	scheduler.setUpstreams(Array.from({length: upstreamCount}, (_, index) => ({
+		id: `bench/engine-${index}`,
+		pool: MODEL_POOL,
+		region: regions[index % 3]!,
+		dataCentre: regions[index % 3]!,
+		models: undefined,
+		maxConcurrency: SLOTS,
+		isLeaving: false,
+	})));
+	const works = Array.from({length: WARM_UP + DECISIONS + (upstreamCount * SLOTS)}, () => {
+		const {work} = source.next(0);
+		return {
+			...work, pool: MODEL_POOL, deadlineAt: Number.MAX_SAFE_INTEGER, tier: 2,
+		};
+	});
+	for (const work of works.splice(0, upstreamCount * SLOTS)) {
+		scheduler.submit(work);
+	}
+
+	const decide = (count: number) => {
+		for (const work of works.splice(0, count)) {
+			scheduler.submit(work);
+			scheduler.noteFinished(running.splice(random.integer(0, running.length - 1), 1)[0]!, WorkOutcome.Done);
+		}
+	};
+
+	decide(WARM_UP);
+	const start = performance.now();
+	decide(DECISIONS);
+	return (performance.now() - start) * 1000 / DECISIONS;
+}
--- /dev/null
+++ b/bench/policy/summary.ts
@@ -0,0 +1,68 @@
+/**
+ * Figures of one policy over all seeds.
+ */
+import {type RunResult} from './simulation.js';
+
+/** One column of the table; lists are by tier, `-` where a tier has no requests. */
+export type Summary = {
+	readonly policy: string;
+	readonly goodput: string;
+	readonly goodputByTier: string;
+	readonly refusedByTier: string;
+	readonly lostByTier: string;
+	readonly lateByTier: string;
+	readonly worstTopGoodput: string;
+	readonly firstTokenP50: string;
+	readonly firstTokenP95: string;
+	readonly firstTokenP99: string;
+	readonly wastedPrefill: string;
+	readonly megabytesBetweenRegions: string;
+	readonly inversionsOnNode: number;
+	readonly inversionsAcrossNodes: number;
+	readonly violations: number;
+	/** Starts at a slowed upstream by 0.5 s, relative to before the slowdown. */
+	readonly slowShares: string;
+};
+
+/** @returns Sums over the runs. */
+export function summarize(policy: string, results: readonly RunResult[]): Summary {
+	const sum = (get: (result: RunResult) => number) => results.reduce((total, result) => total + get(result), 0);
+	const tierCount = results[0]!.measures.tiers.length;
+	const byTier = (format: (tier: number) => string) => Array.from({length: tierCount}, (_, tier) =>
+		sum(({measures}) => measures.tiers[tier]!.offered) === 0 ? '-' : format(tier)).join(' ');
+	const part = (key: 'good' | 'refused' | 'lost' | 'late') => byTier(tier =>
+		percent(sum(({measures}) => measures.tiers[tier]![key]) / sum(({measures}) => measures.tiers[tier]!.offered)));
+	const all = (key: 'good' | 'offered') => sum(({measures}) => measures.tiers.reduce((total, tier) => total + tier[key], 0));
+	const firstToken = (percentile: number) => byTier(tier => {
+		const [first, ...rest] = results.map(({measures}) => measures.firstToken[tier]!);
+		const merged = first!.copyCorrectedForCoordinatedOmission(0);
+		for (const other of rest) {
+			merged.add(other);
+		}
+
+		return String(merged.getValueAtPercentile(percentile));
+	});
+	const bins = results.map(({measures}) => measures.slowShares());
+	return {
+		policy,
+		goodput: percent(all('good') / all('offered')),
+		goodputByTier: part('good'),
+		refusedByTier: part('refused'),
+		lostByTier: part('lost'),
+		lateByTier: part('late'),
+		worstTopGoodput: percent(Math.min(...results.map(({measures}) => measures.tiers[0]!.good / measures.tiers[0]!.offered))),
+		firstTokenP50: firstToken(50),
+		firstTokenP95: firstToken(95),
+		firstTokenP99: firstToken(99),
+		wastedPrefill: percent(sum(({prefill, measures}) => prefill.repeated + measures.discardedPrefill) / sum(({prefill}) => prefill.total)),
+		megabytesBetweenRegions: (sum(({measures}) => measures.bytesBetweenRegions) / results.length / 1e6).toFixed(1),
+		inversionsOnNode: sum(({measures}) => measures.inversions(false)),
+		inversionsAcrossNodes: sum(({measures}) => measures.inversions(true)),
+		violations: sum(({violations}) => violations),
+		slowShares: bins[0]!.map((_, bin) => (bins.reduce((total, list) => total + list[bin]!, 0) / bins.length).toFixed(2)).join(' '),
+	};
+}
+
+function percent(value: number): string {
+	return (value * 100).toFixed(1);
+}
--- a/src/policy/fair-queue.ts
+++ b/src/policy/fair-queue.ts
@@ -34,7 +34,9 @@
 	#virtualTime = 0;
 	#size = 0;
 
-	private constructor() {}
+	private constructor() {
+		// Instances come from `create`.
+	}
 
 	get size(): number {
 		return this.#size;
--- a/src/policy/free-set.ts
+++ b/src/policy/free-set.ts
@@ -12,7 +12,9 @@
 	readonly #items: Item[] = [];
 	readonly #positions = new Map<Item, number>();
 
-	private constructor() {}
+	private constructor() {
+		// Instances come from `create`.
+	}
 
 	get size(): number {
 		return this.#items.length;
--- a/src/policy/health.ts
+++ b/src/policy/health.ts
@@ -22,7 +22,9 @@
 	#ejectedUntil = Number.NEGATIVE_INFINITY;
 	#slowStartSlots = Number.POSITIVE_INFINITY;
 
-	private constructor() {}
+	private constructor() {
+		// Instances come from `create`.
+	}
 
 	/** End of the ejection; in the past for an upstream in use. */
 	get ejectedUntil(): number {
--- a/src/policy/output-estimate.ts
+++ b/src/policy/output-estimate.ts
@@ -17,7 +17,9 @@
 
 	readonly #means = new LRUCache<string, number>({max: MAX_ENTRIES});
 
-	private constructor() {}
+	private constructor() {
+		// Instances come from `create`.
+	}
 
 	/** @returns Expected tokens of the answer, at most the bound of the request. */
 	expected(work: Work): number {
--- a/src/policy/pool.ts
+++ b/src/policy/pool.ts
@@ -20,6 +20,8 @@
 const MAX_PASSES = 4;
 /** Work that must start within this time is not passed over. */
 const URGENT_MS = 400;
+/** Longer timers overflow the 32 bits of Node.js and fire at once. */
+const MAX_TIMER_MS = 60_000;
 
 /** Work in a queue. */
 export type Waiting = {
@@ -346,7 +348,8 @@
 
 		this.#dueTimer?.cancel();
 		this.#dueAt = next.at;
-		this.#dueTimer = this.#options.clock.setTimer(Math.max(0, next.at - this.#options.clock.now()), () => {
+		const wait = Math.max(0, next.at - this.#options.clock.now());
+		this.#dueTimer = this.#options.clock.setTimer(Math.min(MAX_TIMER_MS, wait), () => {
 			this.#dueTimer = undefined;
 			this.#handleDues();
 		});
--- a/src/policy/prefix-index.ts
+++ b/src/policy/prefix-index.ts
@@ -22,7 +22,9 @@
 	readonly #blocks = new LRUCache<number, Holder[]>({max: MAX_BLOCKS});
 	readonly #clearedAt = new Map<string, number>();
 
-	private constructor() {}
+	private constructor() {
+		// Instances come from `create`.
+	}
 
 	/**
 	 * Finds upstreams worth asking for a prefix: those that hold the most of it, and those that hold its beginning.
--- a/src/policy/router.ts
+++ b/src/policy/router.ts
@@ -102,7 +102,7 @@
 
 	#holders(lane: Lane, work: Work, now: number): Set<UpstreamState> {
 		const states = new Set<UpstreamState>();
-		if (this.#options.ignoresPrefixes || work.prefix.length === 0) {
+		if (this.#options.ignoresPrefixes === true || work.prefix.length === 0) {
 			return states;
 		}
 
--- a/src/policy/shares.ts
+++ b/src/policy/shares.ts
@@ -21,7 +21,9 @@
 
 	readonly #holders = new Map<string, Holder>();
 
-	private constructor() {}
+	private constructor() {
+		// Instances come from `create`.
+	}
 
 	/**
 	 * Takes the demand of a node and grants its share.
