Keep long prefills off a third of the upstreams

Cause: short prompts waited behind long prefills that other nodes had sent, which engines run in order of arrival. Change: all nodes derive the same two thirds of a pool for long prefills; the delay of first tokens that own requests do not explain enters the cost.

--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -31,6 +31,7 @@
 	Prefixes: 'prefixes',
 	Regions: 'regions',
 	Holding: 'holding',
+	LongPrompts: 'long-prompts',
 	WarmWork: 'warm-work',
 	Stalls: 'stalls',
 	Limits: 'limits',
@@ -82,6 +83,7 @@
 			index: this.#index,
 			ignoresPrefixes: options.ablation === Ablation.Prefixes,
 			ignoresRegions: options.ablation === Ablation.Regions,
+			mixesLongPrompts: options.ablation === Ablation.LongPrompts,
 			neverHolds: options.ablation === Ablation.Holding,
 		});
 		this.#running = RunningWorks.create({
@@ -214,6 +216,7 @@
 		}
 
 		for (const pool of this.#pools.values()) {
+			pool.noteMembersChanged();
 			pool.pump();
 		}
 	}
--- a/src/policy/pool.ts
+++ b/src/policy/pool.ts
@@ -7,6 +7,7 @@
 import {type Invariants} from '../base/invariant.js';
 import {Admission, PRESSURE_LEAD_MS, TIER_COUNT} from './admission.js';
 import {Lane} from './lane.js';
+import {divideForLongPrompts} from './long-prompts.js';
 import {costOf, type OutputEstimate} from './output-estimate.js';
 import {type Choice, type Router} from './router.js';
 import {type SchedulerEvents, type Work} from './scheduler.js';
@@ -103,6 +104,10 @@
 		}
 	}
 
+	noteMembersChanged(): void {
+		divideForLongPrompts(this.#members.values());
+	}
+
 	/**
 	 * Notes that the free slots of an upstream may have changed.
 	 *
--- a/src/policy/router.ts
+++ b/src/policy/router.ts
@@ -4,6 +4,7 @@
 import {type Invariants, PromiseId} from '../base/invariant.js';
 import {type Random} from '../base/random.js';
 import {type Lane} from './lane.js';
+import {LONG_PREFILL_MS} from './long-prompts.js';
 import {type PrefixIndex} from './prefix-index.js';
 import {type Work} from './scheduler.js';
 import {type UpstreamState} from './upstream-state.js';
@@ -33,8 +34,12 @@
 	readonly score: number;
 	/** Expected ms to the first token. */
 	readonly firstTokenMs: number;
+	/** The part of it that this node's own requests explain. */
+	readonly ownFirstTokenMs: number;
 	/** Prompt tokens that the upstream probably has in its cache. */
 	readonly cachedTokens: number;
+	/** Its prefill delays the requests behind it noticeably. */
+	readonly isLong: boolean;
 };
 
 /** What a router works with. */
@@ -49,6 +54,8 @@
 	readonly ignoresRegions?: boolean;
 	/** Do not wait for a warm upstream, for ablations. */
 	readonly neverHolds?: boolean;
+	/** Let long prompts run anywhere, for ablations. */
+	readonly mixesLongPrompts?: boolean;
 };
 
 /** Scores a bounded number of candidates. */
@@ -77,6 +84,10 @@
 			}
 
 			const choice = this.#score(state, work, holders.has(state), now);
+			if (choice.isLong && !state.takesLongPrompts && this.#options.mixesLongPrompts !== true) {
+				continue;
+			}
+
 			if (state.isFree(now)) {
 				best = best === undefined || choice.score < best.score ? choice : best;
 			} else if (state.health.slots(now) > 0) {
@@ -132,7 +143,8 @@
 		const isFar = state.view.region !== this.#options.region;
 		const link = isFar ? REGION_ROUND_TRIP_MS : LOCAL_ROUND_TRIP_MS;
 		const prefill = (work.promptTokens - cachedTokens) * state.prefillMsPerToken;
-		const firstTokenMs = state.prefillQueueMs + prefill + link + usualGapMs;
+		const ownFirstTokenMs = state.prefillQueueMs + prefill + link + usualGapMs;
+		const firstTokenMs = ownFirstTokenMs + state.excessMs(now);
 		const use = state.inFlight / Math.max(1, state.limit.value);
 		const score = firstTokenMs
 			+ (use * FULL_LIMIT_MS)
@@ -140,7 +152,7 @@
 			+ (state.health.isOnProbation ? PROBATION_MS : 0)
 			+ (isFar && !this.#options.ignoresRegions ? this.#priceOfBytes(work) : 0);
 		return {
-			state, score, firstTokenMs, cachedTokens,
+			state, score, firstTokenMs, ownFirstTokenMs, cachedTokens, isLong: prefill > LONG_PREFILL_MS,
 		};
 	}
 
--- a/src/policy/running-works.ts
+++ b/src/policy/running-works.ts
@@ -19,6 +19,7 @@
 	readonly waiting: Waiting;
 	readonly state: UpstreamState;
 	readonly uncachedTokens: number;
+	/** Without the delay that other nodes' requests cause. */
 	readonly expectedFirstTokenMs: number;
 	committedAt: number;
 	firstTokenAt: number | undefined;
@@ -68,7 +69,7 @@
 			waiting,
 			state,
 			uncachedTokens,
-			expectedFirstTokenMs: choice.firstTokenMs,
+			expectedFirstTokenMs: choice.ownFirstTokenMs,
 			committedAt: now,
 			firstTokenAt: undefined,
 			lastTokenAt: now,
@@ -135,6 +136,7 @@
 			state.limit.noteGap(elapsed, isFull(state, now), now);
 		} else {
 			state.notePrefill(running.uncachedTokens, now - Math.max(running.committedAt, state.lastFirstTokenAt));
+			state.noteFirstToken(elapsed, running.expectedFirstTokenMs, now);
 			state.limit.noteFirstToken(elapsed / Math.max(MIN_EXPECTED_FIRST_TOKEN_MS, running.expectedFirstTokenMs), now);
 		}
 
--- a/src/policy/upstream-state.ts
+++ b/src/policy/upstream-state.ts
@@ -13,6 +13,9 @@
 const INITIAL_SLOT_INTERVAL_MS = 500;
 /** Older load reports say nothing about the present load of other nodes. */
 const REPORT_LIFETIME_MS = 6000;
+const NEW_EXCESS_WEIGHT = 0.3;
+/** Prompts of other nodes that delayed a first token are prefilled after some seconds. */
+const EXCESS_DECAY_MS = 2000;
 
 /** Times in ms of the caller's monotonic clock. */
 export class UpstreamState {
@@ -27,6 +30,8 @@
 	/** Uncached prompt tokens of this node's requests without a first token. */
 	pendingPrefillTokens = 0;
 	share: number | undefined;
+	/** Whether prompts with a long prefill may run here. */
+	takesLongPrompts = true;
 	/** When it was first seen leaving. */
 	leavingSince: number | undefined;
 	/** A request under suspicion of crashing upstreams runs here. */
@@ -38,6 +43,8 @@
 	lastFirstTokenAt = Number.NEGATIVE_INFINITY;
 	prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
 	slotIntervalMs = INITIAL_SLOT_INTERVAL_MS;
+	#excessMs = 0;
+	#excessAt = Number.NEGATIVE_INFINITY;
 	#lastFinishAt = Number.NEGATIVE_INFINITY;
 	#othersInFlight = 0;
 	#reportedAt = Number.NEGATIVE_INFINITY;
@@ -84,6 +91,17 @@
 		}
 	}
 
+	/** @returns Recent delay of first tokens beyond what this node's own requests explain. */
+	excessMs(now: number): number {
+		return this.#excessMs * Math.exp((this.#excessAt - now) / EXCESS_DECAY_MS);
+	}
+
+	noteFirstToken(elapsedMs: number, expectedMs: number, now: number): void {
+		const excess = this.#excessAt === Number.NEGATIVE_INFINITY ? 0 : this.excessMs(now);
+		this.#excessMs = excess + (NEW_EXCESS_WEIGHT * (Math.max(0, elapsedMs - expectedMs) - excess));
+		this.#excessAt = now;
+	}
+
 	noteSlotFreed(now: number): void {
 		if (this.#lastFinishAt !== Number.NEGATIVE_INFINITY) {
 			const interval = Math.min(5000, now - this.#lastFinishAt);
