Keep slots without long prefills for the most important tier

Change: work with under 2 s left pays for the risk of a long prefill ahead, may wait for an upstream without, and lower tiers leave a slot there free.

--- a/src/policy/lane.ts
+++ b/src/policy/lane.ts
@@ -7,6 +7,9 @@
 import {type UpstreamView} from './scheduler.js';
 import {type UpstreamState} from './upstream-state.js';
 
+/** Slots are kept for a tier that was seen within this time. */
+const TOP_TIER_MEMORY_MS = 10_000;
+
 /** One lane. */
 export class Lane {
 	/** @param region - Region of this node. */
@@ -21,13 +24,23 @@
 	readonly nearFree = FreeSet.create<UpstreamState>();
 	/** Upstreams of other regions with free slots. */
 	readonly farFree = FreeSet.create<UpstreamState>();
+	/** Upstreams without long prefills. */
+	short: UpstreamState[] = [];
+	/** The most important tier that was submitted lately. */
+	topTier = TIER_COUNT - 1;
 	readonly #region: string;
+	readonly #seenAt = Array.from({length: TIER_COUNT}, () => Number.NEGATIVE_INFINITY);
 
 	private constructor(model: string | undefined, region: string) {
 		this.model = model;
 		this.#region = region;
 	}
 
+	noteSubmitted(tier: number, now: number): void {
+		this.#seenAt[tier] = now;
+		this.topTier = this.#seenAt.findIndex(at => now - at < TOP_TIER_MEMORY_MS);
+	}
+
 	serves(view: UpstreamView): boolean {
 		return this.model === undefined || view.models === undefined || view.models.includes(this.model);
 	}
--- a/src/policy/pool.ts
+++ b/src/policy/pool.ts
@@ -106,6 +106,9 @@
 
 	noteMembersChanged(): void {
 		divideForLongPrompts(this.#members.values());
+		for (const lane of this.#lanes.values()) {
+			lane.short = [...lane.members.values()].filter(state => !state.takesLongPrompts);
+		}
 	}
 
 	/**
@@ -144,6 +147,7 @@
 			return;
 		}
 
+		lane.noteSubmitted(work.tier, now);
 		const prefillMs = (work.promptTokens - cachedTokens) * this.#bestPrefillMsPerToken;
 		const latestStart = work.deadlineAt - prefillMs;
 		if (now > latestStart) {
@@ -264,6 +268,8 @@
 				lane.setMember(state, lane.serves(state.view));
 				lane.setFree(state, state.isFree(now));
 			}
+
+			lane.short = [...lane.members.values()].filter(state => !state.takesLongPrompts);
 		}
 
 		return lane;
--- a/src/policy/router.ts
+++ b/src/policy/router.ts
@@ -21,6 +21,10 @@
 /** Cost of each multiple of an engine's own usual speed. */
 const SLOWDOWN_MS = 300;
 const PROBATION_MS = 500;
+const SHORT_SAMPLE = 4;
+/** Work with less time left avoids upstreams that take long prefills. */
+const TIGHT_MS = 2000;
+const DELAY_RISK_MS = 600;
 /** Waiting for a warm upstream must save at least this many times the expected wait. */
 const HOLD_FACTOR = 1.5;
 
@@ -88,7 +92,7 @@
 				continue;
 			}
 
-			if (state.isFree(now)) {
+			if (state.isFree(now) && this.#mayTakeSlot(lane, work, state, now)) {
 				best = best === undefined || choice.score < best.score ? choice : best;
 			} else if (state.health.slots(now) > 0) {
 				bestBusy = bestBusy === undefined || choice.score < bestBusy.score ? choice : bestBusy;
@@ -102,6 +106,12 @@
 		return best;
 	}
 
+	/** Less important work leaves a slot free where no long prefill can delay the most important tier. */
+	#mayTakeSlot(lane: Lane, work: Work, state: UpstreamState, now: number): boolean {
+		return state.takesLongPrompts || this.#options.mixesLongPrompts === true
+			|| work.tier <= lane.topTier || state.inFlight + 1 < state.slots(now);
+	}
+
 	#mayUse(state: UpstreamState, now: number): boolean {
 		const leavingMs = now - (state.leavingSince ?? now);
 		return this.#options.invariants.check(
@@ -133,6 +143,7 @@
 			...holders,
 			...lane.nearFree.sample(NEAR_SAMPLE, random),
 			...lane.farFree.sample(FAR_SAMPLE, random),
+			...sampleList(lane.short, SHORT_SAMPLE, random),
 		]);
 	}
 
@@ -149,6 +160,7 @@
 		const score = firstTokenMs
 			+ (use * FULL_LIMIT_MS)
 			+ ((slowdown - 1) * SLOWDOWN_MS)
+			+ (this.#risksDelay(state, work, prefill, now) ? DELAY_RISK_MS : 0)
 			+ (state.health.isOnProbation ? PROBATION_MS : 0)
 			+ (isFar && !this.#options.ignoresRegions ? this.#priceOfBytes(work) : 0);
 		return {
@@ -156,6 +168,12 @@
 		};
 	}
 
+	/** A long prefill of another node may be ahead. */
+	#risksDelay(state: UpstreamState, work: Work, prefillMs: number, now: number): boolean {
+		return state.takesLongPrompts && prefillMs <= LONG_PREFILL_MS && work.deadlineAt - now < TIGHT_MS
+			&& this.#options.mixesLongPrompts !== true;
+	}
+
 	#priceOfBytes(work: Work): number {
 		return (work.promptTokens + work.expectedOutputTokens) * BYTES_PER_TOKEN * MS_PER_MEGABYTE / 1e6;
 	}
@@ -171,3 +189,7 @@
 		return best.score - busy.score > wait && slack > 2 * wait;
 	}
 }
+
+function sampleList<Item>(list: readonly Item[], count: number, random: Random): readonly Item[] {
+	return list.length <= count ? list : Array.from({length: count}, () => random.pick(list));
+}
