Let shares expire

Cause: a node that had no demand for a while kept an old share and overfilled an engine (22 requests at a batch of 16). Change: a share that is not renewed within 1 s falls to an even part of the limit.

--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -313,7 +313,7 @@
 				this.#clock.setTimer(REGION_DELAY_MS, () => {
 					const share = this.#allocators.get(demand.upstreamId)!.request(`node-${node.index}`, demand, this.#clock.now());
 					this.#clock.setTimer(REGION_DELAY_MS, () => {
-						node.scheduler.setShare(demand.upstreamId, share);
+						node.scheduler.setShare(demand.upstreamId, share.slots, share.expiredSlots);
 					});
 				});
 			}
--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -15,6 +15,7 @@
 import {
 	Scheduler, type SchedulerEvents, type UpstreamDemand, type UpstreamView, type Work, type WorkOutcome,
 } from './scheduler.js';
+import {FLOOR_SLOTS} from './shares.js';
 import {UpstreamState} from './upstream-state.js';
 
 const TICK_MS = 200;
@@ -114,10 +115,10 @@
 		return count;
 	}
 
-	override setShare(upstreamId: string, slots: number | undefined): void {
+	override setShare(upstreamId: string, slots: number | undefined, expiredSlots = FLOOR_SLOTS): void {
 		const state = this.#states.get(upstreamId);
 		if (state !== undefined && this.#options.ablation !== Ablation.Shares) {
-			state.share = slots;
+			state.setShare(slots, expiredSlots, this.#options.clock.now());
 			this.#refreshAndPump(state);
 		}
 	}
--- a/src/policy/scheduler.ts
+++ b/src/policy/scheduler.ts
@@ -102,8 +102,9 @@
 	 * Bounds this node's requests in flight at a shared upstream.
 	 *
 	 * @param _slots - Greatest number; `undefined` removes the bound.
+	 * @param _expiredSlots - What the bound falls to when it is not renewed within 1 s; one slot by default.
 	 */
-	setShare(_upstreamId: string, _slots: number | undefined): void {
+	setShare(_upstreamId: string, _slots: number | undefined, _expiredSlots?: number): void {
 		// Policies that do not share upstreams ignore it.
 	}
 
--- a/src/policy/shares.ts
+++ b/src/policy/shares.ts
@@ -5,7 +5,15 @@
 
 /** A share that is not renewed within this time ends. */
 export const SHARE_LIFETIME_MS = 1000;
-const FLOOR_SLOTS = 1;
+/** Every node that uses the upstream keeps this many slots. */
+export const FLOOR_SLOTS = 1;
+
+/** What an allocator grants a node. */
+export type Share = {
+	readonly slots: number;
+	/** Slots once the share has expired. */
+	readonly expiredSlots: number;
+};
 
 type Holder = {
 	readonly id: string;
@@ -28,9 +36,9 @@
 	/**
 	 * Takes the demand of a node and grants its share.
 	 *
-	 * @returns Slots for `SHARE_LIFETIME_MS`.
+	 * @returns The share, for `SHARE_LIFETIME_MS`.
 	 */
-	request(holderId: string, demand: UpstreamDemand, now: number): number {
+	request(holderId: string, demand: UpstreamDemand, now: number): Share {
 		this.#holders.set(holderId, {id: holderId, demand, at: now});
 		for (const holder of this.#holders.values()) {
 			if (now - holder.at > SHARE_LIFETIME_MS) {
@@ -38,16 +46,14 @@
 			}
 		}
 
-		return this.grants().get(holderId)!;
+		return {slots: this.grants().get(holderId)!, expiredSlots: Math.max(FLOOR_SLOTS, Math.floor(this.#limit() / this.#holders.size))};
 	}
 
 	/** @returns Slots by holder: the floors, then demand from the most important tier down, then the rest evenly. */
 	grants(): Map<string, number> {
 		const holders = [...this.#holders.values()].sort((a, b) => a.id < b.id ? -1 : 1);
 		const slots = new Map(holders.map(holder => [holder.id, FLOOR_SLOTS]));
-		const estimates = holders.map(holder => holder.demand.limitEstimate);
-		const limit = estimates.reduce((sum, value) => sum + value, 0) / Math.max(1, estimates.length);
-		let left = Math.max(0, Math.floor(limit) - holders.length);
+		let left = Math.max(0, Math.floor(this.#limit()) - holders.length);
 		const tierCount = Math.max(0, ...holders.map(holder => holder.demand.waitingByTier.length));
 		for (let tier = 0; tier < tierCount; tier += 1) {
 			left = fill(slots, left, holders.map(({id, demand}) => ({id, wanted: demand.waitingByTier[tier] ?? 0})));
@@ -57,6 +63,16 @@
 		fill(slots, left, holders.map(({id}) => ({id, wanted: left})));
 		return slots;
 	}
+
+	/** The mean of what the holders estimate. */
+	#limit(): number {
+		let sum = 0;
+		for (const {demand} of this.#holders.values()) {
+			sum += demand.limitEstimate;
+		}
+
+		return sum / Math.max(1, this.#holders.size);
+	}
 }
 
 /** One slot at a time to each holder that wants more. */
--- a/src/policy/upstream-state.ts
+++ b/src/policy/upstream-state.ts
@@ -3,6 +3,7 @@
  */
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {Health, stallThreshold} from './health.js';
+import {FLOOR_SLOTS, SHARE_LIFETIME_MS} from './shares.js';
 import {type UpstreamView} from './scheduler.js';
 
 const INITIAL_PREFILL_MS_PER_TOKEN = 0.15;
@@ -29,7 +30,6 @@
 	inFlight = 0;
 	/** Uncached prompt tokens of this node's requests without a first token. */
 	pendingPrefillTokens = 0;
-	share: number | undefined;
 	/** Whether prompts with a long prefill may run here. */
 	takesLongPrompts = true;
 	/** When it was first seen leaving. */
@@ -43,6 +43,9 @@
 	lastFirstTokenAt = Number.NEGATIVE_INFINITY;
 	prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
 	slotIntervalMs = INITIAL_SLOT_INTERVAL_MS;
+	#share: number | undefined;
+	#expiredShare = FLOOR_SLOTS;
+	#shareEndsAt = Number.NEGATIVE_INFINITY;
 	#excessMs = 0;
 	#excessAt = Number.NEGATIVE_INFINITY;
 	#lastFinishAt = Number.NEGATIVE_INFINITY;
@@ -57,9 +60,9 @@
 
 	/** @returns Greatest number of this node's requests in flight here. */
 	slots(now: number): number {
-		const fromLimit = this.share === undefined
+		const fromLimit = this.#share === undefined
 			? Math.max(1, this.limit.value - this.#others(now))
-			: Math.min(this.share, this.limit.value);
+			: Math.min(now < this.#shareEndsAt ? this.#share : this.#expiredShare, this.limit.value);
 		return Math.min(fromLimit, this.view.maxConcurrency, this.health.slots(now));
 	}
 
@@ -78,6 +81,13 @@
 		return this.inFlight > 0 && now - this.lastProgressAt > threshold;
 	}
 
+	/** Bounds this node's slots; a share that is not renewed falls to `expiredSlots`. */
+	setShare(slots: number | undefined, expiredSlots: number, now: number): void {
+		this.#share = slots;
+		this.#expiredShare = expiredSlots;
+		this.#shareEndsAt = now + SHARE_LIFETIME_MS;
+	}
+
 	/** Learns the load of other nodes from a report about all requests at the upstream. */
 	noteLoad(total: number, ageMs: number, now: number): void {
 		this.#othersInFlight = Math.max(0, total - this.inFlight);
