Mark pressure before a tier is about to be shed

Cause: marks sent 60 ms before a shed reached other nodes after they had started lower work. Change: work that has waited 30% of its time marks pressure on its tier, again every 0.5 s while it waits.

--- a/src/policy/pool.ts
+++ b/src/policy/pool.ts
@@ -21,6 +21,9 @@
 const MAX_PASSES = 4;
 /** Work that must start within this time is not passed over. */
 const URGENT_MS = 400;
+/** Work that has waited for this part of its time puts its tier under pressure. */
+const RISK_PART = 0.3;
+const MARK_AGAIN_MS = 500;
 /** Longer timers overflow the 32 bits of Node.js and fire at once. */
 const MAX_TIMER_MS = 60_000;
 
@@ -168,7 +171,7 @@
 
 		this.pump();
 		if (this.#waiting.has(work.id)) {
-			this.#addDue(latestStart - PRESSURE_LEAD_MS, waiting);
+			this.#addDue(now + (RISK_PART * Math.max(0, latestStart - now - PRESSURE_LEAD_MS)), waiting);
 			this.#trim();
 		}
 	}
@@ -374,7 +377,7 @@
 			if (this.#waiting.get(waiting.work.id) === waiting) {
 				const allowedAt = Math.max(waiting.latestStart, this.admission.prepareShed(waiting.work.tier, now));
 				if (allowedAt > now) {
-					this.#dues.push({at: allowedAt, waiting});
+					this.#dues.push({at: Math.min(allowedAt, now + MARK_AGAIN_MS), waiting});
 				} else {
 					this.#shed(waiting, ErrorKind.DeadlineUnreachable);
 				}
