--- a/src/policy/shares.ts
+++ b/src/policy/shares.ts
@@ -49,17 +49,17 @@
 		return {slots: this.grants().get(holderId)!, expiredSlots: Math.max(FLOOR_SLOTS, Math.floor(this.#limit() / this.#holders.size))};
 	}
 
-	/** @returns Slots by holder: the floors, then demand from the most important tier down, then the rest evenly. */
+	/** @returns Slots by holder: the floors and running requests, which cannot be taken back, then demand from the most important tier down, then the rest evenly. */
 	grants(): Map<string, number> {
 		const holders = [...this.#holders.values()].sort((a, b) => a.id < b.id ? -1 : 1);
-		const slots = new Map(holders.map(holder => [holder.id, FLOOR_SLOTS]));
-		let left = Math.max(0, Math.floor(this.#limit()) - holders.length);
+		const slots = new Map(holders.map(({id, demand}) => [id, Math.max(FLOOR_SLOTS, demand.held)]));
+		const kept = [...slots.values()].reduce((sum, value) => sum + value, 0);
+		let left = Math.max(0, Math.floor(this.#limit()) - kept);
 		const tierCount = Math.max(0, ...holders.map(holder => holder.demand.waitingByTier.length));
 		for (let tier = 0; tier < tierCount; tier += 1) {
 			left = fill(slots, left, holders.map(({id, demand}) => ({id, wanted: demand.waitingByTier[tier] ?? 0})));
 		}
 
-		left = fill(slots, left, holders.map(({id, demand}) => ({id, wanted: Math.max(0, demand.held - slots.get(id)!)})));
 		fill(slots, left, holders.map(({id}) => ({id, wanted: left})));
 		return slots;
 	}
