--- a/bench/policy/baseline.ts
+++ b/bench/policy/baseline.ts
@@ -120,7 +120,7 @@
 
 		this.#isPumping = true;
 		const fullPools = new Set<string>();
-		for (const work of [...this.#waiting]) {
+		for (const work of this.#waiting) {
 			if (!fullPools.has(work.pool) && !this.#tryStart(work)) {
 				fullPools.add(work.pool);
 			}
@@ -157,6 +157,11 @@
 		}
 
 		const candidates = kind === BaselineKind.TwoChoices ? [random.pick(free), random.pick(free)] : free;
-		return candidates.reduce((best, state) => state.reported < best.reported ? state : best);
+		let [best] = candidates as [State];
+		for (const state of candidates) {
+			best = state.reported < best.reported ? state : best;
+		}
+
+		return best;
 	}
 }
--- a/bench/policy/decision-time.ts
+++ b/bench/policy/decision-time.ts
@@ -6,7 +6,9 @@
 import {Random} from '../../src/base/random.js';
 import {PolicyScheduler} from '../../src/policy/policy-scheduler.js';
 import {WorkOutcome} from '../../src/policy/scheduler.js';
-import {ArrivalSource, MODEL_POOL, regions, workloads} from './workload.js';
+import {
+	ArrivalSource, MODEL_POOL, regions, workloads,
+} from './workload.js';
 
 const WARM_UP = 5000;
 const DECISIONS = 20_000;
@@ -18,7 +20,7 @@
  */
 export function measureDecisionTime(upstreamCount: number): number {
 	const random = Random.create(1);
-	const source = ArrivalSource.create(workloads['skimmers']!, random);
+	const source = ArrivalSource.create(workloads.skimmers!, random);
 	const running: string[] = [];
 	const scheduler = PolicyScheduler.create({
 		clock: SystemClock.create(),
--- a/bench/policy/engine-fake.ts
+++ b/bench/policy/engine-fake.ts
@@ -52,7 +52,7 @@
 
 	readonly spec: EngineSpec;
 	/** Receives stored and evicted blocks as they change. */
-	onCacheChange: (kind: 'stored' | 'evicted', blocks: readonly number[]) => void = () => {};
+	onCacheChange: ((kind: 'stored' | 'evicted', blocks: readonly number[]) => void) | undefined;
 	slowFactor = 1;
 	isDead = false;
 	readonly #clock: Clock;
@@ -215,9 +215,9 @@
 			evicted.push(block);
 		}
 
-		this.onCacheChange('stored', blocks);
+		this.onCacheChange?.('stored', blocks);
 		if (evicted.length > 0) {
-			this.onCacheChange('evicted', evicted);
+			this.onCacheChange?.('evicted', evicted);
 		}
 	}
 }
--- a/bench/policy/main.ts
+++ b/bench/policy/main.ts
@@ -26,16 +26,20 @@
 		const workload = workloads[args.workload]!;
 		const seeds = parseSeeds(args.seeds ?? args.seed);
 		const policies = args.only ? ['policy' as const] : ['policy' as const, ...Object.values(BaselineKind)];
-		const ablation = args.ablate as Ablation | undefined;
+		const ablation = args.ablate;
 		const summaries = policies.map(policy => summarize(policy, seeds.map(seed => simulate({
 			workload, seed, policy, ablation,
 		}))));
-		const decisionUs = args.only ? undefined : {
-			at12: measureDecisionTime(workload.engines.length), at790: measureDecisionTime(MANY_UPSTREAMS),
-		};
-		console.log(args.json ? JSON.stringify({
-			workload: args.workload, seeds, ablation, summaries, decisionUs,
-		}, undefined, '\t') : render(summaries, decisionUs));
+		const decisionUs = args.only
+			? undefined
+			: {
+				at12: measureDecisionTime(workload.engines.length), at790: measureDecisionTime(MANY_UPSTREAMS),
+			};
+		console.log(args.json
+			? JSON.stringify({
+				workload: args.workload, seeds, ablation, summaries, decisionUs,
+			}, undefined, '\t')
+			: render(summaries, decisionUs));
 	},
 });
 
@@ -51,7 +55,8 @@
 		table.push([row, ...summaries.map(summary => String(summary[row]))]);
 	}
 
-	const decision = decisionUs === undefined ? ''
+	const decision = decisionUs === undefined
+		? ''
 		: `\ndecision time: ${decisionUs.at12.toFixed(1)} us at the workload's engines, ${decisionUs.at790.toFixed(1)} us at ${MANY_UPSTREAMS}`;
 	return table.toString() + decision;
 }
--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -80,6 +80,7 @@
 	readonly #random: Random;
 	readonly #upstreams = new Map<string, Upstream>();
 	readonly #nodes: Node[] = [];
+	readonly #hasFirstToken = new Set<string>();
 	readonly #flights = new Map<string, Flight>();
 	readonly #allocators = new Map<string, ShareAllocator>();
 	readonly #invariants = Invariants.create({throwOnViolation: false});
@@ -258,8 +259,6 @@
 		flight.node.scheduler.noteProgress(work.id, count);
 	}
 
-	readonly #hasFirstToken = new Set<string>();
-
 	#end(flight: Flight, upstream: Upstream, outcome: WorkOutcome): void {
 		const {work} = flight.arrival;
 		const {scheduler} = flight.node;
--- a/bench/policy/workload.ts
+++ b/bench/policy/workload.ts
@@ -46,9 +46,15 @@
 
 function engines(count: number): EngineSpec[] {
 	const generations = [
-		{stepMs: 16, prefillTokensPerMs: 12, maxBatch: 24, cacheBlocks: 3000},
-		{stepMs: 24, prefillTokensPerMs: 8, maxBatch: 16, cacheBlocks: 2000},
-		{stepMs: 36, prefillTokensPerMs: 5, maxBatch: 12, cacheBlocks: 1500},
+		{
+			stepMs: 16, prefillTokensPerMs: 12, maxBatch: 24, cacheBlocks: 3000,
+		},
+		{
+			stepMs: 24, prefillTokensPerMs: 8, maxBatch: 16, cacheBlocks: 2000,
+		},
+		{
+			stepMs: 36, prefillTokensPerMs: 5, maxBatch: 12, cacheBlocks: 1500,
+		},
 	];
 	return Array.from({length: count}, (_, index) => ({
 		id: `bench/engine-${index}`, region: regions[index % 3]!, ...generations[Math.floor(index / 3) % 3]!,
@@ -62,8 +68,12 @@
 }
 
 const bookings: readonly RequestClass[] = [
-	{tier: 1, pool: SERVICE_POOL, weight: 0.06, promptTokens: [0, 0], outputTokens: [1, 1], deadlineMs: 1500, documents: 0},
-	{tier: 3, pool: SERVICE_POOL, weight: 0.14, promptTokens: [0, 0], outputTokens: [1, 1], deadlineMs: 1000, documents: 0},
+	{
+		tier: 1, pool: SERVICE_POOL, weight: 0.06, promptTokens: [0, 0], outputTokens: [1, 1], deadlineMs: 1500, documents: 0,
+	},
+	{
+		tier: 3, pool: SERVICE_POOL, weight: 0.14, promptTokens: [0, 0], outputTokens: [1, 1], deadlineMs: 1000, documents: 0,
+	},
 ];
 
 /** The workloads by name. */
@@ -74,9 +84,15 @@
 		services: services(),
 		nodeCount: 9,
 		classes: [
-			{tier: 0, pool: MODEL_POOL, weight: 0.35, promptTokens: [300, 500], outputTokens: [20, 60], deadlineMs: 1000, documents: 0},
-			{tier: 2, pool: MODEL_POOL, weight: 0.3, promptTokens: [400, 1500], outputTokens: [40, 120], deadlineMs: 3000, documents: 200},
-			{tier: 4, pool: MODEL_POOL, weight: 0.15, promptTokens: [5000, 30_000], outputTokens: [150, 400], deadlineMs: 8000, documents: 80},
+			{
+				tier: 0, pool: MODEL_POOL, weight: 0.35, promptTokens: [300, 500], outputTokens: [20, 60], deadlineMs: 1000, documents: 0,
+			},
+			{
+				tier: 2, pool: MODEL_POOL, weight: 0.3, promptTokens: [400, 1500], outputTokens: [40, 120], deadlineMs: 3000, documents: 200,
+			},
+			{
+				tier: 4, pool: MODEL_POOL, weight: 0.15, promptTokens: [5000, 30_000], outputTokens: [150, 400], deadlineMs: 8000, documents: 80,
+			},
 			...bookings,
 		],
 	},
@@ -86,9 +102,15 @@
 		services: services(),
 		nodeCount: 8,
 		classes: [
-			{tier: 0, pool: MODEL_POOL, weight: 0.35, promptTokens: [300, 450], outputTokens: [15, 50], deadlineMs: 1000, documents: 0},
-			{tier: 2, pool: MODEL_POOL, weight: 0.3, promptTokens: [400, 3000], outputTokens: [60, 200], deadlineMs: 3000, documents: 150},
-			{tier: 3, pool: MODEL_POOL, weight: 0.15, promptTokens: [3000, 12_000], outputTokens: [200, 500], deadlineMs: 6000, documents: 40},
+			{
+				tier: 0, pool: MODEL_POOL, weight: 0.35, promptTokens: [300, 450], outputTokens: [15, 50], deadlineMs: 1000, documents: 0,
+			},
+			{
+				tier: 2, pool: MODEL_POOL, weight: 0.3, promptTokens: [400, 3000], outputTokens: [60, 200], deadlineMs: 3000, documents: 150,
+			},
+			{
+				tier: 3, pool: MODEL_POOL, weight: 0.15, promptTokens: [3000, 12_000], outputTokens: [200, 500], deadlineMs: 6000, documents: 40,
+			},
 			...bookings,
 		],
 	},
--- /dev/null
+++ b/test/policy/modules.test.ts
@@ -0,0 +1,149 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {ConcurrencyLimit} from '../../src/policy/concurrency-limit.js';
+import {FairQueue} from '../../src/policy/fair-queue.js';
+import {PrefixIndex} from '../../src/policy/prefix-index.js';
+import {Quarantine, Standing} from '../../src/policy/quarantine.js';
+import {ShareAllocator} from '../../src/policy/shares.js';
+import {makeWork} from './support.js';
+
+describe('FairQueue', () => {
+	it('keeps the share of a small customer against 100x longer work (guards against unfairness by request count)', () => {
+		const queue = FairQueue.create();
+		for (let index = 0; index < 50; index += 1) {
+			for (const [customer, cost] of [['big', 10_000], ['small', 100]] as const) {
+				queue.push(makeWork(`${customer}${index}`, {customer}), cost);
+			}
+		}
+
+		const taken = Array.from({length: 52}, () => {
+			const [work] = queue.next(1, 1);
+			queue.take(work!);
+			return work!.customer;
+		});
+		expect(taken.filter(customer => customer === 'small').length).to.equal(50);
+	});
+
+	it('keeps its size and order when work is dropped from anywhere (guards against stale heads in the heap)', () => {
+		fc.assert(fc.property(fc.array(fc.tuple(fc.integer({min: 0, max: 3}), fc.boolean()), {maxLength: 60}), steps => {
+			const queue = FairQueue.create();
+			const works = steps.map(([customer], index) => makeWork(`w${index}`, {customer: String(customer)}));
+			for (const work of works) {
+				queue.push(work, 10);
+			}
+
+			const kept = works.filter((work, index) => !(steps[index]![1] && queue.drop(work, 10)));
+			const taken = [];
+			for (let [work] = queue.next(1, 1); work !== undefined; [work] = queue.next(1, 1)) {
+				queue.take(work);
+				taken.push(work.id);
+			}
+
+			expect(taken.sort()).to.deep.equal(kept.map(({id}) => id).sort());
+			expect(queue.size).to.equal(0);
+		}), {seed: 3});
+	});
+});
+
+describe('ConcurrencyLimit', () => {
+	it('falls within 2 s of a threefold slowdown and recovers (guards against slow engines that keep their load)', () => {
+		const limit = ConcurrencyLimit.create(16);
+		let now = 0;
+		const run = (gapMs: number, ms: number) => {
+			for (const end = now + ms; now < end; now += gapMs) {
+				limit.noteGap(gapMs, true, now);
+			}
+		};
+
+		run(20, 5000);
+		expect(limit.value).to.equal(16);
+		run(60, 2000);
+		expect(limit.value).to.be.at.most(4);
+		run(20, 5000);
+		expect(limit.value).to.equal(16);
+	});
+});
+
+describe('PrefixIndex', () => {
+	it('stays usable when half of the events are lost (guards against trust in complete events)', () => {
+		const index = PrefixIndex.create();
+		const prefix = Array.from({length: 32}, (_, block) => block + 1);
+		index.store(prefix, 'a', 0);
+		index.evict(prefix.filter(block => block % 2 === 0), 'a');
+		expect(index.depth(prefix, 'a', 1)).to.be.at.most(32);
+		index.clear('a', 2);
+		expect(index.depth(prefix, 'a', 3)).to.equal(0);
+	});
+
+	it('forgets what it has not seen used for long (guards against lost eviction events)', () => {
+		const index = PrefixIndex.create();
+		index.store([1, 2], 'a', 0);
+		expect([index.depth([1, 2], 'a', 1000), index.depth([1, 2], 'a', 100_000)]).to.deep.equal([2, 0]);
+	});
+});
+
+describe('ShareAllocator', () => {
+	const demand = (held: number, waitingByTier: number[]) => ({
+		upstreamId: 'a', limitEstimate: 12, held, waitingByTier,
+	});
+
+	it('grants the most important tier first and never more than limit and floors (guards against overfilled engines)', () => {
+		const allocator = ShareAllocator.create();
+		allocator.request('low', demand(0, [0, 0, 20]), 0);
+		const high = allocator.request('high', demand(0, [6]), 1);
+		expect(high.slots).to.equal(7);
+		fc.assert(fc.property(fc.array(fc.tuple(fc.nat(4), fc.nat(9), fc.nat(9)), {minLength: 1, maxLength: 8}), nodes => {
+			const other = ShareAllocator.create();
+			for (const [index, [held, top, low]] of nodes.entries()) {
+				other.request(`n${index}`, demand(held, [top, low]), 0);
+			}
+
+			const sum = [...other.grants().values()].reduce((total, value) => total + value, 0);
+			const held = nodes.reduce((total, [value]) => total + value, 0);
+			expect(sum).to.be.at.most(Math.max(12, held) + nodes.length);
+		}), {seed: 5});
+	});
+
+	it('frees the share of a node that stopped asking (guards against slots lost with a dead node)', () => {
+		const allocator = ShareAllocator.create();
+		allocator.request('dead', demand(10, [5]), 0);
+		expect(allocator.request('live', demand(0, [12]), 1500).slots).to.equal(12);
+	});
+});
+
+describe('Quarantine', () => {
+	it('clears innocents of the same batch (guards against blaming the neighbours of a crash)', () => {
+		const quarantine = Quarantine.create('n');
+		quarantine.noteCrash(['poison', 'innocent'], 0);
+		expect(quarantine.standing('innocent', 1)).to.equal(Standing.Suspect);
+		quarantine.noteSuccess('innocent', 2);
+		quarantine.noteCrash(['poison', 'innocent'], 3);
+		expect(quarantine.standing('poison', 4)).to.equal(Standing.Quarantined);
+		expect(quarantine.standing('innocent', 4)).to.equal(Standing.Suspect);
+	});
+
+	it('takes at most three upstreams when each crash is on another node (guards against counts that do not travel)', () => {
+		const [a, b, c] = ['a', 'b', 'c'].map(id => Quarantine.create(id)) as [Quarantine, Quarantine, Quarantine];
+		a.noteCrash(['poison'], 0);
+		b.noteCrash(['poison'], 0);
+		c.import(a.export(1), 1);
+		c.import(a.export(1), 1);
+		expect(c.standing('poison', 2)).to.equal(Standing.Suspect);
+		c.import(b.export(2), 2);
+		c.noteCrash(['poison'], 3);
+		expect(c.standing('poison', 4)).to.equal(Standing.Quarantined);
+		a.import(c.export(5), 1_000_005);
+		expect(a.standing('poison', 1_000_006)).to.equal(Standing.Quarantined);
+	});
+
+	it('does not take a disproved crash back from an old message (guards against gossip that undoes a clearance)', () => {
+		const [a, b] = [Quarantine.create('a'), Quarantine.create('b')];
+		a.noteCrash(['innocent', 'poison'], 0);
+		const old = a.export(0);
+		b.import(old, 0);
+		a.noteSuccess('innocent', 1);
+		a.import(old, 2);
+		b.import(a.export(2), 2);
+		expect([a, b].map(node => node.standing('innocent', 3))).to.deep.equal([Standing.Clear, Standing.Clear]);
+	});
+});
