Look at few depths of a prefix

Cause: one decision took 150 to 180 us at 12 upstreams; storing and comparing every block of long prompts was most of it. Change: prefixes are stored and compared at growing distances; depths of holders come from the same search.

--- a/src/policy/pool.ts
+++ b/src/policy/pool.ts
@@ -15,8 +15,8 @@
 
 const DEFAULT_PREFILL_MS_PER_TOKEN = 0.1;
 /** Customers and works of each that are compared when a slot becomes free. */
-const WINDOW_CUSTOMERS = 3;
-const WINDOW_DEPTH = 3;
+const WINDOW_CUSTOMERS = 2;
+const WINDOW_DEPTH = 2;
 /** Work that was passed over this often in favour of warmer work starts next. */
 const MAX_PASSES = 4;
 /** Work that must start within this time is not passed over. */
@@ -145,7 +145,7 @@
 	submit(work: Work, isSuspect: boolean, cachedTokens: number): void {
 		const now = this.#options.clock.now();
 		const lane = this.#laneOf(work.model);
-		if (![...lane.members.keys()].some(id => !work.excluded.includes(id))) {
+		if (!hasOther(lane.members.keys(), work.excluded)) {
 			this.#options.events.refuse(work, ErrorKind.NoUpstream);
 			return;
 		}
@@ -387,3 +387,13 @@
 		this.#setDueTimer();
 	}
 }
+
+function hasOther(ids: Iterable<string>, excluded: readonly string[]): boolean {
+	for (const id of ids) {
+		if (!excluded.includes(id)) {
+			return true;
+		}
+	}
+
+	return false;
+}
--- a/src/policy/prefix-index.ts
+++ b/src/policy/prefix-index.ts
@@ -8,6 +8,10 @@
 /** An entry that was not used for this long is no longer believed, as eviction events may have been lost. */
 const BELIEF_MS = 90_000;
 
+const MAX_DEPTH = 100_000;
+const CHECKPOINT_GROWTH = 1.1;
+const CHECKPOINTS = makeCheckpoints();
+
 type Holder = {
 	readonly upstreamId: string;
 	usedAt: number;
@@ -29,15 +33,17 @@
 	/**
 	 * Finds upstreams worth asking for a prefix: those that hold the most of it, and those that hold its beginning.
 	 *
-	 * @returns IDs, without duplicates.
+	 * @returns Leading blocks by upstream ID, at least as many as found at the few depths that are looked at.
 	 */
-	holders(prefix: readonly number[], now: number): Set<string> {
-		const found = new Set<string>();
-		const deepest = this.knownDepth(prefix, now);
-		for (const depth of [deepest, Math.ceil(deepest / 2)]) {
-			const block = prefix[depth - 1];
-			for (const holder of block === undefined ? [] : this.#fresh(block, now)) {
-				found.add(holder.upstreamId);
+	holders(prefix: readonly number[], now: number): Map<string, number> {
+		const found = new Map<string, number>();
+		const deepest = search(prefix, block => this.#isKnown(block, now));
+		for (let checkpoint = deepest; checkpoint > 0; checkpoint = Math.floor(checkpoint / 2)) {
+			const depth = CHECKPOINTS[checkpoint - 1]!;
+			for (const holder of this.#blocks.get(prefix[depth - 1]!) ?? []) {
+				if (!found.has(holder.upstreamId) && this.#isBelieved(holder, now)) {
+					found.set(holder.upstreamId, depth);
+				}
 			}
 		}
 
@@ -46,20 +52,29 @@
 
 	/** @returns Leading blocks of the prefix that some upstream probably holds. */
 	knownDepth(prefix: readonly number[], now: number): number {
-		return this.#search(prefix, block => this.#fresh(block, now).length > 0);
+		return depthOf(prefix, block => this.#isKnown(block, now));
 	}
 
 	/** @returns Leading blocks of the prefix that the upstream probably holds. */
 	depth(prefix: readonly number[], upstreamId: string, now: number): number {
-		return this.#search(prefix, block => this.#fresh(block, now).some(holder => holder.upstreamId === upstreamId));
+		return depthOf(prefix, block => this.#holds(block, upstreamId, now));
+	}
+
+	/** The upstream was sent this prefix. */
+	storePrefix(prefix: readonly number[], upstreamId: string, now: number): void {
+		for (const depth of CHECKPOINTS) {
+			if (depth > prefix.length) {
+				break;
+			}
+
+			this.#storeBlock(prefix[depth - 1]!, upstreamId, now);
+		}
 	}
 
 	/** The upstream holds these blocks, as of now. */
 	store(blocks: readonly number[], upstreamId: string, now: number): void {
 		for (const block of blocks) {
-			const holders = this.#blocks.get(block) ?? [];
-			const others = holders.filter(holder => holder.upstreamId !== upstreamId).slice(0, MAX_HOLDERS - 1);
-			this.#blocks.set(block, [{upstreamId, usedAt: now}, ...others]);
+			this.#storeBlock(block, upstreamId, now);
 		}
 	}
 
@@ -79,25 +94,81 @@
 		this.#clearedAt.set(upstreamId, now);
 	}
 
-	#fresh(block: number, now: number): readonly Holder[] {
-		const holders = this.#blocks.get(block) ?? [];
-		return holders.filter(holder => now - holder.usedAt < BELIEF_MS
-			&& holder.usedAt > (this.#clearedAt.get(holder.upstreamId) ?? Number.NEGATIVE_INFINITY));
+	#storeBlock(block: number, upstreamId: string, now: number): void {
+		const holders = this.#blocks.get(block);
+		if (holders === undefined) {
+			this.#blocks.set(block, [{upstreamId, usedAt: now}]);
+			return;
+		}
+
+		for (const holder of holders) {
+			if (holder.upstreamId === upstreamId) {
+				holder.usedAt = now;
+				return;
+			}
+		}
+
+		holders.unshift({upstreamId, usedAt: now});
+		holders.length = Math.min(holders.length, MAX_HOLDERS);
 	}
 
-	/** Binary search of the greatest depth whose block matches; lost events only make the result less accurate. */
-	#search(prefix: readonly number[], matches: (block: number) => boolean): number {
-		let low = 0;
-		let high = prefix.length;
-		while (low < high) {
-			const middle = Math.ceil((low + high) / 2);
-			if (matches(prefix[middle - 1]!)) {
-				low = middle;
-			} else {
-				high = middle - 1;
+	#isKnown(block: number, now: number): boolean {
+		for (const holder of this.#blocks.get(block) ?? []) {
+			if (this.#isBelieved(holder, now)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	#holds(block: number, upstreamId: string, now: number): boolean {
+		for (const holder of this.#blocks.get(block) ?? []) {
+			if (holder.upstreamId === upstreamId) {
+				return this.#isBelieved(holder, now);
 			}
 		}
 
-		return low;
+		return false;
+	}
+
+	#isBelieved(holder: Holder, now: number): boolean {
+		return now - holder.usedAt < BELIEF_MS
+			&& holder.usedAt > (this.#clearedAt.get(holder.upstreamId) ?? Number.NEGATIVE_INFINITY);
+	}
+}
+
+/** Depths at which prefixes are compared: each of the first, then at growing distances, so that long prompts stay cheap. */
+function makeCheckpoints(): number[] {
+	const depths: number[] = [];
+	for (let depth = 1; depth <= MAX_DEPTH; depth = Math.max(depth + 1, Math.floor(depth * CHECKPOINT_GROWTH))) {
+		depths.push(depth);
+	}
+
+	return depths;
+}
+
+/**
+ * Binary search of the greatest checkpoint whose block matches; lost events only make the result less accurate.
+ *
+ * @returns Number of matching checkpoints.
+ */
+function search(prefix: readonly number[], matches: (block: number) => boolean): number {
+	let low = 0;
+	let high = CHECKPOINTS.length;
+	while (low < high) {
+		const middle = Math.ceil((low + high) / 2);
+		const depth = CHECKPOINTS[middle - 1]!;
+		if (depth <= prefix.length && matches(prefix[depth - 1]!)) {
+			low = middle;
+		} else {
+			high = middle - 1;
+		}
 	}
+
+	return low;
+}
+
+function depthOf(prefix: readonly number[], matches: (block: number) => boolean): number {
+	return CHECKPOINTS[search(prefix, matches) - 1] ?? 0;
 }
--- a/src/policy/router.ts
+++ b/src/policy/router.ts
@@ -79,15 +79,14 @@
 	 * @returns The upstream to use now; `undefined` to wait.
 	 */
 	choose(lane: Lane, work: Work, isSuspect: boolean, now: number): Choice | undefined {
-		const holders = this.#holders(lane, work, now);
 		let best: Choice | undefined;
 		let bestBusy: Choice | undefined;
-		for (const state of this.#candidates(lane, holders)) {
+		for (const [state, blocks] of this.#candidates(lane, this.#holders(lane, work, now))) {
 			if (work.excluded.includes(state.view.id) || state.view.isLeaving || (isSuspect && state.hasSuspect)) {
 				continue;
 			}
 
-			const choice = this.#score(state, work, holders.has(state), now);
+			const choice = this.#score(state, work, blocks, now);
 			if (choice.isLong && !state.takesLongPrompts && this.#options.mixesLongPrompts !== true) {
 				continue;
 			}
@@ -121,34 +120,43 @@
 		);
 	}
 
-	#holders(lane: Lane, work: Work, now: number): Set<UpstreamState> {
-		const states = new Set<UpstreamState>();
+	/** Upstreams that hold a part of the prefix, with the number of blocks. */
+	#holders(lane: Lane, work: Work, now: number): Map<UpstreamState, number> {
+		const states = new Map<UpstreamState, number>();
 		if (this.#options.ignoresPrefixes === true || work.prefix.length === 0) {
 			return states;
 		}
 
-		for (const id of this.#options.index.holders(work.prefix, now)) {
+		for (const [id, blocks] of this.#options.index.holders(work.prefix, now)) {
 			const state = lane.members.get(id);
 			if (state !== undefined) {
-				states.add(state);
+				states.set(state, blocks);
 			}
 		}
 
 		return states;
 	}
 
-	#candidates(lane: Lane, holders: ReadonlySet<UpstreamState>): Set<UpstreamState> {
+	/** Adds samples of the free upstreams and of those without long prefills to the holders. */
+	#candidates(lane: Lane, holders: Map<UpstreamState, number>): Map<UpstreamState, number> {
 		const {random} = this.#options;
-		return new Set([
-			...holders,
-			...lane.nearFree.sample(NEAR_SAMPLE, random),
-			...lane.farFree.sample(FAR_SAMPLE, random),
-			...sampleList(lane.short, SHORT_SAMPLE, random),
-		]);
+		const samples = [
+			lane.nearFree.sample(NEAR_SAMPLE, random),
+			lane.farFree.sample(FAR_SAMPLE, random),
+			sampleList(lane.short, SHORT_SAMPLE, random),
+		];
+		for (const sample of samples) {
+			for (const state of sample) {
+				if (!holders.has(state)) {
+					holders.set(state, 0);
+				}
+			}
+		}
+
+		return holders;
 	}
 
-	#score(state: UpstreamState, work: Work, isHolder: boolean, now: number): Choice {
-		const blocks = isHolder ? this.#options.index.depth(work.prefix, state.view.id, now) : 0;
+	#score(state: UpstreamState, work: Work, blocks: number, now: number): Choice {
 		const cachedTokens = blocks === 0 ? 0 : Math.floor(work.promptTokens * blocks / work.prefix.length);
 		const {slowdown, usualGapMs} = state.limit;
 		const isFar = state.view.region !== this.#options.region;
--- a/src/policy/running-works.ts
+++ b/src/policy/running-works.ts
@@ -64,7 +64,7 @@
 		state.inFlight += 1;
 		state.pendingPrefillTokens += uncachedTokens;
 		state.hasSuspect ||= waiting.isSuspect;
-		this.#options.index.store(work.prefix, state.view.id, now);
+		this.#options.index.storePrefix(work.prefix, state.view.id, now);
 		this.#running.set(work.id, {
 			waiting,
 			state,
