Keep pressure until the next mark would have come

Cause: a sender repeats a mark every 250 ms, so that other nodes admitted lower work up to 250 ms early. Change: a mark from another node lasts for the interval and the lead longer.

--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -41,9 +41,9 @@
 		return until;
 	}
 
-	/** Another node reported pressure on a tier. */
+	/** Another node reported pressure on a tier; it may shed work until it sends the mark again. */
 	setPressure(tier: number, until: number): void {
-		this.#pressureUntil[tier] = Math.max(this.#pressureUntil[tier]!, until);
+		this.#extend(tier, until + MARK_INTERVAL_MS + PRESSURE_LEAD_MS);
 	}
 
 	/**
@@ -60,7 +60,7 @@
 			this.#firstMarkedAt[tier] = now;
 		}
 
-		this.setPressure(tier, now + PRESSURE_WINDOW_MS);
+		this.#extend(tier, now + PRESSURE_WINDOW_MS);
 		if (now - this.#markedAt[tier]! >= MARK_INTERVAL_MS) {
 			this.#markedAt[tier] = now;
 			this.#sendMark(tier);
@@ -85,4 +85,8 @@
 		const isInversion = this.#shedAt.some((at, other) => other < tier && now - at < PRESSURE_WINDOW_MS);
 		return this.#invariants.check(PromiseId.TierOrder, !isInversion, () => `tier ${tier} starts after a more important tier was shed`);
 	}
+
+	#extend(tier: number, until: number): void {
+		this.#pressureUntil[tier] = Math.max(this.#pressureUntil[tier]!, until);
+	}
 }
--- a/test/policy/policy-scheduler.test.ts
+++ b/test/policy/policy-scheduler.test.ts
@@ -65,6 +65,15 @@
 		expect(started.at(-1)?.work.id).to.equal('later');
 	});
 
+	it('outlasts the interval between marks (guards against lower starts on other nodes within 2 s of the last shed)', () => {
+		const {scheduler, clock, started, refused} = makeScheduler();
+		scheduler.setUpstreams([ONE_SLOT]);
+		scheduler.setPressure(POOL, 1, 2000);
+		clock.advance(2200);
+		scheduler.submit(makeWork('low', {tier: 2}));
+		expect([started.length, refused.length]).to.deep.equal([0, 1]);
+	});
+
 	it('never sheds a tier before lower work in random runs (guards against P2 violations)', () => {
 		const step = fc.record({tier: fc.integer({min: 0, max: 4}), wait: fc.integer({min: 0, max: 400}), finishes: fc.boolean()});
 		fc.assert(fc.property(fc.array(step, {maxLength: 120}), steps => {
