--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -35,7 +35,6 @@
 	LongPrompts: 'long-prompts',
 	WarmWork: 'warm-work',
 	Stalls: 'stalls',
-	Limits: 'limits',
 	Shares: 'shares',
 } as const;
 
