--- a/bench/policy/simulation.ts
+++ b/bench/policy/simulation.ts
@@ -3,7 +3,7 @@
  */
 import {type ErrorKind} from '../../src/base/errors.js';
 import {Invariants} from '../../src/base/invariant.js';
-import {Random} from '../../src/base/random.js';
+import {type Random} from '../../src/base/random.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
 import {PRESSURE_WINDOW_MS} from '../../src/policy/admission.js';
 import {type Ablation, PolicyScheduler} from '../../src/policy/policy-scheduler.js';
@@ -16,6 +16,7 @@
 import {injectFaults} from './faults.js';
 import {Measures} from './measures.js';
 import {ServiceFake} from './service-fake.js';
+import {createStream} from './streams.js';
 import {
 	type Arrival, ArrivalSource, capacity, loadAt, MODEL_POOL, regions, RUN_MS, SERVICE_POOL, type Workload,
 } from './workload.js';
@@ -87,14 +88,14 @@
 
 	private constructor(options: RunOptions) {
 		this.#options = options;
-		this.#random = Random.create(options.seed + 1_000_000);
+		this.#random = createStream(options.seed, 'reports');
 		this.#createUpstreams();
 		this.#createNodes();
 	}
 
 	run(): RunResult {
-		const source = ArrivalSource.create(this.#options.workload, Random.create(this.#options.seed));
-		this.#scheduleArrival(source, Random.create(this.#options.seed + 2_000_000));
+		const source = ArrivalSource.create(this.#options.workload, createStream(this.#options.seed, 'requests'));
+		this.#scheduleArrival(source, createStream(this.#options.seed, 'arrivals'));
 		this.#every(LOAD_REPORT_MS, () => {
 			this.#reportLoad();
 		});
@@ -127,10 +128,8 @@
 			this.#upstreams.set(spec.id, ServiceFake.create(this.#clock, spec));
 		}
 
-		let index = 0;
 		for (const upstream of this.#upstreams.values()) {
-			index += 1;
-			injectFaults(upstream, this.#clock, Random.create((seed * 1000) + index), this.#measures);
+			injectFaults(upstream, this.#clock, createStream(seed, `faults ${upstream.spec.id}`), this.#measures);
 			this.#allocators.set(upstream.spec.id, ShareAllocator.create());
 		}
 	}
@@ -146,7 +145,7 @@
 
 	#createScheduler(index: number, region: string): PolicyScheduler | BaselineScheduler {
 		const {policy, seed, workload, ablation} = this.#options;
-		const random = Random.create((seed * 100) + index);
+		const random = createStream(seed, `node ${index}`);
 		const events: SchedulerEvents = {
 			start: (work, upstreamId) => {
 				this.#start(this.#nodes[index]!, work, upstreamId);
