--- a/src/policy/shares.ts
+++ b/src/policy/shares.ts
@@ -11,7 +11,8 @@
 export const SHARE_LIFETIME_MS = 1000;
 /** Time between the demands of a node. */
 export const DEMAND_INTERVAL_MS = 200;
-const FLOOR_SLOTS = 1;
+/** Slots that every node keeps. */
+export const FLOOR_SLOTS = 1;
 /** A share whose demand did not change is renewed at this age, which leaves time for one repetition. */
 const RENEW_AFTER_MS = 600;
 
