Carry suspicions of crashing requests over gossip

Cause: the quarantine identifies crashes by ID; the gossip message carried counts. Change: the message carries crash IDs, clearance and the remaining quarantine; the scheduler reports a changed suspicion and takes those of others; load reports and cache events are part of the abstract scheduler.

--- a/bench/policy/baseline.ts
+++ b/bench/policy/baseline.ts
@@ -61,7 +61,7 @@
 		return this.#waiting.length;
 	}
 
-	noteLoad(upstreamId: string, total: number): void {
+	override noteLoad(upstreamId: string, total: number): void {
 		this.#states.get(upstreamId)!.reported = total;
 	}
 
--- a/src/members/topics.ts
+++ b/src/members/topics.ts
@@ -1,7 +1,8 @@
 /**
  * What rides on gossip besides members: typed publication and subscription.
  */
-import {type AppliedConfig, type Entry} from '../peer/generated/redwingspool/peer/v1/peer_pb.js';
+import {type AppliedConfig, type Entry, type Suspicion as SuspicionMessage} from '../peer/generated/redwingspool/peer/v1/peer_pb.js';
+import {type Suspicion} from '../policy/quarantine.js';
 import {hashText} from './hash.js';
 import {type EntryInit} from './entry-store.js';
 import {type Membership} from './membership.js';
@@ -37,18 +38,6 @@
 	readonly nodeId: string;
 };
 
-/** Crashes seen by one node while a request was in flight. */
-export type SuspicionNews = {
-	readonly fingerprint: string;
-	readonly owner: string;
-	readonly crashes: number;
-	/** Crashes in which the request was the only suspect in flight. */
-	readonly crashesAlone: number;
-	/** The request ran to its end at this node. */
-	readonly isCleared: boolean;
-	readonly remainingMs: number;
-};
-
 /** Nothing below the tier may be admitted in the pool for the remaining time. */
 export type PressureNews = {
 	readonly pool: string;
@@ -59,7 +48,7 @@
 type News = {
 	leaving: LeavingNews;
 	config: AppliedNews;
-	suspicion: SuspicionNews;
+	suspicion: Suspicion;
 	pressure: PressureNews;
 };
 
@@ -112,10 +101,7 @@
 			}
 
 			case 'suspicion': {
-				const {fingerprint, crashes, crashesAlone, isCleared} = value.value;
-				this.#notify('suspicion', {
-					fingerprint, crashes, crashesAlone, isCleared, owner: entry.key.slice(entry.key.lastIndexOf('/') + 1), remainingMs: entry.remainingMs,
-				});
+				this.#notify('suspicion', toSuspicion(entry.remainingMs, value.value));
 				break;
 			}
 
@@ -177,12 +163,17 @@
 		return [...this.membership.store.entries()].flatMap(({version, value}) => value.case === 'config' ? [toAppliedNews(version, value.value)] : []);
 	}
 
-	/** Reports this node's own totals for a suspected request; `remainingMs` counts from now. */
-	publishSuspicion(suspicion: Pick<SuspicionNews, 'fingerprint' | 'crashes' | 'crashesAlone' | 'isCleared'>, now: number): boolean {
+	/** Reports what this node knows about a suspected request. */
+	publishSuspicion({fingerprint, crashes, isCleared, quarantinedMs}: Suspicion, now: number): boolean {
 		return this.#publish({
-			...this.#owned(`q/${suspicion.fingerprint}`),
+			...this.#owned(`q/${fingerprint}`),
 			lifetimeMs: SUSPICION_LIFETIME_MS,
-			value: {case: 'suspicion', value: {$typeName: 'redwingspool.peer.v1.Suspicion', ...suspicion}},
+			value: {
+				case: 'suspicion',
+				value: {
+					$typeName: 'redwingspool.peer.v1.Suspicion', fingerprint, crashes: [...crashes], isCleared, quarantinedMs: Math.ceil(quarantinedMs),
+				},
+			},
 		}, now);
 	}
 
@@ -237,3 +228,9 @@
 		subtree, region, nodeId, version, digest, bytes,
 	};
 }
+
+function toSuspicion(remainingMs: number, {fingerprint, crashes, isCleared, quarantinedMs}: SuspicionMessage): Suspicion {
+	return {
+		fingerprint, crashes, isCleared, quarantinedMs, remainingMs,
+	};
+}
--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -9,11 +9,11 @@
 import {OutputEstimate} from './output-estimate.js';
 import {Pool} from './pool.js';
 import {PrefixIndex} from './prefix-index.js';
-import {Quarantine, Standing} from './quarantine.js';
+import {Quarantine, Standing, type Suspicion} from './quarantine.js';
 import {Router} from './router.js';
 import {RunningWorks} from './running-works.js';
 import {
-	Scheduler, type SchedulerEvents, type UpstreamDemand, type UpstreamView, type Work, type WorkOutcome,
+	type CacheChange, Scheduler, type SchedulerEvents, type UpstreamDemand, type UpstreamView, type Work, type WorkOutcome,
 } from './scheduler.js';
 import {FLOOR_SLOTS} from './shares.js';
 import {UpstreamState} from './upstream-state.js';
@@ -21,12 +21,6 @@
 const TICK_MS = 200;
 const DEFAULT_MAX_WAITING = 512;
 
-/** A change of an upstream's prefix cache, as its cache events tell. */
-export type CacheChange = {
-	readonly kind: 'stored' | 'evicted' | 'cleared';
-	readonly blocks: readonly number[];
-};
-
 /** Mechanisms that a bench can switch off. */
 export const Ablation = {
 	Prefixes: 'prefixes',
@@ -75,7 +69,9 @@
 	private constructor(options: PolicySchedulerOptions) {
 		super();
 		this.#options = options;
-		this.quarantine = Quarantine.create(options.nodeId);
+		this.quarantine = Quarantine.create(options.nodeId, suspicion => {
+			options.events.noteSuspicion?.(suspicion);
+		});
 		this.#router = Router.create({
 			region: options.region,
 			random: options.random,
@@ -127,7 +123,7 @@
 	}
 
 	/** @param total - Running and waiting requests that the upstream reported. */
-	noteLoad(upstreamId: string, total: number, ageMs: number): void {
+	override noteLoad(upstreamId: string, total: number, ageMs: number): void {
 		const state = this.#states.get(upstreamId);
 		if (state !== undefined) {
 			state.noteLoad(total, ageMs, this.#options.clock.now());
@@ -136,7 +132,7 @@
 	}
 
 	/** Corrects the prefix index; late or missing events make it less accurate only. */
-	noteCacheChange(upstreamId: string, change: CacheChange): void {
+	override noteCacheChange(upstreamId: string, change: CacheChange): void {
 		const now = this.#options.clock.now();
 		if (change.kind === 'cleared') {
 			this.#index.clear(upstreamId, now);
@@ -147,6 +143,10 @@
 		}
 	}
 
+	override importSuspicions(suspicions: readonly Suspicion[]): void {
+		this.quarantine.import(suspicions, this.#options.clock.now());
+	}
+
 	submit(work: Work): void {
 		const now = this.#options.clock.now();
 		const standing = this.quarantine.standing(work.fingerprint, now);
--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -41,17 +41,22 @@
 
 /** Suspicions of one node. Times in ms of its monotonic clock. */
 export class Quarantine {
-	/** @param nodeId - Makes the IDs of crashes unique; includes the incarnation of the node. */
-	static create(nodeId: string): Quarantine {
-		return new Quarantine(nodeId);
+	/**
+	 * @param nodeId - Makes the IDs of crashes unique; includes the incarnation of the node.
+	 * @param onChanged - Called when this node learns something itself that other nodes should know.
+	 */
+	static create(nodeId: string, onChanged?: (suspicion: Suspicion) => void): Quarantine {
+		return new Quarantine(nodeId, onChanged);
 	}
 
 	readonly #nodeId: string;
 	readonly #records = new LRUCache<string, SuspectRecord>({max: MAX_SUSPECTS});
+	readonly #onChanged: ((suspicion: Suspicion) => void) | undefined;
 	#crashCount = 0;
 
-	private constructor(nodeId: string) {
+	private constructor(nodeId: string, onChanged: ((suspicion: Suspicion) => void) | undefined) {
 		this.#nodeId = nodeId;
+		this.#onChanged = onChanged;
 	}
 
 	standing(fingerprint: string, now: number): Standing {
@@ -87,8 +92,9 @@
 	/** The request ran to its end, so that it did not cause the crashes that it was part of. */
 	noteSuccess(fingerprint: string, now: number): void {
 		const record = this.#fresh(fingerprint, now);
-		if (record !== undefined) {
+		if (record !== undefined && record.crashes.size > 0) {
 			clear(record, record.crashes);
+			this.#onChanged?.(toSuspicion(fingerprint, record, now));
 		}
 	}
 
@@ -97,14 +103,7 @@
 		const suspicions: Suspicion[] = [];
 		for (const [fingerprint, record] of this.#records.entries()) {
 			if (record.expiresAt > now) {
-				const isCleared = record.crashes.size === 0;
-				suspicions.push({
-					fingerprint,
-					crashes: [...(isCleared ? record.cleared : record.crashes)],
-					isCleared,
-					quarantinedMs: Math.max(0, record.quarantinedUntil - now),
-					remainingMs: record.expiresAt - now,
-				});
+				suspicions.push(toSuspicion(fingerprint, record, now));
 			}
 		}
 
@@ -142,6 +141,8 @@
 		if (record.crashes.size >= bound) {
 			record.quarantinedUntil = now + QUARANTINE_MS;
 		}
+
+		this.#onChanged?.(toSuspicion(fingerprint, record, now));
 	}
 
 	#fresh(fingerprint: string, now: number): SuspectRecord | undefined {
@@ -168,3 +169,14 @@
 		record.quarantinedUntil = 0;
 	}
 }
+
+function toSuspicion(fingerprint: string, record: SuspectRecord, now: number): Suspicion {
+	const isCleared = record.crashes.size === 0;
+	return {
+		fingerprint,
+		crashes: [...(isCleared ? record.cleared : record.crashes)],
+		isCleared,
+		quarantinedMs: Math.max(0, record.quarantinedUntil - now),
+		remainingMs: record.expiresAt - now,
+	};
+}
--- a/src/policy/scheduler.ts
+++ b/src/policy/scheduler.ts
@@ -2,6 +2,7 @@
  * The interface between the life of a request (which does the I/O) and the decisions (which do none).
  */
 import {type ErrorKind} from '../base/errors.js';
+import {type Suspicion} from './quarantine.js';
 
 /** A request as the decisions see it. Times are ms of the node's monotonic clock. */
 export type Work = {
@@ -75,6 +76,13 @@
 	readonly waitingByTier: readonly number[];
 };
 
+/** A change of an upstream's prefix cache, as its cache events tell. */
+export type CacheChange = {
+	readonly kind: 'stored' | 'evicted' | 'cleared';
+	/** Hashes of prompt blocks, each covering the blocks before it. */
+	readonly blocks: readonly number[];
+};
+
 /** What the scheduler decides; delivered synchronously or later, always on the one event loop. */
 export type SchedulerEvents = {
 	/** Send the work to an upstream now. */
@@ -89,6 +97,8 @@
 	preempt?(work: Work): void;
 	/** This node is about to refuse work of a tier in a pool; the other nodes must admit nothing below that tier. */
 	notePressure?(pool: string, tier: number): void;
+	/** What this node knows about a suspected request changed; the other nodes should know it too. */
+	noteSuspicion?(suspicion: Suspicion): void;
 };
 
 /** Queues, limits and routes work. Subclasses differ in policy. Does no I/O. */
@@ -117,6 +127,26 @@
 		// Policies without tiers ignore it.
 	}
 
+	/**
+	 * Takes a load report of an upstream.
+	 *
+	 * @param _total - Running and waiting requests of all nodes.
+	 * @param _ageMs - Age of the report.
+	 */
+	noteLoad(_upstreamId: string, _total: number, _ageMs: number): void {
+		// Policies that learn from their own requests alone ignore it.
+	}
+
+	/** Takes a cache event of an upstream; events may come late and with gaps. */
+	noteCacheChange(_upstreamId: string, _change: CacheChange): void {
+		// Policies without a prefix index ignore it.
+	}
+
+	/** Takes over what other nodes know about suspected requests. */
+	importSuspicions(_suspicions: readonly Suspicion[]): void {
+		// Policies without a quarantine ignore it.
+	}
+
 	/** Takes a request; `start` or `refuse` follows exactly once unless it is withdrawn. */
 	abstract submit(work: Work): void;
 
