--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -33,7 +33,6 @@
 	Regions: 'regions',
 	Holding: 'holding',
 	LongPrompts: 'long-prompts',
-	WarmWork: 'warm-work',
 	Stalls: 'stalls',
 	Shares: 'shares',
 } as const;
@@ -234,7 +233,6 @@
 				router: this.#router,
 				outputs: this.#outputs,
 				maxWaiting: maxWaiting ?? DEFAULT_MAX_WAITING,
-				ignoresWarmWork: this.#options.ablation === Ablation.WarmWork,
 				occupy: (waiting, choice) => {
 					this.#running.occupy(waiting, choice);
 					this.#poolOf(name).refresh(choice.state);
--- a/src/policy/pool.ts
+++ b/src/policy/pool.ts
@@ -17,10 +17,6 @@
 /** Customers and works of each that are compared when a slot becomes free. */
 const WINDOW_CUSTOMERS = 2;
 const WINDOW_DEPTH = 2;
-/** Work that was passed over this often in favour of warmer work starts next. */
-const MAX_PASSES = 4;
-/** Work that must start within this time is not passed over. */
-const URGENT_MS = 400;
 /** Work that has waited for this part of its time puts its tier under pressure. */
 const RISK_PART = 0.3;
 /** Work that no free upstream suits is compared again after this time. */
@@ -37,7 +33,6 @@
 	readonly isSuspect: boolean;
 	/** Later starts cannot meet the deadline even on the fastest upstream. */
 	readonly latestStart: number;
-	passes: number;
 	/** No upstream suited it lately; it is not compared again before this time. */
 	heldUntil: number;
 };
@@ -58,8 +53,6 @@
 	readonly outputs: OutputEstimate;
 	/** Greatest number of waiting requests. */
 	readonly maxWaiting: number;
-	/** Take work in strict fair order, for ablations. */
-	readonly ignoresWarmWork?: boolean;
 	/** Occupies a slot of the chosen upstream. */
 	readonly occupy: (waiting: Waiting, choice: Choice) => void;
 };
@@ -165,7 +158,7 @@
 
 		const cost = costOf(work.promptTokens - cachedTokens, this.#options.outputs.expected(work));
 		const waiting: Waiting = {
-			work, lane, cost, isSuspect, latestStart, passes: 0, heldUntil: Number.NEGATIVE_INFINITY,
+			work, lane, cost, isSuspect, latestStart, heldUntil: Number.NEGATIVE_INFINITY,
 		};
 		this.#add(waiting);
 		if (this.admission.blockedUntil(work.tier) > now) {
@@ -223,39 +216,23 @@
 		}
 	}
 
-	/** Takes the work whose prefix is warmest on a free upstream, among the first few in fair order. */
+	/** Takes the first work in fair order that an upstream suits; a few are looked at, so that held work blocks nobody. */
 	#pick(lane: Lane, tier: number, now: number): {waiting: Waiting; choice: Choice} | undefined {
-		const isWide = !this.#options.ignoresWarmWork;
-		const works = lane.queues[tier]!.next(WINDOW_CUSTOMERS, isWide ? WINDOW_DEPTH : 1);
-		let best: {waiting: Waiting; choice: Choice} | undefined;
-		let first: Waiting | undefined;
-		for (const work of works) {
+		for (const work of lane.queues[tier]!.next(WINDOW_CUSTOMERS, WINDOW_DEPTH)) {
 			const waiting = this.#waiting.get(work.id)!;
 			if (waiting.heldUntil > now) {
 				continue;
 			}
 
 			const choice = this.#options.router.choose(lane, work, waiting.isSuspect, now);
-			if (choice === undefined || now + choice.firstTokenMs > work.deadlineAt) {
-				this.#hold(waiting, now);
-				continue;
-			}
-
-			first ??= waiting;
-			if (best === undefined || choice.cachedTokens > best.choice.cachedTokens) {
-				best = {waiting, choice};
+			if (choice !== undefined && now + choice.firstTokenMs <= work.deadlineAt) {
+				return {waiting, choice};
 			}
 
-			if (!isWide || first.passes >= MAX_PASSES || first.latestStart - now < URGENT_MS) {
-				break;
-			}
-		}
-
-		if (first !== undefined && best?.waiting !== first) {
-			first.passes += 1;
+			this.#hold(waiting, now);
 		}
 
-		return best;
+		return undefined;
 	}
 
 	#hold(waiting: Waiting, now: number): void {
