--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -44,6 +44,10 @@
 	readonly instruments?: Metrics | undefined;
 	/** Present where traces are set up. */
 	readonly tracing?: Tracing | undefined;
+	/** Whether a planned stop has begun: callers are asked to close their connections. */
+	readonly isLeaving?: () => boolean;
+	/** Whether new work is refused, as callers should have left. */
+	readonly isRefusing?: () => boolean;
 	/** Whether the node takes requests, as `GET /readyz` answers. */
 	readonly isReady: () => boolean;
 };
@@ -118,6 +122,10 @@
 
 /** Identifies the caller of a request that is to be run, and counts it against the customer's rate. */
 export function admitCaller(req: IncomingMessage, context: EntryContext): Result<CallerRequest, SchedulerError> {
+	if (context.isRefusing?.()) {
+		return Result.err(SchedulerError.create(ErrorKind.Draining));
+	}
+
 	return identifyCaller(req, context).andThen(caller => context.rateLimiter.take(caller.customer).map(() => caller));
 }
 
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -20,6 +20,8 @@
 import {RateLimiter} from './rate-limiter.js';
 import {ServicesController} from './services-controller.js';
 
+const CLOSE_TIMEOUT_MS = 10_000;
+
 /** Nest's module of the callers' interface. */
 @Module({})
 class EntryModule {
@@ -85,6 +87,7 @@
 			},
 		});
 		leaveBodiesUnread(adapter);
+		checkRequests(adapter, this.#context);
 		const app = await NestFactory.create<NestFastifyApplication>(EntryModule.create(this.#context), adapter, {
 			logger: false, bodyParser: false, abortOnError: false,
 		});
@@ -95,9 +98,25 @@
 		this.#server.on('error', onFailure);
 	}
 
+	/** Cuts off all callers, at the end of a stop that took too long. */
+	closeConnections(): void {
+		this.#server.closeAllConnections();
+	}
+
 	async stop(): Promise<void> {
-		await this.#app?.close();
+		const app = this.#app;
+		if (app === undefined) {
+			return;
+		}
+
 		this.#app = undefined;
+		const server: Server = app.getHttpServer();
+		// Callers that do not read the end of their answers must not hold up the stop.
+		const timer = this.#context.clock.setTimer(CLOSE_TIMEOUT_MS, () => {
+			server.closeAllConnections();
+		});
+		await app.close();
+		timer.cancel();
 	}
 
 	get #server(): Server {
@@ -113,7 +132,15 @@
 	fastify.addContentTypeParser('*', (_req: FastifyRequest, _payload: unknown, done: (err: Error | null) => void) => { // eslint-disable-line @typescript-eslint/no-restricted-types -- Fastify's own type
 		done(null);
 	});
-	fastify.addHook('onRequest', (req: FastifyRequest, _reply: FastifyReply, done: (err?: Error) => void) => {
+}
+
+function checkRequests(adapter: FastifyAdapter, context: EntryContext): void {
+	adapter.getInstance().addHook('onRequest', (req: FastifyRequest, reply: FastifyReply, done: (err?: Error) => void) => {
+		if (context.isLeaving?.()) {
+			// Node then answers with `Connection: close`.
+			reply.raw.shouldKeepAlive = false;
+		}
+
 		done(findAmbiguity(req.raw));
 	});
 }
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -21,6 +21,7 @@
 
 const ENTRIES_KEEP_SECONDS = 10;
 const DRAIN_POLL_MS = 20;
+const DEFAULT_MAX_DRAIN_MS = 300_000;
 
 /** What a node is made of. */
 export type NodeOptions = {
@@ -33,6 +34,10 @@
 	readonly dataCentre: string;
 	/** Tests and randomised runs throw on a violated promise. */
 	readonly throwOnViolation: boolean;
+	/** How long a stopping node still takes new work, as callers keep its address; none by default. */
+	readonly leaveMs?: number;
+	/** Longest wait for requests in flight at a planned stop. */
+	readonly maxDrainMs?: number;
 	/** Limits of the HTTP server for callers. */
 	readonly httpLimits?: HttpLimits;
 	/** Present where traces are exported. */
@@ -57,6 +62,7 @@
 	readonly #entry: EntryPart;
 	readonly #supervisor: Supervisor;
 	#isDraining = false;
+	#isRefusing = false;
 
 	private constructor(options: NodeOptions) {
 		this.#options = options;
@@ -104,15 +110,27 @@
 	/** Planned stop: takes no new work after the drain, and cuts off no request in flight. */
 	async stop(): Promise<void> {
 		this.#isDraining = true;
+		const {clock, leaveMs = 0, maxDrainMs = DEFAULT_MAX_DRAIN_MS} = this.#options;
 		await this.#supervisor.drain();
-		while (this.dispatcher.inFlightCount > 0) {
+		if (leaveMs > 0) {
+			await clock.sleep(leaveMs);
+		}
+
+		this.#isRefusing = true;
+		const end = clock.now() + maxDrainMs;
+		while (this.dispatcher.inFlightCount > 0 && clock.now() < end) {
 			// eslint-disable-next-line no-await-in-loop
-			await this.#options.clock.sleep(DRAIN_POLL_MS);
+			await clock.sleep(DRAIN_POLL_MS);
+		}
+
+		const isDrained = this.dispatcher.inFlightCount === 0;
+		if (!isDrained) {
+			this.#entry.closeConnections();
 		}
 
-		this.invariants.check(PromiseId.GracefulStop, this.dispatcher.inFlightCount === 0, 'A request was in flight at the end of a planned stop.');
 		await this.#supervisor.stop();
 		await this.#upstreams.destroy();
+		this.invariants.check(PromiseId.GracefulStop, isDrained, 'A request was in flight at the end of a planned stop.');
 		this.#log.info('Node stopped.', {id: this.id});
 	}
 
@@ -127,6 +145,8 @@
 			metrics: async () => this.metrics.expose(),
 			instruments: this.metrics,
 			tracing: this.#options.tracing,
+			isLeaving: () => this.#isDraining,
+			isRefusing: () => this.#isRefusing,
 			isReady: () => this.settings.isLoaded && !this.#isDraining,
 		}, {
 			host, port, limits, log,
--- /dev/null
+++ b/test/entry/graceful-stop.test.ts
@@ -0,0 +1,89 @@
+import {spawn} from 'node:child_process';
+import {once} from 'node:events';
+import process from 'node:process';
+import {createInterface} from 'node:readline';
+import {expect} from 'chai';
+import {Agent, request} from 'undici';
+import {SystemClock} from '../../src/base/clock.js';
+import {Log} from '../../src/base/log.js';
+import {Node} from '../../src/serve/node.js';
+import {MemoryTable} from '../../src/store/memory-table.js';
+import {BookingStandIn} from '../../standins/booking.js';
+import {EngineStandIn, expectedWords} from '../../standins/engine.js';
+import {createDeployment, testApiKey} from '../support/dev-cluster.js';
+import {eventually} from '../support/eventually.js';
+
+const streamCount = 100;
+const tokens = 100;
+const headers = {authorization: 'Bearer dev-key', 'content-type': 'application/json'};
+
+function bodyFor(prompt: string, maxTokens = tokens): string {
+	return JSON.stringify({
+		model: 'crew-advice', stream: true, max_tokens: maxTokens, messages: [{role: 'user', content: prompt}],
+	});
+}
+
+describe('graceful stop', () => {
+	it('completes 100 open streams after SIGTERM, refuses new work and exits with 0', async () => {
+		const child = spawn(process.execPath, ['--import', 'tsx', 'src/main.ts', 'dev', '--port', '0', '--log-level', 'error'], {stdio: ['ignore', 'pipe', 'inherit']});
+		const exit = once(child, 'exit');
+		const [line] = await once(createInterface(child.stdout), 'line') as [string];
+		const url = `${line.replace('listening on ', '')}/v1/chat/completions`;
+		const dispatcher = new Agent();
+		const open = await Promise.all(Array.from({length: streamCount}, async (_, index) => request(url, {
+			method: 'POST', headers, body: bodyFor(`note ${index}`), dispatcher,
+		})));
+		child.kill('SIGTERM');
+		let refusal = await request(url, {method: 'POST', headers, body: bodyFor('late')});
+		// The signal may reach the process after the first request.
+		while (refusal.statusCode === 200) {
+			refusal.body.destroy();
+			refusal.body.on('error', () => undefined);
+			// eslint-disable-next-line no-await-in-loop
+			refusal = await request(url, {method: 'POST', headers, body: bodyFor('late')});
+		}
+
+		expect(refusal.statusCode).to.equal(503);
+		expect(refusal.headers.connection).to.equal('close');
+		expect(await refusal.body.json()).to.have.nested.property('error.code', 'draining');
+		const texts = await Promise.all(open.map(async res => res.body.text()));
+		for (const [index, text] of texts.entries()) {
+			const words = [...text.matchAll(/"content":"(?<word>w\d+ )"/gv)].map(match => match.groups!.word);
+			expect(words).to.deep.equal(expectedWords(`note ${index}`, tokens));
+			expect(text.endsWith('data: [DONE]\n\n')).to.equal(true);
+		}
+
+		expect(await exit).to.deep.equal([0, null]);
+		await dispatcher.destroy();
+	}).timeout(15_000);
+
+	it('ends within its bound although a stream goes on', async () => {
+		const engine = await EngineStandIn.start({tokenIntervalMs: 10, defaultTokens: 1_000_000});
+		const booking = await BookingStandIn.start();
+		const node = Node.create({
+			clock: SystemClock.create(),
+			log: Log.create('silent'),
+			table: MemoryTable.create(),
+			host: '127.0.0.1',
+			port: 0,
+			region: 'local',
+			dataCentre: 'local-1',
+			throwOnViolation: false,
+			maxDrainMs: 100,
+		});
+		node.settings.apply(createDeployment([engine], booking, true));
+		await node.start();
+		const res = await request(`http://${node.address}/v1/chat/completions`, {
+			method: 'POST', headers: {authorization: `Bearer ${testApiKey}`}, body: bodyFor('long', 1_000_000),
+		});
+		const ended = Promise.allSettled([res.body.text()]);
+		const start = performance.now();
+		await node.stop();
+		expect(performance.now() - start).to.be.within(100, 5000);
+		const [outcome] = await ended;
+		expect(outcome.status).to.equal('rejected');
+		expect(node.invariants.counts.get('P7')).to.deep.equal({evaluated: 1, violated: 1});
+		await eventually(() => engine.canceled.length === 1);
+		await Promise.all([engine, booking].map(async standIn => standIn.stop()));
+	});
+});
