Tell engines to cancel before a cut-off drain ends

Cause: the server's close event precedes the events of its connections, so the upstream connections were destroyed before the callers' leaving was seen. Change: the stop waits for the requests to end after it closed connections.

--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -22,6 +22,7 @@
 const ENTRIES_KEEP_SECONDS = 10;
 const DRAIN_POLL_MS = 20;
 const DEFAULT_MAX_DRAIN_MS = 300_000;
+const CANCEL_WAIT_MS = 1000;
 
 /** What a node is made of. */
 export type NodeOptions = {
@@ -117,15 +118,11 @@
 		}
 
 		this.#isRefusing = true;
-		const end = clock.now() + maxDrainMs;
-		while (this.dispatcher.inFlightCount > 0 && clock.now() < end) {
-			// eslint-disable-next-line no-await-in-loop
-			await clock.sleep(DRAIN_POLL_MS);
-		}
-
-		const isDrained = this.dispatcher.inFlightCount === 0;
+		const isDrained = await this.#waitUntilIdle(maxDrainMs);
 		if (!isDrained) {
 			this.#entry.closeConnections();
+			// The engines are still to be told to cancel.
+			await this.#waitUntilIdle(CANCEL_WAIT_MS);
 		}
 
 		await this.#supervisor.stop();
@@ -134,6 +131,18 @@
 		this.#log.info('Node stopped.', {id: this.id});
 	}
 
+	/** @returns Whether no request was in flight in the end. */
+	async #waitUntilIdle(maxMs: number): Promise<boolean> {
+		const {clock} = this.#options;
+		const end = clock.now() + maxMs;
+		while (this.dispatcher.inFlightCount > 0 && clock.now() < end) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.sleep(DRAIN_POLL_MS);
+		}
+
+		return this.dispatcher.inFlightCount === 0;
+	}
+
 	#createEntry(): EntryPart {
 		const {clock, host, port, log, httpLimits: limits} = this.#options;
 		return EntryPart.create({
