--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -2,6 +2,7 @@
  * The HTTP server for callers, as a part of the supervisor tree.
  */
 import {type Server} from 'node:http';
+import {type Server as HttpsServer} from 'node:https';
 import {type AddressInfo} from 'node:net';
 import {type DynamicModule, Module} from '@nestjs/common';
 import {NestFactory} from '@nestjs/core';
@@ -19,6 +20,7 @@
 import {ProblemFilter} from './problem-filter.js';
 import {RateLimiter} from './rate-limiter.js';
 import {ServicesController} from './services-controller.js';
+import {readTlsPair, type TlsFiles, TlsReloader} from './tls.js';
 
 const CLOSE_TIMEOUT_MS = 10_000;
 
@@ -40,6 +42,8 @@
 	/** 0 lets the operating system choose. */
 	readonly port: number;
 	readonly limits?: HttpLimits | undefined;
+	/** Callers use TLS where it is set. */
+	readonly tls?: TlsFiles | undefined;
 	readonly log?: Log | undefined;
 };
 
@@ -53,6 +57,7 @@
 	readonly #context: EntryContext;
 	readonly #options: ListenOptions;
 	#app: NestFastifyApplication | undefined;
+	#reloader: TlsReloader | undefined;
 
 	private constructor(context: EntryContext, options: ListenOptions) {
 		super();
@@ -71,12 +76,13 @@
 	}
 
 	async start(onFailure: (err: Error) => void): Promise<void> {
-		const {limits = defaultHttpLimits, log} = this.#options;
+		const {limits = defaultHttpLimits, log, tls} = this.#options;
+		const pair = tls && readTlsPair(tls);
 		const clientErrors = ClientErrors.create();
 		const filter = new ProblemFilter(log?.part(LogPrefix.Entry), this.#context.instruments);
 		const adapter = new FastifyAdapter({
 			bodyLimit: Number.MAX_SAFE_INTEGER,
-			http: toServerOptions(limits),
+			...(pair ? {https: {...toServerOptions(limits), ...pair}} : {http: toServerOptions(limits)}),
 			// Fastify overwrites the server's own with this.
 			requestTimeout: limits.requestTimeoutMs,
 			// Long path segments are bounded by the size of the headers.
@@ -96,6 +102,12 @@
 		clientErrors.attach(this.#server);
 		await app.listen(this.#options.port, this.#options.host);
 		this.#server.on('error', onFailure);
+		if (tls !== undefined && pair !== undefined) {
+			const server = app.getHttpServer() as unknown as HttpsServer;
+			this.#reloader = TlsReloader.start({
+				server, files: tls, current: pair, clock: this.#context.clock, log: log?.part(LogPrefix.Entry),
+			});
+		}
 	}
 
 	/** Cuts off all callers, at the end of a stop that took too long. */
@@ -110,6 +122,7 @@
 		}
 
 		this.#app = undefined;
+		this.#reloader?.stop();
 		const server: Server = app.getHttpServer();
 		// Callers that do not read the end of their answers must not hold up the stop.
 		const timer = this.#context.clock.setTimer(CLOSE_TIMEOUT_MS, () => {
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -13,6 +13,7 @@
 import {Dispatcher} from '../dispatch/dispatcher.js';
 import {EntryPart} from '../entry/entry-part.js';
 import {type HttpLimits} from '../entry/http-limits.js';
+import {type TlsFiles} from '../entry/tls.js';
 import {LeastInFlightScheduler} from '../policy/least-in-flight.js';
 import {type UpstreamView} from '../policy/scheduler.js';
 import {type Table} from '../store/table.js';
@@ -41,6 +42,8 @@
 	readonly maxDrainMs?: number;
 	/** Limits of the HTTP server for callers. */
 	readonly httpLimits?: HttpLimits;
+	/** Callers use TLS where it is set. */
+	readonly tls?: TlsFiles;
 	/** Present where traces are exported. */
 	readonly tracing?: Tracing;
 };
@@ -144,7 +147,7 @@
 	}
 
 	#createEntry(): EntryPart {
-		const {clock, host, port, log, httpLimits: limits} = this.#options;
+		const {clock, host, port, log, httpLimits: limits, tls} = this.#options;
 		return EntryPart.create({
 			clock,
 			invariants: this.invariants,
@@ -158,7 +161,7 @@
 			isRefusing: () => this.#isRefusing,
 			isReady: () => this.settings.isLoaded && !this.#isDraining,
 		}, {
-			host, port, limits, log,
+			host, port, limits, log, tls,
 		});
 	}
 }
