--- a/src/main.ts
+++ b/src/main.ts
@@ -5,11 +5,13 @@
 import {defineCommand, runMain} from 'citty';
 import packageInfo from '../package.json' with {type: 'json'};
 import {devCommand} from './cli/dev.js';
+import {loadCommand} from './cli/load.js';
 
 const mainCommand = defineCommand({
 	meta: {name: 'redwingspool', version: packageInfo.version, description: packageInfo.description},
 	subCommands: {
 		dev: devCommand,
+		load: loadCommand,
 	},
 });
 
