--- a/src/dispatch/relay.ts
+++ b/src/dispatch/relay.ts
@@ -11,21 +11,19 @@
 import {type Claim, type Claims} from '../coordination/claims.js';
 import {type Scheduler, WorkOutcome} from '../policy/scheduler.js';
 import {Engine, type UpstreamClient} from '../upstream/engine.js';
-import {type Exchange, ExchangeHandler, type UpstreamHeaders} from '../upstream/exchange.js';
+import {type Exchange, type UpstreamHeaders} from '../upstream/exchange.js';
 import {Answer} from './answer.js';
 import {type Job} from './dispatcher.js';
 import {endToEndHeaders} from './hop-headers.js';
+import {FirstLeg, OFFSET_HEADER, ResumedLeg} from './legs.js';
 
 const MAX_RECORDED_BYTES = 64 * 1024;
 /** Resumes in a row that deliver nothing new. */
 const MAX_FRUITLESS_RESUMES = 3;
 const ERROR_STATUS = 500;
 const OK_STATUS = 200;
-const NOT_FOUND_STATUS = 404;
 /** Statuses of answers that an idempotent operation is tried again after. */
 const retriedStatuses = new Set([502, 503, 504]);
-/** The offset of the first byte of a resumed answer, where the engine states it. */
-export const OFFSET_HEADER = 'stream-offset';
 
 /** How a relay ended; without an error the caller has its whole answer. */
 export type RelayOutcome = {
@@ -277,95 +275,6 @@
 	}
 }
 
-/** The connection that the request was sent over. */
-class FirstLeg extends ExchangeHandler {
-	readonly #relay: Relay;
-	#offset = 0;
-
-	constructor(relay: Relay) {
-		super();
-		this.#relay = relay;
-	}
-
-	onCommit(): boolean {
-		return this.#relay.commit();
-	}
-
-	onHeaders(status: number, headers: UpstreamHeaders): void {
-		this.#relay.begin(status, headers);
-	}
-
-	onData(chunk: Uint8Array): boolean {
-		const offset = this.#offset;
-		this.#offset += chunk.byteLength;
-		return this.#relay.deliver(offset, chunk);
-	}
-
-	onEnd(): void {
-		this.#relay.end();
-	}
-
-	onError(err: SchedulerError, wasSent: boolean): void {
-		this.#relay.lose(err, wasSent);
-	}
-}
-
-/** A connection that continues the answer; nothing is committed again. */
-class ResumedLeg extends ExchangeHandler {
-	readonly #relay: Relay;
-	#offset: number;
-	#isRefused = false;
-
-	constructor(relay: Relay, offset: number) {
-		super();
-		this.#relay = relay;
-		this.#offset = offset;
-	}
-
-	onCommit(): boolean {
-		return true;
-	}
-
-	onHeaders(status: number, headers: UpstreamHeaders): void {
-		// An engine that resumes streams must echo the dispatch ID, as a resumed answer has no other tie to its request.
-		const isContinued = status === OK_STATUS && headers['dispatch-id'] !== undefined;
-		if (!isContinued) {
-			this.#isRefused = true;
-			if (status >= NOT_FOUND_STATUS && status < ERROR_STATUS) {
-				this.#relay.refuseResume();
-			}
-
-			return;
-		}
-
-		const stated = Number(headers[OFFSET_HEADER] ?? this.#offset);
-		this.#offset = Number.isSafeInteger(stated) && stated >= 0 ? stated : Number.POSITIVE_INFINITY;
-		this.#relay.begin(status, headers);
-	}
-
-	onData(chunk: Uint8Array): boolean {
-		if (this.#isRefused) {
-			return true;
-		}
-
-		const offset = this.#offset;
-		this.#offset += chunk.byteLength;
-		return this.#relay.deliver(offset, chunk);
-	}
-
-	onEnd(): void {
-		if (this.#isRefused) {
-			this.#relay.lose(SchedulerError.create(ErrorKind.UpstreamLost), true);
-		} else {
-			this.#relay.end();
-		}
-	}
-
-	onError(err: SchedulerError): void {
-		this.#relay.lose(err, true);
-	}
-}
-
 function outcomeOf(err: SchedulerError, wasSent: boolean): WorkOutcome {
 	if (err.kind === ErrorKind.Canceled) {
 		return WorkOutcome.Canceled;
