--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -2,6 +2,7 @@
  * The HTTP server for callers, as a part of the supervisor tree.
  */
 import {type Server} from 'node:http';
+import {type Server as HttpsServer} from 'node:https';
 import {type AddressInfo} from 'node:net';
 import {type DynamicModule, Module} from '@nestjs/common';
 import {NestFactory} from '@nestjs/core';
@@ -21,6 +22,9 @@
 import {ProblemFilter} from './problem-filter.js';
 import {RateLimiter} from './rate-limiter.js';
 import {ServicesController} from './services-controller.js';
+import {readTlsPair, type TlsFiles, TlsReloader} from './tls.js';
+
+const CLOSE_TIMEOUT_MS = 10_000;
 
 /** Nest's module of the callers' interface. */
 @Module({})
@@ -40,6 +44,8 @@
 	/** 0 lets the operating system choose. */
 	readonly port: number;
 	readonly limits?: HttpLimits | undefined;
+	/** Callers use TLS where it is set. */
+	readonly tls?: TlsFiles | undefined;
 	readonly log?: Log | undefined;
 };
 
@@ -60,6 +66,7 @@
 	readonly #options: ListenOptions;
 	readonly #operators: OperatorContext | undefined;
 	#app: NestFastifyApplication | undefined;
+	#reloader: TlsReloader | undefined;
 
 	private constructor(context: EntryContext, options: ListenOptions, operators: OperatorContext | undefined) {
 		super();
@@ -79,12 +86,13 @@
 	}
 
 	async start(onFailure: (err: Error) => void): Promise<void> {
-		const {limits = defaultHttpLimits, log} = this.#options;
+		const {limits = defaultHttpLimits, log, tls} = this.#options;
+		const pair = tls && readTlsPair(tls);
 		const clientErrors = ClientErrors.create();
 		const filter = new ProblemFilter(log?.part(LogPrefix.Entry), this.#context.instruments);
 		const adapter = new FastifyAdapter({
 			bodyLimit: Number.MAX_SAFE_INTEGER,
-			http: toServerOptions(limits),
+			...(pair ? {https: {...toServerOptions(limits), ...pair}} : {http: toServerOptions(limits)}),
 			// Fastify overwrites the server's own with this.
 			requestTimeout: limits.requestTimeoutMs,
 			// Long path segments are bounded by the size of the headers.
@@ -95,6 +103,7 @@
 			},
 		});
 		leaveBodiesUnread(adapter);
+		checkRequests(adapter, this.#context);
 		const app = await NestFactory.create<NestFastifyApplication>(EntryModule.create(this.#context, this.#operators), adapter, {
 			logger: false, bodyParser: false, abortOnError: false,
 		});
@@ -103,13 +112,36 @@
 		clientErrors.attach(this.#server);
 		await app.listen(this.#options.port, this.#options.host);
 		this.#server.on('error', onFailure);
+		if (tls !== undefined && pair !== undefined) {
+			const server = app.getHttpServer() as unknown as HttpsServer;
+			this.#reloader = TlsReloader.start({
+				server, files: tls, current: pair, clock: this.#context.clock, log: log?.part(LogPrefix.Entry),
+			});
+		}
+	}
+
+	/** Cuts off all callers, at the end of a stop that took too long. */
+	closeConnections(): void {
+		this.#server.closeAllConnections();
 	}
 
 	async stop(): Promise<void> {
+		const app = this.#app;
+		if (app === undefined) {
+			return;
+		}
+
 		// The server waits for open responses, and watches end only by themselves.
 		this.#operators?.watches.endAll();
-		await this.#app?.close();
 		this.#app = undefined;
+		this.#reloader?.stop();
+		const server: Server = app.getHttpServer();
+		// Callers that do not read the end of their answers must not hold up the stop.
+		const timer = this.#context.clock.setTimer(CLOSE_TIMEOUT_MS, () => {
+			server.closeAllConnections();
+		});
+		await app.close();
+		timer.cancel();
 	}
 
 	get #server(): Server {
@@ -125,7 +157,15 @@
 	fastify.addContentTypeParser('*', (_req: FastifyRequest, _payload: unknown, done: (err: Error | null) => void) => { // eslint-disable-line @typescript-eslint/no-restricted-types -- Fastify's own type
 		done(null);
 	});
-	fastify.addHook('onRequest', (req: FastifyRequest, _reply: FastifyReply, done: (err?: Error) => void) => {
+}
+
+function checkRequests(adapter: FastifyAdapter, context: EntryContext): void {
+	adapter.getInstance().addHook('onRequest', (req: FastifyRequest, reply: FastifyReply, done: (err?: Error) => void) => {
+		if (context.isLeaving?.()) {
+			// Node then answers with `Connection: close`.
+			reply.raw.shouldKeepAlive = false;
+		}
+
 		done(findAmbiguity(req.raw));
 	});
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -7,6 +7,7 @@
 import {configCommand} from './cli/config.js';
 import {devCommand} from './cli/dev.js';
 import {keysCommand} from './cli/keys.js';
+import {loadCommand} from './cli/load.js';
 
 const mainCommand = defineCommand({
 	meta: {name: 'redwingspool', version: packageInfo.version, description: packageInfo.description},
@@ -14,6 +15,7 @@
 		dev: devCommand,
 		config: configCommand,
 		keys: keysCommand,
+		load: loadCommand,
 	},
 });
 
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -13,6 +13,7 @@
 import {Dispatcher} from '../dispatch/dispatcher.js';
 import {EntryPart} from '../entry/entry-part.js';
 import {type HttpLimits} from '../entry/http-limits.js';
+import {type TlsFiles} from '../entry/tls.js';
 import {LeastInFlightScheduler} from '../policy/least-in-flight.js';
 import {type UpstreamView} from '../policy/scheduler.js';
 import {type Table} from '../store/table.js';
@@ -21,6 +22,8 @@
 
 const ENTRIES_KEEP_SECONDS = 10;
 const DRAIN_POLL_MS = 20;
+const DEFAULT_MAX_DRAIN_MS = 300_000;
+const CANCEL_WAIT_MS = 1000;
 
 /** What a node is made of. */
 export type NodeOptions = {
@@ -33,8 +36,14 @@
 	readonly dataCentre: string;
 	/** Tests and randomised runs throw on a violated promise. */
 	readonly throwOnViolation: boolean;
+	/** How long a stopping node still takes new work, as callers keep its address; none by default. */
+	readonly leaveMs?: number;
+	/** Longest wait for requests in flight at a planned stop. */
+	readonly maxDrainMs?: number;
 	/** Limits of the HTTP server for callers. */
 	readonly httpLimits?: HttpLimits;
+	/** Callers use TLS where it is set. */
+	readonly tls?: TlsFiles;
 	/** Present where traces are exported. */
 	readonly tracing?: Tracing;
 };
@@ -57,6 +66,7 @@
 	readonly #entry: EntryPart;
 	readonly #supervisor: Supervisor;
 	#isDraining = false;
+	#isRefusing = false;
 
 	private constructor(options: NodeOptions) {
 		this.#options = options;
@@ -104,20 +114,40 @@
 	/** Planned stop: takes no new work after the drain, and cuts off no request in flight. */
 	async stop(): Promise<void> {
 		this.#isDraining = true;
+		const {clock, leaveMs = 0, maxDrainMs = DEFAULT_MAX_DRAIN_MS} = this.#options;
 		await this.#supervisor.drain();
-		while (this.dispatcher.inFlightCount > 0) {
-			// eslint-disable-next-line no-await-in-loop
-			await this.#options.clock.sleep(DRAIN_POLL_MS);
+		if (leaveMs > 0) {
+			await clock.sleep(leaveMs);
+		}
+
+		this.#isRefusing = true;
+		const isDrained = await this.#waitUntilIdle(maxDrainMs);
+		if (!isDrained) {
+			this.#entry.closeConnections();
+			// The engines are still to be told to cancel.
+			await this.#waitUntilIdle(CANCEL_WAIT_MS);
 		}
 
-		this.invariants.check(PromiseId.GracefulStop, this.dispatcher.inFlightCount === 0, 'A request was in flight at the end of a planned stop.');
 		await this.#supervisor.stop();
 		await this.#upstreams.destroy();
+		this.invariants.check(PromiseId.GracefulStop, isDrained, 'A request was in flight at the end of a planned stop.');
 		this.#log.info('Node stopped.', {id: this.id});
 	}
 
+	/** @returns Whether no request was in flight in the end. */
+	async #waitUntilIdle(maxMs: number): Promise<boolean> {
+		const {clock} = this.#options;
+		const end = clock.now() + maxMs;
+		while (this.dispatcher.inFlightCount > 0 && clock.now() < end) {
+			// eslint-disable-next-line no-await-in-loop
+			await clock.sleep(DRAIN_POLL_MS);
+		}
+
+		return this.dispatcher.inFlightCount === 0;
+	}
+
 	#createEntry(): EntryPart {
-		const {clock, host, port, log, httpLimits: limits} = this.#options;
+		const {clock, host, port, log, httpLimits: limits, tls} = this.#options;
 		return EntryPart.create({
 			clock,
 			invariants: this.invariants,
@@ -127,9 +157,11 @@
 			metrics: async () => this.metrics.expose(),
 			instruments: this.metrics,
 			tracing: this.#options.tracing,
+			isLeaving: () => this.#isDraining,
+			isRefusing: () => this.#isRefusing,
 			isReady: () => this.settings.isLoaded && !this.#isDraining,
 		}, {
-			host, port, limits, log,
+			host, port, limits, log, tls,
 		});
 	}
 }
