Run nodes with policy, membership, shares, claims and settings together

Cause: the parts were built side by side; a node used the simplest scheduler, its own claims and fixed settings. Change: NodeCore assembles policy, claims, gossip, shares, settings, observation of engines and garbage collection; Node adds the servers. The member's address for callers is set once the server listens. A node without any subtree is not ready. Random uses a generator whose first numbers differ for close seeds. Tests: a lost connection no longer stops an idempotent retry, as a crash needs more evidence than one loss; tests of each request's fate use a scheduler that keeps sending to failing upstreams, since ejection would hide a missing budget. A node that boots with nothing but a corrupt subtree is now expected to be not ready.

--- a/bench/relay-node.ts
+++ b/bench/relay-node.ts
@@ -17,7 +17,7 @@
 	const node = Node.create({
 		clock: SystemClock.create(),
 		log: Log.create('error'),
-		table: MemoryTable.create(),
+		platform: {table: MemoryTable.create()},
 		host: '127.0.0.1',
 		port: 0,
 		...location,
--- a/src/base/random.ts
+++ b/src/base/random.ts
@@ -4,7 +4,7 @@
 import {randomInt} from 'node:crypto';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
-import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {mersenne} from 'pure-rand/generator/mersenne';
 
 /** A seeded generator of random numbers. */
 export class Random {
@@ -18,7 +18,8 @@
 	readonly #generator;
 
 	private constructor(seed: number) {
-		this.#generator = xoroshiro128plus(seed);
+		// Unlike the shift-based generators, its first numbers differ for seeds that are close.
+		this.#generator = mersenne(seed);
 	}
 
 	/** @returns A number in [0, 1). */
--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -57,7 +57,7 @@
 		const node = Node.create({
 			clock: SystemClock.create(),
 			log: Log.create(settings['log-level']),
-			table: MemoryTable.create(),
+			platform: {table: MemoryTable.create()},
 			host: settings.host,
 			port: settings.port,
 			region: 'local',
--- a/src/config/deployment.ts
+++ b/src/config/deployment.ts
@@ -51,6 +51,7 @@
 	}
 
 	readonly upstreams: readonly Upstream[];
+	readonly #upstreams: ReadonlyMap<string, Upstream>;
 	readonly #subtrees: ReadonlyMap<string, Subtree>;
 	readonly #customers = new Map<string, Customer>();
 	readonly #operators = new Map<string, Operator>();
@@ -65,6 +66,12 @@
 		}
 
 		this.upstreams = upstreams;
+		this.#upstreams = new Map(upstreams.map(upstream => [upstream.id, upstream]));
+	}
+
+	/** @param id - `<team>/<id>`. */
+	findUpstream(id: string): Upstream | undefined {
+		return this.#upstreams.get(id);
 	}
 
 	/** @returns The customer that an API key belongs to. */
--- a/src/config/subtree-store.ts
+++ b/src/config/subtree-store.ts
@@ -134,7 +134,8 @@
 	}
 
 	#publish(): void {
-		if (this.#isPublishing) {
+		// Without any subtree there is nothing to serve, and the node stays not ready.
+		if (this.#isPublishing && this.#subtrees.size > 0) {
 			const subtrees = [...this.#subtrees.entries()].sort(([a], [b]) => a < b ? -1 : 1);
 			this.#settings.apply(Deployment.create(new Map(subtrees.map(([team, {subtree}]) => [team, subtree]))));
 		}
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -77,8 +77,8 @@
 		return new Membership(options);
 	}
 
-	readonly self: MemberSelf;
 	readonly store = EntryStore.create();
+	#self: MemberSelf;
 	readonly #options: MembershipOptions;
 	readonly #random: Random;
 	readonly #heartbeats: Heartbeats;
@@ -93,7 +93,7 @@
 
 	private constructor(options: MembershipOptions) {
 		this.#options = options;
-		this.self = options.self;
+		this.#self = options.self;
 		this.#random = options.random;
 		this.#incarnation = options.incarnation;
 		this.#startedAt = options.now;
@@ -102,6 +102,18 @@
 		this.#publishSelf(options.now);
 	}
 
+	get self(): MemberSelf {
+		return this.#self;
+	}
+
+	/** Tells the others where callers reach this node, once its server listens. */
+	setEntryAddress(entryAddress: string, now: number): void {
+		this.#self = {...this.#self, entryAddress};
+		// Entries of one incarnation differ in their state only.
+		this.#incarnation += 1;
+		this.#publishSelf(now);
+	}
+
 	get incarnation(): number {
 		return this.#incarnation;
 	}
--- a/src/members/vm-list-part.ts
+++ b/src/members/vm-list-part.ts
@@ -25,7 +25,6 @@
 		return new VmListPart(options);
 	}
 
-	readonly name = 'vm-list';
 	readonly #options: VmListPartOptions;
 	readonly #log: Log;
 	#running: AbortController | undefined;
@@ -37,6 +36,10 @@
 		this.#log = options.log.part(LogPrefix.Members);
 	}
 
+	get name(): string {
+		return 'vm-list';
+	}
+
 	async start(onFailure: (err: Error) => void): Promise<void> {
 		this.#running = new AbortController();
 		void this.#run(this.#running.signal, onFailure);
--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -154,12 +154,6 @@
 			return;
 		}
 
-		if (standing === Standing.Suspect && work.excluded.length > 0) {
-			// An earlier attempt may have crashed an upstream; the system does not repeat suspects.
-			this.#options.events.refuse(work, ErrorKind.UpstreamLost);
-			return;
-		}
-
 		const pool = this.#poolOf(work.pool);
 		const tier = Math.min(TIER_COUNT - 1, Math.max(0, work.tier));
 		this.#startTicking();
--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -12,7 +12,7 @@
 /** How a request may run. */
 export const Standing = {
 	Clear: 'clear',
-	/** At most one such request runs on an upstream at a time, and it is not repeated by the system. */
+	/** At most one such request runs on an upstream at a time. */
 	Suspect: 'suspect',
 	Quarantined: 'quarantined',
 } as const;
--- /dev/null
+++ b/src/serve/node-core.ts
@@ -0,0 +1,276 @@
+/**
+ * Everything of a node but its servers: decisions, claims, settings and the exchange with other nodes.
+ */
+import {type Clock} from '../base/clock.js';
+import {type Invariants} from '../base/invariant.js';
+import {type Log, LogPrefix} from '../base/log.js';
+import {type Metrics} from '../base/metrics.js';
+import {type Random} from '../base/random.js';
+import {createConfigParts, type ConfigParts} from '../config/config-parts.js';
+import {type CurrentSettings} from '../config/current-settings.js';
+import {type Upstream} from '../config/deployment.js';
+import {ClaimCollector} from '../coordination/claim-collector.js';
+import {Lease} from '../coordination/lease.js';
+import {LeasedPart} from '../coordination/leased-part.js';
+import {TableClaims} from '../coordination/table-claims.js';
+import {Dispatcher} from '../dispatch/dispatcher.js';
+import {chooseEntries, type EntriesAnswer} from '../members/entries.js';
+import {type MemberSelf, MemberStatus} from '../members/member.js';
+import {claimStatusHandler, NetworkClaimPeers} from '../peer/claim-status.js';
+import {NetworkConfigPeers} from '../peer/network-config-peers.js';
+import {type PeerHandlers, type PeerTransport} from '../peer/peer-transport.js';
+import {SharesPart} from '../peer/shares-part.js';
+import {PolicyScheduler} from '../policy/policy-scheduler.js';
+import {type Scheduler, type SchedulerEvents} from '../policy/scheduler.js';
+import {type ObjectStore} from '../store/object-store.js';
+import {type Table} from '../store/table.js';
+import {type VmList} from '../store/vm-list.js';
+import {type Part} from '../supervisor/part.js';
+import {type LoadReport, type UpstreamClient} from '../upstream/engine.js';
+import {ObserverPart} from '../upstream/observer-part.js';
+import {UpstreamRegistry} from '../upstream/registry.js';
+import {Members} from './members-parts.js';
+import {TimerPart} from './timer-part.js';
+
+const REFRESH_INTERVAL_MS = 500;
+const LOAD_CALL_TIMEOUT_MS = 1000;
+const CLAIM_STOP_TIMEOUT_MS = 10_000;
+const COLLECTOR_RATE = {pageRows: 100, intervalMs: 1000};
+/** Requests in flight at which a node counts as fully loaded when callers are spread. */
+const FULL_LOAD_REQUESTS = 1000;
+
+/** The platform's services. */
+export type Platform = {
+	readonly table: Table;
+	readonly objects: ObjectStore;
+	readonly vmList: VmList;
+};
+
+/** What a core works with. */
+export type NodeCoreOptions = {
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly random: Random;
+	readonly invariants: Invariants;
+	readonly metrics: Metrics;
+	readonly settings: CurrentSettings;
+	readonly platform: Platform;
+	readonly self: MemberSelf;
+	readonly transport: PeerTransport;
+	/** Peer addresses from the settings. */
+	readonly seeds: readonly string[];
+	/** Makes the clients of upstreams; over HTTP by default. */
+	readonly createClient?: (upstream: Upstream) => UpstreamClient;
+	/** Makes another scheduler than the standard one. */
+	readonly createScheduler?: (events: SchedulerEvents) => Scheduler;
+	/** A newer process took this VM's identity. */
+	readonly onSuperseded: () => void;
+};
+
+/** The core of one node. */
+export class NodeCore {
+	static create(options: NodeCoreOptions): NodeCore {
+		return new NodeCore(options);
+	}
+
+	readonly dispatcher: Dispatcher;
+	readonly claims: TableClaims;
+	readonly config: ConfigParts;
+	readonly members: Members;
+	/** To run under the node's supervisor, in this order. */
+	readonly parts: readonly Part[];
+	/** Answers the calls of peers. */
+	readonly handlers: PeerHandlers;
+	readonly #options: NodeCoreOptions;
+	readonly #upstreams: UpstreamRegistry;
+	readonly #unsubscribe: () => void;
+
+	private constructor(options: NodeCoreOptions) {
+		const {
+			clock, log, random, invariants, metrics, settings, platform, self, transport,
+		} = options;
+		this.#options = options;
+		this.#upstreams = UpstreamRegistry.create(options.createClient);
+		this.members = Members.create({
+			...options,
+			vmList: platform.vmList,
+			onUpstreams: views => {
+				this.dispatcher.scheduler.setUpstreams(views);
+			},
+		});
+		const pushUrgent = () => {
+			this.members.gossip.pushUrgent();
+		};
+
+		this.claims = TableClaims.create(platform.table, self.process, {
+			clock, invariants, objects: platform.objects, peers: NetworkClaimPeers.create(transport, () => this.members.others),
+		});
+		this.dispatcher = Dispatcher.create({
+			clock, invariants, metrics, upstreams: this.#upstreams, claims: this.claims, createScheduler: options.createScheduler ?? (events => this.#createScheduler(events)),
+		});
+		const configPeers = NetworkConfigPeers.create({
+			clock, topics: this.members.topics, transport, members: () => this.members.others, pushUrgent,
+		});
+		this.config = createConfigParts({
+			clock,
+			log,
+			random,
+			invariants,
+			table: platform.table,
+			objects: platform.objects,
+			peers: configPeers,
+			settings,
+			nodeId: self.id,
+			region: self.region,
+			isFreshnessWriter: () => this.members.isFreshnessWriter,
+		});
+		const shares = this.#createShares();
+		this.handlers = {
+			...this.members.gossip.handlers, ...shares.handlers, ...claimStatusHandler(this.claims), ...configPeers.handlers, ...this.#loadHandlers(),
+		};
+		this.parts = [
+			this.members.gossip, this.members.vmList, ...this.config.parts, this.#createRefresher(), shares, this.#createObserver(), this.#createCollector(),
+		];
+		this.#unsubscribe = settings.subscribe(deployment => {
+			this.#upstreams.update(deployment);
+			this.members.setDeployment(deployment);
+		});
+		this.#listen();
+	}
+
+	/** Addresses for a caller. */
+	entriesFor(caller: string): EntriesAnswer {
+		return chooseEntries({id: caller, region: this.#options.self.region}, this.members.all);
+	}
+
+	/** Records what is still to be recorded of ended requests; to be called after the drain. */
+	async flush(): Promise<void> {
+		await this.claims.stop(CLAIM_STOP_TIMEOUT_MS);
+		await this.members.gossip.announceLeft();
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		this.#unsubscribe();
+		this.#options.transport.close();
+		await this.#upstreams.destroy();
+	}
+
+	#createScheduler(events: SchedulerEvents): Scheduler {
+		const {clock, random, invariants, self} = this.#options;
+		const {topics, gossip} = this.members;
+		return PolicyScheduler.create({
+			clock,
+			random,
+			invariants,
+			nodeId: self.process,
+			region: self.region,
+			events: {
+				...events,
+				notePressure(pool, tier) {
+					if (topics.publishPressure(pool, tier, clock.now())) {
+						gossip.pushUrgent();
+					}
+				},
+				noteSuspicion(suspicion) {
+					topics.publishSuspicion(suspicion, clock.now());
+					gossip.pushUrgent();
+				},
+			},
+		});
+	}
+
+	#createShares(): SharesPart {
+		const {clock, transport, self, settings} = this.#options;
+		const {members} = this;
+		return SharesPart.create({
+			self,
+			clock,
+			transport,
+			demand: () => this.dispatcher.scheduler.demand,
+			allocatorOf: id => members.allocatorOf(id),
+			nodeCountOf: id => members.nodesOf(id).length,
+			maxConcurrencyOf: id => settings.deployment.findUpstream(id)?.settings.maxConcurrency,
+			setShare: (id, slots) => {
+				this.dispatcher.scheduler.setShare(id, slots, slots);
+			},
+		});
+	}
+
+	#createObserver(): ObserverPart {
+		return ObserverPart.create({
+			clock: this.#options.clock,
+			upstreams: this.#upstreams,
+			scheduler: this.dispatcher.scheduler,
+			assigned: () => this.members.assigned,
+			isAllocator: id => this.members.isAllocator(id),
+			onLoad: (id, report) => {
+				this.#sendLoad(id, report);
+			},
+			onLeaving: id => {
+				this.members.reportLeaving(id);
+			},
+		});
+	}
+
+	#createRefresher(): TimerPart {
+		const {clock} = this.#options;
+		return TimerPart.create('assignment', clock, REFRESH_INTERVAL_MS, () => {
+			this.members.refresh();
+			this.members.setLoad(Math.round(100 * Math.min(1, this.dispatcher.inFlightCount / FULL_LOAD_REQUESTS)));
+		});
+	}
+
+	#createCollector(): LeasedPart {
+		const {clock, platform, self} = this.#options;
+		const collector = ClaimCollector.create(platform.table, clock, COLLECTOR_RATE);
+		return LeasedPart.create({
+			name: 'claim-collector',
+			clock,
+			lease: Lease.create({
+				table: platform.table, clock, name: 'claim-collector', holder: self.process,
+			}),
+			intervalMs: COLLECTOR_RATE.intervalMs,
+			round: async () => collector.collectPage(),
+		});
+	}
+
+	#listen(): void {
+		const {clock, self, log} = this.#options;
+		const {scheduler} = this.dispatcher;
+		const {topics} = this.members;
+		topics.subscribe('pressure', ({pool, tier, remainingMs}) => {
+			scheduler.setPressure(pool, tier, clock.now() + remainingMs);
+		});
+		topics.subscribe('suspicion', suspicion => {
+			scheduler.importSuspicions([suspicion]);
+		});
+		topics.subscribe('leaving', ({upstreamId, isLeaving}) => {
+			log.part(LogPrefix.Members).info('An upstream changed its state.', {upstreamId, isLeaving, vm: self.id});
+		});
+	}
+
+	#sendLoad(upstreamId: string, {runningCount, waitingCount, cacheCapacityTokens, cacheUsedTokens, ageMs}: LoadReport): void {
+		const {transport, self} = this.#options;
+		const loads = [{
+			upstreamId, running: runningCount, waiting: waitingCount, kvCacheUsed: cacheUsedTokens / Math.max(1, cacheCapacityTokens), ageMs: Math.round(ageMs),
+		}];
+		for (const {id, address, status} of this.members.nodesOf(upstreamId)) {
+			if (id !== self.id && status === MemberStatus.Alive) {
+				void transport.call(address, 'loadReport', {loads}, LOAD_CALL_TIMEOUT_MS);
+			}
+		}
+	}
+
+	#loadHandlers(): Pick<PeerHandlers, 'loadReport'> {
+		return {
+			loadReport: ({loads}) => {
+				for (const {upstreamId, running, waiting, ageMs} of loads) {
+					this.dispatcher.scheduler.noteLoad(upstreamId, running + waiting, ageMs);
+				}
+
+				return {};
+			},
+		};
+	}
+}
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -1,39 +1,66 @@
 /**
- * Assembles the parts of one entry VM's process.
+ * One entry VM's process: the root of the supervisor tree.
  */
-import {randomUUID} from 'node:crypto';
+import {randomBytes, randomUUID} from 'node:crypto';
 import {type Clock} from '../base/clock.js';
 import {Invariants, PromiseId} from '../base/invariant.js';
 import {type Log, LogPrefix} from '../base/log.js';
 import {Metrics} from '../base/metrics.js';
+import {Random} from '../base/random.js';
 import {type Tracing} from '../base/trace.js';
 import {CurrentSettings} from '../config/current-settings.js';
-import {type Deployment} from '../config/deployment.js';
-import {TableClaims} from '../coordination/table-claims.js';
-import {Dispatcher} from '../dispatch/dispatcher.js';
+import {registerConfigMetrics} from '../config/config-metrics.js';
+import {type Dispatcher} from '../dispatch/dispatcher.js';
+import {BodyBudget} from '../entry/body.js';
 import {EntryPart} from '../entry/entry-part.js';
 import {type HttpLimits} from '../entry/http-limits.js';
+import {SubtreeWatches} from '../entry/operator-watch.js';
 import {type TlsFiles} from '../entry/tls.js';
-import {LeastInFlightScheduler} from '../policy/least-in-flight.js';
-import {type UpstreamView} from '../policy/scheduler.js';
-import {type Table} from '../store/table.js';
+import {Authenticator} from '../peer/authentication.js';
+import {ConnectTransport, type PeerTls} from '../peer/connect-transport.js';
+import {PeerPart} from '../peer/peer-part.js';
+import {type PeerHandlers} from '../peer/peer-transport.js';
+import {type Scheduler, type SchedulerEvents} from '../policy/scheduler.js';
+import {MemoryObjectStore, MemoryTable, MemoryVmList} from '../store/memory-table.js';
 import {Supervisor} from '../supervisor/supervisor.js';
-import {UpstreamRegistry} from '../upstream/registry.js';
+import {NodeCore, type Platform} from './node-core.js';
+import {waitUntil} from './wait-until.js';
 
-const ENTRIES_KEEP_SECONDS = 10;
-const DRAIN_POLL_MS = 20;
+const PEER_KEY_BYTES = 32;
 const DEFAULT_MAX_DRAIN_MS = 300_000;
 const CANCEL_WAIT_MS = 1000;
 
+/** How a node reaches the others. A node without it is on its own. */
+export type PeerSettings = {
+	/** IP number and port for peers. */
+	readonly host: string;
+	readonly port: number;
+	/** The deployment's shared key. */
+	readonly key: Uint8Array;
+	readonly tls?: PeerTls;
+	/** Peer addresses to start from, besides the VM list. */
+	readonly seeds: readonly string[];
+};
+
 /** What a node is made of. */
 export type NodeOptions = {
 	readonly clock: Clock;
 	readonly log: Log;
-	readonly table: Table;
+	/** The platform's services; in memory by default. */
+	readonly platform?: Partial<Platform>;
 	readonly host: string;
 	readonly port: number;
 	readonly region: string;
 	readonly dataCentre: string;
+	/** Identity of the VM, which a restarted process keeps; a random one by default. */
+	readonly vmId?: string;
+	readonly peers?: PeerSettings;
+	/** SHA-256 digest in hex of the key that makes a team's first operator. */
+	readonly bootstrapDigest?: string;
+	/** Called when a newer process has this VM's identity; this one must stop. */
+	readonly onSuperseded?: () => void;
+	/** Makes another scheduler than the standard one. */
+	readonly createScheduler?: (events: SchedulerEvents) => Scheduler;
 	/** Tests and randomised runs throw on a violated promise. */
 	readonly throwOnViolation: boolean;
 	/** How long a stopping node still takes new work, as callers keep its address; none by default. */
@@ -48,22 +75,27 @@
 	readonly tracing?: Tracing;
 };
 
-/** One entry VM's process: the root of the supervisor tree. */
+/** One entry VM's process. */
 export class Node {
 	static create(options: NodeOptions): Node {
 		return new Node(options);
 	}
 
-	/** Identity of this process; a restarted process is another one. */
-	readonly id = randomUUID();
 	readonly settings = CurrentSettings.create();
 	readonly invariants: Invariants;
 	readonly metrics = Metrics.create();
-	readonly dispatcher: Dispatcher;
+	readonly platform: Platform;
 	readonly #options: NodeOptions;
 	readonly #log: Log;
-	readonly #upstreams = UpstreamRegistry.create();
-	readonly #entry: EntryPart;
+	readonly #vmId: string;
+	readonly #authenticator: Authenticator;
+	readonly #transport: ConnectTransport;
+	readonly #peer: PeerPart;
+	readonly #bodyBudget = BodyBudget.create();
+	/** Filled once the addresses are known, right after the start of the peer server. */
+	readonly #handlers: {-readonly [Method in keyof PeerHandlers]: PeerHandlers[Method]} = {};
+	#core: NodeCore | undefined;
+	#entry: EntryPart | undefined;
 	readonly #supervisor: Supervisor;
 	#isDraining = false;
 	#isRefusing = false;
@@ -71,6 +103,10 @@
 	private constructor(options: NodeOptions) {
 		this.#options = options;
 		this.#log = options.log.part(LogPrefix.Serve);
+		this.#vmId = options.vmId ?? randomUUID();
+		this.platform = {
+			table: MemoryTable.create(), objects: MemoryObjectStore.create(), vmList: MemoryVmList.create(), ...options.platform,
+		};
 		const invariantLog = options.log.part(LogPrefix.Invariant);
 		this.invariants = Invariants.create({
 			throwOnViolation: options.throwOnViolation,
@@ -78,40 +114,60 @@
 				invariantLog.error('A promise was violated.', {promise, detail});
 			},
 		});
-		this.dispatcher = Dispatcher.create({
-			clock: options.clock,
-			invariants: this.invariants,
-			upstreams: this.#upstreams,
-			metrics: this.metrics,
-			claims: TableClaims.create(options.table, this.id),
-			createScheduler: events => LeastInFlightScheduler.create(options.clock, events),
-		});
-		this.metrics.observe({
-			invariants: this.invariants,
-			inFlight: () => this.dispatcher.inFlightCount,
-			waiting: () => this.dispatcher.scheduler.waitingCount,
+		const {host, port, key, tls} = options.peers ?? {host: '127.0.0.1', port: 0, key: randomBytes(PEER_KEY_BYTES)};
+		this.#authenticator = Authenticator.create(key, () => this.#core?.members.incarnation ?? 0);
+		this.#transport = ConnectTransport.create(this.#authenticator, tls);
+		this.#peer = PeerPart.create({
+			host, port, authenticator: this.#authenticator, tls, handlers: this.#handlers,
 		});
-		this.settings.subscribe(deployment => {
-			this.#upstreams.update(deployment);
-			this.dispatcher.scheduler.setUpstreams(toViews(deployment));
-		});
-		this.#entry = this.#createEntry();
 		this.#supervisor = Supervisor.create({
-			name: 'node', parts: [this.#entry], clock: options.clock, log: options.log,
+			name: 'node', parts: [], clock: options.clock, log: options.log,
 		});
 	}
 
+	/** Identity of this process; a restarted process is another one. */
+	get id(): string {
+		return this.#authenticator.process;
+	}
+
 	/** `host:port` for callers. */
 	get address(): string {
-		return this.#entry.address;
+		return this.#entry!.address;
+	}
+
+	/** `host:port` for peers. */
+	get peerAddress(): string {
+		return this.#peer.address;
+	}
+
+	get core(): NodeCore {
+		return this.#core!;
+	}
+
+	get dispatcher(): Dispatcher {
+		return this.core.dispatcher;
 	}
 
 	async start(): Promise<void> {
-		await this.#supervisor.start();
-		this.#log.info('Node started.', {id: this.id, address: this.address, region: this.#options.region});
+		const {region} = this.#options;
+		await this.#supervisor.add(this.#peer);
+		const core = this.#createCore();
+		this.#core = core;
+		Object.assign(this.#handlers, core.handlers);
+		this.#entry = this.#createEntry(core);
+		await this.#supervisor.add(this.#entry);
+		core.members.setEntryAddress(this.address);
+		for (const part of core.parts) {
+			// eslint-disable-next-line no-await-in-loop -- parts depend on those before them
+			await this.#supervisor.add(part);
+		}
+
+		this.#log.info('Node started.', {
+			vm: this.#vmId, process: this.id, address: this.address, peerAddress: this.peerAddress, region,
+		});
 	}
 
-	/** Planned stop: takes no new work after the drain, and cuts off no request in flight. */
+	/** Planned stop: is announced, takes no new work after a while, and cuts off no request in flight. */
 	async stop(): Promise<void> {
 		this.#isDraining = true;
 		const {clock, leaveMs = 0, maxDrainMs = DEFAULT_MAX_DRAIN_MS} = this.#options;
@@ -121,59 +177,70 @@
 		}
 
 		this.#isRefusing = true;
-		const isDrained = await this.#waitUntilIdle(maxDrainMs);
+		const isIdle = () => this.dispatcher.inFlightCount === 0;
+		const isDrained = await waitUntil(clock, isIdle, maxDrainMs);
 		if (!isDrained) {
-			this.#entry.closeConnections();
+			this.#entry!.closeConnections();
 			// The engines are still to be told to cancel.
-			await this.#waitUntilIdle(CANCEL_WAIT_MS);
+			await waitUntil(clock, isIdle, CANCEL_WAIT_MS);
 		}
 
+		await this.#entry!.stop();
+		await this.core.flush();
 		await this.#supervisor.stop();
-		await this.#upstreams.destroy();
+		await this.core.close();
 		this.invariants.check(PromiseId.GracefulStop, isDrained, 'A request was in flight at the end of a planned stop.');
-		this.#log.info('Node stopped.', {id: this.id});
+		this.#log.info('Node stopped.', {vm: this.#vmId});
 	}
 
-	/** @returns Whether no request was in flight in the end. */
-	async #waitUntilIdle(maxMs: number): Promise<boolean> {
-		const {clock} = this.#options;
-		const end = clock.now() + maxMs;
-		while (this.dispatcher.inFlightCount > 0 && clock.now() < end) {
-			// eslint-disable-next-line no-await-in-loop
-			await clock.sleep(DRAIN_POLL_MS);
-		}
-
-		return this.dispatcher.inFlightCount === 0;
+	#createCore(): NodeCore {
+		const {clock, log, region, dataCentre, peers} = this.#options;
+		return NodeCore.create({
+			clock,
+			log,
+			random: Random.create(),
+			invariants: this.invariants,
+			metrics: this.metrics,
+			settings: this.settings,
+			platform: this.platform,
+			self: {
+				id: this.#vmId, process: this.id, address: this.peerAddress, entryAddress: '', region, dataCentre,
+			},
+			transport: this.#transport,
+			createScheduler: this.#options.createScheduler,
+			seeds: peers?.seeds ?? [],
+			onSuperseded: () => {
+				this.#log.error('A newer process has this VM\'s identity.', {vm: this.#vmId});
+				this.#options.onSuperseded?.();
+			},
+		});
 	}
 
-	#createEntry(): EntryPart {
-		const {clock, host, port, log, httpLimits: limits, tls} = this.#options;
+	#createEntry(core: NodeCore): EntryPart {
+		const {
+			clock, host, port, log, httpLimits: limits, tls, tracing, bootstrapDigest,
+		} = this.#options;
+		const {dispatcher, config: {sync, service}} = core;
+		this.metrics.observe({
+			invariants: this.invariants, inFlight: () => dispatcher.inFlightCount, waiting: () => dispatcher.scheduler.waitingCount,
+		});
+		registerConfigMetrics(this.metrics.registry, sync);
 		return EntryPart.create({
 			clock,
 			invariants: this.invariants,
 			settings: this.settings,
-			dispatcher: this.dispatcher,
-			entriesFor: () => ({addresses: [this.address], keepSeconds: ENTRIES_KEEP_SECONDS}),
+			dispatcher,
+			entriesFor: caller => core.entriesFor(caller),
 			metrics: async () => this.metrics.expose(),
 			instruments: this.metrics,
-			tracing: this.#options.tracing,
+			tracing,
 			isLeaving: () => this.#isDraining,
 			isRefusing: () => this.#isRefusing,
 			isReady: () => this.settings.isLoaded && !this.#isDraining,
 		}, {
 			host, port, limits, log, tls,
+		}, {
+			clock, bodyBudget: this.#bodyBudget, service, sync, watches: SubtreeWatches.create(clock, sync), bootstrapDigest,
 		});
 	}
 }
-
-function toViews(deployment: Deployment): UpstreamView[] {
-	return deployment.upstreams.map(({id, pool, settings}) => ({
-		id,
-		pool,
-		region: settings.region,
-		dataCentre: settings.dataCentre,
-		models: settings.models,
-		maxConcurrency: settings.maxConcurrency,
-		isLeaving: settings.leaving,
-	}));
-}
--- a/src/supervisor/supervisor.ts
+++ b/src/supervisor/supervisor.ts
@@ -61,6 +61,15 @@
 		}
 	}
 
+	/** Starts a further part and supervises it; a failure of its first start is the caller's to handle. */
+	async add(part: Part): Promise<void> {
+		const child: Child = {
+			part, restarts: 0, startedAt: 0, isRestarting: false,
+		};
+		this.#children.push(child);
+		await this.#startChild(child);
+	}
+
 	override async drain(): Promise<void> {
 		this.#isStopping = true;
 		await Promise.all(this.#children.map(async child => child.part.drain()));
--- a/src/upstream/registry.ts
+++ b/src/upstream/registry.ts
@@ -15,14 +15,22 @@
 
 /** Keeps a client for each upstream, and one that was removed until its last exchange has ended. */
 export class UpstreamRegistry {
-	static create(): UpstreamRegistry {
-		return new UpstreamRegistry();
+	/** @param createClient - Makes the client of an upstream. */
+	static create(createClient: (upstream: Upstream) => UpstreamClient = createHttpClient): UpstreamRegistry {
+		return new UpstreamRegistry(createClient);
 	}
 
+	readonly #createClient: (upstream: Upstream) => UpstreamClient;
+
 	readonly #entries = new Map<string, Entry>();
 
-	private constructor() {
-		// Use `create`.
+	private constructor(createClient: (upstream: Upstream) => UpstreamClient) {
+		this.#createClient = createClient;
+	}
+
+	/** @returns The client of an upstream for control operations; exchanges use `acquire`. */
+	clientOf(upstreamId: string): UpstreamClient | undefined {
+		return this.#entries.get(upstreamId)?.client;
 	}
 
 	/** Adds, replaces and removes clients so that they match the settings. */
@@ -37,7 +45,7 @@
 		}
 
 		for (const [id, upstream] of next) {
-			const client = this.#entries.get(id)?.client ?? createClient(upstream);
+			const client = this.#entries.get(id)?.client ?? this.#createClient(upstream);
 			const inFlight = this.#entries.get(id)?.inFlight ?? 0;
 			this.#entries.set(id, {
 				upstream, client, inFlight, isRemoved: false,
@@ -75,7 +83,8 @@
 	}
 }
 
-function createClient(upstream: Upstream): UpstreamClient {
+/** @returns The client for an upstream over HTTP. */
+function createHttpClient(upstream: Upstream): UpstreamClient {
 	const {url} = upstream.settings;
 	return upstream.kind === 'model' ? CompletionsEngine.create(url) : HttpPlainService.create(url);
 }
--- a/test/config/settings-tree.test.ts
+++ b/test/config/settings-tree.test.ts
@@ -96,12 +96,14 @@
 		expect(node.sync.status.rejected[0]).to.include({team: 'team', version: 2});
 		const late = await world.boot('b', 'north');
 		await world.clock.advanceAsync(6000);
-		expect(late.settings.isLoaded).to.equal(true);
+		// Without any subtree there is nothing to serve; ready, it would refuse every caller's key.
+		expect(late.settings.isLoaded).to.equal(false);
 		const repaired = await put('a', 2, operator('repaired'));
 		expect(repaired.isOk && repaired.value.version).to.equal(3);
 		await world.clock.advanceAsync(6000);
 		expect(node.sync.status.rejected).to.deep.equal([]);
 		expect(late.sync.status.applied).to.deep.equal([{team: 'team', version: 3}]);
+		expect(late.settings.isLoaded).to.equal(true);
 	});
 
 	it('ignores a body from the store that no longer matches the schema', async () => {
