Add the serve command and a test of eight nodes over real sockets

Cause: no command ran a node against the platform, and no test ran several processes together. The first run of the new test found that no node heard of another: the peer server took its handlers when it started, before the node had any. Change: serve with checked settings for platform, peers, TLS, drain and traces; handlers are looked up at each call; the test starts eight processes, kills one, stops one under load and takes the store down.

--- a/src/main.ts
+++ b/src/main.ts
@@ -8,10 +8,12 @@
 import {devCommand} from './cli/dev.js';
 import {keysCommand} from './cli/keys.js';
 import {loadCommand} from './cli/load.js';
+import {serveCommand} from './cli/serve.js';
 
 const mainCommand = defineCommand({
 	meta: {name: 'redwingspool', version: packageInfo.version, description: packageInfo.description},
 	subCommands: {
+		serve: serveCommand,
 		dev: devCommand,
 		config: configCommand,
 		keys: keysCommand,
--- a/src/peer/peer-part.ts
+++ b/src/peer/peer-part.ts
@@ -8,7 +8,7 @@
 import {once} from 'node:events';
 import {toBinary} from '@bufbuild/protobuf';
 import {
-	Code, ConnectError, type ConnectRouter, type Interceptor,
+	Code, ConnectError, type ConnectRouter, type Interceptor, type ServiceImpl,
 } from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {Part} from '../supervisor/part.js';
@@ -17,7 +17,7 @@
 } from './authentication.js';
 import {type PeerTls} from './connect-transport.js';
 import {PeerService} from './generated/redwingspool/peer/v1/peer_pb.js';
-import {type PeerHandlers} from './peer-transport.js';
+import {type PeerHandlers, type PeerMethod} from './peer-transport.js';
 
 const MAX_MESSAGE_BYTES = 1_048_576;
 
@@ -59,7 +59,7 @@
 	async start(onFailure: (err: Error) => void): Promise<void> {
 		const {host, port, tls} = this.#options;
 		const handler = connectNodeAdapter({
-			routes: (router: ConnectRouter) => router.service(PeerService, this.#options.handlers),
+			routes: (router: ConnectRouter) => router.service(PeerService, toService(this.#options.handlers)),
 			interceptors: [authenticate(this.#options.authenticator)],
 			readMaxBytes: MAX_MESSAGE_BYTES,
 			grpc: false,
@@ -97,6 +97,19 @@
 	}
 }
 
+/** Looks handlers up at each call, as a node adds them after its server listens. */
+function toService(handlers: PeerHandlers): Partial<ServiceImpl<typeof PeerService>> {
+	const methods = Object.keys(PeerService.method) as PeerMethod[];
+	return Object.fromEntries(methods.map(method => [method, (req: never) => {
+		const handler = handlers[method] as ((req: never) => Record<string, unknown>) | undefined;
+		if (handler === undefined) {
+			throw new ConnectError(`There is no handler for ${method}.`, Code.Unimplemented);
+		}
+
+		return handler(req);
+	}]));
+}
+
 /** Refuses requests that are not authentic, and signs responses. */
 function authenticate(authenticator: Authenticator): Interceptor {
 	return next => async req => {
--- /dev/null
+++ b/src/serve/create-node.ts
@@ -0,0 +1,127 @@
+/**
+ * Makes a node from the settings of its process.
+ */
+import {readFileSync} from 'node:fs';
+import Result, {ok} from 'true-myth/result';
+import {SystemClock} from '../base/clock.js';
+import {type Log} from '../base/log.js';
+import {Tracing} from '../base/trace.js';
+import {type TlsFiles} from '../entry/tls.js';
+import {type PeerTls} from '../peer/connect-transport.js';
+import {DynamoTable} from '../store/dynamo-table.js';
+import {GuardedTable} from '../store/guarded-table.js';
+import {HttpVmList} from '../store/http-vm-list.js';
+import {S3ObjectStore} from '../store/s3-object-store.js';
+import {type NodeSettings} from './node-settings.js';
+import {Node} from './node.js';
+
+const STORE_CONNECT_TIMEOUT_MS = 500;
+const STORE_REQUEST_TIMEOUT_MS = 1500;
+const STORE_CONNECTIONS = 32;
+const MIN_PEER_KEY_BYTES = 16;
+
+/** A node with what must be closed after it. */
+export type CreatedNode = {
+	readonly node: Node;
+	/** Releases the connections to the platform and sends the last traces; to be called after the stop. */
+	readonly close: () => Promise<void>;
+};
+
+/**
+ * @param onSuperseded - Called when a newer process has this VM's identity.
+ * @returns The node, or what is wrong with the files that the settings name.
+ */
+export function createNode(settings: NodeSettings, log: Log, onSuperseded: () => void): Result<CreatedNode, string> {
+	try {
+		return ok(build(settings, log, onSuperseded));
+	} catch (error) {
+		return Result.err((error as Error).message);
+	}
+}
+
+function build(settings: NodeSettings, log: Log, onSuperseded: () => void): CreatedNode {
+	const clock = SystemClock.create();
+	const store = storeOptions(settings);
+	const table = DynamoTable.create({...store, endpoint: settings['table-url'], tableName: settings['table-name']});
+	const objects = S3ObjectStore.create({...store, endpoint: settings['objects-url'], bucket: settings.bucket});
+	const vmList = HttpVmList.create({
+		url: settings['vm-list-url'], connectTimeoutMs: STORE_CONNECT_TIMEOUT_MS, requestTimeoutMs: STORE_REQUEST_TIMEOUT_MS,
+	});
+	const target = settings['trace-url'];
+	const tracing = target === undefined ? undefined : Tracing.create({target, sampleRatio: settings['trace-ratio'], instanceId: settings['vm-id']});
+	const node = Node.create({
+		clock,
+		log,
+		platform: {table: GuardedTable.create(table, clock), objects, vmList},
+		host: settings.host,
+		port: settings.port,
+		region: settings.region,
+		dataCentre: settings['data-centre'],
+		vmId: settings['vm-id'],
+		peers: {
+			host: settings.host, port: settings['peer-port'], key: readPeerKey(settings['peer-key-file']), tls: readPeerTls(settings), seeds: settings.peers,
+		},
+		bootstrapDigest: settings['bootstrap-digest'],
+		onSuperseded,
+		throwOnViolation: false,
+		leaveMs: settings['leave-ms'],
+		maxDrainMs: settings['drain-ms'],
+		tls: callerTls(settings),
+		tracing,
+	});
+	return {
+		node,
+		async close() {
+			table.destroy();
+			objects.destroy();
+			await vmList.destroy();
+			await tracing?.stop();
+		},
+	};
+}
+
+function storeOptions(settings: NodeSettings) {
+	const secretFile = settings['store-secret-file'];
+	return {
+		region: settings['store-region'],
+		accessKeyId: settings['store-access-key'],
+		secretAccessKey: secretFile === undefined ? 'none' : readFileSync(secretFile, 'utf8').trim(),
+		connectTimeoutMs: STORE_CONNECT_TIMEOUT_MS,
+		requestTimeoutMs: STORE_REQUEST_TIMEOUT_MS,
+		maxConnections: STORE_CONNECTIONS,
+	};
+}
+
+function readPeerKey(file: string): Uint8Array {
+	const key = readFileSync(file);
+	if (key.byteLength < MIN_PEER_KEY_BYTES) {
+		throw new Error(`--peer-key-file: expected at least ${MIN_PEER_KEY_BYTES} bytes in ${file}; got ${key.byteLength}`);
+	}
+
+	return key;
+}
+
+function readPeerTls(settings: NodeSettings): PeerTls | undefined {
+	const files = [settings['peer-tls-key-file'], settings['peer-tls-cert-file'], settings['peer-tls-ca-file']];
+	const given = files.filter(file => file !== undefined);
+	if (given.length === 0) {
+		return undefined;
+	}
+
+	if (given.length < files.length) {
+		throw new Error('--peer-tls-key-file, --peer-tls-cert-file, --peer-tls-ca-file: expected all three or none');
+	}
+
+	const [key, cert, ca] = given.map(file => readFileSync(file, 'utf8')) as [string, string, string];
+	return {key, cert, ca};
+}
+
+function callerTls(settings: NodeSettings): TlsFiles | undefined {
+	const keyFile = settings['tls-key-file'];
+	const certFile = settings['tls-cert-file'];
+	if ((keyFile === undefined) !== (certFile === undefined)) {
+		throw new Error('--tls-key-file, --tls-cert-file: expected both or none');
+	}
+
+	return keyFile === undefined || certFile === undefined ? undefined : {keyFile, certFile};
+}
