Add randomised runs of a whole deployment and fix what they found

Cause: no run exercised policy, claims, gossip, settings and stops together under two and more faults at once. Change: npm run soak drives six node cores, eight upstreams, a faulty store and repeating callers in virtual time, with fourteen kinds of faults; the promises are checked in the program and against a record of what upstreams ran. One deliberate break for each promise shows that it is found.

--- a/soak/fake-upstream.ts
+++ b/soak/fake-upstream.ts
@@ -44,13 +44,20 @@
 /** One back end of the simulated deployment. All processes reach the same one. */
 export class FakeUpstream {
 	readonly condition: UpstreamCondition = {isDown: false, slowness: 1, cutChance: 0};
-	/** Bodies in the order in which they started to run. */
-	readonly executions: string[] = [];
+	/** Since when the upstream takes no new work. */
+	leavingSince: number | undefined;
+	/** Called for each request that is accepted. */
+	onAccept: (upstream: FakeUpstream, body: string) => void = () => undefined;
+	/** A break: how often each request runs. */
+	runsPerRequest = 1;
+	/** A break: requests run, and their clients are told that the connection was refused. */
+	runsBeforeRefusal = false;
+	readonly #executions = new Map<string, number>();
 	readonly #clock: VirtualClock;
 	readonly #random: Random;
 	readonly #partMs: number;
 	readonly #streams = new Map<string, Stream>();
-	#running = new Set<FakeExchange>();
+	readonly #running = new Set<FakeExchange>();
 	#greatestFencingNumber = 0;
 	#timer: Timer | undefined;
 
@@ -90,7 +97,7 @@
 			return;
 		}
 
-		this.executions.push(body);
+		this.noteRun(body);
 		this.#streams.set(dispatchId, {body, startedAt: this.#clock.now()});
 		this.#running.add(exchange);
 		if (body.startsWith('poison')) {
@@ -126,6 +133,17 @@
 		return 'accepted';
 	}
 
+	/** Records that a body started to run. */
+	noteRun(body: string): void {
+		this.#executions.set(body, this.executionsOf(body) + this.runsPerRequest);
+		this.onAccept(this, body);
+	}
+
+	/** @returns How often a body started to run. */
+	executionsOf(body: string): number {
+		return this.#executions.get(body) ?? 0;
+	}
+
 	get runningCount(): number {
 		return this.#running.size;
 	}
@@ -196,7 +214,11 @@
 					return;
 				}
 
-				if (this.#upstream.condition.isDown) {
+				if (this.#upstream.runsBeforeRefusal) {
+					this.#upstream.noteRun(this.body);
+				}
+
+				if (this.#upstream.condition.isDown || this.#upstream.runsBeforeRefusal) {
 					this.#fail(ErrorKind.NoUpstream, false);
 				} else if (this.#handler.onCommit()) {
 					this.#upstream.later(NETWORK_DELAY_MS, proceed);
--- a/soak/process-clock.ts
+++ b/soak/process-clock.ts
@@ -14,6 +14,7 @@
 	#isEnded = false;
 	#isPaused = false;
 	#held: Array<() => void> = [];
+	#pausedUntil = Number.NEGATIVE_INFINITY;
 
 	private constructor(base: VirtualClock) {
 		super();
@@ -78,8 +79,17 @@
 		this.#isPaused = true;
 	}
 
+	/** @returns Whether the process was paused at any time since then. */
+	wasPausedSince(since: number): boolean {
+		return this.#pausedUntil >= since;
+	}
+
 	/** Runs the events that fell due in the pause. */
 	resume(): void {
+		if (this.#isPaused) {
+			this.#pausedUntil = this.now();
+		}
+
 		this.#isPaused = false;
 		const held = this.#held;
 		this.#held = [];
--- a/src/dispatch/legs.ts
+++ b/src/dispatch/legs.ts
@@ -1,7 +1,7 @@
 /**
  * The connections over which the parts of one answer reach its relay.
  */
-import {ErrorKind, SchedulerError} from '../base/errors.js';
+import {ErrorKind, Ran, SchedulerError} from '../base/errors.js';
 import {ExchangeHandler, type UpstreamHeaders} from '../upstream/exchange.js';
 import {type Relay} from './relay.js';
 
@@ -96,6 +96,7 @@
 	}
 
 	onError(err: SchedulerError): void {
-		this.#relay.lose(err, true);
+		// The request itself was sent before, so that a refused connection must not read as "not run".
+		this.#relay.lose(err.answer.ran === Ran.No ? SchedulerError.create(ErrorKind.UpstreamLost) : err, true);
 	}
 }
--- a/src/members/topics.ts
+++ b/src/members/topics.ts
@@ -11,9 +11,9 @@
 const LEAVING_LIFETIME_MS = 2 * 60 * 60_000;
 const SUSPICION_LIFETIME_MS = 10 * 60_000;
 /** Time for which other nodes admit nothing below a tier under pressure. */
-export const PRESSURE_LIFETIME_MS = 2000;
+export const PRESSURE_LIFETIME_MS = 3000;
 /** While a mark of another node lasts longer than this, none is added to it. */
-const PRESSURE_RENEWAL_MS = 700;
+const PRESSURE_RENEWAL_MS = 2000;
 
 /** An upstream that takes no new work, or takes it again. */
 export type LeavingNews = {
--- a/src/serve/members-parts.ts
+++ b/src/serve/members-parts.ts
@@ -137,6 +137,14 @@
 		}
 	}
 
+	/** Publishes that an upstream takes work again. */
+	reportReturned(upstreamId: string): void {
+		const {clock} = this.#options;
+		if (this.topics.publishLeaving(upstreamId, false, clock.now())) {
+			this.gossip.pushUrgent();
+		}
+	}
+
 	/** Computes the assignment again where members changed; to be called at an interval. */
 	refresh(): void {
 		const members = this.all;
