--- a/soak/ledger.ts
+++ b/soak/ledger.ts
@@ -21,6 +21,11 @@
 
 export type RequestKind = (typeof RequestKind)[keyof typeof RequestKind];
 
+/** @returns Whether requests of this kind go to the plain service; the others go to the engines. */
+export function isPlainRequest(kind: RequestKind): boolean {
+	return kind === RequestKind.Booking || kind === RequestKind.Lookup;
+}
+
 /** One request with all its attempts. */
 export type AskedRequest = {
 	readonly kind: RequestKind;
--- a/soak/soak-node.ts
+++ b/soak/soak-node.ts
@@ -21,7 +21,7 @@
 } from '../src/store/table.js';
 import {Supervisor} from '../src/supervisor/supervisor.js';
 import {type UpstreamClient} from '../src/upstream/engine.js';
-import {type AskedRequest, RequestKind} from './ledger.js';
+import {type AskedRequest, isPlainRequest, RequestKind} from './ledger.js';
 import {type ProcessClock} from './process-clock.js';
 
 const NOTE_POOL = 'team/advice';
@@ -203,7 +203,7 @@
 		const {process, invariants} = this.#options;
 		const isBooking = asked.kind === RequestKind.Booking;
 		const isKeyed = isBooking || asked.kind === RequestKind.KeyedNote;
-		const isPlain = isBooking || asked.kind === RequestKind.Lookup;
+		const isPlain = isPlainRequest(asked.kind);
 		const pool = isPlain ? BOOKING_POOL : NOTE_POOL;
 		const ticket = Ticket.create({
 			invariants, key: {isKeyed, holdsClaim: false, isFirstAttempt}, isIdempotent: asked.kind === RequestKind.Lookup,
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -13,7 +13,9 @@
 import {type Table} from '../src/store/table.js';
 import {FaultyTable} from '../test/coordination/faulty-table.js';
 import {FakeUpstream} from './fake-upstream.js';
-import {type AskedRequest, Ledger, RequestKind} from './ledger.js';
+import {
+	type AskedRequest, isPlainRequest, Ledger, RequestKind,
+} from './ledger.js';
 import {ProcessClock} from './process-clock.js';
 import {addressOf, SoakNode} from './soak-node.js';
 
@@ -113,7 +115,7 @@
 	readonly #cutRegions = new Set<string>();
 	readonly #faults = new Map<FaultKind, number>();
 	readonly #accepted = new Map<number, number>();
-	readonly #sheds: Array<{readonly isNote: boolean; readonly tier: number; readonly at: number}> = [];
+	readonly #sheds: Array<{readonly isPlain: boolean; readonly tier: number; readonly at: number}> = [];
 	#lastDisturbance = Number.NEGATIVE_INFINITY;
 	#version = 1;
 	#isCalm = false;
@@ -223,7 +225,7 @@
 	/** More important work was refused because of load; less important work must not start in the pool for a while. */
 	#noteShed({kind, tier}: AskedRequest, {kind: errorKind}: SchedulerError): void {
 		if (errorKind === ErrorKind.Overloaded || errorKind === ErrorKind.DeadlineUnreachable) {
-			this.#sheds.push({isNote: kind === RequestKind.Note || kind === RequestKind.KeyedNote, tier, at: this.#clock.now()});
+			this.#sheds.push({isPlain: isPlainRequest(kind), tier, at: this.#clock.now()});
 		}
 	}
 
@@ -238,8 +240,8 @@
 			return;
 		}
 
-		const isNote = asked.kind === RequestKind.Note || asked.kind === RequestKind.KeyedNote;
-		const shed = this.#sheds.find(other => other.isNote === isNote && other.tier < asked.tier && now - other.at > PRESSURE_SPREAD_MS);
+		const isPlain = isPlainRequest(asked.kind);
+		const shed = this.#sheds.find(other => other.isPlain === isPlain && other.tier < asked.tier && now - other.at > PRESSURE_SPREAD_MS);
 		this.#ledger.check(PromiseId.TierOrder, shed === undefined, `${body} of tier ${asked.tier} started ${Math.round(now - (shed?.at ?? 0))} ms after tier ${shed?.tier} was shed`);
 	}
 
--- a/src/upstream/observer-part.ts
+++ b/src/upstream/observer-part.ts
@@ -10,6 +10,14 @@
 const POLL_INTERVAL_MS = 1000;
 /** Cache events only make routing more accurate, so they are read less often than load. */
 const POLLS_PER_CACHE_READ = 2;
+/** An unchanged report is passed on this often, as nodes that started since do not have it. */
+const REPEAT_LOAD_MS = 10_000;
+
+/** The load that was last passed on. */
+type PassedLoad = {
+	readonly total: number;
+	readonly at: number;
+};
 
 /** What the part is made of. */
 export type ObserverPartOptions = {
@@ -20,7 +28,7 @@
 	readonly assigned: () => readonly string[];
 	/** Whether this node reads the load of an upstream for all nodes that talk to it. */
 	readonly isAllocator: (upstreamId: string) => boolean;
-	/** Passes a report on to the other nodes. */
+	/** Passes a changed report on to the other nodes. */
 	readonly onLoad: (upstreamId: string, report: LoadReport) => void;
 	/** Called when an engine says that it takes no new work. */
 	readonly onLeaving: (upstreamId: string) => void;
@@ -34,6 +42,7 @@
 
 	readonly #options: ObserverPartOptions;
 	readonly #lastSequences = new Map<string, number>();
+	readonly #passedLoads = new Map<string, PassedLoad>();
 	#running: AbortController | undefined;
 
 	private constructor(options: ObserverPartOptions) {
@@ -98,12 +107,26 @@
 
 		const {runningCount, waitingCount, ageMs, isLeaving} = report.value;
 		scheduler.noteLoad(upstreamId, runningCount + waitingCount, ageMs);
-		onLoad(upstreamId, report.value);
+		if (this.#isNews(upstreamId, runningCount + waitingCount)) {
+			onLoad(upstreamId, report.value);
+		}
+
 		if (isLeaving) {
 			onLeaving(upstreamId);
 		}
 	}
 
+	#isNews(upstreamId: string, total: number): boolean {
+		const now = this.#options.clock.now();
+		const passed = this.#passedLoads.get(upstreamId);
+		if (passed?.total === total && now - passed.at < REPEAT_LOAD_MS) {
+			return false;
+		}
+
+		this.#passedLoads.set(upstreamId, {total, at: now});
+		return true;
+	}
+
 	async #readCache(upstreamId: string, engine: Engine): Promise<void> {
 		const events = await engine.cacheEvents(this.#lastSequences.get(upstreamId) ?? 0);
 		if (events.isErr) {
