Log the trace ID of each request and count refused input

Lines about a request had no trace ID, as no span is active while the request waits on other parts. Each job now carries the ID of its trace, or of its caller's where this node records none. The dispatcher writes a debug line at each request's end and a warning for lost upstreams, broken and resumed answers. Errors that Node's HTTP parser refuses are counted as errors, and every 405 names the allowed methods.

--- a/src/base/log.ts
+++ b/src/base/log.ts
@@ -1,10 +1,10 @@
 /**
  * Structured logs: one JSON object a line, short sentences, a fixed prefix for each part.
  */
+import {type Writable} from 'node:stream';
 import {
 	createLogger, format, transports, type Logger as WinstonLogger,
 } from 'winston';
-import {trace} from '@opentelemetry/api';
 
 /** Prefix of each part's log lines. docs/OPERATIONS.md lists them. */
 export const LogPrefix = {
@@ -25,7 +25,7 @@
 
 export type LogPrefix = (typeof LogPrefix)[keyof typeof LogPrefix];
 
-/** Fields of a log line. Never holds keys, bodies or other secrets. */
+/** Fields of a log line. Never holds keys, bodies or other secrets. Lines about a request carry its `traceId`. */
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /** Log levels, most severe first. */
@@ -42,14 +42,15 @@
 export class Log {
 	/**
 	 * @param level - The least severe level that is written, or `silent`.
+	 * @param stream - Where the lines go; standard error by default.
 	 * @returns A logger for the program's root; parts take theirs by `part`.
 	 */
-	static create(level: LogLevel | 'silent'): Log {
+	static create(level: LogLevel | 'silent', stream?: Writable): Log {
 		const logger = createLogger({
 			level: level === 'silent' ? LogLevel.Error : level,
 			silent: level === 'silent',
 			format: format.combine(format.timestamp(), format.json()),
-			transports: [new transports.Console({stderrLevels: Object.values(LogLevel)})],
+			transports: [stream === undefined ? new transports.Console({stderrLevels: Object.values(LogLevel)}) : new transports.Stream({stream})],
 		});
 		return new Log(logger, LogPrefix.Serve);
 	}
@@ -67,6 +68,11 @@
 		return new Log(this.#logger, prefix);
 	}
 
+	/** Whether debug lines are written; asked where their fields would cost time for each request. */
+	get isDebugEnabled(): boolean {
+		return !this.#logger.silent && this.#logger.isDebugEnabled();
+	}
+
 	error(message: string, fields: LogFields = {}): void {
 		this.#write(LogLevel.Error, message, fields);
 	}
@@ -84,9 +90,6 @@
 	}
 
 	#write(level: LogLevel, message: string, fields: LogFields): void {
-		const traceId = trace.getActiveSpan()?.spanContext().traceId;
-		this.#logger.log({
-			level, message: `${this.#prefix}: ${message}`, ...(traceId && {traceId}), ...fields,
-		});
+		this.#logger.log({level, message: `${this.#prefix}: ${message}`, ...fields});
 	}
 }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -5,6 +5,7 @@
 import {type Clock} from '../base/clock.js';
 import {ErrorKind, Ran, SchedulerError} from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
+import {type Log} from '../base/log.js';
 import {type Metrics, RequestOutcome} from '../base/metrics.js';
 import {endSpan, type RequestTrace, SpanName} from '../base/trace.js';
 import {type Claim, type ClaimRequest, type Claims} from '../coordination/claims.js';
@@ -30,6 +31,8 @@
 	readonly sink: AnswerSink;
 	/** Present where traces are set up. */
 	readonly trace?: RequestTrace | undefined;
+	/** For log lines: ID of the trace, also of a caller's trace that this node does not record. */
+	readonly traceId?: string | undefined;
 };
 
 type RunningJob = Omit<Job, 'work'> & {
@@ -37,6 +40,8 @@
 	attempts: number;
 	claim: Claim | undefined;
 	relay: Relay | undefined;
+	/** Upstream of the last attempt. */
+	upstreamId: string | undefined;
 	/** Span of the hop that the request is in. */
 	hop: Span | undefined;
 	/** Why the last attempt failed. */
@@ -51,6 +56,7 @@
 	readonly upstreams: UpstreamRegistry;
 	readonly claims: Claims;
 	readonly metrics?: Metrics | undefined;
+	readonly log?: Log | undefined;
 	/** Makes the scheduler, which is given the dispatcher's side of the events. */
 	readonly createScheduler: (events: SchedulerEvents) => Scheduler;
 };
@@ -68,6 +74,7 @@
 	readonly #retryBudget: RetryBudget;
 	readonly #clock: Clock;
 	readonly #metrics: Metrics | undefined;
+	readonly #log: Log | undefined;
 	#claimingCount = 0;
 	readonly #jobs = new Map<string, RunningJob>();
 
@@ -77,6 +84,7 @@
 		this.#claims = options.claims;
 		this.#clock = options.clock;
 		this.#metrics = options.metrics;
+		this.#log = options.log;
 		this.#retryBudget = RetryBudget.create(options.clock);
 		this.scheduler = options.createScheduler({
 			start: (work, upstreamId) => {
@@ -107,7 +115,7 @@
 		this.#retryBudget.noteRequest(job.work.customer, job.work.pool);
 		await new Promise<void>(resolve => {
 			const running: RunningJob = {
-				...job, attempts: 0, claim, relay: undefined, hop: undefined, lastErr: undefined, resolve,
+				...job, attempts: 0, claim, relay: undefined, upstreamId: undefined, hop: undefined, lastErr: undefined, resolve,
 			};
 			this.#jobs.set(job.work.id, running);
 			job.sink.onCallerLeft(() => {
@@ -168,6 +176,7 @@
 		}
 
 		job.attempts += 1;
+		job.upstreamId = upstreamId;
 		endSpan(job.hop);
 		job.hop = job.trace?.startHop(SpanName.Upstream, {upstream: upstreamId, attempt: job.attempts});
 		this.#metrics?.queueWait.record(this.#clock.now() - work.arrivedAt);
@@ -180,6 +189,8 @@
 			invariants: this.#invariants,
 			scheduler: this.scheduler,
 			client: taken.client,
+			upstreamId,
+			log: this.#log,
 			canResume: taken.upstream.settings.canResume,
 			shouldRetry: () => job.ticket.isIdempotent && this.#mayRetry(job),
 			onOutcome: outcome => {
@@ -200,6 +211,7 @@
 			return;
 		}
 
+		this.#logLoss(job, upstreamId, outcome);
 		job.lastErr = outcome.err;
 		// A relay ends with an upstream's error answer only after `shouldRetry` granted the retry.
 		const isGranted = outcome.workOutcome === WorkOutcome.UpstreamError
@@ -271,12 +283,28 @@
 		job.resolve();
 	}
 
-	#report(job: Job, outcome: RequestOutcome, err?: SchedulerError): void {
+	#logLoss(job: RunningJob, upstream: string, {err, workOutcome}: RelayOutcome): void {
+		if (workOutcome === WorkOutcome.Canceled || err === undefined) {
+			return;
+		}
+
+		this.#log?.warn(err.kind === ErrorKind.AnswerIncomplete ? 'An upstream broke its answer.' : 'An upstream failed.', {
+			traceId: job.traceId, dispatchId: job.ticket.id, upstream, kind: err.kind, cause: err.message,
+		});
+	}
+
+	#report(job: Job & {readonly upstreamId?: string | undefined}, outcome: RequestOutcome, err?: SchedulerError): void {
 		job.trace?.end(err?.kind);
 		this.#metrics?.countRequest(job.work.tier, outcome);
 		if (err !== undefined) {
 			this.#metrics?.countError(err.kind);
 		}
+
+		if (this.#log?.isDebugEnabled) {
+			this.#log.debug('Request ended.', {
+				traceId: job.traceId, dispatchId: job.ticket.id, outcome, kind: err?.kind, tier: job.work.tier, upstream: job.upstreamId,
+			});
+		}
 	}
 }
 
--- a/src/dispatch/relay.ts
+++ b/src/dispatch/relay.ts
@@ -6,6 +6,7 @@
 import {type Clock} from '../base/clock.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
+import {type Log} from '../base/log.js';
 import {type Metrics} from '../base/metrics.js';
 import {endSpan, SpanName} from '../base/trace.js';
 import {type Claim, type Claims, MAX_KEPT_ANSWER_BYTES} from '../coordination/claims.js';
@@ -40,6 +41,8 @@
 	readonly invariants: Invariants;
 	readonly scheduler: Scheduler;
 	readonly client: UpstreamClient;
+	readonly upstreamId: string;
+	readonly log: Log | undefined;
 	readonly canResume: boolean;
 	/** Asked once, before an answer with a retried status would go to the caller; true discards the answer. */
 	readonly shouldRetry: () => boolean;
@@ -267,6 +270,9 @@
 	#resume(): void {
 		const {client, job} = this.#options;
 		this.#fruitlessResumes += 1;
+		this.#options.log?.warn('The connection of an answer was lost; the answer is resumed.', {
+			traceId: job.traceId, dispatchId: job.ticket.id, upstream: this.#options.upstreamId, offset: this.#answer.delivered,
+		});
 		const offset = this.#answer.delivered;
 		endSpan(this.#resumeSpan, ErrorKind.UpstreamLost);
 		this.#resumeSpan = job.trace?.startHop(SpanName.Resume, {offset});
--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -14,7 +14,7 @@
 import {readBody} from './body.js';
 import {parseCompletionRequest} from './completion-request.js';
 import {
-	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier, startTrace, traceHeaders,
+	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier, startTrace, traceHeaders, traceIdOf,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
@@ -139,6 +139,7 @@
 					keepsAnswer: false,
 				},
 			trace,
+			traceId: traceIdOf(req.raw, trace),
 			sink: HttpSink.create(reply.raw, ErrorFormat.Completions),
 		});
 	}
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -145,6 +145,14 @@
 	return ok({rank, deadlineMs: tiers[rank]!.deadlineMs});
 }
 
+const traceparentPattern = /^[\da-f]{2}-(?<traceId>[\da-f]{32})-/v;
+
+/** @returns The ID of this request's trace, else of the trace that the caller named, for log lines. */
+export function traceIdOf(req: IncomingMessage, trace: RequestTrace | undefined): string | undefined {
+	const {traceparent} = req.headers;
+	return trace?.traceId ?? (typeof traceparent === 'string' ? traceparentPattern.exec(traceparent)?.groups?.traceId : undefined);
+}
+
 /** Answers a request that never reached the dispatcher. */
 export function answerError(res: ServerResponse, err: SchedulerError, format: ErrorFormat, metrics: Metrics | undefined): void {
 	metrics?.countError(err.kind);
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -88,7 +88,7 @@
 	async start(onFailure: (err: Error) => void): Promise<void> {
 		const {limits = defaultHttpLimits, log, tls} = this.#options;
 		const pair = tls && readTlsPair(tls);
-		const clientErrors = ClientErrors.create();
+		const clientErrors = ClientErrors.create(this.#context.instruments);
 		const filter = new ProblemFilter(log?.part(LogPrefix.Entry), this.#context.instruments);
 		const adapter = new FastifyAdapter({
 			bodyLimit: Number.MAX_SAFE_INTEGER,
--- a/src/entry/http-limits.ts
+++ b/src/entry/http-limits.ts
@@ -5,6 +5,7 @@
 import {type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Duplex} from 'node:stream';
 import {ErrorKind, ranOf, SchedulerError} from '../base/errors.js';
+import {type Metrics} from '../base/metrics.js';
 import {noteBodyFault} from './body.js';
 import {ErrorFormat, formatError} from './error-body.js';
 
@@ -60,14 +61,17 @@
 
 /** Answers what Node's HTTP parser refuses. */
 export class ClientErrors {
-	static create(): ClientErrors {
-		return new ClientErrors();
+	/** @param metrics - Where the errors are counted. */
+	static create(metrics: Metrics | undefined): ClientErrors {
+		return new ClientErrors(metrics);
 	}
 
 	readonly #current = new WeakMap<Duplex, ServerResponse>();
 
-	private constructor() {
-		// Use `create`.
+	readonly #metrics: Metrics | undefined;
+
+	private constructor(metrics: Metrics | undefined) {
+		this.#metrics = metrics;
 	}
 
 	/** Follows the requests of a server; call before other listeners are added. */
@@ -87,11 +91,11 @@
 		// The body is asked for when it is read, so that a refusal is the only answer.
 		server.on('checkContinue', (req, res) => server.emit('request', req, res));
 		server.on('checkExpectation', (_req, res: ServerResponse) => {
-			writeRaw(res.socket!, SchedulerError.create(ErrorKind.MalformedRequest, 'Expect: only 100-continue is supported.'), true);
+			this.#refuse(res.socket!, SchedulerError.create(ErrorKind.MalformedRequest, 'Expect: only 100-continue is supported.'), true);
 		});
 		server.on('connect', (_req, socket: Duplex) => {
 			socket.on('error', ignore);
-			writeRaw(socket, SchedulerError.create(ErrorKind.MethodNotAllowed), false);
+			this.#refuse(socket, SchedulerError.create(ErrorKind.MethodNotAllowed), false, {allow: ''});
 		});
 	}
 
@@ -111,8 +115,13 @@
 			return;
 		}
 
-		writeRaw(socket, toSchedulerError(err), mayBeKeyed(err));
+		this.#refuse(socket, toSchedulerError(err), mayBeKeyed(err));
 	};
+
+	#refuse(socket: Duplex, err: SchedulerError, isKeyed: boolean, headers: Readonly<Record<string, string>> = {}): void {
+		this.#metrics?.countError(err.kind);
+		writeRaw(socket, err, isKeyed, headers);
+	}
 }
 
 function toSchedulerError(err: ClientError): SchedulerError {
@@ -133,10 +142,12 @@
 	return !/^[A-Z]+ [^\r\n]*\r\n/v.test(packet) || /idempotency-key/iv.test(packet);
 }
 
-function writeRaw(socket: Duplex, err: SchedulerError, isKeyed: boolean): void {
+function writeRaw(socket: Duplex, err: SchedulerError, isKeyed: boolean, extraHeaders: Readonly<Record<string, string>>): void {
 	const ran = ranOf(err.kind, {isKeyed, holdsClaim: false, isFirstAttempt: false});
 	const {status, headers, body} = formatError(err, ran, ErrorFormat.Problem);
-	const lines = Object.entries({...headers, 'content-length': Buffer.byteLength(body), connection: 'close'});
+	const lines = Object.entries({
+		...headers, ...extraHeaders, 'content-length': Buffer.byteLength(body), connection: 'close',
+	});
 	const head = lines.map(([name, value]) => `${name}: ${value}\r\n`).join('');
 	socket.end(`HTTP/1.1 ${status} Refused\r\n${head}\r\n${body}`);
 	// What still arrives is discarded for a moment, as a reset connection could overtake the answer.
--- a/src/entry/services-controller.ts
+++ b/src/entry/services-controller.ts
@@ -17,7 +17,7 @@
 import {declaredLength, readBody} from './body.js';
 import {CallerBody} from './caller-body.js';
 import {
-	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier, startTrace, traceHeaders,
+	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier, startTrace, traceHeaders, traceIdOf,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
 import {HttpSink} from './http-sink.js';
@@ -25,6 +25,7 @@
 import {parseServicePath} from './service-path.js';
 
 const forwardedMethods = new Set(['GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS']);
+const allowedMethods = [...forwardedMethods].join(', ');
 
 /** Headers that are between the caller and this system, or set by this system. */
 const withheldHeaders = new Set([
@@ -69,7 +70,7 @@
 	}
 
 	async #createJob(req: FastifyRequest, reply: FastifyReply): Promise<Result<Job, SchedulerError>> {
-		const resolved = this.#resolve(req);
+		const resolved = this.#resolve(req, reply);
 		if (resolved.isErr) {
 			return Result.err(resolved.error);
 		}
@@ -86,7 +87,7 @@
 		return body.map(bytes => this.#toJob(req, reply, resolved.value, bytes));
 	}
 
-	#resolve(req: FastifyRequest): Result<ResolvedRequest, SchedulerError> {
+	#resolve(req: FastifyRequest, reply: FastifyReply): Result<ResolvedRequest, SchedulerError> {
 		const caller = admitCaller(req.raw, this.context);
 		if (caller.isErr) {
 			return Result.err(caller.error);
@@ -104,6 +105,7 @@
 		}
 
 		if (!forwardedMethods.has(req.method)) {
+			reply.raw.setHeader('allow', allowedMethods);
 			return Result.err(SchedulerError.create(ErrorKind.MethodNotAllowed));
 		}
 
@@ -159,6 +161,7 @@
 					keepsAnswer: true,
 				},
 			trace,
+			traceId: traceIdOf(req.raw, trace),
 			sink: HttpSink.create(reply.raw, ErrorFormat.Problem),
 		};
 	}
--- a/src/serve/node-core.ts
+++ b/src/serve/node-core.ts
@@ -106,7 +106,13 @@
 			clock, invariants, objects: platform.objects, peers: NetworkClaimPeers.create(transport, () => this.members.others),
 		});
 		this.dispatcher = Dispatcher.create({
-			clock, invariants, metrics, upstreams: this.#upstreams, claims: this.claims, createScheduler: options.createScheduler ?? (events => this.#createScheduler(events)),
+			clock,
+			invariants,
+			metrics,
+			log: log.part(LogPrefix.Dispatch),
+			upstreams: this.#upstreams,
+			claims: this.claims,
+			createScheduler: options.createScheduler ?? (events => this.#createScheduler(events)),
 		});
 		const configPeers = NetworkConfigPeers.create({
 			clock, topics: this.members.topics, transport, members: () => this.members.others, pushUrgent,
--- a/test/entry/bad-input.test.ts
+++ b/test/entry/bad-input.test.ts
@@ -76,6 +76,20 @@
 		});
 	}
 
+	for (const [target, allow] of [
+		['GET /v1/chat/completions', 'POST'],
+		['DELETE /v1/models', 'GET'],
+		['POST /healthz', 'GET'],
+		['PROPFIND /services/booking/x', 'GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS'],
+		['CONNECT x:1', ''],
+	] as const) {
+		it(`names the allowed methods to ${target}`, async () => {
+			const answer = await send(`${target} HTTP/1.1\r\n${auth}\r\n`);
+			expect(answer.status).to.equal(405);
+			expect(/^allow: (?<allow>.*)$/mv.exec(answer.head)?.groups?.allow?.trim()).to.equal(allow.toLowerCase());
+		});
+	}
+
 	it('answers body-too-large to a chunked body over the limit, while it is still being sent', async () => {
 		const chunk = `10000\r\n${'a'.repeat(0x1_00_00)}\r\n`;
 		const answer = await send(`POST ${completions} HTTP/1.1\r\n${auth}Transfer-Encoding: chunked\r\n\r\n`, ...Array.from({length: 80}, () => chunk));
--- a/test/entry/observability.test.ts
+++ b/test/entry/observability.test.ts
@@ -1,5 +1,6 @@
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import {Writable} from 'node:stream';
 import {type AddressInfo} from 'node:net';
 import {InMemorySpanExporter, SimpleSpanProcessor} from '@opentelemetry/sdk-trace-node';
 import {expect} from 'chai';
@@ -12,12 +13,20 @@
 import {BookingStandIn} from '../../standins/booking.js';
 import {EngineStandIn} from '../../standins/engine.js';
 import {createDeployment, testApiKey} from '../support/dev-cluster.js';
+import {sendRaw} from '../support/raw-http.js';
 
 const traceId = '0af7651916cd43dd8448eb211c80319c';
 const traceparent = `00-${traceId}-b7ad6b7169203331-01`;
 
 describe('observability', () => {
 	const exporter = new InMemorySpanExporter();
+	const lines: Array<Record<string, unknown>> = [];
+	const logStream = new Writable({
+		write(line: Uint8Array, _encoding, done) {
+			lines.push(JSON.parse(String(line)) as Record<string, unknown>);
+			done();
+		},
+	});
 	let node: Node;
 	let booking: BookingStandIn;
 	let engine: EngineStandIn;
@@ -27,7 +36,7 @@
 		engine = await EngineStandIn.start({tokenIntervalMs: 1, defaultTokens: 8});
 		node = Node.create({
 			clock: SystemClock.create(),
-			log: Log.create('silent'),
+			log: Log.create('debug', logStream),
 			platform: {table: MemoryTable.create()},
 			host: '127.0.0.1',
 			port: 0,
@@ -63,6 +72,39 @@
 		expect(text).not.to.match(/private|test-key/v);
 	});
 
+	it('writes the caller\'s trace ID in each log line of a request, and no secrets', () => {
+		const requestLines = lines.filter(line => String(line.message).startsWith('dispatch: '));
+		const ended = requestLines.filter(line => line.message === 'dispatch: Request ended.');
+		expect(ended.map(({outcome, tier, upstream}) => ({outcome, tier, upstream}))).to.deep.equal([
+			{outcome: 'done', tier: 0, upstream: 'team/booking-1'},
+			{outcome: 'done', tier: 0, upstream: 'team/engine-1'},
+		]);
+		expect(requestLines.find(line => line.message === 'dispatch: The connection of an answer was lost; the answer is resumed.'))
+			.to.include({level: 'warn', upstream: 'team/engine-1'});
+		expect(requestLines.every(line => line.traceId === traceId)).to.equal(true);
+		expect(JSON.stringify(lines)).not.to.match(/private|test-key/v);
+	});
+
+	it('warns of an upstream that fails', async () => {
+		booking.cutsRequests = true;
+		await send('POST', '/services/booking/holds', 'x', {traceparent, 'idempotency-key': 'lost'});
+		booking.cutsRequests = false;
+		expect(lines.find(line => line.message === 'dispatch: An upstream failed.'))
+			.to.include({
+				level: 'warn', traceId, upstream: 'team/booking-1', kind: 'upstream-lost',
+			});
+		expect(lines.at(-1)).to.include({
+			message: 'dispatch: Request ended.', level: 'debug', traceId, outcome: 'failed', kind: 'upstream-lost',
+		});
+	});
+
+	it('counts errors that the HTTP parser refuses', async () => {
+		const count = async () => Number(/redwingspool_errors_total\{kind="malformed-request"\} (?<count>\d+)/v.exec(await send('GET', '/metrics'))?.groups?.count ?? 0);
+		const before = await count();
+		await sendRaw(node.address, ['no HTTP at all\r\n\r\n']);
+		expect(await count()).to.equal(before + 1);
+	});
+
 	it('samples no request at a ratio of 0 unless its caller does', async () => {
 		exporter.reset();
 		await send('GET', '/services/booking/x');
