Make fewer objects for each request

The record is now a class, the work carries the ticket's ID, and common Connection options need no set.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -35,19 +35,38 @@
 	readonly traceId?: string | undefined;
 };
 
-type RunningJob = Omit<Job, 'work'> & {
+/** Assigns members one by one, as an object spread showed as 3% of the processor time of short requests. */
+class RunningJob implements Job {
+	readonly ticket: Ticket;
 	work: Work;
-	attempts: number;
-	claim: Claim | undefined;
-	relay: Relay | undefined;
+	readonly request: UpstreamRequest;
+	readonly claimRequest: ClaimRequest | undefined;
+	readonly sink: AnswerSink;
+	readonly trace: RequestTrace | undefined;
+	readonly traceId: string | undefined;
+	readonly claim: Claim | undefined;
+	readonly resolve: () => void;
+	attempts = 0;
+	relay: Relay | undefined = undefined;
 	/** Upstream of the last attempt. */
-	upstreamId: string | undefined;
+	upstreamId: string | undefined = undefined;
 	/** Span of the hop that the request is in. */
-	hop: Span | undefined;
+	hop: Span | undefined = undefined;
 	/** Why the last attempt failed. */
-	lastErr: SchedulerError | undefined;
-	readonly resolve: () => void;
-};
+	lastErr: SchedulerError | undefined = undefined;
+
+	constructor(job: Job, claim: Claim | undefined, resolve: () => void) {
+		this.ticket = job.ticket;
+		this.work = job.work;
+		this.request = job.request;
+		this.claimRequest = job.claimRequest;
+		this.sink = job.sink;
+		this.trace = job.trace;
+		this.traceId = job.traceId;
+		this.claim = claim;
+		this.resolve = resolve;
+	}
+}
 
 /** What a dispatcher works with. */
 export type DispatcherOptions = {
@@ -114,9 +133,7 @@
 
 		this.#retryBudget.noteRequest(job.work.customer, job.work.pool);
 		await new Promise<void>(resolve => {
-			const running: RunningJob = {
-				...job, attempts: 0, claim, relay: undefined, upstreamId: undefined, hop: undefined, lastErr: undefined, resolve,
-			};
+			const running = new RunningJob(job, claim, resolve);
 			this.#jobs.set(job.work.id, running);
 			job.sink.onCallerLeft(() => {
 				this.#callerLeft(running);
--- a/src/dispatch/hop-headers.ts
+++ b/src/dispatch/hop-headers.ts
@@ -20,9 +20,12 @@
  * @returns The headers that are passed on.
  */
 export function endToEndHeaders(headers: UpstreamHeaders, alsoWithheld: readonly string[] = []): UpstreamHeaders {
-	const named = headers.connection === undefined ? undefined : namedByConnection(headers.connection);
+	const {connection} = headers;
+	// Most upstreams name no header but these two options, which need no list.
+	const named = connection === undefined || connection === 'keep-alive' || connection === 'close' ? undefined : namedByConnection(connection);
 	const kept: Record<string, string | string[]> = {};
-	for (const [name, value] of Object.entries(headers)) {
+	for (const name of Object.keys(headers)) {
+		const value = headers[name];
 		if (value !== undefined && !hopHeaders.has(name) && !named?.has(name) && !alsoWithheld.includes(name)) {
 			kept[name] = value;
 		}
--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -1,7 +1,7 @@
 /**
  * The completions protocol: `POST /v1/chat/completions` and `GET /v1/models`.
  */
-import {createHash, randomUUID} from 'node:crypto';
+import {createHash} from 'node:crypto';
 import {
 	Controller, Get, Inject, Post, Req, Res,
 } from '@nestjs/common';
@@ -106,7 +106,7 @@
 		return ok({
 			ticket,
 			work: {
-				id: randomUUID(),
+				id: ticket.id,
 				pool: service.pool,
 				customer: caller.customer.id,
 				customerWeight: caller.customer.settings.weight,
--- a/src/entry/services-controller.ts
+++ b/src/entry/services-controller.ts
@@ -1,7 +1,7 @@
 /**
  * Plain services under `/services/<service>/...`.
  */
-import {createHash, randomUUID} from 'node:crypto';
+import {createHash} from 'node:crypto';
 import {
 	All, Controller, Inject, Req, Res,
 } from '@nestjs/common';
@@ -135,7 +135,7 @@
 		return {
 			ticket,
 			work: {
-				id: randomUUID(),
+				id: ticket.id,
 				pool: service.pool,
 				customer: caller.customer.id,
 				customerWeight: caller.customer.settings.weight,
