--- a/src/policy/concurrency-limit.ts
+++ b/src/policy/concurrency-limit.ts
@@ -15,6 +15,8 @@
 /** The minimum is forgotten after one to two such windows, so that a permanent change is learned. */
 const MIN_WINDOW_MS = 45_000;
 const MAX_SLOWDOWN = 20;
+/** Shorter gaps show how the network and the event loop group tokens, so slowdown is measured from this gap on. */
+const MIN_RESOLVED_GAP_MS = 5;
 
 /** Additive increase, multiplicative decrease. Times in ms of the caller's monotonic clock. */
 export class ConcurrencyLimit {
@@ -53,7 +55,7 @@
 			return 1;
 		}
 
-		return Math.min(MAX_SLOWDOWN, Math.max(1, this.#gap / Math.min(this.#windowMin, this.#earlierMin)));
+		return Math.min(MAX_SLOWDOWN, Math.max(1, this.#gap / Math.max(MIN_RESOLVED_GAP_MS, Math.min(this.#windowMin, this.#earlierMin))));
 	}
 
 	setMaximum(maximum: number): void {
--- a/src/policy/router.ts
+++ b/src/policy/router.ts
@@ -192,9 +192,11 @@
 			return false;
 		}
 
+		// The price of probation ranks free upstreams. Work that waits would keep a returned upstream from proving itself.
+		const probationMs = best.state.health.isOnProbation ? PROBATION_MS : 0;
 		const wait = busy.state.slotIntervalMs * HOLD_FACTOR;
 		const slack = work.deadlineAt - now - busy.firstTokenMs;
-		return best.score - busy.score > wait && slack > 2 * wait;
+		return best.score - probationMs - busy.score > wait && slack > 2 * wait;
 	}
 }
 
--- a/test/policy/modules.test.ts
+++ b/test/policy/modules.test.ts
@@ -62,6 +62,15 @@
 		run(20, 5000);
 		expect(limit.value).to.equal(16);
 	});
+
+	it('keeps its value for gaps below the resolution (guards against tokens in one packet that make an engine look slow)', () => {
+		const limit = ConcurrencyLimit.create(16);
+		for (let now = 0; now < 5000; now += 1) {
+			limit.noteGap(now % 100 < 50 ? 0.01 : 2, true, now);
+		}
+
+		expect(limit.value).to.equal(16);
+	});
 });
 
 describe('PrefixIndex', () => {
--- a/test/policy/policy-scheduler.test.ts
+++ b/test/policy/policy-scheduler.test.ts
@@ -9,6 +9,33 @@
 const ONE_SLOT = makeView('a', {maxConcurrency: 1});
 
 describe('PolicyScheduler', () => {
+	it('sends waiting work to a returned upstream (guards against an upstream that never proves itself again)', () => {
+		const {scheduler, clock, started} = makeScheduler();
+		scheduler.setUpstreams(['a', 'b', 'c'].map(id => makeView(id, {maxConcurrency: 1})));
+		for (let index = 0; index < 400; index++) {
+			scheduler.submit(makeWork(`w${index}`));
+		}
+
+		const finish = (upstreamId: string, outcome: WorkOutcome) => {
+			const index = started.findIndex(entry => entry.upstreamId === upstreamId);
+			if (index !== -1) {
+				const [entry] = started.splice(index, 1);
+				scheduler.noteFinished(entry!.work.id, outcome);
+			}
+		};
+
+		finish('b', WorkOutcome.Lost);
+		finish('b', WorkOutcome.Lost);
+		// The others free a slot every 10 ms, so that waiting for them looks cheaper than an unproved upstream.
+		for (let index = 0; index < 150; index++) {
+			clock.advance(10);
+			finish('a', WorkOutcome.Done);
+			finish('c', WorkOutcome.Done);
+		}
+
+		expect(started.map(({upstreamId}) => upstreamId)).to.include('b');
+	});
+
 	it('starts the most important waiting tier first (guards against arrival order across tiers)', () => {
 		const {scheduler, started} = makeScheduler();
 		scheduler.setUpstreams([ONE_SLOT]);
