--- a/bench/relay-engine.ts
+++ b/bench/relay-engine.ts
@@ -1,13 +1,13 @@
 /**
- * Relay bench: one stand-in engine as a process. Arguments: ms between tokens, tokens of an answer.
+ * Relay bench: one stand-in engine as a process. Arguments: ms between tokens, tokens of an answer, port (any by default).
  */
 import process from 'node:process';
 import {EngineStandIn} from '../standins/engine.js';
 import {announce} from './relay-child.js';
 
 async function main(): Promise<void> {
-	const [tokenIntervalMs, defaultTokens] = process.argv.slice(2).map(Number) as [number, number];
-	const engine = await EngineStandIn.start({tokenIntervalMs, defaultTokens});
+	const [tokenIntervalMs, defaultTokens, port] = process.argv.slice(2).map(Number) as [number, number, number?];
+	const engine = await EngineStandIn.start({tokenIntervalMs, defaultTokens, port});
 	announce(engine.url);
 }
 
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -15,6 +15,8 @@
 	readonly tokenIntervalMs: number;
 	/** Tokens of an answer where the request has no `max_tokens`. */
 	readonly defaultTokens: number;
+	/** Any free port by default. */
+	readonly port?: number | undefined;
 };
 
 /** Faults of a stand-in engine; all can be changed while it runs. */
@@ -68,7 +70,7 @@
 	static async start(options: EngineStandInOptions): Promise<EngineStandIn> {
 		const engine = new EngineStandIn(options);
 		await new Promise<void>(resolve => {
-			engine.#server.listen(0, '127.0.0.1', resolve);
+			engine.#server.listen(options.port ?? 0, '127.0.0.1', resolve);
 		});
 		return engine;
 	}
