Test the contract of the upstream adapters

The adapter's doc comment states what another engine protocol has to provide. The tests guard commit before the first byte, nothing sent after a refused commit, and the destroyed connection of a canceled exchange.

--- a/src/upstream/completions-engine.ts
+++ b/src/upstream/completions-engine.ts
@@ -1,5 +1,16 @@
 /**
- * Engines that speak the completions protocol, with control operations under `/control/`.
+ * Engines that speak the completions protocol, with control operations under `/control/`. That protocol belongs to this
+ * adapter; nothing else in the program knows its paths or formats.
+ *
+ * An adapter of another protocol extends `Engine` and needs of its engines:
+ * - an exchange in which the moment before the first byte is known, and a connection that can be destroyed alone;
+ * - for `resume`: answers that continue by dispatch ID from a byte offset, with the dispatch ID echoed. Without it, the
+ *   upstream's setting `canResume` stays false;
+ * - for `cancel`: an order by dispatch ID that ends generation and may be repeated;
+ * - for `loadReport`: running and waiting requests, with the age of the report;
+ * - for `cacheEvents`: numbered events. Without them, the prefix index follows the node's own routing alone;
+ * - for `exportKv` and `importKv`: a blob for each prefix, in any format of its own;
+ * - for `order`: target states with a fencing number. An engine that ignores the number has `checksFencing` false.
  */
 import {Buffer} from 'node:buffer';
 import Result, {err, ok} from 'true-myth/result';
--- /dev/null
+++ b/test/upstream/http-transport.test.ts
@@ -0,0 +1,130 @@
+import {once} from 'node:events';
+import {
+	type AddressInfo, createServer, type Server, type Socket,
+} from 'node:net';
+import {expect} from 'chai';
+import {type SchedulerError} from '../../src/base/errors.js';
+import {CompletionsEngine} from '../../src/upstream/completions-engine.js';
+import {type UpstreamClient} from '../../src/upstream/engine.js';
+import {ExchangeHandler} from '../../src/upstream/exchange.js';
+import {HttpPlainService} from '../../src/upstream/http-plain-service.js';
+import {eventually} from '../support/eventually.js';
+
+/** Records its events in order, beside the bytes that the upstream receives. */
+class RecordingHandler extends ExchangeHandler {
+	readonly events: string[] = [];
+	readonly #receivedBytes: () => number;
+	readonly #isAllowed: boolean;
+
+	constructor(receivedBytes: () => number, isAllowed = true) {
+		super();
+		this.#receivedBytes = receivedBytes;
+		this.#isAllowed = isAllowed;
+	}
+
+	onCommit(): boolean {
+		this.events.push(`commit after ${this.#receivedBytes()} bytes`);
+		return this.#isAllowed;
+	}
+
+	onHeaders(status: number): void {
+		this.events.push(`headers ${status}`);
+	}
+
+	onData(chunk: Uint8Array): boolean {
+		this.events.push(`data ${chunk.byteLength}`);
+		return true;
+	}
+
+	onEnd(): void {
+		this.events.push('end');
+	}
+
+	onError(err: SchedulerError, wasSent: boolean): void {
+		this.events.push(`${err.kind} ${wasSent ? 'sent' : 'not sent'}`);
+	}
+}
+
+const clients: Array<[string, (url: string) => UpstreamClient]> = [
+	['CompletionsEngine', url => CompletionsEngine.create(url)],
+	['HttpPlainService', url => HttpPlainService.create(url)],
+];
+
+for (const [name, createClient] of clients) {
+	describe(`contract of ${name}`, () => {
+		let server: Server;
+		let client: UpstreamClient;
+		let answer: string;
+		let receivedBytes: number;
+		let sockets: Socket[];
+
+		beforeEach(async () => {
+			[answer, receivedBytes, sockets] = ['HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok', 0, []];
+			server = createServer(socket => {
+				sockets.push(socket);
+				socket.on('error', () => undefined);
+				socket.on('data', chunk => {
+					receivedBytes += chunk.length;
+					socket.write(answer);
+				});
+			});
+			server.listen(0, '127.0.0.1');
+			await once(server, 'listening');
+			client = createClient(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+		});
+
+		afterEach(async () => {
+			await client.destroy();
+			server.close();
+		});
+
+		function send(handler: ExchangeHandler) {
+			return client.send({
+				dispatchId: 'id', method: 'POST', path: '/x', headers: {}, body: new Uint8Array(5), idleTimeoutMs: 5000,
+			}, handler);
+		}
+
+		it('commits once, before any byte has left (guards against requests that ran and are reported as not run)', async () => {
+			const handler = new RecordingHandler(() => receivedBytes);
+			send(handler);
+			await eventually(() => handler.events.includes('end'));
+			expect(handler.events).to.deep.equal(['commit after 0 bytes', 'headers 200', 'data 2', 'end']);
+		});
+
+		it('sends nothing after a refused commit (guards against a second dispatch)', async () => {
+			const refused = new RecordingHandler(() => receivedBytes, false);
+			send(refused);
+			await eventually(() => refused.events.length === 2);
+			const next = new RecordingHandler(() => receivedBytes);
+			send(next);
+			await eventually(() => next.events.includes('end'));
+			expect(refused.events[1]).to.match(/not sent$/v);
+			expect(next.events[0]).to.equal('commit after 0 bytes');
+		});
+
+		it('does not commit where nothing listens (guards against refused connections that count as sent)', async () => {
+			server.close();
+			await once(server, 'close');
+			const handler = new RecordingHandler(() => receivedBytes);
+			send(handler);
+			await eventually(() => handler.events.length > 0);
+			expect(handler.events).to.deep.equal(['no-upstream not sent']);
+		});
+
+		it('destroys the connection of a canceled exchange (guards against late bytes that reach another request)', async () => {
+			answer = 'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart';
+			const handler = new RecordingHandler(() => receivedBytes);
+			const exchange = send(handler);
+			await eventually(() => handler.events.includes('data 4'));
+			exchange.abort();
+			await eventually(() => sockets[0]!.destroyed);
+			expect(handler.events.at(-1)).to.equal('upstream-lost sent');
+			answer = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
+			const next = new RecordingHandler(() => receivedBytes);
+			send(next);
+			await eventually(() => next.events.includes('end'));
+			expect(next.events.slice(1)).to.deep.equal(['headers 200', 'data 2', 'end']);
+			expect(sockets).to.have.length(2);
+		});
+	});
+}
