Make the jobs of both kinds of service in one place

The two controllers built the same job, claim request and trace headers each; src/entry/job.ts does it for both.

--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -10,14 +10,15 @@
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {type Customer} from '../config/deployment.js';
 import {type Job} from '../dispatch/dispatcher.js';
-import {Ticket} from '../dispatch/ticket.js';
 import {readBody} from './body.js';
 import {parseCompletionRequest} from './completion-request.js';
 import {
-	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier, startTrace, traceHeaders, traceIdOf,
+	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, identifyCaller, resolveTier,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
-import {HttpSink} from './http-sink.js';
+import {createJob, runJob} from './job.js';
+
+const jsonHeaders = {'content-type': 'application/json'};
 
 /** Routes of the completions protocol. */
 @Controller('v1')
@@ -46,13 +47,7 @@
 	@Post('chat/completions')
 	async complete(@Req() req: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
 		void reply.hijack();
-		const job = await this.#createJob(req, reply);
-		if (job.isErr) {
-			answerError(reply.raw, job.error, ErrorFormat.Completions, this.context.instruments);
-			return;
-		}
-
-		await this.context.dispatcher.run(job.value);
+		await runJob(await this.#createJob(req, reply), reply, this.context, ErrorFormat.Completions);
 	}
 
 	async #createJob(req: FastifyRequest, reply: FastifyReply): Promise<Result<Job, SchedulerError>> {
@@ -78,7 +73,7 @@
 	}
 
 	#toJob(req: FastifyRequest, reply: FastifyReply, caller: CallerRequest, body: Uint8Array): Result<Job, SchedulerError> {
-		const {clock, invariants, settings} = this.context;
+		const {settings} = this.context;
 		const parsed = parseCompletionRequest(body);
 		if (parsed.isErr) {
 			return Result.err(parsed.error);
@@ -99,48 +94,19 @@
 			return Result.err(tier.error);
 		}
 
-		const trace = startTrace(req.raw, this.context, service.pool, tier.value.rank);
-		const ticket = Ticket.create({invariants, key: caller.keyKnowledge, isIdempotent: false});
 		const digest = createHash('sha256').update(body).digest('hex');
-		const now = clock.now();
-		return ok({
-			ticket,
-			work: {
-				id: ticket.id,
-				pool: service.pool,
-				customer: caller.customer.id,
-				customerWeight: caller.customer.settings.weight,
-				tier: tier.value.rank,
-				model: completion.model,
-				promptTokens: completion.promptTokens,
-				expectedOutputTokens: completion.maxOutputTokens,
-				prefix: completion.prefix,
-				arrivedAt: now,
-				deadlineAt: now + tier.value.deadlineMs,
-				fingerprint: `${service.pool}:${digest}`,
-				excluded: [],
-			},
+		return ok(createJob({
+			req, reply, caller, pool: service.pool, tier: tier.value, isIdempotent: false, errorFormat: ErrorFormat.Completions,
+		}, this.context, {
+			model: completion.model,
+			promptTokens: completion.promptTokens,
+			expectedOutputTokens: completion.maxOutputTokens,
+			prefix: completion.prefix,
+			digest,
 			request: {
-				dispatchId: ticket.id,
-				method: 'POST',
-				path: '/v1/chat/completions',
-				headers: {'content-type': 'application/json', 'dispatch-id': ticket.id, ...traceHeaders(req.raw, trace)},
-				body,
-				idleTimeoutMs: service.settings.idleTimeoutMs,
+				method: 'POST', path: '/v1/chat/completions', headers: jsonHeaders, body, idleTimeoutMs: service.settings.idleTimeoutMs,
 			},
-			claimRequest: caller.idempotencyKey === undefined
-				? undefined
-				: {
-					pool: service.pool,
-					customer: caller.customer.id,
-					key: caller.idempotencyKey,
-					digest,
-					isFirstAttempt: caller.keyKnowledge.isFirstAttempt,
-					keepsAnswer: false,
-				},
-			trace,
-			traceId: traceIdOf(req.raw, trace),
-			sink: HttpSink.create(reply.raw, ErrorFormat.Completions),
-		});
+			keepsAnswer: false,
+		}));
 	}
 }
--- /dev/null
+++ b/src/entry/job.ts
@@ -0,0 +1,107 @@
+/**
+ * The job of a request: what the routes of model services and plain services have in common.
+ */
+import {type FastifyReply, type FastifyRequest} from 'fastify';
+import {type Result} from 'true-myth/result';
+import {type SchedulerError} from '../base/errors.js';
+import {type RequestTrace} from '../base/trace.js';
+import {type ClaimRequest} from '../coordination/claims.js';
+import {type Job} from '../dispatch/dispatcher.js';
+import {Ticket} from '../dispatch/ticket.js';
+import {type Work} from '../policy/scheduler.js';
+import {type UpstreamRequest} from '../upstream/exchange.js';
+import {
+	answerError, type CallerRequest, type EntryContext, startTrace, traceHeaders, traceIdOf,
+} from './context.js';
+import {type ErrorFormat} from './error-body.js';
+import {HttpSink} from './http-sink.js';
+
+/** A request that was read and resolved. */
+export type ResolvedCall = {
+	readonly req: FastifyRequest;
+	readonly reply: FastifyReply;
+	readonly caller: CallerRequest;
+	readonly pool: string;
+	readonly tier: {readonly rank: number; readonly deadlineMs: number};
+	readonly isIdempotent: boolean;
+	readonly errorFormat: ErrorFormat;
+};
+
+/** What the routes decide by themselves. */
+export type CallDetails = Pick<Work, 'model' | 'promptTokens' | 'expectedOutputTokens' | 'prefix'> & {
+	/** Hash of the request, in hex. */
+	readonly digest: string;
+	/** Without the headers of dispatch and trace. */
+	readonly request: Omit<UpstreamRequest, 'dispatchId'>;
+	/** Whether the answer is kept for a repeat with the same key; `undefined` for requests without a claim. */
+	readonly keepsAnswer: boolean | undefined;
+};
+
+/** Makes the job of a request and starts its trace. */
+export function createJob(call: ResolvedCall, context: EntryContext, details: CallDetails): Job {
+	const {req, reply, caller, pool, tier, isIdempotent, errorFormat} = call;
+	const {request, digest} = details;
+	const trace = startTrace(req.raw, context, pool, tier.rank);
+	const ticket = Ticket.create({invariants: context.invariants, key: caller.keyKnowledge, isIdempotent});
+	return {
+		ticket,
+		work: createWork(call, ticket.id, details, context.clock.now()),
+		request: {
+			dispatchId: ticket.id,
+			method: request.method,
+			path: request.path,
+			headers: headersOf(req, request.headers, ticket.id, trace),
+			body: request.body,
+			idleTimeoutMs: request.idleTimeoutMs,
+		},
+		claimRequest: createClaimRequest(call, digest, details.keepsAnswer),
+		trace,
+		traceId: traceIdOf(req.raw, trace),
+		sink: HttpSink.create(reply.raw, errorFormat),
+	};
+}
+
+function createWork({pool, caller: {customer}, tier}: ResolvedCall, id: string, details: CallDetails, now: number): Work {
+	return {
+		id,
+		pool,
+		customer: customer.id,
+		customerWeight: customer.settings.weight,
+		tier: tier.rank,
+		model: details.model,
+		promptTokens: details.promptTokens,
+		expectedOutputTokens: details.expectedOutputTokens,
+		prefix: details.prefix,
+		arrivedAt: now,
+		deadlineAt: now + tier.deadlineMs,
+		fingerprint: `${pool}:${details.digest}`,
+		excluded: [],
+	};
+}
+
+function createClaimRequest({pool, caller}: ResolvedCall, digest: string, keepsAnswer: boolean | undefined): ClaimRequest | undefined {
+	return caller.idempotencyKey === undefined || keepsAnswer === undefined
+		? undefined
+		: {
+			pool,
+			customer: caller.customer.id,
+			key: caller.idempotencyKey,
+			digest,
+			isFirstAttempt: caller.keyKnowledge.isFirstAttempt,
+			keepsAnswer,
+		};
+}
+
+function headersOf(req: FastifyRequest, headers: UpstreamRequest['headers'], dispatchId: string, trace: RequestTrace | undefined): Record<string, string> {
+	return {...headers, 'dispatch-id': dispatchId, ...traceHeaders(req.raw, trace)};
+}
+
+/** Runs a job to its end, or answers why there is none. */
+export async function runJob(job: Result<Job, SchedulerError>, reply: FastifyReply, context: EntryContext, format: ErrorFormat): Promise<void> {
+	if (job.isErr) {
+		answerError(reply.raw, job.error, format, context.instruments);
+		return;
+	}
+
+	await context.dispatcher.run(job.value);
+}
--- a/src/entry/services-controller.ts
+++ b/src/entry/services-controller.ts
@@ -12,15 +12,14 @@
 import {type PlainServiceSettings} from '../config/schema.js';
 import {type Job} from '../dispatch/dispatcher.js';
 import {hopHeaders, namedByConnection} from '../dispatch/hop-headers.js';
-import {Ticket} from '../dispatch/ticket.js';
 import {type UpstreamRequest} from '../upstream/exchange.js';
 import {declaredLength, readBody} from './body.js';
 import {CallerBody} from './caller-body.js';
 import {
-	admitCaller, answerError, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier, startTrace, traceHeaders, traceIdOf,
+	admitCaller, type CallerRequest, ENTRY_CONTEXT, type EntryContext, resolveTier,
 } from './context.js';
 import {ErrorFormat} from './error-body.js';
-import {HttpSink} from './http-sink.js';
+import {createJob, runJob} from './job.js';
 import {type Operation, resolveOperation} from './operation.js';
 import {parseServicePath} from './service-path.js';
 
@@ -60,13 +59,7 @@
 	@All('*')
 	async handle(@Req() req: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
 		void reply.hijack();
-		const job = await this.#createJob(req, reply);
-		if (job.isErr) {
-			answerError(reply.raw, job.error, ErrorFormat.Problem, this.context.instruments);
-			return;
-		}
-
-		await this.context.dispatcher.run(job.value);
+		await runJob(await this.#createJob(req, reply), reply, this.context, ErrorFormat.Problem);
 	}
 
 	async #createJob(req: FastifyRequest, reply: FastifyReply): Promise<Result<Job, SchedulerError>> {
@@ -121,53 +114,28 @@
 	}
 
 	#toJob(req: FastifyRequest, reply: FastifyReply, resolved: ResolvedRequest, body: Uint8Array | CallerBody): Job {
-		const {clock, invariants} = this.context;
 		const {
 			caller, service, operation, tier,
 		} = resolved;
-		const trace = startTrace(req.raw, this.context, service.pool, tier.rank);
-		const ticket = Ticket.create({invariants, key: caller.keyKnowledge, isIdempotent: operation.isIdempotent});
-		const request = toUpstreamRequest(req, resolved, {'dispatch-id': ticket.id, ...traceHeaders(req.raw, trace)}, body);
+		const request = toUpstreamRequest(req, resolved, body);
 		// Bodies that are passed on unread are left out of the fingerprint.
 		const digest = createHash('sha256').update(`${request.method} ${request.path}\n`)
 			.update(body instanceof CallerBody ? String(body.length) : body).digest('hex');
-		const now = clock.now();
-		return {
-			ticket,
-			work: {
-				id: ticket.id,
-				pool: service.pool,
-				customer: caller.customer.id,
-				customerWeight: caller.customer.settings.weight,
-				tier: tier.rank,
-				model: undefined,
-				promptTokens: 0,
-				expectedOutputTokens: 1,
-				prefix: [],
-				arrivedAt: now,
-				deadlineAt: now + tier.deadlineMs,
-				fingerprint: `${service.pool}:${digest}`,
-				excluded: [],
-			},
+		return createJob({
+			req, reply, caller, pool: service.pool, tier, isIdempotent: operation.isIdempotent, errorFormat: ErrorFormat.Problem,
+		}, this.context, {
+			model: undefined,
+			promptTokens: 0,
+			expectedOutputTokens: 1,
+			prefix: [],
+			digest,
 			request,
-			claimRequest: operation.isIdempotent
-				? undefined
-				: {
-					pool: service.pool,
-					customer: caller.customer.id,
-					key: caller.idempotencyKey!,
-					digest,
-					isFirstAttempt: caller.keyKnowledge.isFirstAttempt,
-					keepsAnswer: true,
-				},
-			trace,
-			traceId: traceIdOf(req.raw, trace),
-			sink: HttpSink.create(reply.raw, ErrorFormat.Problem),
-		};
+			keepsAnswer: operation.isIdempotent ? undefined : true,
+		});
 	}
 }
 
-function toUpstreamRequest(req: FastifyRequest, resolved: ResolvedRequest, ownHeaders: Record<string, string>, body: Uint8Array | CallerBody): UpstreamRequest {
+function toUpstreamRequest(req: FastifyRequest, resolved: ResolvedRequest, body: Uint8Array | CallerBody): Omit<UpstreamRequest, 'dispatchId'> {
 	const headers: Record<string, string> = {};
 	const named = namedByConnection(req.headers.connection);
 	for (const [name, value] of Object.entries(req.headers)) {
@@ -177,10 +145,9 @@
 	}
 
 	return {
-		dispatchId: ownHeaders['dispatch-id']!,
 		method: req.method,
 		path: resolved.path,
-		headers: {...headers, ...ownHeaders},
+		headers,
 		body: body instanceof CallerBody || body.byteLength > 0 ? body : undefined,
 		idleTimeoutMs: resolved.service.settings.idleTimeoutMs,
 	};
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -8,6 +8,12 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {json} from 'node:stream/consumers';
+import {
+	type CompletionBody, expectedWords, streamParts, wholeAnswer,
+} from './engine-answers.js';
+import {
+	answerJson, drained, flushed, pause,
+} from './responses.js';
 
 /** Behaviour of a stand-in engine. */
 export type EngineStandInOptions = {
@@ -35,33 +41,12 @@
 	repeatsAnswers?: boolean;
 };
 
-type JsonObject = Record<string, unknown>;
-
-type CompletionBody = {
-	model: string;
-	stream?: boolean;
-	max_tokens?: number;
-	max_completion_tokens?: number;
-	messages: Array<{content: unknown}>;
-	stream_options?: {include_usage?: boolean};
-};
-
 type StreamLog = {
 	parts: Uint8Array[];
 	isWhole: boolean;
 	isCanceled: boolean;
 };
 
-/** The words that a stand-in answers a prompt with; a function of the prompt alone. */
-export function expectedWords(prompt: string, count: number): string[] {
-	let state = 7;
-	for (let index = 0; index < prompt.length; index++) {
-		state = ((state * 31) + prompt.codePointAt(index)!) % 1_000_003;
-	}
-
-	return Array.from({length: count}, (_, index) => `w${(state + (index * 7919)) % 99_991} `);
-}
-
 /** Streams that can be resumed at a time; older ones are forgotten. */
 const MAX_KEPT_STREAMS = 2000;
 
@@ -263,79 +248,3 @@
 		answerJson(res, isStale ? 412 : 200, {});
 	}
 }
-
-function * streamParts(id: string, body: CompletionBody, words: string[]): Generator<Uint8Array> {
-	const chunk = (delta: JsonObject, finishReason: string | undefined) => sse({
-		id: `chatcmpl-${id}`,
-		object: 'chat.completion.chunk',
-		created: 0,
-		model: body.model,
-		choices: [{index: 0, delta, finish_reason: finishReason ?? null}],
-	});
-	yield chunk({role: 'assistant', content: ''}, undefined);
-	for (const word of words) {
-		yield chunk({content: word}, undefined);
-	}
-
-	yield chunk({}, 'stop');
-	if (body.stream_options?.include_usage) {
-		yield sse({
-			id: `chatcmpl-${id}`, object: 'chat.completion.chunk', created: 0, model: body.model, choices: [], usage: usageOf(body, words),
-		});
-	}
-
-	yield Buffer.from('data: [DONE]\n\n');
-}
-
-function wholeAnswer(body: CompletionBody, words: string[]): JsonObject {
-	return {
-		id: 'chatcmpl-whole',
-		object: 'chat.completion',
-		created: 0,
-		model: body.model,
-		choices: [{index: 0, message: {role: 'assistant', content: words.join('')}, finish_reason: 'stop'}],
-		usage: usageOf(body, words),
-	};
-}
-
-function usageOf(body: CompletionBody, words: string[]): JsonObject {
-	const promptTokens = Math.ceil(JSON.stringify(body.messages).length / 4);
-	return {prompt_tokens: promptTokens, completion_tokens: words.length, total_tokens: promptTokens + words.length};
-}
-
-function sse(data: JsonObject): Uint8Array {
-	return Buffer.from(`data: ${JSON.stringify(data)}\n\n`);
-}
-
-function answerJson(res: ServerResponse, status: number, body: JsonObject | readonly JsonObject[], dispatchId?: string): void {
-	res.writeHead(status, {'content-type': 'application/json', ...(dispatchId && {'dispatch-id': dispatchId})});
-	res.end(JSON.stringify(body));
-}
-
-/** Waits until everything written so far has been handed to the operating system. */
-async function flushed(res: ServerResponse): Promise<void> {
-	await new Promise<void>(resolve => {
-		res.write('', () => {
-			resolve();
-		});
-	});
-}
-
-async function drained(res: ServerResponse): Promise<void> {
-	await new Promise<void>(resolve => {
-		const finish = () => {
-			res.off('drain', finish);
-			res.off('close', finish);
-			resolve();
-		};
-
-		res.on('drain', finish);
-		res.on('close', finish);
-	});
-}
-
-async function pause(ms: number): Promise<void> {
-	await new Promise(resolve => {
-		setTimeout(resolve, ms);
-	});
-}
--- a/test/dispatch/relay.test.ts
+++ b/test/dispatch/relay.test.ts
@@ -5,7 +5,8 @@
 import {request} from 'undici';
 import {Invariants} from '../../src/base/invariant.js';
 import {Answer} from '../../src/dispatch/answer.js';
-import {type EngineFaults, expectedWords} from '../../standins/engine.js';
+import {type EngineFaults} from '../../standins/engine.js';
+import {expectedWords} from '../../standins/engine-answers.js';
 import {testApiKey, TestCluster} from '../support/dev-cluster.js';
 import {eventually} from '../support/eventually.js';
 
--- a/test/entry/completions-client.test.ts
+++ b/test/entry/completions-client.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import OpenAI from 'openai';
-import {expectedWords} from '../../standins/engine.js';
+import {expectedWords} from '../../standins/engine-answers.js';
 import {testApiKey, TestCluster} from '../support/dev-cluster.js';
 
 const messages = [{role: 'user' as const, content: 'Is the pond safe?'}];
--- a/test/entry/graceful-stop.test.ts
+++ b/test/entry/graceful-stop.test.ts
@@ -9,7 +9,8 @@
 import {Node} from '../../src/serve/node.js';
 import {MemoryTable} from '../../src/store/memory-table.js';
 import {BookingStandIn} from '../../standins/booking.js';
-import {EngineStandIn, expectedWords} from '../../standins/engine.js';
+import {EngineStandIn} from '../../standins/engine.js';
+import {expectedWords} from '../../standins/engine-answers.js';
 import {createDeployment, testApiKey} from '../support/dev-cluster.js';
 import {eventually} from '../support/eventually.js';
 
--- a/test/entry/whole-path.test.ts
+++ b/test/entry/whole-path.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import OpenAI from 'openai';
 import {request} from 'undici';
-import {expectedWords} from '../../standins/engine.js';
+import {expectedWords} from '../../standins/engine-answers.js';
 import {testApiKey, TestCluster} from '../support/dev-cluster.js';
 
 describe('whole path', () => {
