--- a/test/dispatch/upstream-faults.test.ts
+++ b/test/dispatch/upstream-faults.test.ts
@@ -19,6 +19,7 @@
 	});
 
 	for (const fault of ['stall', 'crash'] as const) {
+		// eslint-disable-next-line @typescript-eslint/no-loop-func -- mocha runs the tests one after the other
 		it(`sends little to an engine during a ${fault} and uses it again after (guards against missing ejection and return)`, () => {
 			expect(reports[fault].sentDuringFault).to.be.at.most(40);
 			expect(reports[fault].whole).to.be.above(0);
