--- a/test/system/eight-nodes.test.ts
+++ b/test/system/eight-nodes.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {request} from 'undici';
-import {expectedWords} from '../../standins/engine.js';
+import {expectedWords} from '../../standins/engine-answers.js';
 import {callerKey, Deployment, type RunningNode} from './deployment.js';
 
 const NODES = 8;
