--- /dev/null
+++ b/examples/library/errors.ts
@@ -0,0 +1,6 @@
+/** Tells a caller what a kind of error says about the execution of its request. */
+import {ErrorKind, ranOf, SchedulerError} from 'redwingspool/errors';
+
+const err = SchedulerError.create(ErrorKind.Overloaded);
+const ran = ranOf(err.kind, {isKeyed: false, holdsClaim: false, isFirstAttempt: true});
+console.log(`${err.answer.status} ran=${ran} retry after ${err.retryAfterMs} ms`);
--- a/xo.config.js
+++ b/xo.config.js
@@ -29,6 +29,13 @@
 			'@typescript-eslint/no-extraneous-class': 'off',
 		},
 	},
+	{
+		files: ['examples/library/**'],
+		rules: {
+			// Sub-paths of the package have no extension.
+			'import-x/extensions': 'off',
+		},
+	},
 	{
 		files: ['src/cli/**', 'src/main.ts', 'bench/**', 'scripts/**'],
 		rules: {
