Add status, drain and retire-region for operators

Operators could see a node only through its metrics, and could stop it only by a signal on its VM.

GET /v1/status shows members, the team's upstreams and tiers, settings by region, the store and the promises; an operator sees the pools of its own team only. POST /v1/drain and DELETE /v1/regions/<region> concern all teams and need the bootstrap key. A region is retired only once its row has not changed for 5 s. The commands status, drain and config retire-region call these routes. The dev command keeps its settings in its table, so that all operators' commands work against it.

Random input found that an edit whose value is no YAML ended config edit with a stack trace, and that a file with an unknown alias was reported as unreadable; both are now refused as wrong usage.

--- a/src/cli/config-client.ts
+++ b/src/cli/config-client.ts
@@ -21,6 +21,22 @@
 	},
 } as const satisfies SettingDefinitions;
 
+/** Settings of the commands that concern all teams. */
+export const bootstrapSettings = {
+	address: clientSettings.address,
+	'bootstrap-key': {
+		description: 'Bootstrap key of the process; better set in the environment, where other users cannot see it',
+		schema: z.string('expected the bootstrap key').min(1, 'expected the bootstrap key'),
+		valueHint: 'KEY',
+	},
+} as const satisfies SettingDefinitions;
+
+/** A node, and the key that is sent to it. */
+export type Target = {
+	readonly address: string;
+	readonly key: string;
+};
+
 /** Where and as whom to connect. */
 export type ClientOptions = {
 	readonly address: string;
@@ -54,8 +70,8 @@
 export const problemsSchema = z.object({problems: z.array(z.object({path: z.string(), message: z.string()}))});
 
 type Call = {
-	readonly method: 'GET' | 'PUT' | 'POST';
-	/** Path below the team's configuration, with its query. */
+	readonly method: 'GET' | 'PUT' | 'POST' | 'DELETE';
+	/** Path with its query; `callNode` puts the team's configuration before it. */
 	readonly path: string;
 	readonly body?: unknown;
 	/** The version that a change was made from. */
@@ -68,17 +84,23 @@
 	[ErrorKind.RegionUnreachable]: 'repeat later, or add --force to accept the change although a region will get it late',
 	[ErrorKind.StoreUnavailable]: 'nothing was changed; repeat when the store is back',
 	[ErrorKind.OutcomeUnknown]: 'read `config log` to see whether the change was accepted before you repeat it',
-	[ErrorKind.Unauthenticated]: 'set REDWINGSPOOL_OPERATOR_KEY to an operator key of this team',
-	[ErrorKind.Forbidden]: 'use an operator key of this team',
+	[ErrorKind.Unauthenticated]: 'set REDWINGSPOOL_OPERATOR_KEY to an operator key of this team; commands about all teams need REDWINGSPOOL_BOOTSTRAP_KEY',
+	[ErrorKind.Forbidden]: 'act on the reason above; REDWINGSPOOL_OPERATOR_KEY is for one team, REDWINGSPOOL_BOOTSTRAP_KEY for what concerns all teams',
+	[ErrorKind.NotFound]: 'check the name, and that the node runs this version',
 };
 const notReachableKinds = new Set<string>([ErrorKind.StoreUnavailable, ErrorKind.OutcomeUnknown, ErrorKind.NotReady, ErrorKind.Draining]);
 
-/** Sends one request. */
+/** Sends one request about the team's configuration. */
 export async function callNode<Answer>(options: ClientOptions, call: Call, schema: z.ZodType<Answer>): Promise<Result<Answer, Failure>> {
+	return callPath({address: options.address, key: options['operator-key']}, {...call, path: configPath(options.team) + call.path}, schema);
+}
+
+/** Sends one request. */
+export async function callPath<Answer>(target: Target, call: Call, schema: z.ZodType<Answer>): Promise<Result<Answer, Failure>> {
 	try {
-		const res = await request(urlOf(options, call.path), {
+		const res = await request(`http://${target.address}${call.path}`, {
 			method: call.method,
-			headers: headersOf(options, call),
+			headers: headersOf(target, call),
 			...(call.body !== undefined && {body: JSON.stringify(call.body)}),
 			headersTimeout: ANSWER_TIMEOUT_MS,
 			bodyTimeout: ANSWER_TIMEOUT_MS,
@@ -91,13 +113,17 @@
 		const answer = schema.safeParse(json);
 		return answer.success ? ok(answer.data) : Result.err(toFailure(undefined));
 	} catch (error) {
-		return Result.err(notReachable(options, call, error as Error));
+		return Result.err(notReachable(target, call, error as Error));
 	}
 }
 
 /** @returns The URL of a path below the team's configuration. */
 export function urlOf({address, team}: ClientOptions, path: string): string {
-	return `http://${address}/v1/teams/${encodeURIComponent(team)}/config${path}`;
+	return `http://${address}${configPath(team)}${path}`;
+}
+
+function configPath(team: string): string {
+	return `/v1/teams/${encodeURIComponent(team)}/config`;
 }
 
 /** @returns One line for each difference. */
@@ -111,9 +137,9 @@
 	});
 }
 
-function headersOf(options: ClientOptions, {body, fromVersion}: Call): Record<string, string> {
+function headersOf({key}: Target, {body, fromVersion}: Call): Record<string, string> {
 	return {
-		authorization: `Bearer ${options['operator-key']}`,
+		authorization: `Bearer ${key}`,
 		...(body !== undefined && {'content-type': 'application/json'}),
 		...(fromVersion !== undefined && {'if-match': `"${fromVersion}"`}),
 	};
@@ -146,7 +172,7 @@
 	return notReachableKinds.has(kind) ? ExitStatus.NotReachable : ExitStatus.Refused;
 }
 
-function notReachable({address}: ClientOptions, {method}: Call, error: Error): Failure {
+function notReachable({address}: Target, {method}: Call, error: Error): Failure {
 	return {
 		status: ExitStatus.NotReachable,
 		message: `no answer from ${address}: ${error.message}`,
--- a/src/cli/config-files.ts
+++ b/src/cli/config-files.ts
@@ -4,7 +4,7 @@
 import {readFile} from 'node:fs/promises';
 import Result, {ok} from 'true-myth/result';
 import {
-	Document, isSeq, parse, parseDocument, stringify,
+	Document, isSeq, parseDocument, stringify,
 } from 'yaml';
 import {z} from 'zod';
 import {ExitStatus, type Failure} from './config-exit.js';
@@ -29,12 +29,12 @@
 
 /** @returns The subtree of a text in YAML or JSON. */
 export function parseSubtree(text: string, path: string): Result<SubtreeFile, Failure> {
-	const document = parseDocument(text);
-	if (document.errors.length > 0) {
-		return Result.err(fileFailure(`${path}: ${document.errors[0]!.message}`));
+	const parsed = parseYaml(text);
+	if (parsed.isErr) {
+		return Result.err(fileFailure(`${path}: ${parsed.error}`));
 	}
 
-	const value: unknown = document.toJS() ?? {};
+	const value = parsed.value ?? {};
 	const wrapper = wrapperSchema.safeParse(value);
 	if (wrapper.success) {
 		return ok({subtree: wrapper.data.subtree, fromVersion: wrapper.data.version});
@@ -44,6 +44,17 @@
 	return ok({subtree: value, fromVersion: version === undefined ? undefined : Number(version)});
 }
 
+/** @returns The value, or what is wrong with the text. */
+function parseYaml(text: string): Result<unknown, string> {
+	try {
+		const document = parseDocument(text);
+		// Aliases without an anchor show only when the document is converted.
+		return document.errors.length > 0 ? Result.err(document.errors[0]!.message) : ok(document.toJS());
+	} catch (error) {
+		return Result.err((error as Error).message);
+	}
+}
+
 /** @returns A subtree in YAML whose first line names the version, which `config put` reads. */
 export function formatSubtree(team: string, version: number, subtree: unknown): string {
 	return `# redwingspool ${team} version ${version}\n${stringify(subtree)}`;
@@ -63,7 +74,8 @@
 	}
 
 	const value = match.groups!.value!;
-	return {path: match.groups!.path!.split('.'), value: value === '' ? undefined : parse(value)};
+	const parsed = value === '' ? ok(undefined) : parseYaml(value);
+	return parsed.isOk ? {path: match.groups!.path!.split('.'), value: parsed.value} : undefined;
 }
 
 /** @returns The subtree with the edits made, or the edit that does not fit it. */
--- a/src/cli/config.ts
+++ b/src/cli/config.ts
@@ -3,10 +3,11 @@
  */
 import process from 'node:process';
 import {defineCommand} from 'citty';
+import {z} from 'zod';
 import {toArguments} from '../base/settings.js';
 import {checkSubtree} from '../config/check-subtree.js';
 import {
-	callNode, type ClientOptions, clientSettings, describeChanges, diffSchema, logSchema, putSchema, subtreeVersionSchema,
+	bootstrapSettings, callNode, callPath, type ClientOptions, clientSettings, describeChanges, diffSchema, logSchema, putSchema, subtreeVersionSchema,
 } from './config-client.js';
 import {
 	applyEdits, formatSubtree, parseEdit, readSubtreeFile, type SubtreeFile,
@@ -15,6 +16,7 @@
 import {printEvents} from './config-watch.js';
 import {readSettingsOrExit} from './read-settings-or-exit.js';
 
+const regionSchema = z.object({region: z.string()});
 const json = {type: 'boolean', description: 'Print JSON', default: false} as const;
 const force = {type: 'boolean', description: 'Accept the change although a region is cut off', default: false} as const;
 const file = {type: 'positional', description: 'File in YAML or JSON; - is standard input', required: true} as const;
@@ -96,7 +98,7 @@
 	},
 	async run({args}) {
 		const options = readOptions(args);
-		const edits = args._.map(text => parseEdit(text) ?? exitUsage(`expected PATH=VALUE, got '${text}'`));
+		const edits = args._.map(text => parseEdit(text) ?? exitUsage(`expected PATH=VALUE with a value in YAML, got '${text}'`));
 		const {version, subtree} = unwrapOrExit(await callNode(options, {method: 'GET', path: ''}, subtreeVersionSchema), args.json);
 		const edited = unwrapOrExit(applyEdits(subtree, edits), args.json);
 		await putOrExit(options, {subtree: edited, fromVersion: version, force: args.force}, args.json);
@@ -159,10 +161,23 @@
 	},
 });
 
+const retireRegionCommand = defineCommand({
+	meta: meta('retire-region', 'Forget a region that was taken out of service, so that changes no longer wait for it'),
+	args: {region: {type: 'positional', description: 'Name of the region', required: false}, ...toArguments(bootstrapSettings), json},
+	async run({args}) {
+		// Citty ends with another status where a required argument is missing.
+		const region = args.region ?? exitUsage('the name of the region is missing; `status` lists the regions');
+		const options = readSettingsOrExit(bootstrapSettings, args);
+		const target = {address: options.address, key: options['bootstrap-key']};
+		const answer = unwrapOrExit(await callPath(target, {method: 'DELETE', path: `/v1/regions/${encodeURIComponent(region)}`}, regionSchema), args.json);
+		console.log(args.json ? JSON.stringify(answer) : `retired region ${answer.region}`);
+	},
+});
+
 /** The `config` sub-command. */
 export const configCommand = defineCommand({
 	meta: meta('config', 'Read and change the settings of a team'),
 	subCommands: {
-		get: getCommand, put: putCommand, edit: editCommand, diff: diffCommand, validate: validateCommand, log: logCommand, watch: watchCommand,
+		get: getCommand, put: putCommand, edit: editCommand, diff: diffCommand, validate: validateCommand, log: logCommand, watch: watchCommand, 'retire-region': retireRegionCommand,
 	},
 });
--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -7,25 +7,31 @@
 import {SystemClock} from '../base/clock.js';
 import {Log} from '../base/log.js';
 import {toArguments} from '../base/settings.js';
-import {Deployment, digestKey} from '../config/deployment.js';
-import {subtreeSchema} from '../config/schema.js';
+import {digestKey} from '../config/deployment.js';
+import {SettingsTree} from '../config/settings-tree.js';
 import {Node} from '../serve/node.js';
 import {commonSettings} from '../serve/node-settings.js';
-import {MemoryTable} from '../store/memory-table.js';
+import {MemoryObjectStore, MemoryTable} from '../store/memory-table.js';
 import {readSettingsOrExit} from './read-settings-or-exit.js';
 import {stopOnSignal} from './stop-on-signal.js';
 
 /** The API key that `dev` accepts. */
 export const DEV_API_KEY = 'dev-key';
 
+/** The operator key of team `dev`. */
+const DEV_OPERATOR_KEY = 'dev-operator-key';
+/** The key that stops the node. */
+const DEV_BOOTSTRAP_KEY = 'dev-bootstrap-key';
+const DEV_TEAM = 'dev';
+
 const TOKEN_INTERVAL_MS = 20;
 const DEFAULT_TOKENS = 24;
 
-/** The embedded deployment. */
-function devDeployment(engines: readonly EngineStandIn[], booking: BookingStandIn): Deployment {
+/** The embedded settings. */
+function devSubtree(engines: readonly EngineStandIn[], booking: BookingStandIn): Record<string, unknown> {
 	const tiers = [{name: 'advice', deadlineMs: 5000}, {name: 'summary', deadlineMs: 60_000}];
 	const location = {region: 'local', dataCentre: 'local-1'};
-	const subtree = subtreeSchema.parse({
+	return {
 		services: {
 			advice: {
 				kind: 'model', models: ['crew-advice'], tiers, defaultTier: 'advice',
@@ -35,14 +41,14 @@
 			},
 		},
 		customers: {guest: {keyDigests: [digestKey(DEV_API_KEY)]}},
+		operators: {dev: {keyDigests: [digestKey(DEV_OPERATOR_KEY)]}},
 		upstreams: {
 			...Object.fromEntries(engines.map((engine, index) => [`engine-${index + 1}`, {
 				service: 'advice', url: engine.url, canResume: true, checksFencing: true, ...location,
 			}])),
 			'booking-1': {service: 'booking', url: booking.url, ...location},
 		},
-	});
-	return Deployment.create(new Map([['dev', subtree]]));
+	};
 }
 
 /** The `dev` sub-command. */
@@ -54,23 +60,35 @@
 		const engineOptions = {tokenIntervalMs: TOKEN_INTERVAL_MS, defaultTokens: DEFAULT_TOKENS};
 		const engines = [await EngineStandIn.start(engineOptions), await EngineStandIn.start(engineOptions)];
 		const booking = await BookingStandIn.start();
+		const clock = SystemClock.create();
+		const platform = {table: MemoryTable.create(), objects: MemoryObjectStore.create()};
+		await SettingsTree.create({...platform, clock}).commit({
+			team: DEV_TEAM, fromVersion: 0, author: 'dev', body: JSON.stringify(devSubtree(engines, booking)),
+		});
 		const node = Node.create({
-			clock: SystemClock.create(),
+			clock,
 			log: Log.create(settings['log-level']),
-			platform: {table: MemoryTable.create()},
+			platform,
 			host: settings.host,
 			port: settings.port,
 			region: 'local',
 			dataCentre: 'local-1',
+			bootstrapDigest: digestKey(DEV_BOOTSTRAP_KEY),
 			throwOnViolation: false,
 		});
-		node.settings.apply(devDeployment(engines, booking));
 		await node.start();
 		console.log(`listening on http://${node.address}`);
 		console.log(`try: curl -N http://${node.address}/v1/chat/completions -H 'Authorization: Bearer ${DEV_API_KEY}' -H 'Content-Type: application/json' -d '{"model":"crew-advice","stream":true,"messages":[{"role":"user","content":"Is the north pond safe today?"}]}'`);
+		const environment = [
+			`REDWINGSPOOL_ADDRESS=${node.address}`,
+			`REDWINGSPOOL_TEAM=${DEV_TEAM}`,
+			`REDWINGSPOOL_OPERATOR_KEY=${DEV_OPERATOR_KEY}`,
+			`REDWINGSPOOL_BOOTSTRAP_KEY=${DEV_BOOTSTRAP_KEY}`,
+		];
+		console.log(`operators: export ${environment.join(' ')}; redwingspool status`);
 		stopOnSignal(async () => {
 			await node.stop();
 			await Promise.all([...engines, booking].map(async standIn => standIn.stop()));
-		});
+		}, node.drainRequested);
 	},
 });
--- a/src/cli/stop-on-signal.ts
+++ b/src/cli/stop-on-signal.ts
@@ -5,8 +5,9 @@
 
 /**
  * @param stop - Called once, on the first signal. The process exits with 0 when it resolves, with 1 when it rejects.
+ * @param request - A request to stop that comes another way than by a signal.
  */
-export function stopOnSignal(stop: () => Promise<void>): void {
+export function stopOnSignal(stop: () => Promise<void>, request?: AbortSignal): void {
 	let isStopping = false;
 	const handle = async () => {
 		if (isStopping) {
@@ -23,6 +24,9 @@
 		}
 	};
 
+	request?.addEventListener('abort', () => {
+		void handle();
+	}, {once: true});
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
 		process.on(signal, () => {
 			void handle();
--- a/src/config/config-service.ts
+++ b/src/config/config-service.ts
@@ -4,6 +4,7 @@
 import Result, {ok} from 'true-myth/result';
 import {type Clock} from '../base/clock.js';
 import {ErrorKind} from '../base/errors.js';
+import {WriteOutcome} from '../store/table.js';
 import {
 	type Change, checkSubtree, compareSubtrees,
 } from './check-subtree.js';
@@ -144,6 +145,39 @@
 		});
 	}
 
+	/** Removes a region that was taken out of service, so that changes no longer wait for it. */
+	async retireRegion(region: string): Promise<Result<{region: string}, ConfigRefusal>> {
+		const {clock, sync, tree} = this.#options;
+		let state: RegionState | undefined;
+		do {
+			// eslint-disable-next-line no-await-in-loop
+			if (!await sync.read()) {
+				return Result.err(storeUnavailable());
+			}
+
+			state = sync.freshness.states(clock.now()).get(region);
+			if (state === RegionState.Uncertain) {
+				// eslint-disable-next-line no-await-in-loop
+				await clock.sleep(FRESHNESS_POLL_MS);
+			}
+		} while (state === RegionState.Uncertain);
+
+		if (state === undefined) {
+			return Result.err(refusal(ErrorKind.NotFound, 'There is no such region; it may be retired already.'));
+		}
+
+		if (state === RegionState.Fresh) {
+			return Result.err(inServiceRefusal());
+		}
+
+		const removed = await tree.removeRegion(region);
+		if (removed.isErr) {
+			return Result.err(refusal(ErrorKind.OutcomeUnknown, 'The store did not say whether the region was retired. Repeat the request.'));
+		}
+
+		return removed.value === WriteOutcome.ConditionFailed ? Result.err(inServiceRefusal()) : ok({region});
+	}
+
 	/** @returns In which regions a version is in force, as known now. */
 	regionReports(team: string, version: number): RegionReport[] {
 		const {clock, sync, peers, nodeId, region} = this.#options;
@@ -262,6 +296,10 @@
 	}
 }
 
+function inServiceRefusal(): ConfigRefusal {
+	return refusal(ErrorKind.Forbidden, 'The region is in service: one of its nodes wrote to the store within 5 s. Stop its nodes first.');
+}
+
 function checkInput(input: unknown): Result<Subtree, ConfigRefusal> {
 	return checkSubtree(input).mapErr(problems => refusal(ErrorKind.InvalidConfig, `The settings have ${problems.length} mistake(s); nothing was changed.`, {problems}));
 }
--- a/src/config/settings-tree.ts
+++ b/src/config/settings-tree.ts
@@ -150,6 +150,25 @@
 		}));
 	}
 
+	/**
+	 * Deletes a region's freshness row, unless it changed since it was read.
+	 *
+	 * @returns The outcome, or `undefined` where there is no row.
+	 */
+	async removeRegion(region: string): Promise<Result<WriteOutcome | undefined, StoreError>> {
+		const key = regionKey(region);
+		const row = await withTimeout(this.#clock, this.#table.get(key));
+		if (row.isErr) {
+			return Result.err(row.error);
+		}
+
+		return row.value === undefined
+			? ok(undefined)
+			: withTimeout(this.#clock, this.#table.write({
+				key, value: undefined, condition: {kind: 'token', token: row.value.token}, token: randomUUID(),
+			}));
+	}
+
 	/**
 	 * Writes a new version: the whole change or nothing. A lost answer is resolved by the token of the write, which
 	 * the version's history row keeps, so that it is found even when later versions followed.
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -17,6 +17,7 @@
 import {type AnswerSink} from './answer-sink.js';
 import {Relay, type RelayOutcome} from './relay.js';
 import {type Ticket} from './ticket.js';
+import {TierCounts} from './tier-counts.js';
 
 const MAX_ATTEMPTS = 3;
 
@@ -62,6 +63,8 @@
 	}
 
 	readonly scheduler: Scheduler;
+	/** How requests ended. */
+	readonly tierCounts = TierCounts.create();
 	readonly #invariants: Invariants;
 	readonly #upstreams: UpstreamRegistry;
 	readonly #claims: Claims;
@@ -144,7 +147,7 @@
 			job.sink.start(status, {'content-type': contentType, 'idempotency-replayed': 'true'});
 			job.sink.write(body);
 			job.sink.end();
-			this.#report(job, RequestOutcome.Done);
+			this.#report(job, RequestOutcome.Done, undefined, this.#clock.now() <= job.work.deadlineAt);
 		} else {
 			job.sink.fail(decision.err, job.ticket.fail(decision.err));
 			this.#report(job, RequestOutcome.Refused, decision.err);
@@ -190,13 +193,14 @@
 	}
 
 	#relayEnded(job: RunningJob, upstreamId: string, outcome: RelayOutcome): void {
+		const answeredAt = job.relay?.firstPartAt ?? this.#clock.now();
 		job.relay = undefined;
 		endSpan(job.hop, outcome.err?.kind);
 		job.hop = undefined;
 		this.scheduler.noteFinished(job.work.id, outcome.workOutcome);
 		if (outcome.err === undefined) {
 			job.ticket.finish();
-			this.#end(job, RequestOutcome.Done);
+			this.#end(job, RequestOutcome.Done, undefined, answeredAt <= job.work.deadlineAt);
 			return;
 		}
 
@@ -264,16 +268,17 @@
 		job.relay.callerLeft();
 	}
 
-	#end(job: RunningJob, outcome: RequestOutcome, err?: SchedulerError): void {
+	#end(job: RunningJob, outcome: RequestOutcome, err?: SchedulerError, isInTime = false): void {
 		this.#jobs.delete(job.work.id);
 		endSpan(job.hop, err?.kind);
-		this.#report(job, outcome, err);
+		this.#report(job, outcome, err, isInTime);
 		job.resolve();
 	}
 
-	#report(job: Job, outcome: RequestOutcome, err?: SchedulerError): void {
+	#report(job: Job, outcome: RequestOutcome, err?: SchedulerError, isInTime = false): void {
 		job.trace?.end(err?.kind);
 		this.#metrics?.countRequest(job.work.tier, outcome);
+		this.tierCounts.note(job.work.pool, job.work.tier, outcome, isInTime);
 		if (err !== undefined) {
 			this.#metrics?.countError(err.kind);
 		}
--- a/src/dispatch/relay.ts
+++ b/src/dispatch/relay.ts
@@ -65,6 +65,7 @@
 	#fruitlessResumes = 0;
 	#hasCallerLeft = false;
 	#isEnded = false;
+	#firstPartAt: number | undefined;
 	#lastPartAt: number | undefined;
 	#resumeSpan: Span | undefined;
 
@@ -179,6 +180,11 @@
 		this.#breakOff(SchedulerError.create(kind), WorkOutcome.Lost);
 	}
 
+	/** When the first part of the answer arrived; `undefined` before it, or where the answer has no body. */
+	get firstPartAt(): number | undefined {
+		return this.#firstPartAt;
+	}
+
 	/**
 	 * The caller went away. An operation whose answer is recorded goes on, for the caller's repeat; anything else is
 	 * stopped at the engine too, which would go on generating for a resume.
@@ -200,6 +206,7 @@
 
 	#recordTiming(): void {
 		const {clock, metrics, job: {work}} = this.#options;
+		this.#firstPartAt ??= clock.now();
 		if (metrics === undefined || work.model === undefined) {
 			return;
 		}
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -19,6 +19,7 @@
 import {NodeController} from './node-controller.js';
 import {OPERATOR_CONTEXT, type OperatorContext} from './operator-context.js';
 import {OperatorController} from './operator-controller.js';
+import {OperatorNodeController} from './operator-node-controller.js';
 import {ProblemFilter} from './problem-filter.js';
 import {RateLimiter} from './rate-limiter.js';
 import {ServicesController} from './services-controller.js';
@@ -32,7 +33,7 @@
 	static create(context: EntryContext, operators: OperatorContext | undefined): DynamicModule {
 		return {
 			module: EntryModule,
-			controllers: [CompletionsController, ServicesController, NodeController, ...(operators ? [OperatorController] : [])],
+			controllers: [CompletionsController, ServicesController, NodeController, ...(operators ? [OperatorController] : []), ...(operators?.node ? [OperatorNodeController] : [])],
 			providers: [{provide: ENTRY_CONTEXT, useValue: context}, {provide: OPERATOR_CONTEXT, useValue: operators}],
 		};
 	}
--- a/src/entry/operator-context.ts
+++ b/src/entry/operator-context.ts
@@ -13,6 +13,7 @@
 import {digestKey} from '../config/deployment.js';
 import {type BodyBudget, readBody} from './body.js';
 import {ErrorFormat, formatError} from './error-body.js';
+import {type NodeOperations} from './node-status.js';
 import {type SubtreeWatches} from './operator-watch.js';
 
 /** Injection token of the operators' context. */
@@ -31,6 +32,8 @@
 	readonly watches: SubtreeWatches;
 	/** SHA-256 digest in hex of the key that makes a team's first operator; none where absent. */
 	readonly bootstrapDigest: string | undefined;
+	/** Present where operators may look at the node and stop it. */
+	readonly node?: NodeOperations;
 };
 
 /** Who sent a request. */
@@ -43,18 +46,56 @@
 
 const teamPattern = /^[a-z\d][a-z\d\-]{0,62}$/v;
 
+/** Authenticates an operator of any team by the digests in the subtrees in force. */
+export function identifyAnyOperator(req: IncomingMessage, context: OperatorContext): Result<OperatorIdentity, ConfigRefusal> {
+	const apiKey = readKey(req);
+	if (apiKey.isErr) {
+		return Result.err(apiKey.error);
+	}
+
+	const digest = digestKey(apiKey.value);
+	for (const {team} of context.sync.subtrees.heads) {
+		const operators = Object.entries(context.sync.subtrees.get(team)?.subtree.operators ?? {});
+		const operator = operators.find(([, {keyDigests}]) => keyDigests.includes(digest));
+		if (operator !== undefined) {
+			return ok({team, name: operator[0], isBootstrap: false});
+		}
+	}
+
+	return Result.err(isBootstrapDigest(digest, context.bootstrapDigest)
+		? refusal(ErrorKind.Forbidden, 'The bootstrap key belongs to no team; use an operator key.')
+		: refusal(ErrorKind.Unauthenticated, 'The operator key is not known.'));
+}
+
+/** @returns Why a request that needs the process's bootstrap key is refused, if it is. */
+export function refuseWithoutBootstrap(req: IncomingMessage, context: OperatorContext): ConfigRefusal | undefined {
+	const apiKey = readKey(req);
+	if (apiKey.isErr) {
+		return apiKey.error;
+	}
+
+	const digest = digestKey(apiKey.value);
+	if (isBootstrapDigest(digest, context.bootstrapDigest)) {
+		return undefined;
+	}
+
+	return isOperatorElsewhere(digest, context)
+		? refusal(ErrorKind.Forbidden, 'This concerns all teams and needs the bootstrap key of the process.')
+		: refusal(ErrorKind.Unauthenticated, 'The key is not the bootstrap key of the process.');
+}
+
 /** Authenticates an operator of a team by the digests in the team's subtree in force. */
 export function identifyOperator(req: IncomingMessage, team: string, context: OperatorContext): Result<OperatorIdentity, ConfigRefusal> {
-	const apiKey = /^Bearer (?<key>\S{1,500})$/v.exec(req.headers.authorization ?? '')?.groups?.key;
-	if (apiKey === undefined) {
-		return Result.err(refusal(ErrorKind.Unauthenticated, 'An operator key is required as a bearer token.'));
+	const apiKey = readKey(req);
+	if (apiKey.isErr) {
+		return Result.err(apiKey.error);
 	}
 
 	if (!teamPattern.test(team)) {
 		return Result.err(refusal(ErrorKind.NotFound, 'There is no such team.'));
 	}
 
-	const digest = digestKey(apiKey);
+	const digest = digestKey(apiKey.value);
 	const operators = Object.entries(context.sync.subtrees.get(team)?.subtree.operators ?? {});
 	const operator = operators.find(([, {keyDigests}]) => keyDigests.includes(digest));
 	if (operator !== undefined) {
@@ -112,6 +153,11 @@
 	return {err: SchedulerError.create(ErrorKind.Internal)};
 }
 
+function readKey(req: IncomingMessage): Result<string, ConfigRefusal> {
+	const apiKey = /^Bearer (?<key>\S{1,500})$/v.exec(req.headers.authorization ?? '')?.groups?.key;
+	return apiKey === undefined ? Result.err(refusal(ErrorKind.Unauthenticated, 'An operator key is required as a bearer token.')) : ok(apiKey);
+}
+
 function isBootstrapDigest(digest: string, expected: string | undefined): boolean {
 	return expected?.length === digest.length && timingSafeEqual(Buffer.from(digest), Buffer.from(expected));
 }
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,8 +6,10 @@
 import packageInfo from '../package.json' with {type: 'json'};
 import {configCommand} from './cli/config.js';
 import {devCommand} from './cli/dev.js';
+import {drainCommand} from './cli/drain.js';
 import {keysCommand} from './cli/keys.js';
 import {loadCommand} from './cli/load.js';
+import {statusCommand} from './cli/status.js';
 
 const mainCommand = defineCommand({
 	meta: {name: 'redwingspool', version: packageInfo.version, description: packageInfo.description},
@@ -16,6 +18,8 @@
 		config: configCommand,
 		keys: keysCommand,
 		load: loadCommand,
+		status: statusCommand,
+		drain: drainCommand,
 	},
 });
 
--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -13,7 +13,7 @@
 import {Router} from './router.js';
 import {RunningWorks} from './running-works.js';
 import {
-	type CacheChange, Scheduler, type SchedulerEvents, type UpstreamDemand, type UpstreamView, type Work, type WorkOutcome,
+	type CacheChange, Scheduler, type SchedulerEvents, type UpstreamDemand, type UpstreamUse, type UpstreamView, type Work, type WorkOutcome,
 } from './scheduler.js';
 import {FLOOR_SLOTS} from './shares.js';
 import {UpstreamState} from './upstream-state.js';
@@ -100,6 +100,22 @@
 		return demands;
 	}
 
+	override get uses(): readonly UpstreamUse[] {
+		const now = this.#options.clock.now();
+		return [...this.#states.values()].map(state => ({
+			upstreamId: state.view.id,
+			slots: state.slots(now),
+			inFlight: state.inFlight,
+			isEjected: now < state.health.ejectedUntil,
+			isOnProbation: state.health.isOnProbation,
+			isLeaving: state.view.isLeaving,
+		}));
+	}
+
+	override get waitingByPool(): ReadonlyMap<string, readonly number[]> {
+		return new Map([...this.#pools].map(([name, {waitingByTier}]) => [name, [...waitingByTier]]));
+	}
+
 	get waitingCount(): number {
 		let count = 0;
 		for (const pool of this.#pools.values()) {
--- a/src/policy/scheduler.ts
+++ b/src/policy/scheduler.ts
@@ -101,6 +101,20 @@
 	noteSuspicion?(suspicion: Suspicion): void;
 };
 
+/** How a scheduler uses one upstream now. */
+export type UpstreamUse = {
+	readonly upstreamId: string;
+	/** Requests of this node that may be in flight there. */
+	readonly slots: number;
+	/** Requests of this node that are in flight there. */
+	readonly inFlight: number;
+	/** Failed or stalled; it gets no work for a while. */
+	readonly isEjected: boolean;
+	/** Returned from an ejection and has not proved itself. */
+	readonly isOnProbation: boolean;
+	readonly isLeaving: boolean;
+};
+
 /** Queues, limits and routes work. Subclasses differ in policy. Does no I/O. */
 export abstract class Scheduler {
 	/** What this node wants of each shared upstream. */
@@ -108,6 +122,16 @@
 		return [];
 	}
 
+	/** How each upstream of this node is used. */
+	get uses(): readonly UpstreamUse[] {
+		return [];
+	}
+
+	/** Waiting requests by pool and tier; index 0 is the most important tier. */
+	get waitingByPool(): ReadonlyMap<string, readonly number[]> {
+		return new Map();
+	}
+
 	/**
 	 * Bounds this node's requests in flight at a shared upstream.
 	 *
--- a/src/serve/node-core.ts
+++ b/src/serve/node-core.ts
@@ -138,6 +138,11 @@
 		this.#listen();
 	}
 
+	/** All upstreams in the settings. */
+	get upstreams(): readonly Upstream[] {
+		return this.#options.settings.deployment.upstreams;
+	}
+
 	/** Addresses for a caller. */
 	entriesFor(caller: string): EntriesAnswer {
 		return chooseEntries({id: caller, region: this.#options.self.region}, this.members.all);
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -13,6 +13,7 @@
 import {type Dispatcher} from '../dispatch/dispatcher.js';
 import {BodyBudget} from '../entry/body.js';
 import {EntryPart} from '../entry/entry-part.js';
+import {type NodeOperations} from '../entry/node-status.js';
 import {type HttpLimits} from '../entry/http-limits.js';
 import {SubtreeWatches} from '../entry/operator-watch.js';
 import {type TlsFiles} from '../entry/tls.js';
@@ -24,6 +25,7 @@
 import {MemoryObjectStore, MemoryTable, MemoryVmList} from '../store/memory-table.js';
 import {Supervisor} from '../supervisor/supervisor.js';
 import {NodeCore, type Platform} from './node-core.js';
+import {readNodeStatus} from './node-status.js';
 import {waitUntil} from './wait-until.js';
 
 const PEER_KEY_BYTES = 32;
@@ -97,6 +99,7 @@
 	#core: NodeCore | undefined;
 	#entry: EntryPart | undefined;
 	readonly #supervisor: Supervisor;
+	readonly #drainRequest = new AbortController();
 	#isDraining = false;
 	#isRefusing = false;
 
@@ -148,6 +151,11 @@
 		return this.core.dispatcher;
 	}
 
+	/** Aborted when an operator asks for the planned stop of this node; the command that runs it then calls `stop`. */
+	get drainRequested(): AbortSignal {
+		return this.#drainRequest.signal;
+	}
+
 	async start(): Promise<void> {
 		const {region} = this.#options;
 		await this.#supervisor.add(this.#peer);
@@ -240,7 +248,27 @@
 		}, {
 			host, port, limits, log, tls,
 		}, {
-			clock, bodyBudget: this.#bodyBudget, service, sync, watches: SubtreeWatches.create(clock, sync), bootstrapDigest,
+			clock, bodyBudget: this.#bodyBudget, service, sync, watches: SubtreeWatches.create(clock, sync), bootstrapDigest, node: this.#createOperations(core),
 		});
 	}
+
+	#createOperations(core: NodeCore): NodeOperations {
+		const {region, dataCentre} = this.#options;
+		return {
+			status: team => readNodeStatus({
+				core,
+				team,
+				invariants: this.invariants,
+				table: this.platform.table,
+				node: {
+					id: this.#vmId, region, dataCentre, isReady: this.settings.isLoaded && !this.#isDraining, isDraining: this.#isDraining,
+				},
+			}),
+			requestDrain: () => {
+				this.#log.info('An operator asked for a planned stop.', {vm: this.#vmId});
+				this.#drainRequest.abort();
+				return {id: this.#vmId, inFlight: core.dispatcher.inFlightCount};
+			},
+		};
+	}
 }
