--- /dev/null
+++ b/test/operations.test.ts
@@ -0,0 +1,48 @@
+import {readdir, readFile} from 'node:fs/promises';
+import path from 'node:path';
+import {expect} from 'chai';
+import {LogPrefix} from '../src/base/log.js';
+import {MemoryTable} from '../src/store/memory-table.js';
+import {createTestNode} from './support/dev-cluster.js';
+
+/** @returns The first cells of a section's table. */
+function firstCells(page: string, section: string): string[] {
+	const text = page.split(`\n## ${section}\n`)[1]!.split('\n## ', 1)[0]!;
+	return [...text.matchAll(/^\| `(?<name>[^`]+)` \|/gmv)].map(match => match.groups!.name!).toSorted();
+}
+
+describe('docs/OPERATIONS.md', () => {
+	let page: string;
+
+	before(async () => {
+		page = await readFile('docs/OPERATIONS.md', 'utf8');
+	});
+
+	// Guards against a metric that operators cannot look up, and a documented one that no longer exists.
+	it('has each metric of a node and no other', async () => {
+		const node = createTestNode(MemoryTable.create());
+		await node.start();
+		const text = await node.metrics.expose();
+		await node.stop();
+		const names = [...text.matchAll(/^# TYPE (?<name>\S+)/gmv)].map(match => match.groups!.name!);
+		expect(firstCells(page, 'Metrics')).to.deep.equal(names.toSorted());
+		const mentioned = [...page.matchAll(/`(?<name>redwingspool_\w+)`/gv)].map(match => match.groups!.name!);
+		expect(mentioned.filter(name => !names.includes(name))).to.deep.equal([]);
+	});
+
+	// Guards against log lines on the page that the program no longer writes, and prefixes that the page lacks.
+	it('has each log prefix, and quotes lines as they are written', async () => {
+		const prefixes: string[] = Object.values(LogPrefix);
+		const toSet = (lines: readonly string[]) => [...new Set(lines)].toSorted((a, b) => a < b ? -1 : 1);
+		expect(firstCells(page, 'Log prefixes')).to.deep.equal(prefixes.toSorted());
+		const entries = await readdir('src', {recursive: true, withFileTypes: true});
+		const files = entries.filter(entry => entry.isFile() && entry.name.endsWith('.ts'));
+		const sources = await Promise.all(files.map(async file => readFile(path.join(file.parentPath, file.name), 'utf8')));
+		const code = sources.join('\n').replaceAll(String.raw`\'`, '\'');
+		const written = [...code.matchAll(/(?:log|Log\)?|\))\??\.(?:error|warn|info|debug)\((?:\w+ \? )?(?<rest>[^\n]*)/gv)]
+			.flatMap(match => [...match.groups!.rest!.matchAll(/'(?<line>[A-Z].*?\.)'/gv)].map(line => line.groups!.line!));
+		const quoted = [...page.matchAll(/`(?<prefix>[a-z]+): (?<line>[A-Z][^`]*\.)`/gv)].map(match => match.groups!);
+		expect(toSet(quoted.map(({line}) => line!))).to.deep.equal(toSet(written));
+		expect(quoted.map(({prefix}) => prefix!).filter(prefix => !prefixes.includes(prefix))).to.deep.equal([]);
+	});
+});
