Correct the recipes for contributors by trying them

The recipes named a function and a test folder that do not exist, and the policy recipe left out that the bench must be given the policy.

--- a/test/operations.test.ts
+++ b/test/operations.test.ts
@@ -1,6 +1,7 @@
-import {readdir, readFile} from 'node:fs/promises';
+import {access, readdir, readFile} from 'node:fs/promises';
 import path from 'node:path';
 import {expect} from 'chai';
+import {ErrorKind} from '../src/base/errors.js';
 import {LogPrefix} from '../src/base/log.js';
 import {MemoryTable} from '../src/store/memory-table.js';
 import {createTestNode} from './support/dev-cluster.js';
@@ -46,3 +47,21 @@
 		expect(quoted.map(({prefix}) => prefix!).filter(prefix => !prefixes.includes(prefix))).to.deep.equal([]);
 	});
 });
+
+describe('pages for contributors', () => {
+	// Guards against a kind that callers receive and the design does not explain.
+	it('explain each error kind', async () => {
+		const design = await readFile('docs/design.md', 'utf8');
+		const table = design.split('\n### 5.3 ')[1]!.split('\n## ', 1)[0]!;
+		const kinds = new Set(table.match(/[a-z]+(?:-[a-z]+)*/gv));
+		expect(Object.values(ErrorKind).filter(kind => !kinds.has(kind))).to.deep.equal([]);
+	});
+
+	// Guards against recipes that name a file which was moved.
+	it('name files that exist', async () => {
+		const page = await readFile('docs/CONTRIBUTING.md', 'utf8');
+		const paths = [...page.matchAll(/`(?<path>(?:src|test|bench|docs|standins|examples)\/[\w\-.\/]+)`/gv)].map(match => match.groups!.path!);
+		expect(paths).to.have.length.above(10);
+		await Promise.all(paths.map(async file => access(file)));
+	});
+});
