End wrong usage of any command with status 2

Citty ends a missing argument or an unknown command with 1, which scripts take for a refusal by the node.

--- a/src/cli/config.ts
+++ b/src/cli/config.ts
@@ -163,13 +163,11 @@
 
 const retireRegionCommand = defineCommand({
 	meta: meta('retire-region', 'Forget a region that was taken out of service, so that changes no longer wait for it'),
-	args: {region: {type: 'positional', description: 'Name of the region', required: false}, ...toArguments(bootstrapSettings), json},
+	args: {region: {type: 'positional', description: 'Name of the region', required: true}, ...toArguments(bootstrapSettings), json},
 	async run({args}) {
-		// Citty ends with another status where a required argument is missing.
-		const region = args.region ?? exitUsage('the name of the region is missing; `status` lists the regions');
 		const options = readSettingsOrExit(bootstrapSettings, args);
 		const target = {address: options.address, key: options['bootstrap-key']};
-		const answer = unwrapOrExit(await callPath(target, {method: 'DELETE', path: `/v1/regions/${encodeURIComponent(region)}`}, regionSchema), args.json);
+		const answer = unwrapOrExit(await callPath(target, {method: 'DELETE', path: `/v1/regions/${encodeURIComponent(args.region)}`}, regionSchema), args.json);
 		console.log(args.json ? JSON.stringify(answer) : `retired region ${answer.region}`);
 	},
 });
--- a/src/main.ts
+++ b/src/main.ts
@@ -2,13 +2,14 @@
  * Entry of the binary.
  */
 import process from 'node:process';
-import {defineCommand, runMain} from 'citty';
+import {defineCommand} from 'citty';
 import packageInfo from '../package.json' with {type: 'json'};
 import {configCommand} from './cli/config.js';
 import {devCommand} from './cli/dev.js';
 import {drainCommand} from './cli/drain.js';
 import {keysCommand} from './cli/keys.js';
 import {loadCommand} from './cli/load.js';
+import {runProgram} from './cli/run-program.js';
 import {statusCommand} from './cli/status.js';
 
 const mainCommand = defineCommand({
@@ -24,4 +25,4 @@
 });
 
 // The one-binary bundle is CommonJS, which has no top-level await.
-void runMain(mainCommand, {rawArgs: process.argv.slice(2)});
+void runProgram(mainCommand, process.argv.slice(2));
