--- a/test/cli/status.test.ts
+++ b/test/cli/status.test.ts
@@ -35,7 +35,7 @@
 		const env = {PATH: process.env.PATH, REDWINGSPOOL_ADDRESS: node.address, ...keys};
 		return new Promise(resolve => {
 			const child = execFile(process.execPath, ['--import', 'tsx', 'src/main.ts', ...line.split(' ')], {env}, (_error, stdout, stderr) => {
-				resolve({status: child.exitCode, stdout, stderr});
+				resolve({status: child.exitCode ?? undefined, stdout, stderr});
 			});
 		});
 	}
