Wait for the settings before dev says that it listens

The dev command reads its settings from its table since it has operators, and printed its address before they were in force. Under load, graceful-stop.test.ts then received refusals in place of its 100 streams.

--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -11,6 +11,7 @@
 import {SettingsTree} from '../config/settings-tree.js';
 import {Node} from '../serve/node.js';
 import {commonSettings} from '../serve/node-settings.js';
+import {waitUntil} from '../serve/wait-until.js';
 import {MemoryObjectStore, MemoryTable} from '../store/memory-table.js';
 import {readSettingsOrExit} from './read-settings-or-exit.js';
 import {stopOnSignal} from './stop-on-signal.js';
@@ -24,6 +25,7 @@
 const DEV_BOOTSTRAP_KEY = 'dev-bootstrap-key';
 const DEV_TEAM = 'dev';
 
+const READY_TIMEOUT_MS = 5000;
 const TOKEN_INTERVAL_MS = 20;
 const DEFAULT_TOKENS = 24;
 
@@ -77,6 +79,8 @@
 			throwOnViolation: false,
 		});
 		await node.start();
+		// Callers that connect at once must not meet a node without settings.
+		await waitUntil(clock, () => node.settings.isLoaded, READY_TIMEOUT_MS);
 		console.log(`listening on http://${node.address}`);
 		console.log(`try: curl -N http://${node.address}/v1/chat/completions -H 'Authorization: Bearer ${DEV_API_KEY}' -H 'Content-Type: application/json' -d '{"model":"crew-advice","stream":true,"messages":[{"role":"user","content":"Is the north pond safe today?"}]}'`);
 		const environment = [
