--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -29,7 +29,7 @@
 		stopOnSignal(async () => {
 			await node.stop();
 			await close();
-		});
+		}, node.drainRequested);
 		try {
 			await node.start();
 		} catch (error) {
