Assign each node upstreams of every pool

With 16 nodes an upstream, most of 360 nodes had none of a pool of 3 and would have refused its callers. Each node now takes what it lacks: one upstream of its own region, one of another region, two data centres and two upstreams of each pool, as far as the pool has them. Two of the 16 nodes of an upstream are of other regions.

--- a/src/serve/members-parts.ts
+++ b/src/serve/members-parts.ts
@@ -146,7 +146,9 @@
 		}
 
 		this.#assignedFor = key;
-		const upstreams = (this.#deployment?.upstreams ?? []).map(({id, settings}) => ({id, region: settings.region}));
+		const upstreams = (this.#deployment?.upstreams ?? []).map(({id, pool, settings}) => ({
+			id, pool, region: settings.region, dataCentre: settings.dataCentre,
+		}));
 		this.#assignment = Assignment.create(members, upstreams);
 		this.#tellUpstreams();
 	}
