Find pressure marks by pool and tier

publishPressure scanned all entries of the store for each shed request. The topics now keep the end of the longest mark by pool and tier.

Adds the load of a target node to bench/members.ts as the default pattern; the load in which every node wants more than its share is the pattern 'contended'.

--- a/bench/members.ts
+++ b/bench/members.ts
@@ -7,19 +7,89 @@
 import {Random} from '../src/base/random.js';
 import {Assignment} from '../src/members/assignment.js';
 import {MemberStatus} from '../src/members/member.js';
-import {SharesPart} from '../src/peer/shares-part.js';
+import {SharesPart, type TieredDemand} from '../src/peer/shares-part.js';
+import {DEMAND_INTERVAL_MS} from '../src/policy/shares.js';
 import {Cluster, type ClusterNode} from '../test/members/cluster.js';
 import {measureWire, type WireCost} from './members-wire.js';
 
-const UPSTREAMS = 790;
-const IN_FLIGHT_PER_UPSTREAM = 32;
+/** Servers and nodes of the target, docs/design.md section 4. */
+const TARGET_UPSTREAMS = 790;
+const TARGET_NODES = 360;
+const MIN_UPSTREAMS = 12;
+const REQUESTS_PER_SECOND = 15;
+/** 5,900 tokens/s over 15 requests/s are 393 tokens a request, at 48 ms each. */
+const REQUEST_SECONDS = 19;
+/** 8 accelerators a server with 20 requests each; the peak needs 132 of them. */
+const PEAK_LIMIT = 160;
+/** Limit of an upstream where every node demands slots of each of its upstreams. */
+const CONTENDED_LIMIT = 32;
 const SETTLE_MS = 15_000;
 const MEASURE_MS = 5000;
 const regions = ['north', 'south'];
 
-const upstreams = Array.from({length: UPSTREAMS}, (_, index) => ({
-	id: `team-${index % 9}/engine-${index}`, pool: `team-${index % 9}/chat`, region: regions[index % 2]!, dataCentre: `dc-${index % 5}`,
-}));
+/** The load that the nodes put on the shares. */
+type Pattern = {
+	readonly upstreamCount: (nodes: number) => number;
+	readonly limit: number;
+	/** @returns The demand of one node, to be called at each interval. */
+	readonly create: (upstreamIds: readonly string[], random: Random) => () => readonly TieredDemand[];
+};
+
+type MutableDemand = {upstreamId: string; limitEstimate: number; held: number; waitingByTier: number[]};
+
+function demandOf(upstreamId: string, limitEstimate: number, held: number): MutableDemand {
+	return {
+		upstreamId, limitEstimate, held, waitingByTier: [],
+	};
+}
+
+/** Each node relays what a node of the target does, and the upstreams grow with the nodes. Nothing waits. */
+const peak: Pattern = {
+	upstreamCount: nodes => Math.max(MIN_UPSTREAMS, Math.round(TARGET_UPSTREAMS * nodes / TARGET_NODES)),
+	limit: PEAK_LIMIT,
+	create(upstreamIds, random) {
+		const demand = upstreamIds.map(id => demandOf(id, PEAK_LIMIT, 0));
+		for (let request = 0; request < REQUESTS_PER_SECOND * REQUEST_SECONDS; request += 1) {
+			random.pick(demand).held += 1;
+		}
+
+		return () => {
+			for (let ended = 0; ended < REQUESTS_PER_SECOND * DEMAND_INTERVAL_MS / 1000; ended += 1) {
+				random.pick(demand.filter(({held}) => held > 0)).held -= 1;
+				random.pick(demand).held += 1;
+			}
+
+			return demand;
+		};
+	},
+};
+
+/** Each node wants slots of all its upstreams, mostly more than its share. */
+const contended: Pattern = {
+	upstreamCount: () => TARGET_UPSTREAMS,
+	limit: CONTENDED_LIMIT,
+	create(upstreamIds, random) {
+		const demand = upstreamIds.map(id => ({...demandOf(id, CONTENDED_LIMIT, 2), waitingByTier: [0, 0, 1, 0, 0]}));
+		return () => {
+			for (const one of demand) {
+				if (random.next() < 0.1) {
+					one.held = random.integer(1, 3);
+					one.waitingByTier[2] = random.integer(0, 1);
+				}
+			}
+
+			return demand;
+		};
+	},
+};
+
+const patterns = new Map([['peak', peak], ['contended', contended]]);
+
+function createUpstreams(count: number) {
+	return Array.from({length: count}, (_, index) => ({
+		id: `team-${index % 9}/engine-${index}`, pool: `team-${index % 9}/chat`, region: regions[index % 2]!, dataCentre: `dc-${index % 5}`,
+	}));
+}
 
 type Figures = {
 	readonly messages: number;
@@ -29,31 +99,18 @@
 
 type Loaded = {readonly part: SharesPart; assignment: Assignment};
 
-function addShares(cluster: Cluster, loaded: Map<number, Loaded>, random: Random): void {
+function addShares(cluster: Cluster, loaded: Map<number, Loaded>, pattern: Pattern, random: Random): void {
 	const nodes = [...cluster.nodes.values()];
-	const assignment = Assignment.create(cluster.view(nodes[0]!), upstreams);
+	const assignment = Assignment.create(cluster.view(nodes[0]!), createUpstreams(pattern.upstreamCount(nodes.length)));
 	for (const node of nodes) {
-		const demand = assignment.upstreamsOf(node.id).map(upstreamId => ({
-			upstreamId, limitEstimate: IN_FLIGHT_PER_UPSTREAM, held: 2, waitingByTier: [0, 0, 1, 0, 0],
-		}));
 		const part = SharesPart.create({
 			self: node,
 			clock: node.clock,
 			transport: node.transport,
-			demand() {
-				// Every demand changes now and then, as requests start and end.
-				for (const one of demand) {
-					if (random.next() < 0.1) {
-						one.held = random.integer(1, 3);
-						one.waitingByTier[2] = random.integer(0, 1);
-					}
-				}
-
-				return demand;
-			},
+			demand: pattern.create(assignment.upstreamsOf(node.id), random),
 			allocatorOf: id => assignment.allocatorOf(id),
 			nodeCountOf: id => assignment.nodesOf(id).length,
-			maxConcurrencyOf: () => IN_FLIGHT_PER_UPSTREAM,
+			maxConcurrencyOf: () => pattern.limit,
 			setShare() {
 				// The bench has no scheduler.
 			},
@@ -101,7 +158,7 @@
 	return Math.max(...nodes.map(node => (node.seen.get(text) ?? Number.POSITIVE_INFINITY) - since));
 }
 
-async function run(count: number, seed: number, wire: WireCost): Promise<void> {
+async function run(count: number, seed: number, pattern: Pattern, wire: WireCost): Promise<void> {
 	const loaded = new Map<number, Loaded>();
 	const cluster = new Cluster({
 		seed, regions, maxDelayMs: 16, loss: 0.01, handlersOf: node => ({demand: async req => loaded.get(node.index)!.part.handlers.demand!(req)}),
@@ -121,7 +178,7 @@
 	const config = await spread(cluster, (node, now) => node.topics.publishApplied({
 		subtree: 'team-1', version: 2, digest: 'a'.repeat(64), bytes: 1000,
 	}, now), `config {"subtree":"team-1","region":"north","nodeId":"vm-0","version":2,"digest":"${'a'.repeat(64)}","bytes":1000}`);
-	addShares(cluster, loaded, Random.create(seed));
+	addShares(cluster, loaded, pattern, Random.create(seed));
 	await cluster.run(2000);
 	const both = await measure(cluster);
 	const wireBytes = (figures: Figures) => Math.round(figures.bytes + (figures.messages * wire.overheadBytes / 2));
@@ -146,13 +203,18 @@
 	}));
 }
 
-const {values} = parseArgs({options: {nodes: {type: 'string', default: '8,45,90,180,360'}, seeds: {type: 'string', default: '1,2,3'}}});
+const {values} = parseArgs({options: {nodes: {type: 'string', default: '8,45,90,180,360'}, seeds: {type: 'string', default: '1,2,3'}, pattern: {type: 'string', default: 'peak'}}});
+const pattern = patterns.get(values.pattern);
+if (!pattern) {
+	throw new Error(`Unknown pattern ${values.pattern}; known are ${[...patterns.keys()].join(', ')}.`);
+}
+
 const wire = await measureWire();
 console.log(JSON.stringify({overheadBytes: Math.round(wire.overheadBytes), firstCallBytes: wire.firstCallBytes, cpuMicros: Math.round(wire.cpuMicros)}));
 for (const nodes of values.nodes.split(',')) {
 	for (const seed of values.seeds.split(',')) {
 		// eslint-disable-next-line no-await-in-loop
-		await run(Number(nodes), Number(seed), wire);
+		await run(Number(nodes), Number(seed), pattern, wire);
 	}
 }
 
--- a/src/members/topics.ts
+++ b/src/members/topics.ts
@@ -1,7 +1,9 @@
 /**
  * What rides on gossip besides members: typed publication and subscription.
  */
-import {type AppliedConfig, type Entry, type Suspicion as SuspicionMessage} from '../peer/generated/redwingspool/peer/v1/peer_pb.js';
+import {
+	type AppliedConfig, type Entry, type Pressure, type Suspicion as SuspicionMessage,
+} from '../peer/generated/redwingspool/peer/v1/peer_pb.js';
 import {type Suspicion} from '../policy/quarantine.js';
 import {hashText} from './hash.js';
 import {type EntryInit} from './entry-store.js';
@@ -66,6 +68,8 @@
 		leaving: new Set(), config: new Set(), suspicion: new Set(), pressure: new Set(),
 	};
 
+	/** End of the longest pressure mark by pool and tier; a scan of all entries at each shed request would be slow. */
+	readonly #pressureUntil = new Map<string, number[]>();
 	#membership: Membership | undefined;
 	#publications = 0;
 
@@ -87,7 +91,7 @@
 	}
 
 	/** Takes a new entry; the `onEntry` of the membership. */
-	readonly accept = (entry: Entry): void => {
+	readonly accept = (entry: Entry, now: number): void => {
 		const {value} = entry;
 		switch (value.case) {
 			case 'leaving': {
@@ -106,6 +110,7 @@
 			}
 
 			case 'pressure': {
+				this.#notePressure(value.value, now + entry.remainingMs);
 				this.#notify('pressure', {pool: value.value.pool, tier: value.value.tier, remainingMs: entry.remainingMs});
 				break;
 			}
@@ -182,10 +187,9 @@
 	 * a mark of each would take most of the bytes a node may send.
 	 */
 	publishPressure(pool: string, tier: number, now: number): boolean {
-		const {store} = this.membership;
-		for (const entry of store.entries()) {
-			const {value} = entry;
-			if (value.case === 'pressure' && value.value.pool === pool && value.value.tier <= tier && store.remaining(entry.key, now) > PRESSURE_RENEWAL_MS) {
+		const marks = this.#pressureUntil.get(pool) ?? [];
+		for (let stricter = 0; stricter <= tier; stricter += 1) {
+			if ((marks[stricter] ?? 0) - now > PRESSURE_RENEWAL_MS) {
 				return false;
 			}
 		}
@@ -197,6 +201,12 @@
 		}, now);
 	}
 
+	#notePressure({pool, tier}: Pressure, until: number): void {
+		const marks = this.#pressureUntil.get(pool) ?? [];
+		marks[tier] = Math.max(marks[tier] ?? 0, until);
+		this.#pressureUntil.set(pool, marks);
+	}
+
 	private get membership(): Membership {
 		if (!this.#membership) {
 			throw new Error('The topics have no membership yet.');
