Compute the assignment of the shares tests only on changes

Each question for the allocator computed an assignment, which took most of test/members/shares.test.ts; pools made it slower.

--- a/test/members/shares.test.ts
+++ b/test/members/shares.test.ts
@@ -29,7 +29,20 @@
 	readonly part: SharesPart;
 
 	constructor(readonly node: ClusterNode, readonly cluster: Cluster) {
-		const assignment = () => Assignment.create(cluster.view(node), [upstream]);
+		let assignment = Assignment.create([], [upstream]);
+		let assignedFor = '';
+		// Computed again only where members changed, as Members.refresh does.
+		const currentAssignment = () => {
+			const members = cluster.view(node);
+			const key = members.map(({id, process, status}) => `${id} ${process} ${status}`).join('\n');
+			if (key !== assignedFor) {
+				assignedFor = key;
+				assignment = Assignment.create(members, [upstream]);
+			}
+
+			return assignment;
+		};
+
 		this.part = SharesPart.create({
 			self: node,
 			clock: node.clock,
@@ -37,8 +50,8 @@
 			demand: (): TieredDemand[] => [{
 				upstreamId: upstream.id, limitEstimate: LIMIT, held: this.held, waitingByTier: this.waiting,
 			}],
-			allocatorOf: () => assignment().allocatorOf(upstream.id),
-			nodeCountOf: () => assignment().nodesOf(upstream.id).length,
+			allocatorOf: () => currentAssignment().allocatorOf(upstream.id),
+			nodeCountOf: () => currentAssignment().nodesOf(upstream.id).length,
 			maxConcurrencyOf: () => LIMIT,
 			setShare: (_id, slots) => {
 				this.slots = slots;
