Count a lost connection as a crash only with further evidence

A request that was alone in flight when its connection was lost was blamed for a crash, so an upstream that drops connections got innocent requests quarantined. A loss is now proven by several streams lost at once or by a refused connection within 10 s; unproven losses count once per upstream and are withdrawn when the upstream loses other requests without refusing connections. Three upstreams stay the bound.

--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -2,6 +2,7 @@
  * Finds requests that crash upstreams: suspicion by fingerprint, probation, quarantine.
  */
 import {LRUCache} from 'lru-cache';
+import {countCrashes, countProvenCrashes, crashId} from './crash-evidence.js';
 
 /** How long suspicions and quarantines last. */
 export const QUARANTINE_MS = 600_000;
@@ -22,7 +23,7 @@
 /** A suspicion as nodes exchange it; it carries durations, as clocks of nodes differ. */
 export type Suspicion = {
 	readonly fingerprint: string;
-	/** IDs of the crashes that it was part of, unique over all nodes. */
+	/** IDs of the crashes that it was part of, as `crash-evidence.ts` makes them; equal on all nodes. */
 	readonly crashes: readonly string[];
 	/** Whether a successful run disproved these crashes. */
 	readonly isCleared: boolean;
@@ -32,6 +33,15 @@
 	readonly remainingMs: number;
 };
 
+/** Requests that an upstream lost at once. */
+export type Loss = {
+	readonly upstreamId: string;
+	readonly fingerprints: ReadonlySet<string>;
+	/** The only one of them that was a suspect before. */
+	readonly soleSuspect: string | undefined;
+	readonly at: number;
+};
+
 type SuspectRecord = {
 	crashes: Set<string>;
 	cleared: Set<string>;
@@ -77,15 +87,32 @@
 		return Math.max(0, (this.#fresh(fingerprint, now)?.quarantinedUntil ?? 0) - now);
 	}
 
-	/** An upstream lost all requests at once. */
-	noteCrash(fingerprints: readonly string[], now: number): void {
-		this.#crashCount += 1;
-		const crash = `${this.#nodeId}:${this.#crashCount}`;
+	/** An upstream lost all its requests of this node at once. */
+	noteLoss(upstreamId: string, fingerprints: readonly string[], now: number): Loss {
 		const inFlight = new Set(fingerprints);
 		const suspects = [...inFlight].filter(fingerprint => this.standing(fingerprint, now) !== Standing.Clear);
-		for (const fingerprint of inFlight) {
-			const isSoleSuspect = suspects.length === 1 && suspects[0] === fingerprint;
-			this.#accuse(fingerprint, crash, isSoleSuspect, now);
+		const loss: Loss = {
+			upstreamId, fingerprints: inFlight, soleSuspect: suspects.length === 1 ? suspects[0] : undefined, at: now,
+		};
+		this.#accuse(loss, fingerprints.length > 1 ? crashId.several(upstreamId) : crashId.alone(upstreamId), now);
+		return loss;
+	}
+
+	/** The upstream refused a connection soon after the loss, so that it crashed. */
+	confirm(loss: Loss, now: number): void {
+		this.#crashCount += 1;
+		this.#accuse(loss, crashId.refused(loss.upstreamId, `${this.#nodeId}:${this.#crashCount}`), now);
+	}
+
+	/** The upstream goes on losing other requests without refusing connections, so that it is at fault itself. */
+	withdraw(loss: Loss, now: number): void {
+		const crashes = [crashId.alone(loss.upstreamId), crashId.several(loss.upstreamId)];
+		for (const fingerprint of loss.fingerprints) {
+			const record = this.#fresh(fingerprint, now);
+			if (record !== undefined && crashes.some(crash => record.crashes.has(crash))) {
+				clear(record, crashes);
+				this.#onChanged?.({...toSuspicion(fingerprint, record, now), crashes, isCleared: true});
+			}
 		}
 	}
 
@@ -104,6 +131,9 @@
 		for (const [fingerprint, record] of this.#records.entries()) {
 			if (record.expiresAt > now) {
 				suspicions.push(toSuspicion(fingerprint, record, now));
+				if (record.crashes.size > 0 && record.cleared.size > 0) {
+					suspicions.push({...toSuspicion(fingerprint, record, now), crashes: [...record.cleared], isCleared: true});
+				}
 			}
 		}
 
@@ -126,23 +156,25 @@
 				}
 			}
 
-			const until = record.crashes.size >= MAX_CRASHES ? now + QUARANTINE_MS : now + Math.min(QUARANTINE_MS, suspicion.quarantinedMs);
+			const until = countCrashes(record.crashes) >= MAX_CRASHES ? now + QUARANTINE_MS : now + Math.min(QUARANTINE_MS, suspicion.quarantinedMs);
 			if (until > now && record.crashes.size > 0 && record.quarantinedUntil <= now) {
 				record.quarantinedUntil = until;
 			}
 		}
 	}
 
-	#accuse(fingerprint: string, crash: string, isSoleSuspect: boolean, now: number): void {
-		const record = this.#fresh(fingerprint, now) ?? this.#add(fingerprint, now);
-		record.crashes.add(crash);
-		record.expiresAt = now + QUARANTINE_MS;
-		const bound = isSoleSuspect ? SOLE_SUSPECT_CRASHES : MAX_CRASHES;
-		if (record.crashes.size >= bound) {
-			record.quarantinedUntil = now + QUARANTINE_MS;
-		}
+	#accuse({fingerprints, soleSuspect}: Loss, crash: string, now: number): void {
+		for (const fingerprint of fingerprints) {
+			const record = this.#fresh(fingerprint, now) ?? this.#add(fingerprint, now);
+			record.crashes.add(crash);
+			record.expiresAt = now + QUARANTINE_MS;
+			if (countCrashes(record.crashes) >= MAX_CRASHES
+				|| (fingerprint === soleSuspect && countProvenCrashes(record.crashes) >= SOLE_SUSPECT_CRASHES)) {
+				record.quarantinedUntil = now + QUARANTINE_MS;
+			}
 
-		this.#onChanged?.(toSuspicion(fingerprint, record, now));
+			this.#onChanged?.(toSuspicion(fingerprint, record, now));
+		}
 	}
 
 	#fresh(fingerprint: string, now: number): SuspectRecord | undefined {
@@ -165,7 +197,7 @@
 		record.crashes.delete(crash);
 	}
 
-	if (record.crashes.size === 0) {
+	if (countCrashes(record.crashes) < SOLE_SUSPECT_CRASHES) {
 		record.quarantinedUntil = 0;
 	}
 }
--- a/src/policy/running-works.ts
+++ b/src/policy/running-works.ts
@@ -12,6 +12,8 @@
 
 /** Lost streams of one upstream within this time belong to one crash. */
 const CRASH_WINDOW_MS = 100;
+/** A refused connection within this time confirms a crash; it exceeds the longest ejection, after which the next attempt comes. */
+const CONFIRM_MS = 10_000;
 /** Shorter expectations are dominated by the link and the current decoding step. */
 const MIN_EXPECTED_FIRST_TOKEN_MS = 150;
 
@@ -155,6 +157,8 @@
 
 		if (outcome === WorkOutcome.Lost) {
 			this.#noteLost(state, work.fingerprint, now);
+		} else if (outcome === WorkOutcome.ConnectionRefused) {
+			this.#noteRefused(state, now);
 		}
 
 		if (outcome !== WorkOutcome.Canceled && state.health.noteFailure(now)) {
@@ -168,7 +172,7 @@
 		waiting.lane.queues[work.tier]!.correct(work, difference);
 	}
 
-	/** An upstream crashed when all its streams are lost within a short time. */
+	/** All streams of an upstream that are lost within a short time belong to one loss, which may be a crash. */
 	#noteLost(state: UpstreamState, fingerprint: string, now: number): void {
 		if (now - state.lossStartedAt > CRASH_WINDOW_MS) {
 			state.lossStartedAt = now;
@@ -176,13 +180,36 @@
 		}
 
 		state.lost.push(fingerprint);
-		if (state.inFlight === 0) {
-			this.#options.quarantine.noteCrash(state.lost, now);
-			this.#options.index.clear(state.view.id, now);
-			state.lost = [];
-			if (state.health.eject(now)) {
-				state.limit.restart();
-			}
+		if (state.inFlight > 0) {
+			return;
+		}
+
+		const {lost, lastLoss} = state;
+		state.lost = [];
+		if (lastLoss !== undefined && !lost.some(other => lastLoss.fingerprints.has(other))) {
+			this.#options.quarantine.withdraw(lastLoss, now);
+		}
+
+		state.lastLoss = this.#options.quarantine.noteLoss(state.view.id, lost, now);
+		if (lost.length > 1) {
+			this.#noteCrash(state, now);
+		}
+	}
+
+	#noteRefused(state: UpstreamState, now: number): void {
+		const {lastLoss} = state;
+		if (lastLoss !== undefined && now - lastLoss.at <= CONFIRM_MS) {
+			this.#options.quarantine.confirm(lastLoss, now);
+			this.#noteCrash(state, now);
+		}
+
+		state.lastLoss = undefined;
+	}
+
+	#noteCrash(state: UpstreamState, now: number): void {
+		this.#options.index.clear(state.view.id, now);
+		if (state.health.eject(now)) {
+			state.limit.restart();
 		}
 	}
 }
--- a/src/policy/upstream-state.ts
+++ b/src/policy/upstream-state.ts
@@ -3,6 +3,7 @@
  */
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {Health, stallThreshold} from './health.js';
+import {type Loss} from './quarantine.js';
 import {FLOOR_SLOTS, SHARE_LIFETIME_MS} from './shares.js';
 import {type UpstreamView} from './scheduler.js';
 
@@ -39,6 +40,8 @@
 	/** Fingerprints of the requests lost since `lossStartedAt`. */
 	lost: string[] = [];
 	lossStartedAt = Number.NEGATIVE_INFINITY;
+	/** The last loss of all requests that no refused connection has confirmed. */
+	lastLoss: Loss | undefined;
 	lastProgressAt: number;
 	lastFirstTokenAt = Number.NEGATIVE_INFINITY;
 	prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
