--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -189,7 +189,7 @@
 		const state = this.#running.noteFinished(workId, outcome);
 		if (state !== undefined) {
 			const pool = this.#poolOf(state.view.pool);
-			pool.refresh(state);
+			pool.lanes.refresh(state);
 			pool.pump();
 		}
 	}
@@ -198,7 +198,7 @@
 		const now = this.#options.clock.now();
 		const ids = new Set(upstreams.map(view => view.id));
 		for (const [id, state] of this.#states) {
-			this.#poolOf(state.view.pool).setMember(state, false);
+			this.#poolOf(state.view.pool).lanes.setMember(state, false);
 			if (!ids.has(id)) {
 				this.#states.delete(id);
 			}
@@ -210,12 +210,12 @@
 			state.view = view;
 			state.limit.setMaximum(view.maxConcurrency);
 			state.leavingSince = view.isLeaving ? state.leavingSince ?? now : undefined;
-			this.#poolOf(view.pool).setMember(state, true);
-			this.#poolOf(view.pool).refresh(state);
+			this.#poolOf(view.pool).lanes.setMember(state, true);
+			this.#poolOf(view.pool).lanes.refresh(state);
 		}
 
 		for (const pool of this.#pools.values()) {
-			pool.noteMembersChanged();
+			pool.lanes.noteMembersChanged();
 			pool.pump();
 		}
 	}
@@ -235,7 +235,7 @@
 				maxWaiting: maxWaiting ?? DEFAULT_MAX_WAITING,
 				occupy: (waiting, choice) => {
 					this.#running.occupy(waiting, choice);
-					this.#poolOf(name).refresh(choice.state);
+					this.#poolOf(name).lanes.refresh(choice.state);
 				},
 			});
 			this.#pools.set(name, pool);
@@ -262,7 +262,7 @@
 
 	#refreshAndPump(state: UpstreamState): void {
 		const pool = this.#poolOf(state.view.pool);
-		if (pool.refresh(state)) {
+		if (pool.lanes.refresh(state)) {
 			pool.pump();
 		}
 	}
--- a/src/policy/pool.ts
+++ b/src/policy/pool.ts
@@ -6,12 +6,11 @@
 import {type Invariants} from '../base/invariant.js';
 import {Admission, PRESSURE_LEAD_MS, TIER_COUNT} from './admission.js';
 import {DueTimes} from './due-times.js';
-import {Lane} from './lane.js';
-import {divideForLongPrompts} from './long-prompts.js';
+import {type Lane} from './lane.js';
+import {Lanes} from './lanes.js';
 import {costOf, type OutputEstimate} from './output-estimate.js';
 import {type Choice, type Router} from './router.js';
 import {type SchedulerEvents, type Work} from './scheduler.js';
-import {type UpstreamState} from './upstream-state.js';
 import {type Waiting} from './waiting.js';
 
 const DEFAULT_PREFILL_MS_PER_TOKEN = 0.1;
@@ -46,9 +45,8 @@
 	}
 
 	readonly admission: Admission;
+	readonly lanes: Lanes;
 	readonly #options: PoolOptions;
-	readonly #lanes = new Map<string | undefined, Lane>();
-	readonly #members = new Map<string, UpstreamState>();
 	readonly #waiting = new Map<string, Waiting>();
 	readonly #waitingByTier = Array.from({length: TIER_COUNT}, () => 0);
 	readonly #dues: DueTimes;
@@ -59,6 +57,7 @@
 
 	private constructor(options: PoolOptions) {
 		this.#options = options;
+		this.lanes = Lanes.create(options.clock, options.region);
 		this.#dues = DueTimes.create(options.clock, (waiting, now) => this.#handleDue(waiting, now));
 		this.admission = Admission.create(options.invariants, tier => {
 			options.events.notePressure?.(options.name, tier);
@@ -73,47 +72,12 @@
 		return this.#waitingByTier;
 	}
 
-	/** Adds or removes an upstream of this pool, or notes that its models or region changed. */
-	setMember(state: UpstreamState, isMember: boolean): void {
-		if (isMember) {
-			this.#members.set(state.view.id, state);
-		} else {
-			this.#members.delete(state.view.id);
-		}
-
-		for (const lane of this.#lanes.values()) {
-			lane.setMember(state, isMember && lane.serves(state.view));
-		}
-	}
-
-	noteMembersChanged(): void {
-		divideForLongPrompts(this.#members.values());
-		for (const lane of this.#lanes.values()) {
-			lane.short = [...lane.members.values()].filter(state => !state.takesLongPrompts);
-		}
-	}
-
-	/**
-	 * Notes that the free slots of an upstream may have changed.
-	 *
-	 * @returns Whether it had no free slot before and has one now.
-	 */
-	refresh(state: UpstreamState): boolean {
-		const isFree = state.isFree(this.#options.clock.now());
-		let isChanged = false;
-		for (const lane of this.#lanes.values()) {
-			isChanged = lane.setFree(state, isFree) || isChanged;
-		}
-
-		return isFree && isChanged;
-	}
-
 	/** Updates what depends on all upstreams; called a few times per second. */
 	tick(): void {
 		let best = Number.POSITIVE_INFINITY;
-		for (const state of this.#members.values()) {
+		for (const state of this.lanes.members) {
 			best = Math.min(best, state.prefillMsPerToken);
-			this.refresh(state);
+			this.lanes.refresh(state);
 		}
 
 		this.#bestPrefillMsPerToken = best === Number.POSITIVE_INFINITY ? DEFAULT_PREFILL_MS_PER_TOKEN : best;
@@ -123,7 +87,7 @@
 	/** @param cachedTokens - Greatest part of the prompt that some upstream probably holds. */
 	submit(work: Work, isSuspect: boolean, cachedTokens: number): void {
 		const now = this.#options.clock.now();
-		const lane = this.#laneOf(work.model);
+		const lane = this.lanes.laneOf(work.model);
 		if (!hasOther(lane.members.keys(), work.excluded)) {
 			this.#options.events.refuse(work, ErrorKind.NoUpstream);
 			return;
@@ -185,7 +149,7 @@
 	}
 
 	#pumpTier(tier: number, now: number): void {
-		for (const lane of this.#lanes.values()) {
+		for (const lane of this.lanes.all) {
 			while (lane.queues[tier]!.size > 0 && lane.nearFree.size + lane.farFree.size > 0) {
 				const next = this.#pick(lane, tier, now);
 				if (next === undefined) {
@@ -237,23 +201,6 @@
 		this.#options.events.start(work, choice.state.view.id);
 	}
 
-	#laneOf(model: string | undefined): Lane {
-		let lane = this.#lanes.get(model);
-		if (lane === undefined) {
-			lane = Lane.create(model, this.#options.region);
-			this.#lanes.set(model, lane);
-			const now = this.#options.clock.now();
-			for (const state of this.#members.values()) {
-				lane.setMember(state, lane.serves(state.view));
-				lane.setFree(state, state.isFree(now));
-			}
-
-			lane.short = [...lane.members.values()].filter(state => !state.takesLongPrompts);
-		}
-
-		return lane;
-	}
-
 	#add(waiting: Waiting): void {
 		const {work, lane, cost} = waiting;
 		this.#waiting.set(work.id, waiting);
@@ -315,7 +262,7 @@
 
 	#victim(): Waiting {
 		const tier = this.#waitingByTier.findLastIndex(count => count > 0);
-		for (const lane of this.#lanes.values()) {
+		for (const lane of this.lanes.all) {
 			const work = lane.queues[tier]!.leastEntitled();
 			if (work !== undefined) {
 				return this.#waiting.get(work.id)!;
