--- a/test/policy/policy-scheduler.test.ts
+++ b/test/policy/policy-scheduler.test.ts
@@ -149,6 +149,19 @@
 		expect(started.length).to.equal(3);
 	});
 
+	it('leaves the last slot to the top tier while few upstreams are free (guards against bursts that find all slots taken)', () => {
+		const {scheduler, started} = makeScheduler();
+		scheduler.setUpstreams([makeView('a', {maxConcurrency: 2}), makeView('b', {maxConcurrency: 2})]);
+		scheduler.submit(makeWork('top', {tier: 0}));
+		for (let index = 0; index < 5; index += 1) {
+			scheduler.submit(makeWork(`low${index}`, {tier: 4}));
+		}
+
+		expect(started.length).to.equal(3);
+		scheduler.submit(makeWork('burst', {tier: 0}));
+		expect(started.at(-1)!.work.id).to.equal('burst');
+	});
+
 	it('waits for far deadlines without spinning (guards against timers beyond 32 bits, which fire at once)', () => {
 		const {scheduler, clock} = makeScheduler();
 		const delays: number[] = [];
