--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -29,6 +29,9 @@
 	LongPrompts: 'long-prompts',
 	Stalls: 'stalls',
 	Shares: 'shares',
+	Reserve: 'reserve',
+	Quarantine: 'quarantine',
+	FairQueueing: 'fair-queueing',
 } as const;
 
 export type Ablation = (typeof Ablation)[keyof typeof Ablation];
@@ -79,6 +82,7 @@
 			ignoresPrefixes: options.ablation === Ablation.Prefixes,
 			ignoresRegions: options.ablation === Ablation.Regions,
 			mixesLongPrompts: options.ablation === Ablation.LongPrompts,
+			neverReserves: options.ablation === Ablation.Reserve,
 			neverHolds: options.ablation === Ablation.Holding,
 		});
 		this.#running = RunningWorks.create({
@@ -164,7 +168,9 @@
 
 	submit(work: Work): void {
 		const now = this.#options.clock.now();
-		const standing = this.quarantine.standing(work.fingerprint, now);
+		const standing = this.#options.ablation === Ablation.Quarantine
+			? Standing.Clear
+			: this.quarantine.standing(work.fingerprint, now);
 		if (standing === Standing.Quarantined) {
 			this.#options.events.refuse(work, ErrorKind.Quarantined, this.quarantine.remaining(work.fingerprint, now));
 			return;
@@ -173,7 +179,7 @@
 		const pool = this.#poolOf(work.pool);
 		const tier = Math.min(TIER_COUNT - 1, Math.max(0, work.tier));
 		this.#startTicking();
-		pool.submit(tier === work.tier ? work : {...work, tier}, standing === Standing.Suspect, this.#cachedTokens(work, now));
+		pool.submit(this.#normalize(work, tier), standing === Standing.Suspect, this.#cachedTokens(work, now));
 	}
 
 	withdraw(workId: string): void {
@@ -199,7 +205,7 @@
 		const state = this.#running.noteFinished(workId, outcome);
 		if (state !== undefined) {
 			const pool = this.#poolOf(state.view.pool);
-			pool.refresh(state);
+			pool.lanes.refresh(state);
 			pool.pump();
 		}
 	}
@@ -208,7 +214,7 @@
 		const now = this.#options.clock.now();
 		const ids = new Set(upstreams.map(view => view.id));
 		for (const [id, state] of this.#states) {
-			this.#poolOf(state.view.pool).setMember(state, false);
+			this.#poolOf(state.view.pool).lanes.setMember(state, false);
 			if (!ids.has(id)) {
 				this.#states.delete(id);
 			}
@@ -220,12 +226,12 @@
 			state.view = view;
 			state.limit.setMaximum(view.maxConcurrency);
 			state.leavingSince = view.isLeaving ? state.leavingSince ?? now : undefined;
-			this.#poolOf(view.pool).setMember(state, true);
-			this.#poolOf(view.pool).refresh(state);
+			this.#poolOf(view.pool).lanes.setMember(state, true);
+			this.#poolOf(view.pool).lanes.refresh(state);
 		}
 
 		for (const pool of this.#pools.values()) {
-			pool.noteMembersChanged();
+			pool.lanes.noteMembersChanged();
 			pool.pump();
 		}
 	}
@@ -245,7 +251,7 @@
 				maxWaiting: maxWaiting ?? DEFAULT_MAX_WAITING,
 				occupy: (waiting, choice) => {
 					this.#running.occupy(waiting, choice);
-					this.#poolOf(name).refresh(choice.state);
+					this.#poolOf(name).lanes.refresh(choice.state);
 				},
 			});
 			this.#pools.set(name, pool);
@@ -254,6 +260,14 @@
 		return pool;
 	}
 
+	#normalize(work: Work, tier: number): Work {
+		if (this.#options.ablation === Ablation.FairQueueing) {
+			return {...work, tier, customer: ''};
+		}
+
+		return tier === work.tier ? work : {...work, tier};
+	}
+
 	#cachedTokens(work: Work, now: number): number {
 		if (work.prefix.length === 0) {
 			return 0;
@@ -264,7 +278,7 @@
 
 	#refreshAndPump(state: UpstreamState): void {
 		const pool = this.#poolOf(state.view.pool);
-		if (pool.refresh(state)) {
+		if (pool.lanes.refresh(state)) {
 			pool.pump();
 		}
 	}
--- a/src/policy/pool.ts
+++ b/src/policy/pool.ts
@@ -1,17 +1,17 @@
 /**
  * Waiting work of one pool: order of tiers, deadlines, bounds and starts.
  */
-import {Heap} from 'heap-js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {ErrorKind} from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
 import {Admission, PRESSURE_LEAD_MS, TIER_COUNT} from './admission.js';
-import {Lane} from './lane.js';
-import {divideForLongPrompts} from './long-prompts.js';
+import {DueTimes} from './due-times.js';
+import {type Lane} from './lane.js';
+import {Lanes} from './lanes.js';
 import {costOf, type OutputEstimate} from './output-estimate.js';
 import {type Choice, type Router} from './router.js';
 import {type SchedulerEvents, type Work} from './scheduler.js';
-import {type UpstreamState} from './upstream-state.js';
+import {type Waiting} from './waiting.js';
 
 const DEFAULT_PREFILL_MS_PER_TOKEN = 0.1;
 /** Customers and works of each that are compared when a slot becomes free. */
@@ -22,25 +22,6 @@
 /** Work that no free upstream suits is compared again after this time. */
 const HOLD_MS = 20;
 const MARK_AGAIN_MS = 500;
-/** Longer timers overflow the 32 bits of Node.js and fire at once. */
-const MAX_TIMER_MS = 60_000;
-
-/** Work in a queue. */
-export type Waiting = {
-	readonly work: Work;
-	readonly lane: Lane;
-	readonly cost: number;
-	readonly isSuspect: boolean;
-	/** Later starts cannot meet the deadline even on the fastest upstream. */
-	readonly latestStart: number;
-	/** No upstream suited it lately; it is not compared again before this time. */
-	heldUntil: number;
-};
-
-type Due = {
-	readonly at: number;
-	readonly waiting: Waiting;
-};
 
 /** What a pool works with. */
 export type PoolOptions = {
@@ -64,14 +45,11 @@
 	}
 
 	readonly admission: Admission;
+	readonly lanes: Lanes;
 	readonly #options: PoolOptions;
-	readonly #lanes = new Map<string | undefined, Lane>();
-	readonly #members = new Map<string, UpstreamState>();
 	readonly #waiting = new Map<string, Waiting>();
 	readonly #waitingByTier = Array.from({length: TIER_COUNT}, () => 0);
-	readonly #dues = new Heap<Due>((a, b) => a.at - b.at);
-	#dueTimer: Timer | undefined;
-	#dueAt = Number.POSITIVE_INFINITY;
+	readonly #dues: DueTimes;
 	#trimTimer: Timer | undefined;
 	#holdTimer: Timer | undefined;
 	#isPumping = false;
@@ -79,6 +57,8 @@
 
 	private constructor(options: PoolOptions) {
 		this.#options = options;
+		this.lanes = Lanes.create(options.clock, options.region);
+		this.#dues = DueTimes.create(options.clock, (waiting, now) => this.#handleDue(waiting, now));
 		this.admission = Admission.create(options.invariants, tier => {
 			options.events.notePressure?.(options.name, tier);
 		});
@@ -92,47 +72,12 @@
 		return this.#waitingByTier;
 	}
 
-	/** Adds or removes an upstream of this pool, or notes that its models or region changed. */
-	setMember(state: UpstreamState, isMember: boolean): void {
-		if (isMember) {
-			this.#members.set(state.view.id, state);
-		} else {
-			this.#members.delete(state.view.id);
-		}
-
-		for (const lane of this.#lanes.values()) {
-			lane.setMember(state, isMember && lane.serves(state.view));
-		}
-	}
-
-	noteMembersChanged(): void {
-		divideForLongPrompts(this.#members.values());
-		for (const lane of this.#lanes.values()) {
-			lane.short = [...lane.members.values()].filter(state => !state.takesLongPrompts);
-		}
-	}
-
-	/**
-	 * Notes that the free slots of an upstream may have changed.
-	 *
-	 * @returns Whether it had no free slot before and has one now.
-	 */
-	refresh(state: UpstreamState): boolean {
-		const isFree = state.isFree(this.#options.clock.now());
-		let isChanged = false;
-		for (const lane of this.#lanes.values()) {
-			isChanged = lane.setFree(state, isFree) || isChanged;
-		}
-
-		return isFree && isChanged;
-	}
-
 	/** Updates what depends on all upstreams; called a few times per second. */
 	tick(): void {
 		let best = Number.POSITIVE_INFINITY;
-		for (const state of this.#members.values()) {
+		for (const state of this.lanes.members) {
 			best = Math.min(best, state.prefillMsPerToken);
-			this.refresh(state);
+			this.lanes.refresh(state);
 		}
 
 		this.#bestPrefillMsPerToken = best === Number.POSITIVE_INFINITY ? DEFAULT_PREFILL_MS_PER_TOKEN : best;
@@ -142,7 +87,7 @@
 	/** @param cachedTokens - Greatest part of the prompt that some upstream probably holds. */
 	submit(work: Work, isSuspect: boolean, cachedTokens: number): void {
 		const now = this.#options.clock.now();
-		const lane = this.#laneOf(work.model);
+		const lane = this.lanes.laneOf(work.model);
 		if (!hasOther(lane.members.keys(), work.excluded)) {
 			this.#options.events.refuse(work, ErrorKind.NoUpstream);
 			return;
@@ -169,7 +114,7 @@
 
 		this.pump();
 		if (this.#waiting.has(work.id)) {
-			this.#addDue(now + (RISK_PART * Math.max(0, latestStart - now - PRESSURE_LEAD_MS)), waiting);
+			this.#dues.add(now + (RISK_PART * Math.max(0, latestStart - now - PRESSURE_LEAD_MS)), waiting);
 			this.#trim();
 		}
 	}
@@ -204,7 +149,7 @@
 	}
 
 	#pumpTier(tier: number, now: number): void {
-		for (const lane of this.#lanes.values()) {
+		for (const lane of this.lanes.all) {
 			while (lane.queues[tier]!.size > 0 && lane.nearFree.size + lane.farFree.size > 0) {
 				const next = this.#pick(lane, tier, now);
 				if (next === undefined) {
@@ -256,23 +201,6 @@
 		this.#options.events.start(work, choice.state.view.id);
 	}
 
-	#laneOf(model: string | undefined): Lane {
-		let lane = this.#lanes.get(model);
-		if (lane === undefined) {
-			lane = Lane.create(model, this.#options.region);
-			this.#lanes.set(model, lane);
-			const now = this.#options.clock.now();
-			for (const state of this.#members.values()) {
-				lane.setMember(state, lane.serves(state.view));
-				lane.setFree(state, state.isFree(now));
-			}
-
-			lane.short = [...lane.members.values()].filter(state => !state.takesLongPrompts);
-		}
-
-		return lane;
-	}
-
 	#add(waiting: Waiting): void {
 		const {work, lane, cost} = waiting;
 		this.#waiting.set(work.id, waiting);
@@ -334,7 +262,7 @@
 
 	#victim(): Waiting {
 		const tier = this.#waitingByTier.findLastIndex(count => count > 0);
-		for (const lane of this.#lanes.values()) {
+		for (const lane of this.lanes.all) {
 			const work = lane.queues[tier]!.leastEntitled();
 			if (work !== undefined) {
 				return this.#waiting.get(work.id)!;
@@ -344,42 +272,19 @@
 		throw new Error('No work waits in the lowest tier.');
 	}
 
-	#addDue(at: number, waiting: Waiting): void {
-		this.#dues.push({at, waiting});
-		this.#setDueTimer();
-	}
-
-	#setDueTimer(): void {
-		const next = this.#dues.peek();
-		if (next === undefined || (this.#dueTimer !== undefined && this.#dueAt <= next.at)) {
-			return;
+	/** @returns When the work is due again. */
+	#handleDue(waiting: Waiting, now: number): number | undefined {
+		if (this.#waiting.get(waiting.work.id) !== waiting) {
+			return undefined;
 		}
 
-		this.#dueTimer?.cancel();
-		this.#dueAt = next.at;
-		const wait = Math.max(0, next.at - this.#options.clock.now());
-		this.#dueTimer = this.#options.clock.setTimer(Math.min(MAX_TIMER_MS, wait), () => {
-			this.#dueTimer = undefined;
-			this.#handleDues();
-		});
-	}
-
-	#handleDues(): void {
-		const now = this.#options.clock.now();
-		for (let due = this.#dues.peek(); due !== undefined && due.at <= now; due = this.#dues.peek()) {
-			this.#dues.pop();
-			const {waiting} = due;
-			if (this.#waiting.get(waiting.work.id) === waiting) {
-				const allowedAt = Math.max(waiting.latestStart, this.admission.prepareShed(waiting.work.tier, now));
-				if (allowedAt > now) {
-					this.#dues.push({at: Math.min(allowedAt, now + MARK_AGAIN_MS), waiting});
-				} else {
-					this.#shed(waiting, ErrorKind.DeadlineUnreachable);
-				}
-			}
+		const allowedAt = Math.max(waiting.latestStart, this.admission.prepareShed(waiting.work.tier, now));
+		if (allowedAt > now) {
+			return Math.min(allowedAt, now + MARK_AGAIN_MS);
 		}
 
-		this.#setDueTimer();
+		this.#shed(waiting, ErrorKind.DeadlineUnreachable);
+		return undefined;
 	}
 }
 
