Wait for what the peers know before a node sends its first request

Change: a node sends nothing, is not ready and is not listed for callers until one exchange with a peer is whole, or no peer is known, or 2 s have passed.

--- a/src/members/entries.ts
+++ b/src/members/entries.ts
@@ -35,9 +35,11 @@
  * @param members - All known members, this node included.
  */
 export function chooseEntries(caller: EntriesCaller, members: readonly MemberView[]): EntriesAnswer {
-	const alive = members.filter(member => member.status === MemberStatus.Alive);
+	// A node that is still starting has no address for callers yet.
+	const listed = members.filter(member => member.entryAddress !== '');
+	const alive = listed.filter(member => member.status === MemberStatus.Alive);
 	// A node that is cut off from all others sees only suspects; some of them may be reachable for the caller.
-	const candidates = alive.length > 0 ? alive : members.filter(member => member.status === MemberStatus.Suspect);
+	const candidates = alive.length > 0 ? alive : listed.filter(member => member.status === MemberStatus.Suspect);
 	const hash = hashText(caller.id);
 	const ranked = candidates
 		.map(member => ({member, isNear: member.region === caller.region, score: weightedScore(mixHashes(hashText(member.id), hash), member.load)}))
--- a/src/members/gossip-part.ts
+++ b/src/members/gossip-part.ts
@@ -20,6 +20,8 @@
 	readonly transport: PeerTransport;
 	readonly clock: Clock;
 	readonly random: Random;
+	/** Called once, when this node has all entries of some peer. */
+	readonly onSynced?: () => void;
 };
 
 /** The gossip of one node. */
@@ -31,6 +33,7 @@
 	readonly #options: GossipPartOptions;
 	#timer: Timer | undefined;
 	#isRunning = false;
+	#hasSynced = false;
 
 	private constructor(options: GossipPartOptions) {
 		super();
@@ -41,6 +44,11 @@
 		return 'gossip';
 	}
 
+	/** Whether this node had all entries of some peer once since it started. */
+	get hasSynced(): boolean {
+		return this.#hasSynced;
+	}
+
 	/** To be served by this node's peer service. */
 	get handlers(): Pick<PeerHandlers, 'exchange'> {
 		return {
@@ -107,6 +115,13 @@
 		this.pushUrgent();
 	}
 
+	#noteSynced(): void {
+		if (!this.#hasSynced) {
+			this.#hasSynced = true;
+			this.#options.onSynced?.();
+		}
+	}
+
 	async #exchange({address, req}: GossipCall): Promise<void> {
 		const {membership, transport, clock} = this.#options;
 		let next: ExchangeRequest | undefined = req;
@@ -115,6 +130,9 @@
 			const answer: Result<ExchangeResponse, PeerError> = await transport.call(address, 'exchange', next, CALL_TIMEOUT_MS);
 			next = answer.isOk && this.#isRunning ? membership.receiveAnswer(answer.value, clock.now()) : undefined;
 			this.pushUrgent();
+			if (answer.isOk && next === undefined && req.root !== undefined) {
+				this.#noteSynced();
+			}
 		}
 	}
 }
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -134,6 +134,11 @@
 		this.#seeds = addresses.filter(address => address !== this.self.address);
 	}
 
+	/** Whether any other address is known to start from. */
+	get hasSeeds(): boolean {
+		return this.#seeds.length > 0;
+	}
+
 	/** This node's load in percent of its capacity. */
 	setLoad(percent: number): void {
 		this.#heartbeats.setLoad(percent);
--- a/src/serve/members-parts.ts
+++ b/src/serve/members-parts.ts
@@ -15,6 +15,9 @@
 import {type PeerTransport} from '../peer/peer-transport.js';
 import {type VmList} from '../store/vm-list.js';
 
+/** Without an answer of any peer for this long, a node starts on its own. */
+const SYNC_TIMEOUT_MS = 2000;
+
 /** What the assembly works with. */
 export type MembersOptions = {
 	readonly clock: Clock;
@@ -46,9 +49,13 @@
 	#deployment: Deployment | undefined;
 	#assignment = Assignment.create([], []);
 	#assignedFor = '';
+	/** No peer is known, so that there is nothing to wait for. */
+	#isAlone = false;
+	readonly #startedAt: number;
 
 	private constructor(options: MembersOptions) {
 		this.#options = options;
+		this.#startedAt = options.clock.now();
 		const {clock, log, random, self, transport, vmList, seeds, onSuperseded} = options;
 		this.#membership = Membership.create({
 			self, incarnation: Math.floor(clock.wallNow() / 1000), random, now: clock.now(), onEntry: this.topics.accept, onSuperseded,
@@ -56,7 +63,13 @@
 		this.topics.attach(this.#membership);
 		this.#membership.setSeeds(seeds);
 		this.gossip = GossipPart.create({
-			membership: this.#membership, transport, clock, random,
+			membership: this.#membership,
+			transport,
+			clock,
+			random,
+			onSynced: () => {
+				this.#tellUpstreams();
+			},
 		});
 		this.vmList = VmListPart.create({
 			clock,
@@ -64,6 +77,8 @@
 			vmList,
 			onSeeds: addresses => {
 				this.#membership.setSeeds([...seeds, ...addresses]);
+				this.#isAlone = !this.#membership.hasSeeds;
+				this.refresh();
 			},
 			onLeavingUpstream: vm => {
 				this.#noteLeavingVm(vm.address);
@@ -74,6 +89,14 @@
 		});
 	}
 
+	/**
+	 * Whether this node heard what the others know, such as which upstreams are leaving. Until then it sends no request:
+	 * a node that had just started sent work to an upstream that had been leaving for 7 s.
+	 */
+	get isSynced(): boolean {
+		return this.#isAlone || this.gossip.hasSynced || this.#options.clock.now() - this.#startedAt >= SYNC_TIMEOUT_MS;
+	}
+
 	/** All members that this node knows, itself included. */
 	get all(): readonly MemberView[] {
 		return this.#membership.members(this.#options.clock.now());
@@ -148,7 +171,7 @@
 	/** Computes the assignment again where members changed; to be called at an interval. */
 	refresh(): void {
 		const members = this.all;
-		const key = members.map(({id, status}) => `${id} ${status}`).toSorted().join('\n');
+		const key = String(this.isSynced) + members.map(({id, status}) => `${id} ${status}`).toSorted().join('\n');
 		if (key === this.#assignedFor) {
 			return;
 		}
@@ -162,6 +185,10 @@
 	}
 
 	#tellUpstreams(): void {
+		if (!this.isSynced) {
+			return;
+		}
+
 		const assigned = new Set(this.assigned);
 		const upstreams = (this.#deployment?.upstreams ?? []).filter(({id}) => assigned.has(id));
 		this.#options.onUpstreams(upstreams.map(upstream => this.#toView(upstream)));
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -31,6 +31,7 @@
 const PEER_KEY_BYTES = 32;
 const DEFAULT_MAX_DRAIN_MS = 300_000;
 const CANCEL_WAIT_MS = 1000;
+const MAX_SYNC_WAIT_MS = 3000;
 
 /** How a node reaches the others. A node without it is on its own. */
 export type PeerSettings = {
@@ -164,12 +165,14 @@
 		Object.assign(this.#handlers, core.handlers);
 		this.#entry = this.#createEntry(core);
 		await this.#supervisor.add(this.#entry);
-		core.members.setEntryAddress(this.address);
 		for (const part of core.parts) {
 			// eslint-disable-next-line no-await-in-loop -- parts depend on those before them
 			await this.#supervisor.add(part);
 		}
 
+		// Callers are sent here once this node knows what the others know.
+		await waitUntil(this.#options.clock, () => core.members.isSynced, MAX_SYNC_WAIT_MS);
+		core.members.setEntryAddress(this.address);
 		this.#log.info('Node started.', {
 			vm: this.#vmId, process: this.id, address: this.address, peerAddress: this.peerAddress, region,
 		});
@@ -244,7 +247,7 @@
 			tracing,
 			isLeaving: () => this.#isDraining,
 			isRefusing: () => this.#isRefusing,
-			isReady: () => this.settings.isLoaded && !this.#isDraining,
+			isReady: () => this.settings.isLoaded && core.members.isSynced && !this.#isDraining,
 		}, {
 			host, port, limits, log, tls,
 		}, {
