Keep engines that generate whole answers from being taken for stalled

Cause: an answer that is not streamed is silent until its end, so an engine was ejected after about 1.6 s of it, and its limit fell because the time to its only part was compared with a prefill. Change: requests that are not streamed are marked; their silence is no stall, and their one part is no observation of prefill. A slow start of the limit that grew by 15% a step until the first decrease was tried and dropped.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -66,7 +66,8 @@
 		console.log(`  ${size} ${sizeUnit}: ${mean(values).toFixed(3)} ${unit} (${Math.min(...values).toFixed(3)} to ${Math.max(...values).toFixed(3)})`);
 	}
 
-	console.log(`  slope: ${line.slope.toPrecision(3)} ${unit} per ${sizeUnit} (${Math.min(...repeats).toPrecision(3)} to ${Math.max(...repeats).toPrecision(3)}), at zero ${line.atZero.toPrecision(3)} ${unit}`);
+	const spread = `${Math.min(...repeats).toPrecision(3)} to ${Math.max(...repeats).toPrecision(3)}`;
+	console.log(`  slope: ${line.slope.toPrecision(3)} ${unit} per ${sizeUnit} (${spread}), at zero ${line.atZero.toPrecision(3)} ${unit}`);
 }
 
 function repeat(measure: () => number): number[] {
@@ -163,7 +164,8 @@
 
 /** @returns Resident memory of a process, in MiB. */
 function residentMib({child}: RunningNode): number {
-	const kib = /^VmRSS:\s+(?<kib>\d+)/mv.exec(readFileSync(`/proc/${child.pid}/status`, 'utf8'))!.groups!.kib;
+	const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+	const {kib} = /^VmRSS:\s+(?<kib>\d+)/mv.exec(status)!.groups!;
 	return Number(kib) / KIB;
 }
 
--- a/soak/world.ts
+++ b/soak/world.ts
@@ -556,6 +556,7 @@
 		this.#table.isDown = false;
 		this.#table.faultRate = 0;
 		this.#cutRegions.clear();
+		this.#healedAt = this.#clock.now();
 		for (const node of this.#nodes.values()) {
 			node.process.resume();
 		}
--- a/src/entry/completion-request.ts
+++ b/src/entry/completion-request.ts
@@ -24,6 +24,8 @@
 export type CompletionRequest = {
 	readonly model: string;
 	readonly promptTokens: number;
+	/** The caller wants the answer in one piece. */
+	readonly isWhole: boolean;
 	/** Greatest number of tokens of the answer, or a default. */
 	readonly maxOutputTokens: number;
 	/** Hashes of the prompt's blocks, each covering the blocks before it. */
@@ -45,7 +47,7 @@
 		return Result.err(SchedulerError.create(ErrorKind.MalformedRequest, `${issue!.path.join('.')}: ${issue!.message}`));
 	}
 
-	const {model, messages, max_tokens: maxTokens, max_completion_tokens: maxCompletionTokens} = parsed.data;
+	const {model, messages, max_tokens: maxTokens, max_completion_tokens: maxCompletionTokens, stream} = parsed.data;
 	let prompt: string;
 	try {
 		prompt = messages.map(message => `${message.role}\n${textOf(message.content)}\n`).join('');
@@ -57,6 +59,7 @@
 	return ok({
 		model,
 		promptTokens: Math.ceil(prompt.length / CHARACTERS_PER_TOKEN),
+		isWhole: stream !== true,
 		maxOutputTokens: maxCompletionTokens ?? maxTokens ?? DEFAULT_OUTPUT_TOKENS,
 		prefix: hashBlocks(prompt),
 	});
--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -99,6 +99,7 @@
 			req, reply, caller, pool: service.pool, tier: tier.value, isIdempotent: false, errorFormat: ErrorFormat.Completions,
 		}, this.context, {
 			model: completion.model,
+			isWhole: completion.isWhole,
 			promptTokens: completion.promptTokens,
 			expectedOutputTokens: completion.maxOutputTokens,
 			prefix: completion.prefix,
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -28,7 +28,7 @@
 };
 
 /** What the routes decide by themselves. */
-export type CallDetails = Pick<Work, 'model' | 'promptTokens' | 'expectedOutputTokens' | 'prefix'> & {
+export type CallDetails = Pick<Work, 'model' | 'isWhole' | 'promptTokens' | 'expectedOutputTokens' | 'prefix'> & {
 	/** Hash of the request, in hex. */
 	readonly digest: string;
 	/** Without the headers of dispatch and trace. */
@@ -69,6 +69,7 @@
 		customerWeight: customer.settings.weight,
 		tier: tier.rank,
 		model: details.model,
+		isWhole: details.isWhole,
 		promptTokens: details.promptTokens,
 		expectedOutputTokens: details.expectedOutputTokens,
 		prefix: details.prefix,
--- a/src/peer/network-config-peers.ts
+++ b/src/peer/network-config-peers.ts
@@ -35,23 +35,13 @@
 	}
 
 	readonly #options: NetworkConfigPeersOptions;
-	#source: BodySource = () => undefined;
+	#source: BodySource | undefined;
 
 	private constructor(options: NetworkConfigPeersOptions) {
 		super();
 		this.#options = options;
 	}
 
-	/** To be served by this node's peer service. */
-	get handlers(): Pick<PeerHandlers, 'fetchConfig'> {
-		return {
-			fetchConfig: ({team, digest}) => {
-				const body = this.#source(team, digest);
-				return body === undefined ? {} : {body: Buffer.from(body)};
-			},
-		};
-	}
-
 	publish({team, version, digest, bytes}: Head): void {
 		const {topics, clock, pushUrgent} = this.#options;
 		topics.publishApplied({
@@ -86,6 +76,16 @@
 		this.#source = source;
 	}
 
+	/** To be served by this node's peer service. */
+	get handlers(): Pick<PeerHandlers, 'fetchConfig'> {
+		return {
+			fetchConfig: ({team, digest}) => {
+				const body = this.#source?.(team, digest);
+				return body === undefined ? {} : {body: Buffer.from(body)};
+			},
+		};
+	}
+
 	/** Nodes that reported the version come first. */
 	#candidates(head: Head): string[] {
 		const reporters = new Set(this.#options.topics.applied()
--- a/src/policy/concurrency-limit.ts
+++ b/src/policy/concurrency-limit.ts
@@ -85,6 +85,11 @@
 		}
 	}
 
+	/** A whole answer arrived at once; it says no more than that the engine works. */
+	noteWhole(isFull: boolean, now: number): void {
+		this.#adapt(isFull, now);
+	}
+
 	/** Starts again from the least limit after an outage; the minimum gap stays known. */
 	restart(): void {
 		this.#value = MIN_LIMIT;
--- a/src/policy/running-works.ts
+++ b/src/policy/running-works.ts
@@ -59,11 +59,12 @@
 		const {work} = waiting;
 		const now = this.#options.clock.now();
 		const uncachedTokens = Math.max(0, work.promptTokens - choice.cachedTokens);
-		if (state.inFlight === 0) {
+		if (state.inFlight === state.wholeInFlight) {
 			state.lastProgressAt = now;
 		}
 
 		state.inFlight += 1;
+		state.wholeInFlight += work.isWhole ? 1 : 0;
 		state.pendingPrefillTokens += uncachedTokens;
 		state.hasSuspect ||= waiting.isSuspect;
 		this.#options.index.storePrefix(work.prefix, state.view.id, now);
@@ -98,7 +99,7 @@
 		state.lastProgressAt = now;
 		if (running.firstTokenAt === undefined) {
 			this.#noteFirstToken(running, now);
-		} else if (running.waiting.work.promptTokens > 0 && state.pendingPrefillTokens === 0) {
+		} else if (running.waiting.work.promptTokens > 0 && state.pendingPrefillTokens === 0 && !running.waiting.work.isWhole) {
 			// Steps that also prefill are longer and say nothing about the speed of the engine.
 			state.limit.noteGap((now - running.lastTokenAt) / count, isFull(state, now), now);
 		}
@@ -119,6 +120,7 @@
 		const {state} = running;
 		const now = this.#options.clock.now();
 		state.inFlight -= 1;
+		state.wholeInFlight -= running.waiting.work.isWhole ? 1 : 0;
 		state.hasSuspect &&= !running.waiting.isSuspect;
 		if (running.firstTokenAt === undefined) {
 			state.pendingPrefillTokens -= running.uncachedTokens;
@@ -134,7 +136,10 @@
 		running.firstTokenAt = now;
 		state.pendingPrefillTokens -= running.uncachedTokens;
 		const elapsed = now - running.committedAt;
-		if (running.waiting.work.promptTokens === 0) {
+		if (running.waiting.work.isWhole) {
+			// Prefill and decoding cannot be told apart.
+			state.limit.noteWhole(isFull(state, now), now);
+		} else if (running.waiting.work.promptTokens === 0) {
 			state.limit.noteGap(elapsed, isFull(state, now), now);
 		} else {
 			state.notePrefill(running.uncachedTokens, now - Math.max(running.committedAt, state.lastFirstTokenAt));
--- a/src/policy/scheduler.ts
+++ b/src/policy/scheduler.ts
@@ -22,6 +22,8 @@
 	readonly promptTokens: number;
 	/** Expected tokens of the answer; 1 for plain services. */
 	readonly expectedOutputTokens: number;
+	/** The answer arrives in one piece at its end, so that silence says nothing about the upstream. */
+	readonly isWhole?: boolean;
 	/** Hashes of the prompt's blocks, each covering the blocks before it; empty for plain services. */
 	readonly prefix: readonly number[];
 	readonly arrivedAt: number;
--- a/src/policy/upstream-state.ts
+++ b/src/policy/upstream-state.ts
@@ -42,6 +42,8 @@
 	lossStartedAt = Number.NEGATIVE_INFINITY;
 	/** The last loss of all requests that no refused connection has confirmed. */
 	lastLoss: Loss | undefined;
+	/** Requests in flight whose answers arrive in one piece. */
+	wholeInFlight = 0;
 	lastProgressAt: number;
 	lastFirstTokenAt = Number.NEGATIVE_INFINITY;
 	prefillMsPerToken = INITIAL_PREFILL_MS_PER_TOKEN;
@@ -81,7 +83,7 @@
 	/** @returns Whether the engine is silent for longer than its work explains. */
 	isStalled(now: number): boolean {
 		const threshold = stallThreshold(this.limit.usualGapMs, this.prefillQueueMs);
-		return this.inFlight > 0 && now - this.lastProgressAt > threshold;
+		return this.inFlight > this.wholeInFlight && now - this.lastProgressAt > threshold;
 	}
 
 	/** Bounds this node's slots; a share that is not renewed falls to `expiredSlots`. */
--- a/test/policy/policy-scheduler.test.ts
+++ b/test/policy/policy-scheduler.test.ts
@@ -161,6 +161,23 @@
 		expect(started.length).to.equal(2);
 	});
 
+	it('keeps an engine that generates whole answers for long (guards against silence taken for a stall)', () => {
+		const {scheduler, started, clock} = makeScheduler();
+		scheduler.setUpstreams([makeView('a', {maxConcurrency: 64})]);
+		for (let index = 0; index < 40; index += 1) {
+			scheduler.submit(makeWork(`w${index}`, {isWhole: true}));
+		}
+
+		const atFirst = started.length;
+		for (let index = 0; index < 20; index += 1) {
+			clock.advance(5000 / atFirst);
+			scheduler.noteProgress(`w${index}`, 1);
+			scheduler.noteFinished(`w${index}`, WorkOutcome.Done);
+		}
+
+		expect(started.length).to.equal(40);
+	});
+
 	it('follows its share and falls back when it is not renewed (guards against old shares that overfill an engine)', () => {
 		const {scheduler, started, clock} = makeScheduler();
 		scheduler.setUpstreams([makeView('a')]);
--- a/test/system/deployment.ts
+++ b/test/system/deployment.ts
@@ -38,6 +38,12 @@
 	readonly regions: ReadonlyArray<{readonly region: string}>;
 };
 
+type StandIns = {
+	readonly platform: PlatformStandIn;
+	readonly engines: readonly EngineStandIn[];
+	readonly booking: BookingStandIn;
+};
+
 /** All processes and stand-ins of one test. */
 export class Deployment {
 	/** Bundles the program once; starting the sources in each process would take most of the test's time. */
@@ -50,7 +56,8 @@
 		});
 		writeFileSync(path.join(folder, 'peer-key'), randomBytes(32));
 		const engines = await Promise.all(Array.from({length: engineCount}, async () => EngineStandIn.start({tokenIntervalMs: 10, defaultTokens: 20})));
-		return new Deployment(folder, program, await PlatformStandIn.start(), engines, await BookingStandIn.start());
+		const standIns = {platform: await PlatformStandIn.start(), engines, booking: await BookingStandIn.start()};
+		return new Deployment(folder, program, standIns);
 	}
 
 	readonly platform: PlatformStandIn;
@@ -61,7 +68,7 @@
 	readonly #program: string;
 	readonly #peerAddresses: string[] = [];
 
-	private constructor(folder: string, program: string, platform: PlatformStandIn, engines: readonly EngineStandIn[], booking: BookingStandIn) {
+	private constructor(folder: string, program: string, {platform, engines, booking}: StandIns) {
 		this.#folder = folder;
 		this.#program = program;
 		this.platform = platform;
