--- a/standins/booking.ts
+++ b/standins/booking.ts
@@ -16,10 +16,11 @@
 
 /** A booking service on a port of its own. */
 export class BookingStandIn {
-	static async start(): Promise<BookingStandIn> {
+	/** @param port - Port to listen on; 0 lets the operating system choose. */
+	static async start(port = 0): Promise<BookingStandIn> {
 		const booking = new BookingStandIn();
 		await new Promise<void>(resolve => {
-			booking.#server.listen(0, '127.0.0.1', resolve);
+			booking.#server.listen(port, '127.0.0.1', resolve);
 		});
 		booking.#port = (booking.#server.address() as AddressInfo).port;
 		return booking;
