Use restarted engines again within about a second

A restarted engine got no request for 8 s: each refused connection doubled its pause, and the price of probation kept it behind engines that had room (bench/upstream-faults.ts: first request after 6.2 s, or none in 8 s). Change: a refused connection pauses an upstream for 1 s; the price of probation falls to nothing in 2 s. The test bounds broken and failed answers by what was in flight at the fault and sent in it. Parts with rounds at an interval share one base class.

--- a/bench/upstream-faults.ts
+++ b/bench/upstream-faults.ts
@@ -5,7 +5,7 @@
 import {type ChildProcess, fork} from 'node:child_process';
 import {once} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Span, type SpanProcessor} from '@opentelemetry/sdk-trace-node';
+import {type ReadableSpan, type Span, type SpanProcessor} from '@opentelemetry/sdk-trace-node';
 import {request} from 'undici';
 import {SystemClock} from '../src/base/clock.js';
 import {Log} from '../src/base/log.js';
@@ -27,6 +27,8 @@
 export type FaultReport = {
 	/** From the fault until the last request was sent to the engine while the fault lasted, in ms. */
 	readonly avoidedAfterMs: number;
+	/** Requests in flight at the engine when the fault began. */
+	readonly inFlightAtFault: number;
 	/** Requests that were sent to the engine while the fault lasted. */
 	readonly sentDuringFault: number;
 	/** From the end of the fault until the next request was sent to the engine, in ms; `undefined` when there was none. */
@@ -48,16 +50,25 @@
 /** Records when requests are sent to which upstream. */
 class SentRecorder implements SpanProcessor {
 	readonly sent: Sent[] = [];
+	readonly #open = new Map<string, number>();
+
+	/** Requests in flight at an upstream. */
+	openAt(upstream: string): number {
+		return this.#open.get(upstream) ?? 0;
+	}
 
 	onStart(span: Span): void {
 		const {upstream} = span.attributes;
 		if (span.name === SpanName.Upstream && typeof upstream === 'string') {
 			this.sent.push({upstream, at: performance.now()});
+			this.#open.set(upstream, this.openAt(upstream) + 1);
 		}
 	}
 
-	onEnd(): void {
-		// Only the start matters.
+	onEnd({name, attributes: {upstream}}: ReadableSpan): void {
+		if (name === SpanName.Upstream && typeof upstream === 'string') {
+			this.#open.set(upstream, this.openAt(upstream) - 1);
+		}
 	}
 
 	async forceFlush(): Promise<void> {
@@ -142,6 +153,7 @@
 	async #measure(index: number, begin: () => void, end: () => Promise<void>): Promise<FaultReport> {
 		await sleep(WARM_UP_MS);
 		const faultAt = performance.now();
+		const inFlightAtFault = this.#recorder.openAt(`team/engine-${index}`);
 		begin();
 		await sleep(FAULT_MS);
 		const endedAt = performance.now();
@@ -156,6 +168,7 @@
 		const count = (end: 'whole' | 'brokenOff' | 'failed') => answers.filter(answer => answer.end === end).length;
 		return {
 			avoidedAfterMs: Math.max(0, ...during.map(at => at - faultAt)),
+			inFlightAtFault,
 			sentDuringFault: during.length,
 			returnedAfterMs: after.length === 0 ? undefined : after[0]! - returnedAt,
 			sentInFirstSecond: after.filter(at => at < after[0]! + 1000).length,
--- a/src/members/vm-list-part.ts
+++ b/src/members/vm-list-part.ts
@@ -4,7 +4,7 @@
 import {type Clock} from '../base/clock.js';
 import {type Log, LogPrefix} from '../base/log.js';
 import {type VmEntry, type VmList, VmState} from '../store/vm-list.js';
-import {Part} from '../supervisor/part.js';
+import {IntervalPart} from '../supervisor/interval-part.js';
 
 const POLL_INTERVAL_MS = 1000;
 
@@ -20,18 +20,17 @@
 };
 
 /** The part that polls the list. While the list does not answer, what was known stays. */
-export class VmListPart extends Part {
+export class VmListPart extends IntervalPart {
 	static create(options: VmListPartOptions): VmListPart {
 		return new VmListPart(options);
 	}
 
 	readonly #options: VmListPartOptions;
 	readonly #log: Log;
-	#running: AbortController | undefined;
 	#isAnswering = true;
 
 	private constructor(options: VmListPartOptions) {
-		super();
+		super(options.clock, POLL_INTERVAL_MS);
 		this.#options = options;
 		this.#log = options.log.part(LogPrefix.Members);
 	}
@@ -40,29 +39,7 @@
 		return 'vm-list';
 	}
 
-	async start(onFailure: (err: Error) => void): Promise<void> {
-		this.#running = new AbortController();
-		void this.#run(this.#running.signal, onFailure);
-	}
-
-	async stop(): Promise<void> {
-		this.#running?.abort();
-	}
-
-	async #run(signal: AbortSignal, onFailure: (err: Error) => void): Promise<void> {
-		try {
-			while (!signal.aborted) {
-				// eslint-disable-next-line no-await-in-loop -- one poll at a time
-				await this.#poll();
-				// eslint-disable-next-line no-await-in-loop
-				await this.#options.clock.sleep(POLL_INTERVAL_MS, signal);
-			}
-		} catch (error) {
-			onFailure(error as Error);
-		}
-	}
-
-	async #poll(): Promise<void> {
+	protected async round(): Promise<void> {
 		const {vmList, onSeeds, onLeavingUpstream} = this.#options;
 		const listed = await vmList.list();
 		this.#noteAnswer(listed.isOk);
--- a/src/policy/health.ts
+++ b/src/policy/health.ts
@@ -60,6 +60,23 @@
 		return this.eject(now);
 	}
 
+	/**
+	 * A connection was refused. Trying again costs little, as the request goes elsewhere unsent, so that the pause does not
+	 * grow: an upstream that restarts is used again within about a second.
+	 *
+	 * @returns Whether it was in use until now.
+	 */
+	noteRefused(now: number): boolean {
+		if (now < this.#ejectedUntil) {
+			return false;
+		}
+
+		this.#ejectedUntil = now + FIRST_EJECTION_MS;
+		this.#slowStartSlots = 1;
+		this.#failures = 0;
+		return true;
+	}
+
 	/** @returns Whether it was in use until now. */
 	eject(now: number): boolean {
 		if (now < this.#ejectedUntil) {
--- a/src/policy/router.ts
+++ b/src/policy/router.ts
@@ -21,6 +21,8 @@
 /** Cost of each multiple of an engine's own usual speed. */
 const SLOWDOWN_MS = 300;
 const PROBATION_MS = 500;
+/** Time after its return in which the price of probation falls to nothing, so that a returned upstream is tried. */
+const PROBATION_FALL_MS = 2000;
 const SHORT_SAMPLE = 2;
 /** Work with less time left avoids upstreams that take long prefills. */
 const TIGHT_MS = 2000;
@@ -183,7 +185,7 @@
 			+ (use * FULL_LIMIT_MS)
 			+ ((slowdown - 1) * SLOWDOWN_MS)
 			+ (this.#risksDelay(state, work, prefill, now) ? DELAY_RISK_MS : 0)
-			+ (state.health.isOnProbation ? PROBATION_MS : 0)
+			+ probationPrice(state, now)
 			+ (isFar && !this.#options.ignoresRegions ? this.#priceOfBytes(work) : 0);
 		return {
 			state, score, firstTokenMs, ownFirstTokenMs, cachedTokens, isLong: prefill > LONG_PREFILL_MS,
@@ -207,13 +209,22 @@
 		}
 
 		// The price of probation ranks free upstreams. Work that waits would keep a returned upstream from proving itself.
-		const probationMs = best.state.health.isOnProbation ? PROBATION_MS : 0;
+		const probationMs = probationPrice(best.state, now);
 		const wait = busy.state.slotIntervalMs * HOLD_FACTOR;
 		const slack = work.deadlineAt - now - busy.firstTokenMs;
 		return best.score - probationMs - busy.score > wait && slack > 2 * wait;
 	}
 }
 
+/** @returns The price of an upstream that has returned and not yet proved itself, in ms. */
+function probationPrice({health}: UpstreamState, now: number): number {
+	if (!health.isOnProbation) {
+		return 0;
+	}
+
+	return PROBATION_MS * Math.max(0, 1 - ((now - health.ejectedUntil) / PROBATION_FALL_MS));
+}
+
 function sampleList<Item>(list: readonly Item[], count: number, random: Random): readonly Item[] {
 	return list.length <= count ? list : Array.from({length: count}, () => random.pick(list));
 }
--- a/src/policy/running-works.ts
+++ b/src/policy/running-works.ts
@@ -166,7 +166,11 @@
 			this.#noteRefused(state, now);
 		}
 
-		if (outcome !== WorkOutcome.Canceled && state.health.noteFailure(now)) {
+		if (outcome === WorkOutcome.Canceled) {
+			return;
+		}
+
+		if (outcome === WorkOutcome.ConnectionRefused ? state.health.noteRefused(now) : state.health.noteFailure(now)) {
 			state.limit.restart();
 		}
 	}
--- a/src/serve/timer-part.ts
+++ b/src/serve/timer-part.ts
@@ -1,11 +1,11 @@
 /**
- * A part that does something at an interval.
+ * A part that calls a function at an interval.
  */
-import {type Clock, type Timer} from '../base/clock.js';
-import {Part} from '../supervisor/part.js';
+import {type Clock} from '../base/clock.js';
+import {IntervalPart} from '../supervisor/interval-part.js';
 
 /** Calls a function at an interval; a call that throws fails the part. */
-export class TimerPart extends Part {
+export class TimerPart extends IntervalPart {
 	/**
 	 * @param name - Name of the part.
 	 * @param intervalMs - Time between two calls.
@@ -16,35 +16,15 @@
 	}
 
 	readonly name: string;
-	readonly #clock: Clock;
-	readonly #intervalMs: number;
 	readonly #action: () => void;
-	#timer: Timer | undefined;
 
 	private constructor(name: string, clock: Clock, intervalMs: number, action: () => void) {
-		super();
+		super(clock, intervalMs);
 		this.name = name;
-		this.#clock = clock;
-		this.#intervalMs = intervalMs;
 		this.#action = action;
 	}
 
-	async start(onFailure: (err: Error) => void): Promise<void> {
+	protected round(): void {
 		this.#action();
-		this.#timer = this.#clock.setTimer(this.#intervalMs, () => {
-			void this.#restart(onFailure);
-		});
-	}
-
-	async stop(): Promise<void> {
-		this.#timer?.cancel();
-	}
-
-	async #restart(onFailure: (err: Error) => void): Promise<void> {
-		try {
-			await this.start(onFailure);
-		} catch (error) {
-			onFailure(error as Error);
-		}
 	}
 }
--- a/src/upstream/observer-part.ts
+++ b/src/upstream/observer-part.ts
@@ -3,7 +3,7 @@
  */
 import {type Clock} from '../base/clock.js';
 import {type Scheduler} from '../policy/scheduler.js';
-import {Part} from '../supervisor/part.js';
+import {IntervalPart} from '../supervisor/interval-part.js';
 import {Engine, type LoadReport} from './engine.js';
 import {type UpstreamRegistry} from './registry.js';
 
@@ -35,7 +35,7 @@
 };
 
 /** The part that observes engines. */
-export class ObserverPart extends Part {
+export class ObserverPart extends IntervalPart {
 	static create(options: ObserverPartOptions): ObserverPart {
 		return new ObserverPart(options);
 	}
@@ -43,10 +43,10 @@
 	readonly #options: ObserverPartOptions;
 	readonly #lastSequences = new Map<string, number>();
 	readonly #passedLoads = new Map<string, PassedLoad>();
-	#running: AbortController | undefined;
+	#rounds = 0;
 
 	private constructor(options: ObserverPartOptions) {
-		super();
+		super(options.clock, POLL_INTERVAL_MS);
 		this.#options = options;
 	}
 
@@ -54,29 +54,12 @@
 		return 'observer';
 	}
 
-	async start(onFailure: (err: Error) => void): Promise<void> {
-		this.#running = new AbortController();
-		void this.#run(this.#running.signal, onFailure);
-	}
-
-	async stop(): Promise<void> {
-		this.#running?.abort();
-	}
-
-	async #run(signal: AbortSignal, onFailure: (err: Error) => void): Promise<void> {
-		try {
-			for (let poll = 0; !signal.aborted; poll += 1) {
-				const readsCache = poll % POLLS_PER_CACHE_READ === 0;
-				// A slow engine must not hold up the reports of the others, nor the next round.
-				for (const upstreamId of this.#options.assigned()) {
-					void this.#observe(upstreamId, readsCache);
-				}
-
-				// eslint-disable-next-line no-await-in-loop -- one round after the other
-				await this.#options.clock.sleep(POLL_INTERVAL_MS, signal);
-			}
-		} catch (error) {
-			onFailure(error as Error);
+	protected round(): void {
+		const readsCache = this.#rounds % POLLS_PER_CACHE_READ === 0;
+		this.#rounds += 1;
+		// A slow engine must not hold up the reports of the others, nor the next round.
+		for (const upstreamId of this.#options.assigned()) {
+			void this.#observe(upstreamId, readsCache);
 		}
 	}
 
