Test that a starting node waits for its peers

Change: a node with a silent peer uses no upstream for 2 s; a node without peers uses its upstreams at once.

--- /dev/null
+++ b/test/serve/members-parts.test.ts
@@ -0,0 +1,82 @@
+import {expect} from 'chai';
+import Result from 'true-myth/result';
+import {Log} from '../../src/base/log.js';
+import {Random} from '../../src/base/random.js';
+import {VirtualClock} from '../../src/base/virtual-clock.js';
+import {Deployment} from '../../src/config/deployment.js';
+import {subtreeSchema} from '../../src/config/schema.js';
+import {PeerErrorKind, PeerTransport} from '../../src/peer/peer-transport.js';
+import {Members} from '../../src/serve/members-parts.js';
+import {MemoryVmList} from '../../src/store/memory-table.js';
+
+/** Peers that never answer in time. */
+class SilentTransport extends PeerTransport {
+	async call<Value>(): Promise<Result<Value, {kind: PeerErrorKind; detail: string}>> {
+		return Result.err({kind: PeerErrorKind.Unreachable, detail: 'no answer'});
+	}
+
+	close(): void {
+		// Nothing is open.
+	}
+}
+
+const deployment = Deployment.create(new Map([['team', subtreeSchema.parse({
+	services: {
+		booking: {
+			kind: 'plain', tiers: [{name: 'only', deadlineMs: 1000}], defaultTier: 'only',
+		},
+	},
+	upstreams: {
+		first: {
+			service: 'booking', url: 'http://127.0.0.1:1', region: 'north', dataCentre: 'north-1',
+		},
+	},
+})]]));
+
+function start(seeds: readonly string[]) {
+	const clock = VirtualClock.create();
+	const told: number[] = [];
+	const members = Members.create({
+		clock,
+		log: Log.create('silent'),
+		random: Random.create(1),
+		self: {
+			id: 'vm', process: 'p', address: '127.0.0.1:7000', entryAddress: '', region: 'north', dataCentre: 'north-1',
+		},
+		transport: new SilentTransport(),
+		vmList: MemoryVmList.create(),
+		seeds,
+		onSuperseded() {
+			throw new Error('superseded');
+		},
+		onUpstreams(views) {
+			told.push(views.length);
+		},
+	});
+	members.setDeployment(deployment);
+	return {clock, members, told};
+}
+
+describe('members of a starting node', () => {
+	// Found by `npm run soak -- --seed 1082`: a starting node sent work to an upstream that had been leaving for 7 s.
+	it('uses no upstream before a peer has answered or 2 s have passed', async () => {
+		const {clock, members, told} = start(['127.0.0.1:7001']);
+		await members.gossip.start(() => undefined);
+		await clock.advanceAsync(1900);
+		members.refresh();
+		expect(members.isSynced).to.equal(false);
+		expect(told).to.deep.equal([]);
+		await clock.advanceAsync(200);
+		members.refresh();
+		expect(members.isSynced).to.equal(true);
+		expect(told).to.deep.equal([1]);
+	});
+
+	it('uses its upstreams at once when no peer is known', async () => {
+		const {clock, members, told} = start([]);
+		await members.vmList.start(() => undefined);
+		await clock.advanceAsync(10);
+		expect(members.isSynced).to.equal(true);
+		expect(told).to.deep.equal([1]);
+	});
+});
