Share the time limit on store calls and the type of the entries answer

Cause: config had its own race of a store call against a timer beside that of the coordination parts, and the entry context its own type of the answer of GET /v1/entries beside that of the members. Change: config calls the shared limit and keeps its conversion of exceptions; the entry context takes the members' type. Conclusion: no change of behaviour but the wording of the detail of a timed-out call.

--- a/src/config/store-call.ts
+++ b/src/config/store-call.ts
@@ -3,6 +3,7 @@
  */
 import Result from 'true-myth/result';
 import {type Clock} from '../base/clock.js';
+import {withTimeout as withinLimit} from '../coordination/within-time.js';
 import {type StoreError, StoreFailure} from '../store/table.js';
 
 /** Longest time that a call to the store is waited for, in ms. */
@@ -14,22 +15,9 @@
  * @returns The answer of the call, or `outcome-unknown` when it takes too long.
  */
 export async function withTimeout<Value>(clock: Clock, call: Promise<Result<Value, StoreError>>): Promise<Result<Value, StoreError>> {
-	return new Promise(resolve => {
-		const fail = (detail: string) => {
-			resolve(Result.err({failure: StoreFailure.OutcomeUnknown, detail}));
-		};
-
-		const timer = clock.setTimer(STORE_CALL_TIMEOUT_MS, () => {
-			fail(`No answer from the store within ${STORE_CALL_TIMEOUT_MS} ms.`);
-		});
-		(async () => {
-			try {
-				resolve(await call);
-			} catch (error) {
-				fail((error as Error).message);
-			} finally {
-				timer.cancel();
-			}
-		})();
-	});
+	try {
+		return await withinLimit(clock, call, STORE_CALL_TIMEOUT_MS);
+	} catch (error) {
+		return Result.err({failure: StoreFailure.OutcomeUnknown, detail: (error as Error).message});
+	}
 }
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -14,6 +14,7 @@
 import {type CurrentSettings} from '../config/current-settings.js';
 import {type TierSettings} from '../config/schema.js';
 import {type Dispatcher} from '../dispatch/dispatcher.js';
+import {type EntriesAnswer} from '../members/entries.js';
 import {type BodyBudget} from './body.js';
 import {type ErrorFormat} from './error-body.js';
 import {type RateLimiter} from './rate-limiter.js';
@@ -22,14 +23,6 @@
 /** Injection token of the context. */
 export const ENTRY_CONTEXT = 'EntryContext';
 
-/** Addresses for one caller. */
-export type EntriesAnswer = {
-	/** `host:port`, the one to try first in front. */
-	readonly addresses: readonly string[];
-	/** How long the caller may keep the answer, in seconds. */
-	readonly keepSeconds: number;
-};
-
 /** Everything that the callers' interface needs from the rest of the node. */
 export type EntryDependencies = {
 	readonly clock: Clock;
