--- /dev/null
+++ b/src/allocation/allocator.ts
@@ -0,0 +1,338 @@
+/**
+ * Decides which request gets a place at which upstream, in which order, and which requests are refused. One allocator
+ * decides for all VMs; a VM that reaches none decides for itself with its share of the quotas. Does no I/O.
+ */
+import {type Clock, type Timer} from '../base/clock.js';
+import {ErrorKind} from '../base/errors.js';
+import {type Random} from '../base/random.js';
+import {Ending} from '../gateway/exchange-ending.js';
+import {type RoutingTable} from '../gateway/routing-table.js';
+import {type UpstreamChanges} from '../gateway/upstream-list.js';
+import {Quarantine, Standing as SuspectStanding} from '../policy/quarantine.js';
+import {Allocation, type Ask, type AskEvents, type HeldPlace, type Report} from './ask.js';
+import {Pool, type Held, type Station, type Waiting} from './pool.js';
+import {type RepeatBounds} from './repeat-budget.js';
+import {Quotas} from './quotas.js';
+
+/** How often waiting requests are examined, in ms; small against the shortest response-time objective. */
+const TICK_MS = 25;
+/**
+ * Part of a request's remaining time that its expected wait may take. Beyond it the caller is better off when it hears
+ * at once and comes back: the expectation is right within a factor of two.
+ */
+const MAX_WAIT_SHARE = 0.6;
+/** Shortest Retry-After, in ms: some queue lengths pass within it. */
+const MIN_RETRY_AFTER_MS = 100;
+/** Where no upstream is known, in ms; a successor registers within about a second. */
+const NO_UPSTREAM_RETRY_MS = 500;
+/** Retry-After is multiplied by a random number in this range, so that refused callers do not return together. */
+const RETRY_SPREAD = {min: 0.7, max: 1.4} as const;
+/** How long a request that crashed three upstreams is kept away, as told to its caller, in ms. */
+const QUARANTINE_RETRY_MS = 5000;
+
+/** For whom an allocator decides. */
+export type Scope = {
+	/** Part of the quotas and of the repeats' slack that it may grant: 1 when it decides for all VMs. */
+	readonly share: number;
+	/** What the quotas' buckets hold at first, as a part of their bursts. */
+	readonly quotaFullness: number;
+	/** Whether other VMs use the upstreams without this allocator knowing. */
+	readonly isAlone: boolean;
+};
+
+/** What an allocator works with. */
+export type AllocatorOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	/** Unique for each start of the process. */
+	readonly nodeId: string;
+	readonly repeatBounds: RepeatBounds;
+};
+
+/** One decision, for logs and metrics. */
+export type Decision = {
+	readonly ask: Ask;
+	readonly waitedMs: number;
+	readonly waiting: number;
+	readonly upstreamId?: string;
+	readonly expectedFirstMs?: number;
+	readonly refusal?: ErrorKind;
+};
+
+/** The allocator. */
+export class Allocator extends Allocation {
+	static create(options: AllocatorOptions): Allocator {
+		return new Allocator(options);
+	}
+
+	/** Called with each decision. */
+	onDecision: ((decision: Decision) => void) | undefined;
+	readonly #options: AllocatorOptions;
+	readonly #pools = new Map<string, Pool>();
+	readonly #poolByAsk = new Map<string, Pool>();
+	readonly #poolByUpstream = new Map<string, Pool>();
+	readonly #quotas = Quotas.create();
+	readonly #quarantine: Quarantine;
+	#table: RoutingTable | undefined;
+	#scope: Scope = {share: 1, quotaFullness: 1, isAlone: false};
+	#timer: Timer | undefined;
+
+	private constructor(options: AllocatorOptions) {
+		super();
+		this.#options = options;
+		this.#quarantine = Quarantine.create(options.nodeId);
+	}
+
+	/** Requests that wait for a place. */
+	get waitingCount(): number {
+		let count = 0;
+		for (const pool of this.#pools.values()) {
+			count += pool.waiting.size;
+		}
+
+		return count;
+	}
+
+	/** Places that are held. */
+	get heldCount(): number {
+		return this.#poolByAsk.size - this.waitingCount;
+	}
+
+	/** @returns The factor of each upstream's pace, for a successor. */
+	get paces(): ReadonlyMap<string, number> {
+		const paces = new Map<string, number>();
+		for (const pool of this.#pools.values()) {
+			for (const station of pool.stations.values()) {
+				paces.set(station.upstream.id, station.pace.factor);
+			}
+		}
+
+		return paces;
+	}
+
+	/** Takes over what another allocator learnt. */
+	restorePaces(paces: Iterable<readonly [upstreamId: string, factor: number]>): void {
+		for (const [id, factor] of paces) {
+			this.#poolByUpstream.get(id)?.stations.get(id)?.pace.restore(factor);
+		}
+	}
+
+	/** Starts to decide for the VMs of a scope; places of before are forgotten. */
+	restart(scope: Scope): void {
+		const now = this.#options.clock.now();
+		this.#scope = scope;
+		this.#quotas.restart(scope.share, scope.quotaFullness, now);
+		this.#poolByAsk.clear();
+		for (const pool of this.#pools.values()) {
+			pool.clear();
+		}
+	}
+
+	setTable(table: RoutingTable): void {
+		this.#table = table;
+		this.#quotas.setCustomers(table.configuration.customers, this.#options.clock.now());
+		for (const pool of this.#pools.values()) {
+			pool.setSettings(table.pool(pool.name));
+		}
+	}
+
+	setUpstreams({changed, removed}: UpstreamChanges): void {
+		for (const id of removed) {
+			this.#poolByUpstream.get(id)?.removeStation(id);
+			this.#poolByUpstream.delete(id);
+		}
+
+		const touched = new Set<Pool>();
+		for (const upstream of changed) {
+			const pool = this.#pool(upstream.pool);
+			const before = this.#poolByUpstream.get(upstream.id);
+			if (before !== undefined && before !== pool) {
+				before.removeStation(upstream.id);
+			}
+
+			pool.setStation(upstream);
+			this.#poolByUpstream.set(upstream.id, pool);
+			touched.add(pool);
+		}
+
+		for (const pool of touched) {
+			this.#pump(pool);
+		}
+	}
+
+	/** Takes over places that VMs hold already. */
+	adopt(places: readonly HeldPlace[]): void {
+		const now = this.#options.clock.now();
+		for (const {ask, upstreamId, heldMs, hasFirst} of places) {
+			const pool = this.#poolByUpstream.get(upstreamId) ?? this.#pool(ask.pool);
+			const grantedAt = now - heldMs;
+			pool.hold(upstreamId, {ask, upstreamId, grantedAt, pendingPromptTokens: 0, hasFirst});
+			this.#poolByAsk.set(ask.id, pool);
+		}
+	}
+
+	ask(ask: Ask, events: AskEvents): void {
+		const {clock} = this.#options;
+		const now = clock.now();
+		const pool = this.#pool(ask.pool);
+		const waiting: Waiting = {
+			ask, events, askedAt: now, objectiveAt: now + ask.objectiveMs, deadlineAt: now + ask.remainingMs,
+		};
+		const refusal = this.#findRefusal(pool, waiting, now);
+		if (refusal !== undefined) {
+			this.#refuse(pool, waiting, refusal.kind, refusal.retryAfterMs);
+			return;
+		}
+
+		pool.waiting.set(ask.id, waiting);
+		this.#poolByAsk.set(ask.id, pool);
+		this.#pump(pool);
+		this.#schedule();
+	}
+
+	withdraw(askId: string): void {
+		const pool = this.#poolByAsk.get(askId);
+		const waiting = pool?.waiting.get(askId);
+		if (pool !== undefined && waiting !== undefined) {
+			this.#forgetWaiting(pool, waiting);
+			this.#refund(waiting.ask);
+		}
+	}
+
+	noteFirst(askId: string, firstMs: number): void {
+		this.#poolByAsk.get(askId)?.noteFirst(askId, firstMs);
+	}
+
+	release(askId: string, report: Report): void {
+		const pool = this.#poolByAsk.get(askId);
+		const held = pool?.held.get(askId);
+		if (pool === undefined || held === undefined) {
+			return;
+		}
+
+		this.#poolByAsk.delete(askId);
+		const now = this.#options.clock.now();
+		pool.release(held, report, now, this.#scope.isAlone);
+		if (report.ending === Ending.Answered) {
+			this.#quarantine.noteSuccess(held.ask.fingerprint, now);
+		} else if (report.ending === Ending.Lost || report.ending === Ending.Spoiled) {
+			this.#quarantine.noteLoss(held.upstreamId, [held.ask.fingerprint], now);
+		}
+
+		this.#pump(pool);
+	}
+
+	/** Answers all waiting requests as not run. */
+	refuseAll(kind: ErrorKind): void {
+		for (const pool of this.#pools.values()) {
+			for (const waiting of [...pool.waiting.values()]) {
+				this.#forgetWaiting(pool, waiting);
+				this.#refuse(pool, waiting, kind, MIN_RETRY_AFTER_MS);
+			}
+		}
+	}
+
+	#findRefusal(pool: Pool, waiting: Waiting, now: number): {kind: ErrorKind; retryAfterMs: number} | undefined {
+		const {ask} = waiting;
+		if (this.#quarantine.standing(ask.fingerprint, now) === SuspectStanding.Quarantined) {
+			return {kind: ErrorKind.CrashSuspect, retryAfterMs: QUARANTINE_RETRY_MS};
+		}
+
+		if (!pool.hasStation(ask.excluded)) {
+			return {kind: ErrorKind.NoUpstream, retryAfterMs: NO_UPSTREAM_RETRY_MS};
+		}
+
+		if (ask.remainingMs <= 0) {
+			return {kind: ErrorKind.DeadlineUnreachable, retryAfterMs: MIN_RETRY_AFTER_MS};
+		}
+
+		const waitMs = pool.hasFree(now) ? 0 : pool.waitMs(waiting, now);
+		if (waitMs > MAX_WAIT_SHARE * (ask.remainingMs - pool.serviceMs(ask))) {
+			return {kind: ErrorKind.Overloaded, retryAfterMs: waitMs};
+		}
+
+		if (ask.attempt > 1) {
+			return pool.repeats.spend(now, this.#scope.share) ? undefined : {kind: ErrorKind.NoUpstream, retryAfterMs: NO_UPSTREAM_RETRY_MS};
+		}
+
+		pool.repeats.noteRequest(now);
+		const quotaMs = this.#quotas.spend(ask.customer, ask.quotaCost, now);
+		return quotaMs > 0 ? {kind: ErrorKind.RateLimited, retryAfterMs: quotaMs} : undefined;
+	}
+
+	#pump(pool: Pool): void {
+		const now = this.#options.clock.now();
+		for (let grant = pool.next(now); grant !== undefined; grant = pool.next(now)) {
+			const {waiting, station, expectedFirstMs} = grant;
+			pool.waiting.delete(waiting.ask.id);
+			this.#hold(pool, waiting, station, now);
+			this.onDecision?.({
+				ask: waiting.ask, waitedMs: now - waiting.askedAt, waiting: pool.waiting.size, upstreamId: station.upstream.id, expectedFirstMs,
+			});
+			waiting.events.grant(station.upstream.id);
+		}
+	}
+
+	#hold(pool: Pool, {ask}: Waiting, station: Station, now: number): void {
+		const held: Held = {
+			ask, upstreamId: station.upstream.id, grantedAt: now, pendingPromptTokens: pool.pendingPromptTokens(station), hasFirst: false,
+		};
+		pool.hold(station.upstream.id, held);
+		this.#poolByAsk.set(ask.id, pool);
+	}
+
+	#tick(): void {
+		const now = this.#options.clock.now();
+		for (const pool of this.#pools.values()) {
+			if (pool.waiting.size > 0) {
+				for (const waiting of pool.hopeless(now)) {
+					this.#forgetWaiting(pool, waiting);
+					this.#refund(waiting.ask);
+					this.#refuse(pool, waiting, ErrorKind.DeadlineUnreachable, MIN_RETRY_AFTER_MS);
+				}
+
+				this.#pump(pool);
+			}
+		}
+
+		this.#schedule();
+	}
+
+	#schedule(): void {
+		if (this.#timer === undefined && this.waitingCount > 0) {
+			this.#timer = this.#options.clock.setTimer(TICK_MS, () => {
+				this.#timer = undefined;
+				this.#tick();
+			});
+		}
+	}
+
+	#refuse(pool: Pool, {ask, events, askedAt}: Waiting, kind: ErrorKind, retryAfterMs: number): void {
+		const spread = RETRY_SPREAD.min + (this.#options.random.next() * (RETRY_SPREAD.max - RETRY_SPREAD.min));
+		this.onDecision?.({
+			ask, waitedMs: this.#options.clock.now() - askedAt, waiting: pool.waiting.size, refusal: kind,
+		});
+		events.refuse(kind, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs * spread));
+	}
+
+	#forgetWaiting(pool: Pool, {ask}: Waiting): void {
+		pool.waiting.delete(ask.id);
+		this.#poolByAsk.delete(ask.id);
+	}
+
+	#refund(ask: Ask): void {
+		if (ask.attempt === 1) {
+			this.#quotas.refund(ask.customer, ask.quotaCost);
+		}
+	}
+
+	#pool(name: string): Pool {
+		let pool = this.#pools.get(name);
+		if (pool === undefined) {
+			pool = Pool.create(name, this.#table?.pool(name), this.#options.repeatBounds);
+			this.#pools.set(name, pool);
+		}
+
+		return pool;
+	}
+}
--- /dev/null
+++ b/src/allocation/ask.ts
@@ -0,0 +1,83 @@
+/**
+ * A request for a place at an upstream, as VMs send it to the allocator. It carries durations, as the clocks of VMs
+ * differ, and no part of the request's body.
+ */
+import {type ErrorKind} from '../base/errors.js';
+import {type Ending} from '../gateway/exchange-ending.js';
+import {type Operation} from '../gateway/routing-table.js';
+
+/** One attempt that wants a place. Durations in ms from the moment it was sent. */
+export type Ask = {
+	/** Unique over all VMs and their restarts. */
+	readonly id: string;
+	readonly pool: string;
+	readonly customer: string | undefined;
+	/** Rank of the customer, where it has one, then of the route; 0 is the most important. */
+	readonly rank: number;
+	readonly operation: Operation;
+	/** Tokens of the prompt; 0 for plain services. */
+	readonly promptTokens: number;
+	/** Expected events of the answer; 0 for plain services. */
+	readonly outputEvents: number;
+	/** What the request counts against its customer's quota. */
+	readonly quotaCost: number;
+	/** Until the response-time objective is missed; negative when it is. */
+	readonly objectiveMs: number;
+	/** Until the answer has no value. */
+	readonly remainingMs: number;
+	/** Longest pause between events that is on time; 0 for plain services. */
+	readonly maxPauseMs: number;
+	readonly dataCentre: string;
+	readonly region: string;
+	/** 1 for the first upstream that the request is sent to. */
+	readonly attempt: number;
+	/** IDs of upstreams that have failed it. */
+	readonly excluded: readonly string[];
+	/** Identifies path, customer and body. */
+	readonly fingerprint: string;
+};
+
+/** How a granted place was used. */
+export type Report = {
+	readonly ending: Ending;
+	/** From sending the request to the first byte or event, where one arrived. */
+	readonly firstMs: number | undefined;
+	/** From the first byte or event to the last. */
+	readonly streamMs: number;
+	/** Events of a stream; 0 for plain services. */
+	readonly events: number;
+	/** Requests that run and wait at the upstream, where it told. */
+	readonly load: number | undefined;
+};
+
+/** A place that is held by a VM, for an allocator that takes over. */
+export type HeldPlace = {
+	readonly ask: Ask;
+	readonly upstreamId: string;
+	/** How long it has been held. */
+	readonly heldMs: number;
+	readonly hasFirst: boolean;
+};
+
+/** What an allocator decides about an ask: exactly one of them, once. */
+export type AskEvents = {
+	/** Send the request to the upstream now. */
+	grant(upstreamId: string): void;
+	/** Answer the request as not run. */
+	refuse(kind: ErrorKind, retryAfterMs: number): void;
+};
+
+/** Decides who gets a place where and when. */
+export abstract class Allocation {
+	/** Asks for a place; one of the events follows, later or at once. */
+	abstract ask(ask: Ask, events: AskEvents): void;
+
+	/** Withdraws an ask that was not granted; no event follows. */
+	abstract withdraw(askId: string): void;
+
+	/** The first byte or event of the answer arrived, `firstMs` after the request was sent. */
+	abstract noteFirst(askId: string, firstMs: number): void;
+
+	/** The place is free again. */
+	abstract release(askId: string, report: Report): void;
+}
--- /dev/null
+++ b/src/allocation/pool.ts
@@ -0,0 +1,335 @@
+/**
+ * The upstreams of one service and the requests that wait for them: order of the queue, choice of the upstream,
+ * expected waits.
+ */
+import {type PoolSettings} from '../gateway/routing-table.js';
+import {type Upstream} from '../gateway/upstream-list.js';
+import {type Ask, type AskEvents, type Report} from './ask.js';
+import {Pace, PoolPace} from './pace.js';
+import {RepeatBudget, type RepeatBounds} from './repeat-budget.js';
+import {Standing} from './standing.js';
+
+/** A request is late in the queue when its best expected first event would miss its objective by this margin, in ms. */
+const OBJECTIVE_MARGIN_MS = 40;
+/** A late request yields to work of the next rank that can still be on time, but not to the rank after it. */
+const LEVELS_PER_RANK = 2;
+const LATE_LEVELS = 3;
+/** Extra cost of an upstream in another region, in ms: two ways of 8 ms, and traffic there is paid by volume. */
+const OTHER_REGION_MS = 24;
+/** Extra cost of another data centre of the region, in ms. */
+const OTHER_DATA_CENTRE_MS = 2;
+/** Cost of a certain failure, in ms: about what a second sending takes. */
+const FAILURE_MS = 1500;
+/** Cost of each stream whose pauses a long prompt would make too long, in ms. */
+const DISTURBED_STREAM_MS = 250;
+/** Part of the longest pause that reading a prompt may take; the rest is the engine's own work. */
+const PAUSE_SHARE = 0.7;
+/** Weight of the whole time against the time to the first event: a place that is held for longer serves fewer. */
+const TOTAL_WEIGHT = 0.12;
+/** A load that an upstream told says nothing about other VMs' requests after this time, in ms. */
+const LOAD_LIFETIME_MS = 1200;
+
+/** A request in the queue. Times in ms of the allocator's monotonic clock. */
+export type Waiting = {
+	readonly ask: Ask;
+	readonly events: AskEvents;
+	readonly askedAt: number;
+	readonly objectiveAt: number;
+	readonly deadlineAt: number;
+};
+
+/** A request that has a place. */
+export type Held = {
+	readonly ask: Ask;
+	readonly upstreamId: string;
+	readonly grantedAt: number;
+	/** Prompts that the upstream had to read before, in tokens. */
+	readonly pendingPromptTokens: number;
+	hasFirst: boolean;
+};
+
+/** An upstream and what is known of it. */
+export type Station = {
+	upstream: Upstream;
+	pace: Pace;
+	standing: Standing;
+	readonly held: Map<string, Held>;
+	/** Requests of other VMs, where this allocator does not know them. */
+	othersLoad: number;
+	othersAt: number;
+};
+
+/** A decision to be carried out. */
+export type Grant = {
+	readonly waiting: Waiting;
+	readonly station: Station;
+	readonly expectedFirstMs: number;
+};
+
+/** One pool. */
+export class Pool {
+	static create(name: string, settings: PoolSettings | undefined, repeatBounds: RepeatBounds): Pool {
+		return new Pool(name, settings, repeatBounds);
+	}
+
+	readonly name: string;
+	readonly waiting = new Map<string, Waiting>();
+	readonly held = new Map<string, Held>();
+	readonly stations = new Map<string, Station>();
+	readonly repeats: RepeatBudget;
+	#pace: PoolPace;
+
+	private constructor(name: string, settings: PoolSettings | undefined, repeatBounds: RepeatBounds) {
+		this.name = name;
+		this.repeats = RepeatBudget.create(repeatBounds);
+		this.#pace = PoolPace.create(settings?.isEngine ?? false);
+	}
+
+	setSettings(settings: PoolSettings | undefined): void {
+		if (settings !== undefined && settings.isEngine !== this.#pace.isEngine) {
+			this.#pace = PoolPace.create(settings.isEngine);
+			for (const station of this.stations.values()) {
+				station.pace = Pace.create(this.#pace);
+			}
+		}
+	}
+
+	setStation(upstream: Upstream): void {
+		const station = this.stations.get(upstream.id);
+		if (station === undefined) {
+			this.stations.set(upstream.id, {
+				upstream, pace: Pace.create(this.#pace), standing: Standing.create(), held: new Map(), othersLoad: 0, othersAt: Number.NEGATIVE_INFINITY,
+			});
+			return;
+		}
+
+		if (station.upstream.startedAt !== upstream.startedAt) {
+			station.standing = Standing.create();
+		}
+
+		station.upstream = upstream;
+	}
+
+	removeStation(id: string): void {
+		this.stations.delete(id);
+	}
+
+	/** Forgets all requests. */
+	clear(): void {
+		this.waiting.clear();
+		this.held.clear();
+		for (const station of this.stations.values()) {
+			station.held.clear();
+		}
+	}
+
+	hold(upstreamId: string, held: Held): void {
+		this.held.set(held.ask.id, held);
+		this.stations.get(upstreamId)?.held.set(held.ask.id, held);
+	}
+
+	noteFirst(askId: string, firstMs: number): void {
+		const held = this.held.get(askId);
+		if (held !== undefined && !held.hasFirst) {
+			held.hasFirst = true;
+			this.stations.get(held.upstreamId)?.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, firstMs);
+		}
+	}
+
+	/** Frees a place and learns from how it was used. */
+	release(held: Held, report: Report, now: number, learnsLoad: boolean): void {
+		this.held.delete(held.ask.id);
+		const station = this.stations.get(held.upstreamId);
+		if (station === undefined) {
+			return;
+		}
+
+		station.held.delete(held.ask.id);
+		station.standing.note(report.ending, now);
+		if (report.firstMs !== undefined && !held.hasFirst) {
+			station.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, report.firstMs);
+		}
+
+		station.pace.noteStream(report.events, report.streamMs);
+		if (learnsLoad && report.load !== undefined) {
+			station.othersLoad = Math.max(0, report.load - station.held.size);
+			station.othersAt = now;
+		}
+	}
+
+	/** @returns Tokens of the prompts that an upstream has yet to read. */
+	pendingPromptTokens(station: Station): number {
+		let tokens = 0;
+		for (const {ask, hasFirst} of station.held.values()) {
+			tokens += hasFirst ? 0 : ask.promptTokens;
+		}
+
+		return tokens;
+	}
+
+	/** @returns Whether some upstream may run the request, now or later. */
+	hasStation(excluded: readonly string[]): boolean {
+		for (const {upstream} of this.stations.values()) {
+			if (!upstream.isLeaving && !excluded.includes(upstream.id)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** @returns Whether some upstream has a free place. */
+	hasFree(now: number): boolean {
+		for (const station of this.stations.values()) {
+			if (isFree(station, now)) {
+				return true;
+			}
+		}
+
+		return false;
+	}
+
+	/** @returns Expected ms of a request at an upstream of usual pace. */
+	serviceMs(ask: Ask): number {
+		return this.#pace.firstMs(ask.promptTokens) + (this.#pace.isEngine ? ask.outputEvents * this.#pace.eventMs : 0);
+	}
+
+	/** @returns Expected ms until a waiting request gets a place. */
+	waitMs(waiting: Waiting, now: number): number {
+		const level = this.#levelOf(waiting, now);
+		let workMs = 0;
+		for (const other of this.waiting.values()) {
+			if (this.#levelOf(other, now) <= level) {
+				workMs += this.serviceMs(other.ask);
+			}
+		}
+
+		return workMs / Math.max(1, this.#speed(now));
+	}
+
+	/** @returns Waiting requests that will not get a place in time. */
+	hopeless(now: number): Waiting[] {
+		const speed = Math.max(1, this.#speed(now));
+		const ordered = this.#ordered(now);
+		const found: Waiting[] = [];
+		let workMs = 0;
+		for (const waiting of ordered) {
+			const serviceMs = this.serviceMs(waiting.ask);
+			if (now + (workMs / speed) + serviceMs > waiting.deadlineAt) {
+				found.push(waiting);
+			} else {
+				workMs += serviceMs;
+			}
+		}
+
+		return found;
+	}
+
+	/** @returns The next request that gets a place, with its upstream. */
+	next(now: number): Grant | undefined {
+		if (this.waiting.size === 0) {
+			return undefined;
+		}
+
+		const free = [...this.stations.values()].filter(station => isFree(station, now));
+		if (free.length === 0) {
+			return undefined;
+		}
+
+		for (const waiting of this.#ordered(now)) {
+			const grant = this.#choose(waiting, free, now);
+			if (grant !== undefined) {
+				return grant;
+			}
+		}
+
+		return undefined;
+	}
+
+	#choose(waiting: Waiting, free: readonly Station[], now: number): Grant | undefined {
+		const {ask} = waiting;
+		// Work that can be on time somewhere waits for such a place rather than taking one where it would be late.
+		const mustBeOnTime = !this.#isLate(waiting, now) && free.length < this.stations.size;
+		let best: Grant | undefined;
+		let bestCost = Number.POSITIVE_INFINITY;
+		for (const station of free) {
+			if (ask.excluded.includes(station.upstream.id)) {
+				continue;
+			}
+
+			const expectedFirstMs = station.pace.firstMs(ask.promptTokens, this.pendingPromptTokens(station));
+			if (mustBeOnTime && now + expectedFirstMs > waiting.objectiveAt) {
+				continue;
+			}
+
+			const cost = this.#cost(ask, station, expectedFirstMs, now);
+			if (cost < bestCost) {
+				bestCost = cost;
+				best = {waiting, station, expectedFirstMs};
+			}
+		}
+
+		return best;
+	}
+
+	#cost(ask: Ask, station: Station, expectedFirstMs: number, now: number): number {
+		const {upstream, pace, standing, held} = station;
+		let cost = expectedFirstMs + (TOTAL_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}));
+		if (upstream.region !== ask.region) {
+			cost += OTHER_REGION_MS;
+		} else if (upstream.dataCentre !== ask.dataCentre) {
+			cost += OTHER_DATA_CENTRE_MS;
+		}
+
+		cost += FAILURE_MS * standing.failureShare(now);
+		if (ask.maxPauseMs > 0 && pace.disturbanceMs(ask.promptTokens) + pace.eventMs > PAUSE_SHARE * ask.maxPauseMs) {
+			cost += DISTURBED_STREAM_MS * held.size;
+		}
+
+		return cost;
+	}
+
+	#ordered(now: number): Waiting[] {
+		const levels = new Map<Waiting, number>();
+		for (const waiting of this.waiting.values()) {
+			levels.set(waiting, this.#levelOf(waiting, now));
+		}
+
+		return [...levels.keys()].sort((a, b) => levels.get(a)! - levels.get(b)! || a.objectiveAt - b.objectiveAt);
+	}
+
+	#levelOf(waiting: Waiting, now: number): number {
+		return (waiting.ask.rank * LEVELS_PER_RANK) + (this.#isLate(waiting, now) ? LATE_LEVELS : 0);
+	}
+
+	/** Whether the objective can no longer be met at an idle upstream of usual pace. */
+	#isLate(waiting: Waiting, now: number): boolean {
+		return now + this.#pace.firstMs(waiting.ask.promptTokens) + OBJECTIVE_MARGIN_MS > waiting.objectiveAt;
+	}
+
+	/** Places of the pool, each counted by its pace. */
+	#speed(now: number): number {
+		let speed = 0;
+		for (const {upstream, pace, standing} of this.stations.values()) {
+			if (!upstream.isLeaving && !standing.isPaused(now)) {
+				speed += upstream.slots / pace.factor;
+			}
+		}
+
+		return speed;
+	}
+}
+
+function isFree(station: Station, now: number): boolean {
+	const {upstream, standing, held} = station;
+	if (upstream.isLeaving || standing.isPaused(now)) {
+		return false;
+	}
+
+	if (standing.isOnTrial) {
+		return held.size === 0;
+	}
+
+	const others = now - station.othersAt < LOAD_LIFETIME_MS ? station.othersLoad : 0;
+	return held.size + others < upstream.slots;
+}
--- /dev/null
+++ b/src/allocation/quotas.ts
@@ -0,0 +1,101 @@
+/**
+ * What each customer may still send. Answers a customer that sends many times its usual: it is held to its quota over
+ * all VMs, and nobody else is refused for it.
+ */
+import {type Customer, type Quota} from '../gateway/routing-table.js';
+
+const MS_PER_SECOND = 1000;
+
+type Bucket = {
+	quota: Quota;
+	tokens: number;
+	filledAt: number;
+};
+
+/** A token bucket for each customer with a quota. Times in ms of the caller's monotonic clock. */
+export class Quotas {
+	static create(): Quotas {
+		return new Quotas();
+	}
+
+	readonly #buckets = new Map<string, Bucket>();
+	/** The part of each quota that this process may grant: 1 for an allocator of all VMs. */
+	#share = 1;
+
+	private constructor() {
+		// Made by `create`.
+	}
+
+	/**
+	 * Takes the customers of a new configuration; what was spent stays spent.
+	 */
+	setCustomers(customers: readonly Customer[], now: number): void {
+		const names = new Set(customers.map(customer => customer.name));
+		for (const name of this.#buckets.keys()) {
+			if (!names.has(name)) {
+				this.#buckets.delete(name);
+			}
+		}
+
+		for (const {name, quota} of customers) {
+			const bucket = this.#buckets.get(name);
+			if (quota === undefined) {
+				this.#buckets.delete(name);
+			} else if (bucket === undefined) {
+				this.#buckets.set(name, {quota, tokens: quota.burst * this.#share, filledAt: now});
+			} else {
+				this.#fill(bucket, now);
+				bucket.quota = quota;
+				bucket.tokens = Math.min(bucket.tokens, quota.burst * this.#share);
+			}
+		}
+	}
+
+	/**
+	 * @param share - The part of each quota that this process may grant from now on.
+	 * @param fullness - What the buckets hold at first, as a part of their bursts.
+	 */
+	restart(share: number, fullness: number, now: number): void {
+		this.#share = share;
+		for (const bucket of this.#buckets.values()) {
+			bucket.tokens = bucket.quota.burst * share * fullness;
+			bucket.filledAt = now;
+		}
+	}
+
+	/**
+	 * Spends from a customer's quota.
+	 *
+	 * @returns 0 when it was spent, else the ms until there may be enough.
+	 */
+	spend(customer: string | undefined, cost: number, now: number): number {
+		const bucket = customer === undefined ? undefined : this.#buckets.get(customer);
+		if (bucket === undefined) {
+			return 0;
+		}
+
+		this.#fill(bucket, now);
+		// A request above the whole burst passes a full bucket, or it would never run.
+		const needed = Math.min(cost, bucket.quota.burst * this.#share);
+		if (bucket.tokens < needed) {
+			return Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / (bucket.quota.perSecond * this.#share));
+		}
+
+		bucket.tokens -= cost;
+		return 0;
+	}
+
+	/** Gives back what a request that did not run has spent. */
+	refund(customer: string | undefined, cost: number): void {
+		const bucket = customer === undefined ? undefined : this.#buckets.get(customer);
+		if (bucket !== undefined) {
+			bucket.tokens = Math.min(bucket.quota.burst * this.#share, bucket.tokens + cost);
+		}
+	}
+
+	#fill(bucket: Bucket, now: number): void {
+		const {quota} = bucket;
+		bucket.tokens = Math.min(quota.burst * this.#share, bucket.tokens + ((now - bucket.filledAt) * quota.perSecond * this.#share / MS_PER_SECOND));
+		bucket.filledAt = now;
+	}
+}
--- /dev/null
+++ b/src/allocation/switched-allocation.ts
@@ -0,0 +1,126 @@
+/**
+ * The allocation that a VM's requests use while the allocator behind it changes: the one of all VMs at another VM or
+ * in this process, or this process alone. It keeps what this VM asked for and holds, so that a successor learns it.
+ */
+import {type Clock} from '../base/clock.js';
+import {type ErrorKind} from '../base/errors.js';
+import {Allocation, type Ask, type AskEvents, type HeldPlace, type Report} from './ask.js';
+
+type Entry = {
+	readonly ask: Ask;
+	readonly events: AskEvents;
+	readonly askedAt: number;
+	upstreamId: string | undefined;
+	grantedAt: number;
+	hasFirst: boolean;
+};
+
+/** The switch. */
+export class SwitchedAllocation extends Allocation {
+	static create(clock: Clock): SwitchedAllocation {
+		return new SwitchedAllocation(clock);
+	}
+
+	readonly #clock: Clock;
+	readonly #entries = new Map<string, Entry>();
+	#current: Allocation | undefined;
+
+	private constructor(clock: Clock) {
+		super();
+		this.#clock = clock;
+	}
+
+	/** Places that this VM holds. */
+	get places(): HeldPlace[] {
+		const now = this.#clock.now();
+		const places: HeldPlace[] = [];
+		for (const {ask, upstreamId, grantedAt, hasFirst} of this.#entries.values()) {
+			if (upstreamId !== undefined) {
+				places.push({
+					ask, upstreamId, heldMs: now - grantedAt, hasFirst,
+				});
+			}
+		}
+
+		return places;
+	}
+
+	/** Uses another allocation from now on, which has been told the held places; waiting requests ask it again. */
+	use(allocation: Allocation): void {
+		if (this.#current === allocation) {
+			return;
+		}
+
+		const before = this.#current;
+		this.#current = allocation;
+		const now = this.#clock.now();
+		for (const entry of [...this.#entries.values()]) {
+			if (entry.upstreamId === undefined) {
+				before?.withdraw(entry.ask.id);
+				const elapsedMs = now - entry.askedAt;
+				this.#forward(allocation, entry, {
+					...entry.ask, objectiveMs: entry.ask.objectiveMs - elapsedMs, remainingMs: entry.ask.remainingMs - elapsedMs,
+				});
+			}
+		}
+	}
+
+	ask(ask: Ask, events: AskEvents): void {
+		const entry: Entry = {
+			ask, events, askedAt: this.#clock.now(), upstreamId: undefined, grantedAt: 0, hasFirst: false,
+		};
+		this.#entries.set(ask.id, entry);
+		if (this.#current !== undefined) {
+			this.#forward(this.#current, entry, ask);
+		}
+	}
+
+	withdraw(askId: string): void {
+		const entry = this.#entries.get(askId);
+		if (entry !== undefined && entry.upstreamId === undefined) {
+			this.#entries.delete(askId);
+			this.#current?.withdraw(askId);
+		}
+	}
+
+	noteFirst(askId: string, firstMs: number): void {
+		const entry = this.#entries.get(askId);
+		if (entry !== undefined) {
+			entry.hasFirst = true;
+			this.#current?.noteFirst(askId, firstMs);
+		}
+	}
+
+	release(askId: string, report: Report): void {
+		if (this.#entries.delete(askId)) {
+			this.#current?.release(askId, report);
+		}
+	}
+
+	#forward(allocation: Allocation, entry: Entry, ask: Ask): void {
+		allocation.ask(ask, {
+			grant: upstreamId => {
+				this.#grant(allocation, entry, upstreamId);
+			},
+			refuse: (kind, retryAfterMs) => {
+				this.#refuse(allocation, entry, kind, retryAfterMs);
+			},
+		});
+	}
+
+	#grant(allocation: Allocation, entry: Entry, upstreamId: string): void {
+		// A decision of an allocator that is no longer used came too late.
+		if (allocation === this.#current && this.#entries.get(entry.ask.id) === entry && entry.upstreamId === undefined) {
+			entry.upstreamId = upstreamId;
+			entry.grantedAt = this.#clock.now();
+			entry.events.grant(upstreamId);
+		}
+	}
+
+	#refuse(allocation: Allocation, entry: Entry, kind: ErrorKind, retryAfterMs: number): void {
+		if (allocation === this.#current && this.#entries.get(entry.ask.id) === entry && entry.upstreamId === undefined) {
+			this.#entries.delete(entry.ask.id);
+			entry.events.refuse(kind, retryAfterMs);
+		}
+	}
+}
--- a/src/base/errors.ts
+++ b/src/base/errors.ts
@@ -31,6 +31,7 @@
 	DeadlineUnreachable: 'deadline-unreachable',
 	RateLimited: 'rate-limited',
 	Quarantined: 'quarantined',
+	CrashSuspect: 'crash-suspect',
 	NoUpstream: 'no-upstream',
 	Draining: 'draining',
 	StoreUnavailable: 'store-unavailable',
@@ -92,6 +93,9 @@
 	quarantined: {
 		status: 422, ran: Ran.No, retryAfterMs: 600_000, title: 'This request crashed upstreams and is held back.',
 	},
+	'crash-suspect': {
+		status: 503, ran: Ran.No, retryAfterMs: 5000, title: 'Requests like this one crashed upstreams; this one was not run.',
+	},
 	'no-upstream': {
 		status: 503, ran: Ran.No, retryAfterMs: SHORT_RETRY_MS, title: 'No upstream could be reached.',
 	},
--- a/src/base/log.ts
+++ b/src/base/log.ts
@@ -21,6 +21,10 @@
 	Store: 'store',
 	Config: 'config',
 	Invariant: 'invariant',
+	Gateway: 'gateway',
+	Allocation: 'allocation',
+	Link: 'link',
+	Platform: 'platform',
 } as const;
 
 export type LogPrefix = (typeof LogPrefix)[keyof typeof LogPrefix];
--- /dev/null
+++ b/src/gateway/event-splitter.ts
@@ -0,0 +1,83 @@
+/**
+ * Cuts a `text/event-stream` at the ends of its events, so that only whole events reach a caller whose stream may go
+ * on at another upstream.
+ */
+import {Buffer} from 'node:buffer';
+
+const LINE_FEED = 10;
+const CARRIAGE_RETURN = 13;
+const ID_FIELD = Buffer.from('id:');
+
+/** Whole events and what is known of them. */
+export type WholeEvents = {
+	readonly bytes: Buffer;
+	readonly count: number;
+};
+
+/** Keeps the unfinished event between chunks. */
+export class EventSplitter {
+	static create(): EventSplitter {
+		return new EventSplitter();
+	}
+
+	/** ID of the last whole event, as the upstream wrote it. */
+	lastId: string | undefined;
+	#rest: Buffer = Buffer.alloc(0);
+
+	private constructor() {
+		// Made by `create`.
+	}
+
+	/** Bytes of an event whose end has not arrived. */
+	get pendingBytes(): number {
+		return this.#rest.length;
+	}
+
+	/** Forgets an unfinished event, whose upstream is lost. */
+	reset(): void {
+		this.#rest = Buffer.alloc(0);
+	}
+
+	/** @returns The events that are complete with this chunk; the rest is kept. */
+	push(chunk: Buffer): WholeEvents {
+		const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+		let start = 0;
+		let count = 0;
+		for (let end = endOfEvent(bytes, start); end !== -1; end = endOfEvent(bytes, start)) {
+			this.#noteId(bytes.subarray(start, end));
+			start = end;
+			count += 1;
+		}
+
+		this.#rest = bytes.subarray(start);
+		return {bytes: bytes.subarray(0, start), count};
+	}
+
+	#noteId(event: Buffer): void {
+		for (let start = 0; start < event.length;) {
+			const feed = event.indexOf(LINE_FEED, start);
+			const end = feed === -1 ? event.length : feed;
+			if (event.subarray(start, start + ID_FIELD.length).equals(ID_FIELD)) {
+				this.lastId = event.toString('latin1', start + ID_FIELD.length, end).trim();
+			}
+
+			start = end + 1;
+		}
+	}
+}
+
+/** @returns The index after the blank line that ends the event which begins at `from`, or -1. */
+function endOfEvent(bytes: Buffer, from: number): number {
+	for (let feed = bytes.indexOf(LINE_FEED, from); feed !== -1; feed = bytes.indexOf(LINE_FEED, feed + 1)) {
+		const next = bytes[feed + 1];
+		if (next === LINE_FEED) {
+			return feed + 2;
+		}
+
+		if (next === CARRIAGE_RETURN && bytes[feed + 2] === LINE_FEED) {
+			return feed + 3;
+		}
+	}
+
+	return -1;
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,165 @@
+/**
+ * One VM's process between callers and upstreams: front server, allocation, links to the other VMs, planned stop.
+ */
+import process from 'node:process';
+import {Allocator, type Decision} from '../allocation/allocator.js';
+import {type RepeatBounds} from '../allocation/repeat-budget.js';
+import {SwitchedAllocation} from '../allocation/switched-allocation.js';
+import {type Clock} from '../base/clock.js';
+import {type Log, LogPrefix} from '../base/log.js';
+import {type Metrics} from '../base/metrics.js';
+import {Invariants} from '../base/invariant.js';
+import {type Random} from '../base/random.js';
+import {Coordinator} from '../link/coordinator.js';
+import {type LeaderRegister} from '../link/leader-register.js';
+import {type Member} from '../link/messages.js';
+import {type CallCodec} from './call-codec.js';
+import {DeploymentState} from './deployment-state.js';
+import {FrontServer} from './front-server.js';
+
+/** Part of the time for a planned stop that is left for closing connections, in ms. */
+const STOP_MARGIN_MS = 600;
+/** After a stop began, every request is served for this time, in ms: callers learn of it within the answers' lifetime. */
+const STOP_ACCEPTS_MS = 2500;
+/** Shortest planned stop, in ms: callers that were just told this address still come. */
+const MIN_STOP_MS = 2500;
+const STOP_POLL_MS = 50;
+
+/** What a gateway works with. */
+export type GatewayOptions = {
+	readonly clock: Clock;
+	readonly random: Random;
+	readonly log: Log;
+	readonly metrics: Metrics;
+	readonly codec: CallCodec;
+	readonly register: LeaderRegister;
+	readonly self: Member;
+	readonly seeds: readonly string[];
+	readonly repeatBounds: RepeatBounds;
+	/** Time for a planned stop, in ms. */
+	readonly graceMs: number;
+	readonly reachesStore: () => boolean;
+	readonly onVersion: (version: number) => void;
+	readonly onWatchNeeded: (isNeeded: boolean) => void;
+};
+
+/** The gateway. */
+export class Gateway {
+	static create(options: GatewayOptions): Gateway {
+		return new Gateway(options);
+	}
+
+	readonly state: DeploymentState;
+	readonly coordinator: Coordinator;
+	readonly #options: GatewayOptions;
+	readonly #front: FrontServer;
+	readonly #allocator: Allocator;
+	#isStopping = false;
+
+	private constructor(options: GatewayOptions) {
+		this.#options = options;
+		const {clock, random, log, metrics, codec, self, repeatBounds} = options;
+		this.state = DeploymentState.create(log.part(LogPrefix.Config));
+		this.#allocator = Allocator.create({
+			clock, random, nodeId: self.boot, repeatBounds,
+		});
+		this.#allocator.onDecision = decision => {
+			this.#logDecision(decision);
+		};
+		const allocation = SwitchedAllocation.create(clock);
+		this.state.listen({
+			onTable: table => {
+				this.#allocator.setTable(table);
+				this.#checkReady();
+			},
+			onUpstreams: changes => {
+				this.#allocator.setUpstreams(changes);
+				this.#checkReady();
+			},
+		});
+		let asks = 0;
+		this.#front = FrontServer.create({
+			clock,
+			log: log.part(LogPrefix.Gateway),
+			metrics,
+			state: this.state,
+			allocation,
+			codec,
+			dataCentre: self.dataCentre,
+			region: self.region,
+			nextAskId: () => `${self.boot}-${(asks += 1)}`,
+		}, random);
+		this.coordinator = Coordinator.create({
+			clock,
+			random,
+			log: log.part(LogPrefix.Link),
+			state: this.state,
+			allocator: this.#allocator,
+			allocation,
+			register: options.register,
+			self,
+			seeds: options.seeds,
+			reachesStore: options.reachesStore,
+			onVersion: options.onVersion,
+			onWatchNeeded: options.onWatchNeeded,
+		});
+		metrics.observe({invariants: Invariants.create({throwOnViolation: false}), inFlight: () => this.#front.inFlight, waiting: () => this.#allocator.waitingCount});
+	}
+
+	/** Whether callers may be sent here. */
+	get isReady(): boolean {
+		return !this.#isStopping && this.state.table !== undefined && this.state.upstreams.size > 0;
+	}
+
+	async start(): Promise<void> {
+		const {self, log} = this.#options;
+		const colonAt = self.frontAddress.lastIndexOf(':');
+		await this.#front.listen(self.frontAddress.slice(0, colonAt), Number(self.frontAddress.slice(colonAt + 1)));
+		await this.coordinator.start();
+		log.part(LogPrefix.Gateway).info('Started.', {vm: self.name, front: self.frontAddress, pid: process.pid});
+	}
+
+	/** Stops without cutting off a request that can end in time. */
+	async stop(): Promise<void> {
+		if (this.#isStopping) {
+			return;
+		}
+
+		this.#isStopping = true;
+		const {clock, log, graceMs} = this.#options;
+		const startedAt = clock.now();
+		const endsAt = startedAt + graceMs - STOP_MARGIN_MS;
+		log.part(LogPrefix.Gateway).info('Stopping.', {inFlight: this.#front.inFlight});
+		this.#checkReady();
+		this.#front.beginStop({acceptsUntil: startedAt + STOP_ACCEPTS_MS, endsAt});
+		this.coordinator.resign();
+		while (clock.now() < endsAt && (this.#front.inFlight > 0 || clock.now() < startedAt + MIN_STOP_MS)) {
+			await clock.sleep(STOP_POLL_MS); // eslint-disable-line no-await-in-loop -- a poll
+		}
+
+		this.#front.closeListener();
+		this.#front.closeIdle();
+		log.part(LogPrefix.Gateway).info('Stopped.', {inFlight: this.#front.inFlight, afterMs: Math.round(clock.now() - startedAt)});
+		this.coordinator.stop();
+		this.#front.destroy();
+	}
+
+	#checkReady(): void {
+		this.coordinator.setReady(this.isReady);
+	}
+
+	#logDecision({ask, waitedMs, waiting, upstreamId, expectedFirstMs, refusal}: Decision): void {
+		this.#options.log.part(LogPrefix.Allocation).info(refusal === undefined ? 'Place granted.' : 'Place refused.', {
+			ask: ask.id,
+			pool: ask.pool,
+			customer: ask.customer,
+			rank: ask.rank,
+			upstream: upstreamId,
+			kind: refusal,
+			waitedMs: Math.round(waitedMs),
+			waiting,
+			expectedFirstMs: expectedFirstMs === undefined ? undefined : Math.round(expectedFirstMs),
+			attempt: ask.attempt,
+		});
+	}
+}
--- /dev/null
+++ b/src/gateway/upstream-exchange.ts
@@ -0,0 +1,183 @@
+/**
+ * One exchange with an upstream, on a connection of its own: no byte of another exchange can arrive on it, and no byte
+ * of this one is sent before the connection stands.
+ */
+import {Buffer} from 'node:buffer';
+import {type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request} from 'node:http';
+import {createConnection, type Socket} from 'node:net';
+import {type Clock, type Timer} from '../base/clock.js';
+import {Ending} from './exchange-ending.js';
+
+/** Time for a connection, in ms: two ways between regions and a busy upstream; a lost packet is not waited for. */
+const CONNECT_MS = 400;
+
+/** What happens in an exchange. After `onEnd` or `onFail`, of which exactly one comes, nothing follows. */
+export type ExchangeEvents = {
+	/** The connection stands and the first byte is about to leave. */
+	onSending(): void;
+	onHead(status: number, headers: IncomingHttpHeaders): void;
+	onData(chunk: Buffer): void;
+	/** The whole answer has arrived. */
+	onEnd(): void;
+	onFail(ending: Ending, detail: string): void;
+};
+
+/** What is sent. */
+export type ExchangeRequest = {
+	/** `IP:PORT`. */
+	readonly address: string;
+	readonly method: string;
+	readonly target: string;
+	/** Names and values in turn. */
+	readonly headers: string[];
+	readonly body: Buffer | undefined;
+};
+
+/** The exchange. */
+export class UpstreamExchange {
+	static start(clock: Clock, req: ExchangeRequest, events: ExchangeEvents): UpstreamExchange {
+		const exchange = new UpstreamExchange(clock, req, events);
+		exchange.#connect();
+		return exchange;
+	}
+
+	readonly #clock: Clock;
+	readonly #request: ExchangeRequest;
+	readonly #events: ExchangeEvents;
+	#socket: Socket | undefined;
+	#client: ClientRequest | undefined;
+	#answer: IncomingMessage | undefined;
+	#timer: Timer | undefined;
+	#isSent = false;
+	#isEnded = false;
+
+	private constructor(clock: Clock, req: ExchangeRequest, events: ExchangeEvents) {
+		this.#clock = clock;
+		this.#request = req;
+		this.#events = events;
+	}
+
+	/** Whether bytes of the request may have left. */
+	get isSent(): boolean {
+		return this.#isSent;
+	}
+
+	/** Breaks the exchange off; no event follows. */
+	abort(): void {
+		this.#isEnded = true;
+		this.#close();
+	}
+
+	/** Stops reading, as the caller is slow. */
+	pause(): void {
+		this.#answer?.pause();
+	}
+
+	resume(): void {
+		this.#answer?.resume();
+	}
+
+	#connect(): void {
+		const {address} = this.#request;
+		const colonAt = address.lastIndexOf(':');
+		const socket = createConnection({host: address.slice(0, colonAt), port: Number(address.slice(colonAt + 1)), noDelay: true});
+		this.#socket = socket;
+		this.#timer = this.#clock.setTimer(CONNECT_MS, () => {
+			this.#fail(Ending.NotConnected, 'connection timed out');
+		});
+		socket.once('connect', () => {
+			this.#timer?.cancel();
+			if (!this.#isEnded) {
+				this.#send(socket);
+			}
+		});
+		socket.on('error', err => {
+			this.#fail(this.#isSent ? Ending.Lost : Ending.NotConnected, err.message);
+		});
+		socket.once('close', () => {
+			this.#fail(this.#isSent ? Ending.Lost : Ending.NotConnected, 'connection closed');
+		});
+	}
+
+	#send(socket: Socket): void {
+		const {method, target, headers, body} = this.#request;
+		this.#isSent = true;
+		this.#events.onSending();
+		if (this.#isEnded) {
+			return;
+		}
+
+		const client = request({
+			method, path: target, headers: headers as unknown as Record<string, string>, createConnection: () => socket, setHost: false,
+		});
+		this.#client = client;
+		client.once('response', answer => {
+			this.#receive(answer);
+		});
+		client.on('error', err => {
+			// Bytes after a whole answer belong to no request and change nothing.
+			if (this.#answer?.complete !== true) {
+				this.#fail(this.#answer === undefined ? lostOrSpoiled(err) : Ending.Spoiled, err.message);
+			}
+		});
+		client.end(body);
+	}
+
+	#receive(answer: IncomingMessage): void {
+		this.#answer = answer;
+		if (this.#isEnded) {
+			return;
+		}
+
+		answer.on('data', (chunk: Buffer) => {
+			if (!this.#isEnded) {
+				this.#events.onData(chunk);
+			}
+		});
+		answer.once('end', () => {
+			if (answer.complete) {
+				this.#finish();
+			} else {
+				this.#fail(Ending.Spoiled, 'answer broke off');
+			}
+		});
+		answer.once('error', err => {
+			this.#fail(Ending.Spoiled, err.message);
+		});
+		answer.once('close', () => {
+			if (!answer.complete) {
+				this.#fail(Ending.Spoiled, 'answer broke off');
+			}
+		});
+		this.#events.onHead(answer.statusCode!, answer.headers);
+	}
+
+	#finish(): void {
+		if (!this.#isEnded) {
+			this.#isEnded = true;
+			this.#close();
+			this.#events.onEnd();
+		}
+	}
+
+	#fail(ending: Ending, detail: string): void {
+		if (this.#isEnded || this.#answer?.complete === true) {
+			return;
+		}
+
+		this.#isEnded = true;
+		this.#close();
+		this.#events.onFail(ending, detail);
+	}
+
+	#close(): void {
+		this.#timer?.cancel();
+		this.#client?.destroy();
+		this.#socket?.destroy();
+	}
+}
+
+/** Bytes that are no answer prove an upstream at fault; a reset or a close proves nothing. */
+function lostOrSpoiled(err: Error): Ending {
+	return (err as NodeJS.ErrnoException).code?.startsWith('HPE_') ? Ending.Spoiled : Ending.Lost;
+}
--- /dev/null
+++ b/src/link/leader-client.ts
@@ -0,0 +1,105 @@
+/**
+ * The side of a VM that is linked to the allocator of all VMs.
+ */
+import {Allocation, type Ask, type AskEvents, type Report} from '../allocation/ask.js';
+import {type Clock, type Timer} from '../base/clock.js';
+import {type LineChannel} from './line-channel.js';
+import {BEAT_MS} from './leader-host.js';
+import {type FromLeader, type ToLeader} from './messages.js';
+
+/**
+ * Silence after which the allocator counts as lost, in ms. Several beats and a pause of a throttled processor; longer
+ * would cost waiting requests their response-time objective.
+ */
+const LEADER_SILENCE_MS = 700;
+
+/** An allocation at another VM. */
+export class LeaderClient extends Allocation {
+	/**
+	 * @param onSilence - The allocator has been silent for too long.
+	 */
+	static create(clock: Clock, channel: LineChannel<ToLeader, FromLeader>, onSilence: () => void): LeaderClient {
+		const client = new LeaderClient(clock, channel, onSilence);
+		client.#tick();
+		return client;
+	}
+
+	readonly #clock: Clock;
+	readonly #channel: LineChannel<ToLeader, FromLeader>;
+	readonly #onSilence: () => void;
+	readonly #waiting = new Map<string, AskEvents>();
+	#heardAt: number;
+	#sentAt: number;
+	#timer: Timer | undefined;
+
+	private constructor(clock: Clock, channel: LineChannel<ToLeader, FromLeader>, onSilence: () => void) {
+		super();
+		this.#clock = clock;
+		this.#channel = channel;
+		this.#onSilence = onSilence;
+		this.#heardAt = clock.now();
+		this.#sentAt = clock.now();
+	}
+
+	/** Takes a message; decisions go to whom they concern. */
+	take(message: FromLeader): void {
+		this.#heardAt = this.#clock.now();
+		if (message.kind !== 'grant' && message.kind !== 'refuse') {
+			return;
+		}
+
+		const events = this.#waiting.get(message.id);
+		this.#waiting.delete(message.id);
+		if (message.kind === 'refuse') {
+			events?.refuse(message.error, message.retryAfterMs);
+		} else {
+			events?.grant(message.upstreamId);
+		}
+	}
+
+	close(): void {
+		this.#timer?.cancel();
+		this.#timer = undefined;
+		this.#waiting.clear();
+		this.#channel.close();
+	}
+
+	send(message: ToLeader): void {
+		this.#sentAt = this.#clock.now();
+		this.#channel.send(message);
+	}
+
+	ask(ask: Ask, events: AskEvents): void {
+		this.#waiting.set(ask.id, events);
+		this.send({kind: 'ask', ask});
+	}
+
+	withdraw(askId: string): void {
+		this.#waiting.delete(askId);
+		this.send({kind: 'withdraw', id: askId});
+	}
+
+	noteFirst(askId: string, firstMs: number): void {
+		this.send({kind: 'first', id: askId, ms: firstMs});
+	}
+
+	release(askId: string, report: Report): void {
+		this.send({kind: 'release', id: askId, report});
+	}
+
+	#tick(): void {
+		const now = this.#clock.now();
+		if (now - this.#heardAt > LEADER_SILENCE_MS) {
+			this.#onSilence();
+			return;
+		}
+
+		if (now - this.#sentAt >= BEAT_MS) {
+			this.send({kind: 'beat'});
+		}
+
+		this.#timer = this.#clock.setTimer(BEAT_MS, () => {
+			this.#tick();
+		});
+	}
+}
--- /dev/null
+++ b/src/link/leader-host.ts
@@ -0,0 +1,252 @@
+/**
+ * The side of the VM that allocates for all: links from the other VMs, their asks, and what it tells them.
+ */
+import {type Allocator} from '../allocation/allocator.js';
+import {type Clock, type Timer} from '../base/clock.js';
+import {type Log} from '../base/log.js';
+import {type DeploymentState} from '../gateway/deployment-state.js';
+import {Ending} from '../gateway/exchange-ending.js';
+import {type UpstreamChanges} from '../gateway/upstream-list.js';
+import {type LineChannel} from './line-channel.js';
+import {
+	type FromLeader, type Leader, type Member, type ToLeader,
+} from './messages.js';
+
+/** Time between signs of life on a link, in ms; a third of the silence after which a VM decides alone. */
+export const BEAT_MS = 200;
+/** Silence after which a VM counts as gone, in ms: several of its beats, and a pause of a throttled processor. */
+const VM_SILENCE_MS = 1200;
+/** Changes of the member list are told together, in ms. */
+const MEMBERS_DELAY_MS = 60;
+/** Time between two lists of learnt paces, in ms; a successor works well with ones that are seconds old. */
+const PACES_MS = 2000;
+
+/** What the host works with. */
+export type LeaderHostOptions = {
+	readonly clock: Clock;
+	readonly log: Log;
+	readonly state: DeploymentState;
+	readonly allocator: Allocator;
+	readonly self: () => Member;
+	readonly reachesStore: () => boolean;
+};
+
+type Link = {
+	member: Member;
+	readonly channel: LineChannel<FromLeader, ToLeader>;
+	readonly asks: Set<string>;
+	heardAt: number;
+	sentAt: number;
+};
+
+/** All links. */
+export class LeaderHost {
+	static create(options: LeaderHostOptions): LeaderHost {
+		return new LeaderHost(options);
+	}
+
+	readonly #options: LeaderHostOptions;
+	readonly #links = new Map<LineChannel<FromLeader, ToLeader>, Link>();
+	#leader: Leader | undefined;
+	#timer: Timer | undefined;
+	#membersTimer: Timer | undefined;
+	#pacesAt = 0;
+
+	private constructor(options: LeaderHostOptions) {
+		this.#options = options;
+	}
+
+	/** Other VMs that are linked. */
+	get linkCount(): number {
+		return this.#links.size;
+	}
+
+	/** @param leader - This VM with its term. */
+	start(leader: Leader): void {
+		this.#leader = leader;
+		this.#tick();
+		this.publishMembers();
+	}
+
+	stop(): void {
+		this.#timer?.cancel();
+		this.#membersTimer?.cancel();
+		this.#timer = undefined;
+		this.#membersTimer = undefined;
+		for (const link of this.#links.values()) {
+			link.channel.close();
+		}
+
+		this.#links.clear();
+	}
+
+	/** Takes a VM that said hello. */
+	add(channel: LineChannel<FromLeader, ToLeader>, hello: Extract<ToLeader, {kind: 'hello'}>): void {
+		const {clock, state, allocator, log} = this.#options;
+		const now = clock.now();
+		const link: Link = {
+			member: hello.member, channel, asks: new Set(hello.places.map(({ask}) => ask.id)), heardAt: now, sentAt: now,
+		};
+		this.#links.set(channel, link);
+		allocator.adopt(hello.places);
+		log.info('VM linked.', {vm: hello.member.name, places: hello.places.length, links: this.#links.size});
+		if (this.#leader !== undefined) {
+			this.#send(link, {kind: 'welcome', leader: this.#leader});
+		}
+
+		this.#send(link, {
+			kind: 'upstreams', isWhole: true, changed: state.upstreams.all, removed: [],
+		});
+		if (state.table !== undefined) {
+			this.#send(link, {kind: 'version', version: state.table.version});
+		}
+
+		this.publishMembers();
+	}
+
+	take(channel: LineChannel<FromLeader, ToLeader>, message: ToLeader): void {
+		const link = this.#links.get(channel);
+		if (link === undefined) {
+			return;
+		}
+
+		const {allocator, clock, state} = this.#options;
+		link.heardAt = clock.now();
+		switch (message.kind) {
+			case 'ask': {
+				this.#ask(link, message.ask);
+				break;
+			}
+
+			case 'withdraw': {
+				this.#drop(link, message.id);
+				break;
+			}
+
+			case 'first': {
+				allocator.noteFirst(message.id, message.ms);
+				break;
+			}
+
+			case 'release': {
+				link.asks.delete(message.id);
+				allocator.release(message.id, message.report);
+				break;
+			}
+
+			case 'member': {
+				link.member = message.member;
+				this.publishMembers();
+				break;
+			}
+
+			case 'need-configuration': {
+				if (state.table !== undefined) {
+					this.#send(link, {kind: 'configuration', configuration: state.table.configuration});
+				}
+
+				break;
+			}
+
+			case 'beat':
+			case 'hello': {
+				break;
+			}
+		}
+	}
+
+	/** The connection of a VM is gone; its requests free their places. */
+	remove(channel: LineChannel<FromLeader, ToLeader>): void {
+		const link = this.#links.get(channel);
+		if (link === undefined) {
+			return;
+		}
+
+		const {log} = this.#options;
+		this.#links.delete(channel);
+		log.warn('Link to a VM lost.', {vm: link.member.name, places: link.asks.size});
+		for (const id of [...link.asks]) {
+			this.#drop(link, id);
+		}
+
+		this.publishMembers();
+	}
+
+	publishUpstreams({changed, removed}: UpstreamChanges): void {
+		this.#broadcast({
+			kind: 'upstreams', isWhole: false, changed, removed,
+		});
+	}
+
+	publishVersion(version: number): void {
+		this.#broadcast({kind: 'version', version});
+	}
+
+	/** Tells all VMs who is there. */
+	publishMembers(): void {
+		const {clock, state, self} = this.#options;
+		this.#membersTimer ??= clock.setTimer(MEMBERS_DELAY_MS, () => {
+			this.#membersTimer = undefined;
+			const members = [self(), ...[...this.#links.values()].map(link => link.member)];
+			state.setMembers(members);
+			this.#broadcast({kind: 'members', members});
+		});
+	}
+
+	#ask(link: Link, ask: Extract<ToLeader, {kind: 'ask'}>['ask']): void {
+		link.asks.add(ask.id);
+		this.#options.allocator.ask(ask, {
+			grant: upstreamId => {
+				this.#send(link, {kind: 'grant', id: ask.id, upstreamId});
+			},
+			refuse: (error, retryAfterMs) => {
+				link.asks.delete(ask.id);
+				this.#send(link, {
+					kind: 'refuse', id: ask.id, error, retryAfterMs,
+				});
+			},
+		});
+	}
+
+	/** Forgets an ask, whose grant may be on its way. */
+	#drop(link: Link, id: string): void {
+		link.asks.delete(id);
+		this.#options.allocator.withdraw(id);
+		this.#options.allocator.release(id, {
+			ending: Ending.Cancelled, firstMs: undefined, streamMs: 0, events: 0, load: undefined,
+		});
+	}
+
+	#tick(): void {
+		const {clock, allocator, reachesStore} = this.#options;
+		const now = clock.now();
+		const sendsPaces = now - this.#pacesAt >= PACES_MS;
+		if (sendsPaces) {
+			this.#pacesAt = now;
+			this.#broadcast({kind: 'paces', paces: [...allocator.paces]});
+		}
+
+		for (const link of [...this.#links.values()]) {
+			if (now - link.heardAt > VM_SILENCE_MS) {
+				link.channel.close();
+			} else if (now - link.sentAt >= BEAT_MS || !reachesStore()) {
+				this.#send(link, {kind: 'beat', reachesStore: reachesStore()});
+			}
+		}
+
+		this.#timer = clock.setTimer(BEAT_MS, () => {
+			this.#tick();
+		});
+	}
+
+	#broadcast(message: FromLeader): void {
+		for (const link of this.#links.values()) {
+			this.#send(link, message);
+		}
+	}
+
+	#send(link: Link, message: FromLeader): void {
+		link.sentAt = this.#options.clock.now();
+		link.channel.send(message);
+	}
+}
--- /dev/null
+++ b/src/link/messages.ts
@@ -0,0 +1,73 @@
+/**
+ * Messages between a VM and the VM that allocates for all. Both run the same version of the program.
+ */
+import {type Ask, type HeldPlace, type Report} from '../allocation/ask.js';
+import {type ErrorKind} from '../base/errors.js';
+import {type Configuration} from '../gateway/routing-table.js';
+import {type Upstream} from '../gateway/upstream-list.js';
+
+/** A VM as the others know it. */
+export type Member = {
+	readonly name: string;
+	/** Address for callers, as `IP:PORT`. */
+	readonly frontAddress: string;
+	/** Address for other VMs, as `IP:PORT`. */
+	readonly linkAddress: string;
+	readonly dataCentre: string;
+	readonly region: string;
+	/** Processor and link that it has, to choose the allocator by; greater is better. */
+	readonly strength: number;
+	/** Unique for each start of the process. */
+	readonly boot: string;
+	/** Takes callers. */
+	readonly isReady: boolean;
+};
+
+/** Who allocates. */
+export type Leader = {
+	readonly name: string;
+	readonly linkAddress: string;
+	readonly boot: string;
+	/** Rises with each change of the allocator. */
+	readonly term: number;
+};
+
+/** From a VM to the allocator. */
+export type ToLeader =
+	| {readonly kind: 'hello'; readonly member: Member; readonly places: readonly HeldPlace[]; readonly term: number}
+	| {readonly kind: 'member'; readonly member: Member}
+	| {readonly kind: 'ask'; readonly ask: Ask}
+	| {readonly kind: 'withdraw'; readonly id: string}
+	| {readonly kind: 'first'; readonly id: string; readonly ms: number}
+	| {readonly kind: 'release'; readonly id: string; readonly report: Report}
+	/** The VM cannot read the configuration from the store. */
+	| {readonly kind: 'need-configuration'}
+	| {readonly kind: 'beat'};
+
+/** From the allocator to a VM. */
+export type FromLeader =
+	/** This VM does not allocate; `leader` is who does, where it knows. */
+	| {readonly kind: 'not-leader'; readonly leader: Leader | undefined}
+	/** Answers a hello. */
+	| {readonly kind: 'welcome'; readonly leader: Leader}
+	| {readonly kind: 'grant'; readonly id: string; readonly upstreamId: string}
+	| {readonly kind: 'refuse'; readonly id: string; readonly error: ErrorKind; readonly retryAfterMs: number}
+	| {readonly kind: 'upstreams'; readonly isWhole: boolean; readonly changed: readonly Upstream[]; readonly removed: readonly string[]}
+	| {readonly kind: 'members'; readonly members: readonly Member[]}
+	/** A version of the configuration is in the store; VMs read it there. */
+	| {readonly kind: 'version'; readonly version: number}
+	| {readonly kind: 'configuration'; readonly configuration: Configuration}
+	/** Learnt factors of upstreams, for a successor. */
+	| {readonly kind: 'paces'; readonly paces: ReadonlyArray<readonly [upstreamId: string, factor: number]>}
+	/** Sent when nothing else was; tells whether the allocator reaches the store. */
+	| {readonly kind: 'beat'; readonly reachesStore: boolean};
+
+/** Between any two VMs, on a connection of its own. */
+export type ToPeer =
+	/** A VM has become the allocator. */
+	| {readonly kind: 'leading'; readonly leader: Leader}
+	/** Asks whether the receiver hears this allocator. */
+	| {readonly kind: 'probe'; readonly leaderBoot: string};
+
+/** Answer to a probe. */
+export type FromPeer = {readonly kind: 'sight'; readonly hearsLeader: boolean};
