--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -25,8 +25,13 @@
 const MIN_RETRY_AFTER_MS = 100;
 /** Where no upstream is known, in ms; a successor registers within about a second. */
 const NO_UPSTREAM_RETRY_MS = 500;
+/**
+ * Part of its remaining time after which a request that found too long a queue is asked back. Rushes last for seconds, and
+ * callers come back once: a short pause would meet the same queue, a longer one leaves too little time for the answer.
+ */
+const RETURN_SHARE = 0.28;
 /** Retry-After is multiplied by a random number in this range, so that refused callers do not return together. */
-const RETRY_SPREAD = {min: 0.7, max: 1.4} as const;
+const RETRY_SPREAD = {min: 0.75, max: 1.2} as const;
 /** How long a request that crashed three upstreams is kept away, as told to its caller, in ms. */
 const QUARANTINE_RETRY_MS = 5000;
 
@@ -176,7 +181,7 @@
 		const now = clock.now();
 		const pool = this.#pool(ask.pool);
 		const waiting: Waiting = {
-			ask, events, askedAt: now, objectiveAt: now + ask.objectiveMs, deadlineAt: now + ask.remainingMs,
+			ask, events, askedAt: now, objectiveAt: now + ask.objectiveMs, deadlineAt: now + ask.remainingMs, leavesAt: now + ask.patienceMs,
 		};
 		const refusal = this.#findRefusal(pool, waiting, now);
 		if (refusal !== undefined) {
@@ -247,8 +252,8 @@
 		}
 
 		const waitMs = pool.hasFree(now) ? 0 : pool.waitMs(waiting, now);
-		if (waitMs > MAX_WAIT_SHARE * (ask.remainingMs - pool.serviceMs(ask))) {
-			return {kind: ErrorKind.Overloaded, retryAfterMs: waitMs};
+		if (waitMs > MAX_WAIT_SHARE * (pool.latestStart(waiting) - now)) {
+			return {kind: ErrorKind.Overloaded, retryAfterMs: returnMs(waiting, now)};
 		}
 
 		if (ask.attempt > 1) {
@@ -288,7 +293,7 @@
 				for (const waiting of pool.hopeless(now)) {
 					this.#forgetWaiting(pool, waiting);
 					this.#refund(waiting.ask);
-					this.#refuse(pool, waiting, ErrorKind.DeadlineUnreachable, MIN_RETRY_AFTER_MS);
+					this.#refuse(pool, waiting, ErrorKind.DeadlineUnreachable, returnMs(waiting, now));
 				}
 
 				this.#pump(pool);
@@ -336,3 +341,8 @@
 		return pool;
 	}
 }
+
+/** @returns When a request that found too long a queue may come back, in ms. */
+function returnMs({deadlineAt}: Waiting, now: number): number {
+	return RETURN_SHARE * Math.max(0, deadlineAt - now);
+}
--- a/src/allocation/ask.ts
+++ b/src/allocation/ask.ts
@@ -25,6 +25,8 @@
 	readonly objectiveMs: number;
 	/** Until the answer has no value. */
 	readonly remainingMs: number;
+	/** Until the caller leaves unless its answer has begun. */
+	readonly patienceMs: number;
 	/** Longest pause between events that is on time; 0 for plain services. */
 	readonly maxPauseMs: number;
 	readonly dataCentre: string;
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -11,6 +11,8 @@
 
 /** A request is late in the queue when its best expected first event would miss its objective by this margin, in ms. */
 const OBJECTIVE_MARGIN_MS = 40;
+/** An answer is begun this long before its caller would leave, in ms: the way to it, and slower reading than expected. */
+const LEAVE_MARGIN_MS = 100;
 /** A late request yields to work of the next rank that can still be on time, but not to the rank after it. */
 const LEVELS_PER_RANK = 2;
 const LATE_LEVELS = 3;
@@ -36,6 +38,8 @@
 	readonly askedAt: number;
 	readonly objectiveAt: number;
 	readonly deadlineAt: number;
+	/** When the caller leaves unless its answer has begun. */
+	readonly leavesAt: number;
 };
 
 /** A request that has a place. */
@@ -207,6 +211,11 @@
 		return workMs / Math.max(1, this.#speed(now));
 	}
 
+	/** @returns The latest time at which a request may get a place and still be of use. */
+	latestStart({ask, deadlineAt, leavesAt}: Waiting): number {
+		return Math.min(deadlineAt - this.serviceMs(ask), leavesAt - this.#pace.firstMs(ask.promptTokens) - LEAVE_MARGIN_MS);
+	}
+
 	/** @returns Waiting requests that will not get a place in time. */
 	hopeless(now: number): Waiting[] {
 		const speed = Math.max(1, this.#speed(now));
@@ -215,7 +224,7 @@
 		let workMs = 0;
 		for (const waiting of ordered) {
 			const serviceMs = this.serviceMs(waiting.ask);
-			if (now + (workMs / speed) + serviceMs > waiting.deadlineAt) {
+			if (now + (workMs / speed) > this.latestStart(waiting)) {
 				found.push(waiting);
 			} else {
 				workMs += serviceMs;
--- a/src/allocation/switched-allocation.ts
+++ b/src/allocation/switched-allocation.ts
@@ -59,7 +59,10 @@
 				before?.withdraw(entry.ask.id);
 				const elapsedMs = now - entry.askedAt;
 				this.#forward(allocation, entry, {
-					...entry.ask, objectiveMs: entry.ask.objectiveMs - elapsedMs, remainingMs: entry.ask.remainingMs - elapsedMs,
+					...entry.ask,
+					objectiveMs: entry.ask.objectiveMs - elapsedMs,
+					remainingMs: entry.ask.remainingMs - elapsedMs,
+					patienceMs: entry.ask.patienceMs - elapsedMs,
 				});
 			}
 		}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -29,6 +29,10 @@
 const PLAIN_STALL_OBJECTIVES = 2.2;
 /** How much later than the time limit the upstream's own answer about it is awaited, in ms. */
 const TIME_LIMIT_GRACE_MS = 120;
+/** Callers leave a stream that has not begun after the longest of these: a time in ms, objectives, longest pauses. */
+const MIN_PATIENCE_MS = 2000;
+const PATIENCE_OBJECTIVES = 4;
+const PATIENCE_PAUSES = 8;
 /** Shortest time that a request is sent with, in ms; below it no answer can come back. */
 const MIN_SEND_MS = 20;
 const OK_STATUS = 200;
@@ -158,6 +162,7 @@
 			quotaCost,
 			objectiveMs: Math.round(arrivedAt + route.objectiveMs - now),
 			remainingMs: Math.round(this.#limitAt - now),
+			patienceMs: Math.round(Math.min(this.#limitAt, arrivedAt + patienceOf(route)) - now),
 			maxPauseMs: route.maxPauseMs ?? 0,
 			dataCentre,
 			region,
@@ -545,6 +550,13 @@
 	}
 }
 
+/** @returns How long a caller waits for the first event of a stream, in ms; other callers wait for their time limit. */
+function patienceOf({operation, objectiveMs, maxPauseMs}: Route): number {
+	return operation === Operation.Stream
+		? Math.max(MIN_PATIENCE_MS, PATIENCE_OBJECTIVES * objectiveMs, PATIENCE_PAUSES * (maxPauseMs ?? 0))
+		: Number.POSITIVE_INFINITY;
+}
+
 function emptyReport(ending: Ending): Report {
 	return {
 		ending, firstMs: undefined, streamMs: 0, events: 0, load: undefined,
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -498,14 +498,23 @@
 
 	/** The allocator tells whether it reaches the store; a VM that does takes over from one that does not. */
 	#noteReach(reachesStore: boolean): void {
-		const {clock} = this.#options;
+		const {clock, onWatchNeeded} = this.#options;
 		if (reachesStore) {
-			this.#leaderWithoutStoreSince = undefined;
+			if (this.#leaderWithoutStoreSince !== undefined) {
+				this.#leaderWithoutStoreSince = undefined;
+				onWatchNeeded(false);
+			}
+
 			return;
 		}
 
 		const now = clock.now();
-		this.#leaderWithoutStoreSince ??= now;
+		if (this.#leaderWithoutStoreSince === undefined) {
+			this.#leaderWithoutStoreSince = now;
+			// Changes must come into force here, whatever becomes of the allocator.
+			onWatchNeeded(true);
+		}
+
 		if (now - this.#leaderWithoutStoreSince >= WITHOUT_STORE_MS) {
 			this.#leaderWithoutStoreSince = now;
 			void this.#replace();
