Tell a reset behind an answer without length from its end

Ruled out: answers with a length or in chunks, which the parser checks. An empty write fails on a reset socket and sends nothing on a closed one. The test fails without the change.

--- a/src/gateway/upstream-exchange.ts
+++ b/src/gateway/upstream-exchange.ts
@@ -11,6 +11,8 @@
 /** Time for a connection, in ms: two ways between regions and a busy upstream; a lost packet is not waited for. */
 const CONNECT_MS = 400;
 
+const NO_BYTES = Buffer.alloc(0);
+
 /** What happens in an exchange. After `onEnd` or `onFail`, of which exactly one comes, nothing follows. */
 export type ExchangeEvents = {
 	/** The connection stands and the first byte is about to leave. */
@@ -49,6 +51,10 @@
 	#answer: IncomingMessage | undefined;
 	#timer: Timer | undefined;
 	#isSent = false;
+	/** The whole answer was read. */
+	#hasEnded = false;
+	/** The upstream closed the connection, and did not reset it. */
+	#isClosedInOrder = false;
 	#isEnded = false;
 
 	private constructor(clock: Clock, req: ExchangeRequest, events: ExchangeEvents) {
@@ -80,7 +86,7 @@
 	#connect(): void {
 		const {address} = this.#request;
 		const colonAt = address.lastIndexOf(':');
-		const socket = createConnection({host: address.slice(0, colonAt), port: Number(address.slice(colonAt + 1)), noDelay: true});
+		const socket = createConnection({host: address.slice(0, colonAt), port: Number(address.slice(colonAt + 1)), noDelay: true, allowHalfOpen: true});
 		this.#socket = socket;
 		this.#timer = this.#clock.setTimer(CONNECT_MS, () => {
 			this.#fail(Ending.NotConnected, 'connection timed out');
@@ -92,10 +98,51 @@
 			}
 		});
 		socket.on('error', err => {
-			this.#fail(this.#isSent ? Ending.Lost : Ending.NotConnected, err.message);
+			this.#fail(this.#endingOfLoss(), err.message);
 		});
 		socket.once('close', () => {
-			this.#fail(this.#isSent ? Ending.Lost : Ending.NotConnected, 'connection closed');
+			this.#fail(this.#endingOfLoss(), 'connection closed');
+		});
+		// Before the parser, which takes the end of the connection for the end of an answer without a length.
+		socket.once('end', () => {
+			this.#checkReset(socket);
+		});
+	}
+
+	/** Whether the whole answer has arrived; one without a length ends with its connection. */
+	get #isWhole(): boolean {
+		const answer = this.#answer;
+		if (answer?.complete !== true) {
+			return false;
+		}
+
+		const isFramed = answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined;
+		return isFramed || this.#isClosedInOrder;
+	}
+
+	#endingOfLoss(): Ending {
+		if (!this.#isSent) {
+			return Ending.NotConnected;
+		}
+
+		return this.#answer === undefined ? Ending.Lost : Ending.Spoiled;
+	}
+
+	/**
+	 * Tells a connection that was closed from one that was reset. When a reset arrives before the last bytes are read, the
+	 * event loop reports an ordinary end; an empty write fails on such a socket, and sends nothing on another.
+	 */
+	#checkReset(socket: Socket): void {
+		socket.write(NO_BYTES, err => {
+			if (err) {
+				this.#fail(this.#endingOfLoss(), err.message);
+				return;
+			}
+
+			this.#isClosedInOrder = true;
+			if (this.#hasEnded) {
+				this.#finish();
+			}
 		});
 	}
 
@@ -116,7 +163,7 @@
 		});
 		client.on('error', err => {
 			// Bytes after a whole answer belong to no request and change nothing.
-			if (this.#answer?.complete !== true) {
+			if (!this.#isWhole) {
 				this.#fail(this.#answer === undefined ? lostOrSpoiled(err) : Ending.Spoiled, err.message);
 			}
 		});
@@ -135,9 +182,10 @@
 			}
 		});
 		answer.once('end', () => {
-			if (answer.complete) {
+			this.#hasEnded = answer.complete;
+			if (this.#isWhole) {
 				this.#finish();
-			} else {
+			} else if (!answer.complete) {
 				this.#fail(Ending.Spoiled, 'answer broke off');
 			}
 		});
@@ -161,7 +209,7 @@
 	}
 
 	#fail(ending: Ending, detail: string): void {
-		if (this.#isEnded || this.#answer?.complete === true) {
+		if (this.#isEnded || this.#isWhole) {
 			return;
 		}
 
