--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -9,8 +9,12 @@
 import {type RoutingTable} from '../gateway/routing-table.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
 import {Quarantine, Standing as SuspectStanding} from '../policy/quarantine.js';
-import {Allocation, type Ask, type AskEvents, type HeldPlace, type Report} from './ask.js';
-import {Pool, type Held, type Station, type Waiting} from './pool.js';
+import {
+	Allocation, type Ask, type AskEvents, type HeldPlace, type Report,
+} from './ask.js';
+import {
+	Pool, type Held, type Station, type Waiting,
+} from './pool.js';
 import {type RepeatBounds} from './repeat-budget.js';
 import {Quotas} from './quotas.js';
 
@@ -171,7 +175,9 @@
 		for (const {ask, upstreamId, heldMs, hasFirst} of places) {
 			const pool = this.#poolByUpstream.get(upstreamId) ?? this.#pool(ask.pool);
 			const grantedAt = now - heldMs;
-			pool.hold(upstreamId, {ask, upstreamId, grantedAt, pendingPromptTokens: 0, hasFirst});
+			pool.hold(upstreamId, {
+				ask, upstreamId, grantedAt, pendingPromptTokens: 0, hasFirst,
+			});
 			this.#poolByAsk.set(ask.id, pool);
 		}
 	}
@@ -230,7 +236,7 @@
 	/** Answers all waiting requests as not run. */
 	refuseAll(kind: ErrorKind): void {
 		for (const pool of this.#pools.values()) {
-			for (const waiting of [...pool.waiting.values()]) {
+			for (const waiting of pool.waiting.values()) {
 				this.#forgetWaiting(pool, waiting);
 				this.#refuse(pool, waiting, kind, MIN_RETRY_AFTER_MS);
 			}
--- a/src/allocation/repeat-budget.ts
+++ b/src/allocation/repeat-budget.ts
@@ -27,8 +27,8 @@
 	}
 
 	readonly #bounds: RepeatBounds;
-	readonly #requests = new Array<number>(PARTS + 1).fill(0);
-	readonly #repeats = new Array<number>(PARTS + 1).fill(0);
+	readonly #requests: number[] = emptyCounts();
+	readonly #repeats: number[] = emptyCounts();
 	#part = 0;
 
 	private constructor(bounds: RepeatBounds) {
@@ -78,3 +78,7 @@
 
 	return total;
 }
+
+function emptyCounts(): number[] {
+	return Array.from({length: PARTS + 1}, () => 0);
+}
--- a/src/allocation/switched-allocation.ts
+++ b/src/allocation/switched-allocation.ts
@@ -4,7 +4,9 @@
  */
 import {type Clock} from '../base/clock.js';
 import {type ErrorKind} from '../base/errors.js';
-import {Allocation, type Ask, type AskEvents, type HeldPlace, type Report} from './ask.js';
+import {
+	Allocation, type Ask, type AskEvents, type HeldPlace, type Report,
+} from './ask.js';
 
 type Entry = {
 	readonly ask: Ask;
@@ -54,7 +56,7 @@
 		const before = this.#current;
 		this.#current = allocation;
 		const now = this.#clock.now();
-		for (const entry of [...this.#entries.values()]) {
+		for (const entry of this.#entries.values()) {
 			if (entry.upstreamId === undefined) {
 				before?.withdraw(entry.ask.id);
 				const elapsedMs = now - entry.askedAt;
--- a/src/base/bounded-output.ts
+++ b/src/base/bounded-output.ts
@@ -32,8 +32,8 @@
 		return this.#droppedLines;
 	}
 
-	override _write(chunk: string | Buffer, _encoding: string, callback: () => void): void {
-		const text = chunk.toString();
+	override _write(chunk: string | Uint8Array, _encoding: string, callback: () => void): void {
+		const text = typeof chunk === 'string' ? chunk : Buffer.from(chunk).toString();
 		if (this.#bufferedBytes + text.length > MAX_BUFFERED_BYTES) {
 			this.#droppedLines += 1;
 		} else {
@@ -61,7 +61,7 @@
 		this.#writeAll(bytes, 0);
 	}
 
-	#writeAll(bytes: Buffer, from: number): void {
+	#writeAll(bytes: Uint8Array, from: number): void {
 		write(this.#descriptor, bytes, from, bytes.length - from, null, (err, written) => {
 			const next = from + (written ?? 0);
 			if (err === null && next < bytes.length) {
--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -10,7 +10,7 @@
 
 /** Whole events and what is known of them. */
 export type WholeEvents = {
-	readonly bytes: Buffer;
+	readonly bytes: Uint8Array;
 	readonly count: number;
 };
 
@@ -22,7 +22,7 @@
 
 	/** ID of the last whole event, as the upstream wrote it. */
 	lastId: string | undefined;
-	#rest: Buffer = Buffer.alloc(0);
+	#rest = Buffer.alloc(0);
 
 	private constructor() {
 		// Made by `create`.
@@ -39,8 +39,8 @@
 	}
 
 	/** @returns The events that are complete with this chunk; the rest is kept. */
-	push(chunk: Buffer): WholeEvents {
-		const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+	push(chunk: Uint8Array): WholeEvents {
+		const bytes = Buffer.concat([this.#rest, chunk]);
 		let start = 0;
 		let count = 0;
 		for (let end = endOfEvent(bytes, start); end !== -1; end = endOfEvent(bytes, start)) {
@@ -53,12 +53,13 @@
 		return {bytes: bytes.subarray(0, start), count};
 	}
 
-	#noteId(event: Buffer): void {
+	#noteId(event: Uint8Array): void {
 		for (let start = 0; start < event.length;) {
 			const feed = event.indexOf(LINE_FEED, start);
 			const end = feed === -1 ? event.length : feed;
-			if (event.subarray(start, start + ID_FIELD.length).equals(ID_FIELD)) {
-				this.lastId = event.toString('latin1', start + ID_FIELD.length, end).trim();
+			const line = Buffer.from(event.buffer, event.byteOffset + start, end - start);
+			if (line.subarray(0, ID_FIELD.length).equals(ID_FIELD)) {
+				this.lastId = line.toString('latin1', ID_FIELD.length).trim();
 			}
 
 			start = end + 1;
@@ -67,7 +68,7 @@
 }
 
 /** @returns The index after the blank line that ends the event which begins at `from`, or -1. */
-function endOfEvent(bytes: Buffer, from: number): number {
+function endOfEvent(bytes: Uint8Array, from: number): number {
 	for (let feed = bytes.indexOf(LINE_FEED, from); feed !== -1; feed = bytes.indexOf(LINE_FEED, feed + 1)) {
 		const next = bytes[feed + 1];
 		if (next === LINE_FEED) {
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -66,7 +66,7 @@
 	readonly rank: number;
 	readonly quotaCost: number;
 	readonly outputEvents: number;
-	readonly body: Buffer | undefined;
+	readonly body: Uint8Array | undefined;
 	readonly fingerprint: string;
 	readonly arrivedAt: number;
 };
@@ -86,7 +86,7 @@
 type KeptAnswer = {
 	readonly status: number;
 	readonly headers: IncomingHttpHeaders;
-	readonly body: Buffer;
+	readonly body: Uint8Array;
 };
 
 /** One request. */
@@ -110,7 +110,7 @@
 	#connectFailures = 0;
 	#status = 0;
 	#headers: IncomingHttpHeaders = {};
-	#chunks: Buffer[] = [];
+	#chunks: Uint8Array[] = [];
 	#keptBytes = 0;
 	#kept: KeptAnswer | undefined;
 	#mayHaveRun = false;
@@ -267,7 +267,7 @@
 		}
 	}
 
-	#onData(attempt: Attempt, chunk: Buffer): void {
+	#onData(attempt: Attempt, chunk: Uint8Array): void {
 		const {clock} = this.#context;
 		const now = clock.now();
 		attempt.lastAt = now;
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -4,7 +4,9 @@
  */
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
-import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
 import {type Socket} from 'node:net';
 import {errorAnswers, ErrorKind} from '../base/errors.js';
 import {type Random} from '../base/random.js';
@@ -219,7 +221,7 @@
 }
 
 /** @returns The body; `undefined` for a request without one. */
-async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer | undefined | 'too-large' | 'aborted'> {
+async function readBody(req: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined | 'too-large' | 'aborted'> {
 	const hasBody = req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined;
 	if (!hasBody) {
 		req.resume();
@@ -227,9 +229,9 @@
 	}
 
 	return new Promise(resolve => {
-		const chunks: Buffer[] = [];
+		const chunks: Uint8Array[] = [];
 		let length = 0;
-		req.on('data', (chunk: Buffer) => {
+		req.on('data', (chunk: Uint8Array) => {
 			length += chunk.length;
 			if (length <= maxBytes) {
 				chunks.push(chunk);
@@ -276,7 +278,7 @@
 }
 
 /** Requests that a crash is blamed on together: same path, customer and body. */
-function fingerprintOf(req: IncomingMessage, customer: Customer | undefined, body: Buffer | undefined): string {
+function fingerprintOf(req: IncomingMessage, customer: Customer | undefined, body: Uint8Array | undefined): string {
 	const hash = createHash('sha256').update(`${req.method!} ${req.url!}\n${customer?.name ?? ''}\n`);
 	return hash.update(body ?? '').digest('base64').slice(0, 16);
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -66,6 +66,7 @@
 		this.#allocator.onDecision = decision => {
 			this.#logDecision(decision);
 		};
+
 		const allocation = SwitchedAllocation.create(clock);
 		this.state.listen({
 			onTable: table => {
@@ -87,7 +88,10 @@
 			codec,
 			dataCentre: self.dataCentre,
 			region: self.region,
-			nextAskId: () => `${self.boot}-${(asks += 1)}`,
+			nextAskId() {
+				asks += 1;
+				return `${self.boot}-${asks}`;
+			},
 		}, random);
 		this.coordinator = Coordinator.create({
 			clock,
--- a/src/gateway/upstream-exchange.ts
+++ b/src/gateway/upstream-exchange.ts
@@ -3,7 +3,9 @@
  * of this one is sent before the connection stands.
  */
 import {Buffer} from 'node:buffer';
-import {type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request} from 'node:http';
+import {
+	type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request,
+} from 'node:http';
 import {createConnection, type Socket} from 'node:net';
 import {type Clock, type Timer} from '../base/clock.js';
 import {Ending} from './exchange-ending.js';
@@ -18,7 +20,7 @@
 	/** The connection stands and the first byte is about to leave. */
 	onSending(): void;
 	onHead(status: number, headers: IncomingHttpHeaders): void;
-	onData(chunk: Buffer): void;
+	onData(chunk: Uint8Array): void;
 	/** The whole answer has arrived. */
 	onEnd(): void;
 	onFail(ending: Ending, detail: string): void;
@@ -32,7 +34,7 @@
 	readonly target: string;
 	/** Names and values in turn. */
 	readonly headers: string[];
-	readonly body: Buffer | undefined;
+	readonly body: Uint8Array | undefined;
 };
 
 /** The exchange. */
@@ -86,7 +88,9 @@
 	#connect(): void {
 		const {address} = this.#request;
 		const colonAt = address.lastIndexOf(':');
-		const socket = createConnection({host: address.slice(0, colonAt), port: Number(address.slice(colonAt + 1)), noDelay: true, allowHalfOpen: true});
+		const socket = createConnection({
+			host: address.slice(0, colonAt), port: Number(address.slice(colonAt + 1)), noDelay: true, allowHalfOpen: true,
+		});
 		this.#socket = socket;
 		this.#timer = this.#clock.setTimer(CONNECT_MS, () => {
 			this.#fail(Ending.NotConnected, 'connection timed out');
@@ -176,7 +180,7 @@
 			return;
 		}
 
-		answer.on('data', (chunk: Buffer) => {
+		answer.on('data', (chunk: Uint8Array) => {
 			if (!this.#isEnded) {
 				this.#events.onData(chunk);
 			}
--- a/src/gateway/upstream-list.ts
+++ b/src/gateway/upstream-list.ts
@@ -74,8 +74,7 @@
 }
 
 function isSame(a: Upstream | undefined, b: Upstream): boolean {
-	return a !== undefined
-		&& a.pool === b.pool
+	return a?.pool === b.pool
 		&& a.address === b.address
 		&& a.dataCentre === b.dataCentre
 		&& a.slots === b.slots
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -4,7 +4,9 @@
  * allocator and no VM that it reaches still hears it. Two allocators at once cost quality, never a rule: what a request
  * may do is checked at the VM that has it.
  */
-import {createConnection, createServer, type Server, type Socket} from 'node:net';
+import {
+	createConnection, createServer, type Server, type Socket,
+} from 'node:net';
 import {type Allocator} from '../allocation/allocator.js';
 import {type SwitchedAllocation} from '../allocation/switched-allocation.js';
 import {type Clock, type Timer} from '../base/clock.js';
@@ -228,7 +230,7 @@
 		this.#host.start(leader);
 		for (const {linkAddress, name} of this.#options.state.members) {
 			if (name !== this.#self.name) {
-				this.#tell(linkAddress, {kind: 'leading', leader});
+				void this.#tell(linkAddress, {kind: 'leading', leader});
 			}
 		}
 	}
@@ -306,7 +308,7 @@
 
 		const others = this.#options.state.members.map(member => member.linkAddress);
 		for (const address of new Set([...this.#options.seeds, ...others])) {
-			if (address !== this.#self.linkAddress && this.#role === Role.Alone && await this.#linkTo(address)) {
+			if (address !== this.#self.linkAddress && this.#role === Role.Alone && await this.#linkTo(address)) { // eslint-disable-line no-await-in-loop -- one that links ends it
 				return;
 			}
 		}
@@ -376,9 +378,9 @@
 					channel.send({kind: 'sight', hearsLeader: this.#hears(message.leaderBoot)});
 				} else if (message.kind === 'hello' && this.#role === Role.Leading) {
 					isLink = true;
-					this.#host.add(channel as LineChannel<FromLeader, ToLeader>, message);
+					this.#host.add(channel, message);
 				} else if (isLink) {
-					this.#host.take(channel as LineChannel<FromLeader, ToLeader>, message);
+					this.#host.take(channel, message);
 				} else {
 					channel.send({kind: 'not-leader', leader: this.#leader});
 					channel.close();
@@ -386,7 +388,7 @@
 			},
 			onClose: () => {
 				this.#sockets.delete(socket);
-				this.#host.remove(channel as LineChannel<FromLeader, ToLeader>);
+				this.#host.remove(channel);
 			},
 		});
 	}
@@ -552,21 +554,20 @@
 		}
 	}
 
-	#tell(address: string, message: ToPeer): void {
-		void this.#connect(address).then(socket => {
-			if (socket !== undefined) {
-				const channel = LineChannel.create<ToPeer, FromPeer>(socket, {
-					onMessage() {
-						// Nothing is answered.
-					},
-					onClose() {
-						// Nothing to do.
-					},
-				});
-				channel.send(message);
-				channel.close();
-			}
-		});
+	async #tell(address: string, message: ToPeer): Promise<void> {
+		const socket = await this.#connect(address);
+		if (socket !== undefined) {
+			const channel = LineChannel.create<ToPeer, FromPeer>(socket, {
+				onMessage() {
+					// Nothing is answered.
+				},
+				onClose() {
+					// Nothing to do.
+				},
+			});
+			channel.send(message);
+			channel.close();
+		}
 	}
 
 	/** @returns Whether the VM hears the allocator; false for one that refuses connections; `undefined` for silence. */
--- a/src/link/leader-client.ts
+++ b/src/link/leader-client.ts
@@ -1,7 +1,9 @@
 /**
  * The side of a VM that is linked to the allocator of all VMs.
  */
-import {Allocation, type Ask, type AskEvents, type Report} from '../allocation/ask.js';
+import {
+	Allocation, type Ask, type AskEvents, type Report,
+} from '../allocation/ask.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type LineChannel} from './line-channel.js';
 import {BEAT_MS} from './leader-host.js';
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -165,7 +165,7 @@
 		const {log} = this.#options;
 		this.#links.delete(channel);
 		log.warn('Link to a VM lost.', {vm: link.member.name, places: link.asks.size});
-		for (const id of [...link.asks]) {
+		for (const id of link.asks) {
 			this.#drop(link, id);
 		}
 
@@ -226,7 +226,7 @@
 			this.#broadcast({kind: 'paces', paces: [...allocator.paces]});
 		}
 
-		for (const link of [...this.#links.values()]) {
+		for (const link of this.#links.values()) {
 			if (now - link.heardAt > VM_SILENCE_MS) {
 				link.channel.close();
 			} else if (now - link.sentAt >= BEAT_MS || !reachesStore()) {
--- a/test/gateway/upstream-exchange.test.ts
+++ b/test/gateway/upstream-exchange.test.ts
@@ -1,6 +1,8 @@
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {type AddressInfo, createServer, type Server, type Socket} from 'node:net';
+import {
+	type AddressInfo, createServer, type Server, type Socket,
+} from 'node:net';
 import {expect} from 'chai';
 import {SystemClock} from '../../src/base/clock.js';
 import {Ending} from '../../src/gateway/exchange-ending.js';
