--- /dev/null
+++ b/test/allocation/allocator.test.ts
@@ -0,0 +1,284 @@
+import {expect} from 'chai';
+import {Allocator} from '../../src/allocation/allocator.js';
+import {type Ask, type Report} from '../../src/allocation/ask.js';
+import {ErrorKind} from '../../src/base/errors.js';
+import {Random} from '../../src/base/random.js';
+import {VirtualClock} from '../../src/base/virtual-clock.js';
+import {Ending} from '../../src/gateway/exchange-ending.js';
+import {Operation, RoutingTable, type Customer} from '../../src/gateway/routing-table.js';
+import {type Upstream} from '../../src/gateway/upstream-list.js';
+
+const engineCount = 3;
+const slots = 4;
+
+function makeUpstream(index: number, changes: Partial<Upstream> = {}): Upstream {
+	return {
+		id: `engine-${index}`, pool: 'advice', address: `10.0.0.${index}:80`, dataCentre: 'a', region: 'r', slots, isLeaving: false, startedAt: 0, ...changes,
+	};
+}
+
+function makeTable(customers: readonly Customer[] = []): RoutingTable {
+	return RoutingTable.create({
+		version: 1,
+		routes: [],
+		customers,
+		pools: [{
+			name: 'advice', slots, maxConnections: 100, isEngine: true, tokensPerEvent: 4,
+		}],
+		limits: {
+			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+		hasCustomers: customers.length > 0,
+	});
+}
+
+function makeAsk(id: string, changes: Partial<Ask> = {}): Ask {
+	return {
+		id,
+		pool: 'advice',
+		customer: undefined,
+		rank: 0,
+		operation: Operation.Stream,
+		promptTokens: 1000,
+		outputEvents: 20,
+		quotaCost: 0,
+		objectiveMs: 500,
+		remainingMs: 10_000,
+		patienceMs: 2000,
+		maxPauseMs: 250,
+		dataCentre: 'a',
+		region: 'r',
+		attempt: 1,
+		excluded: [],
+		fingerprint: id,
+		...changes,
+	};
+}
+
+const answered: Report = {
+	ending: Ending.Answered, firstMs: 70, streamMs: 300, events: 20, load: undefined,
+};
+const lost: Report = {
+	ending: Ending.Lost, firstMs: undefined, streamMs: 0, events: 0, load: undefined,
+};
+
+describe('allocator', () => {
+	let clock: VirtualClock;
+	let allocator: Allocator;
+	let granted: Map<string, string>;
+	let refused: Map<string, {kind: ErrorKind; retryAfterMs: number}>;
+
+	beforeEach(() => {
+		clock = VirtualClock.create();
+		clock.advance(100_000);
+		granted = new Map();
+		refused = new Map();
+		allocator = Allocator.create({
+			clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000},
+		});
+		allocator.setTable(makeTable());
+		allocator.setUpstreams({changed: Array.from({length: engineCount}, (_, index) => makeUpstream(index)), removed: []});
+	});
+
+	function ask(id: string, changes: Partial<Ask> = {}): void {
+		allocator.ask(makeAsk(id, changes), {
+			grant(upstreamId) {
+				granted.set(id, upstreamId);
+			},
+			refuse(kind, retryAfterMs) {
+				refused.set(id, {kind, retryAfterMs});
+			},
+		});
+	}
+
+	function fill(): void {
+		for (let index = 0; index < engineCount * slots; index += 1) {
+			ask(`filler-${index}`);
+		}
+	}
+
+	it('never gives an upstream more requests than it has slots', () => {
+		for (let index = 0; index < 100; index += 1) {
+			ask(`request-${index}`, {remainingMs: 60_000, patienceMs: 60_000});
+		}
+
+		const counts = new Map<string, number>();
+		for (const upstreamId of granted.values()) {
+			counts.set(upstreamId, (counts.get(upstreamId) ?? 0) + 1);
+		}
+
+		expect([...counts.values()]).to.deep.equal([slots, slots, slots]);
+	});
+
+	it('serves the more important request first when a place becomes free in a rush', () => {
+		fill();
+		ask('lesser', {rank: 2});
+		ask('greater', {rank: 0});
+		allocator.release('filler-0', answered);
+		expect(granted.has('greater')).to.equal(true);
+		expect(granted.has('lesser')).to.equal(false);
+	});
+
+	it('serves a request that can be on time before a late one of the rank above it, and not of two above', () => {
+		fill();
+		ask('late', {rank: 0, objectiveMs: -1});
+		ask('on time', {rank: 1});
+		allocator.release('filler-0', answered);
+		expect([...granted.keys()].at(-1)).to.equal('on time');
+		ask('least', {rank: 2});
+		allocator.release('filler-1', answered);
+		expect([...granted.keys()].at(-1)).to.equal('late');
+	});
+
+	it('tells a request at once when its caller would leave before its turn, and asks it back after the rush', () => {
+		fill();
+		for (let index = 0; index < 200; index += 1) {
+			ask(`queued-${index}`);
+		}
+
+		const {kind, retryAfterMs} = refused.get('queued-199')!;
+		expect(kind).to.equal(ErrorKind.Overloaded);
+		expect(retryAfterMs).to.be.within(1000, 10_000 / 3);
+		expect(refused.has('queued-0')).to.equal(false);
+	});
+
+	it('refuses what will not get a place in time, and keeps the rest', () => {
+		fill();
+		ask('short', {patienceMs: 600});
+		clock.advance(700);
+		expect(refused.get('short')?.kind).to.equal(ErrorKind.DeadlineUnreachable);
+	});
+
+	it('leaves out upstreams that are leaving', () => {
+		allocator.setUpstreams({changed: [makeUpstream(0, {isLeaving: true}), makeUpstream(1, {isLeaving: true})], removed: []});
+		ask('a');
+		ask('b');
+		expect([...new Set(granted.values())]).to.deep.equal(['engine-2']);
+	});
+
+	it('refuses with a reason where there is no upstream', () => {
+		allocator.setUpstreams({changed: [], removed: ['engine-0', 'engine-1', 'engine-2']});
+		ask('a');
+		expect(refused.get('a')?.kind).to.equal(ErrorKind.NoUpstream);
+	});
+
+	it('holds a customer that sends many times its usual to its quota, and no one else', () => {
+		allocator.setTable(makeTable([{
+			name: 'hot', apiKeys: [], rank: undefined, quota: {
+				perSecond: 1000, burst: 2000, isInTokens: true, plainTokens: 100,
+			},
+		}]));
+		for (let index = 0; index < 4; index += 1) {
+			ask(`hot-${index}`, {customer: 'hot', quotaCost: 1000});
+		}
+
+		ask('other', {customer: 'other', quotaCost: 1000});
+		expect(refused.get('hot-2')?.kind).to.equal(ErrorKind.RateLimited);
+		expect(refused.get('hot-2')?.retryAfterMs).to.be.within(700, 1300);
+		expect(granted.has('other')).to.equal(true);
+	});
+
+	it('gives the quota of a refused request back', () => {
+		allocator.setTable(makeTable([{
+			name: 'large', apiKeys: [], rank: undefined, quota: {
+				perSecond: 1, burst: 1000, isInTokens: true, plainTokens: 100,
+			},
+		}]));
+		fill();
+		ask('first', {customer: 'large', quotaCost: 1000, patienceMs: 500});
+		clock.advance(600);
+		allocator.release('filler-0', answered);
+		ask('second', {customer: 'large', quotaCost: 1000});
+		expect(refused.has('first')).to.equal(true);
+		expect(granted.has('second')).to.equal(true);
+	});
+
+	it('bounds repeats when all upstreams fail', () => {
+		let repeats = 0;
+		for (let index = 0; index < 100; index += 1) {
+			ask(`request-${index}`);
+			allocator.release(`request-${index}`, lost);
+			ask(`repeat-${index}`, {attempt: 2});
+			repeats += granted.has(`repeat-${index}`) ? 1 : 0;
+			allocator.release(`repeat-${index}`, lost);
+			clock.advance(50);
+		}
+
+		expect(repeats).to.be.at.most((0.2 * 100) + 20);
+	});
+
+	it('recognises a request that crashes upstreams, and does not blame one that succeeds', () => {
+		for (let index = 0; index < engineCount; index += 1) {
+			ask(`poison-${index}`, {fingerprint: 'poison', excluded: Array.from({length: index}, (_, other) => `engine-${other}`)});
+			allocator.release(`poison-${index}`, lost);
+			ask(`innocent-${index}`, {fingerprint: 'innocent'});
+			allocator.release(`innocent-${index}`, answered);
+		}
+
+		clock.advance(5000);
+		ask('poison again', {fingerprint: 'poison'});
+		ask('innocent again', {fingerprint: 'innocent'});
+		expect(refused.get('poison again')?.kind).to.equal(ErrorKind.CrashSuspect);
+		expect(granted.has('innocent again')).to.equal(true);
+	});
+
+	it('moves work away from an upstream that is three times slower', () => {
+		for (let round = 0; round < 30; round += 1) {
+			const id = `round-${round}`;
+			ask(id);
+			const isSlow = granted.get(id) === 'engine-0';
+			allocator.noteFirst(id, isSlow ? 210 : 70);
+			allocator.release(id, {...answered, streamMs: isSlow ? 900 : 300});
+			clock.advance(100);
+		}
+
+		for (let index = 0; index < 6; index += 1) {
+			ask(`probe-${index}`);
+		}
+
+		const slow = [...granted].filter(([id, upstreamId]) => id.startsWith('probe') && upstreamId === 'engine-0');
+		expect(slow).to.have.length.at.most(1);
+	});
+
+	it('stops sending to an upstream that refuses connections, and tries it again', () => {
+		const usedBy = (id: string) => granted.get(id);
+		ask('a', {excluded: ['engine-1', 'engine-2']});
+		allocator.release('a', {...lost, ending: Ending.NotConnected});
+		for (let index = 0; index < 8; index += 1) {
+			ask(`b-${index}`);
+			expect(usedBy(`b-${index}`)).to.not.equal('engine-0');
+		}
+
+		clock.advance(1000);
+		for (let index = 0; index < 4; index += 1) {
+			ask(`c-${index}`, {excluded: ['engine-1', 'engine-2']});
+		}
+
+		expect(granted.has('c-0')).to.equal(true);
+		expect(granted.has('c-1')).to.equal(false);
+		allocator.release('c-0', answered);
+		expect(granted.has('c-3')).to.equal(true);
+	});
+
+	it('counts the places that it takes over', () => {
+		const places = Array.from({length: slots}, (_, index) => ({
+			ask: makeAsk(`held-${index}`), upstreamId: 'engine-0', heldMs: 100, hasFirst: true,
+		}));
+		allocator.restart({share: 1, quotaFullness: 1, isAlone: false});
+		allocator.adopt(places);
+		fill();
+		expect([...granted.values()].filter(id => id === 'engine-0')).to.deep.equal([]);
+		expect(granted.size).to.equal((engineCount - 1) * slots);
+	});
+
+	it('learns the load of other VMs when it decides alone', () => {
+		allocator.restart({share: 0.1, quotaFullness: 1, isAlone: true});
+		ask('a', {excluded: ['engine-1', 'engine-2']});
+		allocator.release('a', {...answered, load: slots});
+		for (let index = 0; index < 2 * slots; index += 1) {
+			ask(`b-${index}`);
+		}
+
+		expect([...granted].filter(([id, upstreamId]) => id.startsWith('b') && upstreamId === 'engine-0')).to.deep.equal([]);
+	});
+});
--- /dev/null
+++ b/test/gateway/modules.test.ts
@@ -0,0 +1,180 @@
+import {Buffer} from 'node:buffer';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {Ran} from '../../src/base/errors.js';
+import {VirtualClock} from '../../src/base/virtual-clock.js';
+import {addressesFor} from '../../src/gateway/address-answer.js';
+import {EventSplitter} from '../../src/gateway/event-splitter.js';
+import {Ending, mayRepeat, provenBy} from '../../src/gateway/exchange-ending.js';
+import {
+	Operation, pickTarget, type Route, RoutingTable,
+} from '../../src/gateway/routing-table.js';
+import {type Upstream, UpstreamList} from '../../src/gateway/upstream-list.js';
+import {UpstreamRegistry} from '../../src/gateway/upstream-registry.js';
+import {type Member} from '../../src/link/messages.js';
+
+function makeRoute(prefix: string): Route {
+	return {
+		name: prefix,
+		host: 'desk.example',
+		prefix,
+		operation: Operation.Safe,
+		timeoutMs: 1000,
+		objectiveMs: 100,
+		rank: 0,
+		targets: [{pool: 'ledger', weight: 1}],
+		maxAttempts: 2,
+		isPublic: false,
+		isResumable: false,
+		maxPauseMs: undefined,
+	};
+}
+
+describe('routing table', () => {
+	const table = RoutingTable.create({
+		version: 3,
+		routes: ['/', '/a/', '/a/b/'].map(prefix => makeRoute(prefix)),
+		customers: [{
+			name: 'large', apiKeys: ['k1', 'k2'], rank: undefined, quota: undefined,
+		}],
+		pools: [],
+		limits: {
+			maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1,
+		},
+		hasCustomers: true,
+	});
+
+	it('finds the longest prefix, on whole segments, without the query', () => {
+		const found = (target: string) => table.routeOf('desk.example:80', target)?.prefix;
+		expect(found('/a/b/c')).to.equal('/a/b/');
+		expect(found('/a/b')).to.equal('/a/');
+		expect(found('/ab/c')).to.equal('/');
+		expect(found('/x?next=/a/b/c')).to.equal('/');
+		expect(table.routeOf('other.example', '/a/')).to.equal(undefined);
+	});
+
+	it('finds customers by each of their keys', () => {
+		expect(table.customerOf('k2')?.name).to.equal('large');
+		expect(table.customerOf('k3')).to.equal(undefined);
+	});
+
+	it('splits by weight and never picks a target of weight 0', () => {
+		const targets = [{pool: 'a', weight: 90}, {pool: 'b', weight: 10}, {pool: 'c', weight: 0}];
+		expect(pickTarget(targets, 0.89)?.pool).to.equal('a');
+		expect(pickTarget(targets, 0.91)?.pool).to.equal('b');
+		expect(pickTarget(targets, 0.999_999_999)?.pool).to.equal('b');
+	});
+});
+
+describe('endings of exchanges', () => {
+	it('never repeat what may have run and may run once only', () => {
+		for (const ending of Object.values(Ending)) {
+			if (provenBy[ending] !== Ran.No) {
+				expect(mayRepeat(ending, Operation.Unsafe, true), ending).to.equal(false);
+				expect(mayRepeat(ending, Operation.Stream, false), ending).to.equal(false);
+			}
+		}
+	});
+
+	it('repeat what did not run, whatever its kind', () => {
+		for (const ending of [Ending.NotRun, Ending.OtherUpstream, Ending.NotConnected]) {
+			expect(mayRepeat(ending, Operation.Unsafe, false), ending).to.equal(true);
+		}
+	});
+});
+
+describe('event splitter', () => {
+	it('passes whole events only, however the bytes are cut', () => {
+		const event = fc.record({id: fc.nat(), data: fc.constantFrom('', 'a', 'two words', 'id: 7'), newline: fc.constantFrom('\n', '\r\n')});
+		fc.assert(fc.property(fc.array(event, {maxLength: 8}), fc.array(fc.integer({min: 1, max: 9})), (events, cuts) => {
+			const texts = events.map(({id, data, newline}) => `id: ${id}${newline}data: ${data}${newline}${newline}`);
+			const whole = Buffer.from(texts.join(''));
+			const splitter = EventSplitter.create();
+			let passed = '';
+			let count = 0;
+			for (let start = 0, step = 0; start < whole.length; step += 1) {
+				const end = start + (cuts[step] ?? whole.length);
+				const got = splitter.push(whole.subarray(start, end));
+				passed += Buffer.from(got.bytes).toString();
+				count += got.count;
+				expect(texts.join('').startsWith(passed)).to.equal(true);
+				expect(splitter.lastId).to.equal(count === 0 ? undefined : String(events[count - 1]!.id));
+				start = end;
+			}
+
+			expect(passed).to.equal(whole.toString());
+			expect(count).to.equal(events.length);
+		}));
+	});
+
+	it('forgets an unfinished event when its upstream is lost', () => {
+		const splitter = EventSplitter.create();
+		splitter.push(Buffer.from('id: 1\n\nid: 2\ndata: ha'));
+		expect(splitter.pendingBytes).to.be.above(0);
+		splitter.reset();
+		expect(Buffer.from(splitter.push(Buffer.from('id: 2\n\n')).bytes).toString()).to.equal('id: 2\n\n');
+	});
+});
+
+describe('registry of upstreams', () => {
+	const upstream = (id: string, isLeaving = false): Upstream => ({
+		id, pool: 'advice', address: '10.0.0.1:80', dataCentre: 'a', region: 'r', slots: 4, isLeaving, startedAt: 1,
+	});
+	let clock: VirtualClock;
+	let list: UpstreamList;
+	let registry: UpstreamRegistry;
+
+	beforeEach(() => {
+		clock = VirtualClock.create();
+		list = UpstreamList.create();
+		registry = UpstreamRegistry.create(clock, list, changes => {
+			list.apply(changes);
+		});
+		registry.replace([upstream('a'), upstream('b'), upstream('c', true)]);
+	});
+
+	const ids = () => list.all.map(({id}) => id);
+
+	it('drops an upstream as soon as the store says so', () => {
+		registry.apply({changed: [], removed: ['a']});
+		expect(ids()).to.deep.equal(['b', 'c']);
+	});
+
+	it('keeps upstreams whose entries lapsed while the store was away until they had time to come back', () => {
+		registry.noteStoreAway();
+		clock.advance(5000);
+		registry.noteStoreBack();
+		registry.replace([]);
+		expect(ids()).to.deep.equal(['a', 'b']);
+		clock.advance(1000);
+		registry.apply({changed: [upstream('a')], removed: []});
+		clock.advance(2000);
+		expect(ids()).to.deep.equal(['a']);
+	});
+
+	it('drops a leaving upstream at once also after the store was away', () => {
+		registry.noteStoreAway();
+		registry.noteStoreBack();
+		registry.apply({changed: [], removed: ['c']});
+		expect(ids()).to.deep.equal(['a', 'b']);
+	});
+});
+
+describe('addresses for callers', () => {
+	const member = (name: string, dataCentre: string, region: string, isReady = true): Member => ({
+		name, frontAddress: `${name}:80`, linkAddress: `${name}:81`, dataCentre, region, strength: 1, boot: name, isReady,
+	});
+	const members = [
+		member('a1', 'a', 'r'), member('a2', 'a', 'r'), member('b1', 'b', 'r'), member('b2', 'b', 'r', false), member('c1', 'c', 's'),
+	];
+
+	it('name the VMs of the caller\'s data centre, else of its region, else all that are ready', () => {
+		expect(addressesFor(members, {region: 'r', dataCentre: 'a'})).to.deep.equal(['a1:80', 'a2:80']);
+		expect(addressesFor(members, {region: 'r', dataCentre: 'b'})).to.deep.equal(['a1:80', 'a2:80', 'b1:80']);
+		expect(addressesFor(members, {region: 's', dataCentre: 'c'})).to.deep.equal(['a1:80', 'a2:80', 'b1:80', 'c1:80']);
+	});
+
+	it('never name a VM that is not ready', () => {
+		expect(addressesFor(members.filter(({name}) => name === 'b2'), {region: 'r', dataCentre: 'b'})).to.deep.equal([]);
+	});
+});
--- /dev/null
+++ b/test/link/coordinator.test.ts
@@ -0,0 +1,269 @@
+import {type AddressInfo, createServer} from 'node:net';
+import {once} from 'node:events';
+import {expect} from 'chai';
+import Result, {ok} from 'true-myth/result';
+import {Allocator} from '../../src/allocation/allocator.js';
+import {SwitchedAllocation} from '../../src/allocation/switched-allocation.js';
+import {type Ask} from '../../src/allocation/ask.js';
+import {SystemClock} from '../../src/base/clock.js';
+import {Log} from '../../src/base/log.js';
+import {Random} from '../../src/base/random.js';
+import {DeploymentState} from '../../src/gateway/deployment-state.js';
+import {Operation} from '../../src/gateway/routing-table.js';
+import {Coordinator, Role} from '../../src/link/coordinator.js';
+import {LeaderRegister} from '../../src/link/leader-register.js';
+import {type Leader, type Member} from '../../src/link/messages.js';
+import {type StoreError} from '../../src/store/table.js';
+import {eventually} from '../support/eventually.js';
+
+const clock = SystemClock.create();
+const away: StoreError = {failure: 'unavailable', detail: 'away'};
+
+/** The store's row, for all VMs of a test. */
+class MemoryRow {
+	leader: Leader | undefined;
+	readonly unreachableFor = new Set<string>();
+}
+
+class MemoryRegister extends LeaderRegister {
+	readonly #row: MemoryRow;
+	readonly #name: string;
+
+	constructor(row: MemoryRow, name: string) {
+		super();
+		this.#row = row;
+		this.#name = name;
+	}
+
+	async read(): Promise<Result<Leader | undefined, StoreError>> {
+		return this.#isAway ? Result.err(away) : ok(this.#row.leader);
+	}
+
+	async claim(candidate: Omit<Leader, 'term'>, term: number): Promise<Result<Leader, StoreError>> {
+		if (this.#isAway) {
+			return Result.err(away);
+		}
+
+		if ((this.#row.leader?.term ?? 0) === term) {
+			this.#row.leader = {...candidate, term: term + 1};
+		}
+
+		return ok(this.#row.leader!);
+	}
+
+	get #isAway(): boolean {
+		return this.#row.unreachableFor.has(this.#name) || this.#row.unreachableFor.has('all');
+	}
+}
+
+async function freePort(): Promise<number> {
+	const server = createServer();
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	const {port} = server.address() as AddressInfo;
+	server.close();
+	await once(server, 'close');
+	return port;
+}
+
+type Vm = {
+	readonly name: string;
+	readonly coordinator: Coordinator;
+	readonly state: DeploymentState;
+	readonly allocation: SwitchedAllocation;
+	isWatching: boolean;
+	versions: number[];
+};
+
+function makeAsk(id: string): Ask {
+	return {
+		id,
+		pool: 'advice',
+		customer: undefined,
+		rank: 0,
+		operation: Operation.Safe,
+		promptTokens: 0,
+		outputEvents: 0,
+		quotaCost: 0,
+		objectiveMs: 1000,
+		remainingMs: 5000,
+		patienceMs: 5000,
+		maxPauseMs: 0,
+		dataCentre: 'a',
+		region: 'r',
+		attempt: 1,
+		excluded: [],
+		fingerprint: id,
+	};
+}
+
+describe('choice of the allocator', function () {
+	this.timeout(15_000);
+	let row: MemoryRow;
+	let vms: Vm[];
+
+	beforeEach(() => {
+		row = new MemoryRow();
+		vms = [];
+	});
+
+	afterEach(() => {
+		for (const {coordinator} of vms) {
+			coordinator.stop();
+		}
+	});
+
+	async function startVm(name: string, strength: number): Promise<Vm> {
+		const log = Log.create('silent');
+		const state = DeploymentState.create(log);
+		const random = Random.create(strength);
+		const allocator = Allocator.create({
+			clock, random, nodeId: name, repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000},
+		});
+		state.listen({
+			onUpstreams(changes) {
+				allocator.setUpstreams(changes);
+			},
+		});
+		const allocation = SwitchedAllocation.create(clock);
+		const self: Member = {
+			name, frontAddress: `${name}:80`, linkAddress: `127.0.0.1:${await freePort()}`, dataCentre: 'a', region: 'r', strength, boot: `${name}-${vms.length}`, isReady: true,
+		};
+		const vm: Vm = {
+			name,
+			state,
+			allocation,
+			isWatching: false,
+			versions: [],
+			coordinator: Coordinator.create({
+				clock,
+				random,
+				log,
+				state,
+				allocator,
+				allocation,
+				register: new MemoryRegister(row, name),
+				self,
+				seeds: [],
+				reachesStore: () => !row.unreachableFor.has(name) && !row.unreachableFor.has('all'),
+				onVersion(version) {
+					vm.versions.push(version);
+				},
+				onWatchNeeded(isNeeded) {
+					vm.isWatching = isNeeded;
+				},
+			}),
+		};
+		vms.push(vm);
+		await vm.coordinator.start();
+		return vm;
+	}
+
+	async function startVms(): Promise<void> {
+		await startVm('strong', 3);
+		await startVm('middle', 2);
+		await startVm('weak', 1);
+		await settled(3);
+	}
+
+	/** Waits until one of the running VMs allocates and all others are linked to it. */
+	async function settled(count: number): Promise<Vm> {
+		const countOf = (role: Role) => vms.filter(vm => vm.coordinator.role === role).length;
+		await eventually(() => countOf(Role.Leading) === 1 && countOf(Role.Linked) === count - 1
+			&& vms.every(vm => vm.state.members.length === count));
+		return vms.find(vm => vm.coordinator.role === Role.Leading)!;
+	}
+
+	function kill(vm: Vm): void {
+		vm.coordinator.stop();
+		vms = vms.filter(other => other !== vm);
+	}
+
+	it('ends with one allocator, which alone watches the store', async () => {
+		await startVms();
+		const leader = await settled(3);
+		expect(vms.filter(vm => vm.isWatching)).to.deep.equal([leader]);
+	});
+
+	it('replaces an allocator that died, and waiting requests are decided by the next', async () => {
+		await startVms();
+		const leader = await settled(3);
+		const other = vms.find(vm => vm !== leader)!;
+		let grantedTo: string | undefined;
+		leader.state.applyUpstreams({
+			changed: [{
+				id: 'full', pool: 'advice', address: '10.0.0.1:80', dataCentre: 'a', region: 'r', slots: 1, isLeaving: false, startedAt: 1,
+			}],
+			removed: [],
+		});
+		await eventually(() => other.state.upstreams.size === 1);
+		leader.allocation.ask(makeAsk('holder'), {
+			grant() {
+				// Dies with its VM.
+			},
+			refuse() {
+				throw new Error('refused');
+			},
+		});
+		other.allocation.ask(makeAsk('waiting'), {
+			grant(upstreamId) {
+				grantedTo = upstreamId;
+			},
+			refuse() {
+				throw new Error('refused');
+			},
+		});
+		kill(leader);
+		await eventually(() => grantedTo === 'full');
+		await settled(2);
+	});
+
+	it('does not replace an allocator that the other VMs hear', async () => {
+		await startVms();
+		const leader = await settled(3);
+		const {term} = row.leader!;
+		const lonely = vms.find(vm => vm !== leader)!;
+		// A VM that starts anew and reaches the others, while the row names an allocator that it cannot reach.
+		row.leader = {...row.leader!, linkAddress: '127.0.0.1:1'};
+		kill(lonely);
+		const late = await startVm('late', 9);
+		late.state.setMembers(vms.filter(vm => vm !== late && vm !== leader).flatMap(vm => vm.state.members.filter(member => member.name === vm.name)));
+		await clock.sleep(1200);
+		expect(row.leader?.term).to.equal(term);
+		expect(late.coordinator.role).to.equal(Role.Alone);
+	});
+
+	it('replaces an allocator that alone does not reach the store, and lets the VMs watch meanwhile', async () => {
+		await startVms();
+		const leader = await settled(3);
+		row.unreachableFor.add(leader.name);
+		await eventually(() => vms.filter(vm => vm !== leader).every(vm => vm.isWatching));
+		await eventually(() => leader.coordinator.role !== Role.Leading);
+		expect(await settled(3)).to.not.equal(leader);
+	});
+
+	it('keeps its allocator while the store is away for all', async () => {
+		await startVms();
+		const leader = await settled(3);
+		row.unreachableFor.add('all');
+		await clock.sleep(2500);
+		expect(await settled(3)).to.equal(leader);
+	});
+
+	it('hands over before a planned stop', async () => {
+		await startVms();
+		const leader = await settled(3);
+		leader.coordinator.resign();
+		await eventually(() => vms.some(vm => vm !== leader && vm.coordinator.role === Role.Leading));
+	});
+
+	it('takes over in the order of strength', async () => {
+		await startVm('strong', 30);
+		await startVm('middle', 20);
+		await startVm('weak', 1);
+		const first = await settled(3);
+		const expected = vms.filter(vm => vm !== first)[0]!;
+		kill(first);
+		expect(await settled(2)).to.equal(expected);
+	});
+});
