--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -16,7 +16,7 @@
 	Pool, type Held, type Station, type Waiting,
 } from './pool.js';
 import {type RepeatBounds} from './repeat-budget.js';
-import {Quotas} from './quotas.js';
+import {Quotas, type QuotaTolerance} from './quotas.js';
 
 /** How often waiting requests are examined, in ms; small against the shortest response-time objective. */
 const TICK_MS = 25;
@@ -56,6 +56,7 @@
 	/** Unique for each start of the process. */
 	readonly nodeId: string;
 	readonly repeatBounds: RepeatBounds;
+	readonly quotaTolerance: QuotaTolerance;
 };
 
 /** One decision, for logs and metrics. */
@@ -80,7 +81,7 @@
 	readonly #pools = new Map<string, Pool>();
 	readonly #poolByAsk = new Map<string, Pool>();
 	readonly #poolByUpstream = new Map<string, Pool>();
-	readonly #quotas = Quotas.create();
+	readonly #quotas: Quotas;
 	readonly #quarantine: Quarantine;
 	#table: RoutingTable | undefined;
 	#scope: Scope = {share: 1, quotaFullness: 1, isAlone: false};
@@ -89,6 +90,7 @@
 	private constructor(options: AllocatorOptions) {
 		super();
 		this.#options = options;
+		this.#quotas = Quotas.create(options.quotaTolerance);
 		this.#quarantine = Quarantine.create(options.nodeId);
 	}
 
--- a/src/allocation/quotas.ts
+++ b/src/allocation/quotas.ts
@@ -6,6 +6,21 @@
 
 const MS_PER_SECOND = 1000;
 
+/** How far a customer may go beyond its quota before the deployment objects. */
+export type QuotaTolerance = {
+	/** Part of rate and burst. */
+	readonly ratio: number;
+	/** Tokens, or requests, on top. */
+	readonly slack: number;
+};
+
+/**
+ * Parts of the tolerance that are used: serving a request that is still tolerated is better for its caller than refusing
+ * it. The rest covers what VMs grant while the allocator changes.
+ */
+const USED_RATIO = 0.7;
+const USED_SLACK = 0.55;
+
 type Bucket = {
 	quota: Quota;
 	tokens: number;
@@ -14,16 +29,17 @@
 
 /** A token bucket for each customer with a quota. Times in ms of the caller's monotonic clock. */
 export class Quotas {
-	static create(): Quotas {
-		return new Quotas();
+	static create(tolerance: QuotaTolerance): Quotas {
+		return new Quotas(tolerance);
 	}
 
+	readonly #tolerance: QuotaTolerance;
 	readonly #buckets = new Map<string, Bucket>();
 	/** The part of each quota that this process may grant: 1 for an allocator of all VMs. */
 	#share = 1;
 
-	private constructor() {
-		// Made by `create`.
+	private constructor(tolerance: QuotaTolerance) {
+		this.#tolerance = tolerance;
 	}
 
 	/**
@@ -42,11 +58,11 @@
 			if (quota === undefined) {
 				this.#buckets.delete(name);
 			} else if (bucket === undefined) {
-				this.#buckets.set(name, {quota, tokens: quota.burst * this.#share, filledAt: now});
+				this.#buckets.set(name, {quota, tokens: this.#capacity(quota), filledAt: now});
 			} else {
 				this.#fill(bucket, now);
 				bucket.quota = quota;
-				bucket.tokens = Math.min(bucket.tokens, quota.burst * this.#share);
+				bucket.tokens = Math.min(bucket.tokens, this.#capacity(quota));
 			}
 		}
 	}
@@ -76,9 +92,9 @@
 
 		this.#fill(bucket, now);
 		// A request above the whole burst passes a full bucket, or it would never run.
-		const needed = Math.min(cost, bucket.quota.burst * this.#share);
+		const needed = Math.min(cost, this.#capacity(bucket.quota));
 		if (bucket.tokens < needed) {
-			return Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / (bucket.quota.perSecond * this.#share));
+			return Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / this.#perSecond(bucket.quota));
 		}
 
 		bucket.tokens -= cost;
@@ -89,13 +105,21 @@
 	refund(customer: string | undefined, cost: number): void {
 		const bucket = customer === undefined ? undefined : this.#buckets.get(customer);
 		if (bucket !== undefined) {
-			bucket.tokens = Math.min(bucket.quota.burst * this.#share, bucket.tokens + cost);
+			bucket.tokens = Math.min(this.#capacity(bucket.quota), bucket.tokens + cost);
 		}
 	}
 
+	#capacity({burst}: Quota): number {
+		return ((burst * (1 + (USED_RATIO * this.#tolerance.ratio))) + (USED_SLACK * this.#tolerance.slack)) * this.#share;
+	}
+
+	#perSecond({perSecond}: Quota): number {
+		return perSecond * (1 + (USED_RATIO * this.#tolerance.ratio)) * this.#share;
+	}
+
 	#fill(bucket: Bucket, now: number): void {
 		const {quota} = bucket;
-		bucket.tokens = Math.min(quota.burst * this.#share, bucket.tokens + ((now - bucket.filledAt) * quota.perSecond * this.#share / MS_PER_SECOND));
+		bucket.tokens = Math.min(this.#capacity(quota), bucket.tokens + ((now - bucket.filledAt) * this.#perSecond(quota) / MS_PER_SECOND));
 		bucket.filledAt = now;
 	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import process from 'node:process';
 import {Allocator, type Decision} from '../allocation/allocator.js';
 import {type RepeatBounds} from '../allocation/repeat-budget.js';
+import {type QuotaTolerance} from '../allocation/quotas.js';
 import {SwitchedAllocation} from '../allocation/switched-allocation.js';
 import {type Clock} from '../base/clock.js';
 import {type Log, LogPrefix} from '../base/log.js';
@@ -36,6 +37,7 @@
 	readonly self: Member;
 	readonly seeds: readonly string[];
 	readonly repeatBounds: RepeatBounds;
+	readonly quotaTolerance: QuotaTolerance;
 	/** Time for a planned stop, in ms. */
 	readonly graceMs: number;
 	readonly reachesStore: () => boolean;
@@ -58,10 +60,12 @@
 
 	private constructor(options: GatewayOptions) {
 		this.#options = options;
-		const {clock, random, log, metrics, codec, self, repeatBounds} = options;
+		const {
+			clock, random, log, metrics, codec, self, repeatBounds, quotaTolerance,
+		} = options;
 		this.state = DeploymentState.create(log.part(LogPrefix.Config));
 		this.#allocator = Allocator.create({
-			clock, random, nodeId: self.boot, repeatBounds,
+			clock, random, nodeId: self.boot, repeatBounds, quotaTolerance,
 		});
 		this.#allocator.onDecision = decision => {
 			this.#logDecision(decision);
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -35,6 +35,8 @@
 const FIRST_CLAIM_MS = 400;
 /** How long an allocator may be without the store before a VM that reaches it takes over, in ms. */
 const WITHOUT_STORE_MS = 1500;
+/** A VM that lost the allocator watches the store itself after this time, in ms; mostly another allocates by then. */
+const WATCH_DELAY_MS = 700;
 /** Part of the known VMs that must be reached, running or not, before a VM may think that the allocator is gone. */
 const MIN_REACHED_SHARE = 0.25;
 /** Part of a burst that a new allocator may grant at once; the one before may have granted the rest just now. */
@@ -92,6 +94,7 @@
 	#lostBoot: string | undefined;
 	#leaderWithoutStoreSince: number | undefined;
 	#seekTimer: Timer | undefined;
+	#watchTimer: Timer | undefined;
 	#isSeeking = false;
 	#isStopped = false;
 	#isResigned = false;
@@ -158,6 +161,7 @@
 	stop(): void {
 		this.#isStopped = true;
 		this.#seekTimer?.cancel();
+		this.#watchTimer?.cancel();
 		this.#client?.close();
 		this.#host.stop();
 		this.#server.close();
@@ -205,14 +209,19 @@
 	}
 
 	#becomeAlone(): void {
-		const {allocator, allocation, state, onWatchNeeded} = this.#options;
+		const {
+			clock, allocator, allocation, state, onWatchNeeded,
+		} = this.#options;
 		this.#role = Role.Alone;
 		this.#closeClient();
 		const vms = state.members.length || ASSUMED_VMS;
 		allocator.restart({share: ALONE_SHARE / vms, quotaFullness: SUCCESSOR_FULLNESS, isAlone: true});
 		allocator.adopt(allocation.places);
 		allocation.use(allocator);
-		onWatchNeeded(true);
+		this.#watchTimer?.cancel();
+		this.#watchTimer = clock.setTimer(state.table === undefined ? 0 : WATCH_DELAY_MS, () => {
+			onWatchNeeded(this.#role !== Role.Linked);
+		});
 		this.#seekSoon(0);
 	}
 
@@ -243,6 +252,7 @@
 		this.#lostBoot = undefined;
 		this.#leaderWithoutStoreSince = undefined;
 		this.#seekTimer?.cancel();
+		this.#watchTimer?.cancel();
 		log.info('Linked to the allocator.', {vm: leader.name, term: leader.term});
 		allocation.use(client);
 		onWatchNeeded(false);
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -118,7 +118,7 @@
 		const state = DeploymentState.create(log);
 		const random = Random.create(strength);
 		const allocator = Allocator.create({
-			clock, random, nodeId: name, repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000},
+			clock, random, nodeId: name, repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0},
 		});
 		state.listen({
 			onUpstreams(changes) {
@@ -262,7 +262,7 @@
 		await startVm('middle', 20);
 		await startVm('weak', 1);
 		const first = await settled(3);
-		const expected = vms.filter(vm => vm !== first)[0]!;
+		const expected = vms.find(vm => vm !== first)!;
 		kill(first);
 		expect(await settled(2)).to.equal(expected);
 	});
