--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -39,10 +39,14 @@
 const WATCH_DELAY_MS = 700;
 /** Part of the known VMs that must be reached, running or not, before a VM may think that the allocator is gone. */
 const MIN_REACHED_SHARE = 0.25;
-/** Part of a burst that a new allocator may grant at once; the one before may have granted the rest just now. */
-const SUCCESSOR_FULLNESS = 0.25;
+/** Part of a quota's burst that a new allocator may grant at once; the one before may have granted the rest just now. */
+const SUCCESSOR_FULLNESS = 0.1;
 /** Part of a VM's even share of the quotas that it grants alone; the allocator may still grant the whole quota. */
 const ALONE_SHARE = 0.5;
+/** Part of that share's burst that it may grant at once. */
+const ALONE_FULLNESS = 0.5;
+/** How long requests wait for the allocator after the start of a process, in ms, before the VM decides alone. */
+const FIRST_LINK_MS = 350;
 /** VMs that are assumed where none is known. */
 const ASSUMED_VMS = 8;
 
@@ -95,6 +99,9 @@
 	#leaderWithoutStoreSince: number | undefined;
 	#seekTimer: Timer | undefined;
 	#watchTimer: Timer | undefined;
+	#aloneTimer: Timer | undefined;
+	/** An allocation was in use since the start of the process. */
+	#hasDecided = false;
 	#isSeeking = false;
 	#isStopped = false;
 	#isResigned = false;
@@ -162,6 +169,7 @@
 		this.#isStopped = true;
 		this.#seekTimer?.cancel();
 		this.#watchTimer?.cancel();
+		this.#aloneTimer?.cancel();
 		this.#client?.close();
 		this.#host.stop();
 		this.#server.close();
@@ -215,9 +223,9 @@
 		this.#role = Role.Alone;
 		this.#closeClient();
 		const vms = state.members.length || ASSUMED_VMS;
-		allocator.restart({share: ALONE_SHARE / vms, quotaFullness: SUCCESSOR_FULLNESS, isAlone: true});
+		allocator.restart({share: ALONE_SHARE / vms, quotaFullness: ALONE_FULLNESS, isAlone: true});
 		allocator.adopt(allocation.places);
-		allocation.use(allocator);
+		this.#decideAlone();
 		this.#watchTimer?.cancel();
 		this.#watchTimer = clock.setTimer(state.table === undefined ? 0 : WATCH_DELAY_MS, () => {
 			onWatchNeeded(this.#role !== Role.Linked);
@@ -231,6 +239,7 @@
 		this.#closeClient();
 		this.#leader = leader;
 		this.#seekTimer?.cancel();
+		this.#hasDecided = true;
 		allocator.restart({share: 1, quotaFullness: SUCCESSOR_FULLNESS, isAlone: false});
 		allocator.adopt(allocation.places);
 		allocation.use(allocator);
@@ -254,10 +263,28 @@
 		this.#seekTimer?.cancel();
 		this.#watchTimer?.cancel();
 		log.info('Linked to the allocator.', {vm: leader.name, term: leader.term});
+		this.#hasDecided = true;
 		allocation.use(client);
 		onWatchNeeded(false);
 	}
 
+	/** Decides for this VM's own requests; at the start of the process after a short wait for the allocator. */
+	#decideAlone(): void {
+		const {clock, allocation, allocator} = this.#options;
+		this.#aloneTimer?.cancel();
+		if (this.#hasDecided) {
+			allocation.use(allocator);
+			return;
+		}
+
+		this.#aloneTimer = clock.setTimer(FIRST_LINK_MS, () => {
+			if (this.#role === Role.Alone) {
+				this.#hasDecided = true;
+				allocation.use(allocator);
+			}
+		});
+	}
+
 	#closeClient(): void {
 		const client = this.#client;
 		this.#client = undefined;
