Cheaper and smoother change of the allocating VM

Now the strongest VM claims first, lists of VMs go as changes, an allocator without the store is replaced after 0.25 s, and a planned stop hands over.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -25,6 +25,8 @@
  * at once and comes back: the expectation is right within a factor of two.
  */
 const MAX_WAIT_SHARE = 0.6;
+/** How long a VM that decides alone keeps a request beyond its share of a quota, in ms. */
+const ALONE_QUOTA_WAIT_MS = 500;
 /** Shortest Retry-After, in ms: some queue lengths pass within it. */
 const MIN_RETRY_AFTER_MS = 100;
 /** Where no upstream is known, in ms; a successor registers within about a second. */
@@ -83,6 +85,8 @@
 	readonly #poolByUpstream = new Map<string, Pool>();
 	readonly #quotas: Quotas;
 	readonly #quarantine: Quarantine;
+	/** Asks beyond this VM's share of a quota. */
+	readonly #heldBack = new Map<string, Timer>();
 	#table: RoutingTable | undefined;
 	#scope: Scope = {share: 1, quotaFullness: 1, isAlone: false};
 	#timer: Timer | undefined;
@@ -134,6 +138,11 @@
 		this.#scope = scope;
 		this.#quotas.restart(scope.share, scope.quotaFullness, now);
 		this.#poolByAsk.clear();
+		for (const timer of this.#heldBack.values()) {
+			timer.cancel();
+		}
+
+		this.#heldBack.clear();
 		for (const pool of this.#pools.values()) {
 			pool.clear();
 		}
@@ -192,6 +201,12 @@
 			ask, events, askedAt: now, objectiveAt: now + ask.objectiveMs, deadlineAt: now + ask.remainingMs, leavesAt: now + ask.patienceMs,
 		};
 		const refusal = this.#findRefusal(pool, waiting, now);
+		if (refusal?.kind === ErrorKind.RateLimited && this.#scope.isAlone && ask.patienceMs > ALONE_QUOTA_WAIT_MS) {
+			// The allocator of all VMs, which knows what is left of the quota, mostly decides within this time.
+			this.#holdBack(ask, events);
+			return;
+		}
+
 		if (refusal !== undefined) {
 			this.#refuse(pool, waiting, refusal.kind, refusal.retryAfterMs);
 			return;
@@ -204,6 +219,8 @@
 	}
 
 	withdraw(askId: string): void {
+		this.#heldBack.get(askId)?.cancel();
+		this.#heldBack.delete(askId);
 		const pool = this.#poolByAsk.get(askId);
 		const waiting = pool?.waiting.get(askId);
 		if (pool !== undefined && waiting !== undefined) {
@@ -245,6 +262,19 @@
 		}
 	}
 
+	#holdBack(ask: Ask, events: AskEvents): void {
+		const {clock} = this.#options;
+		this.#heldBack.set(ask.id, clock.setTimer(ALONE_QUOTA_WAIT_MS, () => {
+			this.#heldBack.delete(ask.id);
+			this.ask({
+				...ask,
+				objectiveMs: ask.objectiveMs - ALONE_QUOTA_WAIT_MS,
+				remainingMs: ask.remainingMs - ALONE_QUOTA_WAIT_MS,
+				patienceMs: Math.min(ALONE_QUOTA_WAIT_MS, ask.patienceMs - ALONE_QUOTA_WAIT_MS),
+			}, events);
+		}));
+	}
+
 	#findRefusal(pool: Pool, waiting: Waiting, now: number): {kind: ErrorKind; retryAfterMs: number} | undefined {
 		const {ask} = waiting;
 		if (this.#quarantine.standing(ask.fingerprint, now) === SuspectStanding.Quarantined) {
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -28,6 +28,11 @@
 const PAUSE_SHARE = 0.7;
 /** Weight of the whole time against the time to the first event: a place that is held for longer serves fewer. */
 const TOTAL_WEIGHT = 0.12;
+/**
+ * Requests that wait at a full engine, so that its next free slot is used at once: between an answer's end and the next
+ * request's arrival lie up to five ways between regions, a tenth of a usual answer's time.
+ */
+const AHEAD_PLACES = 1;
 /** A load that an upstream told says nothing about other VMs' requests after this time, in ms. */
 const LOAD_LIFETIME_MS = 1200;
 
@@ -185,7 +190,7 @@
 	/** @returns Whether some upstream has a free place. */
 	hasFree(now: number): boolean {
 		for (const station of this.stations.values()) {
-			if (isFree(station, now)) {
+			if (isFree(station, now, 0)) {
 				return true;
 			}
 		}
@@ -240,13 +245,18 @@
 			return undefined;
 		}
 
-		const free = [...this.stations.values()].filter(station => isFree(station, now));
+		const free = this.#free(now);
 		if (free.length === 0) {
 			return undefined;
 		}
 
+		let leastRank = 0;
+		for (const {ask} of this.waiting.values()) {
+			leastRank = Math.max(leastRank, ask.rank);
+		}
+
 		for (const waiting of this.#ordered(now)) {
-			const grant = this.#choose(waiting, free, now);
+			const grant = this.#choose(waiting, free, now, leastRank);
 			if (grant !== undefined) {
 				return grant;
 			}
@@ -255,10 +265,18 @@
 		return undefined;
 	}
 
-	#choose(waiting: Waiting, free: readonly Station[], now: number): Grant | undefined {
+	/** Upstreams with a free place; where there is none, engines that take one request ahead. */
+	#free(now: number): Station[] {
+		const stations = [...this.stations.values()];
+		const free = stations.filter(station => isFree(station, now, 0));
+		return free.length > 0 || !this.#pace.isEngine ? free : stations.filter(station => isFree(station, now, AHEAD_PLACES));
+	}
+
+	#choose(waiting: Waiting, free: readonly Station[], now: number, leastRank: number): Grant | undefined {
 		const {ask} = waiting;
 		// Work that can be on time somewhere waits for such a place rather than taking one where it would be late.
-		const mustBeOnTime = !this.#isLate(waiting, now) && free.length < this.stations.size;
+		const isLate = this.#isLate(waiting, now);
+		const mustBeOnTime = !isLate && free.length < this.stations.size;
 		let best: Grant | undefined;
 		let bestCost = Number.POSITIVE_INFINITY;
 		for (const station of free) {
@@ -266,7 +284,11 @@
 				continue;
 			}
 
-			const expectedFirstMs = station.pace.firstMs(ask.promptTokens, this.pendingPromptTokens(station));
+			const expectedFirstMs = this.#slotWaitMs(station, ask) + station.pace.firstMs(ask.promptTokens, this.pendingPromptTokens(station));
+			if (station.held.size >= station.upstream.slots && (isLate || ask.rank >= leastRank)) {
+				continue;
+			}
+
 			if (mustBeOnTime && now + expectedFirstMs > waiting.objectiveAt) {
 				continue;
 			}
@@ -281,6 +303,11 @@
 		return best;
 	}
 
+	/** @returns Expected ms until a full engine has a slot for one more request. */
+	#slotWaitMs({held, upstream, pace}: Station, ask: Ask): number {
+		return held.size < upstream.slots ? 0 : pace.factor * this.serviceMs(ask) / upstream.slots;
+	}
+
 	#cost(ask: Ask, station: Station, expectedFirstMs: number, now: number): number {
 		const {upstream, pace, standing, held} = station;
 		let cost = expectedFirstMs + (TOTAL_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}));
@@ -329,7 +356,8 @@
 	}
 }
 
-function isFree(station: Station, now: number): boolean {
+/** @param ahead - Requests beyond the slots that may wait at the upstream. */
+function isFree(station: Station, now: number, ahead: number): boolean {
 	const {upstream, standing, held} = station;
 	if (upstream.isLeaving || standing.isPaused(now)) {
 		return false;
@@ -340,5 +368,5 @@
 	}
 
 	const others = now - station.othersAt < LOAD_LIFETIME_MS ? station.othersLoad : 0;
-	return held.size + others < upstream.slots;
+	return held.size + others < upstream.slots + ahead;
 }
--- a/src/allocation/switched-allocation.ts
+++ b/src/allocation/switched-allocation.ts
@@ -47,12 +47,8 @@
 		return places;
 	}
 
-	/** Uses another allocation from now on, which has been told the held places; waiting requests ask it again. */
+	/** Uses an allocation that was started anew and told the held places; waiting requests ask it again. */
 	use(allocation: Allocation): void {
-		if (this.#current === allocation) {
-			return;
-		}
-
 		const before = this.#current;
 		this.#current = allocation;
 		const now = this.#clock.now();
--- a/src/gateway/deployment-state.ts
+++ b/src/gateway/deployment-state.ts
@@ -84,6 +84,12 @@
 		}
 	}
 
+	/** Takes VMs that joined or changed, and names of VMs that left. */
+	applyMembers(changed: readonly Member[], removed: readonly string[]): void {
+		const names = new Set([...removed, ...changed.map(member => member.name)]);
+		this.setMembers([...this.#members.filter(member => !names.has(member.name)), ...changed]);
+	}
+
 	setMembers(members: readonly Member[]): void {
 		const before = new Set(this.#members.map(member => member.boot));
 		const after = new Set(members.map(member => member.boot));
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -31,10 +31,18 @@
 const RANK_DELAY_MS = 120;
 /** Longest wait of a weak VM, in ms. */
 const MAX_RANK_DELAY_MS = 1500;
-/** Longest wait where no other VM is known, in ms; the strongest VMs wait least. */
-const FIRST_CLAIM_MS = 400;
+/** Unit of the wait where no other VM is known, in ms; the strongest VMs wait about one, the weakest five. */
+const FIRST_CLAIM_MS = 110;
+const WEAKEST_STRENGTH = 0.25;
+/** An allocator leaves its place to a VM that is this many times stronger, once it has allocated for a while. */
+const MUCH_STRONGER = 1.8;
+const HAND_OVER_AFTER_MS = 2500;
+/** Time for a successor to take over at a planned stop, in ms. */
+const HAND_OVER_MS = 500;
 /** How long an allocator may be without the store before a VM that reaches it takes over, in ms. */
-const WITHOUT_STORE_MS = 1500;
+const WITHOUT_STORE_MS = 250;
+/** Time between two attempts of a VM to replace such an allocator, in ms; each needs a call to the store. */
+const REPLACE_AGAIN_MS = 2000;
 /** A VM that lost the allocator watches the store itself after this time, in ms; mostly another allocates by then. */
 const WATCH_DELAY_MS = 700;
 /** Part of the known VMs that must be reached, running or not, before a VM may think that the allocator is gone. */
@@ -97,6 +105,7 @@
 	/** Boot of an allocator that was lost or could not be reached. */
 	#lostBoot: string | undefined;
 	#leaderWithoutStoreSince: number | undefined;
+	#replaceTriedAt = Number.NEGATIVE_INFINITY;
 	#seekTimer: Timer | undefined;
 	#watchTimer: Timer | undefined;
 	#aloneTimer: Timer | undefined;
@@ -160,8 +169,13 @@
 		this.#isResigned = true;
 		if (this.#role === Role.Leading) {
 			this.#options.log.info('Resigned as the allocator.');
-			this.#host.stop();
-			this.#becomeAlone();
+			const canWait = this.#host.handOver(0);
+			this.#options.clock.setTimer(canWait ? HAND_OVER_MS : 0, () => {
+				if (this.#role === Role.Leading) {
+					this.#host.stop();
+					this.#becomeAlone();
+				}
+			});
 		}
 	}
 
@@ -222,7 +236,7 @@
 		} = this.#options;
 		this.#role = Role.Alone;
 		this.#closeClient();
-		const vms = state.members.length || ASSUMED_VMS;
+		const vms = this.#vmCount();
 		allocator.restart({share: ALONE_SHARE / vms, quotaFullness: ALONE_FULLNESS, isAlone: true});
 		allocator.adopt(allocation.places);
 		this.#decideAlone();
@@ -246,6 +260,11 @@
 		log.info('This VM allocates.', {term: leader.term});
 		onWatchNeeded(true);
 		this.#host.start(leader);
+		this.#options.clock.setTimer(HAND_OVER_AFTER_MS, () => {
+			if (this.#role === Role.Leading && this.#leader === leader) {
+				this.#host.handOver(this.#self.strength * MUCH_STRONGER);
+			}
+		});
 		for (const {linkAddress, name} of this.#options.state.members) {
 			if (name !== this.#self.name) {
 				void this.#tell(linkAddress, {kind: 'leading', leader});
@@ -355,24 +374,35 @@
 	async #claimLater(term: number, delayMs: number): Promise<void> {
 		const {clock, register, log} = this.#options;
 		await clock.sleep(delayMs);
-		if (this.#role === Role.Linked || this.#isStopped || this.#isResigned || (this.#leader?.term ?? 0) > term) {
+		if (this.#isStopped || this.#isResigned || (this.#leader?.term ?? 0) > term) {
 			return;
 		}
 
-		const {name, linkAddress, boot} = this.#self;
-		const claimed = await register.claim({name, linkAddress, boot}, term);
+		const claimed = await register.claim(this.#candidate(), term);
 		if (claimed.isErr) {
 			log.warn('Cannot take over as the allocator.', {err: claimed.error.detail});
 			return;
 		}
 
-		if (claimed.value.boot === boot) {
+		if (claimed.value.boot === this.#self.boot) {
 			this.#becomeLeading(claimed.value);
 		} else {
 			this.noteLeader(claimed.value);
 		}
 	}
 
+	#candidate(): Omit<Leader, 'term'> {
+		const {name, linkAddress, boot} = this.#self;
+		return {
+			name, linkAddress, boot, vmCount: this.#vmCount(),
+		};
+	}
+
+	#vmCount(): number {
+		const {length} = this.#options.state.members;
+		return length > 0 ? length : this.#leader?.vmCount ?? ASSUMED_VMS;
+	}
+
 	#noteLost(boot: string): void {
 		if (this.#lostBoot !== boot) {
 			this.#lostBoot = boot;
@@ -392,12 +422,17 @@
 		return !sights.includes(true) && reached >= MIN_REACHED_SHARE * others.length;
 	}
 
+	/** Where no other VM is known: the stronger, the sooner, and a little by chance. */
 	#firstClaimDelay(): number {
-		return (FIRST_CLAIM_MS / (1 + this.#self.strength)) + (this.#options.random.next() * FIRST_CLAIM_MS);
+		return FIRST_CLAIM_MS * ((1 / (WEAKEST_STRENGTH + this.#self.strength)) + this.#options.random.next());
 	}
 
 	/** Stronger VMs go first; VMs that are known to be gone are left out. */
 	#rankDelay(leader: Leader): number {
+		if (this.#options.state.members.length === 0) {
+			return this.#firstClaimDelay();
+		}
+
 		const {strength, name} = this.#self;
 		const stronger = this.#options.state.members.filter(member => member.boot !== leader.boot
 			&& (member.strength > strength || (member.strength === strength && member.name < name)));
@@ -502,7 +537,20 @@
 			}
 
 			case 'members': {
-				state.setMembers(message.members);
+				if (message.isWhole) {
+					state.setMembers(message.changed);
+				} else {
+					state.applyMembers(message.changed, message.removed);
+				}
+
+				break;
+			}
+
+			case 'take-over': {
+				if (this.#leader !== undefined) {
+					void this.#claimLater(this.#leader.term, 0);
+				}
+
 				break;
 			}
 
@@ -551,11 +599,16 @@
 		if (this.#leaderWithoutStoreSince === undefined) {
 			this.#leaderWithoutStoreSince = now;
 			// Changes must come into force here, whatever becomes of the allocator.
-			onWatchNeeded(true);
+			this.#watchTimer?.cancel();
+			this.#watchTimer = clock.setTimer(WATCH_DELAY_MS, () => {
+				if (this.#leaderWithoutStoreSince !== undefined) {
+					onWatchNeeded(true);
+				}
+			});
 		}
 
-		if (now - this.#leaderWithoutStoreSince >= WITHOUT_STORE_MS) {
-			this.#leaderWithoutStoreSince = now;
+		if (now - this.#leaderWithoutStoreSince >= WITHOUT_STORE_MS && now - this.#replaceTriedAt >= REPLACE_AGAIN_MS) {
+			this.#replaceTriedAt = now;
 			void this.#replace();
 		}
 	}
@@ -583,9 +636,8 @@
 			return;
 		}
 
-		const {name, linkAddress, boot} = this.#self;
-		const claimed = await register.claim({name, linkAddress, boot}, read.value.term);
-		if (claimed.isOk && claimed.value.boot === boot) {
+		const claimed = await register.claim(this.#candidate(), read.value.term);
+		if (claimed.isOk && claimed.value.boot === this.#self.boot) {
 			log.warn('The allocator does not reach the store; this VM takes over.', {before: leader.name});
 			this.#becomeLeading(claimed.value);
 		}
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -17,9 +17,11 @@
 /** Silence after which a VM counts as gone, in ms: several of its beats, and a pause of a throttled processor. */
 const VM_SILENCE_MS = 1200;
 /** Changes of the member list are told together, in ms. */
-const MEMBERS_DELAY_MS = 60;
+const MEMBERS_DELAY_MS = 80;
 /** Time between two lists of learnt paces, in ms; a successor works well with ones that are seconds old. */
-const PACES_MS = 2000;
+const PACES_MS = 3000;
+/** VMs that get the list: the ones that would take over. */
+const SUCCESSORS = 4;
 
 /** What the host works with. */
 export type LeaderHostOptions = {
@@ -37,6 +39,8 @@
 	readonly asks: Set<string>;
 	heardAt: number;
 	sentAt: number;
+	/** It was told the whole list of VMs. */
+	knowsMembers: boolean;
 };
 
 /** All links. */
@@ -85,7 +89,7 @@
 		const {clock, state, allocator, log} = this.#options;
 		const now = clock.now();
 		const link: Link = {
-			member: hello.member, channel, asks: new Set(hello.places.map(({ask}) => ask.id)), heardAt: now, sentAt: now,
+			member: hello.member, channel, asks: new Set(hello.places.map(({ask}) => ask.id)), heardAt: now, sentAt: now, knowsMembers: false,
 		};
 		this.#links.set(channel, link);
 		allocator.adopt(hello.places);
@@ -184,15 +188,49 @@
 
 	/** Tells all VMs who is there. */
 	publishMembers(): void {
-		const {clock, state, self} = this.#options;
+		const {clock, self} = this.#options;
 		this.#membersTimer ??= clock.setTimer(MEMBERS_DELAY_MS, () => {
 			this.#membersTimer = undefined;
-			const members = [self(), ...[...this.#links.values()].map(link => link.member)];
-			state.setMembers(members);
-			this.#broadcast({kind: 'members', members});
+			this.#tellMembers([self(), ...[...this.#links.values()].map(link => link.member)]);
 		});
 	}
 
+	/** Asks the strongest VM that takes callers to allocate in place of this one; returns false where there is none. */
+	handOver(minStrength: number): boolean {
+		const successor = this.#strongest().find(link => link.member.isReady && link.member.strength >= minStrength);
+		if (successor !== undefined) {
+			this.#send(successor, {kind: 'take-over'});
+		}
+
+		return successor !== undefined;
+	}
+
+	#strongest(): Link[] {
+		return [...this.#links.values()].sort((a, b) => b.member.strength - a.member.strength || (a.member.name < b.member.name ? -1 : 1));
+	}
+
+	/** Tells changes of the list to VMs that know it, and the whole list to the others. */
+	#tellMembers(members: readonly Member[]): void {
+		const {state} = this.#options;
+		const before = new Map(state.members.map(member => [member.name, member]));
+		const names = new Set(members.map(member => member.name));
+		const changed = members.filter(member => !isSameMember(before.get(member.name), member));
+		const removed = [...before.keys()].filter(name => !names.has(name));
+		state.setMembers(members);
+		for (const link of this.#links.values()) {
+			if (!link.knowsMembers) {
+				link.knowsMembers = true;
+				this.#send(link, {
+					kind: 'members', isWhole: true, changed: members, removed: [],
+				});
+			} else if (changed.length + removed.length > 0) {
+				this.#send(link, {
+					kind: 'members', isWhole: false, changed, removed,
+				});
+			}
+		}
+	}
+
 	#ask(link: Link, ask: Extract<ToLeader, {kind: 'ask'}>['ask']): void {
 		link.asks.add(ask.id);
 		this.#options.allocator.ask(ask, {
@@ -223,7 +261,10 @@
 		const sendsPaces = now - this.#pacesAt >= PACES_MS;
 		if (sendsPaces) {
 			this.#pacesAt = now;
-			this.#broadcast({kind: 'paces', paces: [...allocator.paces]});
+			const paces = [...allocator.paces];
+			for (const link of this.#strongest().slice(0, SUCCESSORS)) {
+				this.#send(link, {kind: 'paces', paces});
+			}
 		}
 
 		for (const link of this.#links.values()) {
@@ -250,3 +291,7 @@
 		link.channel.send(message);
 	}
 }
+
+function isSameMember(a: Member | undefined, b: Member): boolean {
+	return a?.boot === b.boot && a.isReady === b.isReady;
+}
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -30,6 +30,8 @@
 	readonly boot: string;
 	/** Rises with each change of the allocator. */
 	readonly term: number;
+	/** VMs that the allocator knew of when it took over; a VM that starts anew knows of none. */
+	readonly vmCount: number;
 };
 
 /** From a VM to the allocator. */
@@ -53,7 +55,10 @@
 	| {readonly kind: 'grant'; readonly id: string; readonly upstreamId: string}
 	| {readonly kind: 'refuse'; readonly id: string; readonly error: ErrorKind; readonly retryAfterMs: number}
 	| {readonly kind: 'upstreams'; readonly isWhole: boolean; readonly changed: readonly Upstream[]; readonly removed: readonly string[]}
-	| {readonly kind: 'members'; readonly members: readonly Member[]}
+	/** VMs that joined or changed, and names of those that left; `isWhole` starts a new list. */
+	| {readonly kind: 'members'; readonly isWhole: boolean; readonly changed: readonly Member[]; readonly removed: readonly string[]}
+	/** The receiver should allocate from now on. */
+	| {readonly kind: 'take-over'}
 	/** A version of the configuration is in the store; VMs read it there. */
 	| {readonly kind: 'version'; readonly version: number}
 	| {readonly kind: 'configuration'; readonly configuration: Configuration}
