--- /dev/null
+++ b/standins/platform-store.ts
@@ -0,0 +1,199 @@
+/**
+ * Stand-in of the users' store: rows with versions, conditional writes, a feed of changes, and faults.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {clearTimeout, setTimeout} from 'node:timers';
+
+type Row = {table: string; part: string; key: string; value: string; ver: number; tombstone?: boolean};
+type Change = Omit<Row, 'ver' | 'tombstone'>;
+type Condition = {table: string; part: string; key: string; ver: number};
+type Transaction = {expectedRev: Condition[]; put: Change[]; delete: Array<Omit<Change, 'value'>>};
+type Waiter = {readonly check: () => boolean};
+
+/** How the store treats calls. */
+export const StoreMood = {
+	Well: 'well',
+	/** Answers 503. */
+	Busy: 'busy',
+	/** Never answers. */
+	Silent: 'silent',
+	/** Does what is asked and loses the answer. */
+	LosesAnswers: 'loses-answers',
+} as const;
+
+export type StoreMood = (typeof StoreMood)[keyof typeof StoreMood];
+
+/** The store. */
+export class PlatformStore {
+	static async start(): Promise<PlatformStore> {
+		const store = new PlatformStore();
+		await new Promise<void>(resolve => {
+			store.#server.listen(0, '127.0.0.1', resolve);
+		});
+		return store;
+	}
+
+	mood: StoreMood = StoreMood.Well;
+	/** Calls that arrived. */
+	calls = 0;
+	readonly #server: Server;
+	readonly #rows = new Map<string, Row>();
+	readonly #waiters = new Set<Waiter>();
+	#version = 0;
+	#forgottenUpTo = 0;
+
+	private constructor() {
+		this.#server = createServer((req, res) => {
+			void this.#serve(req, res);
+		});
+	}
+
+	get address(): string {
+		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	/** Writes a row as the operator or a server does. */
+	put(table: string, key: string, value: unknown): void {
+		this.#write([{
+			table, part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64'),
+		}], []);
+	}
+
+	delete(table: string, key: string): void {
+		this.#write([], [{table, part: '', key}]);
+	}
+
+	/** Forgets what changed up to now. */
+	compact(): void {
+		this.#forgottenUpTo = this.#version;
+	}
+
+	close(): void {
+		this.#server.closeAllConnections();
+		this.#server.close();
+	}
+
+	async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		this.calls += 1;
+		let body = '';
+		for await (const chunk of req) {
+			body += String(chunk);
+		}
+
+		if (this.mood === StoreMood.Silent) {
+			return;
+		}
+
+		if (this.mood === StoreMood.Busy) {
+			answer(res, 503, {});
+			return;
+		}
+
+		const url = new URL(req.url!, 'http://store');
+		const query = url.searchParams;
+		switch (url.pathname) {
+			case '/api/rows-get': {
+				const table = query.get('table')!;
+				const from = query.get('from') ?? '';
+				const to = query.get('to') ?? undefined;
+				const rows = [...this.#rows.values()].filter(row => row.table === table && row.tombstone !== true && row.key >= from && (to === undefined || row.key < to));
+				answer(res, 200, {rows: rows.sort((a, b) => a.key < b.key ? -1 : 1), hasMore: false, ver: this.#version});
+				break;
+			}
+
+			case '/api/rows-feed': {
+				this.#feed(query, res);
+				break;
+			}
+
+			case '/api/rows-tx': {
+				this.#transact(JSON.parse(body) as Transaction, res);
+				break;
+			}
+
+			default: {
+				answer(res, 404, {});
+			}
+		}
+	}
+
+	#feed(query: URLSearchParams, res: ServerResponse): void {
+		const after = Number(query.get('after'));
+		if (after < this.#forgottenUpTo) {
+			answer(res, 410, {});
+			return;
+		}
+
+		const table = query.get('table');
+		const waiter: Waiter = {
+			check: () => {
+				const rows = [...this.#rows.values()].filter(row => row.table === table && row.ver > after).sort((a, b) => a.ver - b.ver);
+				if (rows.length > 0) {
+					answer(res, 200, {rows, ver: this.#version});
+				}
+
+				return rows.length > 0;
+			},
+		};
+		if (waiter.check()) {
+			return;
+		}
+
+		this.#waiters.add(waiter);
+		const timer = setTimeout(() => {
+			if (this.#waiters.delete(waiter)) {
+				answer(res, 200, {rows: [], ver: this.#version});
+			}
+		}, Number(query.get('waitMs')));
+		res.once('close', () => {
+			clearTimeout(timer);
+			this.#waiters.delete(waiter);
+		});
+	}
+
+	#transact({expectedRev, put, delete: dropped}: Transaction, res: ServerResponse): void {
+		const isMet = expectedRev.every(({table, part, key, ver}) => {
+			const row = this.#rows.get(rowId(table, part, key));
+			return (row === undefined || row.tombstone === true ? 0 : row.ver) === ver;
+		});
+		if (isMet) {
+			this.#write(put, dropped);
+		}
+
+		if (this.mood !== StoreMood.LosesAnswers) {
+			answer(res, isMet ? 200 : 412, {ver: this.#version});
+		}
+	}
+
+	#write(put: readonly Change[], dropped: ReadonlyArray<Omit<Change, 'value'>>): void {
+		this.#version += 1;
+		for (const change of put) {
+			this.#rows.set(rowId(change.table, change.part, change.key), {...change, ver: this.#version});
+		}
+
+		for (const change of dropped) {
+			this.#rows.set(rowId(change.table, change.part, change.key), {
+				...change, value: '', ver: this.#version, tombstone: true,
+			});
+		}
+
+		for (const waiter of this.#waiters) {
+			if (waiter.check()) {
+				this.#waiters.delete(waiter);
+			}
+		}
+	}
+}
+
+function rowId(table: string, part: string, key: string): string {
+	return JSON.stringify([table, part, key]);
+}
+
+function answer(res: ServerResponse, status: number, body: unknown): void {
+	res.writeHead(status, {'content-type': 'application/json'});
+	res.end(JSON.stringify(body));
+}
