--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -84,7 +84,7 @@
 	/** Ends the process and waits for it. */
 	async end(signal: NodeJS.Signals): Promise<void> {
 		const {child} = this;
-		if (child !== undefined && child.exitCode === null && child.signalCode === null) {
+		if (child?.exitCode === null && child.signalCode === null) {
 			const ended = once(child, 'exit');
 			child.kill(signal);
 			await ended;
@@ -244,7 +244,7 @@
 			for (const run of server.runs) {
 				executions.set(run.id, (executions.get(run.id) ?? 0) + 1);
 				const asked = this.#asked.get(run.id);
-				this.#check(asked !== undefined && asked.target === run.target && asked.body === run.body, `server ran ${run.id}, which nobody asked like this: ${run.method} ${run.target}`);
+				this.#check(asked?.target === run.target && asked.body === run.body, `server ran ${run.id}, which nobody asked like this: ${run.method} ${run.target}`);
 				this.#check(run.tenant === 'crew', `server ran ${run.id} for customer ${run.tenant}`);
 				this.#check(run.deadlineMs <= CALLER_LIMIT_MS + LIMIT_SLACK_MS, `server was given ${run.deadlineMs} ms for ${run.id}`);
 				this.#check(leftAt === undefined || run.at - leftAt < 2500, `${server.id} got ${run.id} ${Math.round(run.at - (leftAt ?? 0))} ms after it began to leave`);
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -54,9 +54,9 @@
 		run.deployment.store.compact();
 	},
 	async storeLink(run: Run) {
-		run.deployment.storeProxy.mood = run.random.pick([ProxyMood.Delay, ProxyMood.Silent, ProxyMood.OneWay, ProxyMood.Reset]);
+		run.deployment.storeProxy.setMood(run.random.pick([ProxyMood.Delay, ProxyMood.Silent, ProxyMood.OneWay, ProxyMood.Reset]));
 		await run.wait();
-		run.deployment.storeProxy.mood = ProxyMood.Pass;
+		run.deployment.storeProxy.setMood(ProxyMood.Pass);
 	},
 	async server(run: Run) {
 		const {server} = run.random.pick([...run.deployment.servers.values()]);
--- a/src/allocation/ask.ts
+++ b/src/allocation/ask.ts
@@ -10,6 +10,8 @@
 export type Ask = {
 	/** Unique over all VMs and their restarts. */
 	readonly id: string;
+	/** ID of the caller's request, for logs. */
+	readonly requestId: string;
 	readonly pool: string;
 	readonly customer: string | undefined;
 	/** Rank of the customer, where it has one, then of the route; 0 is the most important. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -153,6 +153,7 @@
 		this.#askedAt = now;
 		const ask: Ask = {
 			id: askId,
+			requestId: head.id,
 			pool,
 			customer,
 			rank,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -158,7 +158,7 @@
 
 	#logDecision({ask, waitedMs, waiting, upstreamId, expectedFirstMs, refusal}: Decision): void {
 		this.#options.log.part(LogPrefix.Allocation).info(refusal === undefined ? 'Place granted.' : 'Place refused.', {
-			ask: ask.id,
+			request: ask.requestId,
 			pool: ask.pool,
 			customer: ask.customer,
 			rank: ask.rank,
--- a/standins/tcp-proxy.ts
+++ b/standins/tcp-proxy.ts
@@ -50,7 +50,7 @@
 		return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
 	}
 
-	set mood(mood: ProxyMood) {
+	setMood(mood: ProxyMood): void {
 		this.#mood = mood;
 		if (mood === ProxyMood.Reset) {
 			for (const socket of this.#sockets) {
--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -35,6 +35,7 @@
 function makeAsk(id: string, changes: Partial<Ask> = {}): Ask {
 	return {
 		id,
+		requestId: id,
 		pool: 'advice',
 		customer: undefined,
 		rank: 0,
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -79,6 +79,7 @@
 function makeAsk(id: string): Ask {
 	return {
 		id,
+		requestId: id,
 		pool: 'advice',
 		customer: undefined,
 		rank: 0,
--- a/test/operations.test.ts
+++ b/test/operations.test.ts
@@ -36,7 +36,8 @@
 		const prefixes: string[] = Object.values(LogPrefix);
 		const toSet = (lines: readonly string[]) => [...new Set(lines)].toSorted((a, b) => a < b ? -1 : 1);
 		expect(firstCells(page, 'Log prefixes')).to.deep.equal(prefixes.toSorted());
-		const entries = await readdir('src', {recursive: true, withFileTypes: true});
+		const folders = await Promise.all(['src', 'platform'].map(async folder => readdir(folder, {recursive: true, withFileTypes: true})));
+		const entries = folders.flat();
 		const files = entries.filter(entry => entry.isFile() && entry.name.endsWith('.ts'));
 		const sources = await Promise.all(files.map(async file => readFile(path.join(file.parentPath, file.name), 'utf8')));
 		const code = sources.join('\n').replaceAll(String.raw`\'`, '\'');
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -97,10 +97,15 @@
 		expect(await deployment.call(vms[0]!, 'safe')).to.include({status: 500, body: 'failed'});
 	});
 
+	async function isServed(vm: VmProcess, prefix?: string): Promise<boolean> {
+		const {status} = await deployment.call(vm, 'safe', prefix);
+		return status === 200;
+	}
+
 	it('puts a new configuration in force at each VM, also while the store loses answers', async () => {
 		deployment.setConfiguration(['/new/']);
 		for (const vm of vms) {
-			await eventually(async () => (await deployment.call(vm, 'safe', '/new/')).status === 200, 100); // eslint-disable-line no-await-in-loop
+			await eventually(async () => isServed(vm, '/new/'), 100); // eslint-disable-line no-await-in-loop
 		}
 	});
 
@@ -116,7 +121,7 @@
 			/* eslint-disable no-await-in-loop -- one after the other */
 			await vm.end('SIGKILL');
 			const other = vms.find(one => one !== vm)!;
-			await eventually(async () => (await deployment.call(other, 'safe')).status === 200, 50);
+			await eventually(async () => isServed(other), 50);
 			vm.start();
 			await deployment.ready();
 			/* eslint-enable no-await-in-loop */
