--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -77,6 +77,11 @@
 		}
 	}
 
+	/** Whether the process ended although nobody ended it. */
+	get hasEndedByItself(): boolean {
+		return this.child !== undefined && (this.child.exitCode !== null || this.child.signalCode !== null);
+	}
+
 	signal(signal: NodeJS.Signals): void {
 		this.child?.kill(signal);
 	}
@@ -267,6 +272,13 @@
 		this.checks += 1;
 	}
 
+	/** Keeps what the processes wrote, for a finding. */
+	async saveLogs(): Promise<void> {
+		const folder = await mkdtemp(path.join(tmpdir(), 'redwingspool-finding-'));
+		await Promise.all(this.vms.map(async vm => writeFile(path.join(folder, `${vm.name}.log`), vm.log.join('\n'))));
+		console.error(`logs: ${folder}`);
+	}
+
 	async stop(): Promise<void> {
 		await Promise.all(this.vms.map(async vm => {
 			vm.signal('SIGCONT');
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -125,6 +125,11 @@
 		}
 
 		await Promise.all(pending);
+		for (const vm of this.deployment.vms.filter(one => one.hasEndedByItself)) {
+			this.deployment.noteViolation(`the process of ${vm.name} ended by itself`);
+			vm.start();
+		}
+
 		await this.#recover();
 		this.deployment.checkServers();
 	}
@@ -148,6 +153,7 @@
 		this.deployment.noteCheck();
 		if (served === 0) {
 			this.deployment.noteViolation(`not all VMs serve ${RECOVERY_MS} ms after the last fault`);
+			await this.deployment.saveLogs();
 		}
 	}
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -37,7 +37,7 @@
 		},
 	},
 	{
-		files: ['src/cli/**', 'src/main.ts', 'platform/main.ts', 'bench/**', 'scripts/**', 'soak/processes.ts', 'standins/*-main.ts'],
+		files: ['src/cli/**', 'src/main.ts', 'platform/program.ts', 'bench/**', 'scripts/**', 'soak/processes.ts', 'standins/*-main.ts'],
 		rules: {
 			// Commands end the process with their exit status.
 			'unicorn/no-process-exit': 'off',
