--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -6,7 +6,7 @@
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {Agent, type IncomingHttpHeaders, request} from 'node:http';
-import {type AddressInfo, createServer} from 'node:net';
+import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -29,6 +29,11 @@
 const LOG_LINES = 4000;
 const promises = new Set([408, 421, 429, 503]);
 
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 20_000;
+const LAST_PORT = 32_000;
+let nextPort = FIRST_PORT + ((process.pid * 37) % (LAST_PORT - FIRST_PORT));
+
 /** A kind of request. */
 export type CallKind = 'unsafe' | 'safe' | 'stream';
 
@@ -402,12 +407,26 @@
 	}
 }
 
+/** @returns A port that no outgoing connection is given, as a process listens there again after a restart. */
 async function freePort(): Promise<number> {
-	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return port;
+	for (;;) {
+		nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1;
+		if (await isFree(nextPort)) { // eslint-disable-line no-await-in-loop -- one port at a time
+			return nextPort;
+		}
+	}
+}
+
+async function isFree(port: number): Promise<boolean> {
+	return new Promise(resolve => {
+		const server = createServer();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
 }
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -159,7 +159,6 @@
 		this.deployment.noteCheck();
 		if (served === 0) {
 			this.deployment.noteViolation(`not all VMs serve ${RECOVERY_MS} ms after the last fault`);
-			await this.deployment.saveLogs();
 		}
 	}
 }
@@ -177,6 +176,10 @@
 			const run = await Run.create(seed); // eslint-disable-line no-await-in-loop -- runs follow each other
 			await run.play(Number(args.seconds)); // eslint-disable-line no-await-in-loop
 			const {deployment, injected} = run;
+			if (deployment.violations.length > 0) {
+				await deployment.saveLogs(); // eslint-disable-line no-await-in-loop
+			}
+
 			await deployment.stop(); // eslint-disable-line no-await-in-loop
 			violations += deployment.violations.length;
 			console.log(JSON.stringify({
