--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -410,9 +410,10 @@
 /** @returns A port that no outgoing connection is given, as a process listens there again after a restart. */
 async function freePort(): Promise<number> {
 	for (;;) {
-		nextPort = nextPort >= LAST_PORT ? FIRST_PORT : nextPort + 1;
-		if (await isFree(nextPort)) { // eslint-disable-line no-await-in-loop -- one port at a time
-			return nextPort;
+		const port = nextPort;
+		nextPort = port >= LAST_PORT ? FIRST_PORT : port + 1;
+		if (await isFree(port)) { // eslint-disable-line no-await-in-loop -- one port at a time
+			return port;
 		}
 	}
 }
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -45,6 +45,8 @@
 const REPLACE_AGAIN_MS = 2000;
 /** A VM that lost the allocator watches the store itself after this time, in ms; mostly another allocates by then. */
 const WATCH_DELAY_MS = 700;
+/** The same at the start of a process, in ms, which has no list of upstreams to go on with. */
+const FIRST_WATCH_DELAY_MS = 450;
 /** Part of the known VMs that must be reached, running or not, before a VM may think that the allocator is gone. */
 const MIN_REACHED_SHARE = 0.25;
 /** Part of a quota's burst that a new allocator may grant at once; the one before may have granted the rest just now. */
@@ -232,7 +234,7 @@
 
 	#becomeAlone(): void {
 		const {
-			clock, allocator, allocation, state, onWatchNeeded,
+			clock, allocator, allocation, onWatchNeeded,
 		} = this.#options;
 		this.#role = Role.Alone;
 		this.#closeClient();
@@ -241,7 +243,7 @@
 		allocator.adopt(allocation.places);
 		this.#decideAlone();
 		this.#watchTimer?.cancel();
-		this.#watchTimer = clock.setTimer(state.table === undefined ? 0 : WATCH_DELAY_MS, () => {
+		this.#watchTimer = clock.setTimer(this.#hasDecided ? WATCH_DELAY_MS : FIRST_WATCH_DELAY_MS, () => {
 			onWatchNeeded(this.#role !== Role.Linked);
 		});
 		this.#seekSoon(0);
