--- /dev/null
+++ b/test/platform/adapter.test.ts
@@ -0,0 +1,262 @@
+import {type IncomingMessage} from 'node:http';
+import {expect} from 'chai';
+import {SystemClock} from '../../src/base/clock.js';
+import {Log} from '../../src/base/log.js';
+import {type CallHead} from '../../src/gateway/call-codec.js';
+import {Operation} from '../../src/gateway/routing-table.js';
+import {HeaderCodec} from '../../platform/header-codec.js';
+import {LeaderRow} from '../../platform/leader-row.js';
+import {decodeManifest} from '../../platform/manifest.js';
+import {decodeServerEntry} from '../../platform/server-entry.js';
+import {StoreClient, type StoreRow} from '../../platform/store-client.js';
+import {StoreWatch} from '../../platform/store-watch.js';
+import {PlatformStore, StoreMood} from '../../standins/platform-store.js';
+import {eventually} from '../support/eventually.js';
+
+const route = {
+	name: 'r1', host: 'h', prefix: '/a/', kind: 'streaming', timeoutMs: 6000, targetLatencyMs: 600, priority: 1, service: 's1', maxAttempts: 2, public: false, sticky: true, resumable: true, gapTargetMs: 250,
+};
+const manifest = {
+	version: 7,
+	routes: [route, {
+		...route, name: 'r2', service: undefined, split: [{service: 's1', weight: 90}, {service: 's2', weight: 10}], kind: 'non_idempotent',
+	}],
+	services: [{name: 's1', maxConns: 10, engine: {slots: 5, stride: 3, unknown: true}}, {name: 's2', maxConns: 5}],
+	limits: {
+		maxHeaderBytes: 1, maxBodyBytes: 2, headerTimeoutMs: 3, idleTimeoutMs: 4,
+	},
+	tenants: [{
+		name: 't', apiKeys: ['k'], priority: 1, unit: 'tokens', plainTokens: 200, ratePerS: 100, burst: 50,
+	}, {
+		name: 'free', apiKeys: [], ratePerS: 0, burst: 0,
+	}],
+	unknown: {},
+};
+
+describe('adapter of the users\' platform', () => {
+	it('decodes a manifest, and tells what is wrong with one', () => {
+		const {routes, pools, customers} = decodeManifest(JSON.stringify(manifest)).unwrapOr(undefined as never);
+		expect(routes[0]).to.include({
+			operation: Operation.Stream, objectiveMs: 600, rank: 1, isResumable: true, maxPauseMs: 250,
+		});
+		expect(routes[1]).to.include({operation: Operation.Unsafe});
+		expect(routes[1]!.targets).to.deep.equal([{pool: 's1', weight: 90}, {pool: 's2', weight: 10}]);
+		expect(pools[0]).to.deep.equal({
+			name: 's1', slots: 5, maxConnections: 10, isEngine: true, tokensPerEvent: 3,
+		});
+		expect(customers[0]!.quota).to.deep.equal({
+			perSecond: 100, burst: 50, isInTokens: true, plainTokens: 200,
+		});
+		expect(customers[1]!.quota).to.equal(undefined);
+		expect(decodeManifest('{').isErr).to.equal(true);
+		expect(decodeManifest(JSON.stringify({...manifest, routes: [{...route, timeoutMs: 'x'}]})).isErr).to.equal(true);
+	});
+
+	it('takes only whole entries of servers', () => {
+		const entry = {
+			service: 's', address: '10.0.0.1:80', zone: 'z', slots: 4, state: 'ready', born: 9, sequence: 1, coldLeftMs: 0,
+		};
+		const decode = (value: unknown) => decodeServerEntry({key: 'i-1', text: JSON.stringify(value), version: 1}, {z: 'region'});
+		expect(decode(entry)).to.deep.equal({
+			id: 'i-1', pool: 's', address: '10.0.0.1:80', dataCentre: 'z', region: 'region', slots: 4, isLeaving: false, startedAt: 9,
+		});
+		expect(decode({...entry, state: 'draining'})?.isLeaving).to.equal(true);
+		for (const broken of [{...entry, state: 'other'}, {...entry, slots: '4'}, {...entry, address: 'x'}, {...entry, service: undefined}, [], 7]) {
+			expect(decode(broken)).to.equal(undefined);
+		}
+
+		expect(decodeServerEntry({key: 'i-1', text: undefined, version: 1}, {})).to.equal(undefined);
+		expect(decodeServerEntry({key: 'i-1', text: '\u0000', version: 1}, {})).to.equal(undefined);
+	});
+
+	it('passes on what callers may set, and nothing else', () => {
+		const codec = HeaderCodec.create();
+		const raw = [
+			'Host',
+			'h',
+			'X-Request-Id',
+			'id-1',
+			'X-Model',
+			'm',
+			'X-Token-Count',
+			'100,20',
+			'X-Length-Hint',
+			'7',
+			'X-Deadline-Ms',
+			'5000',
+			'Authorization',
+			'Bearer key',
+			'X-Tenant',
+			'forged',
+			'X-Hold',
+			'h1',
+			'X-Pin-Ms',
+			'9',
+			'X-Kv-Backup',
+			'1.1.1.1:1',
+			'Kv-From',
+			'x',
+			'Kv-Fetch',
+			'x',
+			'Connection',
+			'close, X-Private',
+			'X-Private',
+			'1',
+			'Content-Length',
+			'4',
+		];
+		const headers: Record<string, string> = {};
+		for (let index = 0; index < raw.length; index += 2) {
+			headers[raw[index]!.toLowerCase()] = raw[index + 1]!;
+		}
+
+		const req = {headers, rawHeaders: raw} as unknown as IncomingMessage;
+		const head = codec.decode(req)!;
+		expect(head).to.deep.include({id: 'id-1', apiKey: 'key', patienceMs: 5000});
+		expect(head.generation).to.deep.equal({promptTokens: 100, maxOutputTokens: 20, expectedOutputTokens: 7});
+		const sent = codec.encode(req, head, undefined as never, {
+			upstreamId: 'i-1', customer: 'real', remainingMs: 1234.5, bodyBytes: 4, lastEventId: undefined,
+		});
+		expect(sent).to.deep.equal([
+			'Host',
+			'h',
+			'X-Request-Id',
+			'id-1',
+			'X-Model',
+			'm',
+			'X-Token-Count',
+			'100,20',
+			'X-Length-Hint',
+			'7',
+			'X-Deadline-Ms',
+			'1234',
+			'X-Expect-Instance',
+			'i-1',
+			'X-Tenant',
+			'real',
+			'Content-Length',
+			'4',
+			'Connection',
+			'close',
+		]);
+	});
+
+	it('takes an answer for the upstream\'s own only with its signature and the request\'s ID', () => {
+		const codec = HeaderCodec.create();
+		const head: CallHead = {
+			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, lastEventId: undefined,
+		};
+		const decode = (status: number, headers: Record<string, string>) => codec.decodeAnswer(status, headers, head);
+		expect(decode(200, {'x-request-id': 'id-1', 'x-server-seal': 's', 'x-server-load': '3,1,8'})).to.deep.equal({
+			isForRequest: true, isSigned: true, isNotRun: false, isOtherUpstream: false, isAltered: false, load: {running: 3, waiting: 1},
+		});
+		expect(decode(200, {'x-request-id': 'id-2', 'x-server-seal': 's'})).to.include({isForRequest: false, isSigned: false});
+		expect(decode(200, {'x-request-id': 'id-1'})).to.include({isSigned: false});
+		expect(decode(503, {'x-not-run': '1'})).to.include({isNotRun: true});
+		expect(decode(421, {})).to.include({isOtherUpstream: true});
+		expect(decode(200, {'content-encoding': 'gzip'})).to.include({isAltered: true});
+	});
+
+	it('tells when to come back in seconds with fractions', () => {
+		expect(HeaderCodec.create().ownAnswerHeaders(undefined, 1234)).to.deep.equal({'Retry-After': '1.234'});
+	});
+});
+
+describe('client of the store', () => {
+	const clock = SystemClock.create();
+	let store: PlatformStore;
+	let client: StoreClient;
+
+	beforeEach(async () => {
+		store = await PlatformStore.start();
+		client = StoreClient.create(clock, store.address);
+	});
+
+	afterEach(() => {
+		client.close();
+		store.close();
+	});
+
+	it('claims the allocator\'s row under the condition that it has not changed', async () => {
+		const register = LeaderRow.create(client);
+		const candidate = {
+			name: 'a', linkAddress: 'x:1', boot: 'b1', vmCount: 3,
+		};
+		const empty = await register.read();
+		expect(empty.unwrapOr('failed' as never)).to.equal(undefined);
+		const claim = async (boot: string, term: number) => {
+			const claimed = await register.claim({...candidate, boot}, term);
+			return claimed.unwrapOr(undefined as never);
+		};
+
+		const first = await claim('b1', 0);
+		expect(first).to.deep.include({...candidate});
+		const second = await claim('b2', 0);
+		expect(second).to.deep.equal(first);
+		const third = await claim('b3', first.term);
+		expect(third.boot).to.equal('b3');
+		expect(third.term).to.be.above(first.term);
+	});
+
+	it('finds its own claim again when the answer to it was lost', async () => {
+		const register = LeaderRow.create(client);
+		store.mood = StoreMood.LosesAnswers;
+		const claimed = await register.claim({
+			name: 'a', linkAddress: 'x:1', boot: 'b1', vmCount: 1,
+		}, 0);
+		expect(claimed.unwrapOr(undefined as never).boot).to.equal('b1');
+	});
+
+	it('tells a store that is busy or silent from an empty one', async () => {
+		store.mood = StoreMood.Busy;
+		const failed = await client.list('op');
+		expect(failed.isErr).to.equal(true);
+		store.mood = StoreMood.Silent;
+		const silent = await client.list('op');
+		expect(silent.isErr).to.equal(true);
+	});
+
+	it('watches a table over changes, deletions, a forgotten history and an outage', async () => {
+		const rows = new Map<string, string | undefined>();
+		const reaches: boolean[] = [];
+		let lists = 0;
+		const take = (changed: readonly StoreRow[]) => {
+			for (const {key, text} of changed) {
+				rows.set(key, text);
+			}
+		};
+
+		store.put('servers', 'a', 1);
+		const watch = StoreWatch.create(clock, Log.create('silent'), client, {table: 'servers', waitMs: 200, collectMs: 0}, {
+			onList(listed) {
+				lists += 1;
+				rows.clear();
+				take(listed);
+			},
+			onChanges: take,
+			onReach(isReached) {
+				reaches.push(isReached);
+			},
+		});
+		watch.setNeeded(true);
+		await eventually(() => rows.get('a') === '1');
+		store.put('servers', 'b', 2);
+		await eventually(() => rows.get('b') === '2');
+		store.delete('servers', 'a');
+		await eventually(() => rows.has('a') && rows.get('a') === undefined);
+		store.mood = StoreMood.Busy;
+		await eventually(() => reaches.at(-1) === false);
+		store.put('servers', 'c', 3);
+		store.mood = StoreMood.Well;
+		await eventually(() => rows.get('c') === '3' && reaches.at(-1) === true);
+		expect(lists).to.equal(1);
+		store.mood = StoreMood.Busy;
+		await eventually(() => reaches.at(-1) === false);
+		store.put('servers', 'd', 4);
+		store.compact();
+		store.mood = StoreMood.Well;
+		await eventually(() => rows.get('d') === '4');
+		expect(lists).to.equal(2);
+		watch.setNeeded(false);
+	});
+});
