--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -14,6 +14,7 @@
 import {type DeploymentState} from './deployment-state.js';
 import {EventSplitter} from './event-splitter.js';
 import {Ending, mayRepeat, provenBy} from './exchange-ending.js';
+import {writeOwnAnswer} from './own-answer.js';
 import {Operation, type Route} from './routing-table.js';
 import {type Upstream} from './upstream-list.js';
 import {UpstreamExchange} from './upstream-exchange.js';
@@ -525,11 +526,7 @@
 		log.info('Request answered for the system.', {
 			request: head.id, kind, ran: answer.ran, retryAfterMs: waitMs === undefined ? undefined : Math.round(waitMs), afterMs: Math.round(this.#context.clock.now() - this.#call.arrivedAt),
 		});
-		const body = JSON.stringify({kind, ran: answer.ran, detail: answer.title});
-		res.writeHead(answer.status, {
-			...codec.ownAnswerHeaders(head, waitMs), 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)),
-		});
-		res.end(body);
+		writeOwnAnswer(res, codec, head, kind, waitMs);
 		this.#finish(answer.ran === Ran.No ? RequestOutcome.Refused : RequestOutcome.Failed, this.#lastEnding, kind);
 	}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -12,6 +12,7 @@
 import {type Random} from '../base/random.js';
 import {type CallHead} from './call-codec.js';
 import {Forwarding, type ForwardingContext} from './forwarding.js';
+import {writeOwnAnswer} from './own-answer.js';
 import {
 	type CallerLimits, type Customer, pickTarget, type PoolSettings, type Quota, type Route, type RoutingTable,
 } from './routing-table.js';
@@ -197,14 +198,9 @@
 
 	#answer(res: ServerResponse, head: CallHead | undefined, kind: ErrorKind): void {
 		const {codec, metrics, log} = this.#context;
-		const {status, ran, title, retryAfterMs} = errorAnswers[kind];
 		metrics.countError(kind);
-		log.info('Request not accepted.', {request: head?.id, kind, status});
-		const body = JSON.stringify({kind, ran, detail: title});
-		res.writeHead(status, {
-			...codec.ownAnswerHeaders(head, retryAfterMs), 'content-type': 'application/json', 'content-length': String(Buffer.byteLength(body)),
-		});
-		res.end(body);
+		log.info('Request not accepted.', {request: head?.id, kind, status: errorAnswers[kind].status});
+		writeOwnAnswer(res, codec, head, kind);
 	}
 
 	#refuseMalformed(err: Error, socket: Socket): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import {type RepeatBounds} from '../allocation/repeat-budget.js';
 import {type QuotaTolerance} from '../allocation/quotas.js';
 import {SwitchedAllocation} from '../allocation/switched-allocation.js';
+import {splitAddress} from '../base/address.js';
 import {type Clock} from '../base/clock.js';
 import {type Log, LogPrefix} from '../base/log.js';
 import {type Metrics} from '../base/metrics.js';
@@ -121,8 +122,8 @@
 
 	async start(): Promise<void> {
 		const {self, log} = this.#options;
-		const colonAt = self.frontAddress.lastIndexOf(':');
-		await this.#front.listen(self.frontAddress.slice(0, colonAt), Number(self.frontAddress.slice(colonAt + 1)));
+		const {host, port} = splitAddress(self.frontAddress);
+		await this.#front.listen(host, port);
 		await this.coordinator.start();
 		log.part(LogPrefix.Gateway).info('Started.', {vm: self.name, front: self.frontAddress, pid: process.pid});
 	}
--- a/src/gateway/upstream-exchange.ts
+++ b/src/gateway/upstream-exchange.ts
@@ -7,6 +7,7 @@
 	type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request,
 } from 'node:http';
 import {createConnection, type Socket} from 'node:net';
+import {splitAddress} from '../base/address.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {Ending} from './exchange-ending.js';
 
@@ -86,11 +87,7 @@
 	}
 
 	#connect(): void {
-		const {address} = this.#request;
-		const colonAt = address.lastIndexOf(':');
-		const socket = createConnection({
-			host: address.slice(0, colonAt), port: Number(address.slice(colonAt + 1)), noDelay: true, allowHalfOpen: true,
-		});
+		const socket = createConnection({...splitAddress(this.#request.address), noDelay: true, allowHalfOpen: true});
 		this.#socket = socket;
 		this.#timer = this.#clock.setTimer(CONNECT_MS, () => {
 			this.#fail(Ending.NotConnected, 'connection timed out');
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -9,6 +9,7 @@
 } from 'node:net';
 import {type Allocator} from '../allocation/allocator.js';
 import {type SwitchedAllocation} from '../allocation/switched-allocation.js';
+import {splitAddress} from '../base/address.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log} from '../base/log.js';
 import {type Random} from '../base/random.js';
@@ -157,7 +158,7 @@
 
 	/** Listens for other VMs and looks for the allocator. */
 	async start(): Promise<void> {
-		const [host, port] = splitAddress(this.#self.linkAddress);
+		const {host, port} = splitAddress(this.#self.linkAddress);
 		await new Promise<void>((resolve, reject) => {
 			this.#server.once('error', reject);
 			this.#server.listen(port, host, () => {
@@ -694,9 +695,8 @@
 	}
 
 	async #connect(address: string, onRefused?: () => void): Promise<Socket | undefined> {
-		const [host, port] = splitAddress(address);
 		return new Promise(resolve => {
-			const socket = createConnection({host, port});
+			const socket = createConnection(splitAddress(address));
 			const timer = this.#options.clock.setTimer(CONNECT_MS, () => {
 				socket.destroy();
 			});
@@ -722,8 +722,3 @@
 		});
 	}
 }
-
-function splitAddress(address: string): [host: string, port: number] {
-	const colonAt = address.lastIndexOf(':');
-	return [address.slice(0, colonAt), Number(address.slice(colonAt + 1))];
-}
