Date claims by a clock in the store in place of the wall clocks of VMs

Ruled out: the first pass that only reads (it bounds the collector's clock, not the dates in the rows). Change: a row that the collector advances by its monotonic clock dates claims; its writers' spans cannot overlap, so that it never runs fast.

--- a/src/coordination/claim-collector.ts
+++ b/src/coordination/claim-collector.ts
@@ -3,10 +3,11 @@
  */
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Row, type Table, type Write} from '../store/table.js';
-import {CLAIM_PREFIX, parseClaim, SteadyWallClock} from './claim-row.js';
+import {ClaimClock} from './claim-clock.js';
+import {CLAIM_PREFIX, parseClaim} from './claim-row.js';
 
 const HOUR_MS = 3_600_000;
-/** Claims are kept 24 h; the margin covers wall clocks that differ between VMs. */
+/** Claims are kept 24 h; the margin covers VMs whose monotonic clock stood still while they were frozen. */
 const KEEP_MS = 25 * HOUR_MS;
 
 /** Most writes in one transaction of the table service. */
@@ -20,15 +21,8 @@
 	readonly intervalMs: number;
 };
 
-/** The newest time that rows of one pass over the table named, and when the pass ended on the monotonic clock. */
-type Pass = {
-	readonly newestClaimedAt: number;
-	readonly endedAt: number;
-};
-
 /**
- * Deletes claim rows older than a day. The first pass only reads: the age of rows counts from the newest row where this
- * VM's wall clock is ahead of it, so that a collector with a wrong clock deletes no claim early.
+ * Deletes claim rows older than a day by the shared claim clock, which it advances.
  */
 export class ClaimCollector {
 	static create(table: Table, clock: Clock, rate: CollectorRate): ClaimCollector {
@@ -37,18 +31,16 @@
 
 	readonly #table: Table;
 	readonly #clock: Clock;
-	readonly #wall: SteadyWallClock;
+	readonly #claimClock: ClaimClock;
 	readonly #rate: CollectorRate;
 	#after = '';
-	#newestClaimedAt = 0;
-	#lastPass: Pass | undefined;
 	#deletedCount = 0;
 	#timer: Timer | undefined;
 
 	private constructor(table: Table, clock: Clock, rate: CollectorRate) {
 		this.#table = table;
 		this.#clock = clock;
-		this.#wall = SteadyWallClock.create(clock);
+		this.#claimClock = ClaimClock.create(table, clock);
 		this.#rate = {...rate, pageRows: Math.min(rate.pageRows, MAX_PAGE_ROWS)};
 	}
 
@@ -70,21 +62,20 @@
 
 	/** Reads one page and deletes its old rows; the next call reads on. */
 	async collectPage(): Promise<void> {
+		await this.#claimClock.advance();
+		const now = this.#claimClock.readingMs;
+		if (now === undefined) {
+			return;
+		}
+
 		const listed = await this.#table.list(CLAIM_PREFIX, this.#rate.pageRows, this.#after);
 		if (listed.isErr) {
 			return;
 		}
 
 		const rows = listed.value;
-		const now = this.#trustedNow();
-		await this.#delete(rows.filter(row => this.#isOld(row, now)));
-		if (rows.length < this.#rate.pageRows) {
-			this.#lastPass = {newestClaimedAt: this.#newestClaimedAt, endedAt: this.#clock.now()};
-			this.#newestClaimedAt = 0;
-			this.#after = '';
-		} else {
-			this.#after = rows.at(-1)!.key;
-		}
+		await this.#delete(rows.filter(row => isOld(row, now)));
+		this.#after = rows.length < this.#rate.pageRows ? '' : rows.at(-1)!.key;
 	}
 
 	async #tick(): Promise<void> {
@@ -94,19 +85,6 @@
 		}
 	}
 
-	/** The earlier of this VM's wall clock and the newest row's time with the time since; 0 in the first pass. */
-	#trustedNow(): number {
-		const pass = this.#lastPass;
-		return pass === undefined ? 0 : Math.min(this.#wall.now(), pass.newestClaimedAt + this.#clock.now() - pass.endedAt);
-	}
-
-	/** A corrupt row is kept, since its age is unknown and its key may have been dispatched. */
-	#isOld(row: Row, now: number): boolean {
-		const claimedAt = parseClaim(row.value)?.claimedAt;
-		this.#newestClaimedAt = Math.max(this.#newestClaimedAt, claimedAt ?? 0);
-		return claimedAt !== undefined && now - claimedAt > KEEP_MS;
-	}
-
 	async #delete(rows: readonly Row[]): Promise<void> {
 		if (rows.length === 0) {
 			return;
@@ -121,3 +99,9 @@
 		}
 	}
 }
+
+/** A corrupt row is kept, since its age is unknown and its key may have been dispatched. */
+function isOld(row: Row, now: number): boolean {
+	const claimedAt = parseClaim(row.value)?.claimedAt;
+	return claimedAt !== undefined && now - claimedAt > KEEP_MS;
+}
--- a/src/coordination/claim-row.ts
+++ b/src/coordination/claim-row.ts
@@ -3,7 +3,6 @@
  */
 import {createHash} from 'node:crypto';
 import {z} from 'zod';
-import {type Clock} from '../base/clock.js';
 import {storedAnswerSchema} from './claim-answers.js';
 import {type ClaimRequest} from './claims.js';
 
@@ -17,7 +16,7 @@
 	digest: z.string(),
 	/** False for notes, whose row keeps only the fact of their dispatch. */
 	keepsAnswer: z.boolean(),
-	/** Wall-clock time of the claim in ms since the epoch, for garbage collection only. */
+	/** Time of the claim by the shared claim clock in ms, for garbage collection only. */
 	claimedAt: z.number(),
 	answer: storedAnswerSchema.optional(),
 });
@@ -37,23 +36,3 @@
 		return undefined;
 	}
 }
-
-/** Wall-clock time that later jumps of the VM's clock do not change. */
-export class SteadyWallClock {
-	static create(clock: Clock): SteadyWallClock {
-		return new SteadyWallClock(clock);
-	}
-
-	readonly #clock: Clock;
-	readonly #offset: number;
-
-	private constructor(clock: Clock) {
-		this.#clock = clock;
-		this.#offset = clock.wallNow() - clock.now();
-	}
-
-	/** @returns Milliseconds since the epoch. */
-	now(): number {
-		return Math.round(this.#clock.now() + this.#offset);
-	}
-}
--- a/src/coordination/table-claims.ts
+++ b/src/coordination/table-claims.ts
@@ -14,9 +14,8 @@
 import {
 	type ClaimHolder, type ClaimPeers, ClaimStatus, MemoryClaimPeers,
 } from './claim-peers.js';
-import {
-	claimRowKey, type ClaimValue, parseClaim, SteadyWallClock,
-} from './claim-row.js';
+import {ClaimClock} from './claim-clock.js';
+import {claimRowKey, type ClaimValue, parseClaim} from './claim-row.js';
 import {
 	type Claim, type ClaimDecision, type ClaimRequest, Claims, type RecordedAnswer,
 } from './claims.js';
@@ -65,7 +64,7 @@
 	readonly #table: Table;
 	readonly #holder: string;
 	readonly #clock: Clock;
-	readonly #wall: SteadyWallClock;
+	readonly #claimClock: ClaimClock;
 	readonly #invariants: Invariants;
 	readonly #answers: ClaimAnswers;
 	readonly #peers: ClaimPeers;
@@ -79,7 +78,7 @@
 		this.#table = table;
 		this.#holder = holder;
 		this.#clock = options.clock ?? SystemClock.create();
-		this.#wall = SteadyWallClock.create(this.#clock);
+		this.#claimClock = ClaimClock.create(table, this.#clock);
 		this.#invariants = options.invariants ?? Invariants.create({throwOnViolation: false});
 		this.#answers = ClaimAnswers.create(this.#clock, options.objects ?? MemoryObjectStore.create());
 		this.#peers = options.peers ?? MemoryClaimPeers.create();
@@ -118,8 +117,17 @@
 		return !areEmpty.includes(false);
 	}
 
+	/** Reads the clock that claims are dated by; without it, the first claim does. */
+	async start(): Promise<void> {
+		await withinTime(this.#clock, this.#claimClock.load(), this.#acquireTimeoutMs);
+	}
+
 	async acquire(request: ClaimRequest): Promise<ClaimDecision> {
 		const end = this.#clock.now() + this.#acquireTimeoutMs;
+		if (this.#claimClock.latestMs === undefined && !await withinTime(this.#clock, this.#claimClock.load(), this.#acquireTimeoutMs)) {
+			return refuse(request.isFirstAttempt ? ErrorKind.StoreUnavailable : ErrorKind.EarlierAttemptUnknown);
+		}
+
 		let condition: Condition = {kind: 'absent'};
 		for (let round = 0; round < MAX_ROUNDS; round++) {
 			// eslint-disable-next-line no-await-in-loop
@@ -316,7 +324,7 @@
 
 	#valueOf(request: ClaimRequest): ClaimValue {
 		return {
-			state: 'claimed', holder: this.#holder, digest: request.digest, keepsAnswer: request.keepsAnswer, claimedAt: this.#wall.now(),
+			state: 'claimed', holder: this.#holder, digest: request.digest, keepsAnswer: request.keepsAnswer, claimedAt: this.#claimClock.latestMs!,
 		};
 	}
 }
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -162,6 +162,8 @@
 		await this.#supervisor.add(this.#peer);
 		const core = this.#createCore();
 		this.#core = core;
+		// Claims wait for this read themselves, and try again where it failed.
+		void core.claims.start();
 		Object.assign(this.#handlers, core.handlers);
 		this.#entry = this.#createEntry(core);
 		await this.#supervisor.add(this.#entry);
