--- a/src/base/bounded-output.ts
+++ b/src/base/bounded-output.ts
@@ -5,9 +5,12 @@
 import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
 import {Writable} from 'node:stream';
+import {setTimeout} from 'node:timers';
 
 /** Unwritten bytes at which lines are dropped; some thousand lines. */
 const MAX_BUFFERED_BYTES = 1_048_576;
+/** Time until a full buffer is tried again, in ms; short beside the seconds that the lines kept here last. */
+const RETRY_MS = 10;
 
 /** A stream to a file descriptor. */
 export class BoundedOutput extends Writable {
@@ -27,11 +30,6 @@
 		this.#descriptor = descriptor;
 	}
 
-	/** Lines that were dropped and are not reported yet. */
-	get droppedLines(): number {
-		return this.#droppedLines;
-	}
-
 	override _write(chunk: string | Uint8Array, _encoding: string, callback: () => void): void {
 		const text = typeof chunk === 'string' ? chunk : Buffer.from(chunk).toString();
 		if (this.#bufferedBytes + text.length > MAX_BUFFERED_BYTES) {
@@ -64,6 +62,14 @@
 	#writeAll(bytes: Uint8Array, from: number): void {
 		write(this.#descriptor, bytes, from, bytes.length - from, null, (err, written) => {
 			const next = from + (written ?? 0);
+			if (err?.code === 'EAGAIN') {
+				// Whoever shares the descriptor made it non-blocking, and its buffer is full.
+				setTimeout(() => {
+					this.#writeAll(bytes, from);
+				}, RETRY_MS);
+				return;
+			}
+
 			if (err === null && next < bytes.length) {
 				this.#writeAll(bytes, next);
 				return;
