Fault soak: start a process again that a SIGHUP ended before its first line

No program can take a signal before Node.js runs its first line, so the harness does what the platform does, and counts it; a process that ends later is still a violation.

--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -63,6 +63,9 @@
 	child: ChildProcess | undefined;
 	/** The last lines that it wrote. */
 	readonly log: string[] = [];
+	/** Processes that a SIGHUP ended before the program's first line, while Node.js still started. */
+	earlyHupCount = 0;
+	#hasWritten = false;
 
 	constructor(name: string, settingsPath: string, addresses: {front: string; ready: string; directory: string}) {
 		this.name = name;
@@ -77,11 +80,13 @@
 			env: {...process.env, REDWINGSPOOL_NODE_FILE: this.settingsPath}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		this.child = child;
+		this.#hasWritten = false;
 		for (const stream of [child.stdout, child.stderr]) {
 			stream.setEncoding('utf8');
 			stream.on('data', (text: string) => {
 				this.log.push(...text.split('\n').filter(line => line !== ''));
 				this.log.splice(0, this.log.length - LOG_LINES);
+				this.#hasWritten ||= this.child === child;
 			});
 		}
 	}
@@ -92,6 +97,10 @@
 	}
 
 	signal(signal: NodeJS.Signals): void {
+		if (signal === 'SIGHUP' && !this.#hasWritten) {
+			this.#restartAfterEarlyHup();
+		}
+
 		this.child?.kill(signal);
 	}
 
@@ -106,6 +115,21 @@
 
 		this.child = undefined;
 	}
+
+	/**
+	 * No program can take a signal before Node.js runs its first line: its default action ends the process, which the
+	 * platform then starts again. Seen with signals each 20 ms from the start of processes: those of the first 70 ms
+	 * (250 ms through tsx, as here) ended them, later ones never did.
+	 */
+	#restartAfterEarlyHup(): void {
+		const {child} = this;
+		child?.once('exit', (_status, signal) => {
+			if (signal === 'SIGHUP' && this.child === child) {
+				this.earlyHupCount += 1;
+				this.start();
+			}
+		});
+	}
 }
 
 /** The deployment. */
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -25,7 +25,7 @@
 			await deployment.stop(); // eslint-disable-line no-await-in-loop
 			violations += deployment.violations.length;
 			console.log(JSON.stringify({
-				seed, processes: VM_COUNT, faults: Object.fromEntries(injected), answers: Object.fromEntries(deployment.counts), checks: deployment.checks, violations: deployment.violations,
+				seed, processes: VM_COUNT, faults: Object.fromEntries(injected), answers: Object.fromEntries(deployment.counts), checks: deployment.checks, endedBeforeFirstLine: deployment.vms.reduce((sum, vm) => sum + vm.earlyHupCount, 0), violations: deployment.violations,
 			}));
 		}
 
--- a/test/soak/processes.test.ts
+++ b/test/soak/processes.test.ts
@@ -1,4 +1,6 @@
+import {once} from 'node:events';
 import {expect} from 'chai';
+import {VmProcess} from '../../soak/platform-deployment.js';
 import {ProcessRun} from '../../soak/process-run.js';
 
 describe('randomised run of real processes', function () {
@@ -13,4 +15,20 @@
 		expect([...run.injected.values()].reduce((sum, count) => sum + count, 0)).to.be.above(1);
 		expect(run.deployment.violations).to.deep.equal([]);
 	});
+
+	// Seeds 206 and 221: a process that had just been restarted was told to reload before Node.js ran its first line.
+	it('starts a process again that was told to reload before its first line', async () => {
+		const vm = new VmProcess('vm-1', '/nonexistent', {front: '', ready: '', directory: ''});
+		vm.start();
+		const first = vm.child!;
+		vm.signal('SIGHUP');
+		await once(first, 'exit');
+		expect(first.signalCode).to.equal('SIGHUP');
+		expect(vm.earlyHupCount).to.equal(1);
+		const second = vm.child!;
+		expect(second).to.not.equal(first);
+		await once(second, 'exit');
+		expect(second.exitCode).to.equal(2);
+		expect(vm.hasEndedByItself).to.equal(true);
+	});
 });
