--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -252,16 +252,6 @@
 		this.#pump(pool);
 	}
 
-	/** Answers all waiting requests as not run. */
-	refuseAll(kind: ErrorKind): void {
-		for (const pool of this.#pools.values()) {
-			for (const waiting of pool.waiting.values()) {
-				this.#forgetWaiting(pool, waiting);
-				this.#refuse(pool, waiting, kind, MIN_RETRY_AFTER_MS);
-			}
-		}
-	}
-
 	#holdBack(ask: Ask, events: AskEvents): void {
 		const {clock} = this.#options;
 		this.#heldBack.set(ask.id, clock.setTimer(ALONE_QUOTA_WAIT_MS, () => {
--- a/src/gateway/call-codec.ts
+++ b/src/gateway/call-codec.ts
@@ -3,7 +3,6 @@
  * types of this module.
  */
 import {type IncomingHttpHeaders, type IncomingMessage} from 'node:http';
-import {type Route} from './routing-table.js';
 
 /** Size of a generation. */
 export type GenerationSize = {
@@ -67,7 +66,7 @@
 	abstract decode(req: IncomingMessage): CallHead | undefined;
 
 	/** @returns Headers for the upstream, as name and value in turn. */
-	abstract encode(req: IncomingMessage, head: CallHead, route: Route, options: SendOptions): string[];
+	abstract encode(req: IncomingMessage, options: SendOptions): string[];
 
 	abstract decodeAnswer(status: number, headers: IncomingHttpHeaders, head: CallHead): AnswerHead;
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -99,15 +99,14 @@
 
 /** One request. */
 export class Forwarding {
-	static start(context: ForwardingContext, call: Call, onDone: () => void): Forwarding {
-		const forwarding = new Forwarding(context, call, onDone);
+	static start(context: ForwardingContext, call: Call): Forwarding {
+		const forwarding = new Forwarding(context, call);
 		forwarding.#begin();
 		return forwarding;
 	}
 
 	readonly #context: ForwardingContext;
 	readonly #call: Call;
-	readonly #onDone: () => void;
 	readonly #limitAt: number;
 	readonly #excluded: string[] = [];
 	readonly #splitter: EventSplitter | undefined;
@@ -128,10 +127,9 @@
 	#limitTimer: Timer | undefined;
 	#stallTimer: Timer | undefined;
 
-	private constructor(context: ForwardingContext, call: Call, onDone: () => void) {
+	private constructor(context: ForwardingContext, call: Call) {
 		this.#context = context;
 		this.#call = call;
-		this.#onDone = onDone;
 		const {route, head, arrivedAt} = call;
 		this.#limitAt = arrivedAt + Math.min(route.timeoutMs, head.patienceMs ?? route.timeoutMs);
 		if (route.operation === Operation.Stream && route.isResumable) {
@@ -192,7 +190,7 @@
 
 	#onGranted(askId: string, upstreamId: string, expectedFirstMs: number): void {
 		const {clock, allocation, state, codec, metrics} = this.#context;
-		const {req, head, route, customer, body} = this.#call;
+		const {req, head, customer, body} = this.#call;
 		const now = clock.now();
 		if (this.#sentCount === 0) {
 			metrics.queueWait.record(now - this.#askedAt);
@@ -224,7 +222,7 @@
 			address: upstream.address,
 			method: req.method!,
 			target: req.url!,
-			headers: codec.encode(req, head, route, {
+			headers: codec.encode(req, {
 				upstreamId,
 				customer,
 				remainingMs,
@@ -554,7 +552,6 @@
 			upstreams: this.#excluded.join(',') || undefined,
 			ms: Math.round(clock.now() - arrivedAt),
 		});
-		this.#onDone();
 	}
 }
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -173,7 +173,7 @@
 			body,
 			fingerprint: fingerprintOf(req, customer, body),
 			arrivedAt,
-		}, () => undefined);
+		});
 	}
 
 	#resolve(table: RoutingTable, req: IncomingMessage, head: CallHead | undefined): {route: Route; customer: Customer | undefined; pool: PoolSettings} | ErrorKind {
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -152,10 +152,6 @@
 		return this.#role;
 	}
 
-	get leader(): Leader | undefined {
-		return this.#leader;
-	}
-
 	/** Listens for other VMs and looks for the allocator. */
 	async start(): Promise<void> {
 		const {host, port} = splitAddress(this.#self.linkAddress);
@@ -524,9 +520,7 @@
 			const client = LeaderClient.create(clock, channel, () => {
 				channel.close();
 			});
-			client.send({
-				kind: 'hello', member: this.#self, term: this.#leader?.term ?? 0,
-			});
+			client.send({kind: 'hello', member: this.#self});
 		});
 	}
 
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -36,7 +36,7 @@
 
 /** From a VM to the allocator. */
 export type ToLeader =
-	| {readonly kind: 'hello'; readonly member: Member; readonly term: number}
+	| {readonly kind: 'hello'; readonly member: Member}
 	/** Follows the welcome; until then places are freed without the allocator's knowledge. */
 	| {readonly kind: 'places'; readonly places: readonly HeldPlace[]}
 	| {readonly kind: 'member'; readonly member: Member}
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -66,7 +66,7 @@
 				// Closed by the test.
 			},
 		});
-		host.add(channel, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, term: 1});
+		host.add(channel, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}});
 	});
 
 	afterEach(() => {
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -114,7 +114,7 @@
 		const head = codec.decode(req)!;
 		expect(head).to.deep.include({id: 'id-1', apiKey: 'key', patienceMs: 5000});
 		expect(head.generation).to.deep.equal({promptTokens: 100, maxOutputTokens: 20, expectedOutputTokens: 7});
-		const sent = codec.encode(req, head, undefined as never, {
+		const sent = codec.encode(req, {
 			upstreamId: 'i-1', customer: 'real', remainingMs: 1234.5, bodyBytes: 4, lastEventId: undefined,
 		});
 		expect(sent).to.deep.equal([
--- a/test/system/eight-nodes.test.ts
+++ b/test/system/eight-nodes.test.ts
@@ -50,7 +50,7 @@
 	});
 	const text = await res.body.text();
 	const words = [...text.matchAll(/"content":"(?<word>[^"]+)"/gv)].map(match => match.groups!.word);
-	return {status: res.statusCode, text: text.endsWith('data: [DONE]\n\n') ? words.join('') : `incomplete after ${words.length}`};
+	return {status: res.statusCode, text: text.endsWith('data: [DONE]\n\n') ? words.join('') : `incomplete after ${words.length}: ${text.slice(-300)}`};
 }
 
 async function hold(node: RunningNode, key: string, body: string): Promise<{status: number; ran: string; text: string}> {
