Link to a new allocator as soon as it is heard of

Ruled out: the election (0.18 s), the store's answers (30 ms). Change: the new allocator is connected to directly, without a read of the store; places that a VM names on a new link are no longer freed with its old one. Both tests fail before (1,737 ms to link; the place is freed).

--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -103,6 +103,8 @@
 	readonly #host: LeaderHost;
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
+	/** Attempts to link that are under way, by address. */
+	readonly #linkings = new Map<string, Promise<boolean>>();
 	#self: Member;
 	#role: Role = Role.Alone;
 	#leader: Leader | undefined;
@@ -223,7 +225,9 @@
 			this.#host.stop();
 		}
 
-		this.#becomeAlone();
+		// A look that is under way may wait for a VM that is gone; the new allocator is linked to without it.
+		this.#becomeAlone(SEEK_MS);
+		void this.#linkTo(leader.linkAddress);
 	}
 
 	/** Asks the allocator for the configuration, where the store does not give it. */
@@ -231,7 +235,8 @@
 		this.#client?.send({kind: 'need-configuration'});
 	}
 
-	#becomeAlone(): void {
+	/** @param seekMs - Time until this VM looks for the allocator. */
+	#becomeAlone(seekMs = 0): void {
 		const {
 			clock, allocator, allocation, onWatchNeeded,
 		} = this.#options;
@@ -245,7 +250,7 @@
 		this.#watchTimer = clock.setTimer(this.#hasDecided ? WATCH_DELAY_MS : FIRST_WATCH_DELAY_MS, () => {
 			onWatchNeeded(this.#role !== Role.Linked);
 		});
-		this.#seekSoon(0);
+		this.#seekSoon(seekMs);
 	}
 
 	#becomeLeading(leader: Leader): void {
@@ -474,6 +479,14 @@
 
 	/** @returns Whether this VM is linked now. */
 	async #linkTo(address: string): Promise<boolean> {
+		const pending = this.#linkings.get(address) ?? this.#link(address);
+		this.#linkings.set(address, pending);
+		const isLinked = await pending;
+		this.#linkings.delete(address);
+		return isLinked;
+	}
+
+	async #link(address: string): Promise<boolean> {
 		const {clock, log} = this.#options;
 		const socket = await this.#connect(address);
 		if (socket === undefined) {
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -37,6 +37,8 @@
 	member: Member;
 	readonly channel: LineChannel<FromLeader, ToLeader>;
 	readonly asks: Set<string>;
+	/** An earlier link of the same VM that is not known to be gone: what the VM names here is no longer its. */
+	readonly before: Link | undefined;
 	heardAt: number;
 	sentAt: number;
 	/** It was told the whole list of VMs. */
@@ -88,8 +90,9 @@
 	add(channel: LineChannel<FromLeader, ToLeader>, hello: Extract<ToLeader, {kind: 'hello'}>): void {
 		const {clock, state, log} = this.#options;
 		const now = clock.now();
+		const before = [...this.#links.values()].findLast(({member}) => member.name === hello.member.name);
 		const link: Link = {
-			member: hello.member, channel, asks: new Set(), heardAt: now, sentAt: now, knowsMembers: false,
+			member: hello.member, channel, asks: new Set(), before, heardAt: now, sentAt: now, knowsMembers: false,
 		};
 		this.#links.set(channel, link);
 		log.info('VM linked.', {vm: hello.member.name, links: this.#links.size});
@@ -123,6 +126,7 @@
 
 			case 'places': {
 				for (const place of message.places) {
+					link.before?.asks.delete(place.ask.id);
 					link.asks.add(place.ask.id);
 				}
 
@@ -240,6 +244,7 @@
 	}
 
 	#ask(link: Link, ask: Extract<ToLeader, {kind: 'ask'}>['ask']): void {
+		link.before?.asks.delete(ask.id);
 		link.asks.add(ask.id);
 		this.#options.allocator.ask(ask, {
 			grant: (upstreamId, expectedFirstMs) => {
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -220,6 +220,20 @@
 		await settled(2);
 	});
 
+	// After a loss of power, VMs went on deciding alone for up to 1.8 s while they knew of the new allocator.
+	it('links to an allocator that it hears of while it waits to take over itself', async () => {
+		await startVms();
+		const leader = await settled(3);
+		const weak = vms.findLast(vm => vm !== leader)!;
+		const dead = Array.from({length: 11}, (_, index) => ({...weak.state.members[0]!, name: `dead-${index}`, linkAddress: '127.0.0.1:1', strength: 50, boot: `dead-${index}`}));
+		weak.state.setMembers([...weak.state.members, ...dead]);
+		kill(leader);
+		await eventually(() => vms.some(vm => vm.coordinator.role === Role.Leading));
+		const start = performance.now();
+		await eventually(() => weak.coordinator.role === Role.Linked);
+		expect(performance.now() - start).to.be.below(700);
+	});
+
 	it('does not replace an allocator that the other VMs hear', async () => {
 		await startVms();
 		const leader = await settled(3);
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -38,6 +38,17 @@
 	};
 }
 
+function makeChannel(): LineChannel<FromLeader, ToLeader> {
+	return LineChannel.create<FromLeader, ToLeader>(new Socket(), {
+		onMessage() {
+			// Messages are handed to the host directly.
+		},
+		onClose() {
+			// Closed by the test.
+		},
+	});
+}
+
 describe('links at the allocating VM', () => {
 	let allocator: Allocator;
 	let host: LeaderHost;
@@ -58,14 +69,7 @@
 		host = LeaderHost.create({
 			clock, log, state: DeploymentState.create(log), allocator, self: () => self, reachesStore: () => true,
 		});
-		channel = LineChannel.create<FromLeader, ToLeader>(new Socket(), {
-			onMessage() {
-				// Messages are handed to the host directly.
-			},
-			onClose() {
-				// Closed by the test.
-			},
-		});
+		channel = makeChannel();
 		host.add(channel, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}});
 	});
 
@@ -90,6 +94,20 @@
 		expect(allocator.heldCount).to.equal(0);
 	});
 
+	it('keep places that a VM names on a new link when its link of before ends', () => {
+		host.take(channel, {kind: 'ask', ask: makeAsk('kept')});
+		host.take(channel, {kind: 'ask', ask: makeAsk('given-up')});
+		const next = makeChannel();
+		host.add(next, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}});
+		host.take(next, {
+			kind: 'places', places: [{
+				ask: makeAsk('kept'), upstreamId: 'one', heldMs: 10, hasFirst: false,
+			}],
+		});
+		host.remove(channel);
+		expect([allocator.heldCount, allocator.waitingCount]).to.deep.equal([1, 0]);
+	});
+
 	it('free a place whose grant crosses the withdrawal of its ask', () => {
 		host.take(channel, {kind: 'ask', ask: makeAsk('crossing')});
 		expect(allocator.heldCount).to.equal(1);
