--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -276,7 +276,7 @@
 			routes: [],
 			customers: [],
 			pools: Array.from({length: poolCount}, (_, index) => ({
-				name: `pool-${index}`, isEngine: false, slots: undefined, maxConnections: undefined, tokensPerEvent: undefined,
+				name: `pool-${index}`, isEngine: false, slots: undefined, maxConnections: 10, tokensPerEvent: 1,
 			})),
 			limits: {
 				maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000, maxHeaderBytes: 1000,
