--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -201,7 +201,12 @@
 		const pool = this.#pool(ask.pool);
 		const firstObjectiveAt = this.#returns.objectiveAt(ask.fingerprint, now + ask.callerLeavesMs);
 		const waiting: Waiting = {
-			ask, events, askedAt: now, objectiveAt: Math.min(now + ask.objectiveMs, firstObjectiveAt ?? Number.POSITIVE_INFINITY), deadlineAt: now + ask.remainingMs, leavesAt: now + ask.patienceMs,
+			ask,
+			events,
+			askedAt: now,
+			objectiveAt: Math.min(now + ask.objectiveMs, firstObjectiveAt ?? Number.POSITIVE_INFINITY),
+			deadlineAt: now + ask.remainingMs,
+			leavesAt: now + ask.patienceMs,
 		};
 		const refusal = this.#findRefusal(pool, waiting, now);
 		if (refusal?.kind === ErrorKind.RateLimited && this.#scope.isAlone && ask.patienceMs > ALONE_QUOTA_WAIT_MS) {
