--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -111,7 +111,9 @@
 	// 2,500 of 9,500 requests of the least important kind.
 	it('serves a new request before one that comes back after a refusal with its objective missed', () => {
 		rush();
-		ask('first-try', {rank: 2, fingerprint: 'same', patienceMs: 600, remainingMs: 10_000, callerLeavesMs: 10_000});
+		ask('first-try', {
+			rank: 2, fingerprint: 'same', patienceMs: 600, remainingMs: 10_000, callerLeavesMs: 10_000,
+		});
 		expect(refused.get('first-try')?.kind).to.equal(ErrorKind.Overloaded);
 		for (const [id] of granted) {
 			allocator.release(id, answered);
@@ -120,7 +122,9 @@
 		allocator.restart({share: 1, quotaFullness: 1, isAlone: false});
 		fill();
 		clock.advance(2000);
-		ask('second-try', {rank: 2, fingerprint: 'same', remainingMs: 8000, callerLeavesMs: 8000});
+		ask('second-try', {
+			rank: 2, fingerprint: 'same', remainingMs: 8000, callerLeavesMs: 8000,
+		});
 		ask('new', {rank: 2, fingerprint: 'other'});
 		granted.clear();
 		allocator.release('filler-0', answered);
