--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -75,7 +75,12 @@
 		this.directory = addresses.directory;
 	}
 
+	/** Starts the process unless it runs: faults that overlap may each want to start it again. */
 	start(): void {
+		if (this.child !== undefined && !this.hasEndedByItself) {
+			return;
+		}
+
 		const child = spawn(process.execPath, ['--import', 'tsx', 'platform/main.ts'], {
 			env: {...process.env, REDWINGSPOOL_NODE_FILE: this.settingsPath}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
--- a/test/soak/processes.test.ts
+++ b/test/soak/processes.test.ts
@@ -16,6 +16,19 @@
 		expect(run.deployment.violations).to.deep.equal([]);
 	});
 
+	// Seed 408: two kills of one VM overlapped, and the second process found the ports taken.
+	it('starts one process where overlapping faults each start it again', async () => {
+		const vm = new VmProcess('vm-1', '/nonexistent', {front: '', ready: '', directory: ''});
+		vm.start();
+		const first = vm.child!;
+		vm.start();
+		expect(vm.child).to.equal(first);
+		await vm.end('SIGKILL');
+		vm.start();
+		expect(vm.child).to.not.equal(first);
+		await vm.end('SIGKILL');
+	});
+
 	// Seeds 206 and 221: a process that had just been restarted was told to reload before Node.js ran its first line.
 	it('starts a process again that was told to reload before its first line', async () => {
 		const vm = new VmProcess('vm-1', '/nonexistent', {front: '', ready: '', directory: ''});
