--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -70,6 +70,8 @@
 	readonly upstreamId?: string;
 	readonly expectedFirstMs?: number;
 	readonly refusal?: ErrorKind;
+	/** Until the objective is missed, in ms; for a request that came back, from its first attempt. */
+	readonly objectiveMs: number;
 };
 
 /** The allocator. */
@@ -313,7 +315,7 @@
 			pool.waiting.delete(waiting.ask.id);
 			this.#hold(pool, waiting, station, now);
 			this.onDecision?.({
-				ask: waiting.ask, waitedMs: now - waiting.askedAt, waiting: pool.waiting.size, upstreamId: station.upstream.id, expectedFirstMs,
+				ask: waiting.ask, waitedMs: now - waiting.askedAt, waiting: pool.waiting.size, upstreamId: station.upstream.id, expectedFirstMs, objectiveMs: waiting.objectiveAt - now,
 			});
 			waiting.events.grant(station.upstream.id, expectedFirstMs);
 		}
@@ -360,10 +362,11 @@
 	}
 
 	#refuse(pool: Pool, {ask, events, askedAt, objectiveAt}: Waiting, kind: ErrorKind, retryAfterMs: number): void {
-		this.#returns.note(ask.fingerprint, {objectiveAt, callerLeavesAt: askedAt + ask.callerLeavesMs}, askedAt);
+		const now = this.#options.clock.now();
+		this.#returns.note(ask.fingerprint, {objectiveAt, callerLeavesAt: askedAt + ask.callerLeavesMs}, now);
 		const spread = RETRY_SPREAD.min + (this.#options.random.next() * (RETRY_SPREAD.max - RETRY_SPREAD.min));
 		this.onDecision?.({
-			ask, waitedMs: this.#options.clock.now() - askedAt, waiting: pool.waiting.size, refusal: kind,
+			ask, waitedMs: now - askedAt, waiting: pool.waiting.size, refusal: kind, objectiveMs: objectiveAt - now,
 		});
 		events.refuse(kind, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs * spread));
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -157,7 +157,7 @@
 		this.coordinator.setReady(this.isReady);
 	}
 
-	#logDecision({ask, waitedMs, waiting, upstreamId, expectedFirstMs, refusal}: Decision): void {
+	#logDecision({ask, waitedMs, waiting, upstreamId, expectedFirstMs, refusal, objectiveMs}: Decision): void {
 		this.#options.log.part(LogPrefix.Allocation).info(refusal === undefined ? 'Place granted.' : 'Place refused.', {
 			request: ask.requestId,
 			pool: ask.pool,
@@ -169,6 +169,7 @@
 			waiting,
 			expectedFirstMs: expectedFirstMs === undefined ? undefined : Math.round(expectedFirstMs),
 			attempt: ask.attempt,
+			objectiveMs: Math.round(objectiveMs),
 		});
 	}
 }
--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -110,6 +110,11 @@
 	// Callers that were asked back in a rush took the places of new ones, and both were late: on grown mahabir scale-1,
 	// 2,500 of 9,500 requests of the least important kind.
 	it('serves a new request before one that comes back after a refusal with its objective missed', () => {
+		const objectives = new Map<string, number>();
+		allocator.onDecision = ({ask: {id}, objectiveMs}) => {
+			objectives.set(id, objectiveMs);
+		};
+
 		rush();
 		ask('first-try', {
 			rank: 2, fingerprint: 'same', patienceMs: 600, remainingMs: 10_000, callerLeavesMs: 10_000,
@@ -131,6 +136,8 @@
 		expect([...granted.keys()]).to.deep.equal(['new']);
 		allocator.release('filler-1', answered);
 		expect([...granted.keys()]).to.deep.equal(['new', 'second-try']);
+		expect(objectives.get('new')).to.equal(500);
+		expect(objectives.get('second-try')).to.be.within(-1500, -1400);
 	});
 
 	it('counts the objective of a request that failed at an upstream from its first attempt', () => {
