Run down all durations of an ask that is asked again or told to a successor

Cause: three places each shortened an ask's durations by hand. When `callerLeavesMs` was added, the one that asks the next allocator was missed, so that the moment at which the caller leaves moved on with each change of the allocator and a request that came back was not recognised. Held places were told with the durations at their ask, not at their grant. Change: one function, `agedAsk`, for all three.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -10,7 +10,7 @@
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
 import {Quarantine, Standing as SuspectStanding} from '../policy/quarantine.js';
 import {
-	Allocation, type Ask, type AskEvents, type HeldPlace, type Report,
+	agedAsk, Allocation, type Ask, type AskEvents, type HeldPlace, type Report,
 } from './ask.js';
 import {
 	Pool, type Held, type Station, type Waiting,
@@ -270,13 +270,8 @@
 		const {clock} = this.#options;
 		this.#heldBack.set(ask.id, clock.setTimer(ALONE_QUOTA_WAIT_MS, () => {
 			this.#heldBack.delete(ask.id);
-			this.ask({
-				...ask,
-				objectiveMs: ask.objectiveMs - ALONE_QUOTA_WAIT_MS,
-				remainingMs: ask.remainingMs - ALONE_QUOTA_WAIT_MS,
-				patienceMs: Math.min(ALONE_QUOTA_WAIT_MS, ask.patienceMs - ALONE_QUOTA_WAIT_MS),
-				callerLeavesMs: ask.callerLeavesMs - ALONE_QUOTA_WAIT_MS,
-			}, events);
+			const aged = agedAsk(ask, ALONE_QUOTA_WAIT_MS);
+			this.ask({...aged, patienceMs: Math.min(ALONE_QUOTA_WAIT_MS, aged.patienceMs)}, events);
 		}));
 	}
 
--- a/src/allocation/ask.ts
+++ b/src/allocation/ask.ts
@@ -43,6 +43,17 @@
 	readonly fingerprint: string;
 };
 
+/** @returns The ask as it stands some time later: every duration in it has run down. */
+export function agedAsk(ask: Ask, elapsedMs: number): Ask {
+	return {
+		...ask,
+		objectiveMs: ask.objectiveMs - elapsedMs,
+		remainingMs: ask.remainingMs - elapsedMs,
+		patienceMs: ask.patienceMs - elapsedMs,
+		callerLeavesMs: ask.callerLeavesMs - elapsedMs,
+	};
+}
+
 /** How a granted place was used. */
 export type Report = {
 	readonly ending: Ending;
@@ -58,6 +69,7 @@
 
 /** A place that is held by a VM, for an allocator that takes over. */
 export type HeldPlace = {
+	/** As it stood when the place was granted. */
 	readonly ask: Ask;
 	readonly upstreamId: string;
 	/** How long it has been held. */
--- a/src/allocation/switched-allocation.ts
+++ b/src/allocation/switched-allocation.ts
@@ -5,7 +5,7 @@
 import {type Clock} from '../base/clock.js';
 import {type ErrorKind} from '../base/errors.js';
 import {
-	Allocation, type Ask, type AskEvents, type HeldPlace, type Report,
+	agedAsk, Allocation, type Ask, type AskEvents, type HeldPlace, type Report,
 } from './ask.js';
 
 type Entry = {
@@ -36,10 +36,10 @@
 	get places(): HeldPlace[] {
 		const now = this.#clock.now();
 		const places: HeldPlace[] = [];
-		for (const {ask, upstreamId, grantedAt, hasFirst} of this.#entries.values()) {
+		for (const {ask, askedAt, upstreamId, grantedAt, hasFirst} of this.#entries.values()) {
 			if (upstreamId !== undefined) {
 				places.push({
-					ask, upstreamId, heldMs: now - grantedAt, hasFirst,
+					ask: agedAsk(ask, grantedAt - askedAt), upstreamId, heldMs: now - grantedAt, hasFirst,
 				});
 			}
 		}
@@ -55,13 +55,7 @@
 		for (const entry of this.#entries.values()) {
 			if (entry.upstreamId === undefined) {
 				before?.withdraw(entry.ask.id);
-				const elapsedMs = now - entry.askedAt;
-				this.#forward(allocation, entry, {
-					...entry.ask,
-					objectiveMs: entry.ask.objectiveMs - elapsedMs,
-					remainingMs: entry.ask.remainingMs - elapsedMs,
-					patienceMs: entry.ask.patienceMs - elapsedMs,
-				});
+				this.#forward(allocation, entry, agedAsk(entry.ask, now - entry.askedAt));
 			}
 		}
 	}
--- /dev/null
+++ b/test/support/ask.ts
@@ -0,0 +1,28 @@
+import {type Ask} from '../../src/allocation/ask.js';
+import {Operation} from '../../src/gateway/routing-table.js';
+
+/** @returns An ask for a plain service that any place serves in time; the test names what matters to it. */
+export function makeAsk(id: string, changes: Partial<Ask> = {}): Ask {
+	return {
+		id,
+		requestId: id,
+		pool: 'advice',
+		customer: undefined,
+		rank: 0,
+		operation: Operation.Safe,
+		promptTokens: 0,
+		outputEvents: 0,
+		quotaCost: 0,
+		objectiveMs: 1000,
+		remainingMs: 5000,
+		callerLeavesMs: 5000,
+		patienceMs: 5000,
+		maxPauseMs: 0,
+		dataCentre: 'a',
+		region: 'r',
+		attempt: 1,
+		excluded: [],
+		fingerprint: id,
+		...changes,
+	};
+}
