--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -7,6 +7,7 @@
 import {Ending} from '../../src/gateway/exchange-ending.js';
 import {Operation, RoutingTable, type Customer} from '../../src/gateway/routing-table.js';
 import {type Upstream} from '../../src/gateway/upstream-list.js';
+import {makeAsk} from '../support/ask.js';
 
 const engineCount = 3;
 const slots = 4;
@@ -32,29 +33,11 @@
 	});
 }
 
-function makeAsk(id: string, changes: Partial<Ask> = {}): Ask {
-	return {
-		id,
-		requestId: id,
-		pool: 'advice',
-		customer: undefined,
-		rank: 0,
-		operation: Operation.Stream,
-		promptTokens: 1000,
-		outputEvents: 20,
-		quotaCost: 0,
-		objectiveMs: 500,
-		remainingMs: 10_000,
-		callerLeavesMs: 10_000,
-		patienceMs: 2000,
-		maxPauseMs: 250,
-		dataCentre: 'a',
-		region: 'r',
-		attempt: 1,
-		excluded: [],
-		fingerprint: id,
-		...changes,
-	};
+/** An ask for an engine. */
+function makeEngineAsk(id: string, changes: Partial<Ask> = {}): Ask {
+	return makeAsk(id, {
+		operation: Operation.Stream, promptTokens: 1000, outputEvents: 20, objectiveMs: 500, remainingMs: 10_000, callerLeavesMs: 10_000, patienceMs: 2000, maxPauseMs: 250, ...changes,
+	});
 }
 
 const answered: Report = {
@@ -83,7 +66,7 @@
 	});
 
 	function ask(id: string, changes: Partial<Ask> = {}): void {
-		allocator.ask(makeAsk(id, changes), {
+		allocator.ask(makeEngineAsk(id, changes), {
 			grant(upstreamId) {
 				granted.set(id, upstreamId);
 			},
@@ -329,7 +312,7 @@
 
 	it('counts the places that it takes over', () => {
 		const places = Array.from({length: slots}, (_, index) => ({
-			ask: makeAsk(`held-${index}`), upstreamId: 'engine-0', heldMs: 100, hasFirst: true,
+			ask: makeEngineAsk(`held-${index}`), upstreamId: 'engine-0', heldMs: 100, hasFirst: true,
 		}));
 		allocator.restart({share: 1, quotaFullness: 1, isAlone: false});
 		allocator.adopt(places);
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -4,17 +4,17 @@
 import Result, {ok} from 'true-myth/result';
 import {Allocator} from '../../src/allocation/allocator.js';
 import {SwitchedAllocation} from '../../src/allocation/switched-allocation.js';
-import {type Ask} from '../../src/allocation/ask.js';
 import {SystemClock} from '../../src/base/clock.js';
 import {Log} from '../../src/base/log.js';
 import {Random} from '../../src/base/random.js';
 import {DeploymentState} from '../../src/gateway/deployment-state.js';
 import {Ending} from '../../src/gateway/exchange-ending.js';
-import {type Configuration, Operation} from '../../src/gateway/routing-table.js';
+import {type Configuration} from '../../src/gateway/routing-table.js';
 import {Coordinator, Role} from '../../src/link/coordinator.js';
 import {LeaderRegister} from '../../src/link/leader-register.js';
 import {type Leader, type Member} from '../../src/link/messages.js';
 import {type StoreError} from '../../src/store/table.js';
+import {makeAsk} from '../support/ask.js';
 import {eventually} from '../support/eventually.js';
 
 const clock = SystemClock.create();
@@ -76,30 +76,6 @@
 	versions: number[];
 };
 
-function makeAsk(id: string): Ask {
-	return {
-		id,
-		requestId: id,
-		pool: 'advice',
-		customer: undefined,
-		rank: 0,
-		operation: Operation.Safe,
-		promptTokens: 0,
-		outputEvents: 0,
-		quotaCost: 0,
-		objectiveMs: 1000,
-		remainingMs: 5000,
-		callerLeavesMs: 5000,
-		patienceMs: 5000,
-		maxPauseMs: 0,
-		dataCentre: 'a',
-		region: 'r',
-		attempt: 1,
-		excluded: [],
-		fingerprint: id,
-	};
-}
-
 describe('choice of the allocator', function () {
 	this.timeout(15_000);
 	let row: MemoryRow;
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -10,33 +10,16 @@
 import {LeaderHost} from '../../src/link/leader-host.js';
 import {LineChannel} from '../../src/link/line-channel.js';
 import {type FromLeader, type Member, type ToLeader} from '../../src/link/messages.js';
+import {makeAsk} from '../support/ask.js';
 
 const self: Member = {
 	name: 'vm', frontAddress: 'vm:80', linkAddress: 'vm:81', dataCentre: 'a', region: 'r', strength: 1, boot: 'vm-1', isReady: true,
 };
 
-function makeAsk(id: string): Ask {
-	return {
-		id,
-		requestId: id,
-		pool: 'desk',
-		customer: undefined,
-		rank: 0,
-		operation: Operation.Unsafe,
-		promptTokens: 0,
-		outputEvents: 0,
-		quotaCost: 0,
-		objectiveMs: 200,
-		remainingMs: 1000,
-		callerLeavesMs: 1000,
-		patienceMs: 1000,
-		maxPauseMs: 0,
-		dataCentre: 'a',
-		region: 'r',
-		attempt: 1,
-		excluded: [],
-		fingerprint: id,
-	};
+function makeDeskAsk(id: string): Ask {
+	return makeAsk(id, {
+		pool: 'desk', operation: Operation.Unsafe, objectiveMs: 200, remainingMs: 1000, callerLeavesMs: 1000, patienceMs: 1000,
+	});
 }
 
 function makeChannel(): LineChannel<FromLeader, ToLeader> {
@@ -83,7 +66,7 @@
 		expect(allocator.heldCount).to.equal(0);
 		host.take(channel, {
 			kind: 'places', places: [{
-				ask: makeAsk('held'), upstreamId: 'one', heldMs: 10, hasFirst: false,
+				ask: makeDeskAsk('held'), upstreamId: 'one', heldMs: 10, hasFirst: false,
 			}],
 		});
 		expect(allocator.heldCount).to.equal(1);
@@ -96,13 +79,13 @@
 	});
 
 	it('keep places that a VM names on a new link when its link of before ends', () => {
-		host.take(channel, {kind: 'ask', ask: makeAsk('kept')});
-		host.take(channel, {kind: 'ask', ask: makeAsk('given-up')});
+		host.take(channel, {kind: 'ask', ask: makeDeskAsk('kept')});
+		host.take(channel, {kind: 'ask', ask: makeDeskAsk('given-up')});
 		const next = makeChannel();
 		host.add(next, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}});
 		host.take(next, {
 			kind: 'places', places: [{
-				ask: makeAsk('kept'), upstreamId: 'one', heldMs: 10, hasFirst: false,
+				ask: makeDeskAsk('kept'), upstreamId: 'one', heldMs: 10, hasFirst: false,
 			}],
 		});
 		host.remove(channel);
@@ -110,15 +93,15 @@
 	});
 
 	it('free a place whose grant crosses the withdrawal of its ask', () => {
-		host.take(channel, {kind: 'ask', ask: makeAsk('crossing')});
+		host.take(channel, {kind: 'ask', ask: makeDeskAsk('crossing')});
 		expect(allocator.heldCount).to.equal(1);
 		host.take(channel, {kind: 'withdraw', id: 'crossing'});
 		expect(allocator.heldCount).to.equal(0);
 	});
 
 	it('free all places and queue entries of a VM whose link is lost', () => {
-		host.take(channel, {kind: 'ask', ask: makeAsk('granted')});
-		host.take(channel, {kind: 'ask', ask: makeAsk('waiting')});
+		host.take(channel, {kind: 'ask', ask: makeDeskAsk('granted')});
+		host.take(channel, {kind: 'ask', ask: makeDeskAsk('waiting')});
 		expect([allocator.heldCount, allocator.waitingCount]).to.deep.equal([1, 1]);
 		host.remove(channel);
 		expect([allocator.heldCount, allocator.waitingCount]).to.deep.equal([0, 0]);
