--- a/src/coordination/claim-clock.ts
+++ b/src/coordination/claim-clock.ts
@@ -4,7 +4,7 @@
  */
 import {randomUUID} from 'node:crypto';
 import {type Clock} from '../base/clock.js';
-import {type Row, type Table} from '../store/table.js';
+import {type Table} from '../store/table.js';
 
 /** Row that holds the clock's reading, in ms since its first write. */
 export const CLAIM_CLOCK_KEY = 'claim-clock/reading';
@@ -17,7 +17,8 @@
 
 /** What a process read last. */
 type Reading = {
-	readonly row: Row | undefined;
+	/** Token of the row's last write; `undefined` where there is no row. */
+	readonly token: string | undefined;
 	readonly valueMs: number;
 	/** Monotonic time at which the read was sent or the write was answered. */
 	readonly at: number;
@@ -61,9 +62,7 @@
 		}
 
 		this.#pendingRead ??= this.#read();
-		const isKnown = await this.#pendingRead;
-		this.#pendingRead = undefined;
-		return isKnown;
+		return this.#pendingRead;
 	}
 
 	/** Adds the time since the last read or write to the row; to be called again and again by the process that collects. */
@@ -85,15 +84,11 @@
 		const result = await this.#table.write({
 			key: CLAIM_CLOCK_KEY,
 			value: String(valueMs),
-			condition: reading.row === undefined ? {kind: 'absent'} : {kind: 'token', token: reading.row.token},
+			condition: reading.token === undefined ? {kind: 'absent'} : {kind: 'token', token: reading.token},
 			token,
 		});
 		if (result.isOk && result.value === 'written') {
-			this.#reading = {
-				row: {
-					key: CLAIM_CLOCK_KEY, value: String(valueMs), version: (reading.row?.version ?? 0) + 1, token,
-				}, valueMs, at: now,
-			};
+			this.#reading = {token, valueMs, at: now};
 			return;
 		}
 
@@ -104,6 +99,7 @@
 	async #read(): Promise<boolean> {
 		const sentAt = this.#clock.now();
 		const result = await this.#table.get(CLAIM_CLOCK_KEY);
+		this.#pendingRead = undefined;
 		if (result.isErr) {
 			return false;
 		}
@@ -114,7 +110,7 @@
 			return false;
 		}
 
-		this.#reading = {row, valueMs, at: sentAt};
+		this.#reading = {token: row?.token, valueMs, at: sentAt};
 		return true;
 	}
 }
