Allocation: one piece each for service times, empty reports and the moment a caller leaves; encode broadcasts once

The total time of a work was written in the pool and in the pace, the report of an unused place in four places, and the moment at which a caller leaves was computed in each.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -10,7 +10,7 @@
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
 import {Quarantine, Standing as SuspectStanding} from '../policy/quarantine.js';
 import {
-	agedAsk, Allocation, type Ask, type AskEvents, type HeldPlace, type Report,
+	agedAsk, Allocation, type Ask, type AskEvents, emptyReport, type HeldPlace, type Report,
 } from './ask.js';
 import {
 	Pool, type Held, type Station, type Waiting,
@@ -201,7 +201,8 @@
 		const {clock} = this.#options;
 		const now = clock.now();
 		const pool = this.#pool(ask.pool);
-		const firstObjectiveAt = this.#returns.objectiveAt(ask.fingerprint, now + ask.callerLeavesMs);
+		const callerLeavesAt = now + ask.callerLeavesMs;
+		const firstObjectiveAt = this.#returns.objectiveAt(ask.fingerprint, callerLeavesAt);
 		const waiting: Waiting = {
 			ask,
 			events,
@@ -209,6 +210,7 @@
 			objectiveAt: Math.min(now + ask.objectiveMs, firstObjectiveAt ?? Number.POSITIVE_INFINITY),
 			deadlineAt: now + ask.remainingMs,
 			leavesAt: now + ask.patienceMs,
+			callerLeavesAt,
 		};
 		const refusal = this.#findRefusal(pool, waiting, now);
 		if (refusal?.kind === ErrorKind.RateLimited && this.#scope.isAlone && ask.patienceMs > ALONE_QUOTA_WAIT_MS) {
@@ -256,7 +258,7 @@
 		if (report.ending === Ending.Answered) {
 			this.#quarantine.noteSuccess(held.ask.fingerprint, now);
 		} else {
-			this.#returns.note(held.ask.fingerprint, {objectiveAt: held.objectiveAt, callerLeavesAt: held.callerLeavesAt}, now);
+			this.#returns.note(held.ask.fingerprint, held, now);
 		}
 
 		if (report.ending === Ending.Lost || report.ending === Ending.Spoiled) {
@@ -316,9 +318,9 @@
 		}
 	}
 
-	#hold(pool: Pool, {ask, askedAt, objectiveAt}: Waiting, station: Station, now: number): void {
+	#hold(pool: Pool, {ask, objectiveAt, callerLeavesAt}: Waiting, station: Station, now: number): void {
 		const held: Held = {
-			ask, upstreamId: station.upstream.id, grantedAt: now, objectiveAt, callerLeavesAt: askedAt + ask.callerLeavesMs, pendingPromptTokens: pool.pendingPromptTokens(station), hasFirst: false,
+			ask, upstreamId: station.upstream.id, grantedAt: now, objectiveAt, callerLeavesAt, pendingPromptTokens: pool.pendingPromptTokens(station), hasFirst: false,
 		};
 		pool.hold(station.upstream.id, held);
 		this.#poolByAsk.set(ask.id, pool);
@@ -329,9 +331,7 @@
 		for (const pool of this.#pools.values()) {
 			if (pool.waiting.size > 0) {
 				for (const {ask} of pool.expired(now)) {
-					this.release(ask.id, {
-						ending: Ending.Cancelled, firstMs: undefined, streamMs: 0, events: 0, load: undefined,
-					});
+					this.release(ask.id, emptyReport(Ending.Cancelled));
 				}
 
 				for (const waiting of pool.hopeless(now)) {
@@ -356,9 +356,10 @@
 		}
 	}
 
-	#refuse(pool: Pool, {ask, events, askedAt, objectiveAt}: Waiting, kind: ErrorKind, retryAfterMs: number): void {
+	#refuse(pool: Pool, waiting: Waiting, kind: ErrorKind, retryAfterMs: number): void {
 		const now = this.#options.clock.now();
-		this.#returns.note(ask.fingerprint, {objectiveAt, callerLeavesAt: askedAt + ask.callerLeavesMs}, now);
+		const {ask, events, askedAt, objectiveAt} = waiting;
+		this.#returns.note(ask.fingerprint, waiting, now);
 		const spread = RETRY_SPREAD.min + (this.#options.random.next() * (RETRY_SPREAD.max - RETRY_SPREAD.min));
 		this.onDecision?.({
 			ask, waitedMs: now - askedAt, waiting: pool.waiting.size, refusal: kind, objectiveMs: objectiveAt - now,
--- a/src/allocation/ask.ts
+++ b/src/allocation/ask.ts
@@ -67,6 +67,13 @@
 	readonly load: number | undefined;
 };
 
+/** @returns The report of a place through which no answer came. */
+export function emptyReport(ending: Ending): Report {
+	return {
+		ending, firstMs: undefined, streamMs: 0, events: 0, load: undefined,
+	};
+}
+
 /** A place that is held by a VM, for an allocator that takes over. */
 export type HeldPlace = {
 	/** As it stood when the place was granted. */
--- a/src/allocation/pace.ts
+++ b/src/allocation/pace.ts
@@ -57,6 +57,11 @@
 		return promptTokens * INITIAL_PREFILL_MS_PER_TOKEN;
 	}
 
+	/** @returns Ms from sending to the end of the answer, at an idle upstream of factor 1. */
+	totalMs({promptTokens, events}: PacedWork): number {
+		return this.firstMs(promptTokens) + (this.isEngine ? events * this.#eventMs : 0);
+	}
+
 	/** Takes the time to a first event, divided by the upstream's factor. */
 	noteFirst(promptTokens: number, firstMs: number): void {
 		if (this.isEngine) {
@@ -105,8 +110,8 @@
 	}
 
 	/** @returns Expected ms from sending to the end of the answer. */
-	totalMs({promptTokens, events}: PacedWork): number {
-		return this.#factor * (this.#pool.firstMs(promptTokens) + (this.#pool.isEngine ? events * this.#pool.eventMs : 0));
+	totalMs(work: PacedWork): number {
+		return this.#factor * this.#pool.totalMs(work);
 	}
 
 	/** @returns Expected ms in which reading the prompt delays the streams beside it. */
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -47,6 +47,8 @@
 	readonly deadlineAt: number;
 	/** When the caller leaves unless its answer has begun. */
 	readonly leavesAt: number;
+	/** When the caller leaves, as it told itself. */
+	readonly callerLeavesAt: number;
 };
 
 /** A request that has a place. */
@@ -209,8 +211,8 @@
 	}
 
 	/** @returns Expected ms of a request at an upstream of usual pace. */
-	serviceMs(ask: Ask): number {
-		return this.#pace.firstMs(ask.promptTokens) + (this.#pace.isEngine ? ask.outputEvents * this.#pace.eventMs : 0);
+	serviceMs({promptTokens, outputEvents}: Ask): number {
+		return this.#pace.totalMs({promptTokens, events: outputEvents});
 	}
 
 	/** @returns Expected ms until a waiting request gets a place. */
--- a/src/allocation/returns.ts
+++ b/src/allocation/returns.ts
@@ -31,12 +31,12 @@
 	}
 
 	/** A request ended without its answer. */
-	note(fingerprint: string, attempt: FormerAttempt, now: number): void {
+	note(fingerprint: string, {objectiveAt, callerLeavesAt}: FormerAttempt, now: number): void {
 		// The latest is last in the map.
 		this.#attempts.delete(fingerprint);
-		this.#attempts.set(fingerprint, attempt);
-		for (const [oldest, {callerLeavesAt}] of this.#attempts) {
-			if (callerLeavesAt > now && this.#attempts.size <= MAX_REQUESTS) {
+		this.#attempts.set(fingerprint, {objectiveAt, callerLeavesAt});
+		for (const [oldest, {callerLeavesAt: leavesAt}] of this.#attempts) {
+			if (leavesAt > now && this.#attempts.size <= MAX_REQUESTS) {
 				break;
 			}
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -4,7 +4,9 @@
  */
 import {Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type Allocation, type Ask, type Report} from '../allocation/ask.js';
+import {
+	type Allocation, type Ask, emptyReport, type Report,
+} from '../allocation/ask.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
 import {type Log} from '../base/log.js';
@@ -571,10 +573,3 @@
 
 	return firstAt === undefined ? FIRST_STALL_MS + (FIRST_STALL_EXPECTATIONS * expectedFirstMs) : STREAM_STALL_MS;
 }
-
-function emptyReport(ending: Ending): Report {
-	return {
-		ending, firstMs: undefined, streamMs: 0, events: 0, load: undefined,
-	};
-}
-
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -2,12 +2,13 @@
  * The side of the VM that allocates for all: links from the other VMs, their asks, and what it tells them.
  */
 import {type Allocator} from '../allocation/allocator.js';
+import {emptyReport} from '../allocation/ask.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log} from '../base/log.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
 import {Ending} from '../gateway/exchange-ending.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
-import {type LineChannel} from './line-channel.js';
+import {encodeLine, type LineChannel} from './line-channel.js';
 import {
 	type FromLeader, type Leader, type Member, type ToLeader,
 } from './messages.js';
@@ -195,7 +196,7 @@
 	publishUpstreams({changed, removed}: UpstreamChanges): void {
 		this.#broadcast({
 			kind: 'upstreams', isWhole: false, changed, removed,
-		});
+		}, [...this.#links.values()]);
 	}
 
 	/** Tells all VMs the configuration that is in force here; of versions that follow each other closely, the last. */
@@ -237,17 +238,19 @@
 		const changed = members.filter(member => !isSameMember(before.get(member.name), member));
 		const removed = [...before.keys()].filter(name => !names.has(name));
 		state.setMembers(members);
-		for (const link of this.#links.values()) {
-			if (!link.knowsMembers) {
-				link.knowsMembers = true;
-				this.#send(link, {
-					kind: 'members', isWhole: true, changed: members, removed: [],
-				});
-			} else if (changed.length + removed.length > 0) {
-				this.#send(link, {
-					kind: 'members', isWhole: false, changed, removed,
-				});
-			}
+		const links = [...this.#links.values()];
+		const newcomers = links.filter(link => !link.knowsMembers);
+		if (changed.length + removed.length > 0) {
+			this.#broadcast({
+				kind: 'members', isWhole: false, changed, removed,
+			}, links.filter(link => link.knowsMembers));
+		}
+
+		this.#broadcast({
+			kind: 'members', isWhole: true, changed: members, removed: [],
+		}, newcomers);
+		for (const link of newcomers) {
+			link.knowsMembers = true;
 		}
 	}
 
@@ -259,12 +262,8 @@
 		}
 
 		const {configuration, version} = table;
-		const message: FromLeader = JSON.stringify(configuration).length <= MAX_SENT_CONFIGURATION
-			? {kind: 'configuration', configuration}
-			: {kind: 'version', version};
-		for (const link of links) {
-			this.#send(link, message);
-		}
+		const isSmall = JSON.stringify(configuration).length <= MAX_SENT_CONFIGURATION;
+		this.#broadcast(isSmall ? {kind: 'configuration', configuration} : {kind: 'version', version}, links);
 	}
 
 	#ask(link: Link, ask: Extract<ToLeader, {kind: 'ask'}>['ask']): void {
@@ -289,9 +288,7 @@
 	#drop(link: Link, id: string): void {
 		link.asks.delete(id);
 		this.#options.allocator.withdraw(id);
-		this.#options.allocator.release(id, {
-			ending: Ending.Cancelled, firstMs: undefined, streamMs: 0, events: 0, load: undefined,
-		});
+		this.#options.allocator.release(id, emptyReport(Ending.Cancelled));
 	}
 
 	#tick(): void {
@@ -300,10 +297,7 @@
 		const sendsPaces = now - this.#pacesAt >= PACES_MS;
 		if (sendsPaces) {
 			this.#pacesAt = now;
-			const paces = [...allocator.paces];
-			for (const link of this.#strongest().slice(0, SUCCESSORS)) {
-				this.#send(link, {kind: 'paces', paces});
-			}
+			this.#broadcast({kind: 'paces', paces: [...allocator.paces]}, this.#strongest().slice(0, SUCCESSORS));
 		}
 
 		for (const link of this.#links.values()) {
@@ -319,9 +313,17 @@
 		});
 	}
 
-	#broadcast(message: FromLeader): void {
-		for (const link of this.#links.values()) {
-			this.#send(link, message);
+	/** Encodes a message once for all who get it. */
+	#broadcast(message: FromLeader, links: readonly Link[]): void {
+		if (links.length === 0) {
+			return;
+		}
+
+		const line = encodeLine(message);
+		const now = this.#options.clock.now();
+		for (const link of links) {
+			link.sentAt = now;
+			link.channel.sendLine(line);
 		}
 	}
 
--- a/src/link/line-channel.ts
+++ b/src/link/line-channel.ts
@@ -40,6 +40,13 @@
 	}
 
 	send(message: Sent): void {
+		if (!this.#isClosed) {
+			this.sendLine(encodeLine(message));
+		}
+	}
+
+	/** @param line - A message that was encoded once for several channels. */
+	sendLine(line: string): void {
 		if (this.#isClosed) {
 			return;
 		}
@@ -50,7 +57,7 @@
 			});
 		}
 
-		this.#unsent += `${JSON.stringify(message)}\n`;
+		this.#unsent += line;
 	}
 
 	close(): void {
@@ -116,6 +123,11 @@
 	}
 }
 
+/** @returns A message as it is sent. */
+export function encodeLine(message: unknown): string {
+	return `${JSON.stringify(message)}\n`;
+}
+
 function parse<Message>(line: string): Message | undefined {
 	try {
 		return JSON.parse(line) as Message;
