Listen and close with what Node.js has; forget a link attempt where it was begun

Of two callers that waited for one attempt to link, the second could drop the record of a later attempt.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -4,6 +4,7 @@
  */
 import {Buffer} from 'node:buffer';
 import {createHash} from 'node:crypto';
+import {once} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -47,7 +48,6 @@
 	readonly #context: ForwardingContext;
 	readonly #random: Random;
 	readonly #server: Server;
-	readonly #sockets = new Set<Socket>();
 	#inFlight = 0;
 	#stopping: Stopping | undefined;
 
@@ -60,12 +60,6 @@
 		this.#server.on('clientError', (err, socket) => {
 			this.#refuseMalformed(err, socket as Socket);
 		});
-		this.#server.on('connection', socket => {
-			this.#sockets.add(socket);
-			socket.once('close', () => {
-				this.#sockets.delete(socket);
-			});
-		});
 		context.state.listen({
 			onTable: table => {
 				this.#setLimits(table.configuration.limits);
@@ -78,19 +72,9 @@
 		return this.#inFlight;
 	}
 
-	/** Open connections of callers. */
-	get connectionCount(): number {
-		return this.#sockets.size;
-	}
-
 	async listen(host: string, port: number): Promise<void> {
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen({host, port, backlog: 4096}, () => {
-				this.#server.off('error', reject);
-				resolve();
-			});
-		});
+		this.#server.listen({host, port, backlog: 4096});
+		await once(this.#server, 'listening');
 	}
 
 	/** Closes each connection after its next answer, and refuses requests that would outlive the process. */
@@ -98,20 +82,14 @@
 		this.#stopping = stopping;
 	}
 
-	/** Takes no further connection; open ones are served. */
+	/** Takes no further connection and closes idle ones; requests in flight are served. */
 	closeListener(): void {
 		this.#server.close();
 	}
 
-	closeIdle(): void {
-		this.#server.closeIdleConnections();
-	}
-
 	/** Closes all connections. */
 	destroy(): void {
-		for (const socket of this.#sockets) {
-			socket.destroy();
-		}
+		this.#server.closeAllConnections();
 	}
 
 	#setLimits({headerTimeoutMs, idleTimeoutMs}: CallerLimits): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -147,7 +147,6 @@
 		}
 
 		this.#front.closeListener();
-		this.#front.closeIdle();
 		log.part(LogPrefix.Gateway).info('Stopped.', {inFlight: this.#front.inFlight, afterMs: Math.round(clock.now() - startedAt)});
 		this.coordinator.stop();
 		this.#front.destroy();
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -4,6 +4,7 @@
  * allocator and no VM that it reaches still hears it. Two allocators at once cost quality, never a rule: what a request
  * may do is checked at the VM that has it.
  */
+import {once} from 'node:events';
 import {
 	createConnection, createServer, type Server, type Socket,
 } from 'node:net';
@@ -157,13 +158,8 @@
 	/** Listens for other VMs and looks for the allocator. */
 	async start(): Promise<void> {
 		const {host, port} = splitAddress(this.#self.linkAddress);
-		await new Promise<void>((resolve, reject) => {
-			this.#server.once('error', reject);
-			this.#server.listen(port, host, () => {
-				this.#server.off('error', reject);
-				resolve();
-			});
-		});
+		this.#server.listen(port, host);
+		await once(this.#server, 'listening');
 		this.#becomeAlone();
 	}
 
@@ -479,9 +475,14 @@
 
 	/** @returns Whether this VM is linked now. */
 	async #linkTo(address: string): Promise<boolean> {
-		const pending = this.#linkings.get(address) ?? this.#link(address);
-		this.#linkings.set(address, pending);
-		const isLinked = await pending;
+		const pending = this.#linkings.get(address);
+		if (pending !== undefined) {
+			return pending;
+		}
+
+		const linking = this.#link(address);
+		this.#linkings.set(address, linking);
+		const isLinked = await linking;
 		this.#linkings.delete(address);
 		return isLinked;
 	}
