Fault soak and stand-ins: drop what nothing reads, use what exists

The set of disturbed VMs was never filled, two records of the stand-ins were never read; addresses are split by `splitAddress`; whether a process runs is told in one place.

--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -12,6 +12,7 @@
 import process from 'node:process';
 import {clearTimeout, setTimeout} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {splitAddress} from '../src/base/address.js';
 import {PlatformServer, wholeAnswer, wholeStream} from '../standins/platform-server.js';
 import {PlatformStore} from '../standins/platform-store.js';
 import {TcpProxy} from '../standins/tcp-proxy.js';
@@ -77,7 +78,7 @@
 
 	/** Starts the process unless it runs: faults that overlap may each want to start it again. */
 	start(): void {
-		if (this.child !== undefined && !this.hasEndedByItself) {
+		if (this.isRunning) {
 			return;
 		}
 
@@ -96,9 +97,13 @@
 		}
 	}
 
+	get isRunning(): boolean {
+		return this.child?.exitCode === null && this.child.signalCode === null;
+	}
+
 	/** Whether the process ended although nobody ended it. */
 	get hasEndedByItself(): boolean {
-		return this.child !== undefined && (this.child.exitCode !== null || this.child.signalCode !== null);
+		return this.child !== undefined && !this.isRunning;
 	}
 
 	signal(signal: NodeJS.Signals): void {
@@ -112,7 +117,7 @@
 	/** Ends the process and waits for it. */
 	async end(signal: NodeJS.Signals): Promise<void> {
 		const {child} = this;
-		if (child?.exitCode === null && child.signalCode === null) {
+		if (child !== undefined && this.isRunning) {
 			const ended = once(child, 'exit');
 			child.kill(signal);
 			await ended;
@@ -396,7 +401,6 @@
 	}
 
 	async #send(address: string, method: string, target: string, headers: Record<string, string>, body: string, timeoutMs: number): Promise<Omit<CallerAnswer, 'id'>> {
-		const [host, port] = address.split(':') as [string, string];
 		return new Promise(resolve => {
 			let status = 0;
 			let received: IncomingHttpHeaders = {};
@@ -409,7 +413,7 @@
 			};
 
 			const req = request({
-				host, port, method, path: target, headers: body === '' ? headers : {...headers, 'content-length': String(body.length)}, agent: this.#agent,
+				...splitAddress(address), method, path: target, headers: body === '' ? headers : {...headers, 'content-length': String(body.length)}, agent: this.#agent,
 			}, res => {
 				status = res.statusCode!;
 				received = res.headers;
--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -95,17 +95,14 @@
 	readonly random: Random;
 	readonly deployment: PlatformDeployment;
 	readonly injected = new Map<FaultKind, number>();
-	readonly #disturbed = new Set<VmProcess>();
 
 	private constructor(random: Random, deployment: PlatformDeployment) {
 		this.random = random;
 		this.deployment = deployment;
 	}
 
-	/** @returns A VM that no other fault disturbs, or any where all are. */
 	pickVm(): VmProcess {
-		const calm = this.deployment.vms.filter(vm => !this.#disturbed.has(vm));
-		return this.random.pick(calm.length > 0 ? calm : this.deployment.vms);
+		return this.random.pick(this.deployment.vms);
 	}
 
 	async wait(): Promise<void> {
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -22,8 +22,6 @@
 	readonly body: string;
 	readonly tenant: string | undefined;
 	readonly deadlineMs: number;
-	/** The stream went on after this event. */
-	readonly lastEventId: number;
 	readonly at: number;
 };
 
@@ -50,7 +48,6 @@
 
 /** The server. */
 export class PlatformServer {
-	/** @param address - `IP:PORT` to use again; a free one by default. */
 	static async start(id: string, slots: number): Promise<PlatformServer> {
 		const server = new PlatformServer(id, slots);
 		await new Promise<void>(resolve => {
@@ -123,7 +120,6 @@
 			body: Buffer.concat(chunks).toString(),
 			tenant: req.headers['x-tenant']?.toString(),
 			deadlineMs: Number(req.headers['x-deadline-ms']),
-			lastEventId: Number(req.headers['last-event-id'] ?? 0),
 			at: performance.now(),
 		});
 		await this.#answer(req, res, id);
--- a/standins/platform-store.ts
+++ b/standins/platform-store.ts
@@ -38,8 +38,6 @@
 	}
 
 	mood: StoreMood = StoreMood.Well;
-	/** Calls that arrived. */
-	calls = 0;
 	readonly #server: Server;
 	readonly #rows = new Map<string, Row>();
 	readonly #waiters = new Set<Waiter>();
@@ -78,7 +76,6 @@
 	}
 
 	async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		this.calls += 1;
 		let body = '';
 		for await (const chunk of req) {
 			body += String(chunk);
--- a/standins/tcp-proxy.ts
+++ b/standins/tcp-proxy.ts
@@ -5,6 +5,7 @@
 	type AddressInfo, createConnection, createServer, type Server, type Socket,
 } from 'node:net';
 import {setTimeout} from 'node:timers';
+import {splitAddress} from '../src/base/address.js';
 
 /** What happens to bytes and connections. */
 export const ProxyMood = {
@@ -74,8 +75,7 @@
 			return;
 		}
 
-		const colonAt = this.#target.lastIndexOf(':');
-		const target = createConnection({host: this.#target.slice(0, colonAt), port: Number(this.#target.slice(colonAt + 1)), allowHalfOpen: true});
+		const target = createConnection({...splitAddress(this.#target), allowHalfOpen: true});
 		this.#join(caller, target, [ProxyMood.Silent]);
 		this.#join(target, caller, [ProxyMood.Silent, ProxyMood.OneWay]);
 	}
