--- a/src/config/rows.ts
+++ b/src/config/rows.ts
@@ -5,6 +5,7 @@
  * heads: every node lists the heads every 4 s, and inline bodies would use up a node's 16 KB/s control budget.
  */
 import {z} from 'zod';
+import {parseJson} from '../base/parse-json.js';
 import {type Row} from '../store/table.js';
 
 /** Prefix of all rows that a node reads periodically. */
@@ -84,11 +85,3 @@
 export function decodeRegion(row: Row): RegionRow | undefined {
 	return row.key.startsWith(REGION_PREFIX) ? {region: row.key.slice(REGION_PREFIX.length), version: row.version} : undefined;
 }
-
-function parseJson(text: string): unknown {
-	try {
-		return JSON.parse(text);
-	} catch {
-		return undefined;
-	}
-}
--- a/src/coordination/claim-row.ts
+++ b/src/coordination/claim-row.ts
@@ -3,6 +3,7 @@
  */
 import {createHash} from 'node:crypto';
 import {z} from 'zod';
+import {parseJson} from '../base/parse-json.js';
 import {storedAnswerSchema} from './claim-answers.js';
 import {type ClaimRequest} from './claims.js';
 
@@ -30,9 +31,5 @@
 
 /** @returns The value of a row, or `undefined` where it is corrupt. */
 export function parseClaim(text: string): ClaimValue | undefined {
-	try {
-		return claimValueSchema.safeParse(JSON.parse(text)).data;
-	} catch {
-		return undefined;
-	}
+	return claimValueSchema.safeParse(parseJson(text)).data;
 }
--- a/src/coordination/lease.ts
+++ b/src/coordination/lease.ts
@@ -8,6 +8,7 @@
 import {randomUUID} from 'node:crypto';
 import {z} from 'zod';
 import {type Clock} from '../base/clock.js';
+import {parseJson} from '../base/parse-json.js';
 import {type Condition, type Row, type Table} from '../store/table.js';
 import {writeOwn} from './own-write.js';
 import {withTimeout} from './within-time.js';
@@ -177,9 +178,5 @@
 
 /** @returns The value of a row; a corrupt one is `undefined` and lapses like any other. */
 function parseLease(text: string): LeaseValue | undefined {
-	try {
-		return leaseValueSchema.safeParse(JSON.parse(text)).data;
-	} catch {
-		return undefined;
-	}
+	return leaseValueSchema.safeParse(parseJson(text)).data;
 }
--- a/src/link/line-channel.ts
+++ b/src/link/line-channel.ts
@@ -6,6 +6,7 @@
 import {type Socket} from 'node:net';
 import {StringDecoder} from 'node:string_decoder';
 import {setImmediate} from 'node:timers';
+import {parseJson} from '../base/parse-json.js';
 
 /** Longest line, in characters; a whole configuration with some thousand routes takes about 1 MB. */
 const MAX_LINE_LENGTH = 16_777_216;
@@ -111,7 +112,7 @@
 				return;
 			}
 
-			const message = parse<Received>(line);
+			const message = parseJson(line) as Received | undefined;
 			if (message === undefined) {
 				// A peer that does not speak the protocol; its connection is of no use.
 				this.#socket.destroy();
@@ -127,11 +128,3 @@
 export function encodeLine(message: unknown): string {
 	return `${JSON.stringify(message)}\n`;
 }
-
-function parse<Message>(line: string): Message | undefined {
-	try {
-		return JSON.parse(line) as Message;
-	} catch {
-		return undefined;
-	}
-}
