Close a link at a line that is JSON but no message

The line `null` ended the process by an uncaught TypeError, other values were taken for messages without a kind. Found while the parser was put in one place; the tests fail before for `null`, a number and a string.

--- a/src/link/line-channel.ts
+++ b/src/link/line-channel.ts
@@ -112,14 +112,14 @@
 				return;
 			}
 
-			const message = parseJson(line) as Received | undefined;
-			if (message === undefined) {
+			const message = parseJson(line);
+			if (typeof message !== 'object' || message === null) {
 				// A peer that does not speak the protocol; its connection is of no use.
 				this.#socket.destroy();
 				return;
 			}
 
-			this.#events.onMessage(message);
+			this.#events.onMessage(message as Received);
 		}
 	}
 }
--- /dev/null
+++ b/test/link/line-channel.test.ts
@@ -0,0 +1,60 @@
+import {once} from 'node:events';
+import {
+	type AddressInfo, createConnection, createServer, type Server, type Socket,
+} from 'node:net';
+import {expect} from 'chai';
+import {encodeLine, LineChannel} from '../../src/link/line-channel.js';
+import {eventually} from '../support/eventually.js';
+
+type Message = {readonly kind: string};
+
+describe('channel between VMs', () => {
+	let server: Server;
+	let sender: Socket;
+	let received: Message[];
+	let isClosed: boolean;
+
+	beforeEach(async () => {
+		received = [];
+		isClosed = false;
+		server = createServer(socket => {
+			LineChannel.create<Message, Message>(socket, {
+				onMessage(message) {
+					received.push({kind: message.kind});
+				},
+				onClose() {
+					isClosed = true;
+				},
+			});
+		});
+		server.listen(0, '127.0.0.1');
+		await once(server, 'listening');
+		sender = createConnection((server.address() as AddressInfo).port, '127.0.0.1');
+		sender.on('error', () => {
+			// The receiver may close with bytes unread.
+		});
+	});
+
+	afterEach(() => {
+		sender.destroy();
+		server.close();
+	});
+
+	it('takes whole messages, however the bytes are cut', async () => {
+		const line = encodeLine({kind: 'ä'});
+		const bytes = new TextEncoder().encode(line + line);
+		sender.write(bytes.subarray(0, 11));
+		await eventually(() => sender.bytesWritten === 11);
+		sender.write(bytes.subarray(11));
+		await eventually(() => received.length === 2);
+		expect(received).to.deep.equal([{kind: 'ä'}, {kind: 'ä'}]);
+	});
+
+	for (const line of ['no JSON', 'null', '7', '"text"']) {
+		it(`closes at a line that is no message: ${line}`, async () => {
+			sender.write(`${line}\n${encodeLine({kind: 'after'})}`);
+			await eventually(() => isClosed);
+			expect(received).to.deep.equal([]);
+		});
+	}
+});
