--- a/test/link/line-channel.test.ts
+++ b/test/link/line-channel.test.ts
@@ -51,6 +51,7 @@
 	});
 
 	for (const line of ['no JSON', 'null', '7', '"text"']) {
+		// eslint-disable-next-line @typescript-eslint/no-loop-func -- mocha runs the tests one after the other
 		it(`closes at a line that is no message: ${line}`, async () => {
 			sender.write(`${line}\n${encodeLine({kind: 'after'})}`);
 			await eventually(() => isClosed);
