Quotas: tolerated requests in each window, from idle places only

One bucket held quota and tolerance together, so that the tolerance was granted once and requests inside the quota were then refused because tolerated ones had emptied the bucket.

Change: the quota's own bucket comes first; beyond it, a request gets a place that is free while nobody waits, up to what is tolerated in any span of the window. Each quota in force is logged, and its cost with a decision.

--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -391,7 +391,7 @@
 			seeds: [],
 			limits: {cpuShare: 1 - (index / 100), cores: 1, linkMbps: 1000},
 			bounds: {
-				graceS: 8, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 50, quotaOver: 0.1, quotaSlack: 1000,
+				graceS: 8, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 50, quotaWindowS: 8, quotaOver: 0.1, quotaSlack: 1000,
 			},
 			platform: {address: this.storeProxy.address},
 		}));
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -291,7 +291,8 @@
 			return {kind: ErrorKind.DeadlineUnreachable, retryAfterMs: MIN_RETRY_AFTER_MS};
 		}
 
-		const waitMs = pool.hasFree(now) ? 0 : pool.waitMs(waiting, now);
+		const hasFree = pool.hasFree(now);
+		const waitMs = hasFree ? 0 : pool.waitMs(waiting, now);
 		if (waitMs > MAX_WAIT_SHARE * (pool.latestStart(waiting) - now)) {
 			return {kind: ErrorKind.Overloaded, retryAfterMs: returnMs(waiting, now)};
 		}
@@ -301,7 +302,8 @@
 		}
 
 		pool.repeats.noteRequest(now);
-		const quotaMs = this.#quotas.spend(ask.customer, ask.quotaCost, now);
+		// Beyond its quota a customer gets what would stand idle.
+		const quotaMs = this.#quotas.spend(ask.customer, ask.quotaCost, hasFree && pool.waiting.size === 0, now);
 		return quotaMs > 0 ? {kind: ErrorKind.RateLimited, retryAfterMs: quotaMs} : undefined;
 	}
 
--- a/src/allocation/quotas.ts
+++ b/src/allocation/quotas.ts
@@ -3,15 +3,18 @@
  * all VMs, and nobody else is refused for it.
  */
 import {type Customer, type Quota} from '../gateway/routing-table.js';
+import {ToleratedWindow} from './tolerated-window.js';
 
 const MS_PER_SECOND = 1000;
 
 /** How far a customer may go beyond its quota before the deployment objects. */
 export type QuotaTolerance = {
-	/** Part of rate and burst. */
+	/** Part of what the quota allows in a window. */
 	readonly ratio: number;
 	/** Tokens, or requests, on top. */
 	readonly slack: number;
+	/** In any span of this length. */
+	readonly windowMs: number;
 };
 
 /**
@@ -23,11 +26,16 @@
 
 type Bucket = {
 	quota: Quota;
+	/** What the customer was promised. */
 	tokens: number;
 	filledAt: number;
+	readonly tolerated: ToleratedWindow;
 };
 
-/** A token bucket for each customer with a quota. Times in ms of the caller's monotonic clock. */
+/**
+ * A token bucket for each customer with a quota, and what it was granted beyond it: a request that fits the quota is
+ * never refused because others beyond it were served before. Times in ms of the caller's monotonic clock.
+ */
 export class Quotas {
 	static create(tolerance: QuotaTolerance): Quotas {
 		return new Quotas(tolerance);
@@ -58,11 +66,13 @@
 			if (quota === undefined) {
 				this.#buckets.delete(name);
 			} else if (bucket === undefined) {
-				this.#buckets.set(name, {quota, tokens: this.#capacity(quota), filledAt: now});
+				this.#buckets.set(name, {
+					quota, tokens: quota.burst * this.#share, filledAt: now, tolerated: ToleratedWindow.create(this.#tolerance.windowMs),
+				});
 			} else {
 				this.#fill(bucket, now);
 				bucket.quota = quota;
-				bucket.tokens = Math.min(bucket.tokens, this.#capacity(quota));
+				bucket.tokens = Math.min(bucket.tokens, quota.burst * this.#share);
 			}
 		}
 	}
@@ -76,15 +86,18 @@
 		for (const bucket of this.#buckets.values()) {
 			bucket.tokens = bucket.quota.burst * share * fullness;
 			bucket.filledAt = now;
+			// Another process may just have granted all that is tolerated.
+			bucket.tolerated.noteGrant(this.#toleratedSum(bucket.quota), now);
 		}
 	}
 
 	/**
 	 * Spends from a customer's quota.
 	 *
+	 * @param isTolerated - Whether the request may go beyond the quota, as nobody else waits for the place.
 	 * @returns 0 when it was spent, else the ms until there may be enough.
 	 */
-	spend(customer: string | undefined, cost: number, now: number): number {
+	spend(customer: string | undefined, cost: number, isTolerated: boolean, now: number): number {
 		const bucket = customer === undefined ? undefined : this.#buckets.get(customer);
 		if (bucket === undefined) {
 			return 0;
@@ -92,34 +105,39 @@
 
 		this.#fill(bucket, now);
 		// A request above the whole burst passes a full bucket, or it would never run.
-		const needed = Math.min(cost, this.#capacity(bucket.quota));
-		if (bucket.tokens < needed) {
-			return Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / this.#perSecond(bucket.quota));
+		const needed = Math.min(cost, bucket.quota.burst * this.#share);
+		if (bucket.tokens >= needed) {
+			bucket.tokens -= cost;
+			return 0;
+		}
+
+		if (isTolerated && bucket.tolerated.used(now) + cost <= this.#toleratedSum(bucket.quota)) {
+			bucket.tolerated.noteGrant(cost, now);
+			return 0;
 		}
 
-		bucket.tokens -= cost;
-		return 0;
+		return Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / (bucket.quota.perSecond * this.#share));
 	}
 
 	/** Gives back what a request that did not run has spent. */
 	refund(customer: string | undefined, cost: number): void {
 		const bucket = customer === undefined ? undefined : this.#buckets.get(customer);
 		if (bucket !== undefined) {
-			bucket.tokens = Math.min(this.#capacity(bucket.quota), bucket.tokens + cost);
+			bucket.tokens = Math.min(bucket.quota.burst * this.#share, bucket.tokens + cost);
 		}
 	}
 
-	#capacity({burst}: Quota): number {
-		return ((burst * (1 + (USED_RATIO * this.#tolerance.ratio))) + (USED_SLACK * this.#tolerance.slack)) * this.#share;
-	}
-
-	#perSecond({perSecond}: Quota): number {
-		return perSecond * (1 + (USED_RATIO * this.#tolerance.ratio)) * this.#share;
+	/** What a customer may be granted in a window beside what its bucket is filled with meanwhile. */
+	#toleratedSum({perSecond, burst}: Quota): number {
+		const {ratio, slack, windowMs} = this.#tolerance;
+		const promised = (perSecond * windowMs / MS_PER_SECOND) + burst;
+		return (burst + (promised * USED_RATIO * ratio) + (slack * USED_SLACK)) * this.#share;
 	}
 
 	#fill(bucket: Bucket, now: number): void {
-		const {quota} = bucket;
-		bucket.tokens = Math.min(this.#capacity(quota), bucket.tokens + ((now - bucket.filledAt) * this.#perSecond(quota) / MS_PER_SECOND));
+		const {quota, filledAt} = bucket;
+		bucket.tokens = Math.min(quota.burst * this.#share, bucket.tokens + ((now - filledAt) * quota.perSecond * this.#share / MS_PER_SECOND));
 		bucket.filledAt = now;
+		bucket.tolerated.noteLevel(bucket.tokens, now);
 	}
 }
--- a/src/gateway/deployment-state.ts
+++ b/src/gateway/deployment-state.ts
@@ -57,8 +57,18 @@
 			return;
 		}
 
+		const quotas = new Map(this.#table?.configuration.customers.map(({name, quota}) => [name, quota]));
 		this.#table = RoutingTable.create(configuration);
 		this.#log.info('Configuration in force.', {version: configuration.version, routes: configuration.routes.length, customers: configuration.customers.length});
+		for (const {name, quota} of configuration.customers) {
+			const before = quotas.get(name);
+			if (before?.perSecond !== quota?.perSecond || before?.burst !== quota?.burst) {
+				this.#log.info('Quota in force.', {
+					customer: name, perSecond: quota?.perSecond, burst: quota?.burst, inTokens: quota?.isInTokens,
+				});
+			}
+		}
+
 		for (const listener of this.#listeners) {
 			listener.onTable?.(this.#table);
 		}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -170,6 +170,7 @@
 			waiting,
 			expectedFirstMs: expectedFirstMs === undefined ? undefined : Math.round(expectedFirstMs),
 			attempt: ask.attempt,
+			quotaCost: ask.quotaCost === 0 ? undefined : ask.quotaCost,
 			objectiveMs: Math.round(objectiveMs),
 		});
 	}
--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -59,7 +59,7 @@
 		granted = new Map();
 		refused = new Map();
 		allocator = Allocator.create({
-			clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0},
+			clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000},
 		});
 		allocator.setTable(makeTable());
 		allocator.setUpstreams({changed: Array.from({length: engineCount}, (_, index) => makeUpstream(index)), removed: []});
--- /dev/null
+++ b/test/allocation/quotas.test.ts
@@ -0,0 +1,103 @@
+import {expect} from 'chai';
+import {Quotas, type QuotaTolerance} from '../../src/allocation/quotas.js';
+import {Random} from '../../src/base/random.js';
+import {type Customer} from '../../src/gateway/routing-table.js';
+
+const quota = {
+	perSecond: 1000, burst: 1000, isInTokens: true, plainTokens: 0,
+};
+const windowMs = 8000;
+const tolerance: QuotaTolerance = {ratio: 0.1, slack: 2000, windowMs};
+const maxInWindow = ((quota.perSecond * windowMs / 1000) + quota.burst) * (1 + tolerance.ratio) + tolerance.slack;
+
+function customer(perSecond = quota.perSecond): Customer {
+	return {
+		name: 'hot', apiKeys: [], rank: undefined, quota: {...quota, perSecond, burst: perSecond},
+	};
+}
+
+/** The bucket that the customer was promised, without any tolerance. */
+class PlainBucket {
+	#tokens = quota.burst;
+	#filledAt = 0;
+
+	fits(cost: number, now: number): boolean {
+		this.#tokens = Math.min(quota.burst, this.#tokens + ((now - this.#filledAt) * quota.perSecond / 1000));
+		this.#filledAt = now;
+		if (this.#tokens < cost) {
+			return false;
+		}
+
+		this.#tokens -= cost;
+		return true;
+	}
+}
+
+describe('quotas of a customer that sends several times its usual', () => {
+	for (const seed of [1, 2, 3, 4, 5]) {
+		it(`never refuse what the plain quota allows, nor grant more than is tolerated (seed ${seed})`, () => {
+			const random = Random.create(seed);
+			const quotas = Quotas.create(tolerance);
+			quotas.setCustomers([customer()], 0);
+			const plain = new PlainBucket();
+			const granted: Array<{at: number; cost: number}> = [];
+			for (let now = 0; now < 60_000; now += 40 * random.next()) {
+				const cost = 10 + (190 * random.next());
+				const isOwed = plain.fits(cost, now);
+				const isGranted = quotas.spend('hot', cost, random.next() < 0.7, now) === 0;
+				expect(isGranted || !isOwed, `owed at ${now}`).to.equal(true);
+				if (isGranted) {
+					granted.push({at: now, cost});
+				}
+			}
+
+			for (const [index, {at}] of granted.entries()) {
+				let sum = 0;
+				for (const {at: later, cost} of granted.slice(index)) {
+					sum += later < at + windowMs ? cost : 0;
+				}
+
+				expect(sum).to.be.at.most(maxInWindow);
+			}
+		});
+	}
+
+	it('grant what is tolerated in each window again, not once', () => {
+		const quotas = Quotas.create(tolerance);
+		quotas.setCustomers([customer()], 0);
+		let granted = 0;
+		for (let now = 0; now < 80_000; now += 10) {
+			granted += quotas.spend('hot', 100, true, now) === 0 ? 100 : 0;
+		}
+
+		// Ten windows; what is kept back covers a change of the allocator.
+		expect(granted / 10).to.be.within(0.85 * maxInWindow, maxInWindow);
+	});
+
+	it('grant nothing beyond the quota for a window after another process may have done so', () => {
+		const quotas = Quotas.create(tolerance);
+		quotas.setCustomers([customer()], 0);
+		quotas.restart(1, 0.1, 0);
+		let granted = 0;
+		for (let now = 0; now < windowMs; now += 10) {
+			granted += quotas.spend('hot', 100, true, now) === 0 ? 100 : 0;
+		}
+
+		expect(granted).to.be.at.most((0.1 * quota.burst) + (quota.perSecond * windowMs / 1000));
+	});
+
+	it('bind a lower quota at once, whatever was saved under the one before', () => {
+		const quotas = Quotas.create({ratio: 0, slack: 0, windowMs});
+		quotas.setCustomers([customer()], 0);
+		quotas.setCustomers([customer(100)], 0);
+		expect(quotas.spend('hot', 100, false, 0)).to.equal(0);
+		expect(quotas.spend('hot', 100, false, 0)).to.be.above(900);
+	});
+
+	it('let a request above the whole burst pass when nothing was spent', () => {
+		const quotas = Quotas.create({ratio: 0, slack: 0, windowMs});
+		quotas.setCustomers([customer()], 0);
+		expect(quotas.spend('hot', 5000, false, 0)).to.equal(0);
+		expect(quotas.spend('hot', 1, true, 0)).to.be.above(0);
+	});
+});
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -42,7 +42,7 @@
 		const clock = VirtualClock.create();
 		const log = Log.create('silent');
 		allocator = Allocator.create({
-			clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0},
+			clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000},
 		});
 		allocator.setUpstreams({
 			changed: [{
--- a/test/support/front-rig.ts
+++ b/test/support/front-rig.ts
@@ -125,7 +125,7 @@
 	readonly state = DeploymentState.create(Log.create('silent'));
 	readonly #clock = SystemClock.create();
 	readonly #allocator = Allocator.create({
-		clock: this.#clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 50, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0},
+		clock: this.#clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 50, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000},
 	});
 
 	readonly #front: FrontServer;
