Allocation: the queue keeps its order and sums as requests come and go

In a rush it read requests seconds late, after their callers had left.

Ruled out: a change of the allocator again and again (the term of 53 is a version of the store's row; it changed three times).

Change: WaitingQueue keeps order, work by level and counts by rank; levels are looked at anew each tick. Upstreams with a free slot, their prompts to read and the pool's speed are kept too. Where all engines are full, only requests that may be sent ahead are looked at.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -12,12 +12,11 @@
 import {
 	agedAsk, Allocation, type Ask, type AskEvents, emptyReport, type HeldPlace, type Report,
 } from './ask.js';
-import {
-	Pool, type Held, type Station, type Waiting,
-} from './pool.js';
+import {Pool, type Held, type Station} from './pool.js';
 import {type RepeatBounds} from './repeat-budget.js';
 import {Quotas, type QuotaTolerance} from './quotas.js';
 import {Returns} from './returns.js';
+import {type Waiting} from './waiting-queue.js';
 
 /** How often waiting requests are examined, in ms; small against the shortest response-time objective. */
 const TICK_MS = 25;
@@ -224,7 +223,7 @@
 			return;
 		}
 
-		pool.waiting.set(ask.id, waiting);
+		pool.waiting.add(waiting, now);
 		this.#poolByAsk.set(ask.id, pool);
 		this.#pump(pool);
 		this.#schedule();
@@ -322,7 +321,7 @@
 
 	#hold(pool: Pool, {ask, objectiveAt, callerLeavesAt}: Waiting, station: Station, now: number): void {
 		const held: Held = {
-			ask, upstreamId: station.upstream.id, grantedAt: now, objectiveAt, callerLeavesAt, pendingPromptTokens: pool.pendingPromptTokens(station), hasFirst: false,
+			ask, upstreamId: station.upstream.id, grantedAt: now, objectiveAt, callerLeavesAt, pendingPromptTokens: station.pendingPromptTokens, hasFirst: false,
 		};
 		pool.hold(station.upstream.id, held);
 		this.#poolByAsk.set(ask.id, pool);
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -4,10 +4,11 @@
  */
 import {type PoolSettings} from '../gateway/routing-table.js';
 import {type Upstream} from '../gateway/upstream-list.js';
-import {type Ask, type AskEvents, type Report} from './ask.js';
+import {type Ask, type Report} from './ask.js';
 import {Pace, PoolPace} from './pace.js';
 import {RepeatBudget, type RepeatBounds} from './repeat-budget.js';
 import {Standing} from './standing.js';
+import {type Waiting, WaitingQueue} from './waiting-queue.js';
 
 /** A request is late in the queue when its best expected first event would miss its objective by this margin, in ms. */
 const OBJECTIVE_MARGIN_MS = 40;
@@ -37,19 +38,8 @@
 const EXPIRY_MARGIN_MS = 2000;
 /** A load that an upstream told says nothing about other VMs' requests after this time, in ms. */
 const LOAD_LIFETIME_MS = 1200;
-
-/** A request in the queue. Times in ms of the allocator's monotonic clock. */
-export type Waiting = {
-	readonly ask: Ask;
-	readonly events: AskEvents;
-	readonly askedAt: number;
-	readonly objectiveAt: number;
-	readonly deadlineAt: number;
-	/** When the caller leaves unless its answer has begun. */
-	readonly leavesAt: number;
-	/** When the caller leaves, as it told itself. */
-	readonly callerLeavesAt: number;
-};
+/** How long the sum of all upstreams' paces is used, in ms; an upstream's own pace changes over several answers. */
+const SPEED_LIFETIME_MS = 25;
 
 /** A request that has a place. */
 export type Held = {
@@ -70,6 +60,8 @@
 	pace: Pace;
 	standing: Standing;
 	readonly held: Map<string, Held>;
+	/** Tokens of the prompts that it has yet to read. */
+	pendingPromptTokens: number;
 	/** Requests of other VMs, where this allocator does not know them. */
 	othersLoad: number;
 	othersAt: number;
@@ -89,14 +81,22 @@
 	}
 
 	readonly name: string;
-	readonly waiting = new Map<string, Waiting>();
+	readonly waiting: WaitingQueue;
 	readonly held = new Map<string, Held>();
 	readonly stations = new Map<string, Station>();
 	readonly repeats: RepeatBudget;
+	/** Upstreams with fewer requests than slots; whether they may get one also depends on the time. */
+	readonly #open = new Set<Station>();
 	#pace: PoolPace;
+	#speed = 0;
+	#speedAt = Number.NEGATIVE_INFINITY;
 
 	private constructor(name: string, settings: PoolSettings | undefined, repeatBounds: RepeatBounds) {
 		this.name = name;
+		this.waiting = WaitingQueue.create({
+			levelOf: (waiting, now) => this.#levelOf(waiting, now),
+			serviceMs: ask => this.serviceMs(ask),
+		});
 		this.repeats = RepeatBudget.create(repeatBounds);
 		this.#pace = PoolPace.create(settings?.isEngine ?? false);
 	}
@@ -111,11 +111,14 @@
 	}
 
 	setStation(upstream: Upstream): void {
+		this.#speedAt = Number.NEGATIVE_INFINITY;
 		const station = this.stations.get(upstream.id);
 		if (station === undefined) {
-			this.stations.set(upstream.id, {
-				upstream, pace: Pace.create(this.#pace), standing: Standing.create(), held: new Map(), othersLoad: 0, othersAt: Number.NEGATIVE_INFINITY,
-			});
+			const added: Station = {
+				upstream, pace: Pace.create(this.#pace), standing: Standing.create(), held: new Map(), pendingPromptTokens: 0, othersLoad: 0, othersAt: Number.NEGATIVE_INFINITY,
+			};
+			this.stations.set(upstream.id, added);
+			this.#noteHeld(added);
 			return;
 		}
 
@@ -124,10 +127,16 @@
 		}
 
 		station.upstream = upstream;
+		this.#noteHeld(station);
 	}
 
 	removeStation(id: string): void {
-		this.stations.delete(id);
+		const station = this.stations.get(id);
+		if (station !== undefined) {
+			this.stations.delete(id);
+			this.#open.delete(station);
+			this.#speedAt = Number.NEGATIVE_INFINITY;
+		}
 	}
 
 	/** Forgets all requests. */
@@ -136,20 +145,35 @@
 		this.held.clear();
 		for (const station of this.stations.values()) {
 			station.held.clear();
+			station.pendingPromptTokens = 0;
+			this.#noteHeld(station);
 		}
 	}
 
 	hold(upstreamId: string, held: Held): void {
 		this.held.set(held.ask.id, held);
-		this.stations.get(upstreamId)?.held.set(held.ask.id, held);
+		const station = this.stations.get(upstreamId);
+		if (station !== undefined) {
+			this.#removeHeld(station, held.ask.id);
+			station.held.set(held.ask.id, held);
+			station.pendingPromptTokens += pendingTokensOf(held);
+			this.#noteHeld(station);
+		}
 	}
 
 	noteFirst(askId: string, firstMs: number): void {
 		const held = this.held.get(askId);
-		if (held !== undefined && !held.hasFirst) {
-			held.hasFirst = true;
-			this.stations.get(held.upstreamId)?.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, firstMs);
+		if (held === undefined || held.hasFirst) {
+			return;
+		}
+
+		const station = this.stations.get(held.upstreamId);
+		if (station?.held.get(askId) === held) {
+			station.pendingPromptTokens -= held.ask.promptTokens;
 		}
+
+		held.hasFirst = true;
+		station?.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, firstMs);
 	}
 
 	/** Frees a place and learns from how it was used. */
@@ -160,7 +184,7 @@
 			return;
 		}
 
-		station.held.delete(held.ask.id);
+		this.#removeHeld(station, held.ask.id);
 		station.standing.note(report.ending, now);
 		if (report.firstMs !== undefined && !held.hasFirst) {
 			station.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, report.firstMs);
@@ -178,16 +202,6 @@
 		return [...this.held.values()].filter(({ask, grantedAt}) => now > grantedAt + ask.remainingMs + EXPIRY_MARGIN_MS);
 	}
 
-	/** @returns Tokens of the prompts that an upstream has yet to read. */
-	pendingPromptTokens(station: Station): number {
-		let tokens = 0;
-		for (const {ask, hasFirst} of station.held.values()) {
-			tokens += hasFirst ? 0 : ask.promptTokens;
-		}
-
-		return tokens;
-	}
-
 	/** @returns Whether some upstream may run the request, now or later. */
 	hasStation(excluded: readonly string[]): boolean {
 		for (const {upstream} of this.stations.values()) {
@@ -201,7 +215,7 @@
 
 	/** @returns Whether some upstream has a free place. */
 	hasFree(now: number): boolean {
-		for (const station of this.stations.values()) {
+		for (const station of this.#open) {
 			if (isFree(station, now, 0)) {
 				return true;
 			}
@@ -217,15 +231,7 @@
 
 	/** @returns Expected ms until a waiting request gets a place. */
 	waitMs(waiting: Waiting, now: number): number {
-		const level = this.#levelOf(waiting, now);
-		let workMs = 0;
-		for (const other of this.waiting.values()) {
-			if (this.#levelOf(other, now) <= level) {
-				workMs += this.serviceMs(other.ask);
-			}
-		}
-
-		return workMs / Math.max(1, this.#speed(now));
+		return this.waiting.workMs(this.#levelOf(waiting, now)) / Math.max(1, this.#speedOf(now));
 	}
 
 	/** @returns The latest time at which a request may get a place and still be of use. */
@@ -235,11 +241,11 @@
 
 	/** @returns Waiting requests that will not get a place in time. */
 	hopeless(now: number): Waiting[] {
-		const speed = Math.max(1, this.#speed(now));
-		const ordered = this.#ordered(now);
+		const speed = Math.max(1, this.#speedOf(now));
+		this.waiting.refresh(now);
 		const found: Waiting[] = [];
 		let workMs = 0;
-		for (const waiting of ordered) {
+		for (const waiting of this.waiting) {
 			const serviceMs = this.serviceMs(waiting.ask);
 			if (now + (workMs / speed) > this.latestStart(waiting)) {
 				found.push(waiting);
@@ -257,18 +263,36 @@
 			return undefined;
 		}
 
-		const free = this.#free(now);
-		if (free.length === 0) {
+		const free = [...this.#open].filter(station => isFree(station, now, 0));
+		if (free.length > 0) {
+			for (const waiting of this.waiting) {
+				const grant = this.#choose(waiting, free, now);
+				if (grant !== undefined) {
+					return grant;
+				}
+			}
+
 			return undefined;
 		}
 
-		let leastRank = 0;
-		for (const {ask} of this.waiting.values()) {
-			leastRank = Math.max(leastRank, ask.rank);
-		}
+		return this.#pace.isEngine ? this.#nextAhead(now) : undefined;
+	}
+
+	/** At full engines, one more request is sent ahead where it can be on time and a less important one waits. */
+	#nextAhead(now: number): Grant | undefined {
+		const {leastRank} = this.waiting;
+		let ahead: Station[] | undefined;
+		for (const waiting of this.waiting) {
+			if (waiting.ask.rank >= leastRank || this.#isLate(waiting, now)) {
+				continue;
+			}
+
+			ahead ??= [...this.stations.values()].filter(station => isFree(station, now, AHEAD_PLACES));
+			if (ahead.length === 0) {
+				return undefined;
+			}
 
-		for (const waiting of this.#ordered(now)) {
-			const grant = this.#choose(waiting, free, now, leastRank);
+			const grant = this.#choose(waiting, ahead, now);
 			if (grant !== undefined) {
 				return grant;
 			}
@@ -277,14 +301,7 @@
 		return undefined;
 	}
 
-	/** Upstreams with a free place; where there is none, engines that take one request ahead. */
-	#free(now: number): Station[] {
-		const stations = [...this.stations.values()];
-		const free = stations.filter(station => isFree(station, now, 0));
-		return free.length > 0 || !this.#pace.isEngine ? free : stations.filter(station => isFree(station, now, AHEAD_PLACES));
-	}
-
-	#choose(waiting: Waiting, free: readonly Station[], now: number, leastRank: number): Grant | undefined {
+	#choose(waiting: Waiting, free: readonly Station[], now: number): Grant | undefined {
 		const {ask} = waiting;
 		// Work that can be on time somewhere waits for such a place rather than taking one where it would be late.
 		const isLate = this.#isLate(waiting, now);
@@ -296,11 +313,7 @@
 				continue;
 			}
 
-			const expectedFirstMs = this.#slotWaitMs(station, ask) + station.pace.firstMs(ask.promptTokens, this.pendingPromptTokens(station));
-			if (station.held.size >= station.upstream.slots && (isLate || ask.rank >= leastRank)) {
-				continue;
-			}
-
+			const expectedFirstMs = this.#slotWaitMs(station, ask) + station.pace.firstMs(ask.promptTokens, station.pendingPromptTokens);
 			if (mustBeOnTime && now + expectedFirstMs > waiting.objectiveAt) {
 				continue;
 			}
@@ -337,15 +350,6 @@
 		return cost;
 	}
 
-	#ordered(now: number): Waiting[] {
-		const levels = new Map<Waiting, number>();
-		for (const waiting of this.waiting.values()) {
-			levels.set(waiting, this.#levelOf(waiting, now));
-		}
-
-		return [...levels.keys()].sort((a, b) => levels.get(a)! - levels.get(b)! || a.objectiveAt - b.objectiveAt);
-	}
-
 	#levelOf(waiting: Waiting, now: number): number {
 		return (waiting.ask.rank * LEVELS_PER_RANK) + (this.#isLate(waiting, now) ? LATE_LEVELS : 0);
 	}
@@ -356,18 +360,42 @@
 	}
 
 	/** Places of the pool, each counted by its pace. */
-	#speed(now: number): number {
-		let speed = 0;
-		for (const {upstream, pace, standing} of this.stations.values()) {
-			if (!upstream.isLeaving && !standing.isPaused(now)) {
-				speed += upstream.slots / pace.factor;
+	#speedOf(now: number): number {
+		if (now - this.#speedAt >= SPEED_LIFETIME_MS) {
+			this.#speedAt = now;
+			this.#speed = 0;
+			for (const {upstream, pace, standing} of this.stations.values()) {
+				if (!upstream.isLeaving && !standing.isPaused(now)) {
+					this.#speed += upstream.slots / pace.factor;
+				}
 			}
 		}
 
-		return speed;
+		return this.#speed;
+	}
+
+	#removeHeld(station: Station, askId: string): void {
+		const held = station.held.get(askId);
+		if (held !== undefined) {
+			station.held.delete(askId);
+			station.pendingPromptTokens -= pendingTokensOf(held);
+			this.#noteHeld(station);
+		}
+	}
+
+	#noteHeld(station: Station): void {
+		if (station.held.size < station.upstream.slots) {
+			this.#open.add(station);
+		} else {
+			this.#open.delete(station);
+		}
 	}
 }
 
+function pendingTokensOf({ask, hasFirst}: Held): number {
+	return hasFirst ? 0 : ask.promptTokens;
+}
+
 /** @param ahead - Requests beyond the slots that may wait at the upstream. */
 function isFree(station: Station, now: number, ahead: number): boolean {
 	const {upstream, standing, held} = station;
--- /dev/null
+++ b/src/allocation/waiting-queue.ts
@@ -0,0 +1,159 @@
+/**
+ * The requests of a pool that wait, in the order in which they get places. Answers a rush in front of hundreds of
+ * upstreams: the order and the sums over it are kept as requests come and go, so that a decision does not look at all of
+ * them.
+ */
+import {type Ask, type AskEvents} from './ask.js';
+
+/** A request in the queue. Times in ms of the allocator's monotonic clock. */
+export type Waiting = {
+	readonly ask: Ask;
+	readonly events: AskEvents;
+	readonly askedAt: number;
+	readonly objectiveAt: number;
+	readonly deadlineAt: number;
+	/** When the caller leaves unless its answer has begun. */
+	readonly leavesAt: number;
+	/** When the caller leaves, as it told itself. */
+	readonly callerLeavesAt: number;
+};
+
+/** What the order is made of. */
+export type QueueOrder = {
+	/** Lower levels go first; within one, the earliest objective. */
+	levelOf(waiting: Waiting, now: number): number;
+	/** Expected ms of the request at an upstream of usual pace. */
+	serviceMs(ask: Ask): number;
+};
+
+type Entry = {
+	readonly waiting: Waiting;
+	/** Equal requests go in the order of arrival. */
+	readonly arrival: number;
+	level: number;
+	serviceMs: number;
+};
+
+/** The queue of one pool. */
+export class WaitingQueue {
+	static create(order: QueueOrder): WaitingQueue {
+		return new WaitingQueue(order);
+	}
+
+	readonly #order: QueueOrder;
+	readonly #byId = new Map<string, Entry>();
+	#entries: Entry[] = [];
+	/** Expected work of each level, in ms. */
+	readonly #work = new Map<number, number>();
+	readonly #countByRank = new Map<number, number>();
+	#arrivals = 0;
+
+	private constructor(order: QueueOrder) {
+		this.#order = order;
+	}
+
+	get size(): number {
+		return this.#entries.length;
+	}
+
+	/** Rank of the least important request. */
+	get leastRank(): number {
+		return Math.max(0, ...this.#countByRank.keys());
+	}
+
+	get(id: string): Waiting | undefined {
+		return this.#byId.get(id)?.waiting;
+	}
+
+	/** The requests in their order. */
+	* [Symbol.iterator](): Generator<Waiting> {
+		for (const {waiting} of this.#entries) {
+			yield waiting;
+		}
+	}
+
+	add(waiting: Waiting, now: number): void {
+		const {ask} = waiting;
+		this.delete(ask.id);
+		this.#arrivals += 1;
+		const entry: Entry = {
+			waiting, arrival: this.#arrivals, level: this.#order.levelOf(waiting, now), serviceMs: this.#order.serviceMs(ask),
+		};
+		this.#byId.set(ask.id, entry);
+		this.#entries.splice(this.#indexOf(entry), 0, entry);
+		this.#count(entry, 1);
+	}
+
+	delete(id: string): void {
+		const entry = this.#byId.get(id);
+		if (entry !== undefined) {
+			this.#byId.delete(id);
+			this.#entries.splice(this.#indexOf(entry), 1);
+			this.#count(entry, -1);
+		}
+	}
+
+	clear(): void {
+		this.#byId.clear();
+		this.#entries = [];
+		this.#work.clear();
+		this.#countByRank.clear();
+	}
+
+	/** Orders the requests anew: with time some become late, and expected times change. */
+	refresh(now: number): void {
+		this.#work.clear();
+		for (const entry of this.#entries) {
+			entry.level = this.#order.levelOf(entry.waiting, now);
+			entry.serviceMs = this.#order.serviceMs(entry.waiting.ask);
+			this.#work.set(entry.level, (this.#work.get(entry.level) ?? 0) + entry.serviceMs);
+		}
+
+		this.#entries.sort(compare);
+	}
+
+	/** @returns Expected ms of work up to a level and with it. */
+	workMs(level: number): number {
+		let sum = 0;
+		for (const [other, workMs] of this.#work) {
+			sum += other <= level ? workMs : 0;
+		}
+
+		return sum;
+	}
+
+	#count({level, serviceMs, waiting: {ask}}: Entry, sign: 1 | -1): void {
+		this.#work.set(level, (this.#work.get(level) ?? 0) + (sign * serviceMs));
+		const count = (this.#countByRank.get(ask.rank) ?? 0) + sign;
+		if (count === 0) {
+			this.#countByRank.delete(ask.rank);
+		} else {
+			this.#countByRank.set(ask.rank, count);
+		}
+
+		if (this.#entries.length === 0) {
+			// Sums of fractions do not come back to 0 by themselves.
+			this.#work.clear();
+		}
+	}
+
+	/** @returns Where an entry stands or belongs. */
+	#indexOf(entry: Entry): number {
+		let low = 0;
+		let high = this.#entries.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (compare(this.#entries[middle]!, entry) < 0) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		return low;
+	}
+}
+
+function compare(a: Entry, b: Entry): number {
+	return a.level - b.level || a.waiting.objectiveAt - b.waiting.objectiveAt || a.arrival - b.arrival;
+}
