A VM that starts without store and allocator learns from any other what is in force

Cause: shown by the new process test for 'after a restart, a server that had left or a withdrawn key in use again': with the allocator killed and the store silent, the restarted VM found its seed, which does not allocate, and was told nothing; it was not ready for 20 s and more.

Ruled out: reading an older configuration from anywhere else; what the peer has in force is what it serves by itself, and versions never go back.

Change: a hello says that the VM knows no configuration; a VM that does not allocate then tells upstreams and configuration before it says so.

--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -178,6 +178,8 @@
 	readonly #allServers: PlatformServer[] = [];
 	readonly #leavesAt = new Map<string, number>();
 	readonly #disturbances: Array<{readonly startedAt: number; endedAt: number}> = [];
+	/** Link addresses of the VMs that were added so far. */
+	readonly #seeds: string[] = [];
 	#version = 0;
 	#nextId = 1;
 
@@ -212,8 +214,11 @@
 		}, 1500).unref();
 	}
 
-	/** @param extraRoutes - Prefixes that are allowed beside the usual ones. */
-	setConfiguration(extraRoutes: readonly string[] = []): void {
+	/**
+	 * @param extraRoutes - Prefixes that are allowed beside the usual ones.
+	 * @param apiKeys - Keys of the customer; callers here use the first of the usual ones.
+	 */
+	setConfiguration(extraRoutes: readonly string[] = [], apiKeys: readonly string[] = ['key-1']): void {
 		this.#version += 1;
 		const route = (name: string, kind: string, prefix: string, service: string, isStream: boolean) => ({
 			name, host: 'desk.example', prefix, kind, timeoutMs: CALLER_LIMIT_MS, targetLatencyMs: 300, priority: isStream ? 0 : 1, service, maxAttempts: kind === 'non_idempotent' ? 1 : 2, public: false, sticky: isStream, resumable: isStream, gapTargetMs: 300,
@@ -235,7 +240,7 @@
 			limits: {
 				maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 			},
-			tenants: [{name: 'crew', apiKeys: ['key-1']}],
+			tenants: [{name: 'crew', apiKeys}],
 		});
 	}
 
@@ -379,6 +384,7 @@
 		const [front, ready, control, directory, metrics] = await Promise.all(Array.from({length: 5}, async () => freePort()));
 		const at = (port: number | undefined) => `127.0.0.1:${port}`;
 		const settingsPath = path.join(this.#folder, `vm-${index}.json`);
+		this.#seeds.push(at(control));
 		await writeFile(settingsPath, JSON.stringify({
 			nodeName: `vm-${index}`,
 			zone: 'zone-a',
@@ -388,7 +394,7 @@
 				front: at(front), ready: at(ready), control: at(control), directory: at(directory),
 			},
 			internalPorts: [metrics, metrics],
-			seeds: [],
+			seeds: this.#seeds,
 			limits: {cpuShare: 1 - (index / 100), cores: 1, linkMbps: 1000},
 			bounds: {
 				graceS: 8, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 50, quotaWindowS: 8, quotaOver: 0.1, quotaSlack: 1000,
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -466,6 +466,10 @@
 				} else if (isLink) {
 					this.#host.take(channel, message);
 				} else {
+					if (message.kind === 'hello' && message.isBlank) {
+						this.#tellState(channel);
+					}
+
 					channel.send({kind: 'not-leader', leader: this.#leader});
 					channel.close();
 				}
@@ -477,6 +481,17 @@
 		});
 	}
 
+	/** Without the store and without an allocator, a VM that has just started learns from any other what is in force. */
+	#tellState(channel: LineChannel<FromLeader | FromPeer, ToLeader | ToPeer>): void {
+		const {table, upstreams} = this.#options.state;
+		if (table !== undefined) {
+			channel.send({
+				kind: 'upstreams', isWhole: true, changed: upstreams.all, removed: [],
+			});
+			channel.send({kind: 'configuration', configuration: table.configuration});
+		}
+	}
+
 	#hears(boot: string): boolean {
 		return (this.#role === Role.Leading && this.#self.boot === boot) || (this.#role === Role.Linked && this.#leader?.boot === boot);
 	}
@@ -527,7 +542,9 @@
 					}
 
 					client.take(message);
-					this.#handle(message);
+					if (leader !== undefined || this.#isBlank) {
+						this.#handle(message);
+					}
 				},
 				onClose: () => {
 					client.close();
@@ -542,10 +559,14 @@
 			const client = LeaderClient.create(clock, channel, () => {
 				channel.close();
 			});
-			client.send({kind: 'hello', member: this.#self});
+			client.send({kind: 'hello', member: this.#self, isBlank: this.#isBlank});
 		});
 	}
 
+	get #isBlank(): boolean {
+		return this.#options.state.table === undefined;
+	}
+
 	#handle(message: FromLeader): void {
 		const {state, allocator, onVersion} = this.#options;
 		switch (message.kind) {
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -36,7 +36,8 @@
 
 /** From a VM to the allocator. */
 export type ToLeader =
-	| {readonly kind: 'hello'; readonly member: Member}
+	/** `isBlank`: the VM has no configuration, so that any VM should tell what it knows. */
+	| {readonly kind: 'hello'; readonly member: Member; readonly isBlank: boolean}
 	/** Follows the welcome; until then places are freed without the allocator's knowledge. */
 	| {readonly kind: 'places'; readonly places: readonly HeldPlace[]}
 	| {readonly kind: 'member'; readonly member: Member}
@@ -52,7 +53,7 @@
 
 /** From the allocator to a VM. */
 export type FromLeader =
-	/** This VM does not allocate; `leader` is who does, where it knows. */
+	/** This VM does not allocate; `leader` is who does, where it knows. A blank VM is told configuration and upstreams before. */
 	| {readonly kind: 'not-leader'; readonly leader: Leader | undefined}
 	/** Answers a hello. */
 	| {readonly kind: 'welcome'; readonly leader: Leader}
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -3,6 +3,7 @@
  * can be resumed, and faults. It records what ran.
  */
 import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
@@ -13,6 +14,9 @@
 export const STREAM_EVENTS = 8;
 const EVENT_MS = 12;
 const WORK_MS = 15;
+/** Time for which a server asks to be spared, in s. */
+const PAUSE_S = 0.4;
+const FLOOD = 'x'.repeat(65_536);
 
 /** A request that ran. */
 export type Run = {
@@ -42,6 +46,10 @@
 	Sheds: 'sheds',
 	/** Answers with the ID of another request. */
 	Confuses: 'confuses',
+	/** Refuses without running, and asks to be spared. */
+	Pauses: 'pauses',
+	/** Runs the request and answers with bytes without end. */
+	Floods: 'floods',
 } as const;
 
 export type ServerMood = (typeof ServerMood)[keyof typeof ServerMood];
@@ -106,8 +114,9 @@
 			return;
 		}
 
-		if (this.mood === ServerMood.Sheds || this.#running >= this.slots + 2) {
-			res.writeHead(503, {'x-not-run': '1', 'x-request-id': id});
+		const isPausing = this.mood === ServerMood.Pauses;
+		if (isPausing || this.mood === ServerMood.Sheds || this.#running >= this.slots + 2) {
+			res.writeHead(503, {'x-not-run': '1', 'x-request-id': id, ...(isPausing ? {'retry-after': String(PAUSE_S)} : {})});
 			res.end();
 			return;
 		}
@@ -134,6 +143,13 @@
 			return;
 		}
 
+		if (this.mood === ServerMood.Floods) {
+			res.writeHead(200, headers);
+			flood(res);
+			await once(res, 'close');
+			return;
+		}
+
 		if (this.mood === ServerMood.HeadOnly) {
 			res.writeHead(200, headers);
 			res.flushHeaders();
@@ -184,6 +200,18 @@
 	}
 }
 
+/** Sends as fast as the other side reads, until it closes the connection. */
+function flood(res: ServerResponse): void {
+	const pump = () => {
+		while (!res.destroyed && res.write(FLOOD)) {
+			// Until the kernel's buffer is full.
+		}
+	};
+
+	res.on('drain', pump);
+	pump();
+}
+
 /** @returns The whole answer to a plain request. */
 export function wholeAnswer(id: string): string {
 	return `the whole answer to ${id}`;
--- a/test/allocation/quotas.test.ts
+++ b/test/allocation/quotas.test.ts
@@ -8,7 +8,7 @@
 };
 const windowMs = 8000;
 const tolerance: QuotaTolerance = {ratio: 0.1, slack: 2000, windowMs};
-const maxInWindow = ((quota.perSecond * windowMs / 1000) + quota.burst) * (1 + tolerance.ratio) + tolerance.slack;
+const maxInWindow = (((quota.perSecond * windowMs / 1000) + quota.burst) * (1 + tolerance.ratio)) + tolerance.slack;
 
 function customer(perSecond = quota.perSecond): Customer {
 	return {
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -69,6 +69,7 @@
 
 type Vm = {
 	readonly name: string;
+	readonly linkAddress: string;
 	readonly coordinator: Coordinator;
 	readonly state: DeploymentState;
 	readonly allocation: SwitchedAllocation;
@@ -92,7 +93,7 @@
 		}
 	});
 
-	async function startVm(name: string, strength: number): Promise<Vm> {
+	async function startVm(name: string, strength: number, seeds: readonly string[] = []): Promise<Vm> {
 		const log = Log.create('silent');
 		const state = DeploymentState.create(log);
 		const random = Random.create(strength);
@@ -110,6 +111,7 @@
 		};
 		const vm: Vm = {
 			name,
+			linkAddress: self.linkAddress,
 			state,
 			allocation,
 			isWatching: false,
@@ -123,7 +125,7 @@
 				allocation,
 				register: new MemoryRegister(row, name),
 				self,
-				seeds: [],
+				seeds,
 				reachesStore: () => !row.unreachableFor.has(name) && !row.unreachableFor.has('all'),
 				onVersion(version) {
 					vm.versions.push(version);
@@ -306,6 +308,23 @@
 		expect(vms.map(vm => isLeaving(vm))).to.deep.equal([true, true, true]);
 	});
 
+	it('learns what is in force from any VM when it starts without the store and without an allocator', async () => {
+		await startVms();
+		const upstream = {
+			id: 'one', pool: 'desk', address: '10.0.0.1:80', dataCentre: 'a', region: 'r', slots: 1, isLeaving: false, startedAt: 1,
+		};
+		for (const vm of vms) {
+			vm.state.applyConfiguration(configuration(4, 3));
+			vm.state.applyUpstreams({changed: [upstream], removed: []});
+		}
+
+		row.unreachableFor.add('all');
+		const seed = vms.find(({coordinator}) => coordinator.role === Role.Linked)!;
+		kill(vms.find(({coordinator}) => coordinator.role === Role.Leading)!);
+		const newcomer = await startVm('newcomer', 1, [seed.linkAddress]);
+		await eventually(() => newcomer.state.table?.version === 4 && newcomer.state.upstreams.size === 1);
+	});
+
 	it('hands over before a planned stop', async () => {
 		await startVms();
 		const leader = await settled(3);
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -54,7 +54,7 @@
 			clock, log, state: DeploymentState.create(log), allocator, self: () => self, reachesStore: () => true,
 		});
 		channel = makeChannel();
-		host.add(channel, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}});
+		host.add(channel, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, isBlank: false});
 	});
 
 	afterEach(() => {
@@ -82,7 +82,7 @@
 		host.take(channel, {kind: 'ask', ask: makeDeskAsk('kept')});
 		host.take(channel, {kind: 'ask', ask: makeDeskAsk('given-up')});
 		const next = makeChannel();
-		host.add(next, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}});
+		host.add(next, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, isBlank: false});
 		host.take(next, {
 			kind: 'places', places: [{
 				ask: makeDeskAsk('kept'), upstreamId: 'one', heldMs: 10, hasFirst: false,
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -1,5 +1,6 @@
+import {readFile} from 'node:fs/promises';
 import {expect} from 'chai';
-import {PlatformDeployment, type VmProcess} from '../../soak/platform-deployment.js';
+import {type CallKind, PlatformDeployment, type VmProcess} from '../../soak/platform-deployment.js';
 import {ServerMood, wholeAnswer, wholeStream} from '../../standins/platform-server.js';
 import {StoreMood} from '../../standins/platform-store.js';
 import {eventually} from '../support/eventually.js';
@@ -66,6 +67,29 @@
 		expect(answers.filter(({status}) => status === 200)).to.have.length.above(0);
 	});
 
+	it('ends answers without end, and keeps its memory', async () => {
+		setMood(ServerMood.Floods);
+		const answers = await Promise.all(Array.from({length: 12}, async (_, index) => deployment.call(vms[0]!, index % 2 === 0 ? 'unsafe' : 'stream')));
+		for (const {status, isWhole} of answers) {
+			expect(status === 200 && isWhole).to.equal(false);
+		}
+
+		const status = await readFile(`/proc/${vms[0]!.child!.pid}/status`, 'utf8');
+		// Memory of the machines that the program runs on.
+		expect(Number(/VmHWM:\s+(?<kB>\d+)/v.exec(status)!.groups!.kB)).to.be.below(350_000);
+		setMood(ServerMood.Well);
+		await eventually(async () => isServed(vms[0]!), 50);
+	});
+
+	it('spares servers that ask for it, and serves again after', async () => {
+		setMood(ServerMood.Pauses);
+		const refused = await deployment.call(vms[0]!, 'unsafe');
+		expect(refused).to.include({status: 503});
+		expect(Number(refused.headers['retry-after'])).to.be.above(0);
+		setMood(ServerMood.Well);
+		await eventually(async () => isServed(vms[0]!), 50);
+	});
+
 	it('says that a request has not run only when it has not', async () => {
 		setMood(ServerMood.Sheds);
 		expect(await deployment.call(vms[0]!, 'unsafe')).to.include({status: 503});
@@ -147,6 +171,57 @@
 		await deployment.ready();
 	});
 
+	it('cuts off no request that it accepted while it stops under load, on connections that callers keep', async () => {
+		const vm = vms[0]!;
+		let isEnded = false;
+		const cut: string[] = [];
+		const caller = async (kind: CallKind) => {
+			while (!isEnded) {
+				const answer = await deployment.call(vm, kind); // eslint-disable-line no-await-in-loop -- one after the other
+				if (!answer.isWhole) {
+					cut.push(answer.id);
+				}
+			}
+		};
+
+		const callers = Promise.all((['unsafe', 'safe', 'stream', 'unsafe', 'stream', 'safe'] as const).map(async kind => caller(kind)));
+		await eventually(() => [...deployment.servers.values()].some(({server}) => server.runs.length > 20));
+		await vm.end('SIGTERM');
+		isEnded = true;
+		await callers;
+		vm.start();
+		await deployment.ready();
+		// What the kernel had not handed to the process when its listener closed crossed the close; it was neither read nor run.
+		const wasTaken = (id: string) => vm.log.some(line => line.includes(`"${id}"`))
+			|| [...deployment.servers.values()].some(({server}) => server.runs.some(run => run.id === id));
+		expect(cut.filter(id => wasTaken(id))).to.deep.equal([]);
+	});
+
+	it('does not use a server that left, or a key that was withdrawn, after a restart while the store is away', async () => {
+		const left = [...deployment.servers.values()].find(({service}) => service === 'desk')!;
+		await deployment.addServer('desk', 6);
+		deployment.drainServer(left.server.id);
+		deployment.setConfiguration(['/new/'], ['key-2']);
+		await eventually(async () => {
+			const answers = await Promise.all(vms.map(async vm => deployment.call(vm, 'unsafe')));
+			return answers.every(({status}) => status === 401);
+		}, 100);
+		const before = left.server.runs.length;
+		deployment.store.mood = StoreMood.Silent;
+		// It finds the first VM by its seeds.
+		const vm = vms[1]!;
+		await vm.end('SIGKILL');
+		vm.start();
+		await deployment.ready();
+		const answers = await Promise.all(Array.from({length: 12}, async () => deployment.call(vm, 'unsafe')));
+		expect(new Set(answers.map(({status}) => status))).to.deep.equal(new Set([401]));
+		deployment.store.mood = StoreMood.Well;
+		deployment.setConfiguration(['/new/']);
+		await eventually(async () => isServed(vm), 100);
+		await Promise.all(Array.from({length: 12}, async () => deployment.call(vm, 'unsafe')));
+		expect(left.server.runs).to.have.length(before);
+	});
+
 	it('sends no request to a server that leaves', async () => {
 		const leaving = [...deployment.servers.values()].find(({service}) => service === 'desk')!;
 		deployment.drainServer(leaving.server.id);
