--- /dev/null
+++ b/test/allocation/waiting-queue.test.ts
@@ -0,0 +1,109 @@
+import {expect} from 'chai';
+import {type Waiting, WaitingQueue} from '../../src/allocation/waiting-queue.js';
+import {Random} from '../../src/base/random.js';
+import {makeAsk} from '../support/ask.js';
+
+const LATE_LEVELS = 3;
+
+/** Late requests yield by one and a half ranks, as in a pool. */
+function levelOf({ask, objectiveAt}: Waiting, now: number): number {
+	return (ask.rank * 2) + (now > objectiveAt ? LATE_LEVELS : 0);
+}
+
+function makeWaiting(id: string, random: Random, now: number): Waiting {
+	const objectiveMs = Math.floor(random.next() * 8) * 100;
+	return {
+		ask: makeAsk(id, {rank: Math.floor(random.next() * 4), promptTokens: Math.floor(random.next() * 5000)}),
+		events: {
+			grant() {
+				// Not looked at.
+			},
+			refuse() {
+				// Not looked at.
+			},
+		},
+		askedAt: now,
+		objectiveAt: now + objectiveMs,
+		deadlineAt: now + 5000,
+		leavesAt: now + 2000,
+		callerLeavesAt: now + 5000,
+	};
+}
+
+function sortedIds(all: readonly Waiting[], now: number): string[] {
+	return all.toSorted((a, b) => levelOf(a, now) - levelOf(b, now) || a.objectiveAt - b.objectiveAt).map(({ask}) => ask.id);
+}
+
+const idsOf = (queue: WaitingQueue) => [...queue].map(({ask}) => ask.id);
+
+describe('queue of a rush before hundreds of upstreams', () => {
+	for (const seed of [1, 2, 3]) {
+		it(`has the order and the sums of one that is sorted anew for each decision (seed ${seed})`, () => {
+			const random = Random.create(seed);
+			const queue = WaitingQueue.create({levelOf, serviceMs: ({promptTokens}) => promptTokens});
+			let all: Waiting[] = [];
+			let now = 0;
+			for (let step = 0; step < 3000; step += 1) {
+				if (all.length === 0 || random.next() < 0.52) {
+					const waiting = makeWaiting(`r${step}`, random, now);
+					queue.add(waiting, now);
+					all.push(waiting);
+				} else {
+					const gone = all[Math.floor(random.next() * all.length)]!;
+					queue.delete(gone.ask.id);
+					all = all.filter(waiting => waiting !== gone);
+				}
+
+				if (step % 50 === 0) {
+					now += 25;
+					queue.refresh(now);
+				}
+
+				// Levels are those of the last refresh, or of the arrival after it.
+				expect(idsOf(queue)).to.deep.equal(sortedIds(all, now));
+				const level = Math.floor(random.next() * 10);
+				let workMs = 0;
+				for (const waiting of all) {
+					workMs += levelOf(waiting, now) <= level ? waiting.ask.promptTokens : 0;
+				}
+
+				expect(queue.workMs(level)).to.be.closeTo(workMs, 0.01);
+				expect(queue.leastRank).to.equal(Math.max(0, ...all.map(({ask}) => ask.rank)));
+			}
+		});
+	}
+
+	it('looks at one request for one that comes or goes, however many wait', () => {
+		let looks = 0;
+		const random = Random.create(1);
+		const queue = WaitingQueue.create({
+			levelOf(waiting, now) {
+				looks += 1;
+				return levelOf(waiting, now);
+			},
+			serviceMs: () => 1,
+		});
+		for (let index = 0; index < 10_000; index += 1) {
+			queue.add(makeWaiting(`r${index}`, random, 0), 0);
+		}
+
+		expect(looks).to.equal(10_000);
+		for (let index = 0; index < 10_000; index += 2) {
+			queue.delete(`r${index}`);
+			queue.workMs(3);
+		}
+
+		expect(looks).to.equal(10_000);
+	});
+
+	it('takes a request that asks again once', () => {
+		const queue = WaitingQueue.create({levelOf, serviceMs: () => 1});
+		const random = Random.create(1);
+		queue.add(makeWaiting('r', random, 0), 0);
+		queue.add(makeWaiting('r', random, 100), 100);
+		expect(queue.size).to.equal(1);
+		queue.delete('r');
+		expect(queue.size).to.equal(0);
+		expect(queue.workMs(100)).to.equal(0);
+	});
+});
--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -173,10 +173,10 @@
 
 	it('cuts off no request that it accepted while it stops under load, on connections that callers keep', async () => {
 		const vm = vms[0]!;
-		let isEnded = false;
+		const load = {isEnded: false};
 		const cut: string[] = [];
 		const caller = async (kind: CallKind) => {
-			while (!isEnded) {
+			while (!load.isEnded) {
 				const answer = await deployment.call(vm, kind); // eslint-disable-line no-await-in-loop -- one after the other
 				if (!answer.isWhole) {
 					cut.push(answer.id);
@@ -187,7 +187,7 @@
 		const callers = Promise.all((['unsafe', 'safe', 'stream', 'unsafe', 'stream', 'safe'] as const).map(async kind => caller(kind)));
 		await eventually(() => [...deployment.servers.values()].some(({server}) => server.runs.length > 20));
 		await vm.end('SIGTERM');
-		isEnded = true;
+		load.isEnded = true;
 		await callers;
 		vm.start();
 		await deployment.ready();
