--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -207,6 +207,25 @@
 		});
 	});
 
+	it('finishes what runs at an upstream whose entry lapsed, and starts it nowhere else', async () => {
+		const upstream = await start('silent', ({id, socket}) => {
+			setTimeout(() => socket.write(answerTo(id, 'late')), 300);
+		});
+		const other = await start('other', ({socket}) => {
+			socket.destroy();
+		});
+		rig.state.applyUpstreams({changed: [], removed: ['other']});
+		const answers = ['safe', 'unsafe'].map(async route => rig.call(route));
+		await sleep(50);
+		rig.state.applyUpstreams({changed: [other.listed()], removed: ['silent']});
+		for (const {status, body} of await Promise.all(answers)) {
+			expect({status, body}).to.deep.equal({status: 200, body: 'late'});
+		}
+
+		expect(upstream.received).to.have.length(2);
+		expect(other.received).to.have.length(0);
+	});
+
 	describe('and a slow stream', () => {
 		/** Writes whole events, or bytes that complete none, at an interval. */
 		function drip(firstPart: string, part: string, intervalMs: number, count: number) {
