--- a/test/entry/graceful-stop.test.ts
+++ b/test/entry/graceful-stop.test.ts
@@ -50,7 +50,7 @@
 		const texts = await Promise.all(open.map(async res => res.body.text()));
 		for (const [index, text] of texts.entries()) {
 			const words = [...text.matchAll(/"content":"(?<word>w\d+ )"/gv)].map(match => match.groups!.word);
-			expect(words).to.deep.equal(expectedWords(`note ${index}`, tokens));
+			expect(words, `status ${open[index]!.statusCode}, '${text.slice(0, 200)}'`).to.deep.equal(expectedWords(`note ${index}`, tokens));
 			expect(text.endsWith('data: [DONE]\n\n')).to.equal(true);
 		}
 
