--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -1,5 +1,3 @@
-import {type AddressInfo, createServer} from 'node:net';
-import {once} from 'node:events';
 import {expect} from 'chai';
 import Result, {ok} from 'true-myth/result';
 import {Allocator} from '../../src/allocation/allocator.js';
@@ -16,6 +14,7 @@
 import {type StoreError} from '../../src/store/table.js';
 import {makeAsk} from '../support/ask.js';
 import {eventually} from '../support/eventually.js';
+import {freePort} from '../support/free-port.js';
 
 const clock = SystemClock.create();
 const away: StoreError = {failure: 'unavailable', detail: 'away'};
@@ -57,16 +56,6 @@
 	}
 }
 
-async function freePort(): Promise<number> {
-	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return port;
-}
-
 type Vm = {
 	readonly name: string;
 	readonly linkAddress: string;
--- a/test/support/front-rig.ts
+++ b/test/support/front-rig.ts
@@ -17,6 +17,7 @@
 import {Operation, type Route} from '../../src/gateway/routing-table.js';
 import {type Upstream} from '../../src/gateway/upstream-list.js';
 import {UpstreamPauses} from '../../src/gateway/upstream-pauses.js';
+import {freePort} from './free-port.js';
 import {type RawAnswer, sendRaw} from './raw-http.js';
 
 const HOST = 'desk.example';
@@ -189,13 +190,3 @@
 export function chunkOf(text: string): string {
 	return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
-
-async function freePort(): Promise<number> {
-	const server = createServer();
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const {port} = server.address() as AddressInfo;
-	server.close();
-	await once(server, 'close');
-	return port;
-}
