--- a/src/gateway/upstream-pauses.ts
+++ b/src/gateway/upstream-pauses.ts
@@ -32,12 +32,8 @@
 		this.#log = log;
 	}
 
-	/**
-	 * Takes the pause that an upstream asks for; a shorter one does not end a longer one.
-	 *
-	 * @returns Its length in ms.
-	 */
-	note({id, startedAt}: UpstreamBoot, {text, ms}: RetryAfter): number {
+	/** Takes the pause that an upstream asks for; a shorter one does not end a longer one. */
+	note({id, startedAt}: UpstreamBoot, {text, ms}: RetryAfter): void {
 		const pauseMs = Math.min(MAX_PAUSE_MS, ms ?? DEFAULT_PAUSE_MS);
 		if (ms !== pauseMs) {
 			this.#log.warn('Retry-After of an upstream is not usable.', {upstream: id, retryAfter: text.slice(0, 40), usedMs: pauseMs});
@@ -49,8 +45,6 @@
 			this.#pauses.set(id, {startedAt, endsAt});
 			this.#log.info('Upstream asked for a pause.', {upstream: id, ms: Math.round(pauseMs)});
 		}
-
-		return pauseMs;
 	}
 
 	/** @returns How long an upstream is still to be spared, in ms; 0 where it is not. */
