Quotas: a request is charged once when its place was given back unused

Cause: a VM that is granted an upstream which leaves, asked for a pause, or refuses the connection gives the place back and asks again with attempt 1; the allocator charged the customer's quota again and counted the request twice for the budget of repeats, so that a customer near its quota was refused for an upstream's trouble. Ruled out: a refund at the release: the place may have been granted by another allocator, whose quota knows nothing of it. Change: the ask says that it was charged. RecentParts is the ring of counts that RepeatBudget and ToleratedWindow both had.

--- a/bench/allocation.ts
+++ b/bench/allocation.ts
@@ -70,6 +70,7 @@
 			promptTokens: Math.floor(random.next() * 4000),
 			outputEvents: 20,
 			quotaCost: 0,
+			isCharged: false,
 			objectiveMs: isLate ? 0 : LONG_MS,
 			remainingMs: LONG_MS,
 			patienceMs: LONG_MS,
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -300,6 +300,10 @@
 			return pool.repeats.spend(now, this.#scope.share) ? undefined : {kind: ErrorKind.NoUpstream, retryAfterMs: NO_UPSTREAM_RETRY_MS};
 		}
 
+		if (ask.isCharged) {
+			return undefined;
+		}
+
 		pool.repeats.noteRequest(now);
 		// Beyond its quota a customer gets what would stand idle.
 		const quotaMs = this.#quotas.spend(ask.customer, ask.quotaCost, hasFree && pool.waiting.size === 0, now);
--- a/src/allocation/ask.ts
+++ b/src/allocation/ask.ts
@@ -23,6 +23,8 @@
 	readonly outputEvents: number;
 	/** What the request counts against its customer's quota. */
 	readonly quotaCost: number;
+	/** The quota has paid for an earlier grant of the same request, which was given back before a byte was sent. */
+	readonly isCharged: boolean;
 	/** Until the response-time objective is missed; negative when it is. */
 	readonly objectiveMs: number;
 	/** Until the answer has no value. */
--- a/src/allocation/repeat-budget.ts
+++ b/src/allocation/repeat-budget.ts
@@ -2,6 +2,7 @@
  * Bounds how often requests are sent a second time, over all VMs and any span of a window, so that failing upstreams do
  * not multiply their own load.
  */
+import {RecentParts} from './recent-parts.js';
 
 /** What the deployment allows. */
 export type RepeatBounds = {
@@ -17,7 +18,7 @@
  * whose first sending never arrived.
  */
 const USED_SLACK = 0.6;
-/** The window is counted in this many parts, and one more so that any span of its length is covered. */
+/** Parts in which the window is kept. */
 const PARTS = 20;
 
 /** Counts of one pool. Times in ms of the caller's monotonic clock. */
@@ -27,18 +28,18 @@
 	}
 
 	readonly #bounds: RepeatBounds;
-	readonly #requests: number[] = emptyCounts();
-	readonly #repeats: number[] = emptyCounts();
-	#part = 0;
+	readonly #requests: RecentParts;
+	readonly #repeats: RecentParts;
 
 	private constructor(bounds: RepeatBounds) {
 		this.#bounds = bounds;
+		this.#requests = RecentParts.create(bounds.windowMs, PARTS);
+		this.#repeats = RecentParts.create(bounds.windowMs, PARTS);
 	}
 
 	/** A request arrived (no repeat). */
 	noteRequest(now: number): void {
-		this.#advance(now);
-		this.#requests[this.#part % (PARTS + 1)]! += 1;
+		this.#requests.add(1, now);
 	}
 
 	/**
@@ -48,37 +49,12 @@
 	 * @returns Whether the request may be sent again.
 	 */
 	spend(now: number, share: number): boolean {
-		this.#advance(now);
-		const allowed = (this.#bounds.ratio * sum(this.#requests)) + (this.#bounds.slack * USED_SLACK * share);
-		if (sum(this.#repeats) + 1 > allowed) {
+		const allowed = (this.#bounds.ratio * this.#requests.sum(now)) + (this.#bounds.slack * USED_SLACK * share);
+		if (this.#repeats.sum(now) + 1 > allowed) {
 			return false;
 		}
 
-		this.#repeats[this.#part % (PARTS + 1)]! += 1;
+		this.#repeats.add(1, now);
 		return true;
 	}
-
-	#advance(now: number): void {
-		const part = Math.floor(now * PARTS / this.#bounds.windowMs);
-		const first = Math.max(this.#part + 1, part - PARTS);
-		for (let cleared = first; cleared <= part; cleared += 1) {
-			this.#requests[cleared % (PARTS + 1)] = 0;
-			this.#repeats[cleared % (PARTS + 1)] = 0;
-		}
-
-		this.#part = Math.max(this.#part, part);
-	}
-}
-
-function sum(values: readonly number[]): number {
-	let total = 0;
-	for (const value of values) {
-		total += value;
-	}
-
-	return total;
-}
-
-function emptyCounts(): number[] {
-	return Array.from({length: PARTS + 1}, () => 0);
 }
--- a/src/allocation/tolerated-window.ts
+++ b/src/allocation/tolerated-window.ts
@@ -2,8 +2,9 @@
  * What a customer was granted beyond its quota in any span of a window. Answers a customer that goes on sending several
  * times its quota: each span of the window may hold the quota's own grants and as much beyond them as is tolerated.
  */
+import {RecentParts} from './recent-parts.js';
 
-/** The window is counted in this many parts, and one more so that any span of its length is covered. */
+/** Parts in which the window is kept. */
 const PARTS = 16;
 
 /** One customer's window. Times in ms of the caller's monotonic clock. */
@@ -12,46 +13,27 @@
 		return new ToleratedWindow(windowMs);
 	}
 
-	readonly #windowMs: number;
-	readonly #granted = zeros();
+	readonly #granted: RecentParts;
 	/** Greatest level of the quota's bucket in each part; what it held may still be spent inside the same window. */
-	readonly #levels = zeros();
-	#part = 0;
+	readonly #levels: RecentParts;
 
 	private constructor(windowMs: number) {
-		this.#windowMs = windowMs;
+		this.#granted = RecentParts.create(windowMs, PARTS);
+		this.#levels = RecentParts.create(windowMs, PARTS);
 	}
 
 	/** @param level - What the bucket of the quota holds now. */
 	noteLevel(level: number, now: number): void {
-		const index = this.#advance(now);
-		this.#levels[index] = Math.max(this.#levels[index]!, level);
+		this.#levels.raise(level, now);
 	}
 
 	/** Something was granted beyond the quota. */
 	noteGrant(cost: number, now: number): void {
-		this.#granted[this.#advance(now)]! += cost;
+		this.#granted.add(cost, now);
 	}
 
 	/** @returns What counts against the tolerated sum beside what the quota adds in a whole window. */
 	used(now: number): number {
-		this.#advance(now);
-		return this.#granted.reduce((sum, granted) => sum + granted, 0) + Math.max(...this.#levels);
+		return this.#granted.sum(now) + this.#levels.greatest(now);
 	}
-
-	/** @returns Index of the current part. */
-	#advance(now: number): number {
-		const part = Math.floor(now * PARTS / this.#windowMs);
-		for (let cleared = Math.max(this.#part + 1, part - PARTS); cleared <= part; cleared += 1) {
-			this.#granted[cleared % (PARTS + 1)] = 0;
-			this.#levels[cleared % (PARTS + 1)] = 0;
-		}
-
-		this.#part = Math.max(this.#part, part);
-		return this.#part % (PARTS + 1);
-	}
-}
-
-function zeros(): number[] {
-	return Array.from({length: PARTS + 1}, () => 0);
 }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -122,6 +122,8 @@
 	#askedAt = 0;
 	#attempt: Attempt | undefined;
 	#sentCount = 0;
+	/** A place was granted, so that the quota has paid. */
+	#isGranted = false;
 	#connectFailures = 0;
 	#status = 0;
 	#headers: IncomingHttpHeaders = {};
@@ -175,6 +177,7 @@
 			promptTokens: head.generation?.promptTokens ?? 0,
 			outputEvents,
 			quotaCost,
+			isCharged: this.#isGranted && this.#sentCount === 0,
 			objectiveMs: Math.round(arrivedAt + route.objectiveMs - now),
 			remainingMs: Math.round(this.#limitAt - now),
 			patienceMs: Math.round(Math.min(this.#limitAt, arrivedAt + patienceOf(route)) - now),
@@ -204,6 +207,7 @@
 		} = this.#context;
 		const {req, head, customer, body} = this.#call;
 		const now = clock.now();
+		this.#isGranted = true;
 		if (this.#sentCount === 0) {
 			metrics.queueWait.record(now - this.#askedAt);
 		}
--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {Allocator} from '../../src/allocation/allocator.js';
-import {type Ask, type Report} from '../../src/allocation/ask.js';
+import {type Ask, emptyReport, type Report} from '../../src/allocation/ask.js';
 import {ErrorKind} from '../../src/base/errors.js';
 import {Random} from '../../src/base/random.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
@@ -243,6 +243,20 @@
 		expect(granted.has('second')).to.equal(true);
 	});
 
+	it('charges a quota once for a request whose place was given back unused', () => {
+		allocator.setTable(makeTable([{
+			name: 'large', apiKeys: [], rank: undefined, quota: {
+				perSecond: 1, burst: 1000, isInTokens: true, plainTokens: 100,
+			},
+		}]));
+		ask('first', {customer: 'large', quotaCost: 1000});
+		allocator.release('first', emptyReport(Ending.Cancelled));
+		ask('again', {customer: 'large', quotaCost: 1000, isCharged: true});
+		expect(granted.has('again')).to.equal(true);
+		ask('other', {customer: 'large', quotaCost: 1000});
+		expect(refused.get('other')?.kind).to.equal(ErrorKind.RateLimited);
+	});
+
 	it('bounds repeats when all upstreams fail', () => {
 		let repeats = 0;
 		for (let index = 0; index < 100; index += 1) {
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -56,6 +56,18 @@
 		return statuses;
 	}
 
+	it('tells the allocator that a request was charged, where nothing of it was sent', async () => {
+		const gone = await start('gone');
+		gone.stop();
+		await start('other');
+		const statuses = await calls('unsafe', 6);
+		expect(statuses).to.deep.equal([200, 200, 200, 200, 200, 200]);
+		const again = rig.decisions.filter(({ask}) => ask.excluded.includes('gone'));
+		expect(again).to.have.length.above(0);
+		expect(again.every(({ask}) => ask.attempt === 1 && ask.isCharged)).to.equal(true);
+		expect(rig.decisions.filter(({ask}) => !ask.isCharged)).to.have.length(6);
+	});
+
 	describe('and an upstream that says it leaves', () => {
 		const leaving = 'Server-Leaving: 1\r\n';
 
--- a/test/support/ask.ts
+++ b/test/support/ask.ts
@@ -13,6 +13,7 @@
 		promptTokens: 0,
 		outputEvents: 0,
 		quotaCost: 0,
+		isCharged: false,
 		objectiveMs: 1000,
 		remainingMs: 5000,
 		callerLeavesMs: 5000,
--- a/test/support/front-rig.ts
+++ b/test/support/front-rig.ts
@@ -7,7 +7,7 @@
 	type AddressInfo, createServer, type Server, type Socket,
 } from 'node:net';
 import {HeaderCodec} from '../../platform/header-codec.js';
-import {Allocator} from '../../src/allocation/allocator.js';
+import {Allocator, type Decision} from '../../src/allocation/allocator.js';
 import {SystemClock} from '../../src/base/clock.js';
 import {Log} from '../../src/base/log.js';
 import {Metrics} from '../../src/base/metrics.js';
@@ -124,6 +124,8 @@
 	}
 
 	readonly state = DeploymentState.create(Log.create('silent'));
+	/** What the allocator decided, in order. */
+	readonly decisions: Decision[] = [];
 	readonly #clock = SystemClock.create();
 	readonly #allocator = Allocator.create({
 		clock: this.#clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 50, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000},
@@ -134,6 +136,10 @@
 	#nextId = 1;
 
 	private constructor() {
+		this.#allocator.onDecision = decision => {
+			this.decisions.push(decision);
+		};
+
 		let asks = 0;
 		this.#front = FrontServer.create({
 			clock: this.#clock,
