Coordination without sockets: the search for the allocator, calls to peers and the network are pieces of their own

No behaviour is meant to change. Shown: all tests of links, coordinator and processes pass as before (40).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import {Coordinator} from '../link/coordinator.js';
 import {type LeaderRegister} from '../link/leader-register.js';
 import {type Member} from '../link/messages.js';
+import {TcpNetwork} from '../link/tcp-network.js';
 import {type CallCodec} from './call-codec.js';
 import {DeploymentState} from './deployment-state.js';
 import {FrontServer} from './front-server.js';
@@ -108,6 +109,7 @@
 			allocator: this.#allocator,
 			allocation,
 			register: options.register,
+			network: TcpNetwork.create(clock),
 			self,
 			seeds: options.seeds,
 			reachesStore: options.reachesStore,
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -4,13 +4,8 @@
  * allocator and no VM that it reaches still hears it. Two allocators at once cost quality, never a rule: what a request
  * may do is checked at the VM that has it.
  */
-import {once} from 'node:events';
-import {
-	createConnection, createServer, type Server, type Socket,
-} from 'node:net';
 import {type Allocator} from '../allocation/allocator.js';
 import {type SwitchedAllocation} from '../allocation/switched-allocation.js';
-import {splitAddress} from '../base/address.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log} from '../base/log.js';
 import {type Random} from '../base/random.js';
@@ -18,41 +13,22 @@
 import {LeaderClient} from './leader-client.js';
 import {LeaderHost} from './leader-host.js';
 import {type LeaderRegister} from './leader-register.js';
-import {LineChannel} from './line-channel.js';
+import {LeaderSearch, SEEK_MS} from './leader-search.js';
+import {type Channel, type LinkConnection, type LinkNetwork} from './link-network.js';
 import {
 	type FromLeader, type FromPeer, type Leader, type Member, type ToLeader, type ToPeer,
 } from './messages.js';
+import {PeerCalls} from './peer-calls.js';
 
-/** Time to connect to another VM, in ms: two ways between regions, a lost packet and a busy processor. */
-const CONNECT_MS = 700;
-/** Time between two looks for the allocator, in ms. */
-const SEEK_MS = 300;
-/** The same while the store does not answer, in ms: each call is paid for. */
-const SEEK_WITHOUT_STORE_MS = 1000;
-/** Head start of each VM over the next weaker one when the allocator is lost, in ms: a claim takes about 50 ms. */
-const RANK_DELAY_MS = 120;
-/** Longest wait of a weak VM, in ms. */
-const MAX_RANK_DELAY_MS = 1500;
-/** Where no other VM is known, a VM waits this long for each unit that its strength is below that of an ample VM, in ms. */
-const FIRST_CLAIM_MS = 250;
-const AMPLE_STRENGTH = 0.7;
-/** And a little by chance, in ms: two claims at once cost a call. */
-const FIRST_CLAIM_SPREAD_MS = 40;
 /** An allocator leaves its place to a VM that is this many times stronger, once it has allocated for a while. */
 const MUCH_STRONGER = 1.8;
 const HAND_OVER_AFTER_MS = 2500;
 /** Time for a successor to take over at a planned stop, in ms. */
 const HAND_OVER_MS = 500;
-/** How long an allocator may be without the store before a VM that reaches it takes over, in ms. */
-const WITHOUT_STORE_MS = 250;
-/** Time between two attempts of a VM to replace such an allocator, in ms; each needs a call to the store. */
-const REPLACE_AGAIN_MS = 2000;
 /** A VM that lost the allocator watches the store itself after this time, in ms; mostly another allocates by then. */
 const WATCH_DELAY_MS = 700;
 /** The same at the start of a process, in ms, which has no list of upstreams to go on with. */
 const FIRST_WATCH_DELAY_MS = 450;
-/** Part of the known VMs that must be reached, running or not, before a VM may think that the allocator is gone. */
-const MIN_REACHED_SHARE = 0.25;
 /** Part of a quota's burst that a new allocator may grant at once; the one before may have granted the rest just now. */
 const SUCCESSOR_FULLNESS = 0.1;
 /** Part of a VM's even share of the quotas that it grants alone; the allocator may still grant the whole quota. */
@@ -61,8 +37,6 @@
 const ALONE_FULLNESS = 0.5;
 /** How long requests wait for the allocator after the start of a process, in ms, before the VM decides alone. */
 const FIRST_LINK_MS = 350;
-/** VMs that are assumed where none is known. */
-const ASSUMED_VMS = 8;
 
 /** What the coordinator works with. */
 export type CoordinatorOptions = {
@@ -73,6 +47,7 @@
 	readonly allocator: Allocator;
 	readonly allocation: SwitchedAllocation;
 	readonly register: LeaderRegister;
+	readonly network: LinkNetwork;
 	/** This VM; `isReady` is kept up to date by `setReady`. */
 	readonly self: Member;
 	/** Link addresses to ask when the store does not answer. */
@@ -102,26 +77,19 @@
 
 	readonly #options: CoordinatorOptions;
 	readonly #host: LeaderHost;
-	readonly #server: Server;
-	readonly #sockets = new Set<Socket>();
+	readonly #search: LeaderSearch;
+	readonly #peers: PeerCalls;
 	/** Attempts to link that are under way, by address. */
 	readonly #linkings = new Map<string, Promise<boolean>>();
 	#self: Member;
 	#role: Role = Role.Alone;
 	#leader: Leader | undefined;
 	#client: LeaderClient | undefined;
-	/** Boot of an allocator that was lost or could not be reached. */
-	#lostBoot: string | undefined;
-	#leaderWithoutStoreSince: number | undefined;
-	#replaceTriedAt = Number.NEGATIVE_INFINITY;
-	#seekTimer: Timer | undefined;
 	#watchTimer: Timer | undefined;
 	#aloneTimer: Timer | undefined;
 	/** An allocation was in use since the start of the process. */
 	#hasDecided = false;
-	#isSeeking = false;
 	#isStopped = false;
-	#isResigned = false;
 
 	private constructor(options: CoordinatorOptions) {
 		this.#options = options;
@@ -134,8 +102,25 @@
 			self: () => this.#self,
 			reachesStore: options.reachesStore,
 		});
-		this.#server = createServer(socket => {
-			this.#accept(socket);
+		this.#peers = PeerCalls.create(options.clock, options.network);
+		this.#search = LeaderSearch.create({
+			clock: options.clock,
+			random: options.random,
+			log: options.log,
+			state: options.state,
+			register: options.register,
+			peers: this.#peers,
+			seeds: options.seeds,
+			self: () => this.#self,
+			leader: () => this.#leader,
+			isAlone: () => this.#role === Role.Alone,
+			linkTo: async address => this.#linkTo(address),
+			onFound: leader => {
+				this.noteLeader(leader);
+			},
+			onClaimed: leader => {
+				this.#becomeLeading(leader);
+			},
 		});
 		options.state.listen({
 			onUpstreams: changes => {
@@ -160,15 +145,15 @@
 
 	/** Listens for other VMs and looks for the allocator. */
 	async start(): Promise<void> {
-		const {host, port} = splitAddress(this.#self.linkAddress);
-		this.#server.listen(port, host);
-		await once(this.#server, 'listening');
+		await this.#options.network.listen(this.#self.linkAddress, connection => {
+			this.#accept(connection);
+		});
 		this.#becomeAlone();
 	}
 
 	/** Stops to allocate for others, so that another VM takes over while this one still serves its callers. */
 	resign(): void {
-		this.#isResigned = true;
+		this.#search.resign();
 		if (this.#role === Role.Leading) {
 			this.#options.log.info('Resigned as the allocator.');
 			const canWait = this.#host.handOver(0);
@@ -183,15 +168,12 @@
 
 	stop(): void {
 		this.#isStopped = true;
-		this.#seekTimer?.cancel();
+		this.#search.stop();
 		this.#watchTimer?.cancel();
 		this.#aloneTimer?.cancel();
 		this.#client?.close();
 		this.#host.stop();
-		this.#server.close();
-		for (const socket of this.#sockets) {
-			socket.destroy();
-		}
+		this.#options.network.stop();
 	}
 
 	/** Tells the other VMs whether callers may be sent here. */
@@ -241,15 +223,14 @@
 		} = this.#options;
 		this.#role = Role.Alone;
 		this.#closeClient();
-		const vms = this.#vmCount();
-		allocator.restart({share: ALONE_SHARE / vms, quotaFullness: ALONE_FULLNESS, isAlone: true});
+		allocator.restart({share: ALONE_SHARE / this.#search.vmCount, quotaFullness: ALONE_FULLNESS, isAlone: true});
 		allocator.adopt(allocation.places);
 		this.#decideAlone();
 		this.#watchTimer?.cancel();
 		this.#watchTimer = clock.setTimer(this.#hasDecided ? WATCH_DELAY_MS : FIRST_WATCH_DELAY_MS, () => {
 			onWatchNeeded(this.#role !== Role.Linked);
 		});
-		this.#seekSoon(seekMs);
+		this.#search.startIn(seekMs);
 	}
 
 	#becomeLeading(leader: Leader): void {
@@ -257,7 +238,7 @@
 		this.#role = Role.Leading;
 		this.#closeClient();
 		this.#leader = leader;
-		this.#seekTimer?.cancel();
+		this.#search.end();
 		this.#hasDecided = true;
 		allocator.restart({share: 1, quotaFullness: SUCCESSOR_FULLNESS, isAlone: false});
 		allocator.adopt(allocation.places);
@@ -272,7 +253,7 @@
 		});
 		for (const {linkAddress, name} of this.#options.state.members) {
 			if (name !== this.#self.name) {
-				void this.#tell(linkAddress, {kind: 'leading', leader});
+				void this.#peers.tell(linkAddress, {kind: 'leading', leader});
 			}
 		}
 	}
@@ -282,9 +263,7 @@
 		this.#client = client;
 		this.#role = Role.Linked;
 		this.#leader = leader;
-		this.#lostBoot = undefined;
-		this.#leaderWithoutStoreSince = undefined;
-		this.#seekTimer?.cancel();
+		this.#search.end();
 		this.#watchTimer?.cancel();
 		log.info('Linked to the allocator.', {vm: leader.name, term: leader.term});
 		this.#hasDecided = true;
@@ -321,140 +300,9 @@
 		client?.close();
 	}
 
-	#seekSoon(delayMs: number): void {
-		this.#seekTimer?.cancel();
-		this.#seekTimer = this.#options.clock.setTimer(delayMs, () => {
-			void this.#seek();
-		});
-	}
-
-	async #seek(): Promise<void> {
-		if (this.#isSeeking || this.#isStopped || this.#role !== Role.Alone) {
-			return;
-		}
-
-		this.#isSeeking = true;
-		const nextMs = await this.#look();
-		this.#isSeeking = false;
-		if (this.#role === Role.Alone && !this.#isStopped) {
-			this.#seekSoon(nextMs);
-		}
-	}
-
-	/** @returns Ms until the next look. */
-	async #look(): Promise<number> {
-		const read = await this.#options.register.read();
-		if (read.isErr) {
-			await this.#linkToKnown();
-			return SEEK_WITHOUT_STORE_MS;
-		}
-
-		const leader = read.value;
-		if (leader === undefined) {
-			await this.#claimLater(0, this.#firstClaimDelay());
-			return SEEK_MS;
-		}
-
-		if (leader.boot !== this.#self.boot && await this.#linkTo(leader.linkAddress)) {
-			return SEEK_MS;
-		}
-
-		this.#noteLost(leader.boot);
-		if (leader.boot === this.#self.boot || await this.#isGone(leader)) {
-			await this.#claimLater(leader.term, this.#rankDelay(leader));
-		}
-
-		return SEEK_MS;
-	}
-
-	/** Without the store: the allocator that was known last, and what the seeds know. */
-	async #linkToKnown(): Promise<void> {
-		if (this.#leader !== undefined && this.#leader.boot !== this.#self.boot && await this.#linkTo(this.#leader.linkAddress)) {
-			return;
-		}
-
-		const others = this.#options.state.members.map(member => member.linkAddress);
-		for (const address of new Set([...this.#options.seeds, ...others])) {
-			if (address !== this.#self.linkAddress && this.#role === Role.Alone && await this.#linkTo(address)) { // eslint-disable-line no-await-in-loop -- one that links ends it
-				return;
-			}
-		}
-	}
-
-	/** Claims unless another VM has done so by then. */
-	async #claimLater(term: number, delayMs: number): Promise<void> {
-		const {clock, register, log} = this.#options;
-		await clock.sleep(delayMs);
-		if (this.#isStopped || this.#isResigned || (this.#leader?.term ?? 0) > term) {
-			return;
-		}
-
-		const claimed = await register.claim(this.#candidate(), term);
-		if (claimed.isErr) {
-			log.warn('Cannot take over as the allocator.', {err: claimed.error.detail});
-			return;
-		}
-
-		if (claimed.value.boot === this.#self.boot) {
-			this.#becomeLeading(claimed.value);
-		} else {
-			this.noteLeader(claimed.value);
-		}
-	}
-
-	#candidate(): Omit<Leader, 'term'> {
-		const {name, linkAddress, boot} = this.#self;
-		return {
-			name, linkAddress, boot, vmCount: this.#vmCount(),
-		};
-	}
-
-	#vmCount(): number {
-		const {length} = this.#options.state.members;
-		return length > 0 ? length : this.#leader?.vmCount ?? ASSUMED_VMS;
-	}
-
-	#noteLost(boot: string): void {
-		if (this.#lostBoot !== boot) {
-			this.#lostBoot = boot;
-			this.#options.log.warn('The allocator is not reached.', {boot});
-		}
-	}
-
-	/** Whether no VM that can be reached still hears the allocator. */
-	async #isGone(leader: Leader): Promise<boolean> {
-		const others = this.#options.state.members.filter(member => member.name !== this.#self.name && member.boot !== leader.boot);
-		if (others.length === 0) {
-			return true;
-		}
-
-		const sights = await Promise.all(others.map(async member => this.#probe(member.linkAddress, leader.boot)));
-		const reached = sights.filter(sight => sight !== undefined).length;
-		return !sights.includes(true) && reached >= MIN_REACHED_SHARE * others.length;
-	}
-
-	/** Where no other VM is known: the stronger, the sooner, and a little by chance. */
-	#firstClaimDelay(): number {
-		const missing = Math.max(0, AMPLE_STRENGTH - this.#self.strength);
-		return (FIRST_CLAIM_MS * missing) + (FIRST_CLAIM_SPREAD_MS * this.#options.random.next());
-	}
-
-	/** Stronger VMs go first; VMs that are known to be gone are left out. */
-	#rankDelay(leader: Leader): number {
-		if (this.#options.state.members.length === 0) {
-			return this.#firstClaimDelay();
-		}
-
-		const {strength, name} = this.#self;
-		const stronger = this.#options.state.members.filter(member => member.boot !== leader.boot
-			&& (member.strength > strength || (member.strength === strength && member.name < name)));
-		return Math.min(MAX_RANK_DELAY_MS, stronger.length * RANK_DELAY_MS);
-	}
-
-	#accept(socket: Socket): void {
-		this.#sockets.add(socket);
+	#accept(connection: LinkConnection): void {
 		let isLink = false;
-		const channel = LineChannel.create<FromLeader | FromPeer, ToLeader | ToPeer>(socket, {
+		const channel = connection.open<FromLeader | FromPeer, ToLeader | ToPeer>({
 			onMessage: message => {
 				if (message.kind === 'leading') {
 					this.noteLeader(message.leader);
@@ -475,14 +323,13 @@
 				}
 			},
 			onClose: () => {
-				this.#sockets.delete(socket);
 				this.#host.remove(channel);
 			},
 		});
 	}
 
 	/** Without the store and without an allocator, a VM that has just started learns from any other what is in force. */
-	#tellState(channel: LineChannel<FromLeader | FromPeer, ToLeader | ToPeer>): void {
+	#tellState(channel: Channel<FromLeader | FromPeer>): void {
 		const {table, upstreams} = this.#options.state;
 		if (table !== undefined) {
 			channel.send({
@@ -511,15 +358,15 @@
 	}
 
 	async #link(address: string): Promise<boolean> {
-		const {clock, log} = this.#options;
-		const socket = await this.#connect(address);
-		if (socket === undefined) {
+		const {clock, log, network} = this.#options;
+		const connected = await network.connect(address);
+		if (connected.isErr) {
 			return false;
 		}
 
 		return new Promise(resolve => {
 			let leader: Leader | undefined;
-			const channel = LineChannel.create<ToLeader, FromLeader>(socket, {
+			const channel = connected.value.open<ToLeader, FromLeader>({
 				onMessage: message => {
 					if (message.kind === 'not-leader') {
 						if (message.leader !== undefined) {
@@ -551,7 +398,7 @@
 					resolve(false);
 					if (leader !== undefined && this.#client === client) {
 						log.warn('Link to the allocator lost.', {vm: leader.name, term: leader.term});
-						this.#noteLost(leader.boot);
+						this.#search.noteLost(leader.boot);
 						this.#becomeAlone();
 					}
 				},
@@ -592,7 +439,7 @@
 
 			case 'take-over': {
 				if (this.#leader !== undefined) {
-					void this.#claimLater(this.#leader.term, 0);
+					void this.#search.claimLater(this.#leader.term, 0);
 				}
 
 				break;
@@ -627,135 +474,20 @@
 		}
 	}
 
-	/** The allocator tells whether it reaches the store; a VM that does takes over from one that does not. */
+	/** Changes must come into force here, whatever becomes of an allocator that does not reach the store. */
 	#noteReach(reachesStore: boolean): void {
 		const {clock, onWatchNeeded} = this.#options;
-		if (reachesStore) {
-			if (this.#leaderWithoutStoreSince !== undefined) {
-				this.#leaderWithoutStoreSince = undefined;
-				onWatchNeeded(false);
-			}
-
-			return;
-		}
-
-		const now = clock.now();
-		if (this.#leaderWithoutStoreSince === undefined) {
-			this.#leaderWithoutStoreSince = now;
-			// Changes must come into force here, whatever becomes of the allocator.
+		const wasWithout = this.#search.isLeaderWithoutStore;
+		this.#search.noteReach(reachesStore);
+		if (reachesStore && wasWithout) {
+			onWatchNeeded(false);
+		} else if (!reachesStore && !wasWithout) {
 			this.#watchTimer?.cancel();
 			this.#watchTimer = clock.setTimer(WATCH_DELAY_MS, () => {
-				if (this.#leaderWithoutStoreSince !== undefined) {
+				if (this.#search.isLeaderWithoutStore) {
 					onWatchNeeded(true);
 				}
 			});
 		}
-
-		if (now - this.#leaderWithoutStoreSince >= WITHOUT_STORE_MS && now - this.#replaceTriedAt >= REPLACE_AGAIN_MS) {
-			this.#replaceTriedAt = now;
-			void this.#replace();
-		}
-	}
-
-	async #replace(): Promise<void> {
-		const {clock, register, log} = this.#options;
-		const leader = this.#leader;
-		if (leader === undefined || this.#isResigned) {
-			return;
-		}
-
-		await clock.sleep(this.#rankDelay(leader));
-		const isStill = () => this.#leader === leader && this.#role === Role.Linked && this.#leaderWithoutStoreSince !== undefined;
-		if (!isStill()) {
-			return;
-		}
-
-		const read = await register.read();
-		if (read.isErr || read.value === undefined || !isStill()) {
-			return;
-		}
-
-		if (read.value.boot !== leader.boot) {
-			this.noteLeader(read.value);
-			return;
-		}
-
-		const claimed = await register.claim(this.#candidate(), read.value.term);
-		if (claimed.isOk && claimed.value.boot === this.#self.boot) {
-			log.warn('The allocator does not reach the store; this VM takes over.', {before: leader.name});
-			this.#becomeLeading(claimed.value);
-		}
-	}
-
-	async #tell(address: string, message: ToPeer): Promise<void> {
-		const socket = await this.#connect(address);
-		if (socket !== undefined) {
-			const channel = LineChannel.create<ToPeer, FromPeer>(socket, {
-				onMessage() {
-					// Nothing is answered.
-				},
-				onClose() {
-					// Nothing to do.
-				},
-			});
-			channel.send(message);
-			channel.close();
-		}
-	}
-
-	/** @returns Whether the VM hears the allocator; false for one that refuses connections; `undefined` for silence. */
-	async #probe(address: string, leaderBoot: string): Promise<boolean | undefined> {
-		let isRefused = false;
-		const socket = await this.#connect(address, () => {
-			isRefused = true;
-		});
-		if (socket === undefined) {
-			return isRefused ? false : undefined;
-		}
-
-		return new Promise(resolve => {
-			const timer = this.#options.clock.setTimer(CONNECT_MS, () => {
-				channel.close();
-			});
-			const channel = LineChannel.create<ToPeer, FromPeer>(socket, {
-				onMessage(message) {
-					resolve(message.hearsLeader);
-					channel.close();
-				},
-				onClose() {
-					timer.cancel();
-					resolve(undefined);
-				},
-			});
-			channel.send({kind: 'probe', leaderBoot});
-		});
-	}
-
-	async #connect(address: string, onRefused?: () => void): Promise<Socket | undefined> {
-		return new Promise(resolve => {
-			const socket = createConnection(splitAddress(address));
-			const timer = this.#options.clock.setTimer(CONNECT_MS, () => {
-				socket.destroy();
-			});
-			socket.once('connect', () => {
-				timer.cancel();
-				socket.removeAllListeners('error');
-				socket.removeAllListeners('close');
-				this.#sockets.add(socket);
-				socket.once('close', () => {
-					this.#sockets.delete(socket);
-				});
-				resolve(socket);
-			});
-			socket.once('error', err => {
-				if ((err as NodeJS.ErrnoException).code === 'ECONNREFUSED') {
-					onRefused?.();
-				}
-			});
-			socket.once('close', () => {
-				timer.cancel();
-				resolve(undefined);
-			});
-		});
 	}
 }
--- a/src/link/leader-client.ts
+++ b/src/link/leader-client.ts
@@ -5,8 +5,8 @@
 	Allocation, type Ask, type AskEvents, type Report,
 } from '../allocation/ask.js';
 import {type Clock, type Timer} from '../base/clock.js';
-import {type LineChannel} from './line-channel.js';
 import {BEAT_MS} from './leader-host.js';
+import {type Channel} from './link-network.js';
 import {type FromLeader, type ToLeader} from './messages.js';
 
 /**
@@ -20,21 +20,21 @@
 	/**
 	 * @param onSilence - The allocator has been silent for too long.
 	 */
-	static create(clock: Clock, channel: LineChannel<ToLeader, FromLeader>, onSilence: () => void): LeaderClient {
+	static create(clock: Clock, channel: Channel<ToLeader>, onSilence: () => void): LeaderClient {
 		const client = new LeaderClient(clock, channel, onSilence);
 		client.#tick();
 		return client;
 	}
 
 	readonly #clock: Clock;
-	readonly #channel: LineChannel<ToLeader, FromLeader>;
+	readonly #channel: Channel<ToLeader>;
 	readonly #onSilence: () => void;
 	readonly #waiting = new Map<string, AskEvents>();
 	#heardAt: number;
 	#sentAt: number;
 	#timer: Timer | undefined;
 
-	private constructor(clock: Clock, channel: LineChannel<ToLeader, FromLeader>, onSilence: () => void) {
+	private constructor(clock: Clock, channel: Channel<ToLeader>, onSilence: () => void) {
 		super();
 		this.#clock = clock;
 		this.#channel = channel;
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -8,7 +8,7 @@
 import {type DeploymentState} from '../gateway/deployment-state.js';
 import {Ending} from '../gateway/exchange-ending.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
-import {encodeLine, type LineChannel} from './line-channel.js';
+import {type Channel, encodeLine} from './link-network.js';
 import {
 	type FromLeader, type Leader, type Member, type ToLeader,
 } from './messages.js';
@@ -40,7 +40,7 @@
 
 type Link = {
 	member: Member;
-	readonly channel: LineChannel<FromLeader, ToLeader>;
+	readonly channel: Channel<FromLeader>;
 	readonly asks: Set<string>;
 	/** An earlier link of the same VM that is not known to be gone: what the VM names here is no longer its. */
 	readonly before: Link | undefined;
@@ -57,7 +57,7 @@
 	}
 
 	readonly #options: LeaderHostOptions;
-	readonly #links = new Map<LineChannel<FromLeader, ToLeader>, Link>();
+	readonly #links = new Map<Channel<FromLeader>, Link>();
 	#leader: Leader | undefined;
 	#timer: Timer | undefined;
 	#membersTimer: Timer | undefined;
@@ -95,7 +95,7 @@
 	}
 
 	/** Takes a VM that said hello. */
-	add(channel: LineChannel<FromLeader, ToLeader>, hello: Extract<ToLeader, {kind: 'hello'}>): void {
+	add(channel: Channel<FromLeader>, hello: Extract<ToLeader, {kind: 'hello'}>): void {
 		const {clock, state, log} = this.#options;
 		const now = clock.now();
 		const before = [...this.#links.values()].findLast(({member}) => member.name === hello.member.name);
@@ -115,7 +115,7 @@
 		this.publishMembers();
 	}
 
-	take(channel: LineChannel<FromLeader, ToLeader>, message: ToLeader): void {
+	take(channel: Channel<FromLeader>, message: ToLeader): void {
 		const link = this.#links.get(channel);
 		if (link === undefined) {
 			return;
@@ -182,7 +182,7 @@
 	}
 
 	/** The connection of a VM is gone; its requests free their places. */
-	remove(channel: LineChannel<FromLeader, ToLeader>): void {
+	remove(channel: Channel<FromLeader>): void {
 		const link = this.#links.get(channel);
 		if (link === undefined) {
 			return;
--- a/src/link/line-channel.ts
+++ b/src/link/line-channel.ts
@@ -7,21 +7,15 @@
 import {StringDecoder} from 'node:string_decoder';
 import {setImmediate} from 'node:timers';
 import {parseJson} from '../base/parse-json.js';
+import {Channel, type ChannelEvents, encodeLine} from './link-network.js';
 
 /** Longest line, in characters; a whole configuration with some thousand routes takes about 1 MB. */
 const MAX_LINE_LENGTH = 16_777_216;
 /** Unsent bytes above which the peer counts as gone: it has not read for seconds. */
 const MAX_UNSENT_BYTES = 8_388_608;
 
-/** What happens on a channel. */
-export type ChannelEvents<Message> = {
-	onMessage(message: Message): void;
-	/** Called once, also when the channel is closed from this side. */
-	onClose(): void;
-};
-
 /** One connection. */
-export class LineChannel<Sent, Received> {
+export class LineChannel<Sent, Received> extends Channel<Sent> {
 	static create<Sent, Received>(socket: Socket, events: ChannelEvents<Received>): LineChannel<Sent, Received> {
 		const channel = new LineChannel<Sent, Received>(socket, events);
 		channel.#listen();
@@ -36,6 +30,7 @@
 	#isClosed = false;
 
 	private constructor(socket: Socket, events: ChannelEvents<Received>) {
+		super();
 		this.#socket = socket;
 		this.#events = events;
 	}
@@ -46,7 +41,6 @@
 		}
 	}
 
-	/** @param line - A message that was encoded once for several channels. */
 	sendLine(line: string): void {
 		if (this.#isClosed) {
 			return;
@@ -123,8 +117,3 @@
 		}
 	}
 }
-
-/** @returns A message as it is sent. */
-export function encodeLine(message: unknown): string {
-	return `${JSON.stringify(message)}\n`;
-}
--- /dev/null
+++ b/src/link/tcp-network.ts
@@ -0,0 +1,97 @@
+/**
+ * Links over TCP.
+ */
+import {once} from 'node:events';
+import {
+	createConnection, createServer, type Server, type Socket,
+} from 'node:net';
+import Result, {ok} from 'true-myth/result';
+import {splitAddress} from '../base/address.js';
+import {type Clock} from '../base/clock.js';
+import {LineChannel} from './line-channel.js';
+import {
+	type Channel, type ChannelEvents, ConnectFailure, LinkConnection, LinkNetwork,
+} from './link-network.js';
+
+/** Time to connect to another VM, in ms: two ways between regions, a lost packet and a busy processor. */
+const CONNECT_MS = 700;
+
+/** The sockets of one VM. */
+export class TcpNetwork extends LinkNetwork {
+	static create(clock: Clock): TcpNetwork {
+		return new TcpNetwork(clock);
+	}
+
+	readonly #clock: Clock;
+	readonly #sockets = new Set<Socket>();
+	#server: Server | undefined;
+
+	private constructor(clock: Clock) {
+		super();
+		this.#clock = clock;
+	}
+
+	async listen(address: string, onConnection: (connection: LinkConnection) => void): Promise<void> {
+		const {host, port} = splitAddress(address);
+		const server = createServer(socket => {
+			this.#keep(socket);
+			onConnection(new TcpConnection(socket));
+		});
+		this.#server = server;
+		server.listen(port, host);
+		await once(server, 'listening');
+	}
+
+	async connect(address: string): Promise<Result<LinkConnection, ConnectFailure>> {
+		return new Promise(resolve => {
+			let failure: ConnectFailure = ConnectFailure.Silent;
+			const socket = createConnection(splitAddress(address));
+			const timer = this.#clock.setTimer(CONNECT_MS, () => {
+				socket.destroy();
+			});
+			socket.once('connect', () => {
+				timer.cancel();
+				socket.removeAllListeners('error');
+				socket.removeAllListeners('close');
+				this.#keep(socket);
+				resolve(ok(new TcpConnection(socket)));
+			});
+			socket.once('error', err => {
+				if ((err as NodeJS.ErrnoException).code === 'ECONNREFUSED') {
+					failure = ConnectFailure.Refused;
+				}
+			});
+			socket.once('close', () => {
+				timer.cancel();
+				resolve(Result.err(failure));
+			});
+		});
+	}
+
+	stop(): void {
+		this.#server?.close();
+		for (const socket of this.#sockets) {
+			socket.destroy();
+		}
+	}
+
+	#keep(socket: Socket): void {
+		this.#sockets.add(socket);
+		socket.once('close', () => {
+			this.#sockets.delete(socket);
+		});
+	}
+}
+
+class TcpConnection extends LinkConnection {
+	readonly #socket: Socket;
+
+	constructor(socket: Socket) {
+		super();
+		this.#socket = socket;
+	}
+
+	open<Sent, Received>(events: ChannelEvents<Received>): Channel<Sent> {
+		return LineChannel.create<Sent, Received>(this.#socket, events);
+	}
+}
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -11,6 +11,7 @@
 import {Coordinator, Role} from '../../src/link/coordinator.js';
 import {LeaderRegister} from '../../src/link/leader-register.js';
 import {type Leader, type Member} from '../../src/link/messages.js';
+import {TcpNetwork} from '../../src/link/tcp-network.js';
 import {type StoreError} from '../../src/store/table.js';
 import {makeAsk} from '../support/ask.js';
 import {eventually} from '../support/eventually.js';
@@ -113,6 +114,7 @@
 				allocator,
 				allocation,
 				register: new MemoryRegister(row, name),
+				network: TcpNetwork.create(clock),
 				self,
 				seeds,
 				reachesStore: () => !row.unreachableFor.has(name) && !row.unreachableFor.has('all'),
--- a/test/link/line-channel.test.ts
+++ b/test/link/line-channel.test.ts
@@ -3,7 +3,8 @@
 	type AddressInfo, createConnection, createServer, type Server, type Socket,
 } from 'node:net';
 import {expect} from 'chai';
-import {encodeLine, LineChannel} from '../../src/link/line-channel.js';
+import {LineChannel} from '../../src/link/line-channel.js';
+import {encodeLine} from '../../src/link/link-network.js';
 import {eventually} from '../support/eventually.js';
 
 type Message = {readonly kind: string};
