--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -16,6 +16,7 @@
 import {type RepeatBounds} from './repeat-budget.js';
 import {Quotas, type QuotaTolerance} from './quotas.js';
 import {Returns} from './returns.js';
+import {type Scope} from './scope.js';
 import {type Waiting} from './waiting-queue.js';
 
 /** How often waiting requests are examined, in ms; small against the shortest response-time objective. */
@@ -41,16 +42,6 @@
 /** How long a request that crashed three upstreams is kept away, as told to its caller, in ms. */
 const QUARANTINE_RETRY_MS = 5000;
 
-/** For whom an allocator decides. */
-export type Scope = {
-	/** Part of the quotas and of the repeats' slack that it may grant: 1 when it decides for all VMs. */
-	readonly share: number;
-	/** What the quotas' buckets hold at first, as a part of their bursts. */
-	readonly quotaFullness: number;
-	/** Whether other VMs use the upstreams without this allocator knowing. */
-	readonly isAlone: boolean;
-};
-
 /** What an allocator works with. */
 export type AllocatorOptions = {
 	readonly clock: Clock;
@@ -151,6 +142,14 @@
 		}
 	}
 
+	/** Grants another part of what all VMs share from now on; what was granted stays granted. */
+	setShare(share: number): void {
+		if (this.#scope.share !== share) {
+			this.#scope = {...this.#scope, share};
+			this.#quotas.setShare(share, this.#options.clock.now());
+		}
+	}
+
 	setTable(table: RoutingTable): void {
 		this.#table = table;
 		this.#quotas.setCustomers(table.configuration.customers, this.#options.clock.now());
--- a/src/allocation/quotas.ts
+++ b/src/allocation/quotas.ts
@@ -3,6 +3,7 @@
  * all VMs, and nobody else is refused for it.
  */
 import {type Customer, type Quota} from '../gateway/routing-table.js';
+import {ALONE_FULLNESS, ALONE_SHARE, SUCCESSOR_FULLNESS} from './scope.js';
 import {ToleratedWindow} from './tolerated-window.js';
 
 const MS_PER_SECOND = 1000;
@@ -23,6 +24,8 @@
  */
 const USED_RATIO = 0.7;
 const USED_SLACK = 0.55;
+/** Changes of the allocator in one window that the rest covers; one of them stands for requests above a lone VM's part. */
+const SUCCESSORS = 3;
 
 type Bucket = {
 	quota: Quota;
@@ -43,8 +46,12 @@
 
 	readonly #tolerance: QuotaTolerance;
 	readonly #buckets = new Map<string, Bucket>();
-	/** The part of each quota that this process may grant: 1 for an allocator of all VMs. */
+	/** The part of the quotas that this process may grant: 1 for an allocator of all VMs. */
 	#share = 1;
+	/** What the buckets of customers hold that were there before this process, as a part of their bursts. */
+	#fullness = 1;
+	/** It knows the customers; ones that it hears of later are new. */
+	#knowsCustomers = false;
 
 	private constructor(tolerance: QuotaTolerance) {
 		this.#tolerance = tolerance;
@@ -66,15 +73,21 @@
 			if (quota === undefined) {
 				this.#buckets.delete(name);
 			} else if (bucket === undefined) {
-				this.#buckets.set(name, {
-					quota, tokens: quota.burst * this.#share, filledAt: now, tolerated: ToleratedWindow.create(this.#tolerance.windowMs),
-				});
+				const added: Bucket = {
+					quota, tokens: quota.burst * this.#shareOf(quota), filledAt: now, tolerated: ToleratedWindow.create(this.#tolerance.windowMs),
+				};
+				this.#buckets.set(name, added);
+				if (!this.#knowsCustomers) {
+					this.#restart(added, now);
+				}
 			} else {
 				this.#fill(bucket, now);
 				bucket.quota = quota;
-				bucket.tokens = Math.min(bucket.tokens, quota.burst * this.#share);
+				bucket.tokens = Math.min(bucket.tokens, quota.burst * this.#shareOf(quota));
 			}
 		}
+
+		this.#knowsCustomers = true;
 	}
 
 	/**
@@ -83,11 +96,21 @@
 	 */
 	restart(share: number, fullness: number, now: number): void {
 		this.#share = share;
+		this.#fullness = fullness;
 		for (const bucket of this.#buckets.values()) {
-			bucket.tokens = bucket.quota.burst * share * fullness;
-			bucket.filledAt = now;
-			// Another process may just have granted all that is tolerated.
-			bucket.tolerated.noteGrant(this.#toleratedSum(bucket.quota), now);
+			this.#restart(bucket, now);
+		}
+	}
+
+	/** @param share - The part of the quotas that this process may grant from now on; what it granted stays granted. */
+	setShare(share: number, now: number): void {
+		for (const bucket of this.#buckets.values()) {
+			this.#fill(bucket, now);
+		}
+
+		this.#share = share;
+		for (const bucket of this.#buckets.values()) {
+			bucket.tokens = Math.min(bucket.tokens, bucket.quota.burst * this.#shareOf(bucket.quota));
 		}
 	}
 
@@ -104,8 +127,9 @@
 		}
 
 		this.#fill(bucket, now);
+		const share = this.#shareOf(bucket.quota);
 		// A request above the whole burst passes a full bucket, or it would never run.
-		const needed = Math.min(cost, bucket.quota.burst * this.#share);
+		const needed = Math.min(cost, bucket.quota.burst * share);
 		if (bucket.tokens >= needed) {
 			bucket.tokens -= cost;
 			return 0;
@@ -116,27 +140,54 @@
 			return 0;
 		}
 
-		return Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / (bucket.quota.perSecond * this.#share));
+		return Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / (bucket.quota.perSecond * share));
 	}
 
 	/** Gives back what a request that did not run has spent. */
 	refund(customer: string | undefined, cost: number): void {
 		const bucket = customer === undefined ? undefined : this.#buckets.get(customer);
 		if (bucket !== undefined) {
-			bucket.tokens = Math.min(bucket.quota.burst * this.#share, bucket.tokens + cost);
+			bucket.tokens = Math.min(bucket.quota.burst * this.#shareOf(bucket.quota), bucket.tokens + cost);
+		}
+	}
+
+	#restart(bucket: Bucket, now: number): void {
+		bucket.tokens = bucket.quota.burst * this.#shareOf(bucket.quota) * this.#fullness;
+		bucket.filledAt = now;
+		if (this.#fullness < 1) {
+			// Another process may just have granted all that is tolerated.
+			bucket.tolerated.noteGrant(this.#toleratedSum(bucket.quota), now);
 		}
 	}
 
 	/** What a customer may be granted in a window beside what its bucket is filled with meanwhile. */
-	#toleratedSum({perSecond, burst}: Quota): number {
+	#toleratedSum(quota: Quota): number {
 		const {ratio, slack, windowMs} = this.#tolerance;
+		const {perSecond, burst} = quota;
 		const promised = (perSecond * windowMs / MS_PER_SECOND) + burst;
-		return (burst + (promised * USED_RATIO * ratio) + (slack * USED_SLACK)) * this.#share;
+		return (burst + (promised * USED_RATIO * ratio) + (slack * USED_SLACK)) * this.#shareOf(quota);
+	}
+
+	/**
+	 * The part of a quota that this process may grant. VMs out of touch with the allocator share what it leaves of the
+	 * tolerance and its successors do not need: it goes on with the whole quota.
+	 */
+	#shareOf({perSecond, burst}: Quota): number {
+		if (this.#share === 1) {
+			return 1;
+		}
+
+		const {ratio, slack, windowMs} = this.#tolerance;
+		const inWindow = perSecond * windowMs / MS_PER_SECOND;
+		const left = ((inWindow + burst) * (1 - USED_RATIO) * ratio) + (slack * (1 - USED_SLACK)) - (SUCCESSORS * SUCCESSOR_FULLNESS * burst);
+		const wanted = ALONE_SHARE * (inWindow + (ALONE_FULLNESS * burst));
+		return this.#share * Math.min(1, Math.max(0, left) / wanted);
 	}
 
 	#fill(bucket: Bucket, now: number): void {
 		const {quota, filledAt} = bucket;
-		bucket.tokens = Math.min(quota.burst * this.#share, bucket.tokens + ((now - filledAt) * quota.perSecond * this.#share / MS_PER_SECOND));
+		const share = this.#shareOf(quota);
+		bucket.tokens = Math.min(quota.burst * share, bucket.tokens + ((now - filledAt) * quota.perSecond * share / MS_PER_SECOND));
 		bucket.filledAt = now;
 		bucket.tolerated.noteLevel(bucket.tokens, now);
 	}
--- /dev/null
+++ b/src/allocation/scope.ts
@@ -0,0 +1,46 @@
+/**
+ * For whom an allocator decides, and what it may grant of what all VMs share. Two may decide at once for a while, as
+ * neither can know of the other; the parts here keep quotas and retry budgets within their bounds even then.
+ */
+
+/** For whom an allocator decides. */
+export type Scope = {
+	/** Part of the quotas and of the repeats' slack that it may grant: 1 when it decides for all VMs. */
+	readonly share: number;
+	/** What the quotas' buckets hold at first, as a part of their bursts. */
+	readonly quotaFullness: number;
+	/** Whether other VMs use the upstreams without this allocator knowing. */
+	readonly isAlone: boolean;
+};
+
+/** Part of a quota's burst that a new allocator may grant at once; the one before may have granted the rest just now. */
+export const SUCCESSOR_FULLNESS = 0.1;
+/** Part of a VM's even share of the quotas that it grants alone, at most; the allocator may still grant the whole quota. */
+export const ALONE_SHARE = 0.5;
+/** Part of that share's burst that it may grant at once. */
+export const ALONE_FULLNESS = 0.5;
+/** Part of its VMs below which an allocator must think that the others have another: as many must be reached to take over. */
+const MIN_LINKED_SHARE = 0.75;
+
+/**
+ * @param isFirst - Whether nobody allocated before.
+ * @returns The scope of a new allocator of all VMs.
+ */
+export function scopeOfAll(isFirst: boolean): Scope {
+	return {share: 1, quotaFullness: isFirst ? 1 : SUCCESSOR_FULLNESS, isAlone: false};
+}
+
+/** @returns The scope of a VM that is in touch with no allocator. */
+export function scopeOfOne(vmCount: number): Scope {
+	return {share: ALONE_SHARE / vmCount, quotaFullness: ALONE_FULLNESS, isAlone: true};
+}
+
+/**
+ * @param linked - VMs that an allocator hears, itself among them.
+ * @param known - VMs that it heard of late.
+ * @returns The part that it may grant: less than all once the others may have another allocator, which the store would tell.
+ */
+export function shareInTouch(linked: number, known: number, reachesStore: boolean): number {
+	const isWhole = reachesStore ? linked >= MIN_LINKED_SHARE * known : linked >= known;
+	return isWhole ? 1 : ALONE_SHARE * linked / known;
+}
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -5,6 +5,7 @@
  * may do is checked at the VM that has it.
  */
 import {type Allocator} from '../allocation/allocator.js';
+import {scopeOfAll, scopeOfOne} from '../allocation/scope.js';
 import {type SwitchedAllocation} from '../allocation/switched-allocation.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log} from '../base/log.js';
@@ -29,12 +30,8 @@
 const WATCH_DELAY_MS = 700;
 /** The same at the start of a process, in ms, which has no list of upstreams to go on with. */
 const FIRST_WATCH_DELAY_MS = 450;
-/** Part of a quota's burst that a new allocator may grant at once; the one before may have granted the rest just now. */
-const SUCCESSOR_FULLNESS = 0.1;
-/** Part of a VM's even share of the quotas that it grants alone; the allocator may still grant the whole quota. */
-const ALONE_SHARE = 0.5;
-/** Part of that share's burst that it may grant at once. */
-const ALONE_FULLNESS = 0.5;
+/** Term of the first allocator of a deployment. */
+const FIRST_TERM = 1;
 /** How long requests wait for the allocator after the start of a process, in ms, before the VM decides alone. */
 const FIRST_LINK_MS = 350;
 
@@ -143,6 +140,11 @@
 		return this.#role;
 	}
 
+	/** The allocator that this VM knows of. */
+	get leader(): Leader | undefined {
+		return this.#leader;
+	}
+
 	/** Listens for other VMs and looks for the allocator. */
 	async start(): Promise<void> {
 		await this.#options.network.listen(this.#self.linkAddress, connection => {
@@ -223,7 +225,7 @@
 		} = this.#options;
 		this.#role = Role.Alone;
 		this.#closeClient();
-		allocator.restart({share: ALONE_SHARE / this.#search.vmCount, quotaFullness: ALONE_FULLNESS, isAlone: true});
+		allocator.restart(scopeOfOne(this.#search.vmCount));
 		allocator.adopt(allocation.places);
 		this.#decideAlone();
 		this.#watchTimer?.cancel();
@@ -240,7 +242,7 @@
 		this.#leader = leader;
 		this.#search.end();
 		this.#hasDecided = true;
-		allocator.restart({share: 1, quotaFullness: SUCCESSOR_FULLNESS, isAlone: false});
+		allocator.restart(scopeOfAll(leader.term === FIRST_TERM));
 		allocator.adopt(allocation.places);
 		allocation.use(allocator);
 		log.info('This VM allocates.', {term: leader.term});
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -3,6 +3,7 @@
  */
 import {type Allocator} from '../allocation/allocator.js';
 import {emptyReport} from '../allocation/ask.js';
+import {shareInTouch} from '../allocation/scope.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log} from '../base/log.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
@@ -17,6 +18,10 @@
 export const BEAT_MS = 200;
 /** Silence after which a VM counts as gone, in ms: several of its beats, and a pause of a throttled processor. */
 const VM_SILENCE_MS = 1200;
+/** Silence after which a VM may follow another allocator, in ms: as long as it waits itself before it looks for one. */
+const QUIET_MS = 700;
+/** How long VMs that are gone count as those of another allocator, in ms; where there is one, the store tells of it by then. */
+const KNOWN_MS = 5000;
 /** Changes of the member list are told together, in ms. */
 const MEMBERS_DELAY_MS = 80;
 /** Versions of the configuration that follow each other within this time are told as one, in ms; a tenth of the time to come into force. */
@@ -63,6 +68,9 @@
 	#membersTimer: Timer | undefined;
 	#configurationTimer: Timer | undefined;
 	#pacesAt = 0;
+	/** VMs that were heard at once, of late. */
+	#known = 0;
+	#knownAt = 0;
 
 	private constructor(options: LeaderHostOptions) {
 		this.#options = options;
@@ -76,6 +84,7 @@
 	/** @param leader - This VM with its term. */
 	start(leader: Leader): void {
 		this.#leader = leader;
+		this.#known = 0;
 		this.#tick();
 		this.publishMembers();
 	}
@@ -87,11 +96,12 @@
 		this.#timer = undefined;
 		this.#membersTimer = undefined;
 		this.#configurationTimer = undefined;
-		for (const link of this.#links.values()) {
+		// Forgotten first: the end of a link would otherwise be told to the others, and to this VM itself.
+		const links = [...this.#links.values()];
+		this.#links.clear();
+		for (const link of links) {
 			link.channel.close();
 		}
-
-		this.#links.clear();
 	}
 
 	/** Takes a VM that said hello. */
@@ -217,7 +227,9 @@
 		const {clock, self} = this.#options;
 		this.#membersTimer ??= clock.setTimer(MEMBERS_DELAY_MS, () => {
 			this.#membersTimer = undefined;
-			this.#tellMembers([self(), ...[...this.#links.values()].map(link => link.member)]);
+			// A VM that linked anew may have an earlier link that is not known to be gone.
+			const members = new Map([self(), ...[...this.#links.values()].map(link => link.member)].map(member => [member.name, member]));
+			this.#tellMembers([...members.values()]);
 		});
 	}
 
@@ -313,11 +325,24 @@
 			}
 		}
 
+		allocator.setShare(this.#shareInTouch(now));
 		this.#timer = clock.setTimer(BEAT_MS, () => {
 			this.#tick();
 		});
 	}
 
+	/** The part of what all VMs share that this allocator may grant, as far as it can know. */
+	#shareInTouch(now: number): number {
+		const reachesStore = this.#options.reachesStore();
+		const heard = 1 + [...this.#links.values()].filter(link => now - link.heardAt <= QUIET_MS).length;
+		if (heard >= this.#known || (reachesStore && now - this.#knownAt > KNOWN_MS)) {
+			this.#known = heard;
+			this.#knownAt = now;
+		}
+
+		return shareInTouch(heard, this.#known, reachesStore);
+	}
+
 	/** Encodes a message once for all who get it. */
 	#broadcast(message: FromLeader, links: readonly Link[]): void {
 		if (links.length === 0) {
--- a/src/link/leader-search.ts
+++ b/src/link/leader-search.ts
@@ -25,6 +25,8 @@
 const FIRST_CLAIM_SPREAD_MS = 40;
 /** Part of the known VMs that must be reached, running or not, before a VM may think that the allocator is gone. */
 const MIN_REACHED_SHARE = 0.25;
+/** VMs that are asked for the allocator in one look without the store: the store may be back at the next. */
+const MAX_ASKED = 4;
 /** VMs that are assumed where none is known. */
 const ASSUMED_VMS = 8;
 /** How long an allocator may be without the store before a VM that reaches it takes over, in ms. */
@@ -78,7 +80,8 @@
 	/** VMs that are known or assumed. */
 	get vmCount(): number {
 		const {length} = this.#options.state.members;
-		return length > 0 ? length : this.#options.leader()?.vmCount ?? ASSUMED_VMS;
+		// An allocator that lost its links knows of few; it took over from more.
+		return Math.max(length, this.#options.leader()?.vmCount ?? (length > 0 ? 0 : ASSUMED_VMS));
 	}
 
 	/** Whether the allocator that this VM is linked to does not reach the store. */
@@ -120,7 +123,7 @@
 
 	/** Takes over from the allocator of a term, unless another VM has done so by then. */
 	async claimLater(term: number, delayMs: number): Promise<void> {
-		const {clock, register, log, leader, self, onClaimed, onFound} = this.#options;
+		const {clock, register, log, leader} = this.#options;
 		await clock.sleep(delayMs);
 		if (this.#isStopped || !this.#mayClaim || (leader()?.term ?? 0) > term) {
 			return;
@@ -132,11 +135,7 @@
 			return;
 		}
 
-		if (claimed.value.boot === self().boot) {
-			onClaimed(claimed.value);
-		} else {
-			onFound(claimed.value);
-		}
+		this.#take(claimed.value);
 	}
 
 	/**
@@ -199,17 +198,21 @@
 
 	/** Without the store: the allocator that was known last, and what the seeds know. */
 	async #linkToKnown(): Promise<void> {
-		const {leader, self, linkTo, isAlone, state, seeds} = this.#options;
+		const {leader, self, linkTo, isAlone, state, seeds, random} = this.#options;
 		const known = leader();
 		if (known !== undefined && known.boot !== self().boot && await linkTo(known.linkAddress)) {
 			return;
 		}
 
-		const others = state.members.map(member => member.linkAddress);
-		for (const address of new Set([...seeds, ...others])) {
-			if (address !== self().linkAddress && isAlone() && await linkTo(address)) { // eslint-disable-line no-await-in-loop -- one that links ends it
-				return;
-			}
+		const others = new Set([...seeds, ...state.members.map(member => member.linkAddress)]);
+		others.delete(self().linkAddress);
+		const asked = [...others];
+		while (asked.length > MAX_ASKED) {
+			asked.splice(random.integer(0, asked.length - 1), 1);
+		}
+
+		if (isAlone()) {
+			await Promise.all(asked.map(async address => linkTo(address)));
 		}
 	}
 
@@ -255,7 +258,7 @@
 
 	/** Takes over from an allocator that lives but does not reach the store, while this VM does. */
 	async #replace(): Promise<void> {
-		const {clock, register, log, leader, self, isAlone, onClaimed, onFound} = this.#options;
+		const {clock, register, log, leader, self, isAlone, onFound} = this.#options;
 		const replaced = leader();
 		if (replaced === undefined || !this.#mayClaim) {
 			return;
@@ -280,7 +283,17 @@
 		const claimed = await register.claim(this.#candidate(), read.value.term);
 		if (claimed.isOk && claimed.value.boot === self().boot) {
 			log.warn('The allocator does not reach the store; this VM takes over.', {before: replaced.name});
-			onClaimed(claimed.value);
+			this.#take(claimed.value);
+		}
+	}
+
+	/** Takes what the register says, unless the term was over when its answer came. */
+	#take(claimed: Leader): void {
+		const {leader, self, onClaimed, onFound} = this.#options;
+		if (claimed.boot !== self().boot) {
+			onFound(claimed);
+		} else if (!this.#isStopped && claimed.term > (leader()?.term ?? 0)) {
+			onClaimed(claimed);
 		}
 	}
 }
--- a/test/allocation/quotas.test.ts
+++ b/test/allocation/quotas.test.ts
@@ -34,6 +34,26 @@
 }
 
 describe('quotas of a customer that sends several times its usual', () => {
+	it('start no fuller where the customers become known only after the start', () => {
+		const grantedBy = (quotas: Quotas) => {
+			let granted = 0;
+			while (quotas.spend('hot', 10, true, 0) === 0) {
+				granted += 10;
+			}
+
+			return granted;
+		};
+
+		const informed = Quotas.create(tolerance);
+		informed.setCustomers([customer()], 0);
+		informed.restart(1, 0.1, 0);
+		const blank = Quotas.create(tolerance);
+		blank.restart(1, 0.1, 0);
+		blank.setCustomers([customer()], 0);
+		expect(grantedBy(informed)).to.be.within(90, 100);
+		expect(grantedBy(blank)).to.be.within(90, 100);
+	});
+
 	for (const seed of [1, 2, 3, 4, 5]) {
 		it(`never refuse what the plain quota allows, nor grant more than is tolerated (seed ${seed})`, () => {
 			const random = Random.create(seed);
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -24,6 +24,8 @@
 class MemoryRow {
 	leader: Leader | undefined;
 	readonly unreachableFor = new Set<string>();
+	/** Claims take effect at once; their answers wait for it. */
+	claimAnswers: Promise<void> | undefined;
 }
 
 class MemoryRegister extends LeaderRegister {
@@ -49,7 +51,9 @@
 			this.#row.leader = {...candidate, term: term + 1};
 		}
 
-		return ok(this.#row.leader!);
+		const leader = this.#row.leader!;
+		await this.#row.claimAnswers;
+		return ok(leader);
 	}
 
 	get #isAway(): boolean {
@@ -354,6 +358,22 @@
 		await eventually(() => granted.has('waiting'));
 	});
 
+	it('does not allocate under a term that was over when the answer to its claim came', async () => {
+		let answer: () => void = () => undefined;
+		row.claimAnswers = new Promise(resolve => {
+			answer = resolve;
+		});
+		const vm = await startVm('slow', 1);
+		await eventually(() => row.leader?.term === 1);
+		vm.coordinator.noteLeader({
+			name: 'next', linkAddress: '127.0.0.1:1', boot: 'next', term: 2, vmCount: 2,
+		});
+		answer();
+		await clock.sleep(20);
+		expect(vm.coordinator.role).to.equal(Role.Alone);
+		expect(vm.coordinator.leader?.term).to.equal(2);
+	});
+
 	it('takes over in the order of strength', async () => {
 		await startVm('strong', 30);
 		await startVm('middle', 20);
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -9,7 +9,10 @@
 import {Operation} from '../../src/gateway/routing-table.js';
 import {LeaderHost} from '../../src/link/leader-host.js';
 import {LineChannel} from '../../src/link/line-channel.js';
-import {type FromLeader, type Member, type ToLeader} from '../../src/link/messages.js';
+import {type Channel} from '../../src/link/link-network.js';
+import {
+	type FromLeader, type Leader, type Member, type ToLeader,
+} from '../../src/link/messages.js';
 import {makeAsk} from '../support/ask.js';
 
 const self: Member = {
@@ -36,11 +39,16 @@
 describe('links at the allocating VM', () => {
 	let allocator: Allocator;
 	let host: LeaderHost;
+	let clock: VirtualClock;
+	let state: DeploymentState;
+	let reachesStore: boolean;
 	let channel: LineChannel<FromLeader, ToLeader>;
 
 	beforeEach(() => {
-		const clock = VirtualClock.create();
+		clock = VirtualClock.create();
+		reachesStore = true;
 		const log = Log.create('silent');
+		state = DeploymentState.create(log);
 		allocator = Allocator.create({
 			clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000},
 		});
@@ -51,7 +59,7 @@
 			removed: [],
 		});
 		host = LeaderHost.create({
-			clock, log, state: DeploymentState.create(log), allocator, self: () => self, reachesStore: () => true,
+			clock, log, state, allocator, self: () => self, reachesStore: () => reachesStore,
 		});
 		channel = makeChannel();
 		host.add(channel, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, isBlank: false});
@@ -99,6 +107,58 @@
 		expect(allocator.heldCount).to.equal(0);
 	});
 
+	// A VM that had allocated until then took itself for the only one, and would take over without asking any other.
+	it('tell nothing any more once this VM does not allocate', () => {
+		const leader: Leader = {
+			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: 1, vmCount: 2,
+		};
+		const ended: Array<Channel<FromLeader>> = [];
+		const third = LineChannel.create<FromLeader, ToLeader>(new Socket(), {
+			onMessage() {
+				// Messages are handed to the host directly.
+			},
+			onClose() {
+				host.remove(third);
+				ended.push(third);
+			},
+		});
+		host.add(third, {kind: 'hello', member: {...self, name: 'third', boot: 'third-1'}, isBlank: false});
+		host.start(leader);
+		clock.advance(100);
+		expect(state.members).to.have.length(3);
+		host.stop();
+		expect(ended).to.have.length(1);
+		clock.advance(1000);
+		expect(state.members).to.have.length(3);
+	});
+
+	it('count a VM once that has an earlier link', () => {
+		host.add(makeChannel(), {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, isBlank: false});
+		clock.advance(100);
+		expect(state.members.map(({name}) => name)).to.deep.equal(['vm', 'other']);
+	});
+
+	it('grant less of the quotas while the VMs that are lost may have another allocator', () => {
+		const shares: number[] = [];
+		const setShare = allocator.setShare.bind(allocator);
+		allocator.setShare = share => {
+			shares.push(share);
+			setShare(share);
+		};
+
+		reachesStore = false;
+		host.start({
+			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: 1, vmCount: 2,
+		});
+		clock.advance(600);
+		expect(shares.at(-1)).to.equal(1);
+		clock.advance(400);
+		expect(shares.at(-1)).to.equal(0.25);
+		reachesStore = true;
+		clock.advance(6000);
+		expect(shares.at(-1)).to.equal(1);
+	});
+
 	it('free all places and queue entries of a VM whose link is lost', () => {
 		host.take(channel, {kind: 'ask', ask: makeDeskAsk('granted')});
 		host.take(channel, {kind: 'ask', ask: makeDeskAsk('waiting')});
