--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -2,7 +2,7 @@
  * Which VM allocates for all, as one VM sees it: it allocates itself, is linked to the VM that does, or decides alone
  * for the time in which it finds none. The allocator is written down in the store; a VM takes over when it has lost the
  * allocator and no VM that it reaches still hears it. Two allocators at once cost quality, never a rule: what a request
- * may do is checked at the VM that has it.
+ * may do is checked at the VM that has it, and what all VMs share is granted in parts (`allocation/scope`).
  */
 import {type Allocator} from '../allocation/allocator.js';
 import {scopeOfAll, scopeOfOne} from '../allocation/scope.js';
--- a/src/link/leader-search.ts
+++ b/src/link/leader-search.ts
@@ -290,9 +290,11 @@
 	/** Takes what the register says, unless the term was over when its answer came. */
 	#take(claimed: Leader): void {
 		const {leader, self, onClaimed, onFound} = this.#options;
+		const known = leader();
 		if (claimed.boot !== self().boot) {
 			onFound(claimed);
-		} else if (!this.#isStopped && claimed.term > (leader()?.term ?? 0)) {
+		} else if (!this.#isStopped && (known === undefined || claimed.term > known.term || claimed.boot === known.boot)) {
+			// The watch of the store may have told of this VM's own claim before.
 			onClaimed(claimed);
 		}
 	}
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -374,6 +374,20 @@
 		expect(vm.coordinator.leader?.term).to.equal(2);
 	});
 
+	it('allocates when the store told of its claim before the answer came', async () => {
+		let answer: () => void = () => undefined;
+		row.claimAnswers = new Promise(resolve => {
+			answer = resolve;
+		});
+		const vm = await startVm('only', 1);
+		await eventually(() => row.leader?.term === 1);
+		vm.coordinator.noteLeader(row.leader!);
+		answer();
+		await clock.sleep(20);
+		expect(vm.coordinator.role).to.equal(Role.Leading);
+		expect(row.leader?.term).to.equal(1);
+	});
+
 	it('takes over in the order of strength', async () => {
 		await startVm('strong', 30);
 		await startVm('middle', 20);
