--- a/bench/upstream-faults.ts
+++ b/bench/upstream-faults.ts
@@ -16,6 +16,8 @@
 
 const ENGINE_COUNT = 3;
 const CALLERS = 60;
+/** Two engines have places for less than all callers, so that the third is needed again when its fault is over. */
+const MAX_CONCURRENCY = 24;
 const TOKEN_INTERVAL_MS = 10;
 const TOKENS = 20;
 const WARM_UP_MS = 2000;
@@ -218,7 +220,7 @@
 		},
 		customers: {guest: {keyDigests: [digestKey('faults-key')]}},
 		upstreams: Object.fromEntries(ports.map((port, index) => [`engine-${index}`, {
-			service: 'advice', url: `http://127.0.0.1:${port}`, canResume: true, ...location,
+			service: 'advice', url: `http://127.0.0.1:${port}`, canResume: true, maxConcurrency: MAX_CONCURRENCY, ...location,
 		}])),
 	})]]));
 }
