--- a/src/main.ts
+++ b/src/main.ts
@@ -10,13 +10,34 @@
 const mainCommand = defineCommand({
 	meta: {name: 'redwingspool', version: packageInfo.version, description: packageInfo.description},
 	subCommands: {
-		serve: async () => import('./cli/serve.js').then(module => module.serveCommand),
-		dev: async () => import('./cli/dev.js').then(module => module.devCommand),
-		config: async () => import('./cli/config.js').then(module => module.configCommand),
-		keys: async () => import('./cli/keys.js').then(module => module.keysCommand),
-		load: async () => import('./cli/load.js').then(module => module.loadCommand),
-		status: async () => import('./cli/status.js').then(module => module.statusCommand),
-		drain: async () => import('./cli/drain.js').then(module => module.drainCommand),
+		async serve() {
+			const {serveCommand} = await import('./cli/serve.js');
+			return serveCommand;
+		},
+		async dev() {
+			const {devCommand} = await import('./cli/dev.js');
+			return devCommand;
+		},
+		async config() {
+			const {configCommand} = await import('./cli/config.js');
+			return configCommand;
+		},
+		async keys() {
+			const {keysCommand} = await import('./cli/keys.js');
+			return keysCommand;
+		},
+		async load() {
+			const {loadCommand} = await import('./cli/load.js');
+			return loadCommand;
+		},
+		async status() {
+			const {statusCommand} = await import('./cli/status.js');
+			return statusCommand;
+		},
+		async drain() {
+			const {drainCommand} = await import('./cli/drain.js');
+			return drainCommand;
+		},
 	},
 });
 
