--- a/soak/link-plans.ts
+++ b/soak/link-plans.ts
@@ -1,8 +1,38 @@
 /**
  * Plans of faults for the model of the coordination: all of a bounded kind, and random ones.
  */
+import {type Scope} from '../src/allocation/scope.js';
 import {Random} from '../src/base/random.js';
-import {type LinkFault, type LinkPlan} from './link-world.js';
+import {type Tamper} from './link-fabric.js';
+
+/** One fault of a VM or between two. Times in ms from the start of the run. */
+export type LinkFault = {
+	readonly kind: 'kill' | 'stop' | 'freeze' | 'cut' | 'split' | 'isolate' | 'store-away' | 'store-away-for-all' | 'store-loses-answers' | 'store-slow' | 'wall-jump';
+	readonly at: number;
+	readonly until: number;
+	readonly vm: number;
+	/** The VM to which nothing goes, for a cut one way. */
+	readonly other: number;
+};
+
+/** A run. */
+export type LinkPlan = {
+	readonly seed: number;
+	readonly vms: number;
+	readonly faults: readonly LinkFault[];
+	/** Whether VMs ask for places; the choice of the allocator alone is faster to explore. */
+	readonly asks: boolean;
+	readonly sabotage?: LinkSabotage;
+};
+
+/** A deliberate break of the program or of what it stands on. */
+export type LinkSabotage = {
+	/** Claims take effect whatever the row says. */
+	readonly ignoresTerms?: boolean;
+	readonly tamper?: Tamper;
+	/** What an allocator is told when it starts anew. */
+	readonly scope?: (scope: Scope) => Scope;
+};
 
 /** When the first fault begins, in ms: the VMs are linked by then. */
 const FIRST_FAULT_MS = 1500;
--- a/soak/link-world.ts
+++ b/soak/link-world.ts
@@ -1,24 +1,27 @@
 /**
  * VMs that choose an allocator and ask it for places, in virtual time with faults, and what must hold meanwhile. All but
- * the network, the store's row and the callers is the program's own code.
+ * the network, the store's row and the callers is the program's own code. The properties stand beside the world that they
+ * read, hence the length.
  */
-import Result, {ok} from 'true-myth/result';
 import {Allocator} from '../src/allocation/allocator.js';
-import {type Ask, emptyReport} from '../src/allocation/ask.js';
-import {type Scope, scopeOfAll} from '../src/allocation/scope.js';
+import {scopeOfAll} from '../src/allocation/scope.js';
 import {SwitchedAllocation} from '../src/allocation/switched-allocation.js';
 import {Log} from '../src/base/log.js';
 import {Random} from '../src/base/random.js';
 import {VirtualClock} from '../src/base/virtual-clock.js';
 import {DeploymentState} from '../src/gateway/deployment-state.js';
-import {Ending} from '../src/gateway/exchange-ending.js';
-import {type Configuration, Operation} from '../src/gateway/routing-table.js';
+import {type Configuration} from '../src/gateway/routing-table.js';
 import {type Upstream} from '../src/gateway/upstream-list.js';
 import {Coordinator, Role} from '../src/link/coordinator.js';
-import {LeaderRegister} from '../src/link/leader-register.js';
-import {type Leader, type Member} from '../src/link/messages.js';
-import {type StoreError} from '../src/store/table.js';
-import {LinkFabric, type Tamper, VmClock} from './link-fabric.js';
+import {type Member} from '../src/link/messages.js';
+import {
+	LinkDemand, QUOTA, REPEATS, TOLERANCE,
+} from './link-demand.js';
+import {LinkFabric} from './link-fabric.js';
+import {beginFault, endFault, type FaultTargets} from './link-faults.js';
+import {type LinkPlan} from './link-plans.js';
+import {LinkRow, ModelRegister} from './link-store.js';
+import {VmClock} from './vm-clock.js';
 
 /**
  * Time after the last fault within which every VM is linked to one allocator, in ms. The longest way of the constants:
@@ -29,28 +32,12 @@
 export const LINKED_WITHIN_MS = 8000;
 /** Time after the last fault within which a configuration is in force and an upstream that left is known everywhere, in ms: the pages' 5 s after the VMs are linked. */
 export const KNOWN_WITHIN_MS = LINKED_WITHIN_MS + 5000;
-/** A call to the store, in ms. */
-const STORE_MS = {min: 5, max: 60} as const;
-/** The same while the store is slow for a VM; a call is given up after 1,000. */
-const SLOW_STORE_MS = {min: 200, max: 990} as const;
 /** Time until a VM notices that the store is away, in ms: its watch waits 700 and is given up 600 later. */
 const STORE_NOTICED_MS = 1300;
 /** How often a VM that watches the store hears of changes, in ms. */
 const WATCH_MS = 100;
 const UPSTREAMS = 6;
 const SLOTS = 8;
-const HELD_MS = {min: 20, max: 400} as const;
-/** The customer sends about three times its quota; see HOT_SHARE. */
-const QUOTA = {perSecond: 40, burst: 40} as const;
-/** About a third of the quota, as the deployments' example tolerates for its larger customers. */
-const TOLERANCE = {ratio: 0.1, slack: 50, windowMs: 4000} as const;
-const ASKS_PER_SECOND = 150;
-/** Part of the requests that the customer with the quota sends: as much at each of three VMs as the quota allows in all. */
-const HOT_SHARE = 0.85;
-/** So small that the repeats of the model meet it. */
-const REPEATS = {ratio: 0.02, slack: 10, windowMs: 4000} as const;
-/** Part of the requests of the other customer that are lost, so that they are sent again. */
-const LOST_SHARE = 0.3;
 const MS_PER_SECOND = 1000;
 /** Details of a finding that are told. */
 const MAX_TOLD = 5;
@@ -75,35 +62,6 @@
 
 export type LinkProperty = (typeof LinkProperty)[keyof typeof LinkProperty];
 
-/** One fault of a VM or between two. Times in ms from the start of the run. */
-export type LinkFault = {
-	readonly kind: 'kill' | 'stop' | 'freeze' | 'cut' | 'split' | 'isolate' | 'store-away' | 'store-away-for-all' | 'store-loses-answers' | 'store-slow' | 'wall-jump';
-	readonly at: number;
-	readonly until: number;
-	readonly vm: number;
-	/** The VM to which nothing goes, for a cut one way. */
-	readonly other: number;
-};
-
-/** A run. */
-export type LinkPlan = {
-	readonly seed: number;
-	readonly vms: number;
-	readonly faults: readonly LinkFault[];
-	/** Whether VMs ask for places; the choice of the allocator alone is faster to explore. */
-	readonly asks: boolean;
-	readonly sabotage?: LinkSabotage;
-};
-
-/** A deliberate break of the program or of what it stands on. */
-export type LinkSabotage = {
-	/** Claims take effect whatever the row says. */
-	readonly ignoresTerms?: boolean;
-	readonly tamper?: Tamper;
-	/** What an allocator is told when it starts anew. */
-	readonly scope?: (scope: Scope) => Scope;
-};
-
 /** What was seen. */
 export type LinkFinding = {
 	readonly property: LinkProperty;
@@ -121,68 +79,6 @@
 	readonly linkedAfterMs: number;
 };
 
-const away: StoreError = {failure: 'unavailable', detail: 'no answer'};
-
-/** The store's row, and for whom it answers. */
-class Row {
-	leader: Leader | undefined;
-	claims = 0;
-	readonly awayFor = new Set<string>();
-	readonly losesFor = new Set<string>();
-	readonly slowFor = new Set<string>();
-
-	isAwayFor(name: string): boolean {
-		return this.awayFor.has(name) || this.awayFor.has('all');
-	}
-}
-
-class ModelRegister extends LeaderRegister {
-	readonly #world: LinkWorld;
-	readonly #vm: Vm;
-
-	constructor(world: LinkWorld, vm: Vm) {
-		super();
-		this.#world = world;
-		this.#vm = vm;
-	}
-
-	async read(): Promise<Result<Leader | undefined, StoreError>> {
-		await this.#way();
-		return this.#isAnswered ? ok(this.#world.row.leader) : Result.err(away);
-	}
-
-	/** As the platform's adapter: after a lost answer, the row is read. */
-	async claim(candidate: Omit<Leader, 'term'>, term: number): Promise<Result<Leader, StoreError>> {
-		const {row} = this.#world;
-		await this.#way();
-		const isReached = !row.isAwayFor(this.#vm.member.name);
-		const isFirst = (row.leader?.term ?? 0) === term || this.#world.plan.sabotage?.ignoresTerms === true;
-		if (isReached && isFirst) {
-			row.leader = {...candidate, term: term + 1};
-			row.claims += 1;
-		}
-
-		await this.#way();
-		if (isReached && isFirst && this.#isAnswered) {
-			return ok({...candidate, term: term + 1});
-		}
-
-		const read = await this.read();
-		return read.andThen(leader => leader === undefined ? Result.err<Leader, StoreError>(away) : ok(leader));
-	}
-
-	get #isAnswered(): boolean {
-		const {row} = this.#world;
-		const {name} = this.#vm.member;
-		return !row.isAwayFor(name) && !row.losesFor.has(name);
-	}
-
-	async #way(): Promise<void> {
-		const {min, max} = this.#world.row.slowFor.has(this.#vm.member.name) ? SLOW_STORE_MS : STORE_MS;
-		await this.#vm.clock.sleep((min + (this.#world.random.next() * (max - min))) / 2);
-	}
-}
-
 /** One start of a VM. */
 type Vm = {
 	readonly index: number;
@@ -205,32 +101,38 @@
 		return world.#run();
 	}
 
-	readonly plan: LinkPlan;
-	readonly random: Random;
-	readonly row = new Row();
+	readonly #plan: LinkPlan;
+	readonly #random: Random;
+	readonly #row = new LinkRow();
 	readonly #clock = VirtualClock.create();
 	readonly #fabric: LinkFabric;
+	readonly #demand: LinkDemand;
 	readonly #log = Log.create('silent');
 	readonly #vms: Array<Vm | undefined> = [];
 	readonly #findings: LinkFinding[] = [];
 	readonly #awaySince = new Map<string, number>();
 	readonly #leaders = new Map<number, string>();
-	readonly #quotaGrants: number[] = [];
-	readonly #firsts: number[] = [];
-	readonly #repeats: number[] = [];
 	#boots = 0;
-	#asks = 0;
-	#refusals = 0;
-	#grants = 0;
 	#version = 1;
 	#leaving: Upstream | undefined;
 	#leavingAt = Number.POSITIVE_INFINITY;
 	#linkedAt: number | undefined;
 
 	private constructor(plan: LinkPlan) {
-		this.plan = plan;
-		this.random = Random.create(plan.seed);
-		this.#fabric = LinkFabric.create(this.#clock, this.random, plan.sabotage?.tamper);
+		this.#plan = plan;
+		this.#random = Random.create(plan.seed);
+		this.#fabric = LinkFabric.create(this.#clock, this.#random, plan.sabotage?.tamper);
+		this.#demand = LinkDemand.create({
+			clock: this.#clock,
+			random: this.#random,
+			pick: () => {
+				const vm = this.#random.pick(this.#running);
+				return vm.clock.isFrozen || vm.isStopping ? undefined : {boot: vm.member.boot, clock: vm.clock, allocation: vm.allocation};
+			},
+			onGrant: (boot, upstreamId) => {
+				this.#checkLeaving(boot, upstreamId);
+			},
+		});
 	}
 
 	get #now(): number {
@@ -238,21 +140,21 @@
 	}
 
 	get #quietFrom(): number {
-		return Math.max(0, ...this.plan.faults.map(({until}) => until));
+		return Math.max(0, ...this.#plan.faults.map(({until}) => until));
 	}
 
 	async #run(): Promise<LinkReport> {
-		const {plan} = this;
+		const plan = this.#plan;
 		for (let index = 0; index < plan.vms; index += 1) {
 			this.#start(index);
 		}
 
 		for (const fault of plan.faults) {
 			this.#at(fault.at, () => {
-				this.#begin(fault);
+				beginFault(fault, this.#targets);
 			});
 			this.#at(fault.until, () => {
-				this.#end(fault);
+				endFault(fault, this.#targets);
 			});
 		}
 
@@ -264,7 +166,7 @@
 		});
 		this.#watch();
 		if (plan.asks) {
-			this.#askOn();
+			this.#demand.start();
 		}
 
 		const quietFrom = this.#quietFrom;
@@ -280,13 +182,13 @@
 
 		await this.#clock.advanceAsync(quietFrom + KNOWN_WITHIN_MS - this.#now);
 		this.#checkKnown();
-		this.#checkWindows();
+		this.#checkShared();
 		for (const vm of this.#running) {
 			vm.coordinator.stop();
 		}
 
 		return {
-			findings: this.#findings, grants: this.#grants, refusals: this.#refusals, claims: this.row.claims, messages: this.#fabric.delivered, linkedAfterMs: (this.#linkedAt ?? Number.POSITIVE_INFINITY) - quietFrom,
+			findings: this.#findings, grants: this.#demand.grants, refusals: this.#demand.refusals, claims: this.#row.claims, messages: this.#fabric.delivered, linkedAfterMs: (this.#linkedAt ?? Number.POSITIVE_INFINITY) - quietFrom,
 		};
 	}
 
@@ -332,9 +234,9 @@
 		const clock = VmClock.create(this.#clock);
 		const state = DeploymentState.create(this.#log);
 		const allocator = Allocator.create({
-			clock, random: this.random, nodeId: `${name}-${this.#boots}`, repeatBounds: REPEATS, quotaTolerance: TOLERANCE,
+			clock, random: this.#random, nodeId: `${name}-${this.#boots}`, repeatBounds: REPEATS, quotaTolerance: TOLERANCE,
 		});
-		const {scope} = this.plan.sabotage ?? {};
+		const {scope} = this.#plan.sabotage ?? {};
 		if (scope !== undefined) {
 			const restart = allocator.restart.bind(allocator);
 			allocator.restart = told => {
@@ -364,12 +266,14 @@
 		};
 		const coordinator = Coordinator.create({
 			clock,
-			random: this.random,
+			random: this.#random,
 			log: this.#log,
 			state,
 			allocator,
 			allocation,
-			register: new ModelRegister(this, vm),
+			register: ModelRegister.create({
+				row: this.#row, random: this.#random, clock, name, ignoresTerms: this.#plan.sabotage?.ignoresTerms === true,
+			}),
 			network: this.#fabric.networkOf(name, clock),
 			self: member,
 			seeds: this.#seeds(index),
@@ -388,7 +292,7 @@
 
 	/** A VM notices that the store is away when a call has failed. */
 	#noticesStore(name: string): boolean {
-		if (!this.row.isAwayFor(name)) {
+		if (!this.#row.isAwayFor(name)) {
 			this.#awaySince.delete(name);
 			return true;
 		}
@@ -400,147 +304,40 @@
 
 	/** Each VM knows two others by its settings. */
 	#seeds(index: number): string[] {
-		const {vms} = this.plan;
+		const {vms} = this.#plan;
 		return [1, 2].map(step => `10.0.0.${(index + step) % vms}:81`);
 	}
 
-	#begin(fault: LinkFault): void {
-		const {kind, vm: index, other} = fault;
-		const vm = this.#vms[index];
-		const name = `vm-${index}`;
-		switch (kind) {
-			case 'kill': {
-				this.#kill(vm);
-				break;
-			}
-
-			case 'stop': {
-				if (vm !== undefined) {
-					vm.isStopping = true;
-					vm.coordinator.resign();
-					vm.coordinator.setReady(false);
-				}
-
-				break;
-			}
-
-			case 'freeze': {
-				vm?.clock.freeze();
-				break;
-			}
-
-			case 'cut': {
-				this.#fabric.cut(name, `vm-${other}`);
-				break;
-			}
-
-			case 'split': {
-				for (let far = 0; far < this.plan.vms; far += 1) {
-					this.#fabric.cut(name, `vm-${far}`);
-					this.#fabric.cut(`vm-${far}`, name);
-				}
-
-				break;
-			}
-
-			case 'isolate': {
-				this.#begin({...fault, kind: 'split'});
-				this.#begin({...fault, kind: 'store-away'});
-				break;
-			}
-
-			case 'store-away': {
-				this.row.awayFor.add(name);
-				break;
-			}
-
-			case 'store-away-for-all': {
-				this.row.awayFor.add('all');
-				break;
-			}
-
-			case 'store-loses-answers': {
-				this.row.losesFor.add(name);
-				break;
-			}
-
-			case 'store-slow': {
-				this.row.slowFor.add(name);
-				break;
-			}
-
-			case 'wall-jump': {
-				this.#clock.jumpWall(index % 2 === 0 ? 3_600_000 : -3_600_000);
-				break;
-			}
-		}
+	get #targets(): FaultTargets {
+		return {
+			vms: this.#plan.vms,
+			fabric: this.#fabric,
+			row: this.#row,
+			clock: this.#clock,
+			clockOf: index => this.#vms[index]?.clock,
+			kill: index => {
+				this.#kill(index);
+			},
+			start: index => {
+				this.#start(index);
+			},
+			stop: index => {
+				this.#stop(index);
+			},
+		};
 	}
 
-	#end(fault: LinkFault): void {
-		const {kind, vm: index, other} = fault;
+	#stop(index: number): void {
 		const vm = this.#vms[index];
-		const name = `vm-${index}`;
-		switch (kind) {
-			case 'stop':
-			case 'kill': {
-				this.#kill(vm);
-				this.#start(index);
-				break;
-			}
-
-			case 'freeze': {
-				vm?.clock.thaw();
-				this.#fabric.pump();
-				break;
-			}
-
-			case 'cut': {
-				this.#fabric.heal(name, `vm-${other}`);
-				break;
-			}
-
-			case 'split': {
-				for (let far = 0; far < this.plan.vms; far += 1) {
-					this.#fabric.heal(name, `vm-${far}`);
-					this.#fabric.heal(`vm-${far}`, name);
-				}
-
-				break;
-			}
-
-			case 'isolate': {
-				this.#end({...fault, kind: 'split'});
-				this.#end({...fault, kind: 'store-away'});
-				break;
-			}
-
-			case 'store-away': {
-				this.row.awayFor.delete(name);
-				break;
-			}
-
-			case 'store-away-for-all': {
-				this.row.awayFor.delete('all');
-				break;
-			}
-
-			case 'store-loses-answers': {
-				this.row.losesFor.delete(name);
-				break;
-			}
-
-			case 'store-slow': {
-				this.row.slowFor.delete(name);
-				break;
-			}
-
-			case 'wall-jump': {
-				break;
-			}
+		if (vm !== undefined) {
+			vm.isStopping = true;
+			vm.coordinator.resign();
+			vm.coordinator.setReady(false);
 		}
 	}
 
-	#kill(vm: Vm | undefined): void {
+	#kill(index: number): void {
+		const vm = this.#vms[index];
 		if (vm !== undefined) {
 			vm.clock.end();
 			vm.coordinator.stop();
@@ -551,9 +348,9 @@
 	/** What the store tells VMs that watch it, and looks at who allocates. */
 	#watch(): void {
 		for (const vm of this.#running) {
-			if (!vm.clock.isFrozen && vm.isWatching && !this.row.isAwayFor(vm.member.name)) {
-				if (this.row.leader !== undefined) {
-					vm.coordinator.noteLeader(this.row.leader);
+			if (!vm.clock.isFrozen && vm.isWatching && !this.#row.isAwayFor(vm.member.name)) {
+				if (this.#row.leader !== undefined) {
+					vm.coordinator.noteLeader(this.#row.leader);
 				}
 
 				vm.state.replaceUpstreams(this.#listed);
@@ -623,81 +420,13 @@
 		vm.state.noteLeaving([this.#leaving!]);
 	}
 
-	/** Callers of random VMs, evenly over time. */
-	#askOn(): void {
-		const vm = this.random.pick(this.#running);
-		if (!vm.clock.isFrozen && !vm.isStopping) {
-			this.#ask(vm, this.random.next() < HOT_SHARE ? 'hot' : undefined, 1, []);
-		}
-
-		this.#clock.setTimer(MS_PER_SECOND / ASKS_PER_SECOND, () => {
-			this.#askOn();
-		});
-	}
-
-	#ask(vm: Vm, customer: string | undefined, attempt: number, excluded: readonly string[]): void {
-		this.#asks += 1;
-		const id = `${vm.member.boot}:${this.#asks}`;
-		const ask: Ask = {
-			id,
-			requestId: id,
-			pool: 'desk',
-			customer,
-			rank: 0,
-			operation: Operation.Safe,
-			promptTokens: 0,
-			outputEvents: 0,
-			quotaCost: customer === undefined ? 0 : 1,
-			isCharged: false,
-			objectiveMs: 300,
-			remainingMs: 2000,
-			callerLeavesMs: 2000,
-			patienceMs: 2000,
-			maxPauseMs: 0,
-			dataCentre: 'a',
-			region: 'r',
-			attempt,
-			excluded,
-			fingerprint: id,
-		};
-		if (attempt === 1) {
-			this.#firsts.push(this.#now);
-		}
-
-		vm.allocation.ask(ask, {
-			grant: upstreamId => {
-				this.#onGrant(vm, ask, upstreamId);
-			},
-			refuse: () => {
-				this.#refusals += 1;
-			},
-		});
-	}
-
-	#onGrant(vm: Vm, {id, customer, attempt}: Ask, upstreamId: string): void {
-		this.#grants += 1;
-		this.#checkLeaving(vm, upstreamId);
-		if (attempt > 1) {
-			this.#repeats.push(this.#now);
-		} else if (customer !== undefined) {
-			this.#quotaGrants.push(this.#now);
-		}
-
-		vm.clock.setTimer(HELD_MS.min + (this.random.next() * (HELD_MS.max - HELD_MS.min)), () => {
-			const isLost = customer === undefined && this.random.next() < LOST_SHARE;
-			vm.allocation.release(id, emptyReport(isLost ? Ending.NotRun : Ending.Answered));
-			if (isLost && attempt < 3) {
-				this.#ask(vm, customer, attempt + 1, [upstreamId]);
-			}
-		});
-	}
-
 	/** The request path checks what its own VM knows; the allocator may be behind until all are linked again. */
-	#checkLeaving(vm: Vm, upstreamId: string): void {
+	#checkLeaving(boot: string, upstreamId: string): void {
+		const vm = this.#running.find(({member}) => member.boot === boot);
 		// What only VMs knew that were lost before they could tell, nobody can know.
-		const isUsed = this.#isKnown && upstreamId === this.#leaving?.id && vm.state.upstreams.get(upstreamId)?.isLeaving === false;
+		const isUsed = this.#isKnown && upstreamId === this.#leaving?.id && vm?.state.upstreams.get(upstreamId)?.isLeaving === false;
 		if (isUsed && this.#now > Math.max(this.#leavingAt, this.#quietFrom) + KNOWN_WITHIN_MS - MS_PER_SECOND) {
-			this.#find(LinkProperty.Leaving, `${upstreamId} at ${vm.member.name}`);
+			this.#find(LinkProperty.Leaving, `${upstreamId} at ${boot}`);
 		}
 	}
 
@@ -705,6 +434,17 @@
 		return this.#leaving !== undefined && this.#running.some(({state}) => state.upstreams.get(this.#leaving!.id)?.isLeaving === true);
 	}
 
+	#checkShared(): void {
+		const {beyondQuota, beyondBudget} = this.#demand;
+		if (beyondQuota !== undefined) {
+			this.#find(LinkProperty.Quota, beyondQuota);
+		}
+
+		if (beyondBudget !== undefined) {
+			this.#find(LinkProperty.Repeats, beyondBudget);
+		}
+	}
+
 	/** What all VMs must know by now. */
 	#checkKnown(): void {
 		for (const {member, state} of this.#running) {
@@ -717,39 +457,4 @@
 			}
 		}
 	}
-
-	#checkWindows(): void {
-		const {ratio, slack, windowMs} = TOLERANCE;
-		const allowed = (((QUOTA.perSecond * windowMs / MS_PER_SECOND) + QUOTA.burst) * (1 + ratio)) + slack;
-		const most = mostInWindow(this.#quotaGrants, windowMs);
-		if (most.count > allowed) {
-			this.#find(LinkProperty.Quota, `${most.count} of ${allowed} in the window from ${Math.round(most.from)} ms`);
-		}
-
-		for (const [index, at] of this.#repeats.entries()) {
-			const repeats = index + 1 - this.#repeats.findIndex(earlier => earlier > at - REPEATS.windowMs);
-			const requests = this.#firsts.filter(first => first > at - REPEATS.windowMs && first <= at).length;
-			if (repeats > (REPEATS.ratio * requests) + REPEATS.slack) {
-				this.#find(LinkProperty.Repeats, `${repeats} of ${requests} requests in the window to ${Math.round(at)} ms`);
-				return;
-			}
-		}
-	}
-}
-
-/** @returns The window with the most moments in it. */
-function mostInWindow(moments: readonly number[], windowMs: number): {count: number; from: number} {
-	let first = 0;
-	let most = {count: 0, from: 0};
-	for (const [index, at] of moments.entries()) {
-		while (moments[first]! <= at - windowMs) {
-			first += 1;
-		}
-
-		if (index - first + 1 > most.count) {
-			most = {count: index - first + 1, from: moments[first]!};
-		}
-	}
-
-	return most;
 }
--- a/soak/links.ts
+++ b/soak/links.ts
@@ -3,8 +3,8 @@
  */
 import process from 'node:process';
 import {defineCommand, runMain} from 'citty';
-import {allPlans, randomPlan} from './link-plans.js';
-import {type LinkPlan, LinkWorld} from './link-world.js';
+import {allPlans, type LinkPlan, randomPlan} from './link-plans.js';
+import {LinkWorld} from './link-world.js';
 
 const MAX_SHOWN = 20;
 
--- a/test/soak/links.test.ts
+++ b/test/soak/links.test.ts
@@ -1,8 +1,8 @@
 import {expect} from 'chai';
-import {allPlans, randomPlan} from '../../soak/link-plans.js';
 import {
-	type LinkFault, type LinkFinding, type LinkPlan, LinkProperty, type LinkSabotage, LinkWorld,
-} from '../../soak/link-world.js';
+	allPlans, type LinkFault, type LinkPlan, type LinkSabotage, randomPlan,
+} from '../../soak/link-plans.js';
+import {type LinkFinding, LinkProperty, LinkWorld} from '../../soak/link-world.js';
 
 const RANDOM_RUNS = 12;
 
