Model, stand-ins and tests: pieces that the project already had, in place of second copies

- VmClock was ProcessClock of the other soak, written again; the model uses ProcessClock.
- LinkPlan.asks was always true; it is gone.
Vm of the model is built in one step.
No assertion was changed.

--- a/soak/link-demand.ts
+++ b/soak/link-demand.ts
@@ -8,7 +8,7 @@
 import {type VirtualClock} from '../src/base/virtual-clock.js';
 import {Ending} from '../src/gateway/exchange-ending.js';
 import {Operation} from '../src/gateway/routing-table.js';
-import {type VmClock} from './vm-clock.js';
+import {type ProcessClock} from './process-clock.js';
 
 const HELD_MS = {min: 20, max: 400} as const;
 /** The customer sends about three times its quota; see HOT_SHARE. */
@@ -27,7 +27,7 @@
 /** A VM as its callers have it. */
 export type Asked = {
 	readonly boot: string;
-	readonly clock: VmClock;
+	readonly clock: ProcessClock;
 	readonly allocation: SwitchedAllocation;
 };
 
--- a/soak/link-fabric.ts
+++ b/soak/link-fabric.ts
@@ -8,7 +8,7 @@
 import {
 	Channel, type ChannelEvents, ConnectFailure, encodeLine, LinkConnection, LinkNetwork,
 } from '../src/link/link-network.js';
-import {type VmClock} from './vm-clock.js';
+import {type ProcessClock} from './process-clock.js';
 
 /** A connection that is not answered fails after this time, in ms, as over TCP. */
 const CONNECT_MS = 700;
@@ -18,7 +18,7 @@
 /** One running process of a VM. */
 type Host = {
 	readonly name: string;
-	readonly clock: VmClock;
+	readonly clock: ProcessClock;
 	readonly onConnection: (connection: LinkConnection) => void;
 	readonly ends: Set<End>;
 };
@@ -47,7 +47,7 @@
 	}
 
 	/** @returns The network of one process. */
-	networkOf(name: string, clock: VmClock): LinkNetwork {
+	networkOf(name: string, clock: ProcessClock): LinkNetwork {
 		return new ModelNetwork(this, name, clock);
 	}
 
@@ -173,7 +173,7 @@
 	}
 
 	deliver(): void {
-		while (!this.#isClosed && this.events !== undefined && !this.#host.clock.isFrozen && !this.#fabric.isCut(this.#peer.name, this.#host.name)) {
+		while (!this.#isClosed && this.events !== undefined && !this.#host.clock.isPaused && !this.#fabric.isCut(this.#peer.name, this.#host.name)) {
 			const next = this.#arriving[0];
 			if (next === undefined || next.at > this.#clock.now()) {
 				return;
@@ -237,11 +237,11 @@
 class ModelNetwork extends LinkNetwork {
 	readonly #fabric: LinkFabric;
 	readonly #name: string;
-	readonly #clock: VmClock;
+	readonly #clock: ProcessClock;
 	#address = '';
 	#host: Host | undefined;
 
-	constructor(fabric: LinkFabric, name: string, clock: VmClock) {
+	constructor(fabric: LinkFabric, name: string, clock: ProcessClock) {
 		super();
 		this.#fabric = fabric;
 		this.#name = name;
--- a/soak/link-faults.ts
+++ b/soak/link-faults.ts
@@ -5,7 +5,7 @@
 import {type LinkFabric} from './link-fabric.js';
 import {type LinkFault} from './link-plans.js';
 import {type LinkRow} from './link-store.js';
-import {type VmClock} from './vm-clock.js';
+import {type ProcessClock} from './process-clock.js';
 
 /** A step of the wall clock, in ms. */
 const WALL_JUMP_MS = 3_600_000;
@@ -16,7 +16,7 @@
 	readonly fabric: LinkFabric;
 	readonly row: LinkRow;
 	readonly clock: VirtualClock;
-	readonly clockOf: (vm: number) => VmClock | undefined;
+	readonly clockOf: (vm: number) => ProcessClock | undefined;
 	/** Ends the process of a VM at once. */
 	readonly kill: (vm: number) => void;
 	readonly start: (vm: number) => void;
@@ -40,7 +40,7 @@
 		}
 
 		case 'freeze': {
-			clockOf(vm)?.freeze();
+			clockOf(vm)?.pause();
 			break;
 		}
 
@@ -104,7 +104,7 @@
 		}
 
 		case 'freeze': {
-			clockOf(vm)?.thaw();
+			clockOf(vm)?.resume();
 			fabric.pump();
 			break;
 		}
--- a/soak/link-plans.ts
+++ b/soak/link-plans.ts
@@ -20,8 +20,6 @@
 	readonly seed: number;
 	readonly vms: number;
 	readonly faults: readonly LinkFault[];
-	/** Whether VMs ask for places; the choice of the allocator alone is faster to explore. */
-	readonly asks: boolean;
 	readonly sabotage?: LinkSabotage;
 };
 
@@ -73,7 +71,7 @@
 		const begun: LinkFault = {...first, at: FIRST_FAULT_MS, until: FIRST_FAULT_MS + durationMs};
 		if (depth === 1) {
 			yield {
-				seed, vms: SMALL, faults: [begun], asks: true,
+				seed, vms: SMALL, faults: [begun],
 			};
 			continue;
 		}
@@ -82,7 +80,7 @@
 			for (const offset of OFFSETS_MS) {
 				const at = FIRST_FAULT_MS + offset;
 				yield {
-					seed, vms: SMALL, faults: [begun, {...second, at, until: at + secondMs}], asks: true,
+					seed, vms: SMALL, faults: [begun, {...second, at, until: at + secondMs}],
 				};
 			}
 		}
@@ -103,6 +101,6 @@
 		};
 	});
 	return {
-		seed, vms, faults, asks: true,
+		seed, vms, faults,
 	};
 }
--- a/soak/link-store.ts
+++ b/soak/link-store.ts
@@ -6,7 +6,7 @@
 import {LeaderRegister} from '../src/link/leader-register.js';
 import {type Leader} from '../src/link/messages.js';
 import {type StoreError} from '../src/store/table.js';
-import {type VmClock} from './vm-clock.js';
+import {type ProcessClock} from './process-clock.js';
 
 /** A call to the store, in ms. */
 const STORE_MS = {min: 5, max: 60} as const;
@@ -31,7 +31,7 @@
 export type ModelRegisterOptions = {
 	readonly row: LinkRow;
 	readonly random: Random;
-	readonly clock: VmClock;
+	readonly clock: ProcessClock;
 	/** Name of the VM. */
 	readonly name: string;
 	/** Claims take effect whatever the row says, for a deliberate break. */
--- a/soak/link-world.ts
+++ b/soak/link-world.ts
@@ -21,7 +21,7 @@
 import {beginFault, endFault, type FaultTargets} from './link-faults.js';
 import {type LinkPlan} from './link-plans.js';
 import {LinkRow, ModelRegister} from './link-store.js';
-import {VmClock} from './vm-clock.js';
+import {ProcessClock} from './process-clock.js';
 
 /**
  * Time after the last fault within which every VM is linked to one allocator, in ms. The longest way of the constants:
@@ -81,9 +81,8 @@
 
 /** One start of a VM. */
 type Vm = {
-	readonly index: number;
 	readonly member: Member;
-	readonly clock: VmClock;
+	readonly clock: ProcessClock;
 	readonly state: DeploymentState;
 	readonly allocation: SwitchedAllocation;
 	readonly coordinator: Coordinator;
@@ -127,7 +126,7 @@
 			random: this.#random,
 			pick: () => {
 				const vm = this.#random.pick(this.#running);
-				return vm.clock.isFrozen || vm.isStopping ? undefined : {boot: vm.member.boot, clock: vm.clock, allocation: vm.allocation};
+				return vm.clock.isPaused || vm.isStopping ? undefined : {boot: vm.member.boot, clock: vm.clock, allocation: vm.allocation};
 			},
 			onGrant: (boot, upstreamId) => {
 				this.#checkLeaving(boot, upstreamId);
@@ -165,9 +164,7 @@
 			this.#hearOfLeaving();
 		});
 		this.#watch();
-		if (plan.asks) {
-			this.#demand.start();
-		}
+		this.#demand.start();
 
 		const quietFrom = this.#quietFrom;
 		await this.#clock.advanceAsync(quietFrom);
@@ -231,7 +228,7 @@
 	#start(index: number): void {
 		this.#boots += 1;
 		const name = `vm-${index}`;
-		const clock = VmClock.create(this.#clock);
+		const clock = ProcessClock.create(this.#clock);
 		const state = DeploymentState.create(this.#log);
 		const allocator = Allocator.create({
 			clock, random: this.#random, nodeId: `${name}-${this.#boots}`, repeatBounds: REPEATS, quotaTolerance: TOLERANCE,
@@ -262,32 +259,37 @@
 		};
 		const allocation = SwitchedAllocation.create(clock);
 		const vm: Vm = {
-			index, member, clock, state, allocation, isWatching: false, term: 0, isStopping: false, coordinator: undefined as unknown as Coordinator,
-		};
-		const coordinator = Coordinator.create({
+			member,
 			clock,
-			random: this.#random,
-			log: this.#log,
 			state,
-			allocator,
 			allocation,
-			register: ModelRegister.create({
-				row: this.#row, random: this.#random, clock, name, ignoresTerms: this.#plan.sabotage?.ignoresTerms === true,
+			isWatching: false,
+			term: 0,
+			isStopping: false,
+			coordinator: Coordinator.create({
+				clock,
+				random: this.#random,
+				log: this.#log,
+				state,
+				allocator,
+				allocation,
+				register: ModelRegister.create({
+					row: this.#row, random: this.#random, clock, name, ignoresTerms: this.#plan.sabotage?.ignoresTerms === true,
+				}),
+				network: this.#fabric.networkOf(name, clock),
+				self: member,
+				seeds: this.#seeds(index),
+				reachesStore: () => this.#noticesStore(name),
+				onVersion() {
+					// The configuration is small and comes itself.
+				},
+				onWatchNeeded(isNeeded) {
+					vm.isWatching = isNeeded;
+				},
 			}),
-			network: this.#fabric.networkOf(name, clock),
-			self: member,
-			seeds: this.#seeds(index),
-			reachesStore: () => this.#noticesStore(name),
-			onVersion() {
-				// The configuration is small and comes itself.
-			},
-			onWatchNeeded(isNeeded) {
-				vm.isWatching = isNeeded;
-			},
-		});
-		Object.assign(vm, {coordinator});
+		};
 		this.#vms[index] = vm;
-		void coordinator.start();
+		void vm.coordinator.start();
 	}
 
 	/** A VM notices that the store is away when a call has failed. */
@@ -341,14 +343,14 @@
 		if (vm !== undefined) {
 			vm.clock.end();
 			vm.coordinator.stop();
-			this.#vms[vm.index] = undefined;
+			this.#vms[index] = undefined;
 		}
 	}
 
 	/** What the store tells VMs that watch it, and looks at who allocates. */
 	#watch(): void {
 		for (const vm of this.#running) {
-			if (!vm.clock.isFrozen && vm.isWatching && !this.#row.isAwayFor(vm.member.name)) {
+			if (!vm.clock.isPaused && vm.isWatching && !this.#row.isAwayFor(vm.member.name)) {
 				if (this.#row.leader !== undefined) {
 					vm.coordinator.noteLeader(this.#row.leader);
 				}
@@ -365,18 +367,17 @@
 		});
 	}
 
-	#checkTerm({coordinator, member, ...vm}: Vm): void {
-		const {leader, role} = coordinator;
+	#checkTerm(vm: Vm): void {
+		const {coordinator: {leader, role}, member} = vm;
 		if (role === Role.Alone || leader === undefined) {
 			return;
 		}
 
-		const known = this.#vms[vm.index]!;
-		if (leader.term < known.term) {
-			this.#find(LinkProperty.NoWayBack, `${member.name}: ${known.term} before, ${leader.term} now`);
+		if (leader.term < vm.term) {
+			this.#find(LinkProperty.NoWayBack, `${member.name}: ${vm.term} before, ${leader.term} now`);
 		}
 
-		known.term = leader.term;
+		vm.term = leader.term;
 		if (role === Role.Leading) {
 			const before = this.#leaders.get(leader.term) ?? member.boot;
 			this.#leaders.set(leader.term, before);
@@ -410,7 +411,7 @@
 	}
 
 	#hearOfLeaving(): void {
-		const vm = this.#running.find(({clock, state}) => !clock.isFrozen && state.upstreams.get('up-0') !== undefined);
+		const vm = this.#running.find(({clock, state}) => !clock.isPaused && state.upstreams.get('up-0') !== undefined);
 		if (vm === undefined) {
 			return;
 		}
--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -6,7 +6,6 @@
 import {once} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {Agent, type IncomingHttpHeaders, request} from 'node:http';
-import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -16,6 +15,7 @@
 import {PlatformServer, wholeAnswer, wholeStream} from '../standins/platform-server.js';
 import {PlatformStore} from '../standins/platform-store.js';
 import {TcpProxy} from '../standins/tcp-proxy.js';
+import {freePort} from '../test/support/free-port.js';
 
 /** Time limit that callers state, in ms. */
 export const CALLER_LIMIT_MS = 3000;
@@ -30,11 +30,6 @@
 const LOG_LINES = 4000;
 const promises = new Set([408, 421, 429, 503]);
 
-/** Ports below those that the system gives to outgoing connections. */
-const FIRST_PORT = 20_000;
-const LAST_PORT = 32_000;
-let nextPort = FIRST_PORT + ((process.pid * 37) % (LAST_PORT - FIRST_PORT));
-
 /** A kind of request. */
 export type CallKind = 'unsafe' | 'safe' | 'stream';
 
@@ -445,28 +440,3 @@
 		});
 	}
 }
-
-/** @returns A port that no outgoing connection is given, as a process listens there again after a restart. */
-async function freePort(): Promise<number> {
-	for (;;) {
-		const port = nextPort;
-		nextPort = port >= LAST_PORT ? FIRST_PORT : port + 1;
-		if (await isFree(port)) { // eslint-disable-line no-await-in-loop -- one port at a time
-			return port;
-		}
-	}
-}
-
-async function isFree(port: number): Promise<boolean> {
-	return new Promise(resolve => {
-		const server = createServer();
-		server.once('error', () => {
-			resolve(false);
-		});
-		server.listen(port, '127.0.0.1', () => {
-			server.close(() => {
-				resolve(true);
-			});
-		});
-	});
-}
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -9,6 +9,7 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {flood} from './responses.js';
 
 /** Events of a stream. */
 export const STREAM_EVENTS = 8;
@@ -145,7 +146,7 @@
 
 		if (this.mood === ServerMood.Floods) {
 			res.writeHead(200, headers);
-			flood(res);
+			flood(res, FLOOD);
 			await once(res, 'close');
 			return;
 		}
@@ -200,18 +201,6 @@
 	}
 }
 
-/** Sends as fast as the other side reads, until it closes the connection. */
-function flood(res: ServerResponse): void {
-	const pump = () => {
-		while (!res.destroyed && res.write(FLOOD)) {
-			// Until the kernel's buffer is full.
-		}
-	};
-
-	res.on('drain', pump);
-	pump();
-}
-
 /** @returns The whole answer to a plain request. */
 export function wholeAnswer(id: string): string {
 	return `the whole answer to ${id}`;
--- a/standins/responses.ts
+++ b/standins/responses.ts
@@ -2,6 +2,7 @@
  * What stand-ins do with responses of Node's HTTP server.
  */
 import {type ServerResponse} from 'node:http';
+import {type Writable} from 'node:stream';
 import {type JsonObject} from './engine-answers.js';
 
 /** Answers with JSON, and echoes the dispatch ID where one is given. */
@@ -33,6 +34,26 @@
 	});
 }
 
+/**
+ * Writes as fast as the other side reads, until the connection is closed.
+ *
+ * @param piece - What is written again and again.
+ * @param onWrite - Called before each piece.
+ */
+export function flood(target: Writable, piece: string, onWrite?: () => void): void {
+	const pump = () => {
+		while (!target.destroyed) {
+			onWrite?.();
+			if (!target.write(piece)) {
+				return;
+			}
+		}
+	};
+
+	target.on('drain', pump);
+	pump();
+}
+
 /** Waits for some ms. */
 export async function pause(ms: number): Promise<void> {
 	await new Promise(resolve => {
--- a/test/gateway/endless-answers.test.ts
+++ b/test/gateway/endless-answers.test.ts
@@ -4,12 +4,13 @@
  */
 import {once} from 'node:events';
 import {
-	type AddressInfo, createServer, type Server, type Socket,
+	type AddressInfo, createServer, type Server,
 } from 'node:net';
 import {expect} from 'chai';
 import {SystemClock} from '../../src/base/clock.js';
 import {Ending} from '../../src/gateway/exchange-ending.js';
 import {MAX_ANSWER_BYTES, MAX_HEAD_BYTES, UpstreamExchange} from '../../src/gateway/upstream-exchange.js';
+import {flood} from '../../standins/responses.js';
 import {eventually} from '../support/eventually.js';
 
 const OK = 'HTTP/1.1 200 OK\r\n';
@@ -35,7 +36,10 @@
 				isClosed = true;
 			});
 			socket.once('data', () => {
-				flood(socket);
+				socket.write(start);
+				flood(socket, piece, () => {
+					sent += piece.length;
+				});
 			});
 		});
 		server.listen(0, '127.0.0.1');
@@ -46,22 +50,6 @@
 		server.close();
 	});
 
-	/** Sends as fast as the client reads. */
-	function flood(socket: Socket): void {
-		socket.write(start);
-		const pump = () => {
-			while (!socket.destroyed) {
-				sent += piece.length;
-				if (!socket.write(piece)) {
-					return;
-				}
-			}
-		};
-
-		socket.on('drain', pump);
-		pump();
-	}
-
 	/** @returns How the exchange ended. */
 	async function exchange(): Promise<Ending | undefined> {
 		const ending = await new Promise<Ending | undefined>(resolve => {
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -1,8 +1,8 @@
-import {type Socket} from 'node:net';
 import process from 'node:process';
 import {setInterval, clearInterval} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {flood} from '../../standins/responses.js';
 import {
 	answerTo, chunkOf, FrontRig, RawUpstream, type Received, streamHead, turnedAway,
 } from '../support/front-rig.js';
@@ -34,18 +34,6 @@
 		socket.write(answerTo(id, `answer to ${id}`));
 	}
 
-	/** Writes as fast as the other side reads, until the connection is closed. */
-	function flood(socket: Socket, piece: string): void {
-		const pump = () => {
-			while (!socket.destroyed && socket.write(piece)) {
-				// Until the kernel's buffer is full.
-			}
-		};
-
-		socket.on('drain', pump);
-		pump();
-	}
-
 	async function calls(route: string, count: number): Promise<number[]> {
 		const statuses: number[] = [];
 		for (let call = 0; call < count; call += 1) {
--- a/test/soak/links.test.ts
+++ b/test/soak/links.test.ts
@@ -28,7 +28,7 @@
 
 function planOf(...faults: readonly LinkFault[]): LinkPlan {
 	return {
-		seed: 1, vms: 3, faults, asks: true,
+		seed: 1, vms: 3, faults,
 	};
 }
 
