Coordination: pieces that stood twice are one

- Random.sample is what Membership had to itself; the search without the store takes its four addresses by it and no longer by removing the others one by one.
It draws others of the same list than before, equally likely.
- The silence after which a VM looks for another allocator stood in leader-client and as QUIET_MS in leader-host.
- MIN_LINKED_SHARE follows from MIN_REACHED_SHARE, which it explains.

--- a/src/allocation/scope.ts
+++ b/src/allocation/scope.ts
@@ -24,8 +24,10 @@
 export const ALONE_SHARE = 0.5;
 /** Part of that share's burst that it may grant at once. */
 export const ALONE_FULLNESS = 0.5;
-/** Part of its VMs below which an allocator must think that the others have another: as many must be reached to take over. */
-const MIN_LINKED_SHARE = 0.75;
+/** Part of the known VMs that must be reached, running or not, before a VM may think that the allocator is gone. */
+export const MIN_REACHED_SHARE = 0.25;
+/** Part of its VMs below which an allocator must think that the others have another. */
+const MIN_LINKED_SHARE = 1 - MIN_REACHED_SHARE;
 
 /**
  * @param isFirst - Whether nobody allocated before.
--- a/src/base/random.ts
+++ b/src/base/random.ts
@@ -43,6 +43,23 @@
 		return list[this.integer(0, list.length - 1)]!;
 	}
 
+	/**
+	 * @param count - Greatest number of elements.
+	 * @returns Different elements of the list, all of them where there are no more.
+	 */
+	sample<Item>(list: readonly Item[], count: number): Item[] {
+		const rest = [...list];
+		const chosen: Item[] = [];
+		while (chosen.length < count && rest.length > 0) {
+			const index = this.integer(0, rest.length - 1);
+			chosen.push(rest[index]!);
+			rest[index] = rest.at(-1)!;
+			rest.pop();
+		}
+
+		return chosen;
+	}
+
 	/**
 	 * @param meanValue - Mean of the exponential distribution.
 	 */
--- a/src/link/leader-client.ts
+++ b/src/link/leader-client.ts
@@ -5,16 +5,10 @@
 	Allocation, type Ask, type AskEvents, type Report,
 } from '../allocation/ask.js';
 import {type Clock, type Timer} from '../base/clock.js';
-import {BEAT_MS} from './leader-host.js';
+import {BEAT_MS, LEADER_SILENCE_MS} from './leader-host.js';
 import {type Channel} from './link-network.js';
 import {type FromLeader, type ToLeader} from './messages.js';
 
-/**
- * Silence after which the allocator counts as lost, in ms. Several beats and a pause of a throttled processor; longer
- * would cost waiting requests their response-time objective.
- */
-const LEADER_SILENCE_MS = 700;
-
 /** An allocation at another VM. */
 export class LeaderClient extends Allocation {
 	/**
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -18,8 +18,11 @@
 export const BEAT_MS = 200;
 /** Silence after which a VM counts as gone, in ms: several of its beats, and a pause of a throttled processor. */
 const VM_SILENCE_MS = 1200;
-/** Silence after which a VM may follow another allocator, in ms: as long as it waits itself before it looks for one. */
-const QUIET_MS = 700;
+/**
+ * Silence after which the allocator counts as lost, in ms. Several beats and a pause of a throttled processor; longer
+ * would cost waiting requests their response-time objective.
+ */
+export const LEADER_SILENCE_MS = 700;
 /** How long VMs that are gone count as those of another allocator, in ms; where there is one, the store tells of it by then. */
 const KNOWN_MS = 5000;
 /** Changes of the member list are told together, in ms. */
@@ -331,10 +334,10 @@
 		});
 	}
 
-	/** The part of what all VMs share that this allocator may grant, as far as it can know. */
+	/** The part of what all VMs share that may be granted here; a VM that is silent for so long may follow another allocator. */
 	#shareInTouch(now: number): number {
 		const reachesStore = this.#options.reachesStore();
-		const heard = 1 + [...this.#links.values()].filter(link => now - link.heardAt <= QUIET_MS).length;
+		const heard = 1 + [...this.#links.values()].filter(link => now - link.heardAt <= LEADER_SILENCE_MS).length;
 		if (heard >= this.#known || (reachesStore && now - this.#knownAt > KNOWN_MS)) {
 			this.#known = heard;
 			this.#knownAt = now;
--- a/src/link/leader-search.ts
+++ b/src/link/leader-search.ts
@@ -2,6 +2,7 @@
  * How a VM that is linked to nobody finds the VM that allocates for all, or takes over from one that is gone. The
  * register decides between VMs that claim at once.
  */
+import {MIN_REACHED_SHARE} from '../allocation/scope.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log} from '../base/log.js';
 import {type Random} from '../base/random.js';
@@ -23,8 +24,6 @@
 const AMPLE_STRENGTH = 0.7;
 /** And a little by chance, in ms: two claims at once cost a call. */
 const FIRST_CLAIM_SPREAD_MS = 40;
-/** Part of the known VMs that must be reached, running or not, before a VM may think that the allocator is gone. */
-const MIN_REACHED_SHARE = 0.25;
 /** VMs that are asked for the allocator in one look without the store: the store may be back at the next. */
 const MAX_ASKED = 4;
 /** VMs that are assumed where none is known. */
@@ -206,13 +205,8 @@
 
 		const others = new Set([...seeds, ...state.members.map(member => member.linkAddress)]);
 		others.delete(self().linkAddress);
-		const asked = [...others];
-		while (asked.length > MAX_ASKED) {
-			asked.splice(random.integer(0, asked.length - 1), 1);
-		}
-
 		if (isAlone()) {
-			await Promise.all(asked.map(async address => linkTo(address)));
+			await Promise.all(random.sample([...others], MAX_ASKED).map(async address => linkTo(address)));
 		}
 	}
 
--- a/src/members/membership.ts
+++ b/src/members/membership.ts
@@ -205,7 +205,7 @@
 		}
 
 		const peers = this.#heartbeats.peerAddresses();
-		return this.#sample(peers.length === 0 ? this.#seeds : peers, GOSSIP_FAN_OUT)
+		return this.#random.sample(peers.length === 0 ? this.#seeds : peers, GOSSIP_FAN_OUT)
 			.map(address => ({address, req: create(ExchangeRequestSchema, {entries, isPush: true})}));
 	}
 
@@ -376,27 +376,14 @@
 	/** Suspects are included, so that a healed partition is noticed. */
 	#chooseTargets(): string[] {
 		const peers = this.#heartbeats.peerAddresses();
-		const targets = this.#sample(peers, GOSSIP_FAN_OUT);
+		const targets = this.#random.sample(peers, GOSSIP_FAN_OUT);
 		const strangers = this.#seeds.filter(address => !peers.includes(address));
 		if (strangers.length > 0 && (peers.length < GOSSIP_FAN_OUT || this.#ticks % SEED_TICKS === 0)) {
-			targets.push(...this.#sample(strangers, Math.max(1, GOSSIP_FAN_OUT - peers.length)));
+			targets.push(...this.#random.sample(strangers, Math.max(1, GOSSIP_FAN_OUT - peers.length)));
 		}
 
 		return targets;
 	}
-
-	#sample(list: readonly string[], count: number): string[] {
-		const rest = [...list];
-		const chosen: string[] = [];
-		while (chosen.length < count && rest.length > 0) {
-			const index = this.#random.integer(0, rest.length - 1);
-			chosen.push(rest[index]!);
-			rest[index] = rest.at(-1)!;
-			rest.pop();
-		}
-
-		return chosen;
-	}
 }
 
 function isRunning(state: MemberState): boolean {
