--- a/test/soak/links.test.ts
+++ b/test/soak/links.test.ts
@@ -67,10 +67,10 @@
 
 	// Each of these faults was in the program until the model found it.
 	const found: ReadonlyArray<readonly [string, LinkPlan]> = [
-		['an allocator that was replaced and then took itself for the only VM', randomPlan(28, 3)],
+		['an allocator that was replaced and then took itself for the only VM', randomPlan(24, 3)],
 		['quotas granted by VMs that are cut off beside the allocator', planOf(fault('isolate', 2, 1500, 4500), fault('store-away', 0, 2400, 2800))],
 		['the slack of repeats spent by each of several allocators', randomPlan(25, 3)],
-		['a whole burst of each quota from an allocator that starts blank', planOf(fault('stop', 1, 1500, 1900), fault('store-away', 0, 1500, 1900))],
+		['a whole burst of each quota from an allocator that starts blank', planOf(fault('kill', 2, 1500, 1900), fault('split', 1, 1500, 1900))],
 		['a VM that was cut off and asks 299 others one after the other', randomPlan(51, 300)],
 	];
 	for (const [title, plan] of found) {
