Observability: limits that upstreams state, per VM

The logs could not tell whether a VM was told of a limit, when, and whether the allocating VM knew of it. The adapter now decodes the limit of each response; each VM records changes of it and logs them, 'Place granted.' carries the limit that the allocating VM knows, and two metrics count what upstreams state about themselves and how many are limited. No decision reads the limit.

--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -24,11 +24,27 @@
 
 export type RequestOutcome = (typeof RequestOutcome)[keyof typeof RequestOutcome];
 
+/** What an upstream can state about itself in a response. */
+export const UpstreamNotice = {
+	/** It is shutting down. */
+	Leaving: 'leaving',
+	/** It wants no request from this VM for a time. */
+	Pause: 'pause',
+	/** It takes a limited number of requests from all VMs together. */
+	Limit: 'limit',
+	/** A limit that cannot be parsed. */
+	UnusableLimit: 'unusable-limit',
+} as const;
+
+export type UpstreamNotice = (typeof UpstreamNotice)[keyof typeof UpstreamNotice];
+
 /** Values that are read at each scrape. */
 export type MetricSources = {
 	readonly invariants: Invariants;
 	readonly inFlight: () => number;
 	readonly waiting: () => number;
+	/** Number of upstreams with a limit on the requests that they take. */
+	readonly limitedUpstreams: () => number;
 };
 
 /** Durations recorded in an HDR histogram and exposed as a summary in seconds, over the lifetime of the process. */
@@ -83,6 +99,7 @@
 	readonly timeBetweenTokens = new DurationSummary('redwingspool_time_between_tokens_seconds', 'Between two parts of a model\'s answer.', this.registry);
 	readonly #requests: Counter<'tier' | 'outcome'>;
 	readonly #errors: Counter<'kind'>;
+	readonly #upstreamNotices: Counter<'notice'>;
 
 	private constructor() {
 		this.#requests = new Counter({
@@ -91,6 +108,9 @@
 		this.#errors = new Counter({
 			name: 'redwingspool_errors_total', help: 'Errors answered, by kind.', labelNames: ['kind'], registers: [this.registry],
 		});
+		this.#upstreamNotices = new Counter({
+			name: 'redwingspool_upstream_notices_total', help: 'Responses in which an upstream stated something about itself, by notice.', labelNames: ['notice'], registers: [this.registry],
+		});
 	}
 
 	/** Registers metrics whose values are kept by other components. */
@@ -103,6 +123,7 @@
 		});
 		gauge('redwingspool_in_flight', 'Requests that are not answered yet.', sources.inFlight);
 		gauge('redwingspool_waiting', 'Requests that wait in the queues.', sources.waiting);
+		gauge('redwingspool_limited_upstreams', 'Upstreams that limit the requests they take.', sources.limitedUpstreams);
 		for (const state of ['evaluated', 'violated'] as const) {
 			// eslint-disable-next-line no-new -- the constructor registers the metric
 			new Counter({
@@ -125,6 +146,10 @@
 		this.#errors.inc({kind});
 	}
 
+	countUpstreamNotice(notice: UpstreamNotice): void {
+		this.#upstreamNotices.inc({notice});
+	}
+
 	/** @returns All metrics in the text format. */
 	async expose(): Promise<string> {
 		return this.registry.metrics();
--- a/src/gateway/call-codec.ts
+++ b/src/gateway/call-codec.ts
@@ -54,6 +54,8 @@
 	readonly isLeaving: boolean;
 	/** How long this VM should send no requests to the upstream. */
 	readonly retryAfter: RetryAfter | undefined;
+	/** How many requests the upstream takes; `undefined` when it states no limit. */
+	readonly limit: StatedLimit | undefined;
 	/** Running and queued requests at the upstream, if it reports them. */
 	readonly load: UpstreamLoad | undefined;
 };
@@ -66,6 +68,14 @@
 	readonly ms: number | undefined;
 };
 
+/** Limit on the requests that an upstream takes from all VMs together. */
+export type StatedLimit = {
+	/** Header value as received. */
+	readonly text: string;
+	/** Requests per second; `undefined` when the value cannot be parsed. */
+	readonly perSecond: number | undefined;
+};
+
 /** Load reported by an upstream in a response. */
 export type UpstreamLoad = {
 	readonly running: number;
--- a/src/gateway/deployment-state.ts
+++ b/src/gateway/deployment-state.ts
@@ -5,6 +5,7 @@
 import {type Log, type LogFields} from '../base/log.js';
 import {type Member} from '../link/messages.js';
 import {type Configuration, RoutingTable} from './routing-table.js';
+import {type UpstreamLimit, UpstreamLimits} from './upstream-limits.js';
 import {
 	type Upstream, type UpstreamBoot, type UpstreamChanges, UpstreamList,
 } from './upstream-list.js';
@@ -28,6 +29,7 @@
 	}
 
 	readonly upstreams = UpstreamList.create();
+	readonly limits = UpstreamLimits.create();
 	readonly #log: Log;
 	readonly #listeners: StateListener[] = [];
 	#table: RoutingTable | undefined;
@@ -97,6 +99,18 @@
 		}
 	}
 
+	/**
+	 * Records the limit that an upstream stated in a response, or that it stated none.
+	 *
+	 * @param sentAt - When the request was sent that the upstream responded to.
+	 */
+	noteLimit(limit: UpstreamLimit, sentAt: number, now: number): void {
+		const before = this.limits.perSecond(limit);
+		if (this.limits.note(limit, sentAt, now)) {
+			this.#logLimit(limit, before);
+		}
+	}
+
 	/** Applies VMs that joined or changed, and the names of VMs that left. */
 	applyMembers(changed: readonly Member[], removed: readonly string[]): void {
 		const names = new Set([...removed, ...changed.map(member => member.name)]);
@@ -123,6 +137,16 @@
 		}
 	}
 
+	#logLimit({id, perSecond}: UpstreamLimit, before: number | undefined): void {
+		if (perSecond === undefined) {
+			this.#log.info('Upstream limit ended.', {upstream: id, before, limited: this.limits.size});
+		} else {
+			this.#log.info('Upstream limit in force.', {
+				upstream: id, perSecond, before, limited: this.limits.size,
+			});
+		}
+	}
+
 	#notifyUpstreams(changes: UpstreamChanges): void {
 		const {changed, removed} = changes;
 		if (changed.length === 0 && removed.length === 0) {
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -10,7 +10,7 @@
 import {type Clock, type Timer} from '../base/clock.js';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
 import {type Log} from '../base/log.js';
-import {type Metrics, RequestOutcome} from '../base/metrics.js';
+import {type Metrics, RequestOutcome, UpstreamNotice} from '../base/metrics.js';
 import {endToEndHeaders} from '../dispatch/hop-headers.js';
 import {type ResponseHead, type CallCodec, type CallHead} from './call-codec.js';
 import {type DeploymentState} from './deployment-state.js';
@@ -284,7 +284,7 @@
 		const {codec} = this.#context;
 		const response = codec.decodeResponse(status, headers, this.#call.head);
 		attempt.load = response.load === undefined ? undefined : response.load.running + response.load.waiting;
-		this.#applyUpstreamState(attempt.upstream, response);
+		this.#applyUpstreamState(attempt, response);
 		const isSuccess = status >= OK_STATUS && status < FIRST_ERROR_STATUS;
 		if (response.isOtherUpstream) {
 			this.#abortAttempt(attempt, Ending.OtherUpstream, 'address belongs to another upstream');
@@ -299,14 +299,34 @@
 	}
 
 	/** Applies what a response says about the upstream itself, whether or not the response is used. */
-	#applyUpstreamState(upstream: Upstream, {isLeaving, retryAfter}: ResponseHead): void {
-		const {state, pauses} = this.#context;
-		if (isLeaving && !upstream.isLeaving) {
+	#applyUpstreamState(attempt: Attempt, response: ResponseHead): void {
+		const {state, pauses, metrics} = this.#context;
+		const {upstream} = attempt;
+		if (response.isLeaving && !upstream.isLeaving) {
+			metrics.countUpstreamNotice(UpstreamNotice.Leaving);
 			state.noteLeaving([upstream]);
 		}
 
-		if (retryAfter !== undefined) {
-			pauses.note(upstream, retryAfter);
+		if (response.retryAfter !== undefined) {
+			metrics.countUpstreamNotice(UpstreamNotice.Pause);
+			pauses.note(upstream, response.retryAfter);
+		}
+
+		this.#applyLimit(attempt, response);
+	}
+
+	/** A response that another server sent, or that may be damaged, does not show that a limit has ended. */
+	#applyLimit({upstream, sentAt}: Attempt, {limit, isOtherUpstream, isForRequest, isAltered, isSigned, isNotRun}: ResponseHead): void {
+		const {clock, state, metrics, log} = this.#context;
+		const {id, startedAt} = upstream;
+		if (limit !== undefined && limit.perSecond === undefined) {
+			metrics.countUpstreamNotice(UpstreamNotice.UnusableLimit);
+			log.warn('Limit of an upstream is not usable.', {upstream: id, limit: limit.text.slice(0, 40), kept: state.limits.perSecond(upstream)});
+		} else if (limit !== undefined) {
+			metrics.countUpstreamNotice(UpstreamNotice.Limit);
+			state.noteLimit({id, startedAt, perSecond: limit.perSecond}, sentAt, clock.now());
+		} else if (!isOtherUpstream && isForRequest && !isAltered && (isSigned || isNotRun)) {
+			state.noteLimit({id, startedAt, perSecond: undefined}, sentAt, clock.now());
 		}
 	}
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -119,7 +119,9 @@
 			onVersion: options.onVersion,
 			onWatchNeeded: options.onWatchNeeded,
 		});
-		metrics.registerSources({invariants: Invariants.create({throwOnViolation: false}), inFlight: () => this.#front.inFlight, waiting: () => this.#allocator.waitingCount});
+		metrics.registerSources({
+			invariants: Invariants.create({throwOnViolation: false}), inFlight: () => this.#front.inFlight, waiting: () => this.#allocator.waitingCount, limitedUpstreams: () => this.state.limits.size,
+		});
 	}
 
 	/** Whether callers may be directed to this VM. */
@@ -164,12 +166,14 @@
 	}
 
 	#logDecision({ask, waitedMs, waiting, upstreamId, expectedFirstMs, refusal, objectiveMs}: Decision): void {
+		const upstream = upstreamId === undefined ? undefined : this.state.upstreams.get(upstreamId);
 		this.#options.log.part(LogPrefix.Allocation).info(refusal === undefined ? 'Place granted.' : 'Place refused.', {
 			request: ask.requestId,
 			pool: ask.pool,
 			customer: ask.customer,
 			rank: ask.rank,
 			upstream: upstreamId,
+			limitPerSecond: upstream === undefined ? undefined : this.state.limits.perSecond(upstream),
 			kind: refusal,
 			waitedMs: Math.round(waitedMs),
 			waiting,
--- /dev/null
+++ b/src/gateway/upstream-limits.ts
@@ -0,0 +1,77 @@
+/**
+ * Limits that upstreams put on the requests they take from all VMs together. An upstream states its limit in each response
+ * for as long as it applies; a response without one ends it.
+ */
+import {LRUCache} from 'lru-cache';
+import {type UpstreamBoot} from './upstream-list.js';
+
+/** The limit of one start of an upstream. */
+export type UpstreamLimit = UpstreamBoot & {
+	/** Requests per second from all VMs together; `undefined` if the upstream takes any number. */
+	readonly perSecond: number | undefined;
+};
+
+type Entry = UpstreamLimit & {
+	/** When the upstream stated it, as far as this VM knows. */
+	readonly statedAt: number;
+};
+
+/** Number of upstreams whose limits are remembered; several times the largest deployment. */
+const MAX_ENTRIES = 4096;
+
+/** The limits known to one VM. Times in ms of its monotonic clock. */
+export class UpstreamLimits {
+	static create(): UpstreamLimits {
+		return new UpstreamLimits();
+	}
+
+	readonly #entries = new LRUCache<string, Entry>({max: MAX_ENTRIES});
+
+	private constructor() {
+		// Instances come from `create`.
+	}
+
+	/** Number of upstreams with a limit. */
+	get size(): number {
+		return [...this.#entries.values()].filter(({perSecond}) => perSecond !== undefined).length;
+	}
+
+	/** @returns The limit of an upstream in requests per second; `undefined` if it has none. */
+	perSecond(upstream: UpstreamBoot): number | undefined {
+		return this.#entries.size === 0 ? undefined : this.#entryOf(upstream)?.perSecond;
+	}
+
+	/**
+	 * Records what a response stated. A lower limit applies at once. A higher one, or none, applies only if the request was
+	 * sent after the current limit became known: responses can overtake each other, and an older one must not lift a limit.
+	 *
+	 * @param sentAt - When the request was sent that the upstream responded to.
+	 * @returns Whether the limit changed.
+	 */
+	note({id, startedAt, perSecond}: UpstreamLimit, sentAt: number, now: number): boolean {
+		const current = this.#entries.get(id);
+		if (current !== undefined && current.startedAt > startedAt) {
+			return false;
+		}
+
+		const before = this.perSecond({id, startedAt});
+		if (before === perSecond) {
+			return false;
+		}
+
+		const isLifted = before !== undefined && (perSecond === undefined || perSecond > before);
+		if (isLifted && sentAt <= current!.statedAt) {
+			return false;
+		}
+
+		this.#entries.set(id, {
+			id, startedAt, perSecond, statedAt: now,
+		});
+		return true;
+	}
+
+	#entryOf({id, startedAt}: UpstreamBoot): Entry | undefined {
+		const entry = this.#entries.get(id);
+		return entry?.startedAt === startedAt ? entry : undefined;
+	}
+}
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -235,7 +235,7 @@
 		} = this.#options;
 		const {dispatcher, config: {sync, service}} = core;
 		this.metrics.registerSources({
-			invariants: this.invariants, inFlight: () => dispatcher.inFlightCount, waiting: () => dispatcher.scheduler.waitingCount,
+			invariants: this.invariants, inFlight: () => dispatcher.inFlightCount, waiting: () => dispatcher.scheduler.waitingCount, limitedUpstreams: () => 0,
 		});
 		registerConfigMetrics(this.metrics.registry, sync);
 		return EntryPart.create({
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {flood} from '../../standins/responses.js';
+import {eventually} from '../support/eventually.js';
 import {
 	formatResponse, formatChunk, FrontHarness, RawUpstream, type ReceivedRequest, formatStreamHead, formatRejection,
 } from '../support/front-harness.js';
@@ -160,6 +161,63 @@
 		});
 	});
 
+	describe('with an upstream that states a limit', () => {
+		const stateLimit = (value: string) => ({id, socket}: ReceivedRequest) => {
+			socket.write(formatResponse(id, 'done', `Server-Limit: ${value}\r\n`));
+		};
+
+		const limitOf = (upstream: RawUpstream) => harness.state.limits.perSecond(upstream.toUpstream());
+
+		it('learns the limit from any kind of response', async () => {
+			const header = 'Server-Limit: 2.5\r\n';
+			const endings: Array<(req: ReceivedRequest) => void> = [
+				({id, socket}) => socket.write(formatResponse(id, 'done', header)),
+				({id, socket}) => socket.write(formatResponse(id, 'failed', header, '500 Internal Server Error')),
+				({id, socket}) => socket.write(formatRejection(id, header)),
+				({id, socket}) => socket.end(formatResponse(id, 'spoiled', `${header}Content-Encoding: gzip\r\n`)),
+				({id, socket}) => socket.write(formatStreamHead(id).replace('Content-Type', `${header}Content-Type`)),
+			];
+			for (const [index, answer] of endings.entries()) {
+				const upstream = await start(`limited-${index}`, answer); // eslint-disable-line no-await-in-loop
+				const call = harness.call(index === 4 ? 'stream' : 'unsafe', 400);
+				await eventually(() => limitOf(upstream) === 2.5); // eslint-disable-line no-await-in-loop
+				await call; // eslint-disable-line no-await-in-loop
+				harness.state.applyUpstreams({changed: [], removed: [upstream.id]});
+			}
+		});
+
+		it('ends the limit with a response that states none, unless that response may not be the upstream\'s own', async () => {
+			const upstream = await start('limited', stateLimit('50'));
+			await callStatuses('unsafe', 1);
+			upstream.answer = ({id, socket}) => socket.write(formatResponse(id, 'damaged', 'Content-Encoding: gzip\r\n'));
+			await callStatuses('unsafe', 1);
+			upstream.answer = ({id, socket}) => socket.write(formatRejection(id).replace('503 Service Unavailable', '421 Misdirected Request'));
+			await callStatuses('unsafe', 1);
+			expect(limitOf(upstream)).to.equal(50);
+			upstream.answer = serve;
+			await eventually(async () => {
+				await callStatuses('unsafe', 1);
+				return limitOf(upstream) === undefined;
+			}, 50);
+		});
+
+		it('keeps the limit in force when a later value is not usable', async () => {
+			const upstream = await start('limited', stateLimit('50'));
+			await callStatuses('unsafe', 1);
+			upstream.answer = stateLimit('many');
+			await callStatuses('unsafe', 1);
+			expect(limitOf(upstream)).to.equal(50);
+		});
+
+		it('ignores the limit of another server that took over its address', async () => {
+			const upstream = await start('moved', ({id, socket}) => {
+				socket.write(formatRejection(id, 'Server-Limit: 1\r\n').replace('503 Service Unavailable', '421 Misdirected Request'));
+			});
+			await callStatuses('unsafe', 2);
+			expect(limitOf(upstream)).to.equal(undefined);
+		});
+	});
+
 	describe('with an endless response', () => {
 		it('releases the grant, blames no request and reports an unknown outcome', async () => {
 			const extension = '1;'.padEnd(1000, 'x');
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -148,7 +148,7 @@
 		};
 		const decode = (status: number, headers: Record<string, string>) => codec.decodeResponse(status, headers, head);
 		expect(decode(200, {'x-request-id': 'id-1', 'x-server-seal': 's', 'x-server-load': '3,1,8'})).to.deep.equal({
-			isForRequest: true, isSigned: true, isNotRun: false, isOtherUpstream: false, isAltered: false, isLeaving: false, retryAfter: undefined, load: {running: 3, waiting: 1},
+			isForRequest: true, isSigned: true, isNotRun: false, isOtherUpstream: false, isAltered: false, isLeaving: false, retryAfter: undefined, limit: undefined, load: {running: 3, waiting: 1},
 		});
 		expect(decode(200, {'x-request-id': 'id-2', 'x-server-seal': 's'})).to.include({isForRequest: false, isSigned: false});
 		expect(decode(200, {'x-request-id': 'id-1'})).to.include({isSigned: false});
@@ -172,6 +172,31 @@
 		expect(decode(200, {'retry-after': '1'}).retryAfter).to.equal(undefined);
 	});
 
+	it('decodes the limit of an upstream from each of its responses, and tells unusable values from absent ones', () => {
+		const codec = HeaderCodec.create();
+		const head: CallHead = {
+			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, lastEventId: undefined,
+		};
+		const decode = (text: string, status = 200) => codec.decodeResponse(status, {'server-limit': text}, head).limit;
+		const usable: ReadonlyArray<readonly [string, number]> = [
+			['1.4', 1.4], ['2', 2], [' .5 ', 0.5], ['5.', 5], ['0', 0], ['0.0', 0], ['2.5e-3', 0.0025], ['1e3', 1000], ['3, 2', 2], ['9'.repeat(400), 1_000_000],
+		];
+		for (const [text, perSecond] of usable) {
+			expect(decode(text), text).to.deep.equal({text, perSecond});
+		}
+
+		for (const text of ['', ' ', 'many', '-1', '0x10', 'NaN', 'Infinity', '1.2.3', '2, many', '1 2', '2/s', '+']) {
+			expect(decode(text), text).to.deep.equal({text, perSecond: undefined});
+		}
+
+		for (const status of [400, 429, 500, 503, 504]) {
+			expect(decode('2', status)).to.deep.equal({text: '2', perSecond: 2});
+		}
+
+		expect(decode('2', 421)).to.equal(undefined);
+		expect(codec.decodeResponse(200, {}, head).limit).to.equal(undefined);
+	});
+
 	it('encodes Retry-After in fractional seconds', () => {
 		expect(HeaderCodec.create().errorResponseHeaders(undefined, 1234)).to.deep.equal({'Retry-After': '1.234'});
 	});
