--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -66,6 +66,10 @@
 	}
 
 	mode: ServerMode = ServerMode.Healthy;
+	/** Value of the limit that each response states; `undefined` for none. */
+	limit: string | undefined;
+	/** Times at which requests arrived, whether they ran or not, in ms of `performance.now()`. */
+	readonly arrivals: number[] = [];
 	readonly id: string;
 	readonly slots: number;
 	readonly runs: Run[] = [];
@@ -98,6 +102,7 @@
 	}
 
 	async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		this.arrivals.push(performance.now());
 		const chunks: Uint8Array[] = [];
 		try {
 			for await (const chunk of req) {
@@ -109,6 +114,10 @@
 		}
 
 		const id = String(req.headers['x-request-id']);
+		if (this.limit !== undefined) {
+			res.setHeader('server-limit', this.limit);
+		}
+
 		if (req.headers['x-expect-instance'] !== this.id) {
 			res.writeHead(421, {'x-instance-id': this.id});
 			res.end();
