Links: all VMs know the limits that upstreams state to one of them

A limit holds for the sum over all VMs, but was known only to the VM that got the response: an allocator that was not told granted as before, as did a VM that took over, started anew or decided alone.

A VM reports each change to the allocating VM, which merges it and sends the changes of 100 ms to all VMs; a VM that links or takes over brings what it knows, and a starting VM is sent all. Limits travel with their age, as the clocks of VMs differ, so that an old one does not return after it has ended.

The simulation of links now has an upstream that states three limits in turn, and checks the sum over all VMs under every single fault, and that the upstream is used fully after its limit has ended. It detects limits that are lost in transit and VMs that each use the whole limit.

--- a/soak/link-simulation.ts
+++ b/soak/link-simulation.ts
@@ -20,6 +20,7 @@
 import {SimulatedNetwork} from './simulated-network.js';
 import {beginFault, endFault, type FaultTargets} from './link-faults.js';
 import {type LinkPlan} from './link-plans.js';
+import {findLimitExcess, type LimitSpan} from './limit-rule.js';
 import {LeaderRow, SimulatedRegister} from './simulated-register.js';
 import {ProcessClock} from './process-clock.js';
 
@@ -38,6 +39,17 @@
 const WATCH_INTERVAL_MS = 100;
 const UPSTREAM_COUNT = 6;
 const SLOTS_PER_UPSTREAM = 8;
+/** The upstream that states limits, and the limits in turn, in requests per second, beginning with one that depends on the seed. It is closest to the callers and would get about 38 without one. */
+const LIMITED_UPSTREAM = 'up-1';
+const LIMITS_PER_SECOND = [8, 0.5, 10] as const;
+/** Time from the first statement of a limit until it must hold, in ms, as in the larger example deployments. */
+const LIMIT_CONTACT_MS = 4500;
+/**
+ * Time at the end of a run in which the upstream states no limit any more while most others are leaving, in ms, and the
+ * fewest requests that it must get then: it could process about 100, and its last limit would allow 33 at most.
+ */
+const UNLIMITED_MS = 3000;
+const MIN_UNLIMITED_REQUESTS = 50;
 const MS_PER_SECOND = 1000;
 /** Maximum number of items that the detail of a violation lists. */
 const MAX_DETAILS = 5;
@@ -54,6 +66,8 @@
 	Quota: 'quota over all VMs',
 	/** In any window, all VMs together grant no more retries than the budget allows. */
 	RetryBudget: 'budget of repeats over all VMs',
+	/** In any window, all VMs together send an upstream no more than the limit that it states allows, and they use it fully once it has ended. */
+	Limit: 'limit of an upstream over all VMs',
 	/** An upstream that announced that it is leaving gets no work once all VMs know of it, and none from the VM that received the announcement. */
 	Leaving: 'no work for a leaving upstream',
 	/** A new configuration is applied by every VM. */
@@ -116,6 +130,7 @@
 	#leavingUpstream: Upstream | undefined;
 	#leavingAt = Number.POSITIVE_INFINITY;
 	#linkedAt: number | undefined;
+	readonly #limitedArrivals: number[] = [];
 
 	private constructor(plan: LinkPlan) {
 		this.#plan = plan;
@@ -130,6 +145,12 @@
 			},
 			onGrant: (boot, upstreamId) => {
 				this.#checkLeavingUpstream(boot, upstreamId);
+				if (upstreamId === LIMITED_UPSTREAM) {
+					this.#limitedArrivals.push(this.#now);
+				}
+			},
+			onResponse: (boot, upstreamId, sentAt) => {
+				this.#stateLimit(boot, upstreamId, sentAt);
 			},
 		});
 	}
@@ -180,6 +201,7 @@
 		await this.#clock.advanceAsync(faultsEndAt + CONVERGENCE_TIMEOUT_MS - this.#now);
 		this.#checkConvergence();
 		this.#checkSharedLimits();
+		this.#checkUpstreamLimit();
 		for (const vm of this.#running) {
 			vm.coordinator.stop();
 		}
@@ -389,7 +411,15 @@
 
 	get #upstreamList(): Upstream[] {
 		return Array.from({length: UPSTREAM_COUNT}, (_, index) => ({
-			id: `up-${index}`, pool: 'desk', address: `10.1.0.${index}:80`, dataCentre: 'a', region: 'r', slots: SLOTS_PER_UPSTREAM, isLeaving: false, startedAt: 1,
+			id: `up-${index}`,
+			pool: 'desk',
+			address: `10.1.0.${index}:80`,
+			dataCentre: `up-${index}` === LIMITED_UPSTREAM ? 'a' : 'b',
+			region: 'r',
+			slots: SLOTS_PER_UPSTREAM,
+			// `up-0` announces its departure to a VM, and the registry never lists it as leaving.
+			isLeaving: index > 1 && this.#now >= this.#unlimitedFrom,
+			startedAt: 1,
 		}));
 	}
 
@@ -446,6 +476,37 @@
 		}
 	}
 
+	get #unlimitedFrom(): number {
+		return this.#faultsEndAt + CONVERGENCE_TIMEOUT_MS - UNLIMITED_MS;
+	}
+
+	/** The times during which the upstream states each limit: from the start of the run until shortly before its end. */
+	get #limitSpans(): LimitSpan[] {
+		const stepMs = this.#unlimitedFrom / LIMITS_PER_SECOND.length;
+		return LIMITS_PER_SECOND.map((_, index) => ({
+			perSecond: LIMITS_PER_SECOND[(this.#plan.seed + index) % LIMITS_PER_SECOND.length]!, from: index * stepMs, until: (index + 1) * stepMs,
+		}));
+	}
+
+	/** Each response of the upstream states its limit, or none. */
+	#stateLimit(boot: string, upstreamId: string, sentAt: number): void {
+		const vm = this.#running.find(({member}) => member.boot === boot);
+		const perSecond = upstreamId === LIMITED_UPSTREAM ? this.#limitSpans.find(({from, until}) => from <= this.#now && this.#now < until)?.perSecond : undefined;
+		vm?.state.noteLimit({id: upstreamId, startedAt: 1, perSecond}, sentAt, vm.clock.now());
+	}
+
+	#checkUpstreamLimit(): void {
+		const excess = findLimitExcess(this.#limitedArrivals, this.#limitSpans, {contactMs: LIMIT_CONTACT_MS});
+		if (excess !== undefined) {
+			this.#addViolation(LinkProperty.Limit, excess);
+		}
+
+		const count = this.#limitedArrivals.filter(at => at >= this.#unlimitedFrom).length;
+		if (count < MIN_UNLIMITED_REQUESTS) {
+			this.#addViolation(LinkProperty.Limit, `${count} requests in ${UNLIMITED_MS} ms after the limit has ended`);
+		}
+	}
+
 	/** Checks that every VM has the configuration and knows of the leaving upstream. */
 	#checkConvergence(): void {
 		for (const {member, state} of this.#running) {
--- a/soak/simulated-callers.ts
+++ b/soak/simulated-callers.ts
@@ -10,6 +10,8 @@
 import {Operation} from '../src/gateway/routing-table.js';
 import {type ProcessClock} from './process-clock.js';
 
+/** Time until a response begins, in ms; at most the shortest time for which a place is held. */
+const RESPONSE_DELAY_MS = 20;
 const HOLD_TIME_MS = {min: 20, max: 400} as const;
 /** Quota of the customer, who sends about three times as much; see `HOT_CUSTOMER_RATIO`. */
 export const QUOTA = {perSecond: 40, burst: 40} as const;
@@ -38,6 +40,12 @@
 	/** Selects the VM for the next request; `undefined` if the selected VM accepts none. */
 	readonly pick: () => TargetVm | undefined;
 	readonly onGrant: (boot: string, upstreamId: string) => void;
+	/**
+	 * A response began.
+	 *
+	 * @param sentAt - When its request was sent, by the clock of the VM's process.
+	 */
+	readonly onResponse: (boot: string, upstreamId: string, sentAt: number) => void;
 };
 
 /** Sends the requests of all callers and records what was granted. */
@@ -132,9 +140,13 @@
 	}
 
 	#onGrant(vm: TargetVm, {id, customer, attempt}: PlaceRequest, upstreamId: string): void {
-		const {clock, random, onGrant} = this.#options;
+		const {clock, random, onGrant, onResponse} = this.#options;
 		this.grants += 1;
 		onGrant(vm.boot, upstreamId);
+		const sentAt = vm.clock.now();
+		vm.clock.setTimer(RESPONSE_DELAY_MS, () => {
+			onResponse(vm.boot, upstreamId, sentAt);
+		});
 		if (attempt > 1) {
 			this.#retryTimes.push(clock.now());
 		} else if (customer !== undefined) {
--- a/src/gateway/deployment-state.ts
+++ b/src/gateway/deployment-state.ts
@@ -5,7 +5,7 @@
 import {type Log, type LogFields} from '../base/log.js';
 import {type Member} from '../link/messages.js';
 import {type Configuration, RoutingTable} from './routing-table.js';
-import {type UpstreamLimit, UpstreamLimits} from './upstream-limits.js';
+import {type AgedLimit, type UpstreamLimit, UpstreamLimits} from './upstream-limits.js';
 import {
 	type Upstream, type UpstreamBoot, type UpstreamChanges, UpstreamList,
 } from './upstream-list.js';
@@ -19,6 +19,8 @@
 	onUpstreams?(changes: UpstreamChanges): void;
 	/** Upstreams told this VM, or a VM that it allocates for, that they are shutting down. */
 	onLeaving?(boots: readonly UpstreamBoot[]): void;
+	/** Limits that upstreams stated in responses to this VM changed. */
+	onStatedLimits?(limits: readonly AgedLimit[]): void;
 	onMembers?(members: readonly Member[]): void;
 };
 
@@ -105,12 +107,24 @@
 	 * @param sentAt - When the request was sent that the upstream responded to.
 	 */
 	noteLimit(limit: UpstreamLimit, sentAt: number, now: number): void {
-		const before = this.limits.perSecond(limit);
 		if (this.limits.note(limit, sentAt, now)) {
-			this.#logLimit(limit, before);
+			this.#logLimits([limit], 'upstream');
+			for (const listener of this.#listeners) {
+				listener.onStatedLimits?.([{...limit, ageMs: 0}]);
+			}
 		}
 	}
 
+	/** Applies limits that another VM learnt of, unless this VM knows newer ones. */
+	mergeLimits(limits: readonly AgedLimit[], now: number): void {
+		this.#logLimits(this.limits.merge(limits, now), 'vm');
+	}
+
+	/** Applies limits as the leader knows them. */
+	replaceLimits(limits: readonly AgedLimit[], now: number): void {
+		this.#logLimits(this.limits.replace(limits, now), 'allocator');
+	}
+
 	/** Applies VMs that joined or changed, and the names of VMs that left. */
 	applyMembers(changed: readonly Member[], removed: readonly string[]): void {
 		const names = new Set([...removed, ...changed.map(member => member.name)]);
@@ -137,13 +151,16 @@
 		}
 	}
 
-	#logLimit({id, perSecond}: UpstreamLimit, before: number | undefined): void {
-		if (perSecond === undefined) {
-			this.#log.info('Upstream limit ended.', {upstream: id, before, limited: this.limits.size});
-		} else {
-			this.#log.info('Upstream limit in force.', {
-				upstream: id, perSecond, before, limited: this.limits.size,
-			});
+	/** @param toldBy - Who told this VM. */
+	#logLimits(limits: readonly UpstreamLimit[], toldBy: 'upstream' | 'vm' | 'allocator'): void {
+		for (const {id, perSecond} of limits) {
+			if (perSecond === undefined) {
+				this.#log.info('Upstream limit ended.', {upstream: id, toldBy, limited: this.limits.size});
+			} else {
+				this.#log.info('Upstream limit in force.', {
+					upstream: id, perSecond, toldBy, limited: this.limits.size,
+				});
+			}
 		}
 	}
 
--- a/src/gateway/upstream-limits.ts
+++ b/src/gateway/upstream-limits.ts
@@ -11,6 +11,12 @@
 	readonly perSecond: number | undefined;
 };
 
+/** A limit as one VM tells it to another, whose clock differs. */
+export type AgedLimit = UpstreamLimit & {
+	/** Time since the upstream stated it, in ms. */
+	readonly ageMs: number;
+};
+
 type Entry = UpstreamLimit & {
 	/** When the upstream stated it, as far as this VM knows. */
 	readonly statedAt: number;
@@ -70,6 +76,61 @@
 		return true;
 	}
 
+	/** @returns All limits in force. */
+	list(now: number): AgedLimit[] {
+		return this.get([...this.#entries.keys()], now).filter(({perSecond}) => perSecond !== undefined);
+	}
+
+	/** @returns What is known of these upstreams, including that a limit has ended. */
+	get(ids: Iterable<string>, now: number): AgedLimit[] {
+		const limits: AgedLimit[] = [];
+		for (const id of ids) {
+			const entry = this.#entries.get(id);
+			if (entry !== undefined) {
+				const {startedAt, perSecond, statedAt} = entry;
+				limits.push({
+					id, startedAt, perSecond, ageMs: now - statedAt,
+				});
+			}
+		}
+
+		return limits;
+	}
+
+	/**
+	 * Applies limits that another VM learnt of, unless this VM knows newer ones.
+	 *
+	 * @returns The limits that changed.
+	 */
+	merge(limits: readonly AgedLimit[], now: number): AgedLimit[] {
+		const isNew = (limit: AgedLimit) => (this.#entryOf(limit)?.statedAt ?? Number.NEGATIVE_INFINITY) <= now - limit.ageMs;
+		return this.replace(limits.filter(limit => isNew(limit)), now);
+	}
+
+	/**
+	 * Applies limits as the leader knows them.
+	 *
+	 * @returns The limits that changed.
+	 */
+	replace(limits: readonly AgedLimit[], now: number): AgedLimit[] {
+		const changed: AgedLimit[] = [];
+		for (const limit of limits) {
+			const {id, startedAt, perSecond, ageMs} = limit;
+			const current = this.#entries.get(id);
+			if (current === undefined || current.startedAt <= startedAt) {
+				if (this.perSecond(limit) !== perSecond) {
+					changed.push(limit);
+				}
+
+				this.#entries.set(id, {
+					id, startedAt, perSecond, statedAt: now - ageMs,
+				});
+			}
+		}
+
+		return changed;
+	}
+
 	#entryOf({id, startedAt}: UpstreamBoot): Entry | undefined {
 		const entry = this.#entries.get(id);
 		return entry?.startedAt === startedAt ? entry : undefined;
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -130,6 +130,13 @@
 			onLeaving: boots => {
 				this.#client?.send({kind: 'leaving', boots});
 			},
+			onStatedLimits: limits => {
+				if (this.#role === Role.Leading) {
+					this.#host.publishLimits(limits.map(({id}) => id));
+				} else {
+					this.#client?.send({kind: 'limits', limits});
+				}
+			},
 			onTable: () => {
 				if (this.#role === Role.Leading) {
 					this.#host.publishConfiguration();
@@ -276,6 +283,11 @@
 			client.send({kind: 'leaving', boots: leaving});
 		}
 
+		const limits = this.#options.state.limits.list(this.#options.clock.now());
+		if (limits.length > 0) {
+			client.send({kind: 'limits', limits});
+		}
+
 		client.send({kind: 'places', places: allocation.places});
 		allocation.use(client);
 		onWatchNeeded(false);
@@ -332,13 +344,14 @@
 		});
 	}
 
-	/** Sends upstreams and configuration to a VM that has just started and gets them neither from the store nor from a leader. */
+	/** Sends upstreams, their limits and configuration to a VM that has just started and gets them neither from the store nor from a leader. */
 	#sendState(channel: Channel<FromLeader | FromPeer>): void {
-		const {table, upstreams} = this.#options.state;
+		const {clock, state: {table, upstreams, limits}} = this.#options;
 		if (table !== undefined) {
 			channel.send({
 				kind: 'upstreams', isWhole: true, changed: upstreams.all, removed: [],
 			});
+			channel.send({kind: 'limits', limits: limits.list(clock.now())});
 			channel.send({kind: 'configuration', configuration: table.configuration});
 		}
 	}
@@ -419,7 +432,9 @@
 	}
 
 	#handleMessage(message: FromLeader): void {
-		const {state, allocator, onVersion} = this.#options;
+		const {
+			clock, state, allocator, onVersion,
+		} = this.#options;
 		switch (message.kind) {
 			case 'upstreams': {
 				if (message.isWhole) {
@@ -431,6 +446,11 @@
 				break;
 			}
 
+			case 'limits': {
+				state.replaceLimits(message.limits, clock.now());
+				break;
+			}
+
 			case 'members': {
 				if (message.isWhole) {
 					state.setMembers(message.changed);
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -30,6 +30,8 @@
 const MEMBERS_BATCH_MS = 80;
 /** Of the configuration versions within this time only the last is sent, in ms; a tenth of the time in which a version must be in force. */
 const CONFIGURATION_BATCH_MS = 200;
+/** Limits of upstreams that change within this time are sent together, in ms; some upstreams change theirs with each response. */
+const LIMITS_BATCH_MS = 100;
 /** Longest configuration that is sent over links, in characters; sending it to 360 VMs takes less than 2 s at 50 Mbit/s. */
 const MAX_INLINE_CONFIGURATION_LENGTH = 32_768;
 /** Interval at which the learned paces are sent, in ms; a successor works well with paces that are seconds old. */
@@ -71,6 +73,9 @@
 	#timer: Timer | undefined;
 	#membersTimer: Timer | undefined;
 	#configurationTimer: Timer | undefined;
+	#limitsTimer: Timer | undefined;
+	/** Upstreams whose limits are sent next. */
+	readonly #limitsToSend = new Set<string>();
 	#pacesSentAt = 0;
 	/** Number of VMs, this one included, that were recently in contact at the same time. */
 	#knownVmCount = 0;
@@ -97,9 +102,12 @@
 		this.#timer?.cancel();
 		this.#membersTimer?.cancel();
 		this.#configurationTimer?.cancel();
+		this.#limitsTimer?.cancel();
 		this.#timer = undefined;
 		this.#membersTimer = undefined;
 		this.#configurationTimer = undefined;
+		this.#limitsTimer = undefined;
+		this.#limitsToSend.clear();
 		// Cleared before closing: each close would otherwise publish a member list without that VM, also to this VM.
 		const links = [...this.#links.values()];
 		this.#links.clear();
@@ -125,6 +133,11 @@
 		this.#send(link, {
 			kind: 'upstreams', isWhole: true, changed: state.upstreams.all, removed: [],
 		});
+		const limits = state.limits.list(now);
+		if (limits.length > 0) {
+			this.#send(link, {kind: 'limits', limits});
+		}
+
 		this.#sendConfiguration([link]);
 		this.publishMembers();
 	}
@@ -180,6 +193,13 @@
 				break;
 			}
 
+			case 'limits': {
+				state.mergeLimits(message.limits, clock.now());
+				// Also sent if nothing changed, as the VM may know less than this leader.
+				this.publishLimits(message.limits.map(({id}) => id));
+				break;
+			}
+
 			case 'need-configuration': {
 				if (state.table !== undefined) {
 					this.#send(link, {kind: 'configuration', configuration: state.table.configuration});
@@ -218,6 +238,20 @@
 		}, [...this.#links.values()]);
 	}
 
+	/** Sends what is known of the limits of these upstreams to all VMs, after `LIMITS_BATCH_MS`. */
+	publishLimits(ids: readonly string[]): void {
+		for (const id of ids) {
+			this.#limitsToSend.add(id);
+		}
+
+		const {clock, state} = this.#options;
+		this.#limitsTimer ??= clock.setTimer(LIMITS_BATCH_MS, () => {
+			this.#limitsTimer = undefined;
+			this.#broadcast({kind: 'limits', limits: state.limits.get(this.#limitsToSend, clock.now())}, [...this.#links.values()]);
+			this.#limitsToSend.clear();
+		});
+	}
+
 	/** Sends the configuration in force to all VMs, after `CONFIGURATION_BATCH_MS`. */
 	publishConfiguration(): void {
 		this.#configurationTimer ??= this.#options.clock.setTimer(CONFIGURATION_BATCH_MS, () => {
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -4,6 +4,7 @@
 import {type PlaceRequest, type HeldPlace, type PlaceReport} from '../allocation/allocation.js';
 import {type ErrorKind} from '../base/errors.js';
 import {type Configuration} from '../gateway/routing-table.js';
+import {type AgedLimit} from '../gateway/upstream-limits.js';
 import {type Upstream, type UpstreamBoot} from '../gateway/upstream-list.js';
 
 /** What the other VMs know about a VM. */
@@ -47,6 +48,8 @@
 	| {readonly kind: 'release'; readonly id: string; readonly report: PlaceReport}
 	/** Upstreams that announced to the VM that they are leaving. */
 	| {readonly kind: 'leaving'; readonly boots: readonly UpstreamBoot[]}
+	/** Limits that upstreams stated to the VM; after the welcome, all limits that it knows. */
+	| {readonly kind: 'limits'; readonly limits: readonly AgedLimit[]}
 	/** The VM cannot read the configuration from the store. */
 	| {readonly kind: 'need-configuration'}
 	| {readonly kind: 'beat'};
@@ -60,6 +63,8 @@
 	| {readonly kind: 'grant'; readonly id: string; readonly upstreamId: string; readonly expectedFirstMs: number}
 	| {readonly kind: 'refuse'; readonly id: string; readonly error: ErrorKind; readonly retryAfterMs: number}
 	| {readonly kind: 'upstreams'; readonly isWhole: boolean; readonly changed: readonly Upstream[]; readonly removed: readonly string[]}
+	/** Limits of upstreams that changed, or to a VM that has just linked, all in force. */
+	| {readonly kind: 'limits'; readonly limits: readonly AgedLimit[]}
 	/** VMs that joined or changed, and names of those that left; `isWhole` replaces the list. */
 	| {readonly kind: 'members'; readonly isWhole: boolean; readonly changed: readonly Member[]; readonly removed: readonly string[]}
 	/** Asks the receiver to claim leadership. */
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -155,6 +155,69 @@
 		vms = vms.filter(other => other !== vm);
 	}
 
+	describe('with an upstream that states a limit', () => {
+		const limit = {id: 'up-1', startedAt: 1};
+
+		function stateLimit(vm: Vm, perSecond: number | undefined): void {
+			vm.state.noteLimit({...limit, perSecond}, clock.now(), clock.now());
+		}
+
+		async function eventuallyKnown(perSecond: number | undefined, at = vms): Promise<void> {
+			await eventually(() => at.every(vm => vm.state.limits.perSecond(limit) === perSecond));
+		}
+
+		// Guards against a limit that holds only at the VM that was told: the leader grants the other VMs' requests regardless.
+		it('tells the leader and all VMs of the limit, of its changes and of its end, whichever VM learns of them', async () => {
+			await startVms();
+			for (const [index, perSecond] of [2, 0, 0.5, 100, undefined, 3].entries()) {
+				stateLimit(vms[index % vms.length]!, perSecond);
+				await eventuallyKnown(perSecond); // eslint-disable-line no-await-in-loop -- changes follow each other
+			}
+		});
+
+		it('keeps the limit when the leader that learnt of it is gone', async () => {
+			await startVms();
+			stateLimit(vms[0]!, 2);
+			await eventuallyKnown(2);
+			vms.shift()!.coordinator.stop();
+			await settled(2);
+			expect(vms.map(vm => vm.state.limits.perSecond(limit))).to.deep.equal([2, 2]);
+		});
+
+		it('tells a VM that starts later', async () => {
+			await startVms();
+			stateLimit(vms[1]!, 2);
+			await eventuallyKnown(2);
+			await startVm('late', 0.5);
+			await eventuallyKnown(2);
+		});
+
+		it('learns of a limit that a VM was told while it decided alone', async () => {
+			await startVm('strong', 3);
+			await eventually(() => vms[0]!.coordinator.role === Role.Leading);
+			const alone = await startVm('alone', 1);
+			stateLimit(alone, 2);
+			await eventuallyKnown(2);
+		});
+
+		it('does not restore a limit that has ended since a VM that links learnt of it', async () => {
+			await startVms();
+			const [leader, , weak] = vms;
+			weak!.state.replaceLimits([{...limit, perSecond: 2, ageMs: 60_000}], clock.now());
+			stateLimit(leader!, 5);
+			await eventuallyKnown(5);
+			leader!.state.noteLimit({...limit, perSecond: undefined}, clock.now() + 1, clock.now() + 1);
+			await eventuallyKnown(undefined);
+			weak!.state.replaceLimits([{...limit, perSecond: 2, ageMs: 60_000}], clock.now());
+			weak!.coordinator.stop();
+			vms.pop();
+			const again = await startVm('again', 1);
+			again.state.replaceLimits([{...limit, perSecond: 2, ageMs: 60_000}], clock.now());
+			await settled(3);
+			await eventuallyKnown(undefined);
+		});
+	});
+
 	it('converges on one allocator, the only VM that watches the store', async () => {
 		await startVms();
 		const leader = await settled(3);
@@ -312,13 +375,14 @@
 		for (const vm of vms) {
 			vm.state.applyConfiguration(configuration(4, 3));
 			vm.state.applyUpstreams({changed: [upstream], removed: []});
+			vm.state.noteLimit({id: 'one', startedAt: 1, perSecond: 2}, clock.now(), clock.now());
 		}
 
 		row.unreachableFor.add('all');
 		const seed = vms.find(({coordinator}) => coordinator.role === Role.Linked)!;
 		kill(vms.find(({coordinator}) => coordinator.role === Role.Leading)!);
 		const newcomer = await startVm('newcomer', 1, [seed.linkAddress]);
-		await eventually(() => newcomer.state.table?.version === 4 && newcomer.state.upstreams.size === 1);
+		await eventually(() => newcomer.state.table?.version === 4 && newcomer.state.upstreams.size === 1 && newcomer.state.limits.perSecond(upstream) === 2);
 	});
 
 	it('hands over to another VM before a planned stop', async () => {
--- a/test/soak/links.test.ts
+++ b/test/soak/links.test.ts
@@ -32,10 +32,12 @@
 	};
 }
 
-/** @returns Whether one of the first random plans violates the property when run with the defect. */
-async function detects(property: LinkProperty, defect: LinkDefect, vms = 3): Promise<boolean> {
-	for (let seed = 1; seed <= RANDOM_RUNS; seed += 1) {
-		const {violations} = await LinkSimulation.run({...randomPlan(seed, vms), defect}); // eslint-disable-line no-await-in-loop
+const firstRandomPlans: readonly LinkPlan[] = Array.from({length: RANDOM_RUNS}, (_, index) => randomPlan(index + 1, 3));
+
+/** @returns Whether one of the plans violates the property when run with the defect. */
+async function detects(property: LinkProperty, defect: LinkDefect, plans = firstRandomPlans): Promise<boolean> {
+	for (const plan of plans) {
+		const {violations} = await LinkSimulation.run({...plan, defect}); // eslint-disable-line no-await-in-loop
 		if (violations.some(violation => violation.property === property)) {
 			return true;
 		}
@@ -79,17 +81,20 @@
 		});
 	}
 
-	const defects: ReadonlyArray<readonly [LinkProperty, string, LinkDefect]> = [
+	const twoIsolatedVms = Array.from({length: 3}, (_, seed) => ({...createPlan(createFault('isolate', 0, 1500, 15_000), createFault('isolate', 1, 1500, 15_000)), seed}));
+	const defects: ReadonlyArray<readonly [LinkProperty, string, LinkDefect, LinkPlan[]?]> = [
 		[LinkProperty.OneAllocatorPerTerm, 'claims that are written without a condition', {claimsUnconditionally: true}],
 		[LinkProperty.Linked, 'member lists of the allocator that are lost in transit', {messageFilter: line => line.includes('"kind":"members"') ? undefined : line}],
 		[LinkProperty.Configuration, 'configurations that are lost in transit', {messageFilter: line => line.includes('"kind":"configuration"') ? undefined : line}],
 		[LinkProperty.Leaving, 'departures that are lost in transit', {messageFilter: line => line.includes('"kind":"leaving"') || line.includes('"kind":"upstreams"') ? undefined : line}],
 		[LinkProperty.RetryBudget, 'VMs that grant ten times their share of the retry slack', {scope: scope => ({...scope, share: scope.share * 10})}],
+		[LinkProperty.Limit, 'VMs that each send an upstream as much as it takes from all', {scope: scope => ({...scope, share: 1, isStandalone: false})}, twoIsolatedVms],
+		[LinkProperty.Limit, 'limits that are lost in transit', {messageFilter: line => line.includes('"kind":"limits"') ? undefined : line}],
 		[LinkProperty.Quota, 'VMs that each grant the whole quota', {scope: scope => ({...scope, share: 1, quotaInitialFill: 1})}],
 	];
-	for (const [property, title, defect] of defects) {
+	for (const [property, title, defect, plans] of defects) {
 		it(`detects ${title} (${property})`, async () => {
-			expect(await detects(property, defect)).to.equal(true);
+			expect(await detects(property, defect, plans)).to.equal(true);
 		});
 	}
 });
