Fault soak: servers that state a limit, usable or not

Servers state limits of 0 to 1e9 a second for 5 to 12 s, or values that are no number, among the other faults. Arrivals at each server are checked against its limit without excusing any fault of a VM.

--- a/soak/link-simulation.ts
+++ b/soak/link-simulation.ts
@@ -46,10 +46,11 @@
 const LIMIT_CONTACT_MS = 4500;
 /**
  * Time at the end of a run in which the upstream states no limit any more while most others are leaving, in ms, and the
- * fewest requests that it must get then: it could process about 100, and its last limit would allow 33 at most.
+ * fewest requests that it must get then. With a limit of 0.5 per second, up to 2 s pass until a response shows that it has
+ * ended; in the other 3 s the upstream could process about 110. The highest limit would allow 52 in the whole time.
  */
-const UNLIMITED_MS = 3000;
-const MIN_UNLIMITED_REQUESTS = 50;
+const UNLIMITED_MS = 5000;
+const MIN_UNLIMITED_REQUESTS = 70;
 const MS_PER_SECOND = 1000;
 /** Maximum number of items that the detail of a violation lists. */
 const MAX_DETAILS = 5;
--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -16,6 +16,7 @@
 import {PlatformStore} from '../standins/platform-store.js';
 import {TcpProxy} from '../standins/tcp-proxy.js';
 import {freePort} from '../test/support/free-port.js';
+import {findLimitExcess, type LimitSpan} from './limit-rule.js';
 
 /** Deadline that callers send with each request, in ms. */
 export const CALLER_TIMEOUT_MS = 3000;
@@ -25,6 +26,8 @@
 const DRAIN_PROPAGATION_LIMIT_MS = 2500;
 /** Time after a disturbance of the VMs or the store during which that limit is not checked, in ms. */
 const DISTURBANCE_GRACE_MS = 3000;
+/** Time from the first statement of a limit until it must hold, in ms, as in the larger example deployments. */
+const LIMIT_CONTACT_MS = 4500;
 const READY_TIMEOUT_MS = 20_000;
 const READY_POLL_INTERVAL_MS = 50;
 const MAX_LOG_LINES = 4000;
@@ -172,6 +175,7 @@
 	readonly #reportedNotRun = new Set<string>();
 	readonly #allServers: PlatformServer[] = [];
 	readonly #drainStartTimes = new Map<string, number>();
+	readonly #limitSpans = new Map<string, LimitSpan[]>();
 	readonly #disturbances: Array<{readonly startedAt: number; endedAt: number}> = [];
 	/** Link addresses of the VMs added so far. */
 	readonly #seeds: string[] = [];
@@ -200,6 +204,17 @@
 		this.servers.delete(id);
 	}
 
+	/** Lets a server state a limit in its responses until the returned function ends it. */
+	limitServer(server: PlatformServer, perSecond: number): () => void {
+		const span: LimitSpan = {perSecond, from: performance.now(), until: Number.POSITIVE_INFINITY};
+		this.#limitSpans.set(server.id, [...(this.#limitSpans.get(server.id) ?? []), span]);
+		server.limit = String(perSecond);
+		return () => {
+			server.limit = undefined;
+			span.until = performance.now();
+		};
+	}
+
 	/** Crashes a server; its entry is removed from the store after a delay, as if it had expired. */
 	crashServer(id: string): void {
 		this.servers.get(id)!.server.crash();
@@ -303,6 +318,11 @@
 			}
 		}
 
+		for (const {id, arrivals} of this.#allServers) {
+			const excess = findLimitExcess(arrivals, this.#limitSpans.get(id) ?? [], {contactMs: LIMIT_CONTACT_MS});
+			this.#check(excess === undefined, `${id}: ${excess}`);
+		}
+
 		for (const [id, {kind}] of this.#sentRequests) {
 			const count = executions.get(id) ?? 0;
 			this.#check(kind !== 'unsafe' || count <= 1, `${id} (unsafe) ran ${count} times`);
--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -16,6 +16,9 @@
 const MEAN_FAULT_INTERVAL_MS = 700;
 /** Maximum duration of a fault, in ms. */
 const MAX_FAULT_DURATION_MS = 2500;
+/** Limits that servers state, in requests per second, and how long they do, in ms: several windows in which requests are counted. */
+const LIMITS_PER_SECOND = [0, 0.4, 2, 7.5, 1e9] as const;
+const LIMIT_DURATION_MS = {min: 5000, max: 12_000} as const;
 /** Time after the last fault within which every VM must serve again, in ms. */
 const RECOVERY_TIMEOUT_MS = 12_000;
 /** Number of VMs in a run. */
@@ -81,6 +84,26 @@
 		await run.deployment.addServer(service, server.slots);
 		run.deployment.drainServer(server.id);
 	},
+	async limit(run: ProcessRun) {
+		const {server} = run.random.pick([...run.deployment.servers.values()]);
+		if (server.limit !== undefined) {
+			return;
+		}
+
+		const endLimit = run.deployment.limitServer(server, run.random.pick(LIMITS_PER_SECOND));
+		await sleep(run.random.integer(LIMIT_DURATION_MS.min, LIMIT_DURATION_MS.max));
+		endLimit();
+	},
+	async unusableLimit(run: ProcessRun) {
+		const {server} = run.random.pick([...run.deployment.servers.values()]);
+		if (server.limit !== undefined) {
+			return;
+		}
+
+		server.limit = run.random.pick(['many', '-1', '', '2;3']);
+		await run.waitForFaultDuration();
+		server.limit = undefined;
+	},
 	async configuration(run: ProcessRun) {
 		run.deployment.setConfiguration(run.random.next() < 0.5 ? ['/extra/'] : []);
 	},
