Links: all VMs know the requests in quarantine

Callers saw: after each change of the allocating VM, a request that had crashed three servers crashed up to three more, and the requests beside it were lost. Found while looking for what else a server shows to one VM that all must heed.

Cause: the quarantine was kept by the allocator that saw the crashes. Its successor, a VM that decides alone and one that starts anew began without it. The test fails before (the first request after the leader was killed is granted an upstream).

The allocating VM sends each quarantine to all VMs and the list to one that links; VMs bring theirs to a new one, which passes on only what is new to it. Suspicions that are no quarantine yet stay where they are, since every lost request raises one.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -9,7 +9,7 @@
 import {type RoutingTable} from '../gateway/routing-table.js';
 import {type UpstreamLimits} from '../gateway/upstream-limits.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
-import {Quarantine, Standing as SuspectStanding} from '../policy/quarantine.js';
+import {Quarantine, Standing as SuspectStanding, type Suspicion} from '../policy/quarantine.js';
 import {
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, emptyReport, type HeldPlace, type PlaceReport,
 } from './allocation.js';
@@ -76,6 +76,8 @@
 
 	/** Called for each decision. */
 	onDecision: ((decision: Decision) => void) | undefined;
+	/** Called when a request is quarantined. */
+	onQuarantine: ((suspicion: Suspicion) => void) | undefined;
 	readonly #options: AllocatorOptions;
 	readonly #pools = new Map<string, Pool>();
 	readonly #poolByRequest = new Map<string, Pool>();
@@ -93,7 +95,11 @@
 		super();
 		this.#options = options;
 		this.#quotas = Quotas.create(options.quotaTolerance);
-		this.#quarantine = Quarantine.create(options.nodeId);
+		this.#quarantine = Quarantine.create(options.nodeId, suspicion => {
+			if (suspicion.quarantinedMs > 0) {
+				this.onQuarantine?.(suspicion);
+			}
+		});
 	}
 
 	/** Number of requests that wait for a place. */
@@ -130,6 +136,23 @@
 		}
 	}
 
+	/** Requests in quarantine, for other VMs. A suspicion that is not yet a quarantine is not shared, as each lost request raises one. */
+	get quarantined(): Suspicion[] {
+		return this.#quarantine.export(this.#options.clock.now()).filter(({quarantinedMs}) => quarantinedMs > 0);
+	}
+
+	/**
+	 * Quarantines requests that another allocator saw crash upstreams.
+	 *
+	 * @returns Those that were not in quarantine before.
+	 */
+	importQuarantined(suspicions: readonly Suspicion[]): Suspicion[] {
+		const now = this.#options.clock.now();
+		const added = suspicions.filter(({fingerprint}) => this.#quarantine.standing(fingerprint, now) !== SuspectStanding.Quarantined);
+		this.#quarantine.import(added, now);
+		return added;
+	}
+
 	/** Starts to decide for the VMs of a scope, discarding all waiting requests and held places. */
 	restart(scope: Scope): void {
 		const now = this.#options.clock.now();
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -121,6 +121,12 @@
 				this.#becomeLeading(leader);
 			},
 		});
+		options.allocator.onQuarantine = suspicion => {
+			if (this.#role === Role.Leading) {
+				this.#host.publishQuarantined([suspicion]);
+			}
+		};
+
 		options.state.listen({
 			onUpstreams: changes => {
 				if (this.#role === Role.Leading) {
@@ -288,6 +294,11 @@
 			client.send({kind: 'limits', limits});
 		}
 
+		const {quarantined} = this.#options.allocator;
+		if (quarantined.length > 0) {
+			client.send({kind: 'quarantined', suspicions: quarantined});
+		}
+
 		client.send({kind: 'places', places: allocation.places});
 		allocation.use(client);
 		onWatchNeeded(false);
@@ -451,6 +462,11 @@
 				break;
 			}
 
+			case 'quarantined': {
+				allocator.importQuarantined(message.suspicions);
+				break;
+			}
+
 			case 'members': {
 				if (message.isWhole) {
 					state.setMembers(message.changed);
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -10,6 +10,7 @@
 import {type DeploymentState} from '../gateway/deployment-state.js';
 import {Ending} from '../gateway/exchange-ending.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
+import {type Suspicion} from '../policy/quarantine.js';
 import {type Channel, encodeLine} from './link-network.js';
 import {
 	type FromLeader, type Leader, type Member, type ToLeader,
@@ -118,7 +119,9 @@
 
 	/** Adds the link of a VM that sent a hello. */
 	add(channel: Channel<FromLeader>, hello: Extract<ToLeader, {kind: 'hello'}>): void {
-		const {clock, state, log} = this.#options;
+		const {
+			clock, state, allocator, log,
+		} = this.#options;
 		const now = clock.now();
 		const before = [...this.#links.values()].findLast(({member}) => member.name === hello.member.name);
 		const link: Link = {
@@ -138,6 +141,11 @@
 			this.#send(link, {kind: 'limits', limits});
 		}
 
+		const {quarantined} = allocator;
+		if (quarantined.length > 0) {
+			this.#send(link, {kind: 'quarantined', suspicions: quarantined});
+		}
+
 		this.#sendConfiguration([link]);
 		this.publishMembers();
 	}
@@ -200,6 +208,12 @@
 				break;
 			}
 
+			case 'quarantined': {
+				// Each VM that links to a new leader sends the same list.
+				this.publishQuarantined(allocator.importQuarantined(message.suspicions));
+				break;
+			}
+
 			case 'need-configuration': {
 				if (state.table !== undefined) {
 					this.#send(link, {kind: 'configuration', configuration: state.table.configuration});
@@ -252,6 +266,13 @@
 		});
 	}
 
+	/** Sends requests in quarantine to all VMs; there are few, so that they are sent one by one. */
+	publishQuarantined(suspicions: readonly Suspicion[]): void {
+		if (suspicions.length > 0) {
+			this.#broadcast({kind: 'quarantined', suspicions}, [...this.#links.values()]);
+		}
+	}
+
 	/** Sends the configuration in force to all VMs, after `CONFIGURATION_BATCH_MS`. */
 	publishConfiguration(): void {
 		this.#configurationTimer ??= this.#options.clock.setTimer(CONFIGURATION_BATCH_MS, () => {
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -1,8 +1,11 @@
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import Result, {ok} from 'true-myth/result';
+import {emptyReport} from '../../src/allocation/allocation.js';
 import {Allocator} from '../../src/allocation/allocator.js';
 import {SwitchedAllocation} from '../../src/allocation/switched-allocation.js';
 import {SystemClock} from '../../src/base/clock.js';
+import {ErrorKind} from '../../src/base/errors.js';
 import {Log} from '../../src/base/log.js';
 import {Random} from '../../src/base/random.js';
 import {DeploymentState} from '../../src/gateway/deployment-state.js';
@@ -367,6 +370,48 @@
 		expect(vms.map(vm => isLeaving(vm))).to.deep.equal([true, true, true]);
 	});
 
+	// Guards against a request that crashes further upstreams after each change of the leader, which alone had seen the crashes.
+	it('refuses a request that crashed three upstreams, whichever VM allocates next', async () => {
+		await startVms();
+		const upstreams = ['one', 'two', 'three', 'four'].map(id => ({
+			id, pool: 'advice', address: `${id}:80`, dataCentre: 'a', region: 'r', slots: 4, isLeaving: false, startedAt: 1,
+		}));
+		for (const {state} of vms) {
+			state.applyUpstreams({changed: upstreams, removed: []});
+		}
+
+		const decide = async (vm: Vm, id: string) => new Promise<string>(resolve => {
+			vm.allocation.ask(createPlaceRequest(id, {fingerprint: 'crasher'}), {grant: resolve, refuse: resolve});
+		});
+		const leader = await settled(3);
+		const reporter = vms.find(vm => vm !== leader)!;
+		for (const id of ['first', 'second', 'third']) {
+			const crashed = await decide(reporter, id); // eslint-disable-line no-await-in-loop -- one crash after the other
+			reporter.allocation.release(id, emptyReport(Ending.Lost));
+			for (const {state} of vms) {
+				state.applyUpstreams({changed: [], removed: [crashed]});
+			}
+		}
+
+		// Time for the last release to reach the leader, and for what the leader learns to reach the others.
+		await sleep(400);
+		expect(await decide(leader, 'fourth')).to.equal(ErrorKind.CrashSuspect);
+		kill(leader);
+		await settled(2);
+		for (const vm of vms) {
+			expect(await decide(vm, `${vm.name} again`)).to.equal(ErrorKind.CrashSuspect); // eslint-disable-line no-await-in-loop
+		}
+
+		const late = await startVm('late', 0.5);
+		await settled(3);
+		for (const vm of vms.filter(candidate => candidate !== late)) {
+			kill(vm);
+		}
+
+		await settled(1);
+		expect(await decide(late, 'late again')).to.equal(ErrorKind.CrashSuspect);
+	});
+
 	it('learns what is in force from any VM when it starts without the store and without an allocator', async () => {
 		await startVms();
 		const upstream = {
