--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -13,11 +13,12 @@
 import {
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, emptyReport, type HeldPlace, type PlaceReport,
 } from './allocation.js';
-import {Pool, type HeldRequest, type TrackedUpstream} from './pool.js';
+import {Pool} from './pool.js';
 import {type RetryBounds} from './pool-retry-budget.js';
 import {Quotas, type QuotaTolerance} from './quotas.js';
 import {CallerRetries} from './caller-retries.js';
 import {type Scope, globalScope} from './scope.js';
+import {type HeldRequest, type TrackedUpstream} from './tracked-upstream.js';
 import {type WaitingRequest} from './waiting-queue.js';
 
 /** Interval at which waiting requests are re-evaluated, in ms; small compared to the shortest response-time objective. */
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -12,6 +12,9 @@
 import {PoolRetryBudget, type RetryBounds} from './pool-retry-budget.js';
 import {type Scope} from './scope.js';
 import {StartPacer, type StartRate} from './start-pacer.js';
+import {
+	type HeldRequest, hasRoom, pendingTokensOf, type TrackedUpstream,
+} from './tracked-upstream.js';
 import {UpstreamHealth} from './upstream-health.js';
 import {type WaitingRequest, WaitingQueue} from './waiting-queue.js';
 
@@ -41,8 +44,6 @@
 const OVERCOMMITTED_PLACES = 1;
 /** Delay after a request's deadline before its place is reclaimed, in ms; longer than any VM waits for an answer. */
 const EXPIRY_MARGIN_MS = 2000;
-/** How long the load that an upstream reported is used as an estimate of other VMs' requests, in ms. */
-const REPORTED_LOAD_TTL_MS = 1200;
 /** How long the computed capacity is cached, in ms; an upstream's pace changes only over several answers. */
 const CAPACITY_TTL_MS = 25;
 /**
@@ -51,33 +52,6 @@
  */
 const MIN_STARTS_PER_SECOND = 0.1;
 
-/** A request that holds a place. */
-export type HeldRequest = {
-	readonly ask: PlaceRequest;
-	readonly upstreamId: string;
-	readonly grantedAt: number;
-	readonly objectiveAt: number;
-	/** When the caller disconnects, as stated by the caller. */
-	readonly callerLeavesAt: number;
-	/** Tokens of the prompts that the upstream had to read first. */
-	readonly pendingPromptTokens: number;
-	hasFirst: boolean;
-};
-
-/** An upstream with its estimates and held places. */
-export type TrackedUpstream = {
-	upstream: Upstream;
-	pace: Pace;
-	standing: UpstreamHealth;
-	pacer: StartPacer;
-	readonly held: Map<string, HeldRequest>;
-	/** Tokens of the prompts that the upstream has not read yet. */
-	pendingPromptTokens: number;
-	/** Requests from VMs that this allocator does not decide for. */
-	externalLoad: number;
-	externalLoadAt: number;
-};
-
 /** A decision to grant a place. */
 export type Grant = {
 	readonly waiting: WaitingRequest;
@@ -471,22 +445,3 @@
 		}
 	}
 }
-
-function pendingTokensOf({ask, hasFirst}: HeldRequest): number {
-	return hasFirst ? 0 : ask.promptTokens;
-}
-
-/** @returns Whether an upstream has a place, apart from its limit. */
-function hasRoom(target: TrackedUpstream, now: number, overcommitted: number): boolean {
-	const {upstream, standing, held} = target;
-	if (upstream.isLeaving || standing.isEjected(now)) {
-		return false;
-	}
-
-	if (standing.isOnProbation) {
-		return held.size === 0;
-	}
-
-	const externalLoad = now - target.externalLoadAt < REPORTED_LOAD_TTL_MS ? target.externalLoad : 0;
-	return held.size + externalLoad < upstream.slots + overcommitted;
-}
--- a/src/gateway/upstream-limits.ts
+++ b/src/gateway/upstream-limits.ts
@@ -55,7 +55,7 @@
 	 * @returns Whether the limit changed.
 	 */
 	note({id, startedAt, perSecond}: UpstreamLimit, sentAt: number, now: number): boolean {
-		const current = this.#entries.get(id);
+		const current = this.#entries.peek(id);
 		if (current !== undefined && current.startedAt > startedAt) {
 			return false;
 		}
@@ -85,7 +85,7 @@
 	get(ids: Iterable<string>, now: number): AgedLimit[] {
 		const limits: AgedLimit[] = [];
 		for (const id of ids) {
-			const entry = this.#entries.get(id);
+			const entry = this.#entries.peek(id);
 			if (entry !== undefined) {
 				const {startedAt, perSecond, statedAt} = entry;
 				limits.push({
@@ -116,7 +116,7 @@
 		const changed: AgedLimit[] = [];
 		for (const limit of limits) {
 			const {id, startedAt, perSecond, ageMs} = limit;
-			const current = this.#entries.get(id);
+			const current = this.#entries.peek(id);
 			if (current === undefined || current.startedAt <= startedAt) {
 				if (this.perSecond(limit) !== perSecond) {
 					changed.push(limit);
@@ -132,7 +132,7 @@
 	}
 
 	#entryOf({id, startedAt}: UpstreamBoot): Entry | undefined {
-		const entry = this.#entries.get(id);
+		const entry = this.#entries.peek(id);
 		return entry?.startedAt === startedAt ? entry : undefined;
 	}
 }
