Links: limits sent twice a second at most, quarantines listed without copying all suspicions

An upstream that changes its limit with each response caused ten broadcasts a second to all VMs, which need it only when they decide without the leader. On a change of the leader each link exported up to 10,000 suspicions to select the quarantines.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -139,7 +139,7 @@
 
 	/** Requests in quarantine, for other VMs. A suspicion that is not yet a quarantine is not shared, as each lost request raises one. */
 	get quarantined(): Suspicion[] {
-		return this.#quarantine.export(this.#options.clock.now()).filter(({quarantinedMs}) => quarantinedMs > 0);
+		return this.#quarantine.exportQuarantined(this.#options.clock.now());
 	}
 
 	/**
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -31,8 +31,11 @@
 const MEMBERS_BATCH_MS = 80;
 /** Of the configuration versions within this time only the last is sent, in ms; a tenth of the time in which a version must be in force. */
 const CONFIGURATION_BATCH_MS = 200;
-/** Limits of upstreams that change within this time are sent together, in ms; some upstreams change theirs with each response. */
-const LIMITS_BATCH_MS = 100;
+/**
+ * Limits of upstreams that change within this time are sent together, in ms. An upstream may change its limit with each
+ * response, and the other VMs need it only when they decide without this leader.
+ */
+const LIMITS_BATCH_MS = 500;
 /** Longest configuration that is sent over links, in characters; sending it to 360 VMs takes less than 2 s at 50 Mbit/s. */
 const MAX_INLINE_CONFIGURATION_LENGTH = 32_768;
 /** Interval at which the learned paces are sent, in ms; a successor works well with paces that are seconds old. */
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -5,8 +5,8 @@
 import {type ErrorKind} from '../base/errors.js';
 import {type Configuration} from '../gateway/routing-table.js';
 import {type AgedLimit} from '../gateway/upstream-limits.js';
-import {type Suspicion} from '../policy/quarantine.js';
 import {type Upstream, type UpstreamBoot} from '../gateway/upstream-list.js';
+import {type Suspicion} from '../policy/quarantine.js';
 
 /** What the other VMs know about a VM. */
 export type Member = {
--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -140,6 +140,18 @@
 		return suspicions;
 	}
 
+	/** @returns The suspicions that are quarantines. */
+	exportQuarantined(now: number): Suspicion[] {
+		const suspicions: Suspicion[] = [];
+		for (const [fingerprint, record] of this.#records.entries()) {
+			if (record.quarantinedUntil > now) {
+				suspicions.push(toSuspicion(fingerprint, record, now));
+			}
+		}
+
+		return suspicions;
+	}
+
 	/** Merges suspicions from another node. Idempotent. */
 	import(suspicions: readonly Suspicion[], now: number): void {
 		for (const suspicion of suspicions) {
