--- a/test/allocation/upstream-limits.test.ts
+++ b/test/allocation/upstream-limits.test.ts
@@ -181,6 +181,20 @@
 		expect(vm.grantsAt('limited')).to.have.length.above(5);
 	});
 
+	it('uses each of several limited upstreams up to its limit and sends the rest to the others', () => {
+		vm.limit(1.4);
+		vm.limit(6, 'other-1');
+		const from = clock.now();
+		vm.load(100, 20_000);
+		for (const [id, perSecond] of [['limited', 1.4], ['other-1', 6]] as const) {
+			expectWithinLimit([{perSecond, from, until: clock.now()}], vm.grantsAt(id));
+			expect(vm.grantsIn(id, from, clock.now()), id).to.be.above(0.9 * perSecond * 20);
+		}
+
+		expect(vm.grantsAt('other-2').length).to.be.above(80 * 20);
+		expect(vm.refusals.length).to.be.below(0.1 * 100 * 20);
+	});
+
 	it('restrains requests that were waiting when the limit became known', () => {
 		vm.allocator.setUpstreams({changed: [], removed: ['other-1', 'other-2']});
 		for (let count = 0; count < 40; count += 1) {
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -209,6 +209,23 @@
 			expect(limitOf(upstream)).to.equal(50);
 		});
 
+		it('counts streams that resume there against the limit', async () => {
+			const limited = await start('limited', ({id, socket}) => {
+				socket.write(formatStreamHead(id).replace('Content-Type', 'Server-Limit: 2\r\nContent-Type') + formatChunk('id: 9\ndata: z\n\n') + formatChunk(''));
+			});
+			await harness.call('resumable');
+			expect(limitOf(limited)).to.equal(2);
+			const before = limited.received.length;
+			await start('breaking', ({id, socket}) => {
+				socket.end(formatStreamHead(id) + formatChunk('id: 1\ndata: a\n\n'));
+			});
+			const calls = Promise.all(Array.from({length: 8}, async () => harness.call('resumable', 1500)));
+			await sleep(1000);
+			expect(limited.received.length - before).to.be.within(1, 3);
+			await calls;
+			expect(limited.received.slice(before).some(({lastEventId}) => lastEventId === '1')).to.equal(true);
+		});
+
 		it('ignores the limit of another server that took over its address', async () => {
 			const upstream = await start('moved', ({id, socket}) => {
 				socket.write(formatRejection(id, 'Server-Limit: 1\r\n').replace('503 Service Unavailable', '421 Misdirected Request'));
--- a/test/platform/limits.test.ts
+++ b/test/platform/limits.test.ts
@@ -112,6 +112,13 @@
 		expect(deployment.violations).to.deep.equal([]);
 	}
 
+	// Guards against requests beside those of callers, which would count against a limit.
+	it('sends servers no health checks', async () => {
+		const servers = [...deployment.servers.values()].map(({server}) => server);
+		await sleep(2500);
+		expect(servers.map(({arrivals}) => arrivals.length)).to.deep.equal(servers.map(() => 0));
+	});
+
 	// Guards against a limit that holds at no VM, or only at the one that was told: the server got as many requests as before.
 	it('sends a plain service no more than its limit from all VMs together, and uses it fully afterwards', async () => {
 		await limitServerUnderLoad('desk', ['safe', 'unsafe']);
