--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -21,7 +21,7 @@
 const LIMIT_DURATION_MS = {min: 5000, max: 12_000} as const;
 /** Time after the last fault within which every VM must serve again, in ms. */
 const RECOVERY_TIMEOUT_MS = 12_000;
-/** Number of VMs in a run. */
+/** Default number of VMs in a run. */
 export const VM_COUNT = 4;
 const SERVER_COUNT = 3;
 /** Value of `recovery` once all VMs have answered every call of a round; it is 0 until then. Any positive number would do. */
@@ -113,8 +113,8 @@
 
 /** One run. */
 export class ProcessRun {
-	static async create(seed: number): Promise<ProcessRun> {
-		return new ProcessRun(Random.create(seed), await PlatformDeployment.start(VM_COUNT, SERVER_COUNT));
+	static async create(seed: number, vmCount = VM_COUNT): Promise<ProcessRun> {
+		return new ProcessRun(Random.create(seed), await PlatformDeployment.start(vmCount, SERVER_COUNT));
 	}
 
 	readonly random: Random;
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -11,11 +11,12 @@
 		seed: {type: 'string', default: '1', description: 'Seed of the first run; incremented for each further run'},
 		seconds: {type: 'string', default: '10', description: 'Duration of the faults in each run, in seconds'},
 		runs: {type: 'string', default: '1', description: 'Number of runs'},
+		vms: {type: 'string', default: String(VM_COUNT), description: 'Number of VMs, each with a process of about 100 MB'},
 	},
 	async run({args}) {
 		let violations = 0;
 		for (let seed = Number(args.seed); seed < Number(args.seed) + Number(args.runs); seed += 1) {
-			const run = await ProcessRun.create(seed); // eslint-disable-line no-await-in-loop -- runs are sequential
+			const run = await ProcessRun.create(seed, Number(args.vms)); // eslint-disable-line no-await-in-loop -- runs are sequential
 			await run.execute(Number(args.seconds)); // eslint-disable-line no-await-in-loop
 			const {deployment, injectedFaults} = run;
 			if (deployment.violations.length > 0) {
@@ -25,7 +26,7 @@
 			await deployment.stop(); // eslint-disable-line no-await-in-loop
 			violations += deployment.violations.length;
 			console.log(JSON.stringify({
-				seed, processes: VM_COUNT, faults: Object.fromEntries(injectedFaults), answers: Object.fromEntries(deployment.counts), checks: deployment.checks, endedBeforeFirstLine: deployment.vms.reduce((sum, vm) => sum + vm.earlyHupCount, 0), violations: deployment.violations,
+				seed, processes: deployment.vms.length, faults: Object.fromEntries(injectedFaults), answers: Object.fromEntries(deployment.counts), checks: deployment.checks, endedBeforeFirstLine: deployment.vms.reduce((sum, vm) => sum + vm.earlyHupCount, 0), violations: deployment.violations,
 			}));
 		}
 
