--- a/soak/limit-rule.ts
+++ b/soak/limit-rule.ts
@@ -22,8 +22,6 @@
 export type LimitRuleOptions = {
 	/** Time from the first statement of a limit until the windows that are checked end, in ms. */
 	readonly contactMs: number;
-	/** Whether a fault excuses the window. */
-	readonly isExcused?: (from: number, until: number) => boolean;
 };
 
 /**
@@ -31,10 +29,10 @@
  * @param spans - In order, without overlaps.
  * @returns A description of the first window with too many requests; `undefined` if there is none.
  */
-export function findLimitExcess(arrivals: readonly number[], spans: readonly LimitSpan[], {contactMs, isExcused}: LimitRuleOptions): string | undefined {
+export function findLimitExcess(arrivals: readonly number[], spans: readonly LimitSpan[], {contactMs}: LimitRuleOptions): string | undefined {
 	for (const [index, at] of arrivals.entries()) {
 		const named = namedSince(spans, at);
-		if (named === undefined || at < named + contactMs || isExcused?.(at - WINDOW_MS, at) === true) {
+		if (named === undefined || at < named + contactMs) {
 			continue;
 		}
 
--- a/test/platform/limits.test.ts
+++ b/test/platform/limits.test.ts
@@ -9,7 +9,7 @@
 const LOAD_PER_SERVER = 20;
 const LIMIT_PER_SECOND = 2;
 const LIMITED_MS = 9000;
-/** Traffic that is far beyond the limit within it would exceed the allowance in this time, in ms. */
+/** Time from the first statement of a limit until it must hold, in ms: so long that no window contains the load before it. */
 const CONTACT_MS = 4500;
 /** Longest time until a refusal that is given at once, in ms. */
 const AT_ONCE_MS = 200;
