--- a/soak/limit-rule.ts
+++ b/soak/limit-rule.ts
@@ -31,8 +31,8 @@
  */
 export function findLimitExcess(arrivals: readonly number[], spans: readonly LimitSpan[], {contactMs}: LimitRuleOptions): string | undefined {
 	for (const [index, at] of arrivals.entries()) {
-		const named = namedSince(spans, at);
-		if (named === undefined || at < named + contactMs) {
+		const firstStatedAt = statedSince(spans, at);
+		if (firstStatedAt === undefined || at < firstStatedAt + contactMs) {
 			continue;
 		}
 
@@ -40,7 +40,7 @@
 		const allowed = (TOLERANCE_RATIO * perSecond * WINDOW_MS / MS_PER_SECOND) + TOLERANCE_COUNT;
 		const count = index + 1 - arrivals.findIndex(earlier => earlier > at - WINDOW_MS);
 		if (count > allowed) {
-			return `${count} requests in ${WINDOW_MS} ms, ${Math.floor(allowed)} allowed at ${perSecond} a second, ${Math.round(at - named)} ms after the limit was stated`;
+			return `${count} requests in ${WINDOW_MS} ms, ${Math.floor(allowed)} allowed at ${perSecond} a second, ${Math.round(at - firstStatedAt)} ms after the limit was stated`;
 		}
 	}
 
@@ -48,7 +48,7 @@
 }
 
 /** @returns Since when the upstream has stated limits without interruption; `undefined` if it states none at that time. */
-function namedSince(spans: readonly LimitSpan[], at: number): number | undefined {
+function statedSince(spans: readonly LimitSpan[], at: number): number | undefined {
 	let index = spans.findIndex(({from, until}) => from <= at && at < until);
 	while (index > 0 && spans[index - 1]!.until === spans[index]!.from) {
 		index -= 1;
