Directory: a request target that is no URL ended the process

Cause: resolveHandler parsed the target with new URL, which throws on '//' and 'http://['; the exception reached the event loop and ended the VM.

Ruled out: '?' alone never arrives, Node.js's parser answers it with 400.

--- a/test/platform/processes.test.ts
+++ b/test/platform/processes.test.ts
@@ -4,6 +4,7 @@
 import {ServerMode, expectedBody, expectedStreamBody} from '../../standins/platform-server.js';
 import {StoreMode} from '../../standins/platform-store.js';
 import {eventually} from '../support/eventually.js';
+import {sendRaw} from '../support/raw-http.js';
 
 describe('platform processes', function () {
 	this.timeout(60_000);
@@ -54,6 +55,17 @@
 		}, 50);
 	});
 
+	// Guards against a target that is no URL ending the process, for all callers of the VM.
+	it('answers any request target on the directory, and keeps running', async () => {
+		for (const target of ['//', 'http://', 'http://[/', '/api/resolve?region=%zz', '*']) {
+			// eslint-disable-next-line no-await-in-loop -- one target after the other shows which one fails
+			const {status} = await sendRaw(vms[0]!.directory, [`GET ${target} HTTP/1.1\r\nhost: directory\r\nconnection: close\r\n\r\n`]);
+			expect(status, target).to.equal(200);
+		}
+
+		expect(vms[0]!.isRunning).to.equal(true);
+	});
+
 	it('answers 404 where no route matches', async () => {
 		expect(await deployment.call(vms[0]!, 'safe', '/nowhere/')).to.include({status: 404});
 	});
