--- a/bench/allocation.ts
+++ b/bench/allocation.ts
@@ -72,6 +72,7 @@
 			outputEvents: 20,
 			quotaCost: 0,
 			isCharged: false,
+			isCounted: false,
 			objectiveMs: hasMissedObjective ? 0 : UNREACHED_DEADLINE_MS,
 			remainingMs: UNREACHED_DEADLINE_MS,
 			patienceMs: UNREACHED_DEADLINE_MS,
--- a/soak/simulated-callers.ts
+++ b/soak/simulated-callers.ts
@@ -114,6 +114,7 @@
 			outputEvents: 0,
 			quotaCost: customer === undefined ? 0 : 1,
 			isCharged: false,
+			isCounted: false,
 			objectiveMs: 300,
 			remainingMs: 2000,
 			callerLeavesMs: 2000,
--- a/src/allocation/allocation.ts
+++ b/src/allocation/allocation.ts
@@ -28,6 +28,8 @@
 	readonly quotaCost: number;
 	/** The quota was already charged for this request: an earlier place was released before a byte was sent. */
 	readonly isCharged: boolean;
+	/** An allocator was already asked for this attempt, and counted the request towards the retry budget. */
+	readonly isCounted: boolean;
 	/** Time left until the response-time objective is missed; negative once it has been missed. */
 	readonly objectiveMs: number;
 	/** Time left until the request's deadline, after which the answer is useless. */
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -304,7 +304,7 @@
 		this.#deferred.set(ask.id, clock.setTimer(STANDALONE_QUOTA_WAIT_MS, () => {
 			this.#deferred.delete(ask.id);
 			const aged = agePlaceRequest(ask, STANDALONE_QUOTA_WAIT_MS);
-			this.ask({...aged, patienceMs: Math.min(STANDALONE_QUOTA_WAIT_MS, aged.patienceMs)}, events);
+			this.ask({...aged, isCounted: true, patienceMs: Math.min(STANDALONE_QUOTA_WAIT_MS, aged.patienceMs)}, events);
 		}));
 	}
 
@@ -336,7 +336,10 @@
 			return undefined;
 		}
 
-		pool.retryBudget.noteRequest(now);
+		if (!ask.isCounted) {
+			pool.retryBudget.noteRequest(now);
+		}
+
 		// A customer may exceed its quota only by using capacity that would otherwise stay idle.
 		const quotaWaitMs = this.#quotas.spend(ask.customer, ask.quotaCost, hasFreePlace && pool.waiting.size === 0, now);
 		return quotaWaitMs > 0 ? {kind: ErrorKind.RateLimited, retryAfterMs: quotaWaitMs} : undefined;
--- a/src/allocation/switched-allocation.ts
+++ b/src/allocation/switched-allocation.ts
@@ -56,7 +56,8 @@
 		for (const entry of this.#entries.values()) {
 			if (entry.upstreamId === undefined) {
 				previous?.withdraw(entry.ask.id);
-				this.#forward(allocation, entry, agePlaceRequest(entry.ask, now - entry.requestedAt));
+				const aged = agePlaceRequest(entry.ask, now - entry.requestedAt);
+				this.#forward(allocation, entry, {...aged, isCounted: previous !== undefined});
 			}
 		}
 	}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -183,6 +183,7 @@
 			outputEvents,
 			quotaCost,
 			isCharged: this.#isGranted && this.#sentCount === 0,
+			isCounted: false,
 			objectiveMs: Math.round(arrivedAt + route.objectiveMs - now),
 			remainingMs: Math.round(this.#deadlineAt - now),
 			patienceMs: Math.round(Math.min(this.#deadlineAt, arrivedAt + callerPatienceMs(route)) - now),
--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -1,7 +1,7 @@
 import {expect} from 'chai';
 import {Allocator} from '../../src/allocation/allocator.js';
 import {type PlaceRequest, emptyReport, type PlaceReport} from '../../src/allocation/allocation.js';
-import {globalScope} from '../../src/allocation/scope.js';
+import {globalScope, standaloneScope} from '../../src/allocation/scope.js';
 import {ErrorKind} from '../../src/base/errors.js';
 import {Random} from '../../src/base/random.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
@@ -291,6 +291,32 @@
 		expect(countRetries(false)).to.equal(2);
 	});
 
+	// Guards against a standalone VM counting a request again each time its customer's quota makes it wait.
+	it('counts a request once towards the retry budget if it waits for a share of a quota', () => {
+		allocator.setTable(makeTable([{
+			name: 'hot', apiKeys: [], rank: undefined, quota: {
+				perSecond: 2, burst: 2, isInTokens: false, plainTokens: 1,
+			},
+		}]));
+		allocator.restart(standaloneScope(2));
+		const requestCount = 20;
+		for (let index = 0; index < requestCount; index += 1) {
+			ask(`hot-${index}`, {customer: 'hot', quotaCost: 1, patienceMs: 1800});
+			clock.advance(100);
+		}
+
+		clock.advance(2000);
+		let retries = 0;
+		for (let index = 0; index < 40; index += 1) {
+			ask(`retry-${index}`, {attempt: 2});
+			retries += granted.has(`retry-${index}`) ? 1 : 0;
+			allocator.release(`retry-${index}`, answered);
+		}
+
+		const slackOfVm = 20 * 0.45 * 0.25;
+		expect(retries).to.equal(Math.floor((0.2 * requestCount) + slackOfVm));
+	});
+
 	it('quarantines a request that crashes upstreams, and not one that succeeds', () => {
 		for (let index = 0; index < engineCount; index += 1) {
 			ask(`poison-${index}`, {fingerprint: 'poison', excluded: Array.from({length: index}, (_, other) => `engine-${other}`)});
--- a/test/allocation/switched-allocation.test.ts
+++ b/test/allocation/switched-allocation.test.ts
@@ -61,6 +61,18 @@
 		expect(first.requests.size).to.equal(0);
 	});
 
+	// Guards against two allocators counting one request, and both granting retries for it.
+	it('tells the next allocator that the previous one counted a waiting request, unless there was none', () => {
+		const next = new RecordingAllocation();
+		switched.use(next);
+		expect(next.requests.get('a')!.ask.isCounted).to.equal(true);
+
+		const unallocated = SwitchedAllocation.create(clock);
+		unallocated.ask(createPlaceRequest('b'), ignoredEvents);
+		unallocated.use(next);
+		expect(next.requests.get('b')!.ask.isCounted).to.equal(false);
+	});
+
 	it('reports a held place to the next allocator with the durations that were left when it was granted', () => {
 		first.requests.get('a')!.events.grant('one', 10);
 		clock.advance(50);
--- a/test/support/place-request.ts
+++ b/test/support/place-request.ts
@@ -14,6 +14,7 @@
 		outputEvents: 0,
 		quotaCost: 0,
 		isCharged: false,
+		isCounted: false,
 		objectiveMs: 1000,
 		remainingMs: 5000,
 		callerLeavesMs: 5000,
