Retry budget: requests of before the window allowed retries within it

Cause: a sliding window covers up to one interval more than its length, so that no retry is forgotten too early; requests were counted in such a window too. Just after the end of a rush they allowed retries that the window no longer has requests for.

Change: requests are counted over one interval less.

--- a/src/allocation/pool-retry-budget.ts
+++ b/src/allocation/pool-retry-budget.ts
@@ -34,7 +34,9 @@
 
 	private constructor(bounds: RetryBounds) {
 		this.#bounds = bounds;
-		this.#requests = SlidingWindow.create(bounds.windowMs, WINDOW_INTERVALS);
+		// A sliding window covers up to one interval more than its length. Requests must be counted over no more than the window.
+		const countedIntervals = WINDOW_INTERVALS - 1;
+		this.#requests = SlidingWindow.create(bounds.windowMs * countedIntervals / WINDOW_INTERVALS, countedIntervals);
 		this.#retries = SlidingWindow.create(bounds.windowMs, WINDOW_INTERVALS);
 	}
 
