Server-Leaving: several values are understood

Cause: a server that sends the header twice, which Node.js joins to '1, 1', was not taken for leaving, and got requests until the store said so.

--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -165,6 +165,9 @@
 		const decode = (status: number, headers: Record<string, string>) => codec.decodeResponse(status, headers, head);
 		expect(decode(200, {'server-leaving': '1'})).to.include({isLeaving: true});
 		expect(decode(200, {'server-leaving': '0'})).to.include({isLeaving: false});
+		expect(decode(200, {'server-leaving': '1, 1'})).to.include({isLeaving: true});
+		expect(decode(200, {'server-leaving': '0,1'})).to.include({isLeaving: true});
+		expect(decode(200, {'server-leaving': '0, 10'})).to.include({isLeaving: false});
 		expect(decode(421, {'server-leaving': '1'})).to.include({isLeaving: false});
 		expect(decode(503, {'retry-after': '1.25'}).retryAfter).to.deep.equal({text: '1.25', ms: 1250});
 		expect(decode(503, {'retry-after': 'soon'}).retryAfter).to.deep.equal({text: 'soon', ms: undefined});
