--- a/src/members/assignment.ts
+++ b/src/members/assignment.ts
@@ -145,7 +145,7 @@
 	return Math.min(localCount, NODES_PER_UPSTREAM - Math.min(REMOTE_NODES_PER_UPSTREAM, totalCount - localCount));
 }
 
-/** Leaving nodes are excluded because they only finish their requests. */
+/** Leaving nodes are excluded: they get no further upstreams, and use those that they have until they stop. */
 function isAssignable(member: MemberView): boolean {
 	return member.status === MemberStatus.Alive || member.status === MemberStatus.Suspect;
 }
--- a/src/serve/members.ts
+++ b/src/serve/members.ts
@@ -49,6 +49,7 @@
 	#deployment: Deployment | undefined;
 	#assignment = Assignment.create([], []);
 	#assignmentKey = '';
+	#assigned: readonly string[] = [];
 	/** Whether no peer is known, so that there is no peer state to wait for. */
 	#hasNoPeers = false;
 	readonly #startedAt: number;
@@ -111,9 +112,9 @@
 		return this.#membership.incarnation;
 	}
 
-	/** IDs of the upstreams assigned to this node. */
+	/** IDs of the upstreams assigned to this node. They stay the same while it leaves, as its waiting requests still need them. */
 	get assigned(): readonly string[] {
-		return this.#assignment.upstreamsOf(this.#options.self.id);
+		return this.#assigned;
 	}
 
 	/** Whether this node writes the freshness row of its region, which is the task of the live member with the lowest ID. */
@@ -181,6 +182,11 @@
 			id, pool, region: settings.region, dataCentre: settings.dataCentre,
 		}));
 		this.#assignment = Assignment.create(members, upstreams);
+		const {self} = this.#options;
+		if (members.some(({id, status}) => id === self.id && status === MemberStatus.Alive)) {
+			this.#assigned = this.#assignment.upstreamsOf(self.id);
+		}
+
 		this.#notifyUpstreams();
 	}
 
--- a/test/serve/members.test.ts
+++ b/test/serve/members.test.ts
@@ -81,3 +81,29 @@
 		expect(upstreamCounts).to.deep.equal([1]);
 	});
 });
+
+describe('members of a node that leaves', () => {
+	// Guards against requests that wait while a node drains, and then wait for an upstream until their deadline.
+	it('keeps the upstreams of the node until it stops, except those that are removed from the settings', async () => {
+		const {clock, members, upstreamCounts} = start([]);
+		await members.vmList.start(() => undefined);
+		await clock.advanceAsync(10);
+		await members.gossip.drain();
+		members.refresh();
+		expect(members.assigned).to.have.length(1);
+		expect(upstreamCounts.at(-1)).to.equal(1);
+		members.setDeployment(Deployment.create(new Map()));
+		expect(upstreamCounts.at(-1)).to.equal(0);
+	});
+
+	it('leaves the allocation of shares to the other nodes', async () => {
+		const {clock, members} = start([]);
+		await members.vmList.start(() => undefined);
+		await clock.advanceAsync(10);
+		const [id] = members.assigned;
+		expect(members.isAllocator(id!)).to.equal(true);
+		await members.gossip.drain();
+		members.refresh();
+		expect(members.isAllocator(id!)).to.equal(false);
+	});
+});
--- a/test/system/eight-nodes.test.ts
+++ b/test/system/eight-nodes.test.ts
@@ -55,8 +55,19 @@
 
 /** @returns Number of requests that a node has read but not answered. */
 async function fetchInFlightCount(node: RunningNode): Promise<number> {
+	return fetchGauge(node, 'redwingspool_in_flight');
+}
+
+/** @returns Number of requests that wait at a node for an upstream. */
+async function fetchWaitingCount(node: RunningNode): Promise<number> {
+	return fetchGauge(node, 'redwingspool_waiting');
+}
+
+async function fetchGauge(node: RunningNode, name: string): Promise<number> {
 	const res = await request(`${node.url}/metrics`);
-	return Number(/^redwingspool_in_flight (?<count>\d+)/mv.exec(await res.body.text())!.groups!.count);
+	const text = await res.body.text();
+	const line = text.split('\n').find(candidate => candidate.startsWith(`${name} `));
+	return Number(line!.slice(name.length));
 }
 
 async function placeHold(node: RunningNode, key: string, body: string): Promise<{status: number; ran: string; text: string}> {
@@ -162,6 +173,25 @@
 		}
 	});
 
+	// Guards P7 against requests that still wait for an upstream when the node begins to drain.
+	it('serves the requests that wait when a node is stopped gracefully', async () => {
+		const stoppingNode = nodes[5]!;
+		const count = 120;
+		let answered = 0;
+		const pendingResponses = Array.from({length: count}, async (_, index) => {
+			const response = await complete(stoppingNode, `waiting ${index}`, 60);
+			answered += 1;
+			return response;
+		});
+		await eventually(async () => await fetchInFlightCount(stoppingNode) + answered >= count, 10_000);
+		expect(await fetchWaitingCount(stoppingNode)).to.be.above(0);
+		expect(await deployment.stopNode(stoppingNode)).to.equal(0);
+		const responses = await Promise.all(pendingResponses);
+		for (const [index, response] of responses.entries()) {
+			expect(response).to.deep.equal({status: 200, text: expectedWords(`waiting ${index}`, 60).join('')});
+		}
+	});
+
 	it('reports no invariant violation at any node', async () => {
 		for (const node of deployment.running) {
 			// eslint-disable-next-line no-await-in-loop
