--- a/src/policy/concurrency-limit.ts
+++ b/src/policy/concurrency-limit.ts
@@ -4,9 +4,12 @@
 
 const INITIAL_LIMIT = 6;
 const MIN_LIMIT = 1;
-const GAP_EWMA_WEIGHT = 0.1;
-/** Number of observed gaps after which the minimum gap is used. */
-const WARM_UP_SAMPLES = 10;
+/**
+ * Length of an interval over which gaps are averaged before they are compared, and minimum number of its tokens. Tokens that
+ * wait in a buffer arrive together: the first one late, and the others without a gap. Only their mean shows the engine's speed.
+ */
+const MIN_INTERVAL_MS = 100;
+const MIN_INTERVAL_TOKENS = 4;
 const DECREASE_ABOVE_SLOWDOWN = 2.4;
 const INCREASE_BELOW_SLOWDOWN = 1.9;
 const DECREASE_FACTOR = 0.7;
@@ -26,8 +29,12 @@
 
 	#maximum: number;
 	#limit: number;
-	#smoothedGapMs = 0;
-	#sampleCount = 0;
+	/** Mean gap of the last interval, and of the one before. */
+	#gapMs = 0;
+	#previousGapMs = 0;
+	#intervalStartedAt = Number.NEGATIVE_INFINITY;
+	#intervalTokens = 0;
+	#intervalGapsMs = 0;
 	#windowStartedAt = 0;
 	#minGapMs = Number.POSITIVE_INFINITY;
 	#previousMinGapMs = Number.POSITIVE_INFINITY;
@@ -44,18 +51,14 @@
 		return Math.floor(this.#limit);
 	}
 
-	/** Smoothed inter-token gap in milliseconds; 0 before the first observation. */
+	/** Mean inter-token gap of the last interval in milliseconds; 0 before the first observation. */
 	get usualGapMs(): number {
-		return this.#smoothedGapMs;
+		return this.#gapMs === 0 && this.#intervalTokens > 0 ? this.#intervalGapsMs / this.#intervalTokens : this.#gapMs;
 	}
 
-	/** Ratio of the smoothed inter-token gap to its observed minimum; at least 1. */
+	/** Ratio of the inter-token gap to its observed minimum; at least 1. */
 	get slowdown(): number {
-		if (this.#sampleCount < WARM_UP_SAMPLES) {
-			return 1;
-		}
-
-		return Math.min(MAX_SLOWDOWN, Math.max(1, this.#smoothedGapMs / Math.max(MIN_MEASURABLE_GAP_MS, Math.min(this.#minGapMs, this.#previousMinGapMs))));
+		return this.#slowdownAt(this.#gapMs);
 	}
 
 	setMaximum(maximum: number): void {
@@ -64,16 +67,28 @@
 	}
 
 	/**
-	 * @param gapMs - Time since the previous token of the same response.
+	 * @param gapMs - Time since the previous tokens of the same response, per token.
 	 * @param isSaturated - Whether all slots are in use.
+	 * @param tokens - Number of tokens that arrived together.
 	 */
-	noteGap(gapMs: number, isSaturated: boolean, now: number): void {
-		this.#sampleCount += 1;
-		this.#smoothedGapMs = this.#sampleCount === 1 ? gapMs : this.#smoothedGapMs + (GAP_EWMA_WEIGHT * (gapMs - this.#smoothedGapMs));
-		if (this.#sampleCount >= WARM_UP_SAMPLES) {
+	noteGap(gapMs: number, isSaturated: boolean, now: number, tokens = 1): void {
+		this.#intervalStartedAt = this.#intervalTokens === 0 ? now : this.#intervalStartedAt;
+		this.#intervalTokens += tokens;
+		this.#intervalGapsMs += gapMs * tokens;
+		if (this.#intervalTokens >= MIN_INTERVAL_TOKENS && now - this.#intervalStartedAt >= MIN_INTERVAL_MS) {
+			const meanMs = this.#intervalGapsMs / this.#intervalTokens;
+			this.#intervalTokens = 0;
+			this.#intervalGapsMs = 0;
+			this.#previousGapMs = this.#gapMs;
+			this.#gapMs = meanMs;
 			this.#updateMinGap(now);
-			this.#adapt(isSaturated, now);
+			// A single interval also exceeds it when an engine pauses once.
+			if (this.#slowdownAt(Math.min(this.#gapMs, this.#previousGapMs)) > DECREASE_ABOVE_SLOWDOWN) {
+				this.#decrease(now);
+			}
 		}
+
+		this.#increase(isSaturated, now);
 	}
 
 	/**
@@ -90,13 +105,18 @@
 	 * must adapt the limit too: otherwise the limit of an engine that sends only such responses would never increase.
 	 */
 	noteWhole(isSaturated: boolean, now: number): void {
-		this.#adapt(isSaturated, now);
+		this.#increase(isSaturated, now);
 	}
 
 	/** Resets to the minimum limit after an outage; keeps the observed minimum gap. */
 	restart(): void {
 		this.#limit = MIN_LIMIT;
-		this.#smoothedGapMs = Math.min(this.#smoothedGapMs, this.#minGapMs, this.#previousMinGapMs);
+		this.#gapMs = Math.min(this.#gapMs, this.#minGapMs, this.#previousMinGapMs);
+	}
+
+	#slowdownAt(gapMs: number): number {
+		const baselineMs = Math.max(MIN_MEASURABLE_GAP_MS, Math.min(this.#minGapMs, this.#previousMinGapMs));
+		return Math.min(MAX_SLOWDOWN, Math.max(1, gapMs / baselineMs));
 	}
 
 	#updateMinGap(now: number): void {
@@ -106,14 +126,11 @@
 			this.#windowStartedAt = now;
 		}
 
-		this.#minGapMs = Math.min(this.#minGapMs, this.#smoothedGapMs);
+		this.#minGapMs = Math.min(this.#minGapMs, this.#gapMs);
 	}
 
-	#adapt(isSaturated: boolean, now: number): void {
-		const {slowdown} = this;
-		if (slowdown > DECREASE_ABOVE_SLOWDOWN) {
-			this.#decrease(now);
-		} else if (slowdown < INCREASE_BELOW_SLOWDOWN && isSaturated && now - this.#lastIncreaseAt >= INCREASE_INTERVAL_MS) {
+	#increase(isSaturated: boolean, now: number): void {
+		if (this.slowdown < INCREASE_BELOW_SLOWDOWN && isSaturated && now - this.#lastIncreaseAt >= INCREASE_INTERVAL_MS) {
 			this.#lastIncreaseAt = now;
 			this.#limit = Math.min(this.#maximum, this.#limit + 1);
 		}
--- a/src/policy/in-flight-tracker.ts
+++ b/src/policy/in-flight-tracker.ts
@@ -101,7 +101,7 @@
 			this.#handleFirstToken(running, now);
 		} else if (running.waiting.work.promptTokens > 0 && state.pendingPrefillTokens === 0 && !running.waiting.work.isWhole) {
 			// Decoding steps that also prefill are longer and would distort the inter-token gap.
-			state.limit.noteGap((now - running.lastTokenAt) / count, isSaturated(state, now), now);
+			state.limit.noteGap((now - running.lastTokenAt) / count, isSaturated(state, now), now, count);
 		}
 
 		running.lastTokenAt = now;
--- a/test/policy/modules.test.ts
+++ b/test/policy/modules.test.ts
@@ -45,6 +45,41 @@
 	});
 });
 
+/**
+ * Decodes streams, as many as the limit allows, with a token every 10 ms.
+ *
+ * @param options.isSenderPaused - Whether the engine pauses, and does not catch up; otherwise the process that reads does.
+ * @returns The limit after 10 s.
+ */
+function limitWithPauses({pauseMs, periodMs, isSenderPaused}: {pauseMs: number; periodMs: number; isSenderPaused: boolean}): number {
+	const maximum = 16;
+	const tokenIntervalMs = 10;
+	const stepMs = 0.5;
+	const limit = ConcurrencyLimit.create(maximum);
+	const streams = Array.from({length: maximum}, (_, index) => ({nextTokenAt: index * stepMs, lastReadAt: 0, unread: 0}));
+	for (let now = 0; now < 10_000; now += stepMs) {
+		const isPaused = now % periodMs < pauseMs;
+		for (const [index, stream] of streams.entries()) {
+			if (index >= limit.value) {
+				Object.assign(stream, {nextTokenAt: now + tokenIntervalMs, lastReadAt: now, unread: 0});
+				continue;
+			}
+
+			if (now >= stream.nextTokenAt && !(isSenderPaused && isPaused)) {
+				stream.unread += 1;
+				stream.nextTokenAt = (isSenderPaused ? now : stream.nextTokenAt) + tokenIntervalMs;
+			}
+
+			if (stream.unread > 0 && !isPaused) {
+				limit.noteGap((now - stream.lastReadAt) / stream.unread, true, now, stream.unread);
+				Object.assign(stream, {lastReadAt: now, unread: 0});
+			}
+		}
+	}
+
+	return limit.value;
+}
+
 describe('ConcurrencyLimit', () => {
 	it('decreases within 2 s of a threefold slowdown and recovers (guards against slow engines that keep their load)', () => {
 		const limit = ConcurrencyLimit.create(16);
@@ -71,6 +106,18 @@
 
 		expect(limit.value).to.equal(16);
 	});
+
+	// Guards against taking tokens that arrive together for a faster engine, and every usual gap afterwards for a slowdown: on a
+	// busy host, engines that were as fast as ever then got one stream at a time.
+	for (const [pauseMs, periodMs] of [[0, 100], [30, 100], [60, 100], [100, 300], [200, 500], [300, 1000]] as const) {
+		it(`reaches its maximum when this process reads tokens only after pauses of ${pauseMs} ms every ${periodMs} ms`, () => {
+			expect(limitWithPauses({pauseMs, periodMs, isSenderPaused: false})).to.equal(16);
+		});
+
+		it(`reaches its maximum when an engine pauses for ${pauseMs} ms every ${periodMs} ms`, () => {
+			expect(limitWithPauses({pauseMs, periodMs, isSenderPaused: true})).to.equal(16);
+		});
+	}
 });
 
 describe('PrefixIndex', () => {
