--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -7,7 +7,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {flood} from './responses.js';
 
@@ -51,10 +51,34 @@
 	RetryAfter: 'retry-after',
 	/** Runs the request and sends an endless response. */
 	Floods: 'floods',
+	/** Runs the request and sends a head that never ends. */
+	EndlessHead: 'endless-head',
+	/** Runs the request and sends a chunked body whose framing never ends. */
+	EndlessFraming: 'endless-framing',
+	/** Runs the request and sends a byte of its response now and then, without an end. */
+	Trickles: 'trickles',
 } as const;
 
 export type ServerMode = (typeof ServerMode)[keyof typeof ServerMode];
 
+/** The start of a response that never ends, and what follows repeatedly. */
+type EndlessResponse = readonly [start: string, repeated: string];
+
+const LONG_TEXT = 'x'.repeat(1000);
+const endlessHeads: readonly EndlessResponse[] = [
+	['HTTP/1.1 200 ', LONG_TEXT],
+	['HTTP/1.1 200 OK\r\nX-Long: ', LONG_TEXT],
+	['HTTP/1.1 200 OK\r\n', `X-Line: ${LONG_TEXT}\r\n`],
+	['', 'HTTP/1.1 100 Continue\r\n\r\n'],
+];
+const endlessFramings: readonly EndlessResponse[] = [
+	['5;', LONG_TEXT],
+	['0\r\n', `X-Line: ${LONG_TEXT}\r\n`],
+	['', `1;${LONG_TEXT}\r\nx\r\n`],
+];
+/** Time between two bytes of a response that trickles, in ms; shorter than any timeout for silence. */
+const TRICKLE_INTERVAL_MS = 100;
+
 /** A server on a loopback port. */
 export class PlatformServer {
 	static async start(id: string, slots: number): Promise<PlatformServer> {
@@ -160,6 +184,28 @@
 			return;
 		}
 
+		if (this.mode === ServerMode.EndlessHead) {
+			await this.#floodConnection(req.socket, endlessHeads[this.runs.length % endlessHeads.length]!);
+			return;
+		}
+
+		if (this.mode === ServerMode.EndlessFraming) {
+			const [start, repeated] = endlessFramings[this.runs.length % endlessFramings.length]!;
+			const lines = Object.entries({...headers, 'transfer-encoding': 'chunked'}).map(([name, value]) => `${name}: ${value}\r\n`);
+			await this.#floodConnection(req.socket, [`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n${start}`, repeated]);
+			return;
+		}
+
+		if (this.mode === ServerMode.Trickles) {
+			res.writeHead(200, {...headers, 'content-length': String(FLOOD_CHUNK.length)});
+			while (!res.destroyed) {
+				res.write('x');
+				await sleep(TRICKLE_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- bytes are sent at intervals
+			}
+
+			return;
+		}
+
 		if (this.mode === ServerMode.HeadOnly) {
 			res.writeHead(200, headers);
 			res.flushHeaders();
@@ -189,6 +235,24 @@
 		}
 	}
 
+	/** Writes past the HTTP server, which sends only valid responses. */
+	async #floodConnection(socket: Socket, [start, repeated]: EndlessResponse): Promise<void> {
+		if (socket.destroyed) {
+			return;
+		}
+
+		const closed = new Promise<void>(resolve => {
+			socket.once('close', () => {
+				resolve();
+			});
+		});
+		// The client aborts the connection.
+		socket.on('error', () => undefined);
+		socket.write(start);
+		flood(socket, repeated);
+		await closed;
+	}
+
 	async #sendStream(req: IncomingMessage, res: ServerResponse, headers: Record<string, string>): Promise<void> {
 		res.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
 		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
