Scheduler: an upstream that was removed and returned got more requests than it takes

Cause: setUpstreams dropped the state of a removed upstream. Its running requests kept counting there, and an upstream that returned, as when its assignment moves to another node and back, began at none in flight.

Change: the state is kept while requests run, and used again.

Measured: the new test starts a second request at an upstream with one slot without the change, and waits for the first with it.

--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -66,6 +66,8 @@
 	readonly #inFlightTracker: InFlightTracker;
 	readonly #pools = new Map<string, Pool>();
 	readonly #states = new Map<string, UpstreamState>();
+	/** Removed upstreams that still run requests, which count if the upstream returns. */
+	readonly #removedStates = new Map<string, UpstreamState>();
 	#tickTimer: Timer | undefined;
 
 	private constructor(options: PolicySchedulerOptions) {
@@ -203,11 +205,17 @@
 
 	noteFinished(workId: string, outcome: WorkOutcome): void {
 		const state = this.#inFlightTracker.noteFinished(workId, outcome);
-		if (state !== undefined) {
-			const pool = this.#getPool(state.view.pool);
-			pool.lanes.refresh(state);
-			pool.dispatchWaiting();
+		if (state === undefined) {
+			return;
 		}
+
+		if (state.inFlight === 0 && this.#removedStates.get(state.view.id) === state) {
+			this.#removedStates.delete(state.view.id);
+		}
+
+		const pool = this.#getPool(state.view.pool);
+		pool.lanes.refresh(state);
+		pool.dispatchWaiting();
 	}
 
 	setUpstreams(upstreams: readonly UpstreamView[]): void {
@@ -217,11 +225,15 @@
 			this.#getPool(state.view.pool).lanes.setMember(state, false);
 			if (!ids.has(id)) {
 				this.#states.delete(id);
+				if (state.inFlight > 0) {
+					this.#removedStates.set(id, state);
+				}
 			}
 		}
 
 		for (const view of upstreams) {
-			const state = this.#states.get(view.id) ?? UpstreamState.create(view, now);
+			const state = this.#states.get(view.id) ?? this.#removedStates.get(view.id) ?? UpstreamState.create(view, now);
+			this.#removedStates.delete(view.id);
 			this.#states.set(view.id, state);
 			state.view = view;
 			state.limit.setMaximum(view.maxConcurrency);
--- a/test/policy/policy-scheduler.test.ts
+++ b/test/policy/policy-scheduler.test.ts
@@ -36,6 +36,19 @@
 		expect(started.map(({upstreamId}) => upstreamId)).to.include('b');
 	});
 
+	// Guards against an engine with more requests than it takes after its assignment moved away and back.
+	it('counts the running requests of an upstream that is removed and returns', () => {
+		const {scheduler, started} = makeScheduler();
+		scheduler.setUpstreams([ONE_SLOT]);
+		scheduler.submit(makeWork('running'));
+		scheduler.setUpstreams([]);
+		scheduler.setUpstreams([ONE_SLOT]);
+		scheduler.submit(makeWork('waiting'));
+		expect(started.map(({work}) => work.id)).to.deep.equal(['running']);
+		scheduler.noteFinished('running', WorkOutcome.Done);
+		expect(started.map(({work}) => work.id)).to.deep.equal(['running', 'waiting']);
+	});
+
 	it('starts the highest-priority waiting tier first (guards against arrival order across tiers)', () => {
 		const {scheduler, started} = makeScheduler();
 		scheduler.setUpstreams([ONE_SLOT]);
