Upstream registry: a change of the settings during an exchange kept its client open

Cause: update replaced the entry of an upstream with a copy. Exchanges that ran counted down the old entry, so that the copy never reached zero and the client of the upstream, when removed, stayed with its connections.

Change: the entry stays and gets the new settings.

--- a/src/upstream/registry.ts
+++ b/src/upstream/registry.ts
@@ -7,7 +7,7 @@
 import {HttpPlainService} from './http-plain-service.js';
 
 type Entry = {
-	readonly upstream: Upstream;
+	upstream: Upstream;
 	readonly client: UpstreamClient;
 	inFlight: number;
 	isRemoved: boolean;
@@ -45,11 +45,14 @@
 		}
 
 		for (const [id, upstream] of next) {
-			const client = this.#entries.get(id)?.client ?? this.#createClient(upstream);
-			const inFlight = this.#entries.get(id)?.inFlight ?? 0;
-			this.#entries.set(id, {
-				upstream, client, inFlight, isRemoved: false,
-			});
+			const entry = this.#entries.get(id);
+			if (entry === undefined) {
+				this.#entries.set(id, {
+					upstream, client: this.#createClient(upstream), inFlight: 0, isRemoved: false,
+				});
+			} else {
+				entry.upstream = upstream;
+			}
 		}
 	}
 
