--- a/test/upstream/registry.test.ts
+++ b/test/upstream/registry.test.ts
@@ -24,11 +24,13 @@
 				kind: 'plain', tiers: [{name: 'only', deadlineMs: 1000}], defaultTier: 'only',
 			},
 		},
-		upstreams: maxConcurrency === undefined ? {} : {
-			first: {
-				service: 'booking', url: 'http://127.0.0.1:1', region: 'north', dataCentre: 'north-1', maxConcurrency,
+		upstreams: maxConcurrency === undefined
+			? {}
+			: {
+				first: {
+					service: 'booking', url: 'http://127.0.0.1:1', region: 'north', dataCentre: 'north-1', maxConcurrency,
+				},
 			},
-		},
 	})]]));
 }
 
