Entry: a head that was not read completely was taken for one without an idempotency key

Cause: a rejected head was searched for the key in the packet at hand. The key may follow in the next one; the caller of a booking was then told that it has not run, although an earlier attempt with its key may have.

Change: the key is ruled out only if the packet holds the whole head.

Measured: the new test fails without the change (431 with ran: no for a booking) and passes with it; a complete head without a key is answered with ran: no as before.

--- a/src/entry/http-limits.ts
+++ b/src/entry/http-limits.ts
@@ -137,12 +137,12 @@
 }
 
 /**
- * Whether a rejected request may have had an idempotency key. It can be ruled out only if the packet begins with the
- * request line and contains no such header.
+ * Whether a rejected request may have had an idempotency key. It can be ruled out only if the packet contains the whole
+ * head, from the request line to the empty line, and no such header.
  */
 function mayHaveIdempotencyKey(err: ClientError): boolean {
 	const packet = err.rawPacket instanceof Uint8Array ? Buffer.from(err.rawPacket).toString('latin1') : '';
-	return !/^[A-Z]+ [^\r\n]*\r\n/v.test(packet) || /idempotency-key/iv.test(packet);
+	return !/^[A-Z]+ [^\r\n]*\r\n(?:[^\r\n]+\r\n)*\r\n/v.test(packet) || /idempotency-key/iv.test(packet);
 }
 
 function writeRawResponse(socket: Duplex, err: SchedulerError, isKeyed: boolean, extraHeaders: Readonly<Record<string, string>>): void {
--- a/test/entry/bad-input.test.ts
+++ b/test/entry/bad-input.test.ts
@@ -90,6 +90,20 @@
 		});
 	}
 
+	// Guards against telling the caller of a booking that it has not run, although an earlier attempt with its key may have.
+	it('does not rule out an idempotency key in a head that was not read completely', async () => {
+		const holds = `POST /services/booking/holds HTTP/1.1\r\n${auth}`;
+		const tooLong = await send(`${holds}X: ${'a'.repeat(400_000)}\r\nIdempotency-Key: k\r\n\r\n`);
+		expect(tooLong.head).to.match(/redwingspool-ran: unknown/v);
+		const malformed = await send(`${holds}Bad Header`, '\r\nIdempotency-Key: k\r\n\r\n');
+		expect(malformed.head).to.match(/redwingspool-ran: unknown/v);
+	});
+
+	it('rules out an idempotency key in a complete head without one', async () => {
+		const answer = await send(`POST /services/booking/holds HTTP/1.1\r\n${auth}Content-Length: +4\r\n\r\nabcd`);
+		expect(answer.head).to.match(/redwingspool-ran: no/v);
+	});
+
 	it('responds with body-too-large to a chunked body over the limit while it is still being sent', async () => {
 		const chunk = `10000\r\n${'a'.repeat(0x1_00_00)}\r\n`;
 		const answer = await send(`POST ${completions} HTTP/1.1\r\n${auth}Transfer-Encoding: chunked\r\n\r\n`, ...Array.from({length: 80}, () => chunk));
