Supervisor: a part whose restart was under way ran on after the stop

Cause: stop() cancels the timer of a restart, but not a restart that has begun; when its stop or start had finished, the part ran again.

Change: a restart does not start the part after the supervisor stopped, and stops it again if it was just starting.

Measured: both new tests fail without the change and pass with it.

--- a/src/supervisor/supervisor.ts
+++ b/src/supervisor/supervisor.ts
@@ -36,7 +36,9 @@
 	readonly #children: Child[];
 	readonly #clock: Clock;
 	readonly #log: Log;
+	/** Failed parts are not restarted any more. */
 	#isStopping = false;
+	#isStopped = false;
 
 	private constructor(options: SupervisorOptions) {
 		super();
@@ -77,6 +79,7 @@
 
 	async stop(): Promise<void> {
 		this.#isStopping = true;
+		this.#isStopped = true;
 		for (const child of this.#children.toReversed()) {
 			child.timer?.cancel();
 			// eslint-disable-next-line no-await-in-loop -- parts stop in reverse order
@@ -112,7 +115,16 @@
 	async #restart(child: Child): Promise<void> {
 		try {
 			await child.part.stop();
+			if (this.#isStopped) {
+				return;
+			}
+
 			await this.#startChild(child);
+			if (this.#isStopped) {
+				await child.part.stop();
+				return;
+			}
+
 			child.isRestarting = false;
 			this.#log.info('Part was restarted.', {part: child.part.name, restarts: child.restarts});
 		} catch (error) {
--- a/test/supervisor/supervisor.test.ts
+++ b/test/supervisor/supervisor.test.ts
@@ -8,6 +8,10 @@
 	readonly name: string;
 	readonly events: string[];
 	failingStarts = 0;
+	isRunning = false;
+	/** Resolve when the part may finish to start, and to stop. */
+	startGate = Promise.resolve();
+	stopGate = Promise.resolve();
 	#onFailure: ((err: Error) => void) | undefined;
 
 	constructor(name: string, events: string[]) {
@@ -27,10 +31,15 @@
 			this.failingStarts -= 1;
 			throw new Error('cannot start');
 		}
+
+		await this.startGate;
+		this.isRunning = true;
 	}
 
 	async stop(): Promise<void> {
 		this.events.push(`${this.name} stop`);
+		this.isRunning = false;
+		await this.stopGate;
 	}
 }
 
@@ -60,6 +69,26 @@
 		expect(supervisor.restarts.get('second')).to.equal(1);
 	});
 
+	/** Stops the supervisor while the restart of a part waits, and checks that the part does not run afterwards. */
+	async function stopDuringRestart(phase: 'stop' | 'start'): Promise<void> {
+		let open: (() => void) | undefined;
+		second[`${phase}Gate`] = new Promise(resolve => {
+			open = resolve;
+		});
+		second.fail(new Error('broken'));
+		await clock.advanceAsync(100);
+		expect(events.at(-1)).to.equal(`second ${phase}`);
+		const stopped = supervisor.stop();
+		open!();
+		await stopped;
+		await clock.advanceAsync(1000);
+		expect(second.isRunning).to.equal(false);
+	}
+
+	// Guard against a part that runs on after the supervisor has stopped, because its restart was under way.
+	it('leaves no part running whose restart waited for its stop when the supervisor stopped', async () => stopDuringRestart('stop'));
+	it('leaves no part running whose restart waited for its start when the supervisor stopped', async () => stopDuringRestart('start'));
+
 	// Guards against a part that fails immediately on each start and would block the thread if it were restarted in a tight loop.
 	it('increases the delay before each restart of a part that keeps failing', async () => {
 		second.failingStarts = 3;
