Eight nodes: requests surely wait when the node is stopped

The test asserts that requests wait at the signal. With streams of 0.6 s a slow host could have served all of them by then, and with the tier of 10 s refused the last. Streams are longer now, and the tier's deadline is 60 s; the check is the same.

--- a/test/system/eight-nodes.test.ts
+++ b/test/system/eight-nodes.test.ts
@@ -40,10 +40,10 @@
 	return res.body.text();
 }
 
-async function complete(node: RunningNode, prompt: string, tokens: number): Promise<{status: number; text: string}> {
+async function complete(node: RunningNode, prompt: string, tokens: number, tier = 'advice'): Promise<{status: number; text: string}> {
 	const res = await request(`${node.url}/v1/chat/completions`, {
 		method: 'POST',
-		headers: {authorization: `Bearer ${callerKey}`, 'content-type': 'application/json'},
+		headers: {authorization: `Bearer ${callerKey}`, 'content-type': 'application/json', 'redwingspool-tier': tier},
 		body: JSON.stringify({
 			model: 'crew-advice', stream: true, max_tokens: tokens, messages: [{role: 'user', content: prompt}],
 		}),
@@ -179,7 +179,8 @@
 		const count = 120;
 		let answered = 0;
 		const pendingResponses = Array.from({length: count}, async (_, index) => {
-			const response = await complete(stoppingNode, `waiting ${index}`, 60);
+			// Long streams keep requests waiting until the node stops, and the tier's deadline leaves time for all of them.
+			const response = await complete(stoppingNode, `waiting ${index}`, 100, 'summary');
 			answered += 1;
 			return response;
 		});
@@ -188,7 +189,7 @@
 		expect(await deployment.stopNode(stoppingNode)).to.equal(0);
 		const responses = await Promise.all(pendingResponses);
 		for (const [index, response] of responses.entries()) {
-			expect(response).to.deep.equal({status: 200, text: expectedWords(`waiting ${index}`, 60).join('')});
+			expect(response).to.deep.equal({status: 200, text: expectedWords(`waiting ${index}`, 100).join('')});
 		}
 	});
 
