Entry: the test of an unfinished head sends no more than the server reads

With 400 kB the server closes the connection with bytes unread, so that its answer could be lost with a reset.

--- a/test/entry/bad-input.test.ts
+++ b/test/entry/bad-input.test.ts
@@ -93,7 +93,7 @@
 	// Guards against telling the caller of a booking that it has not run, although an earlier attempt with its key may have.
 	it('does not rule out an idempotency key in a head that was not read completely', async () => {
 		const holds = `POST /services/booking/holds HTTP/1.1\r\n${auth}`;
-		const tooLong = await send(`${holds}X: ${'a'.repeat(400_000)}\r\nIdempotency-Key: k\r\n\r\n`);
+		const tooLong = await send(`${holds}X: ${'a'.repeat(40_000)}`);
 		expect(tooLong.head).to.match(/redwingspool-ran: unknown/v);
 		const malformed = await send(`${holds}Bad Header`, '\r\nIdempotency-Key: k\r\n\r\n');
 		expect(malformed.head).to.match(/redwingspool-ran: unknown/v);
