--- a/src/gateway/call-codec.ts
+++ b/src/gateway/call-codec.ts
@@ -22,6 +22,8 @@
 	/** How long the caller will wait from now, in ms; `undefined` when it does not state a limit. */
 	readonly patienceMs: number | undefined;
 	readonly generation: GenerationSize | undefined;
+	/** IDs of the parts of the prompt that other requests may share, in order and without repeats. */
+	readonly promptParts: readonly string[];
 	/** ID of the last event that the caller received of an interrupted stream. */
 	readonly lastEventId: string | undefined;
 };
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -53,6 +53,8 @@
 const FIRST_ERROR_STATUS = 400;
 /** Maximum size of an error response that is kept while another upstream is tried, in bytes. */
 const MAX_FALLBACK_BYTES = 262_144;
+/** Maximum number of prompt parts in one log line. */
+const MAX_LOGGED_PARTS = 8;
 /** Maximum size of a response buffered before it is relayed, in bytes; a VM has some hundred MB for all requests. */
 const MAX_BUFFERED_BYTES = 8_388_608;
 
@@ -458,8 +460,16 @@
 		};
 		this.#context.allocation.release(attempt.askId, report);
 		if (ending !== Ending.Answered) {
+			const {id, promptParts} = this.#call.head;
 			this.#context.log.info('Exchange failed.', {
-				request: this.#call.head.id, upstream: attempt.upstream.id, ending, detail: this.#lastDetail, sent: this.#sentCount, status: this.#status,
+				request: id,
+				upstream: attempt.upstream.id,
+				ending,
+				detail: this.#lastDetail,
+				sent: this.#sentCount,
+				status: this.#status,
+				events: attempt.events,
+				promptParts: promptParts.slice(0, MAX_LOGGED_PARTS).join(',') || undefined,
 			});
 		}
 	}
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -144,7 +144,7 @@
 	it('regards a response as signed by the upstream only with its seal and the request\'s ID', () => {
 		const codec = HeaderCodec.create();
 		const head: CallHead = {
-			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, lastEventId: undefined,
+			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, promptParts: [], lastEventId: undefined,
 		};
 		const decode = (status: number, headers: Record<string, string>) => codec.decodeResponse(status, headers, head);
 		expect(decode(200, {'x-request-id': 'id-1', 'x-server-seal': 's', 'x-server-load': '3,1,8'})).to.deep.equal({
@@ -160,7 +160,7 @@
 	it('decodes whether the upstream itself is leaving, and Retry-After only from a refusal', () => {
 		const codec = HeaderCodec.create();
 		const head: CallHead = {
-			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, lastEventId: undefined,
+			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, promptParts: [], lastEventId: undefined,
 		};
 		const decode = (status: number, headers: Record<string, string>) => codec.decodeResponse(status, headers, head);
 		expect(decode(200, {'server-leaving': '1'})).to.include({isLeaving: true});
@@ -178,7 +178,7 @@
 	it('decodes the limit of an upstream from each of its responses, and tells unusable values from absent ones', () => {
 		const codec = HeaderCodec.create();
 		const head: CallHead = {
-			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, lastEventId: undefined,
+			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, promptParts: [], lastEventId: undefined,
 		};
 		const decode = (text: string, status = 200) => codec.decodeResponse(status, {'server-limit': text}, head).limit;
 		const usable: ReadonlyArray<readonly [string, number]> = [
