--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -28,6 +28,8 @@
 const DISTURBANCE_GRACE_MS = 3000;
 /** Time from the first statement of a limit until it must hold, in ms, as in the larger example deployments. */
 const LIMIT_CONTACT_MS = 4500;
+/** Time until a crashed server is replaced, in ms. */
+const RESTART_MS = 1000;
 const READY_TIMEOUT_MS = 20_000;
 const READY_POLL_INTERVAL_MS = 50;
 const MAX_LOG_LINES = 4000;
@@ -168,6 +170,10 @@
 	/** Descriptions of the violations found. */
 	readonly violations: string[] = [];
 	readonly counts = new Map<string, number>();
+	/** Parts of a prompt that crash each engine that begins to answer; a crashed engine is replaced after `RESTART_MS`. */
+	readonly deadlyParts = new Set<string>();
+	/** Times of the crashes by such parts, in ms of `performance.now()`. */
+	readonly deadlyCrashes: number[] = [];
 	checks = 0;
 	readonly #folder: string;
 	readonly #agent = new Agent({keepAlive: true, maxSockets: 60});
@@ -190,6 +196,15 @@
 
 	async addServer(service: string, slots: number): Promise<PlatformServer> {
 		const server = await PlatformServer.start(`i-${this.#allServers.length}`, slots);
+		server.isDeadly = prompt => promptParts(prompt).some(part => this.deadlyParts.has(part));
+		server.onCrash = () => {
+			this.deadlyCrashes.push(performance.now());
+			this.crashServer(server.id);
+			setTimeout(() => {
+				void this.addServer(service, slots);
+			}, RESTART_MS).unref();
+		};
+
 		this.#allServers.push(server);
 		this.servers.set(server.id, {server, service});
 		this.store.put('servers', server.id, server.entry(service));
@@ -280,7 +295,7 @@
 	}
 
 	/** Sends a request to a VM and checks the answer. */
-	async call(vm: VmProcess, kind: CallKind, prefix = `/${kind}/`): Promise<CallerAnswer> {
+	async call(vm: VmProcess, kind: CallKind, prefix = `/${kind}/`, prompt?: string): Promise<CallerAnswer> {
 		const id = `r${this.#nextId}`;
 		this.#nextId += 1;
 		const target = `${prefix}${id}?x=1`;
@@ -293,6 +308,7 @@
 			'x-deadline-ms': String(CALLER_TIMEOUT_MS),
 			authorization: 'Bearer key-1',
 			...(kind === 'stream' ? {'x-token-count': '100,40', 'x-model': 'm'} : {}),
+			...(prompt === undefined ? {} : {'x-prompt-prefix': prompt}),
 		}, body, CALLER_TIMEOUT_MS + 1000);
 		const answer = {...response, id};
 		this.#countOutcome(`${kind} ${answer.isWhole ? answer.status : 'cut'}`);
@@ -300,6 +316,12 @@
 		return answer;
 	}
 
+	/** @returns Times at which requests with a part reached servers, in order. */
+	arrivalsWith(part: string): number[] {
+		const runs = this.#allServers.flatMap(server => server.runs);
+		return runs.filter(({prompt}) => promptParts(prompt).includes(part)).map(({at}) => at).sort((a, b) => a - b);
+	}
+
 	/** Checks the requests that the servers executed; call it after all requests have ended. */
 	checkServers(): void {
 		const executions = new Map<string, number>();
@@ -463,3 +485,8 @@
 		});
 	}
 }
+
+/** @returns IDs of the parts of a prompt that other requests may share. */
+function promptParts(prompt: string): string[] {
+	return prompt.split(',').slice(0, -1).map(entry => entry.split(':')[0]!);
+}
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -27,6 +27,8 @@
 	readonly body: string;
 	readonly tenant: string | undefined;
 	readonly deadlineMs: number;
+	/** Entries of the prompt, separated by commas. */
+	readonly prompt: string;
 	readonly at: number;
 };
 
@@ -92,6 +94,10 @@
 	mode: ServerMode = ServerMode.Healthy;
 	/** Value of the limit that each response states; `undefined` for none. */
 	limit: string | undefined;
+	/** Tells whether a prompt crashes the server as soon as it begins to answer. */
+	isDeadly: (prompt: string) => boolean = () => false;
+	/** Called when a prompt crashed the server. */
+	onCrash: (() => void) | undefined;
 	/** Times at which requests arrived, whether they ran or not, in ms of `performance.now()`. */
 	readonly arrivals: number[] = [];
 	readonly id: string;
@@ -163,6 +169,7 @@
 			body: Buffer.concat(chunks).toString(),
 			tenant: req.headers['x-tenant']?.toString(),
 			deadlineMs: Number(req.headers['x-deadline-ms']),
+			prompt: String(req.headers['x-prompt-prefix'] ?? ''),
 			at: performance.now(),
 		});
 		await this.#respond(req, res, id);
@@ -255,6 +262,7 @@
 
 	async #sendStream(req: IncomingMessage, res: ServerResponse, headers: Record<string, string>): Promise<void> {
 		res.writeHead(200, {...headers, 'content-type': 'text/event-stream'});
+		res.flushHeaders();
 		const first = Number(req.headers['last-event-id'] ?? 0) + 1;
 		for (let event = first; event <= STREAM_EVENTS; event += 1) {
 			await sleep(EVENT_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- events are sent at intervals
@@ -262,6 +270,12 @@
 				return;
 			}
 
+			if (this.isDeadly(String(req.headers['x-prompt-prefix'] ?? ''))) {
+				this.crash();
+				this.onCrash?.();
+				return;
+			}
+
 			if (this.mode === ServerMode.Truncates && event === first + 2) {
 				res.write(`id: ${event}\nda`, () => res.destroy());
 				return;
