--- a/bench/allocation.ts
+++ b/bench/allocation.ts
@@ -83,6 +83,7 @@
 			attempt: 1,
 			excluded: [],
 			fingerprint: id,
+			features: [id],
 		};
 		allocator.ask(placeRequest, {
 			grant() {
--- a/soak/simulated-callers.ts
+++ b/soak/simulated-callers.ts
@@ -125,6 +125,7 @@
 			attempt,
 			excluded,
 			fingerprint: id,
+			features: [id],
 		};
 		if (attempt === 1) {
 			this.#firstAttemptTimes.push(this.#options.clock.now());
--- a/src/allocation/allocation.ts
+++ b/src/allocation/allocation.ts
@@ -48,6 +48,8 @@
 	readonly excluded: readonly string[];
 	/** Identifies the combination of path, customer and body. */
 	readonly fingerprint: string;
+	/** What other requests can share with it that may crash an upstream: its fingerprint and the parts of its prompt; see `policy/features`. */
+	readonly features: readonly string[];
 };
 
 /** @returns The request with every duration reduced by the elapsed time. */
@@ -105,6 +107,9 @@
 
 /** Decides which request gets a place, at which upstream, and when. */
 export abstract class Allocation {
+	/** Whether it records what the endings of this process's exchanges show about crashes. */
+	abstract readonly recordsCrashes: boolean;
+
 	/** Requests a place; one of the events follows, possibly before this method returns. */
 	abstract ask(ask: PlaceRequest, events: PlaceRequestEvents): void;
 
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -9,7 +9,7 @@
 import {type RoutingTable} from '../gateway/routing-table.js';
 import {type UpstreamLimits} from '../gateway/upstream-limits.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
-import {Quarantine, Standing as SuspectStanding, type Suspicion} from '../policy/quarantine.js';
+import {Quarantine, type Suspicion} from '../policy/quarantine.js';
 import {
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, emptyReport, type HeldPlace, type PlaceReport,
 } from './allocation.js';
@@ -17,6 +17,7 @@
 import {type RetryBounds} from './pool-retry-budget.js';
 import {Quotas, type QuotaTolerance} from './quotas.js';
 import {CallerRetries} from './caller-retries.js';
+import {CrashRecorder, type RecordedUpstream} from './crash-recorder.js';
 import {type Scope, globalScope} from './scope.js';
 import {type HeldRequest, type TrackedUpstream} from './tracked-upstream.js';
 import {type WaitingRequest} from './waiting-queue.js';
@@ -41,8 +42,8 @@
 const RETRY_DELAY_RATIO = 0.28;
 /** Retry-After is multiplied by a random factor in this range, so that refused callers do not retry at the same time. */
 const RETRY_JITTER = {min: 0.75, max: 1.2} as const;
-/** Retry-After of a request that is quarantined because it crashed three upstreams, in ms. */
-const QUARANTINE_RETRY_AFTER_MS = 5000;
+/** How long requests with a feature that crashes upstreams are refused, in ms; then one of them is tried again. Three trials a day crash three upstreams at most. */
+const QUARANTINE_MS = 28_800_000;
 
 /** Options of an allocator. */
 export type AllocatorOptions = {
@@ -75,16 +76,20 @@
 		return new Allocator(options);
 	}
 
+	readonly recordsCrashes = true;
 	/** Called for each decision. */
 	onDecision: ((decision: Decision) => void) | undefined;
-	/** Called when a request is quarantined. */
-	onQuarantine: ((suspicion: Suspicion) => void) | undefined;
+	/** Called when something is learnt of what crashes upstreams, by requests that this allocator decided on. */
+	onSuspicion: ((suspicion: Suspicion) => void) | undefined;
+	/** Called when requests with a feature are quarantined. */
+	onQuarantined: ((suspicion: Suspicion) => void) | undefined;
+	readonly quarantine: Quarantine;
 	readonly #options: AllocatorOptions;
 	readonly #pools = new Map<string, Pool>();
 	readonly #poolByRequest = new Map<string, Pool>();
 	readonly #poolByUpstream = new Map<string, Pool>();
 	readonly #quotas: Quotas;
-	readonly #quarantine: Quarantine;
+	readonly #crashRecorder: CrashRecorder;
 	readonly #callerRetries = CallerRetries.create();
 	/** Timers of the requests that exceed this VM's share of a quota, by ID. */
 	readonly #deferred = new Map<string, Timer>();
@@ -96,11 +101,16 @@
 		super();
 		this.#options = options;
 		this.#quotas = Quotas.create(options.quotaTolerance);
-		this.#quarantine = Quarantine.create(options.nodeId, suspicion => {
-			if (suspicion.quarantinedMs > 0) {
-				this.onQuarantine?.(suspicion);
-			}
+		this.quarantine = Quarantine.create(options.nodeId, suspicion => {
+			this.onSuspicion?.(suspicion);
+		}, {
+			quarantineMs: QUARANTINE_MS,
+			onQuarantined: suspicion => {
+				this.onQuarantined?.(suspicion);
+				this.#refuseQuarantined();
+			},
 		});
+		this.#crashRecorder = CrashRecorder.create(options.clock, this.quarantine);
 	}
 
 	/** Number of requests that wait for a place. */
@@ -137,23 +147,6 @@
 		}
 	}
 
-	/** Requests in quarantine, for other VMs. A suspicion that is not yet a quarantine is not shared, as each lost request raises one. */
-	get quarantined(): Suspicion[] {
-		return this.#quarantine.exportQuarantined(this.#options.clock.now());
-	}
-
-	/**
-	 * Quarantines requests that another allocator saw crash upstreams.
-	 *
-	 * @returns Those that were not in quarantine before.
-	 */
-	importQuarantined(suspicions: readonly Suspicion[]): Suspicion[] {
-		const now = this.#options.clock.now();
-		const added = suspicions.filter(({fingerprint}) => this.#quarantine.standing(fingerprint, now) !== SuspectStanding.Quarantined);
-		this.#quarantine.import(added, now);
-		return added;
-	}
-
 	/** Starts to decide for the VMs of a scope, discarding all waiting requests and held places. */
 	restart(scope: Scope): void {
 		const now = this.#options.clock.now();
@@ -222,7 +215,7 @@
 			const pool = this.#poolByUpstream.get(upstreamId) ?? this.#getOrCreatePool(ask.pool);
 			const grantedAt = now - heldMs;
 			pool.adopt({
-				ask, upstreamId, grantedAt, objectiveAt: grantedAt + ask.objectiveMs, callerLeavesAt: grantedAt + ask.callerLeavesMs, pendingPromptTokens: 0, hasFirst,
+				ask, upstreamId, upstreamStartedAt: pool.upstreams.get(upstreamId)?.upstream.startedAt ?? 0, grantedAt, objectiveAt: grantedAt + ask.objectiveMs, callerLeavesAt: grantedAt + ask.callerLeavesMs, pendingPromptTokens: 0, hasFirst,
 			});
 			this.#poolByRequest.set(ask.id, pool);
 		}
@@ -273,7 +266,12 @@
 	}
 
 	noteFirst(id: string, firstMs: number): void {
-		this.#poolByRequest.get(id)?.noteFirst(id, firstMs);
+		const pool = this.#poolByRequest.get(id);
+		const held = pool?.held.get(id);
+		if (pool !== undefined && held !== undefined) {
+			this.#crashRecorder.noteBegun(held.ask, recordedUpstream(pool, held));
+			pool.noteFirst(id, firstMs);
+		}
 	}
 
 	release(id: string, report: PlaceReport): void {
@@ -285,17 +283,12 @@
 
 		this.#poolByRequest.delete(id);
 		const now = this.#options.clock.now();
+		this.#crashRecorder.noteEnding(held.ask, recordedUpstream(pool, held), report.ending, held.hasFirst);
 		pool.release(held, report, now, this.#scope.isStandalone);
-		if (report.ending === Ending.Answered) {
-			this.#quarantine.noteSuccess(held.ask.fingerprint, now);
-		} else {
+		if (report.ending !== Ending.Answered) {
 			this.#callerRetries.note(held.ask.fingerprint, held, now);
 		}
 
-		if (report.ending === Ending.Lost || report.ending === Ending.Spoiled) {
-			this.#quarantine.noteLoss(held.upstreamId, [held.ask.fingerprint], now);
-		}
-
 		this.#grantPlaces(pool);
 	}
 
@@ -310,8 +303,8 @@
 
 	#findRefusal(pool: Pool, waiting: WaitingRequest, now: number): {kind: ErrorKind; retryAfterMs: number} | undefined {
 		const {ask} = waiting;
-		if (this.#quarantine.standing(ask.fingerprint, now) === SuspectStanding.Quarantined) {
-			return {kind: ErrorKind.CrashSuspect, retryAfterMs: QUARANTINE_RETRY_AFTER_MS};
+		if (this.quarantine.findQuarantined(ask.features, now) !== undefined) {
+			return {kind: ErrorKind.CrashSuspect, retryAfterMs: 0};
 		}
 
 		if (!pool.hasUsableUpstream(ask.excluded)) {
@@ -360,12 +353,25 @@
 
 	#hold(pool: Pool, {ask, objectiveAt, callerLeavesAt}: WaitingRequest, target: TrackedUpstream, now: number): void {
 		const held: HeldRequest = {
-			ask, upstreamId: target.upstream.id, grantedAt: now, objectiveAt, callerLeavesAt, pendingPromptTokens: target.pendingPromptTokens, hasFirst: false,
+			ask, upstreamId: target.upstream.id, upstreamStartedAt: target.upstream.startedAt, grantedAt: now, objectiveAt, callerLeavesAt, pendingPromptTokens: target.pendingPromptTokens, hasFirst: false,
 		};
 		pool.grant(held);
+		this.quarantine.beginTrial(ask.features, now);
 		this.#poolByRequest.set(ask.id, pool);
 	}
 
+	/** Refuses the waiting requests that a new verdict holds for. */
+	#refuseQuarantined(): void {
+		const now = this.#options.clock.now();
+		for (const pool of this.#pools.values()) {
+			for (const waiting of [...pool.waiting].filter(({ask}) => this.quarantine.findQuarantined(ask.features, now) !== undefined)) {
+				this.#removeWaiting(pool, waiting);
+				this.#refund(waiting.ask);
+				this.#refuse(pool, waiting, ErrorKind.CrashSuspect, 0);
+			}
+		}
+	}
+
 	#checkQueues(): void {
 		const now = this.#options.clock.now();
 		for (const pool of this.#pools.values()) {
@@ -439,6 +445,13 @@
 	}
 }
 
+/** @returns The upstream at which a request holds a place, which may have been removed since. */
+function recordedUpstream(pool: Pool, {ask, upstreamId, upstreamStartedAt}: HeldRequest): RecordedUpstream {
+	return {
+		id: upstreamId, pool: ask.pool, startedAt: upstreamStartedAt, isLeaving: pool.upstreams.get(upstreamId)?.upstream.isLeaving ?? false,
+	};
+}
+
 /** @returns The Retry-After for a request that found too long a queue, in ms. */
 function retryDelayMs(pool: Pool, {deadlineAt}: WaitingRequest, now: number): number {
 	return Math.max(RETRY_DELAY_RATIO * (deadlineAt - now), pool.startDelayMs(now));
--- a/src/allocation/switched-allocation.ts
+++ b/src/allocation/switched-allocation.ts
@@ -8,29 +8,42 @@
 import {
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, type HeldPlace, type PlaceReport,
 } from './allocation.js';
+import {type CrashRecorder, type RecordedUpstream} from './crash-recorder.js';
+
+/** Records what this VM's own exchanges show about crashes, for the next allocator. */
+export type OwnCrashes = {
+	readonly recorder: CrashRecorder;
+	readonly upstreamOf: (id: string) => RecordedUpstream | undefined;
+};
 
 type Entry = {
 	readonly ask: PlaceRequest;
 	readonly events: PlaceRequestEvents;
 	readonly requestedAt: number;
 	upstreamId: string | undefined;
+	/** The upstream when the place was granted; `undefined` if it was not listed. */
+	upstream: RecordedUpstream | undefined;
 	grantedAt: number;
 	hasFirst: boolean;
 };
 
 /** Delegates to an allocation that can be replaced at run time. */
 export class SwitchedAllocation extends Allocation {
-	static create(clock: Clock): SwitchedAllocation {
-		return new SwitchedAllocation(clock);
+	static create(clock: Clock, ownCrashes?: OwnCrashes): SwitchedAllocation {
+		return new SwitchedAllocation(clock, ownCrashes);
 	}
 
+	readonly recordsCrashes = true;
+
 	readonly #clock: Clock;
 	readonly #entries = new Map<string, Entry>();
+	readonly #ownCrashes: OwnCrashes | undefined;
 	#current: Allocation | undefined;
 
-	private constructor(clock: Clock) {
+	private constructor(clock: Clock, ownCrashes: OwnCrashes | undefined) {
 		super();
 		this.#clock = clock;
+		this.#ownCrashes = ownCrashes;
 	}
 
 	/** The places that this VM holds. */
@@ -64,7 +77,7 @@
 
 	ask(ask: PlaceRequest, events: PlaceRequestEvents): void {
 		const entry: Entry = {
-			ask, events, requestedAt: this.#clock.now(), upstreamId: undefined, grantedAt: 0, hasFirst: false,
+			ask, events, requestedAt: this.#clock.now(), upstreamId: undefined, upstream: undefined, grantedAt: 0, hasFirst: false,
 		};
 		this.#entries.set(ask.id, entry);
 		if (this.#current !== undefined) {
@@ -83,15 +96,27 @@
 	noteFirst(id: string, firstMs: number): void {
 		const entry = this.#entries.get(id);
 		if (entry !== undefined) {
+			if (this.#current?.recordsCrashes === false && entry.upstream !== undefined) {
+				this.#ownCrashes?.recorder.noteBegun(entry.ask, entry.upstream);
+			}
+
 			entry.hasFirst = true;
 			this.#current?.noteFirst(id, firstMs);
 		}
 	}
 
 	release(id: string, report: PlaceReport): void {
-		if (this.#entries.delete(id)) {
-			this.#current?.release(id, report);
+		const entry = this.#entries.get(id);
+		if (entry === undefined) {
+			return;
+		}
+
+		this.#entries.delete(id);
+		if (this.#current?.recordsCrashes === false && entry.upstream !== undefined) {
+			this.#ownCrashes?.recorder.noteEnding(entry.ask, entry.upstream, report.ending, entry.hasFirst);
 		}
+
+		this.#current?.release(id, report);
 	}
 
 	#forward(allocation: Allocation, entry: Entry, ask: PlaceRequest): void {
@@ -109,6 +134,7 @@
 		// A late decision of an allocator that is no longer in use is ignored.
 		if (allocation === this.#current && this.#entries.get(entry.ask.id) === entry && entry.upstreamId === undefined) {
 			entry.upstreamId = upstreamId;
+			entry.upstream = this.#ownCrashes?.upstreamOf(upstreamId);
 			entry.grantedAt = this.#clock.now();
 			entry.events.grant(upstreamId, expectedFirstMs);
 		}
--- a/src/allocation/tracked-upstream.ts
+++ b/src/allocation/tracked-upstream.ts
@@ -14,6 +14,8 @@
 export type HeldRequest = {
 	readonly ask: PlaceRequest;
 	readonly upstreamId: string;
+	/** Start of the upstream that got the place, as known then; 0 if not known. */
+	readonly upstreamStartedAt: number;
 	readonly grantedAt: number;
 	readonly objectiveAt: number;
 	/** When the caller disconnects, as stated by the caller. */
--- a/src/base/errors.ts
+++ b/src/base/errors.ts
@@ -93,9 +93,7 @@
 	quarantined: {
 		status: 422, ran: Ran.No, retryAfterMs: 600_000, title: 'This request crashed upstreams and is held back.',
 	},
-	'crash-suspect': {
-		status: 503, ran: Ran.No, retryAfterMs: 5000, title: 'Requests like this one crashed upstreams; this one was not run.',
-	},
+	'crash-suspect': {status: 422, ran: Ran.No, title: 'Requests like this one crash upstreams; this one was not run.'},
 	'no-upstream': {
 		status: 503, ran: Ran.No, retryAfterMs: SHORT_RETRY_MS, title: 'No upstream could be reached.',
 	},
--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -45,6 +45,8 @@
 	readonly waiting: () => number;
 	/** Number of upstreams with a limit on the requests that they take. */
 	readonly limitedUpstreams: () => number;
+	/** Number of features whose requests are refused because they crash upstreams. */
+	readonly quarantined?: () => number;
 };
 
 /** Durations recorded in an HDR histogram and exposed as a summary in seconds, over the lifetime of the process. */
@@ -100,6 +102,7 @@
 	readonly #requests: Counter<'tier' | 'outcome'>;
 	readonly #errors: Counter<'kind'>;
 	readonly #upstreamNotices: Counter<'notice'>;
+	readonly #quarantines: Counter;
 
 	private constructor() {
 		this.#requests = new Counter({
@@ -111,6 +114,14 @@
 		this.#upstreamNotices = new Counter({
 			name: 'redwingspool_upstream_notices_total', help: 'Responses in which an upstream stated something about itself, by notice.', labelNames: ['notice'], registers: [this.registry],
 		});
+		this.#quarantines = new Counter({
+			name: 'redwingspool_quarantines_total', help: 'Features whose requests were found to crash upstreams.', registers: [this.registry],
+		});
+	}
+
+	/** Counts a feature whose requests are refused from now on. */
+	countQuarantine(): void {
+		this.#quarantines.inc();
 	}
 
 	/** Registers metrics whose values are kept by other components. */
@@ -124,6 +135,10 @@
 		gauge('redwingspool_in_flight', 'Requests that are not answered yet.', sources.inFlight);
 		gauge('redwingspool_waiting', 'Requests that wait in the queues.', sources.waiting);
 		gauge('redwingspool_limited_upstreams', 'Upstreams that limit the requests they take.', sources.limitedUpstreams);
+		if (sources.quarantined !== undefined) {
+			gauge('redwingspool_quarantined', 'Features whose requests are refused because they crash upstreams.', sources.quarantined);
+		}
+
 		for (const state of ['evaluated', 'violated'] as const) {
 			// eslint-disable-next-line no-new -- the constructor registers the metric
 			new Counter({
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -12,6 +12,7 @@
 import {type Log} from '../base/log.js';
 import {type Metrics, RequestOutcome, UpstreamNotice} from '../base/metrics.js';
 import {endToEndHeaders} from '../dispatch/hop-headers.js';
+import {type Quarantine} from '../policy/quarantine.js';
 import {type ResponseHead, type CallCodec, type CallHead} from './call-codec.js';
 import {type DeploymentState} from './deployment-state.js';
 import {EventSplitter} from './event-splitter.js';
@@ -66,6 +67,7 @@
 	readonly state: DeploymentState;
 	readonly allocation: Allocation;
 	readonly pauses: UpstreamPauses;
+	readonly quarantine: Quarantine;
 	readonly codec: CallCodec;
 	readonly dataCentre: string;
 	readonly region: string;
@@ -87,6 +89,8 @@
 	readonly outputEvents: number;
 	readonly body: Uint8Array | undefined;
 	readonly fingerprint: string;
+	/** The fingerprint and the parts of the prompt, as in `policy/features`. */
+	readonly features: readonly string[];
 	readonly arrivedAt: number;
 };
 
@@ -169,7 +173,7 @@
 		const {
 			clock, allocation, state, pauses, nextAskId, dataCentre, region,
 		} = this.#context;
-		const {head, route, pool, customer, rank, quotaCost, outputEvents, arrivedAt, fingerprint} = this.#call;
+		const {head, route, pool, customer, rank, quotaCost, outputEvents, arrivedAt, fingerprint, features} = this.#call;
 		const now = clock.now();
 		const askId = nextAskId();
 		this.#askId = askId;
@@ -196,6 +200,7 @@
 			attempt: this.#sentCount + 1,
 			excluded: [...this.#excluded, ...pauses.pausedIds(state.upstreams)],
 			fingerprint,
+			features,
 		};
 		allocation.ask(ask, {
 			grant: (upstreamId, expectedFirstMs) => {
@@ -211,9 +216,9 @@
 
 	#onGranted(askId: string, upstreamId: string, expectedFirstMs: number): void {
 		const {
-			clock, allocation, state, pauses, codec, metrics,
+			clock, allocation, state, pauses, quarantine, codec, metrics,
 		} = this.#context;
-		const {req, head, customer, body} = this.#call;
+		const {req, head, customer, body, features} = this.#call;
 		const now = clock.now();
 		this.#isGranted = true;
 		if (this.#sentCount === 0) {
@@ -237,6 +242,13 @@
 			return;
 		}
 
+		if (quarantine.findQuarantined(features, now) !== undefined) {
+			// The verdict came after the grant, or the allocator does not know of it yet.
+			allocation.release(askId, emptyReport(Ending.Cancelled));
+			this.#onRefused(ErrorKind.CrashSuspect, 0);
+			return;
+		}
+
 		const remainingMs = this.#deadlineAt - now;
 		if (remainingMs < MIN_SEND_BUDGET_MS) {
 			allocation.release(askId, emptyReport(Ending.Cancelled));
@@ -512,6 +524,8 @@
 	#onRefused(kind: ErrorKind, retryAfterMs: number): void {
 		if (this.#mayHaveRun) {
 			this.#giveUp(this.#lastEnding ?? Ending.Lost);
+		} else if (kind === ErrorKind.CrashSuspect) {
+			this.#fail(kind);
 		} else {
 			this.#fail(kind, kind === ErrorKind.NoUpstream ? Math.max(retryAfterMs, this.#shortestPauseMs()) : retryAfterMs);
 		}
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -11,6 +11,7 @@
 import {type Socket} from 'node:net';
 import {errorAnswers, ErrorKind} from '../base/errors.js';
 import {type Random} from '../base/random.js';
+import {promptPartFeature} from '../policy/features.js';
 import {type CallHead} from './call-codec.js';
 import {Forwarding, type ForwardingContext} from './forwarding.js';
 import {writeErrorResponse} from './error-response.js';
@@ -138,6 +139,7 @@
 			return;
 		}
 
+		const fingerprint = requestFingerprint(req, customer, body);
 		Forwarding.start(this.#context, {
 			req,
 			res,
@@ -149,7 +151,8 @@
 			quotaCost: quotaCost(customer?.quota, head!),
 			outputEvents: expectedOutputEvents(head!, pool),
 			body,
-			fingerprint: requestFingerprint(req, customer, body),
+			fingerprint,
+			features: [fingerprint, ...head!.promptParts.map(id => promptPartFeature(id))],
 			arrivedAt,
 		});
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import {Allocator, type Decision} from '../allocation/allocator.js';
 import {type RetryBounds} from '../allocation/pool-retry-budget.js';
 import {type QuotaTolerance} from '../allocation/quotas.js';
+import {CrashRecorder} from '../allocation/crash-recorder.js';
 import {SwitchedAllocation} from '../allocation/switched-allocation.js';
 import {splitAddress} from '../base/address.js';
 import {type Clock} from '../base/clock.js';
@@ -16,6 +17,7 @@
 import {type LeaderRegister} from '../link/leader-register.js';
 import {type Member} from '../link/messages.js';
 import {TcpNetwork} from '../link/tcp-network.js';
+import {type Suspicion} from '../policy/quarantine.js';
 import {type CallCodec} from './call-codec.js';
 import {DeploymentState} from './deployment-state.js';
 import {FrontServer} from './front-server.js';
@@ -31,6 +33,7 @@
 /** Minimum shutdown time, in ms: callers that were just given this address still connect. */
 const MIN_STOP_DURATION_MS = 2500;
 const STOP_POLL_INTERVAL_MS = 50;
+const MAX_LOGGED_CRASHES = 8;
 
 /** Dependencies and settings of a gateway. */
 export type GatewayOptions = {
@@ -77,7 +80,13 @@
 			this.#logDecision(decision);
 		};
 
-		const allocation = SwitchedAllocation.create(clock);
+		this.#allocator.onQuarantined = suspicion => {
+			this.#logQuarantine(suspicion);
+		};
+
+		const allocation = SwitchedAllocation.create(clock, {
+			recorder: CrashRecorder.create(clock, this.#allocator.quarantine), upstreamOf: id => this.state.upstreams.get(id),
+		});
 		this.state.listen({
 			onTable: table => {
 				this.#allocator.setTable(table);
@@ -96,6 +105,7 @@
 			state: this.state,
 			allocation,
 			pauses: UpstreamPauses.create(clock, log.part(LogPrefix.Gateway)),
+			quarantine: this.#allocator.quarantine,
 			codec,
 			dataCentre: self.dataCentre,
 			region: self.region,
@@ -120,7 +130,7 @@
 			onWatchNeeded: options.onWatchNeeded,
 		});
 		metrics.registerSources({
-			invariants: Invariants.create({throwOnViolation: false}), inFlight: () => this.#front.inFlight, waiting: () => this.#allocator.waitingCount, limitedUpstreams: () => this.state.limits.size,
+			invariants: Invariants.create({throwOnViolation: false}), inFlight: () => this.#front.inFlight, waiting: () => this.#allocator.waitingCount, limitedUpstreams: () => this.state.limits.size, quarantined: () => this.#allocator.quarantine.exportQuarantined(clock.now()).length,
 		});
 	}
 
@@ -134,7 +144,9 @@
 		const {host, port} = splitAddress(self.frontAddress);
 		await this.#front.listen(host, port);
 		await this.coordinator.start();
-		log.part(LogPrefix.Gateway).info('Started.', {vm: self.name, front: self.frontAddress, pid: process.pid});
+		log.part(LogPrefix.Gateway).info('Started.', {
+			vm: self.name, front: self.frontAddress, boot: self.boot, pid: process.pid,
+		});
 	}
 
 	/** Shuts down without interrupting requests that can finish in time. */
@@ -165,6 +177,19 @@
 		this.coordinator.setReady(this.isReady);
 	}
 
+	#logQuarantine({feature, crashes, agesMs = [], companions, seenBy, quarantinedMs}: Suspicion): void {
+		this.#options.metrics.countQuarantine();
+		this.#options.log.part(LogPrefix.Allocation).warn('Requests quarantined: they crash upstreams.', {
+			feature,
+			companions: companions?.filter(other => other !== feature).join(',') || undefined,
+			crashes: crashes.length,
+			upstreams: crashes.slice(0, MAX_LOGGED_CRASHES).map(crash => crash.split(' ')[0]).join(','),
+			seenBy: seenBy?.join(','),
+			oldestMs: Math.round(Math.max(0, ...agesMs)),
+			forMs: Math.round(quarantinedMs),
+		});
+	}
+
 	#logDecision({ask, waitedMs, waiting, upstreamId, expectedFirstMs, refusal, objectiveMs}: Decision): void {
 		const upstream = upstreamId === undefined ? undefined : this.state.upstreams.get(upstreamId);
 		this.#options.log.part(LogPrefix.Allocation).info(refusal === undefined ? 'Place granted.' : 'Place refused.', {
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -13,7 +13,7 @@
 import {type Random} from '../base/random.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
 import {LeaderClient} from './leader-client.js';
-import {LeaderHost} from './leader-host.js';
+import {LeaderHost, MAX_SUSPICIONS} from './leader-host.js';
 import {type LeaderRegister} from './leader-register.js';
 import {LeaderElection, SEARCH_INTERVAL_MS} from './leader-election.js';
 import {type Channel, type LinkConnection, type LinkNetwork} from './link-network.js';
@@ -121,9 +121,9 @@
 				this.#becomeLeading(leader);
 			},
 		});
-		options.allocator.onQuarantine = suspicion => {
+		options.allocator.onSuspicion = suspicion => {
 			if (this.#role === Role.Leading) {
-				this.#host.publishQuarantined([suspicion]);
+				this.#host.publishSuspicion(suspicion);
 			}
 		};
 
@@ -228,6 +228,18 @@
 		void this.#linkTo(leader.linkAddress);
 	}
 
+	/**
+	 * Lifts the quarantine of a feature at all VMs in contact.
+	 *
+	 * @returns Whether anything was held against the feature.
+	 */
+	liftQuarantine(feature: string): boolean {
+		const {allocator: {quarantine}, clock} = this.#options;
+		const isLifted = quarantine.lift(feature, clock.now());
+		this.#client?.send({kind: 'suspicions', suspicions: quarantine.export(clock.now()).filter(suspicion => suspicion.feature === feature)});
+		return isLifted;
+	}
+
 	/** Requests the configuration from the leader when it cannot be read from the store. */
 	requestConfiguration(): void {
 		this.#client?.send({kind: 'need-configuration'});
@@ -294,9 +306,10 @@
 			client.send({kind: 'limits', limits});
 		}
 
-		const {quarantined} = this.#options.allocator;
-		if (quarantined.length > 0) {
-			client.send({kind: 'quarantined', suspicions: quarantined});
+		const {allocator: {quarantine}, clock} = this.#options;
+		const suspicions = quarantine.export(clock.now()).filter(({isCleared}) => !isCleared);
+		if (suspicions.length > 0) {
+			client.send({kind: 'suspicions', suspicions: suspicions.slice(0, MAX_SUSPICIONS)});
 		}
 
 		client.send({kind: 'places', places: allocation.places});
@@ -462,8 +475,8 @@
 				break;
 			}
 
-			case 'quarantined': {
-				allocator.importQuarantined(message.suspicions);
+			case 'suspicions': {
+				allocator.quarantine.import(message.suspicions, clock.now());
 				break;
 			}
 
--- a/src/link/leader-client.ts
+++ b/src/link/leader-client.ts
@@ -20,6 +20,7 @@
 		return client;
 	}
 
+	readonly recordsCrashes = false;
 	readonly #clock: Clock;
 	readonly #channel: Channel<ToLeader>;
 	readonly #onTimeout: () => void;
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -2,6 +2,7 @@
  * The leader's end of the links: accepts links from the other VMs, passes their asks to the allocator, and publishes
  * upstreams, members and configuration.
  */
+import {LRUCache} from 'lru-cache';
 import {type Allocator} from '../allocation/allocator.js';
 import {emptyReport} from '../allocation/allocation.js';
 import {reachableShare} from '../allocation/scope.js';
@@ -40,6 +41,10 @@
 const MAX_INLINE_CONFIGURATION_LENGTH = 32_768;
 /** Interval at which the learned paces are sent, in ms; a successor works well with paces that are seconds old. */
 const PACES_INTERVAL_MS = 3000;
+/** Features that are sent to a VM at most; each takes some hundred bytes. */
+export const MAX_SUSPICIONS = 1000;
+/** Crashes of a feature from which the other VMs are told of it. */
+const CRASHES_TO_SEND = 2;
 /** Number of VMs that receive the paces: the strongest ones, which are the likely successors. */
 const SUCCESSOR_COUNT = 4;
 
@@ -80,6 +85,7 @@
 	#limitsTimer: Timer | undefined;
 	/** Upstreams whose limits are sent next. */
 	readonly #limitsToSend = new Set<string>();
+	readonly #publishedFeatures = new LRUCache<string, true>({max: MAX_SUSPICIONS});
 	#pacesSentAt = 0;
 	/** Number of VMs, this one included, that were recently in contact at the same time. */
 	#knownVmCount = 0;
@@ -144,9 +150,9 @@
 			this.#send(link, {kind: 'limits', limits});
 		}
 
-		const {quarantined} = allocator;
-		if (quarantined.length > 0) {
-			this.#send(link, {kind: 'quarantined', suspicions: quarantined});
+		const suspicions = allocator.quarantine.export(now).filter(suspicion => isWorthSending(suspicion));
+		if (suspicions.length > 0) {
+			this.#send(link, {kind: 'suspicions', suspicions: suspicions.slice(0, MAX_SUSPICIONS)});
 		}
 
 		this.#sendConfiguration([link]);
@@ -211,9 +217,8 @@
 				break;
 			}
 
-			case 'quarantined': {
-				// Each VM that links to a new leader sends the same list.
-				this.publishQuarantined(allocator.importQuarantined(message.suspicions));
+			case 'suspicions': {
+				this.#importSuspicions(message.suspicions);
 				break;
 			}
 
@@ -269,10 +274,25 @@
 		});
 	}
 
-	/** Sends requests in quarantine to all VMs; there are few, so that they are sent one by one. */
-	publishQuarantined(suspicions: readonly Suspicion[]): void {
-		if (suspicions.length > 0) {
-			this.#broadcast({kind: 'quarantined', suspicions}, [...this.#links.values()]);
+	/** Sends a suspicion to all VMs if a successor needs it: most requests are suspects of a single crash, and soon cleared. */
+	publishSuspicion(suspicion: Suspicion): void {
+		const {feature, isCleared} = suspicion;
+		if (isCleared ? this.#publishedFeatures.delete(feature) : isWorthSending(suspicion)) {
+			if (!isCleared) {
+				this.#publishedFeatures.set(feature, true);
+			}
+
+			this.#broadcast({kind: 'suspicions', suspicions: [suspicion]}, [...this.#links.values()]);
+		}
+	}
+
+	/** Adds what a VM knows, and sends the sum to all VMs. */
+	#importSuspicions(suspicions: readonly Suspicion[]): void {
+		const {allocator: {quarantine}, clock} = this.#options;
+		quarantine.import(suspicions, clock.now());
+		const features = new Set(suspicions.map(({feature}) => feature));
+		for (const suspicion of quarantine.export(clock.now()).filter(({feature}) => features.has(feature))) {
+			this.publishSuspicion(suspicion);
 		}
 	}
 
@@ -432,3 +452,7 @@
 function isSameMember(a: Member | undefined, b: Member): boolean {
 	return a?.boot === b.boot && a.isReady === b.isReady;
 }
+
+function isWorthSending({crashes, isCleared, quarantinedMs}: Suspicion): boolean {
+	return !isCleared && (quarantinedMs > 0 || crashes.length >= CRASHES_TO_SEND);
+}
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -51,8 +51,8 @@
 	| {readonly kind: 'leaving'; readonly boots: readonly UpstreamBoot[]}
 	/** Limits that upstreams stated to the VM; after the welcome, all limits that it knows. */
 	| {readonly kind: 'limits'; readonly limits: readonly AgedLimit[]}
-	/** Requests in quarantine at the VM. */
-	| {readonly kind: 'quarantined'; readonly suspicions: readonly Suspicion[]}
+	/** What the VM knows of features of requests that crash upstreams; sent after the welcome, and when an operator lifts a quarantine there. */
+	| {readonly kind: 'suspicions'; readonly suspicions: readonly Suspicion[]}
 	/** The VM cannot read the configuration from the store. */
 	| {readonly kind: 'need-configuration'}
 	| {readonly kind: 'beat'};
@@ -68,8 +68,8 @@
 	| {readonly kind: 'upstreams'; readonly isWhole: boolean; readonly changed: readonly Upstream[]; readonly removed: readonly string[]}
 	/** Limits of upstreams that changed, or to a VM that has just linked, all in force. */
 	| {readonly kind: 'limits'; readonly limits: readonly AgedLimit[]}
-	/** Requests that the leader has quarantined; to a VM that has just linked, all of them. */
-	| {readonly kind: 'quarantined'; readonly suspicions: readonly Suspicion[]}
+	/** Features that were in several crashes or are quarantined, and those that are cleared; to a VM that has just linked, all of them. */
+	| {readonly kind: 'suspicions'; readonly suspicions: readonly Suspicion[]}
 	/** VMs that joined or changed, and names of those that left; `isWhole` replaces the list. */
 	| {readonly kind: 'members'; readonly isWhole: boolean; readonly changed: readonly Member[]; readonly removed: readonly string[]}
 	/** Asks the receiver to claim leadership. */
--- a/src/members/topics.ts
+++ b/src/members/topics.ts
@@ -169,14 +169,14 @@
 	}
 
 	/** Publishes this node's evidence about a request that is suspected of crashing upstreams. */
-	publishSuspicion({fingerprint, crashes, isCleared, quarantinedMs}: Suspicion, now: number): boolean {
+	publishSuspicion({feature, crashes, isCleared, quarantinedMs}: Suspicion, now: number): boolean {
 		return this.#publish({
-			...this.#createOwnedKey(`q/${fingerprint}`),
+			...this.#createOwnedKey(`q/${feature}`),
 			lifetimeMs: SUSPICION_LIFETIME_MS,
 			value: {
 				case: 'suspicion',
 				value: {
-					$typeName: 'redwingspool.peer.v1.Suspicion', fingerprint, crashes: [...crashes], isCleared, quarantinedMs: Math.ceil(quarantinedMs),
+					$typeName: 'redwingspool.peer.v1.Suspicion', fingerprint: feature, crashes: [...crashes], isCleared, quarantinedMs: Math.ceil(quarantinedMs),
 				},
 			},
 		}, now);
@@ -241,6 +241,6 @@
 
 function toSuspicion(remainingMs: number, {fingerprint, crashes, isCleared, quarantinedMs}: SuspicionMessage): Suspicion {
 	return {
-		fingerprint, crashes, isCleared, quarantinedMs, remainingMs,
+		feature: fingerprint, crashes, isCleared, quarantinedMs, remainingMs,
 	};
 }
--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -1,16 +1,20 @@
 /**
- * Detects requests that crash upstreams: tracks crashes by request fingerprint and isolates or quarantines suspects.
+ * Detects what crashes upstreams: tracks crashes by the features that requests share, such as their fingerprint or a part of
+ * their prompt, and isolates or quarantines suspects.
  */
 import {LRUCache} from 'lru-cache';
 import {countCrashes, countCorroboratedCrashes, crashId} from './crash-evidence.js';
+import {CrashLog} from './crash-log.js';
 
-/** Lifetime of suspicions and quarantines. */
+/** Lifetime of suspicions, and of quarantines unless another is set, in ms. */
 export const QUARANTINE_MS = 600_000;
+/** Time in which the trial of a feature after its quarantine must begin to be answered, in ms; until then no other request tries it. */
+const TRIAL_MS = 60_000;
 const MAX_SUSPECTS = 10_000;
 const CRASHES_TO_QUARANTINE = 3;
 const SOLE_SUSPECT_CRASHES_TO_QUARANTINE = 2;
 
-/** Restriction that applies to requests with a given fingerprint. */
+/** Restriction that applies to requests with a given feature. */
 export const Standing = {
 	Clear: 'clear',
 	/** At most one suspect runs at an upstream at a time. */
@@ -22,10 +26,19 @@
 
 /** Suspicion as exchanged between nodes; contains durations instead of timestamps because node clocks differ. */
 export type Suspicion = {
-	readonly fingerprint: string;
-	/** IDs from `crash-evidence.ts` of the crashes that the request was involved in; identical on all nodes. */
+	/** Fingerprint of the request, or another feature from `features.ts`. */
+	readonly feature: string;
+	/** IDs from `crash-evidence.ts` of the crashes that requests with the feature were involved in; identical on all nodes. */
 	readonly crashes: readonly string[];
-	/** Whether these crashes no longer count against the request. */
+	/** Time since each of these crashes, in ms; absent where crashes have no upstream boot. */
+	readonly agesMs?: readonly number[];
+	/** Pool of the upstreams that crashed; absent where crashes have no upstream boot. */
+	readonly pool?: string;
+	/** Features that all crashed requests with this one had; the feature itself is included. */
+	readonly companions?: readonly string[];
+	/** Nodes that saw the crashes. */
+	readonly seenBy?: readonly string[];
+	/** Whether these crashes no longer count against the feature. */
 	readonly isCleared: boolean;
 	/** Remaining quarantine in milliseconds; 0 for a suspect. */
 	readonly quarantinedMs: number;
@@ -42,10 +55,33 @@
 	readonly at: number;
 };
 
+/** A request that an upstream may have begun to run when it crashed. */
+export type CrashedRequest = {
+	/** From `crashId.refused`, with the start of the upstream as the event: the same on all nodes. */
+	readonly crash: string;
+	readonly pool: string;
+	readonly features: readonly string[];
+	/** Node that sent the request. */
+	readonly seenBy: string;
+};
+
+/** Options of a quarantine. */
+export type QuarantineOptions = {
+	/** How long a feature stays quarantined, in ms. */
+	readonly quarantineMs?: number;
+	/** Called when a feature is quarantined by this node or another. */
+	readonly onQuarantined?: (suspicion: Suspicion) => void;
+};
+
 type SuspectRecord = {
 	crashes: Set<string>;
 	cleared: Set<string>;
+	/** Features that all crashed requests with this one had. */
+	companions: Set<string> | undefined;
+	readonly seenBy: Set<string>;
 	quarantinedUntil: number;
+	/** Whether a quarantine ended without a success since; the next crash renews it. */
+	wasQuarantined: boolean;
 	expiresAt: number;
 };
 
@@ -55,18 +91,23 @@
 	 * @param nodeId - ID of the node including its incarnation, which makes crash IDs unique.
 	 * @param onChanged - Called with each local change that other nodes must learn of.
 	 */
-	static create(nodeId: string, onChanged?: (suspicion: Suspicion) => void): Quarantine {
-		return new Quarantine(nodeId, onChanged);
+	static create(nodeId: string, onChanged?: (suspicion: Suspicion) => void, options: QuarantineOptions = {}): Quarantine {
+		return new Quarantine(nodeId, onChanged, options);
 	}
 
 	readonly #nodeId: string;
+	readonly #quarantineMs: number;
 	readonly #records = new LRUCache<string, SuspectRecord>({max: MAX_SUSPECTS});
+	readonly #log = CrashLog.create();
 	readonly #onChanged: ((suspicion: Suspicion) => void) | undefined;
+	readonly #onQuarantined: ((suspicion: Suspicion) => void) | undefined;
 	#crashCount = 0;
 
-	private constructor(nodeId: string, onChanged: ((suspicion: Suspicion) => void) | undefined) {
+	private constructor(nodeId: string, onChanged: ((suspicion: Suspicion) => void) | undefined, {quarantineMs = QUARANTINE_MS, onQuarantined}: QuarantineOptions) {
 		this.#nodeId = nodeId;
 		this.#onChanged = onChanged;
+		this.#quarantineMs = quarantineMs;
+		this.#onQuarantined = onQuarantined;
 	}
 
 	standing(fingerprint: string, now: number): Standing {
@@ -87,6 +128,89 @@
 		return Math.max(0, (this.#findUnexpired(fingerprint, now)?.quarantinedUntil ?? 0) - now);
 	}
 
+	/**
+	 * Finds the verdict that holds for a request. A verdict on one of several features that crashed requests had in common
+	 * holds only for requests with all of them, as any of them may be to blame.
+	 *
+	 * @returns A quarantined feature of the request; `undefined` if it may run.
+	 */
+	findQuarantined(features: readonly string[], now: number): string | undefined {
+		return features.find(feature => {
+			const record = this.#findUnexpired(feature, now);
+			return record !== undefined && record.quarantinedUntil > now && this.#suspectedWith(feature, record).every(companion => features.includes(companion));
+		});
+	}
+
+	/** Admits one request as the trial of its features whose quarantine has ended; it renews the quarantine for the others meanwhile. */
+	beginTrial(features: readonly string[], now: number): void {
+		for (const feature of features) {
+			const record = this.#findUnexpired(feature, now);
+			if (record?.wasQuarantined === true && record.quarantinedUntil <= now) {
+				record.quarantinedUntil = now + TRIAL_MS;
+			}
+		}
+	}
+
+	/** Records a request that an upstream may have begun to run when it crashed. */
+	noteCrash({crash, pool, features, seenBy}: CrashedRequest, now: number): void {
+		const guilty = this.findQuarantined(features, now);
+		if (guilty === undefined && this.#log.isExplained(crash)) {
+			return;
+		}
+
+		const blamed = guilty === undefined ? features : this.#suspectedWith(guilty, this.#records.get(guilty)!);
+		for (const feature of blamed) {
+			this.#log.add(crash, {pool, feature, at: now});
+			const record = this.#findUnexpired(feature, now) ?? this.#createRecord(feature, now);
+			if (!record.cleared.has(crash)) {
+				record.companions = commonFeatures(record, features);
+				record.crashes.add(crash);
+				record.seenBy.add(seenBy);
+				record.expiresAt = Math.max(record.expiresAt, now + QUARANTINE_MS);
+			}
+		}
+
+		if (guilty === undefined) {
+			this.#judge(features, now);
+		} else {
+			this.#renew(guilty, now);
+		}
+
+		for (const feature of blamed) {
+			const record = this.#findUnexpired(feature, now);
+			if (record !== undefined && record.crashes.size > 0) {
+				this.#onChanged?.(this.#toSuspicion(feature, record, now));
+			}
+		}
+	}
+
+	/**
+	 * Records that an upstream began to answer a request, which clears all its features.
+	 *
+	 * @param crash - ID that a crash of this start of the upstream has; a recent one is withdrawn, as the upstream still runs.
+	 */
+	noteBegun({crash, pool, features}: Omit<CrashedRequest, 'seenBy'>, now: number): void {
+		this.#log.noteBegun(pool, features);
+		for (const feature of features) {
+			this.noteSuccess(feature, now);
+		}
+
+		for (const feature of this.#log.refute(crash, now)) {
+			const record = this.#findUnexpired(feature, now);
+			if (record?.crashes.has(crash) === true) {
+				clear(record, [crash]);
+				this.#onChanged?.({...this.#toSuspicion(feature, record, now), crashes: [crash], isCleared: true});
+			}
+		}
+	}
+
+	/** Lifts the suspicion and the quarantine of a feature. */
+	lift(feature: string, now: number): boolean {
+		const record = this.#findUnexpired(feature, now);
+		this.noteSuccess(feature, now);
+		return record !== undefined;
+	}
+
 	/** Records that an upstream lost all requests of this node at the same time. */
 	noteLoss(upstreamId: string, fingerprints: readonly string[], now: number): Loss {
 		const inFlight = new Set(fingerprints);
@@ -111,17 +235,18 @@
 			const record = this.#findUnexpired(fingerprint, now);
 			if (record !== undefined && crashes.some(crash => record.crashes.has(crash))) {
 				clear(record, crashes);
-				this.#onChanged?.({...toSuspicion(fingerprint, record, now), crashes, isCleared: true});
+				this.#onChanged?.({...this.#toSuspicion(fingerprint, record, now), crashes, isCleared: true});
 			}
 		}
 	}
 
-	/** Clears a request that completed, and so did not cause the crashes that it was involved in. */
-	noteSuccess(fingerprint: string, now: number): void {
-		const record = this.#findUnexpired(fingerprint, now);
+	/** Clears a feature of a request that completed, and so did not cause the crashes that it was involved in. */
+	noteSuccess(feature: string, now: number): void {
+		const record = this.#findUnexpired(feature, now);
 		if (record !== undefined && record.crashes.size > 0) {
 			clear(record, record.crashes);
-			this.#onChanged?.(toSuspicion(fingerprint, record, now));
+			record.wasQuarantined = false;
+			this.#onChanged?.(this.#toSuspicion(feature, record, now));
 		}
 	}
 
@@ -130,9 +255,9 @@
 		const suspicions: Suspicion[] = [];
 		for (const [fingerprint, record] of this.#records.entries()) {
 			if (record.expiresAt > now) {
-				suspicions.push(toSuspicion(fingerprint, record, now));
+				suspicions.push(this.#toSuspicion(fingerprint, record, now));
 				if (record.crashes.size > 0 && record.cleared.size > 0) {
-					suspicions.push({...toSuspicion(fingerprint, record, now), crashes: [...record.cleared], isCleared: true});
+					suspicions.push({...this.#toSuspicion(fingerprint, record, now), crashes: [...record.cleared], isCleared: true});
 				}
 			}
 		}
@@ -142,37 +267,111 @@
 
 	/** @returns The suspicions that are quarantines. */
 	exportQuarantined(now: number): Suspicion[] {
-		const suspicions: Suspicion[] = [];
-		for (const [fingerprint, record] of this.#records.entries()) {
-			if (record.quarantinedUntil > now) {
-				suspicions.push(toSuspicion(fingerprint, record, now));
-			}
-		}
-
-		return suspicions;
+		return this.export(now).filter(({quarantinedMs}) => quarantinedMs > 0);
 	}
 
 	/** Merges suspicions from another node. Idempotent. */
 	import(suspicions: readonly Suspicion[], now: number): void {
 		for (const suspicion of suspicions) {
-			const record = this.#findUnexpired(suspicion.fingerprint, now) ?? this.#createRecord(suspicion.fingerprint, now);
-			record.expiresAt = Math.max(record.expiresAt, now + Math.min(QUARANTINE_MS, suspicion.remainingMs));
-			if (suspicion.isCleared) {
-				clear(record, suspicion.crashes);
+			const {feature, isCleared, crashes, quarantinedMs} = suspicion;
+			const record = this.#findUnexpired(feature, now) ?? this.#createRecord(feature, now);
+			record.expiresAt = Math.max(record.expiresAt, now + Math.min(this.#maxLifetimeMs, suspicion.remainingMs));
+			if (isCleared) {
+				clear(record, crashes);
 				continue;
 			}
 
-			for (const crash of suspicion.crashes) {
-				if (!record.cleared.has(crash)) {
-					record.crashes.add(crash);
-				}
+			this.#importCrashes(suspicion, record, now);
+			const isProven = suspicion.companions === undefined && countCrashes(record.crashes) >= CRASHES_TO_QUARANTINE;
+			const until = isProven ? now + this.#quarantineMs : now + Math.min(this.#quarantineMs, quarantinedMs);
+			if (until > now && record.crashes.size > 0 && record.quarantinedUntil <= now) {
+				this.#quarantine(feature, record, until, now);
 			}
+		}
 
-			const until = countCrashes(record.crashes) >= CRASHES_TO_QUARANTINE ? now + QUARANTINE_MS : now + Math.min(QUARANTINE_MS, suspicion.quarantinedMs);
-			if (until > now && record.crashes.size > 0 && record.quarantinedUntil <= now) {
-				record.quarantinedUntil = until;
+		this.#judge(suspicions.filter(({companions}) => companions !== undefined).map(({feature}) => feature), now);
+	}
+
+	#importCrashes({feature, crashes, agesMs, pool, companions, seenBy}: Suspicion, record: SuspectRecord, now: number): void {
+		const added = crashes.filter(crash => !record.cleared.has(crash) && !record.crashes.has(crash));
+		if (companions !== undefined && added.length > 0) {
+			record.companions = commonFeatures(record, companions);
+		}
+
+		for (const crash of added) {
+			record.crashes.add(crash);
+			if (pool !== undefined) {
+				this.#log.add(crash, {pool, feature, at: now - (agesMs?.[crashes.indexOf(crash)] ?? 0)});
 			}
 		}
+
+		for (const node of seenBy ?? []) {
+			record.seenBy.add(node);
+		}
+	}
+
+	/** Quarantines those of the features that are guilty, most likely first. Crashes that a verdict explains count no longer against other features. */
+	#judge(features: readonly string[], now: number): void {
+		for (const feature of features) {
+			const record = this.#findUnexpired(feature, now);
+			if (record === undefined || record.quarantinedUntil > now || record.crashes.size === 0) {
+				continue;
+			}
+
+			if (record.wasQuarantined || this.#log.isGuilty(feature, {crashes: record.crashes, companions: record.companions ?? new Set([feature]), suspects: this.#crashesBy})) {
+				this.#quarantine(feature, record, now + this.#quarantineMs, now);
+			}
+		}
+	}
+
+	readonly #crashesBy = (feature: string): ReadonlySet<string> | undefined => this.#records.peek(feature)?.crashes;
+
+	#quarantine(feature: string, record: SuspectRecord, until: number, now: number): void {
+		record.quarantinedUntil = until;
+		record.wasQuarantined = true;
+		record.expiresAt = Math.max(record.expiresAt, until + QUARANTINE_MS);
+		this.#explain(feature, record);
+		this.#onQuarantined?.(this.#toSuspicion(feature, record, now));
+	}
+
+	/** Begins a quarantine anew after a further crash, such as that of its trial. */
+	#renew(feature: string, now: number): void {
+		const record = this.#records.get(feature)!;
+		record.quarantinedUntil = Math.max(record.quarantinedUntil, now + this.#quarantineMs);
+		record.expiresAt = record.quarantinedUntil + QUARANTINE_MS;
+		this.#explain(feature, record);
+	}
+
+	/** Clears the other features that were suspected in the crashes of a quarantined one, unless they may be to blame in its stead. */
+	#explain(feature: string, record: SuspectRecord): void {
+		for (const other of this.#log.explain(record.crashes)) {
+			const otherRecord = this.#records.peek(other);
+			if (other !== feature && otherRecord !== undefined && !(record.companions?.has(other) ?? false)) {
+				clear(otherRecord, [...record.crashes].filter(crash => otherRecord.crashes.has(crash)));
+			}
+		}
+	}
+
+	/** @returns The feature and those of its companions that may be to blame in its stead. */
+	#suspectedWith(feature: string, {companions}: SuspectRecord): string[] {
+		return [feature, ...[...companions ?? []].filter(other => other !== feature && (this.#records.peek(other)?.crashes.size ?? 0) > 0)];
+	}
+
+	get #maxLifetimeMs(): number {
+		return this.#quarantineMs + QUARANTINE_MS;
+	}
+
+	#toSuspicion(feature: string, record: SuspectRecord, now: number): Suspicion {
+		const isCleared = record.crashes.size === 0;
+		const crashes = [...(isCleared ? record.cleared : record.crashes)];
+		const ages = record.companions === undefined
+			? {}
+			: {
+				agesMs: crashes.map(crash => now - this.#log.at(crash, now)), pool: this.#log.poolOf(crashes[0]) ?? '', companions: [...record.companions], seenBy: [...record.seenBy],
+			};
+		return {
+			feature, crashes, ...ages, isCleared, quarantinedMs: Math.max(0, record.quarantinedUntil - now), remainingMs: record.expiresAt - now,
+		};
 	}
 
 	#recordCrash({fingerprints, soleSuspect}: Loss, crash: string, now: number): void {
@@ -182,10 +381,10 @@
 			record.expiresAt = now + QUARANTINE_MS;
 			if (countCrashes(record.crashes) >= CRASHES_TO_QUARANTINE
 				|| (fingerprint === soleSuspect && countCorroboratedCrashes(record.crashes) >= SOLE_SUSPECT_CRASHES_TO_QUARANTINE)) {
-				record.quarantinedUntil = now + QUARANTINE_MS;
+				record.quarantinedUntil = now + this.#quarantineMs;
 			}
 
-			this.#onChanged?.(toSuspicion(fingerprint, record, now));
+			this.#onChanged?.(this.#toSuspicion(fingerprint, record, now));
 		}
 	}
 
@@ -195,8 +394,8 @@
 	}
 
 	#createRecord(fingerprint: string, now: number): SuspectRecord {
-		const record = {
-			crashes: new Set<string>(), cleared: new Set<string>(), quarantinedUntil: 0, expiresAt: now,
+		const record: SuspectRecord = {
+			crashes: new Set(), cleared: new Set(), companions: undefined, seenBy: new Set(), quarantinedUntil: 0, wasQuarantined: false, expiresAt: now,
 		};
 		this.#records.set(fingerprint, record);
 		return record;
@@ -214,13 +413,7 @@
 	}
 }
 
-function toSuspicion(fingerprint: string, record: SuspectRecord, now: number): Suspicion {
-	const isCleared = record.crashes.size === 0;
-	return {
-		fingerprint,
-		crashes: [...(isCleared ? record.cleared : record.crashes)],
-		isCleared,
-		quarantinedMs: Math.max(0, record.quarantinedUntil - now),
-		remainingMs: record.expiresAt - now,
-	};
+/** @returns Those of the features that all crashed requests had in common, these ones included. */
+function commonFeatures({crashes, companions}: SuspectRecord, features: readonly string[]): Set<string> {
+	return new Set(crashes.size === 0 || companions === undefined ? features : features.filter(feature => companions.has(feature)));
 }
--- a/test/members/topics.test.ts
+++ b/test/members/topics.test.ts
@@ -21,7 +21,7 @@
 	const isPublished = isPressure
 		? node.topics.publishPressure(pool, tier, since)
 		: node.topics.publishSuspicion({
-			fingerprint, crashes: [`c${count}`], isCleared: false, quarantinedMs: 0, remainingMs: 0,
+			feature: fingerprint, crashes: [`c${count}`], isCleared: false, quarantinedMs: 0, remainingMs: 0,
 		}, since);
 	node.gossip.pushUrgent();
 	if (!isPublished) {
@@ -31,7 +31,7 @@
 	const text = isPressure
 		? `pressure ${JSON.stringify({pool, tier})}`
 		: `suspicion ${JSON.stringify({
-			fingerprint, crashes: [`c${count}`], isCleared: false, quarantinedMs: 0,
+			feature: fingerprint, crashes: [`c${count}`], isCleared: false, quarantinedMs: 0,
 		})}`;
 	return {text, since, withinMs: isPressure ? PRESSURE_PROPAGATION_MS : SUSPICION_PROPAGATION_MS};
 }
--- a/test/support/front-harness.ts
+++ b/test/support/front-harness.ts
@@ -148,6 +148,7 @@
 			state: this.state,
 			allocation: this.#allocator,
 			pauses: UpstreamPauses.create(this.#clock, Log.create('silent')),
+			quarantine: this.#allocator.quarantine,
 			codec: HeaderCodec.create(),
 			dataCentre: 'a',
 			region: 'r',
--- a/test/support/place-request.ts
+++ b/test/support/place-request.ts
@@ -25,6 +25,7 @@
 		attempt: 1,
 		excluded: [],
 		fingerprint: id,
+		features: [changes.fingerprint ?? id],
 		...changes,
 	};
 }
