--- a/src/allocation/allocation.ts
+++ b/src/allocation/allocation.ts
@@ -108,7 +108,9 @@
 /** Decides which request gets a place, at which upstream, and when. */
 export abstract class Allocation {
 	/** Whether it records what the endings of this process's exchanges show about crashes. */
-	abstract readonly recordsCrashes: boolean;
+	get recordsCrashes(): boolean {
+		return true;
+	}
 
 	/** Requests a place; one of the events follows, possibly before this method returns. */
 	abstract ask(ask: PlaceRequest, events: PlaceRequestEvents): void;
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -76,7 +76,6 @@
 		return new Allocator(options);
 	}
 
-	readonly recordsCrashes = true;
 	/** Called for each decision. */
 	onDecision: ((decision: Decision) => void) | undefined;
 	/** Called when something is learnt of what crashes upstreams, by requests that this allocator decided on. */
--- a/src/allocation/switched-allocation.ts
+++ b/src/allocation/switched-allocation.ts
@@ -33,8 +33,6 @@
 		return new SwitchedAllocation(clock, ownCrashes);
 	}
 
-	readonly recordsCrashes = true;
-
 	readonly #clock: Clock;
 	readonly #entries = new Map<string, Entry>();
 	readonly #ownCrashes: OwnCrashes | undefined;
--- a/src/gateway/call-codec.ts
+++ b/src/gateway/call-codec.ts
@@ -42,7 +42,7 @@
 
 /** Values decoded from the status and headers of an upstream's response. */
 export type ResponseHead = {
-	/** The response carries this request's ID, or none. */
+	/** The response carries this request's ID; all else that it says counts only then. */
 	readonly isForRequest: boolean;
 	/** The response carries the upstream's signature. */
 	readonly isSigned: boolean;
--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -6,6 +6,8 @@
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
+const OK_STATUS = 200;
+const EVENT_STREAM_TYPE = 'text/event-stream';
 const ID_FIELD = Buffer.from('id:');
 
 /** Maximum length of a stream event, in bytes; typical events are under 1 KB. */
@@ -31,9 +33,11 @@
 		// Instances come from `create`.
 	}
 
-	/** Number of buffered bytes of the incomplete event. */
-	get pendingBytes(): number {
-		return this.#partialEvent.length;
+	/** Whether the bytes so far end inside an event. Line ends between events belong to none. */
+	get isInsideEvent(): boolean {
+		const bytes = this.#partialEvent;
+		const isEnded = bytes.length > 1 && bytes.at(-1) === CARRIAGE_RETURN && bytes.at(-2) === CARRIAGE_RETURN;
+		return !isEnded && bytes.some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
 	}
 
 	/** Whether the incomplete event exceeds the maximum event length. */
@@ -75,6 +79,14 @@
 	}
 }
 
+/**
+ * @param contentType - As in the response; servers need not state it.
+ * @returns Whether a response can continue an event stream that another upstream began.
+ */
+export function continuesEventStream(status: number, contentType: string | undefined): boolean {
+	return status === OK_STATUS && (contentType === undefined || contentType.trim().toLowerCase().startsWith(EVENT_STREAM_TYPE));
+}
+
 /** @returns The index after the blank line that ends the event starting at `from`, or -1. */
 function findEventEnd(bytes: Uint8Array, from: number): number {
 	for (let lineFeedIndex = bytes.indexOf(LINE_FEED, from); lineFeedIndex !== -1; lineFeedIndex = bytes.indexOf(LINE_FEED, lineFeedIndex + 1)) {
--- a/src/gateway/exchange-ending.ts
+++ b/src/gateway/exchange-ending.ts
@@ -47,6 +47,9 @@
 	cancelled: Ran.Unknown,
 };
 
+/** Statuses that tell a caller that its request was not run and never will be. */
+export const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Endings that count as failures of the upstream. */
 export const failureEndings: ReadonlySet<Ending> = new Set([
 	Ending.UpstreamError, Ending.NotConnected, Ending.Lost, Ending.Spoiled, Ending.Flooded, Ending.TimedOut, Ending.Stalled,
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -15,8 +15,10 @@
 import {type Quarantine} from '../policy/quarantine.js';
 import {type ResponseHead, type CallCodec, type CallHead} from './call-codec.js';
 import {type DeploymentState} from './deployment-state.js';
-import {EventSplitter} from './event-splitter.js';
-import {Ending, mayRetry, ranByEnding} from './exchange-ending.js';
+import {continuesEventStream, EventSplitter} from './event-splitter.js';
+import {
+	Ending, mayRetry, notRunStatuses, ranByEnding,
+} from './exchange-ending.js';
 import {writeErrorResponse} from './error-response.js';
 import {Operation, type Route} from './routing-table.js';
 import {type Upstream} from './upstream-list.js';
@@ -68,6 +70,8 @@
 	readonly allocation: Allocation;
 	readonly pauses: UpstreamPauses;
 	readonly quarantine: Quarantine;
+	/** Requests that are not answered completely yet. */
+	readonly running: Set<Forwarding>;
 	readonly codec: CallCodec;
 	readonly dataCentre: string;
 	readonly region: string;
@@ -158,12 +162,26 @@
 		this.#splitter.lastId = head.lastEventId;
 	}
 
+	/** Aborts an exchange whose answer has not begun, if requests like this one crash upstreams. */
+	abortIfQuarantined(): void {
+		const {quarantine, clock} = this.#context;
+		const attempt = this.#attempt;
+		if (attempt?.firstProgressAt === undefined && attempt !== undefined && quarantine.findQuarantined(this.#call.features, clock.now()) !== undefined) {
+			attempt.exchange?.abort();
+			this.#lastDetail = 'quarantined';
+			this.#endAttempt(attempt, attempt.exchange?.isSent === false ? Ending.NotConnected : Ending.Cancelled);
+			this.#onRefused(ErrorKind.CrashSuspect, 0);
+		}
+	}
+
 	#begin(): void {
 		const {clock} = this.#context;
 		this.#deadlineTimer = clock.setTimer(Math.max(0, this.#deadlineAt - clock.now()) + DEADLINE_GRACE_MS, () => {
 			this.#onDeadline();
 		});
+		this.#context.running.add(this);
 		this.#call.res.once('close', () => {
+			this.#context.running.delete(this);
 			this.#onCallerClosed();
 		});
 		this.#ask();
@@ -307,6 +325,11 @@
 			this.#abortAttempt(attempt, Ending.NotRun, `upstream responded with ${status}, request not run`);
 		} else if (!response.isForRequest || response.isAltered || (isSuccess && !response.isSigned)) {
 			this.#abortAttempt(attempt, Ending.Spoiled, 'response is not the upstream\'s own response to this request');
+		} else if (notRunStatuses.has(status)) {
+			// Passed on, the status would state what the upstream does not.
+			this.#abortAttempt(attempt, Ending.Spoiled, `upstream responded with ${status} but does not state that the request was not run`);
+		} else if (this.#isStreaming && isSuccess && !continuesEventStream(status, headers['content-type'])) {
+			this.#abortAttempt(attempt, Ending.Spoiled, `status ${status} and ${headers['content-type'] ?? 'no content type'} do not continue an event stream`);
 		} else {
 			this.#status = status;
 			this.#headers = headers;
@@ -399,15 +422,17 @@
 
 	#onEnd(attempt: Attempt): void {
 		const isError = this.#status >= FIRST_ERROR_STATUS;
+		const isStream = this.#call.route.operation === Operation.Stream && !isError;
+		const isInsideEvent = this.#splitter.isInsideEvent && (this.#isResumable || continuesEventStream(this.#status, this.#headers['content-type']));
+		if (isStream && (isInsideEvent || (this.#isStreaming && attempt.events === 0))) {
+			// A stream that a first upstream began is not shown to be complete by a second one that sends nothing.
+			this.#onFail(attempt, Ending.Spoiled, 'stream ended before its last event');
+			return;
+		}
+
 		this.#endAttempt(attempt, isError ? Ending.UpstreamError : Ending.Answered);
-		if (this.#call.route.operation === Operation.Stream && !isError) {
+		if (isStream) {
 			this.#beginStream();
-			if (this.#isResumable && this.#splitter.pendingBytes > 0) {
-				this.#lastDetail = 'stream ended in the middle of an event';
-				this.#retryOrGiveUp(Ending.Spoiled);
-				return;
-			}
-
 			this.#call.res.end();
 			this.#finish(RequestOutcome.Done, Ending.Answered);
 			return;
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -73,6 +73,13 @@
 		return this.#inFlight;
 	}
 
+	/** Aborts exchanges with requests that a new verdict holds for, before they crash further upstreams. */
+	abortQuarantined(): void {
+		for (const forwarding of this.#context.running) {
+			forwarding.abortIfQuarantined();
+		}
+	}
+
 	async listen(host: string, port: number): Promise<void> {
 		this.#server.listen({host, port, backlog: 4096});
 		await once(this.#server, 'listening');
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -82,6 +82,7 @@
 
 		this.#allocator.onQuarantined = suspicion => {
 			this.#logQuarantine(suspicion);
+			this.#front.abortQuarantined();
 		};
 
 		const allocation = SwitchedAllocation.create(clock, {
@@ -106,6 +107,7 @@
 			allocation,
 			pauses: UpstreamPauses.create(clock, log.part(LogPrefix.Gateway)),
 			quarantine: this.#allocator.quarantine,
+			running: new Set(),
 			codec,
 			dataCentre: self.dataCentre,
 			region: self.region,
@@ -130,7 +132,7 @@
 			onWatchNeeded: options.onWatchNeeded,
 		});
 		metrics.registerSources({
-			invariants: Invariants.create({throwOnViolation: false}), inFlight: () => this.#front.inFlight, waiting: () => this.#allocator.waitingCount, limitedUpstreams: () => this.state.limits.size, quarantined: () => this.#allocator.quarantine.exportQuarantined(clock.now()).length,
+			invariants: Invariants.create({throwOnViolation: false}), inFlight: () => this.#front.inFlight, waiting: () => this.#allocator.waitingCount, limitedUpstreams: () => this.state.limits.size, quarantined: () => this.quarantined.length,
 		});
 	}
 
@@ -139,6 +141,21 @@
 		return !this.#isStopping && this.state.table !== undefined && this.state.upstreams.size > 0;
 	}
 
+	/** Features whose requests are refused because they crash upstreams, with the evidence. */
+	get quarantined(): Suspicion[] {
+		return this.#allocator.quarantine.exportQuarantined(this.#options.clock.now());
+	}
+
+	/**
+	 * Lifts a quarantine at all VMs in contact, until requests with the feature crash upstreams again.
+	 *
+	 * @returns Whether anything was held against the feature.
+	 */
+	liftQuarantine(feature: string): boolean {
+		this.#options.log.part(LogPrefix.Allocation).warn('Quarantine lifted by an operator.', {feature});
+		return this.coordinator.liftQuarantine(feature);
+	}
+
 	async start(): Promise<void> {
 		const {self, log} = this.#options;
 		const {host, port} = splitAddress(self.frontAddress);
@@ -181,7 +198,7 @@
 		this.#options.metrics.countQuarantine();
 		this.#options.log.part(LogPrefix.Allocation).warn('Requests quarantined: they crash upstreams.', {
 			feature,
-			companions: companions?.filter(other => other !== feature).join(',') || undefined,
+			companions: companions?.filter(other => other !== feature).join(','),
 			crashes: crashes.length,
 			upstreams: crashes.slice(0, MAX_LOGGED_CRASHES).map(crash => crash.split(' ')[0]).join(','),
 			seenBy: seenBy?.join(','),
--- a/src/link/leader-client.ts
+++ b/src/link/leader-client.ts
@@ -20,7 +20,6 @@
 		return client;
 	}
 
-	readonly recordsCrashes = false;
 	readonly #clock: Clock;
 	readonly #channel: Channel<ToLeader>;
 	readonly #onTimeout: () => void;
@@ -38,6 +37,11 @@
 		this.#lastSentAt = clock.now();
 	}
 
+	/** The leader does not know all that this VM saw, and the next one must. */
+	override get recordsCrashes(): boolean {
+		return false;
+	}
+
 	/** Handles a message of the leader and passes a decision to the request that waits for it. */
 	receive(message: FromLeader): void {
 		this.#lastReceivedAt = this.#clock.now();
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -286,16 +286,6 @@
 		}
 	}
 
-	/** Adds what a VM knows, and sends the sum to all VMs. */
-	#importSuspicions(suspicions: readonly Suspicion[]): void {
-		const {allocator: {quarantine}, clock} = this.#options;
-		quarantine.import(suspicions, clock.now());
-		const features = new Set(suspicions.map(({feature}) => feature));
-		for (const suspicion of quarantine.export(clock.now()).filter(({feature}) => features.has(feature))) {
-			this.publishSuspicion(suspicion);
-		}
-	}
-
 	/** Sends the configuration in force to all VMs, after `CONFIGURATION_BATCH_MS`. */
 	publishConfiguration(): void {
 		this.#configurationTimer ??= this.#options.clock.setTimer(CONFIGURATION_BATCH_MS, () => {
@@ -329,6 +319,16 @@
 		return successor !== undefined;
 	}
 
+	/** Adds what a VM knows, and sends the sum to all VMs. */
+	#importSuspicions(suspicions: readonly Suspicion[]): void {
+		const {allocator: {quarantine}, clock} = this.#options;
+		quarantine.import(suspicions, clock.now());
+		const features = new Set(suspicions.map(({feature}) => feature));
+		for (const suspicion of quarantine.export(clock.now()).filter(({feature}) => features.has(feature))) {
+			this.publishSuspicion(suspicion);
+		}
+	}
+
 	#linksByStrength(): Link[] {
 		return [...this.#links.values()].sort((a, b) => b.member.strength - a.member.strength || (a.member.name < b.member.name ? -1 : 1));
 	}
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -95,7 +95,7 @@
 	/** Value of the limit that each response states; `undefined` for none. */
 	limit: string | undefined;
 	/** Tells whether a prompt crashes the server as soon as it begins to answer. */
-	isDeadly: (prompt: string) => boolean = () => false;
+	isDeadly: ((prompt: string) => boolean) | undefined;
 	/** Called when a prompt crashed the server. */
 	onCrash: (() => void) | undefined;
 	/** Times at which requests arrived, whether they ran or not, in ms of `performance.now()`. */
@@ -149,7 +149,7 @@
 		}
 
 		if (req.headers['x-expect-instance'] !== this.id) {
-			res.writeHead(421, {'x-instance-id': this.id});
+			res.writeHead(421, {'x-instance-id': this.id, 'x-request-id': id, 'x-not-run': '1'});
 			res.end();
 			return;
 		}
@@ -270,7 +270,7 @@
 				return;
 			}
 
-			if (this.isDeadly(String(req.headers['x-prompt-prefix'] ?? ''))) {
+			if (this.isDeadly?.(String(req.headers['x-prompt-prefix'] ?? '')) === true) {
 				this.crash();
 				this.onCrash?.();
 				return;
--- a/test/allocation/switched-allocation.test.ts
+++ b/test/allocation/switched-allocation.test.ts
@@ -6,7 +6,6 @@
 
 /** Records place requests without deciding on them. */
 class RecordingAllocation extends Allocation {
-	readonly recordsCrashes = true;
 	readonly requests = new Map<string, {ask: PlaceRequest; events: PlaceRequestEvents}>();
 
 	ask(ask: PlaceRequest, events: PlaceRequestEvents): void {
--- a/test/gateway/modules.test.ts
+++ b/test/gateway/modules.test.ts
@@ -110,7 +110,7 @@
 	it('discards an incomplete event when its upstream is lost', () => {
 		const splitter = EventSplitter.create();
 		splitter.push(Buffer.from('id: 1\n\nid: 2\ndata: ha'));
-		expect(splitter.pendingBytes).to.be.above(0);
+		expect(splitter.isInsideEvent).to.equal(true);
 		splitter.reset();
 		expect(Buffer.from(splitter.push(Buffer.from('id: 2\n\n')).bytes).toString()).to.equal('id: 2\n\n');
 	});
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -152,8 +152,8 @@
 		});
 		expect(decode(200, {'x-request-id': 'id-2', 'x-server-seal': 's'})).to.include({isForRequest: false, isSigned: false});
 		expect(decode(200, {'x-request-id': 'id-1'})).to.include({isSigned: false});
-		expect(decode(503, {'x-not-run': '1'})).to.include({isNotRun: true});
-		expect(decode(421, {})).to.include({isOtherUpstream: true});
+		expect(decode(503, {'x-request-id': 'id-1', 'x-not-run': '1'})).to.include({isNotRun: true});
+		expect(decode(421, {'x-request-id': 'id-1'})).to.include({isOtherUpstream: true});
 		expect(decode(200, {'content-encoding': 'gzip'})).to.include({isAltered: true});
 	});
 
@@ -162,7 +162,7 @@
 		const head: CallHead = {
 			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, promptParts: [], lastEventId: undefined,
 		};
-		const decode = (status: number, headers: Record<string, string>) => codec.decodeResponse(status, headers, head);
+		const decode = (status: number, headers: Record<string, string>) => codec.decodeResponse(status, {'x-request-id': 'id-1', ...headers}, head);
 		expect(decode(200, {'server-leaving': '1'})).to.include({isLeaving: true});
 		expect(decode(200, {'server-leaving': '0'})).to.include({isLeaving: false});
 		expect(decode(200, {'server-leaving': '1, 1'})).to.include({isLeaving: true});
@@ -175,12 +175,45 @@
 		expect(decode(200, {'retry-after': '1'}).retryAfter).to.equal(undefined);
 	});
 
+	// Guards against a word of a server that is believed although it belongs to another request, or to none.
+	it('believes nothing that a response says unless it carries the ID of the request', () => {
+		const codec = HeaderCodec.create();
+		const head: CallHead = {
+			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, promptParts: [], lastEventId: undefined,
+		};
+		const words = {
+			'x-not-run': '1', 'x-server-seal': 's', 'retry-after': '2', 'server-leaving': '1', 'server-limit': '1', 'x-server-load': '3,1,8',
+		};
+		for (const id of [{}, {'x-request-id': 'id-2'}, {'x-request-id': ''}, {'x-request-id': 'id-1, id-1'}]) {
+			for (const status of [200, 400, 408, 421, 429, 503]) {
+				expect(codec.decodeResponse(status, {...id, ...words}, head)).to.deep.equal({
+					isForRequest: false, isSigned: false, isNotRun: false, isOtherUpstream: false, isAltered: false, isLeaving: false, retryAfter: undefined, limit: undefined, load: undefined,
+				});
+			}
+		}
+
+		expect(codec.decodeResponse(200, {'x-request-id': 'id-1', 'x-not-run': '1'}, head)).to.include({isNotRun: false});
+		expect(codec.decodeResponse(503, {'x-request-id': 'id-1', 'x-not-run': '1', 'x-server-seal': 's'}, head)).to.include({isNotRun: false, isSigned: true});
+	});
+
+	// Guards against lists of parts that are malformed, repeated or very long, which callers may send.
+	it('decodes the shared parts of a prompt, bounded', () => {
+		const codec = HeaderCodec.create();
+		const decode = (value: string) => codec.decode({headers: {'x-request-id': 'r', 'x-prompt-prefix': value}} as unknown as IncomingMessage)!.promptParts;
+		expect(decode('5c1e07a2:800,91BD3f06:410,e4402b7d:250')).to.deep.equal(['5c1e07a2', '91bd3f06']);
+		expect(decode(' a1:1 , a1:1,a1:2, b2:3,c:1')).to.deep.equal(['a1', 'b2']);
+		expect(decode('a1:1')).to.deep.equal([]);
+		expect(decode('a1,zz:4,:,b2:x,,c3:5,,')).to.deep.equal(['c3']);
+		expect(decode(Array.from({length: 5000}, (_, index) => `${index.toString(16)}:1`).join(','))).to.have.length(64);
+		expect(decode(`${'f'.repeat(10_000)}:1,a:1`)).to.deep.equal([]);
+	});
+
 	it('decodes the limit of an upstream from each of its responses, and tells unusable values from absent ones', () => {
 		const codec = HeaderCodec.create();
 		const head: CallHead = {
 			id: 'id-1', host: 'h', apiKey: undefined, patienceMs: undefined, generation: undefined, promptParts: [], lastEventId: undefined,
 		};
-		const decode = (text: string, status = 200) => codec.decodeResponse(status, {'server-limit': text}, head).limit;
+		const decode = (text: string, status = 200) => codec.decodeResponse(status, {'x-request-id': 'id-1', 'server-limit': text}, head).limit;
 		const usable: ReadonlyArray<readonly [string, number]> = [
 			['1.4', 1.4], ['2', 2], [' .5 ', 0.5], ['5.', 5], ['0', 0], ['0.0', 0], ['2.5e-3', 0.0025], ['1e3', 1000], ['3, 2', 2], ['9'.repeat(400), 1_000_000],
 		];
--- a/test/support/front-harness.ts
+++ b/test/support/front-harness.ts
@@ -42,6 +42,8 @@
 	readonly id: string;
 	/** Writes the response to a request; can be replaced at any time. */
 	answer: (req: ReceivedRequest) => void;
+	/** Called for each connection, before a request. */
+	onConnection: ((socket: Socket) => void) | undefined;
 	readonly received: ReceivedRequest[] = [];
 	readonly #server: Server;
 	readonly #sockets = new Set<Socket>();
@@ -51,6 +53,7 @@
 		this.answer = answer;
 		this.#server = createServer(socket => {
 			this.#sockets.add(socket);
+			this.onConnection?.(socket);
 			let text = '';
 			socket.on('error', () => {
 				// The VM closed the connection.
@@ -149,6 +152,7 @@
 			allocation: this.#allocator,
 			pauses: UpstreamPauses.create(this.#clock, Log.create('silent')),
 			quarantine: this.#allocator.quarantine,
+			running: new Set(),
 			codec: HeaderCodec.create(),
 			dataCentre: 'a',
 			region: 'r',
