--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -9,7 +9,8 @@
 import {type RoutingTable} from '../gateway/routing-table.js';
 import {type UpstreamLimits} from '../gateway/upstream-limits.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
-import {Quarantine, type Suspicion} from '../policy/quarantine.js';
+import {Quarantine} from '../policy/quarantine.js';
+import {type Suspicion} from '../policy/suspicion.js';
 import {
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, emptyReport, type HeldPlace, type PlaceReport,
 } from './allocation.js';
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,7 +17,7 @@
 import {type LeaderRegister} from '../link/leader-register.js';
 import {type Member} from '../link/messages.js';
 import {TcpNetwork} from '../link/tcp-network.js';
-import {type Suspicion} from '../policy/quarantine.js';
+import {type Suspicion} from '../policy/suspicion.js';
 import {type CallCodec} from './call-codec.js';
 import {DeploymentState} from './deployment-state.js';
 import {FrontServer} from './front-server.js';
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -11,7 +11,7 @@
 import {type DeploymentState} from '../gateway/deployment-state.js';
 import {Ending} from '../gateway/exchange-ending.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
-import {type Suspicion} from '../policy/quarantine.js';
+import {type Suspicion} from '../policy/suspicion.js';
 import {type Channel, encodeLine} from './link-network.js';
 import {
 	type FromLeader, type Leader, type Member, type ToLeader,
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -6,7 +6,7 @@
 import {type Configuration} from '../gateway/routing-table.js';
 import {type AgedLimit} from '../gateway/upstream-limits.js';
 import {type Upstream, type UpstreamBoot} from '../gateway/upstream-list.js';
-import {type Suspicion} from '../policy/quarantine.js';
+import {type Suspicion} from '../policy/suspicion.js';
 
 /** What the other VMs know about a VM. */
 export type Member = {
--- a/src/members/topics.ts
+++ b/src/members/topics.ts
@@ -4,7 +4,7 @@
 import {
 	type AppliedConfig, type Entry, type Pressure, type Suspicion as SuspicionMessage,
 } from '../peer/generated/redwingspool/peer/v1/peer_pb.js';
-import {type Suspicion} from '../policy/quarantine.js';
+import {type Suspicion} from '../policy/suspicion.js';
 import {hashText} from './hash.js';
 import {type EntryInit} from './entry-version.js';
 import {type Membership} from './membership.js';
--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -9,7 +9,8 @@
 import {OutputLengthEstimator} from './output-length-estimator.js';
 import {Pool} from './pool.js';
 import {PrefixIndex} from './prefix-index.js';
-import {Quarantine, Standing, type Suspicion} from './quarantine.js';
+import {Quarantine, Standing} from './quarantine.js';
+import {type Suspicion} from './suspicion.js';
 import {Router} from './router.js';
 import {InFlightTracker} from './in-flight-tracker.js';
 import {
--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -5,6 +5,9 @@
 import {LRUCache} from 'lru-cache';
 import {countCrashes, countCorroboratedCrashes, crashId} from './crash-evidence.js';
 import {CrashLog} from './crash-log.js';
+import {
+	clear, commonFeatures, createRecord, type CrashedRequest, type SuspectRecord, type Suspicion,
+} from './suspicion.js';
 
 /** Lifetime of suspicions, and of quarantines unless another is set, in ms. */
 export const QUARANTINE_MS = 600_000;
@@ -24,28 +27,6 @@
 
 export type Standing = (typeof Standing)[keyof typeof Standing];
 
-/** Suspicion as exchanged between nodes; contains durations instead of timestamps because node clocks differ. */
-export type Suspicion = {
-	/** Fingerprint of the request, or another feature from `features.ts`. */
-	readonly feature: string;
-	/** IDs from `crash-evidence.ts` of the crashes that requests with the feature were involved in; identical on all nodes. */
-	readonly crashes: readonly string[];
-	/** Time since each of these crashes, in ms; absent where crashes have no upstream boot. */
-	readonly agesMs?: readonly number[];
-	/** Pool of the upstreams that crashed; absent where crashes have no upstream boot. */
-	readonly pool?: string;
-	/** Features that all crashed requests with this one had; the feature itself is included. */
-	readonly companions?: readonly string[];
-	/** Nodes that saw the crashes. */
-	readonly seenBy?: readonly string[];
-	/** Whether these crashes no longer count against the feature. */
-	readonly isCleared: boolean;
-	/** Remaining quarantine in milliseconds; 0 for a suspect. */
-	readonly quarantinedMs: number;
-	/** Remaining lifetime of the suspicion in milliseconds. */
-	readonly remainingMs: number;
-};
-
 /** Requests that were lost at an upstream at the same time. */
 export type Loss = {
 	readonly upstreamId: string;
@@ -55,16 +36,6 @@
 	readonly at: number;
 };
 
-/** A request that an upstream may have begun to run when it crashed. */
-export type CrashedRequest = {
-	/** From `crashId.refused`, with the start of the upstream as the event: the same on all nodes. */
-	readonly crash: string;
-	readonly pool: string;
-	readonly features: readonly string[];
-	/** Node that sent the request. */
-	readonly seenBy: string;
-};
-
 /** Options of a quarantine. */
 export type QuarantineOptions = {
 	/** How long a feature stays quarantined, in ms. */
@@ -73,18 +44,6 @@
 	readonly onQuarantined?: (suspicion: Suspicion) => void;
 };
 
-type SuspectRecord = {
-	crashes: Set<string>;
-	cleared: Set<string>;
-	/** Features that all crashed requests with this one had. */
-	companions: Set<string> | undefined;
-	readonly seenBy: Set<string>;
-	quarantinedUntil: number;
-	/** Whether a quarantine ended without a success since; the next crash renews it. */
-	wasQuarantined: boolean;
-	expiresAt: number;
-};
-
 /** Suspicions known to one node. Times are milliseconds of its monotonic clock. */
 export class Quarantine {
 	/**
@@ -394,26 +353,8 @@
 	}
 
 	#createRecord(fingerprint: string, now: number): SuspectRecord {
-		const record: SuspectRecord = {
-			crashes: new Set(), cleared: new Set(), companions: undefined, seenBy: new Set(), quarantinedUntil: 0, wasQuarantined: false, expiresAt: now,
-		};
+		const record = createRecord(now);
 		this.#records.set(fingerprint, record);
 		return record;
 	}
 }
-
-function clear(record: SuspectRecord, crashes: Iterable<string>): void {
-	for (const crash of crashes) {
-		record.cleared.add(crash);
-		record.crashes.delete(crash);
-	}
-
-	if (countCrashes(record.crashes) < SOLE_SUSPECT_CRASHES_TO_QUARANTINE) {
-		record.quarantinedUntil = 0;
-	}
-}
-
-/** @returns Those of the features that all crashed requests had in common, these ones included. */
-function commonFeatures({crashes, companions}: SuspectRecord, features: readonly string[]): Set<string> {
-	return new Set(crashes.size === 0 || companions === undefined ? features : features.filter(feature => companions.has(feature)));
-}
--- a/src/policy/scheduler.ts
+++ b/src/policy/scheduler.ts
@@ -2,7 +2,7 @@
  * Interface between request handling, which performs the I/O, and scheduling policies, which perform none.
  */
 import {type ErrorKind} from '../base/errors.js';
-import {type Suspicion} from './quarantine.js';
+import {type Suspicion} from './suspicion.js';
 
 /** Request as seen by the scheduler. Times are milliseconds of the node's monotonic clock. */
 export type Work = {
