--- a/src/upstream/completions-engine.ts
+++ b/src/upstream/completions-engine.ts
@@ -76,6 +76,7 @@
 			headers: {},
 			body: undefined,
 			idleTimeoutMs,
+			mayOmitId: true,
 		}, handler);
 	}
 
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -24,6 +24,8 @@
 	readonly body: Uint8Array | StreamedBody | undefined;
 	/** Timeout for the response headers and between two chunks of the response body, in ms. */
 	readonly idleTimeoutMs: number;
+	/** Whether the response may lack the dispatch ID although the upstream usually echoes it. */
+	readonly mayOmitId?: boolean;
 };
 
 /** Headers of an upstream's response, with names in lower case. */
--- a/src/upstream/http-transport.ts
+++ b/src/upstream/http-transport.ts
@@ -1,5 +1,6 @@
 /**
- * HTTP/1.1 transport for exchanges, using undici without pipelining.
+ * HTTP/1.1 transport for exchanges, using undici without pipelining. A response that an upstream writes once more on a kept
+ * connection looks like the response to the next request, so that only upstreams that echo dispatch IDs keep connections.
  */
 import {Pool, type Dispatcher, errors} from 'undici';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
@@ -9,6 +10,8 @@
 
 const CONNECT_TIMEOUT_MS = 1000;
 const KEEP_ALIVE_TIMEOUT_MS = 4000;
+/** Header in which an upstream may echo the dispatch ID. */
+const DISPATCH_ID_HEADER = 'dispatch-id';
 
 /** Connection pool of one upstream. */
 export class HttpTransport {
@@ -19,6 +22,7 @@
 
 	readonly #pool: Pool;
 	readonly #pathPrefix: string;
+	#echoesIds = false;
 
 	private constructor(url: URL) {
 		this.#pathPrefix = url.pathname === '/' ? '' : url.pathname.replace(/\/$/v, '');
@@ -31,7 +35,7 @@
 
 	/** Starts an exchange whose events are passed to the handler. */
 	send(req: UpstreamRequest, handler: ExchangeHandler): Exchange {
-		const exchange = new HttpExchange(handler);
+		const exchange = new HttpExchange(handler, headers => this.#isFor(req, headers));
 		this.#pool.dispatch({
 			method: req.method,
 			path: this.#pathPrefix + req.path,
@@ -41,10 +45,22 @@
 			body: (req.body ?? null) as Uint8Array | undefined,
 			headersTimeout: req.idleTimeoutMs,
 			bodyTimeout: req.idleTimeoutMs,
+			reset: !this.#echoesIds,
 		}, exchange);
 		return exchange;
 	}
 
+	/** @returns Whether a response may belong to the request; without an ID only if the upstream has echoed none yet. */
+	#isFor({dispatchId, mayOmitId = false}: UpstreamRequest, headers: UpstreamHeaders): boolean {
+		const echoedId = headers[DISPATCH_ID_HEADER]?.toString();
+		if (echoedId === undefined) {
+			return !this.#echoesIds || mayOmitId;
+		}
+
+		this.#echoesIds ||= echoedId === dispatchId;
+		return true;
+	}
+
 	/** Closes all connections immediately. */
 	async destroy(): Promise<void> {
 		await this.#pool.destroy();
@@ -54,14 +70,16 @@
 /** Adapts undici's handler interface to `ExchangeHandler`. */
 class HttpExchange extends Exchange implements Dispatcher.DispatchHandler {
 	readonly #handler: ExchangeHandler;
+	readonly #isForRequest: (headers: UpstreamHeaders) => boolean;
 	#controller: Dispatcher.DispatchController | undefined;
 	#wasSent = false;
 	#isEnded = false;
 	#isAborted = false;
 
-	constructor(handler: ExchangeHandler) {
+	constructor(handler: ExchangeHandler, isForRequest: (headers: UpstreamHeaders) => boolean) {
 		super();
 		this.#handler = handler;
+		this.#isForRequest = isForRequest;
 	}
 
 	resume(): void {
@@ -83,10 +101,16 @@
 		this.#wasSent = true;
 	}
 
-	onResponseStart(_controller: Dispatcher.DispatchController, status: number, headers: UpstreamHeaders): void {
+	onResponseStart(controller: Dispatcher.DispatchController, status: number, headers: UpstreamHeaders): void {
 		// Informational responses (RFC 9110 section 15.2) precede the final response.
-		if (status >= 200) {
+		if (status < 200) {
+			return;
+		}
+
+		if (this.#isForRequest(headers)) {
 			this.#handler.onHeaders(status, headers);
+		} else {
+			controller.abort(new errors.SocketError('response without the dispatch ID'));
 		}
 	}
 
