--- a/src/policy/crash-log.ts
+++ b/src/policy/crash-log.ts
@@ -5,9 +5,9 @@
 import {LRUCache} from 'lru-cache';
 import {isSharedFeature} from './features.js';
 
-const MAX_CRASHES = 1024;
+const MAX_CRASHES = 4096;
 /** Features that are remembered as harmless. */
-const MAX_HARMLESS_FEATURES = 4096;
+const MAX_HARMLESS_FEATURES = 50_000;
 /** How long a success speaks for a feature, in ms. */
 const HARMLESS_MS = 600_000;
 /** Crashes within this time of the first count as one if requests of several upstreams had the feature: they may have a common cause, in ms. */
--- a/src/policy/policy-scheduler.ts
+++ b/src/policy/policy-scheduler.ts
@@ -165,6 +165,10 @@
 		}
 	}
 
+	override get quarantinedCount(): number {
+		return this.quarantine.exportQuarantined(this.#options.clock.now()).length;
+	}
+
 	override importSuspicions(suspicions: readonly Suspicion[]): void {
 		this.quarantine.import(suspicions, this.#options.clock.now());
 	}
--- a/src/policy/scheduler.ts
+++ b/src/policy/scheduler.ts
@@ -168,6 +168,11 @@
 		// Ignored by policies without a prefix index.
 	}
 
+	/** Number of requests that are refused because they crash upstreams. */
+	get quarantinedCount(): number {
+		return 0;
+	}
+
 	/** Merges crash suspicions received from other nodes. */
 	importSuspicions(_suspicions: readonly Suspicion[]): void {
 		// Ignored by policies without a quarantine.
--- a/src/upstream/http-transport.ts
+++ b/src/upstream/http-transport.ts
@@ -50,6 +50,11 @@
 		return exchange;
 	}
 
+	/** Closes all connections immediately. */
+	async destroy(): Promise<void> {
+		await this.#pool.destroy();
+	}
+
 	/** @returns Whether a response may belong to the request; without an ID only if the upstream has echoed none yet. */
 	#isFor({dispatchId, mayOmitId = false}: UpstreamRequest, headers: UpstreamHeaders): boolean {
 		const echoedId = headers[DISPATCH_ID_HEADER]?.toString();
@@ -60,11 +65,6 @@
 		this.#echoesIds ||= echoedId === dispatchId;
 		return true;
 	}
-
-	/** Closes all connections immediately. */
-	async destroy(): Promise<void> {
-		await this.#pool.destroy();
-	}
 }
 
 /** Adapts undici's handler interface to `ExchangeHandler`. */
--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -332,6 +332,41 @@
 		expect(granted.has('innocent again')).to.equal(true);
 	});
 
+	// Guards against a verdict that holds only for requests that come after it.
+	it('refuses waiting requests with a part that crashes upstreams', () => {
+		const features = (id: string, part: string) => ({features: [id, `part:${part}`]});
+		const patient = {remainingMs: 60_000, patienceMs: 60_000};
+		const excluded: string[] = [];
+		for (const id of ['first', 'second', 'third']) {
+			ask(id, {...features(id, 'dead'), excluded: [...excluded]});
+			excluded.push(granted.get(id)!);
+		}
+
+		for (const id of ['sound-1', 'sound-2', 'sound-3', 'sound-4']) {
+			ask(id, features(id, 'sound'));
+		}
+
+		fillEngines();
+		for (let index = 0; index < 10; index += 1) {
+			ask(`ahead-${index}`, {...patient, rank: 0});
+		}
+
+		ask('waiting', {...features('waiting', 'dead'), ...patient, rank: 2});
+		ask('waiting too', {...features('waiting too', 'sound'), ...patient, rank: 2});
+		allocator.release('first', lost);
+		for (const id of ['sound-1', 'sound-2', 'sound-3', 'sound-4']) {
+			allocator.noteFirst(id, 50);
+		}
+
+		clock.advance(200);
+		allocator.release('second', lost);
+		clock.advance(200);
+		expect(refused.has('waiting')).to.equal(false);
+		allocator.release('third', lost);
+		expect(refused.get('waiting')?.kind).to.equal(ErrorKind.CrashSuspect);
+		expect(refused.has('waiting too')).to.equal(false);
+	});
+
 	it('moves load away from an upstream that is three times slower', () => {
 		for (let round = 0; round < 30; round += 1) {
 			const id = `round-${round}`;
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -370,6 +370,50 @@
 		expect(vms.map(vm => isLeaving(vm))).to.deep.equal([true, true, true]);
 	});
 
+	// Guards against crashes that each VM saw alone, or that only a lost leader knew of, and that are not summed.
+	it('sums crashes by a prompt part over the VMs that saw them, also after a change of the leader', async () => {
+		await startVms();
+		const upstreams = Array.from({length: 8}, (_, index) => ({
+			id: `engine-${index}`, pool: 'advice', address: `engine-${index}:80`, dataCentre: 'a', region: 'r', slots: 4, isLeaving: false, startedAt: 1,
+		}));
+		for (const {state} of vms) {
+			state.applyUpstreams({changed: upstreams, removed: []});
+		}
+
+		const crashed: string[] = [];
+		const decide = async (vm: Vm, id: string, part: string) => new Promise<string>(resolve => {
+			vm.allocation.ask(createPlaceRequest(id, {features: [id, `part:${part}`], excluded: crashed}), {grant: resolve, refuse: resolve});
+		});
+		const crash = async (vm: Vm, id: string) => {
+			crashed.push(await decide(vm, id, 'dead'));
+			vm.allocation.release(id, emptyReport(Ending.Lost));
+			await sleep(120);
+		};
+
+		const answerOthers = async (vm: Vm, round: string) => {
+			for (const id of [`${round}-1`, `${round}-2`, `${round}-3`]) {
+				await decide(vm, id, 'sound'); // eslint-disable-line no-await-in-loop -- one request after the other
+				vm.allocation.release(id, emptyReport(Ending.Answered));
+			}
+		};
+
+		const leader = await settled(3);
+		const [one, two] = vms.filter(vm => vm !== leader) as [Vm, Vm];
+		await crash(one, 'c1');
+		await crash(two, 'c2');
+		kill(leader);
+		const next = await settled(2);
+		const other = next === one ? two : one;
+		await answerOthers(other, 'before');
+		await crash(other, 'c3');
+		await answerOthers(other, 'after');
+		await crash(next, 'c4');
+		expect(await decide(other, 'refused', 'dead')).to.equal(ErrorKind.CrashSuspect);
+		expect(await decide(next, 'refused too', 'dead')).to.equal(ErrorKind.CrashSuspect);
+		expect(await decide(next, 'sound', 'sound')).to.match(/^engine-/v);
+		expect(crashed).to.have.length(4);
+	});
+
 	// Guards against a request that crashes further upstreams after each change of the leader, which alone had seen the crashes.
 	it('refuses a request that crashed three upstreams, whichever VM allocates next', async () => {
 		await startVms();
--- a/test/upstream/http-transport.test.ts
+++ b/test/upstream/http-transport.test.ts
@@ -85,28 +85,30 @@
 			}, handler);
 		}
 
+		async function expectNoRepeatedRefusal(delayMs: number, echoesId: boolean): Promise<void> {
+			const refusal = 'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n';
+			const answer = echoesId ? 'HTTP/1.1 200 OK\r\ndispatch-id: id\r\ncontent-length: 2\r\n\r\nok' : response;
+			for (let round = 0; round < 6; round += 1) {
+				response = answer;
+				const first = new RecordingHandler(() => 0);
+				send(first);
+				await eventually(() => first.events.length > 2); // eslint-disable-line no-await-in-loop -- sequential requests
+				const socket = sockets.at(-1)!;
+				setTimeout(() => socket.writable && socket.write(refusal), delayMs);
+				response = '';
+				const second = new RecordingHandler(() => 0);
+				send(second);
+				await sleep(delayMs + 5); // eslint-disable-line no-await-in-loop
+				sockets.at(-1)!.write(answer);
+				await eventually(() => second.events.length > 1); // eslint-disable-line no-await-in-loop
+				expect(second.events).not.to.include('headers 503');
+			}
+		}
+
 		for (const delayMs of [0, 1, 10]) {
 			for (const echoesId of [true, false]) {
 				// Guards against a refusal that the upstream writes once more on a kept connection, taken for the response to the next request.
-				it(`takes no repeated refusal for a response, after ${delayMs} ms (${echoesId ? 'echoes' : 'does not echo'} IDs)`, async () => {
-					const refusal = 'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n';
-					response = echoesId ? 'HTTP/1.1 200 OK\r\ndispatch-id: id\r\ncontent-length: 2\r\n\r\nok' : response;
-					for (let round = 0; round < 6; round += 1) {
-						const first = new RecordingHandler(() => 0);
-						send(first);
-						await eventually(() => first.events.length > 2); // eslint-disable-line no-await-in-loop -- sequential requests
-						const socket = sockets.at(-1)!;
-						setTimeout(() => socket.writable && socket.write(refusal), delayMs);
-						const [answer, second] = [response, new RecordingHandler(() => 0)];
-						response = '';
-						send(second);
-						await sleep(delayMs + 5); // eslint-disable-line no-await-in-loop
-						response = answer;
-						sockets.at(-1)!.write(answer);
-						await eventually(() => second.events.length > 1); // eslint-disable-line no-await-in-loop
-						expect(second.events).not.to.include('headers 503');
-					}
-				});
+				it(`takes no repeated refusal for a response, after ${delayMs} ms (${echoesId ? 'echoes' : 'does not echo'} IDs)`, async () => expectNoRepeatedRefusal(delayMs, echoesId));
 			}
 		}
 
