Quarantine: a verdict was listed and counted twice if some of its crashes were cleared

Cause: the export adds the cleared crashes of a feature as a second suspicion with the same quarantine. Change: the list and the metric leave them out; comments say what the code does.

--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -1,6 +1,7 @@
 /**
  * Detects what crashes upstreams: tracks crashes by the features that requests share, such as their fingerprint or a part of
- * their prompt, and isolates or quarantines suspects.
+ * their prompt, and isolates or quarantines suspects. Crashes are known by the losses that one node sees (`noteLoss`), or by
+ * the start of the upstream that ended (`noteCrash`); the file is long as both change the same records.
  */
 import {LRUCache} from 'lru-cache';
 import {countCrashes, countCorroboratedCrashes, crashId} from './crash-evidence.js';
@@ -110,7 +111,10 @@
 		}
 	}
 
-	/** Records a request that an upstream may have begun to run when it crashed. */
+	/**
+	 * Records a request that an upstream may have begun to run when it crashed. Further crashes of a quarantined feature renew
+	 * its quarantine and accuse no other feature.
+	 */
 	noteCrash({crash, pool, features, seenBy}: CrashedRequest, now: number): void {
 		const guilty = this.findQuarantined(features, now);
 		if (guilty === undefined && this.#log.isExplained(crash)) {
@@ -163,7 +167,11 @@
 		}
 	}
 
-	/** Lifts the suspicion and the quarantine of a feature. */
+	/**
+	 * Lifts the suspicion and the quarantine of a feature.
+	 *
+	 * @returns Whether the feature was known.
+	 */
 	lift(feature: string, now: number): boolean {
 		const record = this.#findUnexpired(feature, now);
 		this.noteSuccess(feature, now);
@@ -226,7 +234,7 @@
 
 	/** @returns The suspicions that are quarantines. */
 	exportQuarantined(now: number): Suspicion[] {
-		return this.export(now).filter(({quarantinedMs}) => quarantinedMs > 0);
+		return this.export(now).filter(({isCleared, quarantinedMs}) => !isCleared && quarantinedMs > 0);
 	}
 
 	/** Merges suspicions from another node. Idempotent. */
@@ -269,7 +277,7 @@
 		}
 	}
 
-	/** Quarantines those of the features that are guilty, most likely first. Crashes that a verdict explains count no longer against other features. */
+	/** Quarantines those of the features that are guilty. Crashes that a verdict explains count no longer against other features. */
 	#judge(features: readonly string[], now: number): void {
 		for (const feature of features) {
 			const record = this.#findUnexpired(feature, now);
--- a/test/policy/quarantine-features.test.ts
+++ b/test/policy/quarantine-features.test.ts
@@ -168,14 +168,18 @@
 		expect(course.isRefused('next', 'part:dead')).to.equal(false);
 	});
 
-	it('lifts a verdict', () => {
+	it('lists a verdict once, although some of its crashes were cleared, and lifts it', () => {
 		const course = new Course();
 		for (let count = 0; count < MAX_CRASHES_TO_VERDICT; count += 1) {
 			course.crash([`r${count}`, 'part:dead']);
 			course.beginOthers();
 		}
 
+		course.crashAt('up-9', ['s', 'part:dead']);
+		course.now += 500;
+		course.begin('up-9', ['t', 'part:other']);
 		expect(course.isRefused('new', 'part:dead')).to.equal(true);
+		expect(course.quarantine.exportQuarantined(course.now).map(({feature, isCleared}) => [feature, isCleared])).to.deep.equal([['part:dead', false]]);
 		expect(course.quarantine.lift('part:dead', course.now)).to.equal(true);
 		expect(course.isRefused('new', 'part:dead')).to.equal(false);
 		expect(course.quarantine.lift('part:unknown', course.now)).to.equal(false);
