Quarantine: the trial after a verdict was refused at the VM that allocates

Cause: admitting the trial began a short quarantine, which the allocating VM's own check before sending then found; with one VM alone a verdict never ended by a trial. Change: a trial in progress holds back admission only. Found by reading the change. Result: the test of trials asks for both and fails without the change; 134 tests of policy and allocation pass.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -303,7 +303,7 @@
 
 	#findRefusal(pool: Pool, waiting: WaitingRequest, now: number): {kind: ErrorKind; retryAfterMs: number} | undefined {
 		const {ask} = waiting;
-		if (this.quarantine.findQuarantined(ask.features, now) !== undefined) {
+		if (this.quarantine.findRefusal(ask.features, now) !== undefined) {
 			return {kind: ErrorKind.CrashSuspect, retryAfterMs: 0};
 		}
 
--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -95,18 +95,20 @@
 	 * @returns A quarantined feature of the request; `undefined` if it may run.
 	 */
 	findQuarantined(features: readonly string[], now: number): string | undefined {
-		return features.find(feature => {
-			const record = this.#findUnexpired(feature, now);
-			return record !== undefined && record.quarantinedUntil > now && this.#suspectedWith(feature, record).every(companion => features.includes(companion));
-		});
+		return this.#findHeldBack(features, now, ({quarantinedUntil}) => quarantinedUntil > now);
+	}
+
+	/** @returns A feature of the request that is quarantined or tried by another request; `undefined` if it may be admitted. */
+	findRefusal(features: readonly string[], now: number): string | undefined {
+		return this.#findHeldBack(features, now, ({quarantinedUntil, trialUntil}) => Math.max(quarantinedUntil, trialUntil) > now);
 	}
 
-	/** Admits one request as the trial of its features whose quarantine has ended; it renews the quarantine for the others meanwhile. */
+	/** Begins the trial of features whose quarantine has ended, with a request that was admitted. */
 	beginTrial(features: readonly string[], now: number): void {
 		for (const feature of features) {
 			const record = this.#findUnexpired(feature, now);
 			if (record?.wasQuarantined === true && record.quarantinedUntil <= now) {
-				record.quarantinedUntil = now + TRIAL_MS;
+				record.trialUntil = now + TRIAL_MS;
 			}
 		}
 	}
@@ -319,6 +321,13 @@
 		}
 	}
 
+	#findHeldBack(features: readonly string[], now: number, isHeldBack: (record: SuspectRecord) => boolean): string | undefined {
+		return features.find(feature => {
+			const record = this.#findUnexpired(feature, now);
+			return record !== undefined && isHeldBack(record) && this.#suspectedWith(feature, record).every(companion => features.includes(companion));
+		});
+	}
+
 	/** @returns The feature and those of its companions that may be to blame in its stead. */
 	#suspectedWith(feature: string, {companions}: SuspectRecord): string[] {
 		return [feature, ...[...companions ?? []].filter(other => other !== feature && (this.#records.peek(other)?.crashes.size ?? 0) > 0)];
--- a/src/policy/suspicion.ts
+++ b/src/policy/suspicion.ts
@@ -46,6 +46,8 @@
 	companions: Set<string> | undefined;
 	readonly seenBy: Set<string>;
 	quarantinedUntil: number;
+	/** Until when the request that tries the feature after its quarantine may take to be answered. */
+	trialUntil: number;
 	/** Whether a quarantine ended without a success since; the next crash renews it. */
 	wasQuarantined: boolean;
 	expiresAt: number;
@@ -54,7 +56,7 @@
 /** @returns A record without crashes, which has expired unless a crash is added. */
 export function createRecord(now: number): SuspectRecord {
 	return {
-		crashes: new Set(), cleared: new Set(), companions: undefined, seenBy: new Set(), quarantinedUntil: 0, wasQuarantined: false, expiresAt: now,
+		crashes: new Set(), cleared: new Set(), companions: undefined, seenBy: new Set(), quarantinedUntil: 0, trialUntil: 0, wasQuarantined: false, expiresAt: now,
 	};
 }
 
@@ -67,6 +69,7 @@
 
 	if (countCrashes(record.crashes) < MIN_CRASHES_IN_QUARANTINE) {
 		record.quarantinedUntil = 0;
+		record.trialUntil = 0;
 		record.wasQuarantined = false;
 	}
 }
