--- a/src/policy/crash-log.ts
+++ b/src/policy/crash-log.ts
@@ -10,9 +10,9 @@
 const MAX_HARMLESS_FEATURES = 50_000;
 /** How long a success speaks for a feature, in ms. */
 const HARMLESS_MS = 600_000;
-/** Crashes within this time of the first count as one if requests of several upstreams had the feature: they may have a common cause, in ms. */
+/** Crashes within this time of the first, in ms, count as one for a shared feature, as they may have a common cause such as a power loss. */
 const SIMULTANEOUS_MS = 100;
-/** The same for a feature that was harmless before. */
+/** The same time for a feature on which upstreams have answered before, in ms. */
 const SIMULTANEOUS_HARMLESS_MS = 1000;
 /** Crashes that make a feature guilty if few other requests were in flight, and those that do in any case. */
 const FEW_CRASHES = 3;
@@ -129,7 +129,10 @@
 		return features;
 	}
 
-	/** @returns Whether a feature crashes upstreams, beyond reasonable doubt. */
+	/**
+	 * @returns Whether a feature crashes upstreams: it was in enough crashes, no other feature explains them better, and for a
+	 * shared feature, upstreams run other requests and crash seldom without it.
+	 */
 	isGuilty(feature: string, {crashes, companions, suspects}: Accusation): boolean {
 		const own = [...crashes].map(id => this.#crashes.peek(id)).filter(crash => crash !== undefined).sort((a, b) => a.at - b.at);
 		const [first] = own;
--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -214,7 +214,6 @@
 		const record = this.#findUnexpired(feature, now);
 		if (record !== undefined && record.crashes.size > 0) {
 			clear(record, record.crashes);
-			record.wasQuarantined = false;
 			this.#onChanged?.(this.#toSuspicion(feature, record, now));
 		}
 	}
@@ -328,7 +327,7 @@
 		});
 	}
 
-	/** @returns The feature and those of its companions that may be to blame in its stead. */
+	/** @returns The feature and those of its companions that are still suspected, any of which may be the cause. */
 	#suspectedWith(feature: string, {companions}: SuspectRecord): string[] {
 		return [feature, ...[...companions ?? []].filter(other => other !== feature && (this.#records.peek(other)?.crashes.size ?? 0) > 0)];
 	}
