Requests: an account of how each request ends, checked by machine

What operators saw: a request that ended with the connection closed and no answer left at most the line of the exchange; a request that was refused, malformed or cut at the end of a shutdown could not be told from one that was lost, and the line 'Request ended.' stated what was decided, not whether the response was sent.

The ledger opens an account when a request was read completely, and closes it when its response was handed to the kernel or its connection closed. Metrics: redwingspool_requests_begun_total, redwingspool_request_ends_total by end, redwingspool_requests_open; 'Request ended.' is now the one line for each request, also for refused ones, with the end and the time from the decision to the last byte (flushMs); 'Stopped.' shows the three sums. A response that is decided on twice, a connection that closes without an answer while the caller stays (end 'lost'), and sums that do not agree are violations of P3; the gateway now logs violations, which it only counted.

--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -24,6 +24,28 @@
 
 export type RequestOutcome = (typeof RequestOutcome)[keyof typeof RequestOutcome];
 
+/** What happened to the response of a request that was read completely. */
+export const RequestEnd = {
+	/** The upstream's response was sent completely. */
+	Answered: 'answered',
+	/** An error response was sent that states that the request was not run. */
+	Refused: 'refused',
+	/** Another error response was sent. */
+	Failed: 'failed',
+	/** The connection was closed inside a response that could not be completed. */
+	Broken: 'broken',
+	/** The caller closed the connection before the response was sent. */
+	Aborted: 'aborted',
+	/** The end of a shutdown closed the connection before the response was sent. */
+	Stopped: 'stopped',
+	/** The request came on a connection that was closing; it was neither run nor answered. */
+	Unserved: 'unserved',
+	/** The connection was closed without a response while the caller waited. */
+	Lost: 'lost',
+} as const;
+
+export type RequestEnd = (typeof RequestEnd)[keyof typeof RequestEnd];
+
 /** What an upstream can state about itself in a response. */
 export const UpstreamNotice = {
 	/** It is shutting down. */
@@ -45,6 +67,8 @@
 	readonly waiting: () => number;
 	/** Number of upstreams with a limit on the requests that they take. */
 	readonly limitedUpstreams: () => number;
+	/** Requests that were read completely and have not ended. */
+	readonly openRequests?: () => number;
 	/** Number of features whose requests are refused because they crash upstreams. */
 	readonly quarantined?: () => number;
 };
@@ -100,6 +124,8 @@
 	readonly timeToFirstToken = new DurationSummary('redwingspool_time_to_first_token_seconds', 'From arrival to the first part of a model\'s answer.', this.registry);
 	readonly timeBetweenTokens = new DurationSummary('redwingspool_time_between_tokens_seconds', 'Between two parts of a model\'s answer.', this.registry);
 	readonly #requests: Counter<'tier' | 'outcome'>;
+	readonly #requestsBegun: Counter;
+	readonly #requestEnds: Counter<'end'>;
 	readonly #errors: Counter<'kind'>;
 	readonly #upstreamNotices: Counter<'notice'>;
 	readonly #quarantines: Counter;
@@ -108,6 +134,12 @@
 		this.#requests = new Counter({
 			name: 'redwingspool_requests_total', help: 'Requests that ended, by rank of their tier.', labelNames: ['tier', 'outcome'], registers: [this.registry],
 		});
+		this.#requestsBegun = new Counter({
+			name: 'redwingspool_requests_begun_total', help: 'Requests that were read completely.', registers: [this.registry],
+		});
+		this.#requestEnds = new Counter({
+			name: 'redwingspool_request_ends_total', help: 'Requests that were read completely and ended, by what happened to the response.', labelNames: ['end'], registers: [this.registry],
+		});
 		this.#errors = new Counter({
 			name: 'redwingspool_errors_total', help: 'Errors answered, by kind.', labelNames: ['kind'], registers: [this.registry],
 		});
@@ -133,6 +165,7 @@
 			},
 		});
 		gauge('redwingspool_in_flight', 'Requests that are not answered yet.', sources.inFlight);
+		gauge('redwingspool_requests_open', 'Requests that were read completely and have not ended.', sources.openRequests ?? (() => 0));
 		gauge('redwingspool_waiting', 'Requests that wait in the queues.', sources.waiting);
 		gauge('redwingspool_limited_upstreams', 'Upstreams that limit the requests they take.', sources.limitedUpstreams);
 		if (sources.quarantined !== undefined) {
@@ -157,6 +190,14 @@
 		this.#requests.inc({tier: String(Math.min(tier, MAX_TIER)), outcome});
 	}
 
+	countRequestBegun(): void {
+		this.#requestsBegun.inc();
+	}
+
+	countRequestEnd(end: RequestEnd): void {
+		this.#requestEnds.inc({end});
+	}
+
 	countError(kind: ErrorKind): void {
 		this.#errors.inc({kind});
 	}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -10,7 +10,9 @@
 import {type Clock, type Timer} from '../base/clock.js';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
 import {type Log} from '../base/log.js';
-import {type Metrics, RequestOutcome, UpstreamNotice} from '../base/metrics.js';
+import {
+	type Metrics, RequestEnd, RequestOutcome, UpstreamNotice,
+} from '../base/metrics.js';
 import {endToEndHeaders} from '../dispatch/hop-headers.js';
 import {type Quarantine} from '../policy/quarantine.js';
 import {type ResponseHead, type CallCodec, type CallHead} from './call-codec.js';
@@ -20,6 +22,7 @@
 	Ending, mayRetry, notRunStatuses, ranByEnding,
 } from './exchange-ending.js';
 import {writeErrorResponse} from './error-response.js';
+import {type Decision, type LedgerEntry, type RequestLedger} from './request-ledger.js';
 import {Operation, type Route} from './routing-table.js';
 import {type Upstream} from './upstream-list.js';
 import {UpstreamExchange} from './upstream-exchange.js';
@@ -70,6 +73,7 @@
 	readonly allocation: Allocation;
 	readonly pauses: UpstreamPauses;
 	readonly quarantine: Quarantine;
+	readonly ledger: RequestLedger;
 	/** Requests that are not answered completely yet. */
 	readonly running: Set<Forwarding>;
 	readonly codec: CallCodec;
@@ -83,6 +87,7 @@
 export type Call = {
 	readonly req: IncomingMessage;
 	readonly res: ServerResponse;
+	readonly entry: LedgerEntry;
 	readonly head: CallHead;
 	readonly route: Route;
 	readonly pool: string;
@@ -434,7 +439,7 @@
 		if (isStream) {
 			this.#beginStream();
 			this.#call.res.end();
-			this.#finish(RequestOutcome.Done, Ending.Answered);
+			this.#finish(RequestEnd.Answered, RequestOutcome.Done, Ending.Answered);
 			return;
 		}
 
@@ -452,7 +457,7 @@
 		}
 
 		this.#sendResponse(response);
-		this.#finish(isError ? RequestOutcome.Failed : RequestOutcome.Done, isError ? Ending.UpstreamError : Ending.Answered);
+		this.#finish(RequestEnd.Answered, isError ? RequestOutcome.Failed : RequestOutcome.Done, isError ? Ending.UpstreamError : Ending.Answered);
 	}
 
 	#onFail(attempt: Attempt, ending: Ending, detail: string): void {
@@ -599,7 +604,7 @@
 			this.#endAttempt(attempt, Ending.Cancelled);
 		}
 
-		this.#finish(RequestOutcome.Failed, Ending.Cancelled);
+		this.#finish(undefined, RequestOutcome.Failed, Ending.Cancelled);
 	}
 
 	/** Restarts the timer that sends a stalled request to another upstream, where that is allowed. */
@@ -649,13 +654,13 @@
 		const {res, head} = this.#call;
 		if (this.#isStreaming) {
 			res.destroy();
-			this.#finish(RequestOutcome.Failed, this.#lastEnding ?? Ending.Lost, kind);
+			this.#finish(RequestEnd.Broken, RequestOutcome.Failed, this.#lastEnding ?? Ending.Lost, kind);
 			return;
 		}
 
 		if (this.#fallback !== undefined) {
 			this.#sendResponse(this.#fallback);
-			this.#finish(RequestOutcome.Failed, Ending.UpstreamError);
+			this.#finish(RequestEnd.Answered, RequestOutcome.Failed, Ending.UpstreamError);
 			return;
 		}
 
@@ -666,10 +671,12 @@
 			request: head.id, kind, ran: answer.ran, retryAfterMs: waitMs === undefined ? undefined : Math.round(waitMs), afterMs: Math.round(this.#context.clock.now() - this.#call.arrivedAt),
 		});
 		writeErrorResponse(res, codec, head, kind, waitMs);
-		this.#finish(answer.ran === Ran.No ? RequestOutcome.Refused : RequestOutcome.Failed, this.#lastEnding, kind);
+		const isRefused = answer.ran === Ran.No;
+		this.#finish(isRefused ? RequestEnd.Refused : RequestEnd.Failed, isRefused ? RequestOutcome.Refused : RequestOutcome.Failed, this.#lastEnding, kind);
 	}
 
-	#finish(outcome: RequestOutcome, ending: Ending | undefined, kind?: ErrorKind): void {
+	/** @param decision - How the response ends; `undefined` if the caller disconnected. */
+	#finish(decision: Decision | undefined, outcome: RequestOutcome, ending: Ending | undefined, kind?: ErrorKind): void {
 		if (this.#isDone) {
 			return;
 		}
@@ -677,11 +684,10 @@
 		this.#isDone = true;
 		this.#deadlineTimer?.cancel();
 		this.#stallTimer?.cancel();
-		const {clock, log, metrics} = this.#context;
-		const {head, route, pool, customer, arrivedAt, rank} = this.#call;
+		const {clock, metrics} = this.#context;
+		const {entry, route, pool, customer, arrivedAt, rank} = this.#call;
 		metrics.countRequest(rank, outcome);
-		log.info('Request ended.', {
-			request: head.id,
+		entry.note({
 			route: route.name,
 			pool,
 			customer,
@@ -693,6 +699,9 @@
 			upstreams: this.#excluded.join(',') || undefined,
 			ms: Math.round(clock.now() - arrivedAt),
 		});
+		if (decision !== undefined) {
+			entry.decide(decision);
+		}
 	}
 }
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -9,12 +9,14 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket} from 'node:net';
-import {errorAnswers, ErrorKind} from '../base/errors.js';
+import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
+import {RequestEnd} from '../base/metrics.js';
 import {type Random} from '../base/random.js';
 import {promptPartFeature} from '../policy/features.js';
 import {type CallHead} from './call-codec.js';
 import {Forwarding, type ForwardingContext} from './forwarding.js';
 import {writeErrorResponse} from './error-response.js';
+import {type LedgerEntry} from './request-ledger.js';
 import {
 	type CallerLimits, type Customer, pickTarget, type PoolSettings, type Quota, type Route, type RoutingTable,
 } from './routing-table.js';
@@ -28,6 +30,8 @@
 /** Fraction of the maximum output that is expected when the caller gives no estimate. */
 const EXPECTED_OUTPUT_FRACTION = 0.5;
 const MAX_ROUTE_RANK = RANKS_PER_CUSTOMER_RANK - 1;
+/** The caller closed the connection inside a request. */
+const INCOMPLETE_REQUEST_CODE = 'HPE_INVALID_EOF_STATE';
 const statusLines: Readonly<Record<number, string>> = {
 	400: '400 Bad Request', 408: '408 Request Timeout', 431: '431 Request Header Fields Too Large',
 };
@@ -97,6 +101,7 @@
 
 	/** Closes all connections. */
 	destroy(): void {
+		this.#context.ledger.noteClosing();
 		this.#server.closeAllConnections();
 	}
 
@@ -107,7 +112,7 @@
 	}
 
 	async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {clock, state, codec} = this.#context;
+		const {clock, state, codec, ledger} = this.#context;
 		const arrivedAt = clock.now();
 		this.#inFlight += 1;
 		res.once('close', () => {
@@ -124,25 +129,26 @@
 			return;
 		}
 
+		const entry = ledger.begin(res, head?.id);
 		if (body === 'too-large') {
-			this.#reject(res, head, table === undefined ? ErrorKind.NotReady : ErrorKind.BodyTooLarge);
+			this.#reject(res, entry, head, table === undefined ? ErrorKind.NotReady : ErrorKind.BodyTooLarge);
 			return;
 		}
 
 		if (table === undefined) {
-			this.#reject(res, head, ErrorKind.NotReady);
+			this.#reject(res, entry, head, ErrorKind.NotReady);
 			return;
 		}
 
 		const resolved = this.#resolve(table, req, head);
 		if (typeof resolved === 'string') {
-			this.#reject(res, head, resolved);
+			this.#reject(res, entry, head, resolved);
 			return;
 		}
 
 		const {route, customer, pool} = resolved;
 		if (this.#stopSchedule !== undefined && arrivedAt > this.#stopSchedule.acceptsUntil && arrivedAt + route.timeoutMs > this.#stopSchedule.endsAt) {
-			this.#reject(res, head, ErrorKind.Draining);
+			this.#reject(res, entry, head, ErrorKind.Draining);
 			return;
 		}
 
@@ -150,6 +156,7 @@
 		Forwarding.start(this.#context, {
 			req,
 			res,
+			entry,
 			head: head!,
 			route,
 			pool: pool.name,
@@ -184,11 +191,12 @@
 		return pool === undefined ? ErrorKind.NoUpstream : {route, customer, pool};
 	}
 
-	#reject(res: ServerResponse, head: CallHead | undefined, kind: ErrorKind): void {
-		const {codec, metrics, log} = this.#context;
+	#reject(res: ServerResponse, entry: LedgerEntry, head: CallHead | undefined, kind: ErrorKind): void {
+		const {codec, metrics} = this.#context;
+		const {ran, status} = errorAnswers[kind];
 		metrics.countError(kind);
-		log.info('Request not accepted.', {request: head?.id, kind, status: errorAnswers[kind].status});
 		writeErrorResponse(res, codec, head, kind);
+		entry.decide(ran === Ran.No ? RequestEnd.Refused : RequestEnd.Failed, {kind, status});
 	}
 
 	#rejectMalformed(err: Error, socket: Socket): void {
@@ -199,7 +207,10 @@
 		}
 
 		const status = code === 'HPE_HEADER_OVERFLOW' ? 431 : (code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400);
-		this.#context.log.info('Malformed request.', {code, status});
+		if (code !== INCOMPLETE_REQUEST_CODE) {
+			this.#context.ledger.record(RequestEnd.Refused, {code, status});
+		}
+
 		socket.end(`HTTP/1.1 ${statusLines[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 	}
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import {type CallCodec} from './call-codec.js';
 import {DeploymentState} from './deployment-state.js';
 import {FrontServer} from './front-server.js';
+import {RequestLedger} from './request-ledger.js';
 import {UpstreamPauses} from './upstream-pauses.js';
 
 /** Part of the shutdown time that is reserved for closing connections, in ms. */
@@ -65,6 +66,7 @@
 	readonly #options: GatewayOptions;
 	readonly #front: FrontServer;
 	readonly #allocator: Allocator;
+	readonly #ledger: RequestLedger;
 	#isStopping = false;
 
 	private constructor(options: GatewayOptions) {
@@ -72,6 +74,15 @@
 		const {
 			clock, random, log, metrics, codec, self, repeatBounds, quotaTolerance,
 		} = options;
+		const invariants = Invariants.create({
+			throwOnViolation: false,
+			onViolation(promise, detail) {
+				log.part(LogPrefix.Invariant).error('A promise was violated.', {promise, detail});
+			},
+		});
+		this.#ledger = RequestLedger.create({
+			clock, log: log.part(LogPrefix.Gateway), metrics, invariants,
+		});
 		this.state = DeploymentState.create(log.part(LogPrefix.Config));
 		this.#allocator = Allocator.create({
 			clock, random, nodeId: self.boot, repeatBounds, quotaTolerance, limits: this.state.limits,
@@ -107,6 +118,7 @@
 			allocation,
 			pauses: UpstreamPauses.create(clock, log.part(LogPrefix.Gateway)),
 			quarantine: this.#allocator.quarantine,
+			ledger: this.#ledger,
 			running: new Set(),
 			codec,
 			dataCentre: self.dataCentre,
@@ -132,7 +144,12 @@
 			onWatchNeeded: options.onWatchNeeded,
 		});
 		metrics.registerSources({
-			invariants: Invariants.create({throwOnViolation: false}), inFlight: () => this.#front.inFlight, waiting: () => this.#allocator.waitingCount, limitedUpstreams: () => this.state.limits.size, quarantined: () => this.quarantined.length,
+			invariants,
+			inFlight: () => this.#front.inFlight,
+			openRequests: () => this.#ledger.counts.open,
+			waiting: () => this.#allocator.waitingCount,
+			limitedUpstreams: () => this.state.limits.size,
+			quarantined: () => this.quarantined.length,
 		});
 	}
 
@@ -185,7 +202,7 @@
 		}
 
 		this.#front.closeListener();
-		log.part(LogPrefix.Gateway).info('Stopped.', {inFlight: this.#front.inFlight, afterMs: Math.round(clock.now() - startedAt)});
+		log.part(LogPrefix.Gateway).info('Stopped.', {inFlight: this.#front.inFlight, ...this.#ledger.counts, afterMs: Math.round(clock.now() - startedAt)});
 		this.coordinator.stop();
 		this.#front.destroy();
 	}
--- a/test/support/front-harness.ts
+++ b/test/support/front-harness.ts
@@ -3,22 +3,27 @@
  * responses the test writes byte by byte.
  */
 import {once} from 'node:events';
+import {Writable} from 'node:stream';
 import {
 	type AddressInfo, createServer, type Server, type Socket,
 } from 'node:net';
 import {HeaderCodec} from '../../platform/header-codec.js';
 import {Allocator, type Decision} from '../../src/allocation/allocator.js';
 import {SystemClock} from '../../src/base/clock.js';
-import {Log} from '../../src/base/log.js';
+import {Invariants} from '../../src/base/invariant.js';
+import {Log, LogLevel} from '../../src/base/log.js';
 import {Metrics} from '../../src/base/metrics.js';
 import {Random} from '../../src/base/random.js';
 import {DeploymentState} from '../../src/gateway/deployment-state.js';
-import {FrontServer} from '../../src/gateway/front-server.js';
-import {Operation, type Route} from '../../src/gateway/routing-table.js';
+import {FrontServer, type StopSchedule} from '../../src/gateway/front-server.js';
+import {
+	type CallerLimits, type Configuration, Operation, type Route,
+} from '../../src/gateway/routing-table.js';
 import {type Upstream} from '../../src/gateway/upstream-list.js';
+import {RequestLedger} from '../../src/gateway/request-ledger.js';
 import {UpstreamPauses} from '../../src/gateway/upstream-pauses.js';
 import {freePort} from './free-port.js';
-import {type RawResponse, sendRaw} from './raw-http.js';
+import {RawConnection, type RawResponse, sendRaw} from './raw-http.js';
 
 const HOST = 'desk.example';
 
@@ -107,7 +112,19 @@
 			},
 		});
 		const route = (name: string, operation: Operation, changes: Partial<Route> = {}): Route => ({
-			name, host: HOST, prefix: `/${name}/`, operation, timeoutMs: 4000, objectiveMs: 200, rank: 0, targets: [{pool: 'desk', weight: 1}], maxAttempts: 3, isPublic: false, isResumable: false, maxPauseMs: operation === Operation.Stream ? 300 : undefined, ...changes,
+			name,
+			host: HOST,
+			prefix: `/${name}/`,
+			operation,
+			timeoutMs: 4000,
+			objectiveMs: 200,
+			rank: 0,
+			targets: [{pool: 'desk', weight: 1}],
+			maxAttempts: 3,
+			isPublic: false,
+			isResumable: false,
+			maxPauseMs: operation === Operation.Stream ? 300 : undefined,
+			...changes,
 		});
 		harness.state.applyConfiguration({
 			version: 1,
@@ -126,6 +143,12 @@
 		return harness;
 	}
 
+	/** Lines about requests, as logged. */
+	readonly lines: Array<Readonly<Record<string, unknown>>> = [];
+	/** Violations of the account of requests. */
+	readonly violations: string[] = [];
+	readonly metrics = Metrics.create();
+	readonly ledger: RequestLedger;
 	readonly state = DeploymentState.create(Log.create('silent'));
 	/** Decisions of the allocator, in order. */
 	readonly decisions: Decision[] = [];
@@ -143,15 +166,31 @@
 			this.decisions.push(decision);
 		};
 
+		const log = Log.create(LogLevel.Info, new Writable({
+			write: (line, _encoding, done) => {
+				this.lines.push(JSON.parse(String(line)) as Record<string, unknown>);
+				done();
+			},
+		}));
+		const invariants = Invariants.create({
+			throwOnViolation: false,
+			onViolation: (_promise, detail) => {
+				this.violations.push(detail);
+			},
+		});
+		this.ledger = RequestLedger.create({
+			clock: this.#clock, log, metrics: this.metrics, invariants,
+		});
 		let askCount = 0;
 		this.#front = FrontServer.create({
 			clock: this.#clock,
-			log: Log.create('silent'),
-			metrics: Metrics.create(),
+			log,
+			metrics: this.metrics,
 			state: this.state,
 			allocation: this.#allocator,
 			pauses: UpstreamPauses.create(this.#clock, Log.create('silent')),
 			quarantine: this.#allocator.quarantine,
+			ledger: this.ledger,
 			running: new Set(),
 			codec: HeaderCodec.create(),
 			dataCentre: 'a',
@@ -163,6 +202,16 @@
 		}, Random.create(1));
 	}
 
+	/** How each request ended, by ID, in order of the ends. */
+	get ends(): Array<readonly [id: unknown, end: unknown]> {
+		return this.lines.filter(({message}) => String(message).endsWith('Request ended.')).map(({request, end}) => [request, end] as const);
+	}
+
+	/** Closes all connections, as at the end of a shutdown. */
+	destroy(): void {
+		this.#front.destroy();
+	}
+
 	/** Number of places held at upstreams. */
 	get heldCount(): number {
 		return this.#allocator.heldCount;
@@ -176,12 +225,38 @@
 		return {...answer, id};
 	}
 
+	/** Puts a configuration with other limits in force. */
+	setLimits(changes: Partial<CallerLimits>): void {
+		const {configuration} = this.state.table!;
+		this.change({limits: {...configuration.limits, ...changes}});
+	}
+
+	/** Puts a changed configuration in force. */
+	change(changes: Partial<Configuration>): void {
+		const {configuration} = this.state.table!;
+		this.state.applyConfiguration({...configuration, ...changes, version: configuration.version + 1});
+	}
+
+	beginStop(schedule: StopSchedule): void {
+		this.#front.beginStop(schedule);
+	}
+
+	/** Opens a connection without sending anything. */
+	connect(): RawConnection {
+		return RawConnection.open(this.#address);
+	}
+
 	stop(): void {
 		this.#front.closeListener();
 		this.#front.destroy();
 	}
 }
 
+/** @returns A request of a caller. */
+export function formatRequest(route: string, id: string, headers = '', body = ''): string {
+	return `POST /${route}/${id} HTTP/1.1\r\nHost: ${HOST}\r\nX-Request-Id: ${id}\r\n${headers}Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
 /** @returns A complete response of an upstream. */
 export function formatResponse(id: string, body: string, headers = '', status = '200 OK'): string {
 	return `HTTP/1.1 ${status}\r\nX-Request-Id: ${id}\r\nX-Server-Seal: seal-${id}\r\n${headers}Content-Length: ${body.length}\r\n\r\n${body}`;
--- a/test/support/raw-http.ts
+++ b/test/support/raw-http.ts
@@ -10,6 +10,37 @@
 	readonly text: string;
 };
 
+/** A caller's connection on which the test writes and reads bytes itself. */
+export class RawConnection {
+	static open(address: string): RawConnection {
+		const [host, port] = address.split(':');
+		return new RawConnection(connect(Number(port), host));
+	}
+
+	readonly socket: Socket;
+	/** All bytes that were received, as Latin-1. */
+	text = '';
+	isClosed = false;
+
+	private constructor(socket: Socket) {
+		this.socket = socket;
+		socket.on('data', chunk => {
+			this.text += chunk.toString('latin1');
+		});
+		socket.on('error', () => {
+			// The test looks at what was received.
+		});
+		socket.on('close', () => {
+			this.isClosed = true;
+		});
+	}
+
+	/** Status codes of the responses so far, in order. */
+	get statuses(): number[] {
+		return [...this.text.matchAll(/HTTP\/1\.1 (?<status>\d+) /gv)].map(match => Number(match.groups!.status));
+	}
+}
+
 /** Sends bytes on a new connection and reads until it closes or until one response, with a length or chunked, is complete. */
 export async function sendRaw(address: string, parts: ReadonlyArray<string | Uint8Array>): Promise<RawResponse> {
 	const [host, port] = address.split(':');
