Planned stop: requests that may not be repeated were taken late and cut at the end

What callers saw: in a planned stop an unsafe request, or a stream that cannot be resumed, was passed on and its connection closed without an answer when the process ended.

Cause: for 2.5 s after the signal every request was taken, whatever its deadline. The check used the time of the head, so a body that ended later was taken too; and later requests were judged by the route's timeout, so that those of callers who wait only briefly were refused without need.

Fix: the new module planned-stop decides when the request has been read completely, by its deadline (the earlier of the route's timeout and the caller's own), with the time to wait for the upstream's answer and to deliver it. Only requests that may be repeated are taken early in the stop with a later deadline.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -23,6 +23,7 @@
 } from './exchange-ending.js';
 import {writeErrorResponse} from './error-response.js';
 import {type Decision, type LedgerEntry, type RequestLedger} from './request-ledger.js';
+import {DEADLINE_GRACE_MS, requestDeadline} from './request-deadline.js';
 import {Operation, type Route} from './routing-table.js';
 import {type Upstream} from './upstream-list.js';
 import {UpstreamExchange} from './upstream-exchange.js';
@@ -44,8 +45,6 @@
 const FIRST_EVENT_STALL_FACTOR = 3;
 /** A safe non-stream request goes to another upstream if its response is incomplete after this many objectives. */
 const RESPONSE_STALL_OBJECTIVE_FACTOR = 2.2;
-/** How long after the deadline to wait for the upstream's own timeout response, in ms. */
-const DEADLINE_GRACE_MS = 120;
 /**
  * Callers disconnect from a stream that has not started after the longest of: a minimum time in ms, this multiple of the
  * objective, this multiple of the longest pause.
@@ -162,7 +161,7 @@
 		this.#context = context;
 		this.#call = call;
 		const {route, head, arrivedAt} = call;
-		this.#deadlineAt = arrivedAt + Math.min(route.timeoutMs, head.patienceMs ?? route.timeoutMs);
+		this.#deadlineAt = requestDeadline(route, head, arrivedAt);
 		this.#isResumable = route.operation === Operation.Stream && route.isResumable;
 		this.#splitter.lastId = head.lastEventId;
 	}
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -17,6 +17,8 @@
 import {Forwarding, type ForwardingContext} from './forwarding.js';
 import {writeErrorResponse} from './error-response.js';
 import {type LedgerEntry} from './request-ledger.js';
+import {type PlannedStop} from './planned-stop.js';
+import {requestDeadline} from './request-deadline.js';
 import {
 	type CallerLimits, type Customer, pickTarget, type PoolSettings, type Quota, type Route, type RoutingTable,
 } from './routing-table.js';
@@ -36,14 +38,6 @@
 	400: '400 Bad Request', 408: '408 Request Timeout', 431: '431 Request Header Fields Too Large',
 };
 
-/** How a stopping server handles new requests. Times in ms of the VM's monotonic clock. */
-export type StopSchedule = {
-	/** Every request that arrives up to this time is served. */
-	readonly acceptsUntil: number;
-	/** Later requests are served only if their route's timeout ends before this time. */
-	readonly endsAt: number;
-};
-
 /** HTTP server for callers' requests. */
 export class FrontServer {
 	static create(context: ForwardingContext, random: Random): FrontServer {
@@ -54,7 +48,7 @@
 	readonly #random: Random;
 	readonly #server: Server;
 	#inFlight = 0;
-	#stopSchedule: StopSchedule | undefined;
+	#stop: PlannedStop | undefined;
 
 	private constructor(context: ForwardingContext, random: Random) {
 		this.#context = context;
@@ -90,8 +84,8 @@
 	}
 
 	/** Closes each connection after its next response, and rejects requests that could outlive the process. */
-	beginStop(schedule: StopSchedule): void {
-		this.#stopSchedule = schedule;
+	beginStop(stop: PlannedStop): void {
+		this.#stop = stop;
 	}
 
 	/** Stops accepting connections and closes idle ones; requests in flight are still served. */
@@ -118,7 +112,7 @@
 		res.once('close', () => {
 			this.#inFlight -= 1;
 		});
-		if (this.#stopSchedule !== undefined) {
+		if (this.#stop !== undefined) {
 			res.setHeader('connection', 'close');
 		}
 
@@ -147,7 +141,7 @@
 		}
 
 		const {route, customer, pool} = resolved;
-		if (this.#stopSchedule !== undefined && arrivedAt > this.#stopSchedule.acceptsUntil && arrivedAt + route.timeoutMs > this.#stopSchedule.endsAt) {
+		if (this.#stop?.takes(route, requestDeadline(route, head!, arrivedAt)) === false) {
 			this.#reject(res, entry, head, ErrorKind.Draining);
 			return;
 		}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,15 +22,9 @@
 import {DeploymentState} from './deployment-state.js';
 import {FrontServer} from './front-server.js';
 import {RequestLedger} from './request-ledger.js';
+import {PlannedStop} from './planned-stop.js';
 import {UpstreamPauses} from './upstream-pauses.js';
 
-/** Part of the shutdown time that is reserved for closing connections, in ms. */
-const STOP_MARGIN_MS = 600;
-/**
- * How long every request is served after a shutdown began, in ms. Callers learn of the shutdown within the lifetime of
- * the address lists that they were given.
- */
-const STOP_ACCEPT_PERIOD_MS = 2500;
 /** Minimum shutdown time, in ms: callers that were just given this address still connect. */
 const MIN_STOP_DURATION_MS = 2500;
 const STOP_POLL_INTERVAL_MS = 50;
@@ -191,11 +185,11 @@
 
 		this.#isStopping = true;
 		const {clock, log, graceMs} = this.#options;
-		const startedAt = clock.now();
-		const endsAt = startedAt + graceMs - STOP_MARGIN_MS;
+		const stop = PlannedStop.create(clock, graceMs);
+		const {startedAt, endsAt} = stop;
 		log.part(LogPrefix.Gateway).info('Stopping.', {inFlight: this.#front.inFlight});
 		this.#publishReadiness();
-		this.#front.beginStop({acceptsUntil: startedAt + STOP_ACCEPT_PERIOD_MS, endsAt});
+		this.#front.beginStop(stop);
 		this.coordinator.resign();
 		while (clock.now() < endsAt && (this.#front.inFlight > 0 || clock.now() < startedAt + MIN_STOP_DURATION_MS)) {
 			await clock.sleep(STOP_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- polling
--- /dev/null
+++ b/src/gateway/planned-stop.ts
@@ -0,0 +1,44 @@
+/**
+ * What a VM does with requests between the signal to stop and its end. Callers learn of a stop only with their next address
+ * list, so the VM serves on for a while. It takes a request that may not be repeated only if its final answer is due
+ * before the end; one that may be repeated is taken early in the stop in any case, as few of them last that long.
+ */
+import {type Clock} from '../base/clock.js';
+import {DEADLINE_GRACE_MS} from './request-deadline.js';
+import {Operation, type Route} from './routing-table.js';
+
+/** Part of the time for a stop that is reserved for closing connections and exiting, in ms. */
+const EXIT_MARGIN_MS = 600;
+/** Time to write an answer and deliver it to the caller, in ms. */
+const DELIVERY_MARGIN_MS = 150;
+/**
+ * How long requests that may be repeated are taken whatever their deadline, in ms: at least the lifetime of the address
+ * lists that callers were given.
+ */
+const REPEATABLE_PERIOD_MS = 2500;
+
+/** The schedule of one planned stop. Times in ms of the VM's monotonic clock. */
+export class PlannedStop {
+	/** @param graceMs - Time from now until the process is killed, in ms. */
+	static create(clock: Clock, graceMs: number): PlannedStop {
+		return new PlannedStop(clock, graceMs);
+	}
+
+	readonly startedAt: number;
+	/** Requests that are still open at this time get their final answer. */
+	readonly endsAt: number;
+	readonly #clock: Clock;
+
+	private constructor(clock: Clock, graceMs: number) {
+		this.#clock = clock;
+		this.startedAt = clock.now();
+		this.endsAt = this.startedAt + graceMs - EXIT_MARGIN_MS;
+	}
+
+	/** @returns Whether to serve a request that has been read completely; any other is refused as not run. */
+	takes({operation, isResumable}: Route, deadlineAt: number): boolean {
+		const isRepeatable = operation === Operation.Safe || (operation === Operation.Stream && isResumable);
+		return deadlineAt + DEADLINE_GRACE_MS + DELIVERY_MARGIN_MS <= this.endsAt
+			|| (isRepeatable && this.#clock.now() <= this.startedAt + REPEATABLE_PERIOD_MS);
+	}
+}
--- /dev/null
+++ b/test/gateway/planned-stop.test.ts
@@ -0,0 +1,66 @@
+import {setTimeout as sleep} from 'node:timers/promises';
+import {setTimeout} from 'node:timers';
+import {expect} from 'chai';
+import {
+	type ReceivedRequest, formatChunk, formatResponse, formatStreamHead,
+} from '../support/front-harness.js';
+import {GatewayHarness} from '../support/gateway-harness.js';
+
+/** Time that a planned stop may take here, in ms. */
+const GRACE_MS = 5000;
+
+describe('planned stop of a gateway', function () {
+	this.timeout(30_000);
+	let harness: GatewayHarness;
+
+	afterEach(async () => {
+		await harness.gateway.stop();
+		harness.close();
+	});
+
+	/** Answers after the given time. */
+	const after = (ms: number) => ({id, target, socket}: ReceivedRequest) => {
+		setTimeout(() => {
+			const isStream = target.startsWith('/stream/') || target.startsWith('/resumable/');
+			socket.write(isStream ? `${formatStreamHead(id)}${formatChunk('id: 1\ndata: 1\n\n')}0\r\n\r\n` : formatResponse(id, 'answer'));
+		}, ms);
+	};
+
+	// Guards against requests that may not be repeated being taken late in the stop, passed on and cut at its end.
+	it('refuses at once an unsafe request whose deadline is after the end, and runs none', async () => {
+		harness = await GatewayHarness.start(GRACE_MS, after(3800));
+		const stopped = harness.gateway.stop();
+		await sleep(1000);
+		const [unsafe, stream] = await Promise.all([harness.call('unsafe'), harness.call('stream')]);
+		for (const {status, text, id, afterMs} of [unsafe, stream]) {
+			expect(status).to.equal(503);
+			expect(text.toLowerCase()).to.include('retry-after: 0.000\r\n');
+			expect(afterMs).to.be.below(500);
+			expect(harness.hasRun(id)).to.equal(false);
+		}
+
+		await stopped;
+	});
+
+	// Guards against requests being refused for the route's timeout although their caller waits only briefly.
+	it('serves late requests whose caller waits no longer than the stop lasts', async () => {
+		harness = await GatewayHarness.start(GRACE_MS, after(100));
+		const stopped = harness.gateway.stop();
+		const open = harness.call('unsafe', {deadlineMs: 3500, bodyBytes: 10, bodyDelayMs: 3000});
+		await sleep(2900);
+		const answers = await Promise.all([open, ...['unsafe', 'safe', 'stream', 'resumable'].map(async route => harness.call(route, {deadlineMs: 800}))]);
+		expect(answers.map(({status}) => status)).to.deep.equal([200, 200, 200, 200, 200]);
+		await stopped;
+	});
+
+	// Guards against a request whose head came early and whose body ended late being cut at the end of the stop.
+	it('refuses an unsafe request whose body ends too late for its deadline', async () => {
+		harness = await GatewayHarness.start(GRACE_MS, after(3000), {timeoutMs: 4500});
+		const stopped = harness.gateway.stop();
+		await sleep(100);
+		const {status, id} = await harness.call('unsafe', {bodyBytes: 10, bodyDelayMs: 2000});
+		expect(status).to.equal(503);
+		expect(harness.hasRun(id)).to.equal(false);
+		await stopped;
+	});
+});
--- a/test/support/front-harness.ts
+++ b/test/support/front-harness.ts
@@ -15,7 +15,8 @@
 import {Metrics} from '../../src/base/metrics.js';
 import {Random} from '../../src/base/random.js';
 import {DeploymentState} from '../../src/gateway/deployment-state.js';
-import {FrontServer, type StopSchedule} from '../../src/gateway/front-server.js';
+import {FrontServer} from '../../src/gateway/front-server.js';
+import {type PlannedStop} from '../../src/gateway/planned-stop.js';
 import {
 	type CallerLimits, type Configuration, Operation, type Route,
 } from '../../src/gateway/routing-table.js';
@@ -237,8 +238,8 @@
 		this.state.applyConfiguration({...configuration, ...changes, version: configuration.version + 1});
 	}
 
-	beginStop(schedule: StopSchedule): void {
-		this.#front.beginStop(schedule);
+	beginStop(stop: PlannedStop): void {
+		this.#front.beginStop(stop);
 	}
 
 	/** Opens a connection without sending anything. */
