Planned stop: open requests got a closed connection instead of a final answer

What callers saw: a request that was still open at the end of a planned stop (waiting for an upstream, sent and unanswered, or with a body that had not arrived in full) ended with a closed connection, so that the caller could not tell whether it had run.

Cause: the gateway closed all connections at the end of the stop without ending the requests on them.

Fix: at the end each open request gets the answer that fits what is known: 503 if it has not been sent, else 504, or the upstream's earlier error response. A stream that has begun is cut. 0.4 s are kept for delivering these answers; requests are ended 0.6 s before the process is killed, as before.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -178,6 +178,11 @@
 		}
 	}
 
+	/** Gives the final answer of a request that is still open when the VM ends; a stream that has begun is cut. */
+	endByStop(): void {
+		this.#endOpen(ErrorKind.Draining, Ending.Cancelled, 'this VM stops');
+	}
+
 	#begin(): void {
 		const {clock} = this.#context;
 		this.#deadlineTimer = clock.setTimer(Math.max(0, this.#deadlineAt - clock.now()) + DEADLINE_GRACE_MS, () => {
@@ -568,22 +573,30 @@
 	}
 
 	#onDeadline(): void {
+		this.#endOpen(ErrorKind.DeadlineUnreachable, Ending.TimedOut, 'deadline exceeded');
+	}
+
+	/**
+	 * Answers a request for which no more time is left.
+	 *
+	 * @param notRunKind - The error if the request has not been sent.
+	 * @param sentEnding - How its exchange ends if it has been sent.
+	 */
+	#endOpen(notRunKind: ErrorKind, sentEnding: Ending, detail: string): void {
 		if (this.#askId !== undefined) {
 			this.#context.allocation.withdraw(this.#askId);
 			this.#askId = undefined;
-			this.#fail(this.#mayHaveRun ? ErrorKind.UpstreamTimeout : ErrorKind.DeadlineUnreachable);
-			return;
 		}
 
 		const attempt = this.#attempt;
 		if (attempt !== undefined) {
-			const ending = attempt.exchange?.isSent === true ? Ending.TimedOut : Ending.NotConnected;
+			const ending = attempt.exchange?.isSent === true ? sentEnding : Ending.NotConnected;
 			attempt.exchange?.abort();
-			this.#lastDetail = 'deadline exceeded';
+			this.#lastDetail = detail;
 			this.#endAttempt(attempt, ending);
 		}
 
-		this.#fail(this.#mayHaveRun ? ErrorKind.UpstreamTimeout : ErrorKind.DeadlineUnreachable);
+		this.#fail(this.#mayHaveRun ? ErrorKind.UpstreamTimeout : notRunKind);
 	}
 
 	#onCallerClosed(): void {
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -47,6 +47,8 @@
 	readonly #context: ForwardingContext;
 	readonly #random: Random;
 	readonly #server: Server;
+	/** Ends the reading of each request whose body is not complete yet. */
+	readonly #unread = new Set<() => void>();
 	#inFlight = 0;
 	#stop: PlannedStop | undefined;
 
@@ -88,6 +90,17 @@
 		this.#stop = stop;
 	}
 
+	/** Gives every request that is still open its final answer. */
+	endRequests(): void {
+		for (const endReading of this.#unread) {
+			endReading();
+		}
+
+		for (const forwarding of this.#context.running) {
+			forwarding.endByStop();
+		}
+	}
+
 	/** Stops accepting connections and closes idle ones; requests in flight are still served. */
 	closeListener(): void {
 		this.#server.close();
@@ -117,13 +130,18 @@
 		}
 
 		const {table} = state;
-		const body = await readBody(req, table?.configuration.limits.maxBodyBytes ?? 0);
+		const body = await this.#readBody(req, table?.configuration.limits.maxBodyBytes ?? 0);
 		const head = codec.decode(req);
 		if (body === 'aborted') {
 			return;
 		}
 
 		const entry = ledger.begin(res, head?.id);
+		if (body === 'stopped') {
+			this.#reject(res, entry, head, ErrorKind.Draining);
+			return;
+		}
+
 		if (body === 'too-large') {
 			this.#reject(res, entry, head, table === undefined ? ErrorKind.NotReady : ErrorKind.BodyTooLarge);
 			return;
@@ -165,6 +183,19 @@
 		});
 	}
 
+	async #readBody(req: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined | 'too-large' | 'aborted' | 'stopped'> {
+		let endReading!: () => void;
+		const stopped = new Promise<'stopped'>(resolve => {
+			endReading = () => {
+				resolve('stopped');
+			};
+		});
+		this.#unread.add(endReading);
+		const body = await Promise.race([readBody(req, maxBytes), stopped]);
+		this.#unread.delete(endReading);
+		return body;
+	}
+
 	#resolve(table: RoutingTable, req: IncomingMessage, head: CallHead | undefined): {route: Route; customer: Customer | undefined; pool: PoolSettings} | ErrorKind {
 		if (head === undefined) {
 			return ErrorKind.MalformedRequest;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -195,6 +195,11 @@
 			await clock.sleep(STOP_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- polling
 		}
 
+		this.#front.endRequests();
+		while (clock.now() < stop.exitsAt && this.#front.inFlight > 0) {
+			await clock.sleep(STOP_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop
+		}
+
 		this.#front.closeListener();
 		log.part(LogPrefix.Gateway).info('Stopped.', {inFlight: this.#front.inFlight, ...this.#ledger.counts, afterMs: Math.round(clock.now() - startedAt)});
 		this.coordinator.stop();
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -7,8 +7,10 @@
 import {DEADLINE_GRACE_MS} from './request-deadline.js';
 import {Operation, type Route} from './routing-table.js';
 
-/** Part of the time for a stop that is reserved for closing connections and exiting, in ms. */
-const EXIT_MARGIN_MS = 600;
+/** Part of the time for a stop in which the last answers are delivered and connections closed, in ms. */
+const CLOSE_PERIOD_MS = 400;
+/** Part of the time for a stop that is reserved for the exit of the process, in ms. */
+const EXIT_MARGIN_MS = 200;
 /** Time to write an answer and deliver it to the caller, in ms. */
 const DELIVERY_MARGIN_MS = 150;
 /**
@@ -27,12 +29,15 @@
 	readonly startedAt: number;
 	/** Requests that are still open at this time get their final answer. */
 	readonly endsAt: number;
+	/** Connections that are still open at this time are cut. */
+	readonly exitsAt: number;
 	readonly #clock: Clock;
 
 	private constructor(clock: Clock, graceMs: number) {
 		this.#clock = clock;
 		this.startedAt = clock.now();
-		this.endsAt = this.startedAt + graceMs - EXIT_MARGIN_MS;
+		this.exitsAt = this.startedAt + graceMs - EXIT_MARGIN_MS;
+		this.endsAt = this.exitsAt - CLOSE_PERIOD_MS;
 	}
 
 	/** @returns Whether to serve a request that has been read completely; any other is refused as not run. */
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -63,4 +63,26 @@
 		expect(harness.hasRun(id)).to.equal(false);
 		await stopped;
 	});
+
+	// Guards against connections being closed without an answer at the end of the stop.
+	it('answers every request that is still open at the end', async () => {
+		harness = await GatewayHarness.start(GRACE_MS, ({id, target, socket}) => {
+			if (target.startsWith('/resumable/')) {
+				socket.write(formatStreamHead(id) + formatChunk('id: 1\ndata: 1'));
+			}
+		}, {timeoutMs: 20_000});
+		const calls = ['unsafe', 'safe', 'stream', 'resumable'].map(async route => harness.call(route));
+		const unread = harness.call('unsafe', {bodyBytes: 10, bodyDelayMs: Number.POSITIVE_INFINITY});
+		await sleep(500);
+		harness.gateway.state.applyUpstreams({changed: [harness.upstream.toUpstream({slots: 0})], removed: []});
+		const waiting = harness.call('unsafe');
+		await sleep(100);
+		await harness.gateway.stop();
+		const answers = await Promise.all(calls);
+		expect(answers.map(({status}) => status)).to.deep.equal([504, 504, 504, 504]);
+		const {status, id} = await waiting;
+		expect(status).to.equal(503);
+		expect(harness.hasRun(id)).to.equal(false);
+		expect(await unread).to.include({status: 503});
+	});
 });
