Planned stop: the process left while callers with older address lists still came

What callers saw: connections refused from 2.5 s after the signal on, although the stop may take 8 s and some callers keep an address list for 6 s.

Cause: the process ended as soon as no request was in flight 2.5 s after the signal.

Fix: it ends once it has served no new request for 0.5 s and none is open, at the latest when the time for the stop is used. Requests that it can only refuse do not prolong the stop: a refused connection tells their callers the same, and the VM restarts earlier.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -159,7 +159,7 @@
 		}
 
 		const {route, customer, pool} = resolved;
-		if (this.#stop?.takes(route, requestDeadline(route, head!, arrivedAt)) === false) {
+		if (this.#stop?.take(route, requestDeadline(route, head!, arrivedAt)) === false) {
 			this.#reject(res, entry, head, ErrorKind.Draining);
 			return;
 		}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,8 +25,6 @@
 import {PlannedStop} from './planned-stop.js';
 import {UpstreamPauses} from './upstream-pauses.js';
 
-/** Minimum shutdown time, in ms: callers that were just given this address still connect. */
-const MIN_STOP_DURATION_MS = 2500;
 const STOP_POLL_INTERVAL_MS = 50;
 const MAX_LOGGED_CRASHES = 8;
 
@@ -186,12 +184,11 @@
 		this.#isStopping = true;
 		const {clock, log, graceMs} = this.#options;
 		const stop = PlannedStop.create(clock, graceMs);
-		const {startedAt, endsAt} = stop;
 		log.part(LogPrefix.Gateway).info('Stopping.', {inFlight: this.#front.inFlight});
 		this.#publishReadiness();
 		this.#front.beginStop(stop);
 		this.coordinator.resign();
-		while (clock.now() < endsAt && (this.#front.inFlight > 0 || clock.now() < startedAt + MIN_STOP_DURATION_MS)) {
+		while (!stop.isOver(this.#front.inFlight)) {
 			await clock.sleep(STOP_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- polling
 		}
 
@@ -201,7 +198,7 @@
 		}
 
 		this.#front.closeListener();
-		log.part(LogPrefix.Gateway).info('Stopped.', {inFlight: this.#front.inFlight, ...this.#ledger.counts, afterMs: Math.round(clock.now() - startedAt)});
+		log.part(LogPrefix.Gateway).info('Stopped.', {inFlight: this.#front.inFlight, ...this.#ledger.counts, afterMs: Math.round(clock.now() - stop.startedAt)});
 		this.coordinator.stop();
 		this.#front.destroy();
 	}
--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -18,6 +18,10 @@
  * lists that callers were given.
  */
 const REPEATABLE_PERIOD_MS = 2500;
+/** Minimum time for a stop, in ms: callers that were just given this address still connect. */
+const MIN_DURATION_MS = 2500;
+/** Time without a request that can be served after which no more are expected, in ms. */
+const QUIET_PERIOD_MS = 500;
 
 /** The schedule of one planned stop. Times in ms of the VM's monotonic clock. */
 export class PlannedStop {
@@ -32,18 +36,32 @@
 	/** Connections that are still open at this time are cut. */
 	readonly exitsAt: number;
 	readonly #clock: Clock;
+	#lastTakenAt: number;
 
 	private constructor(clock: Clock, graceMs: number) {
 		this.#clock = clock;
 		this.startedAt = clock.now();
+		this.#lastTakenAt = this.startedAt;
 		this.exitsAt = this.startedAt + graceMs - EXIT_MARGIN_MS;
 		this.endsAt = this.exitsAt - CLOSE_PERIOD_MS;
 	}
 
 	/** @returns Whether to serve a request that has been read completely; any other is refused as not run. */
-	takes({operation, isResumable}: Route, deadlineAt: number): boolean {
+	take({operation, isResumable}: Route, deadlineAt: number): boolean {
+		const now = this.#clock.now();
 		const isRepeatable = operation === Operation.Safe || (operation === Operation.Stream && isResumable);
-		return deadlineAt + DEADLINE_GRACE_MS + DELIVERY_MARGIN_MS <= this.endsAt
-			|| (isRepeatable && this.#clock.now() <= this.startedAt + REPEATABLE_PERIOD_MS);
+		const isTaken = deadlineAt + DEADLINE_GRACE_MS + DELIVERY_MARGIN_MS <= this.endsAt
+			|| (isRepeatable && now <= this.startedAt + REPEATABLE_PERIOD_MS);
+		if (isTaken) {
+			this.#lastTakenAt = now;
+		}
+
+		return isTaken;
+	}
+
+	/** @returns Whether the VM may end: all time is used, or no more requests are expected and none is open. */
+	isOver(inFlight: number): boolean {
+		const now = this.#clock.now();
+		return now >= this.endsAt || (inFlight === 0 && now >= Math.max(this.startedAt + MIN_DURATION_MS, this.#lastTakenAt + QUIET_PERIOD_MS));
 	}
 }
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -85,4 +85,25 @@
 		expect(harness.hasRun(id)).to.equal(false);
 		expect(await unread).to.include({status: 503});
 	});
+
+	// Guards against the process leaving while callers with older address lists still connect to it.
+	it('serves as long as requests come, and ends soon after the last', async () => {
+		harness = await GatewayHarness.start(8000, after(20));
+		let isStopped = false;
+		const stopped = (async () => {
+			await harness.gateway.stop();
+			isStopped = true;
+		})();
+		const startedAt = performance.now();
+		while (performance.now() - startedAt < 5000) {
+			/* eslint-disable no-await-in-loop -- sequential calls */
+			expect(await harness.call('unsafe', {deadlineMs: 1000})).to.include({status: 200});
+			await sleep(300);
+			/* eslint-enable no-await-in-loop */
+		}
+
+		expect(isStopped).to.equal(false);
+		await stopped;
+		expect(performance.now() - startedAt).to.be.below(7000);
+	});
 });
