Planned stop: a second SIGTERM ended the process at once

What callers saw: with a second signal during a planned stop all requests in flight ended with a closed connection.

Cause: the second call of Gateway.stop returned at once, because a stop was in progress, and the program exits when it returns. Likewise, a process that was told to stop before it had started waited 2.5 s for requests, and began to listen and to link to the others meanwhile.

Fix: every call waits for the one stop; a gateway that was told to stop before it listens has nothing to wait for and does not start.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -59,7 +59,9 @@
 	readonly #front: FrontServer;
 	readonly #allocator: Allocator;
 	readonly #ledger: RequestLedger;
+	#isListening = false;
 	#isStopping = false;
+	#stopped: Promise<void> | undefined;
 
 	private constructor(options: GatewayOptions) {
 		this.#options = options;
@@ -165,9 +167,15 @@
 		return this.coordinator.liftQuarantine(feature);
 	}
 
+	/** Accepts callers and joins the other VMs, unless it was told to stop before. */
 	async start(): Promise<void> {
+		if (this.#isStopping) {
+			return;
+		}
+
 		const {self, log} = this.#options;
 		const {host, port} = splitAddress(self.frontAddress);
+		this.#isListening = true;
 		await this.#front.listen(host, port);
 		await this.coordinator.start();
 		log.part(LogPrefix.Gateway).info('Started.', {
@@ -175,13 +183,14 @@
 		});
 	}
 
-	/** Shuts down without interrupting requests that can finish in time. */
+	/** Shuts down without interrupting requests that can finish in time. Later calls wait for the same end. */
 	async stop(): Promise<void> {
-		if (this.#isStopping) {
-			return;
-		}
-
 		this.#isStopping = true;
+		this.#stopped ??= this.#isListening ? this.#stopGracefully() : Promise.resolve();
+		await this.#stopped;
+	}
+
+	async #stopGracefully(): Promise<void> {
 		const {clock, log, graceMs} = this.#options;
 		const stop = PlannedStop.create(clock, graceMs);
 		log.part(LogPrefix.Gateway).info('Stopping.', {inFlight: this.#front.inFlight});
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -1,10 +1,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {setTimeout} from 'node:timers';
 import {expect} from 'chai';
+import {eventually} from '../support/eventually.js';
 import {
 	type ReceivedRequest, formatChunk, formatResponse, formatStreamHead,
 } from '../support/front-harness.js';
 import {GatewayHarness} from '../support/gateway-harness.js';
+import {RawConnection} from '../support/raw-connection.js';
 
 /** Time that a planned stop may take here, in ms. */
 const GRACE_MS = 5000;
@@ -18,6 +20,18 @@
 		harness.close();
 	});
 
+	async function expectRefused(address: string): Promise<void> {
+		let code: string | undefined;
+		try {
+			const connection = await RawConnection.open(address);
+			connection.destroy();
+		} catch (err) {
+			({code} = err as NodeJS.ErrnoException);
+		}
+
+		expect(code).to.equal('ECONNREFUSED');
+	}
+
 	/** Answers after the given time. */
 	const after = (ms: number) => ({id, target, socket}: ReceivedRequest) => {
 		setTimeout(() => {
@@ -106,4 +120,30 @@
 		await stopped;
 		expect(performance.now() - startedAt).to.be.below(7000);
 	});
+
+	// Guards against a second SIGTERM ending the process at once, with requests in flight.
+	it('ends no sooner if it is told to stop again', async () => {
+		harness = await GatewayHarness.start(GRACE_MS, after(3500));
+		const call = harness.call('unsafe', {deadlineMs: 4000});
+		await eventually(() => harness.upstream.received.length === 1);
+		void harness.gateway.stop();
+		await sleep(100);
+		expect(harness.gateway.isReady).to.equal(false);
+		expect(harness.gateway.state.members.filter(({isReady}) => isReady)).to.deep.equal([]);
+		const startedAt = performance.now();
+		await harness.gateway.stop();
+		expect(performance.now() - startedAt).to.be.above(2000);
+		expect(await call).to.include({status: 200});
+	});
+
+	// Guards against a process that is told to stop while it starts taking callers, and members listing it.
+	it('does not start, and ends at once, if it was told to stop before', async () => {
+		harness = await GatewayHarness.create(GRACE_MS, after(20));
+		const startedAt = performance.now();
+		const stopped = harness.gateway.stop();
+		await harness.gateway.start();
+		await stopped;
+		expect(performance.now() - startedAt).to.be.below(500);
+		await expectRefused(harness.address);
+	});
 });
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -59,14 +59,19 @@
 
 /** A gateway, and one upstream with many slots. */
 export class GatewayHarness {
+	/** Creates a gateway that has not been started. */
+	static async create(graceMs: number, answer: (req: ReceivedRequest) => void): Promise<GatewayHarness> {
+		const address = `127.0.0.1:${await freePort()}`;
+		return new GatewayHarness(graceMs, address, `127.0.0.1:${await freePort()}`, await RawUpstream.start('u1', answer));
+	}
+
 	/**
 	 * @param graceMs - Time that a planned stop may take, in ms.
 	 * @param answer - Answers the requests that reach the upstream.
 	 * @param route - Changes to the routes, which differ only in their operation.
 	 */
 	static async start(graceMs: number, answer: (req: ReceivedRequest) => void, route: Partial<Route> = {}): Promise<GatewayHarness> {
-		const address = `127.0.0.1:${await freePort()}`;
-		const harness = new GatewayHarness(graceMs, address, `127.0.0.1:${await freePort()}`, await RawUpstream.start('u1', answer));
+		const harness = await GatewayHarness.create(graceMs, answer);
 		await harness.gateway.start();
 		const {state} = harness.gateway;
 		const createRoute = (name: string, operation: Operation, changes: Partial<Route> = {}): Route => ({
