Streams: a stream that broke off over two seconds after its request was not resumed

What callers saw: a resumable stream whose upstream broke it off ended with the connection closed and neither its end nor an error, although other upstreams were idle, if its request had come more than the caller's patience ago: two seconds, for most routes. A stream that broke off earlier was resumed.

Cause: the request for a place states how long the caller still waits for an event. This was counted from the arrival of the request, also when the stream had begun: the time left was negative, and the allocator refused such a request as 'overloaded', since no wait, not even of 0 ms, is short enough.

The time now counts from the last event that the caller got. The test passes: the stream is resumed after its eighth event, 2.8 s after its request.

--- a/src/allocation/allocation.ts
+++ b/src/allocation/allocation.ts
@@ -34,7 +34,7 @@
 	readonly objectiveMs: number;
 	/** Time left until the request's deadline, after which the answer is useless. */
 	readonly remainingMs: number;
-	/** Time left until the caller disconnects if its answer has not begun. */
+	/** Time left until the caller disconnects unless its answer begins or, if it had begun, goes on. */
 	readonly patienceMs: number;
 	/** Time left until the caller disconnects, as stated by the caller: all attempts of one request state the same moment. */
 	readonly callerLeavesMs: number;
--- a/src/allocation/waiting-queue.ts
+++ b/src/allocation/waiting-queue.ts
@@ -12,7 +12,7 @@
 	readonly requestedAt: number;
 	readonly objectiveAt: number;
 	readonly deadlineAt: number;
-	/** When the caller disconnects if its answer has not begun. */
+	/** When the caller disconnects unless its answer begins or, if it had begun, goes on. */
 	readonly patienceEndsAt: number;
 	/** When the caller disconnects, as stated by the caller. */
 	readonly callerLeavesAt: number;
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -46,7 +46,7 @@
 /** A safe non-stream request goes to another upstream if its response is incomplete after this many objectives. */
 const RESPONSE_STALL_OBJECTIVE_FACTOR = 2.2;
 /**
- * Callers disconnect from a stream that has not started after the longest of: a minimum time in ms, this multiple of the
+ * Callers disconnect from a stream without an event for the longest of: a minimum time in ms, this multiple of the
  * objective, this multiple of the longest pause.
  */
 const MIN_PATIENCE_MS = 2000;
@@ -151,6 +151,8 @@
 	#fallback: BufferedResponse | undefined;
 	#mayHaveRun = false;
 	#isStreaming = false;
+	/** When the caller began to wait for the first or the next event. */
+	#waitsSince: number;
 	#isDone = false;
 	#lastEnding: Ending | undefined;
 	#lastDetail = '';
@@ -164,6 +166,7 @@
 		this.#deadlineAt = requestDeadline(route, head, arrivedAt);
 		this.#isResumable = route.operation === Operation.Stream && route.isResumable;
 		this.#splitter.lastId = head.lastEventId;
+		this.#waitsSince = arrivedAt;
 	}
 
 	/** Aborts an exchange whose answer has not begun, if requests like this one crash upstreams. */
@@ -219,7 +222,7 @@
 			isCounted: false,
 			objectiveMs: Math.round(arrivedAt + route.objectiveMs - now),
 			remainingMs: Math.round(this.#deadlineAt - now),
-			patienceMs: Math.round(Math.min(this.#deadlineAt, arrivedAt + callerPatienceMs(route)) - now),
+			patienceMs: Math.round(Math.min(this.#deadlineAt, this.#waitsSince + callerPatienceMs(route)) - now),
 			callerLeavesMs: Math.round(arrivedAt + (head.patienceMs ?? route.timeoutMs) - now),
 			maxPauseMs: route.maxPauseMs ?? 0,
 			dataCentre,
@@ -414,6 +417,7 @@
 	#recordProgress(attempt: Attempt): void {
 		const now = this.#context.clock.now();
 		attempt.lastProgressAt = now;
+		this.#waitsSince = now;
 		if (attempt.firstProgressAt === undefined) {
 			attempt.firstProgressAt = now;
 			this.#reportFirstProgress(attempt);
@@ -717,7 +721,7 @@
 	}
 }
 
-/** @returns How long a caller waits for the first event of a stream, in ms; unlimited for other operations. */
+/** @returns How long a caller waits for the first or the next event of a stream, in ms; unlimited for other operations. */
 function callerPatienceMs({operation, objectiveMs, maxPauseMs}: Route): number {
 	return operation === Operation.Stream
 		? Math.max(MIN_PATIENCE_MS, PATIENCE_OBJECTIVE_FACTOR * objectiveMs, PATIENCE_PAUSE_FACTOR * (maxPauseMs ?? 0))
