--- a/standins/platform-store.ts
+++ b/standins/platform-store.ts
@@ -56,11 +56,22 @@
 
 	/** Writes a row, as an operator or a server would. */
 	put(table: string, key: string, value: unknown): void {
+		this.putText(table, key, JSON.stringify(value));
+	}
+
+	/** Writes a row whose value need not be JSON, as another writer may. */
+	putText(table: string, key: string, text: string): void {
 		this.#write([{
-			table, part: '', key, value: Buffer.from(JSON.stringify(value)).toString('base64'),
+			table, part: '', key, value: Buffer.from(text).toString('base64'),
 		}], []);
 	}
 
+	/** @returns The value of a row, as text. */
+	getText(table: string, key: string): string | undefined {
+		const row = this.#rows.get(rowId(table, '', key));
+		return row === undefined || row.tombstone === true ? undefined : Buffer.from(row.value, 'base64').toString('utf8');
+	}
+
 	delete(table: string, key: string): void {
 		this.#write([], [{table, part: '', key}]);
 	}
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -56,17 +56,16 @@
 		const entry = {
 			service: 's', address: '10.0.0.1:80', zone: 'z', slots: 4, state: 'ready', born: 9, sequence: 1, coldLeftMs: 0,
 		};
-		const decode = (value: unknown) => decodeServerEntry({key: 'i-1', text: JSON.stringify(value), version: 1}, {z: 'region'});
+		const decode = (value: unknown) => decodeServerEntry('i-1', JSON.stringify(value), {z: 'region'}).unwrapOr(undefined as never);
 		expect(decode(entry)).to.deep.equal({
 			id: 'i-1', pool: 's', address: '10.0.0.1:80', dataCentre: 'z', region: 'region', slots: 4, isLeaving: false, startedAt: 9,
 		});
-		expect(decode({...entry, state: 'draining'})?.isLeaving).to.equal(true);
+		expect(decode({...entry, state: 'draining'}).isLeaving).to.equal(true);
 		for (const invalidEntry of [{...entry, state: 'other'}, {...entry, slots: '4'}, {...entry, address: 'x'}, {...entry, service: undefined}, [], 7]) {
 			expect(decode(invalidEntry)).to.equal(undefined);
 		}
 
-		expect(decodeServerEntry({key: 'i-1', text: undefined, version: 1}, {})).to.equal(undefined);
-		expect(decodeServerEntry({key: 'i-1', text: '\u0000', version: 1}, {})).to.equal(undefined);
+		expect(decodeServerEntry('i-1', '\u0000', {}).isErr).to.equal(true);
 	});
 
 	it('forwards only the headers that callers may set', () => {
