Stalls: an exchange was cut when its upstream was silent, whether or not another one could take over

What callers saw: a resumable stream whose sound upstream fell silent for 1.4 s ended with the connection closed, without its last events, when no other upstream could take it over: all full, none left, the retry budget spent, or the chosen one unreachable. A safe request or a stream that had not begun was aborted after about half a second of silence and sent elsewhere; where all upstreams paused, it was answered 502 although the first upstream would have answered a second later.

Cause: the stall timer aborted the exchange first and asked for another place afterwards; a refusal then ended the request. The timeouts were shorter than the silence that is normal for sound upstreams.

A silent exchange now goes on while another place is asked for. It ends when the connection to the other upstream stands, before the first byte is sent there, so that the request never runs at both. Progress withdraws the ask; a refusal or a failed connection leaves the exchange alone, and the place is asked for again after the next timeout.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -262,6 +262,9 @@
 		if (pool !== undefined && waiting !== undefined) {
 			this.#removeWaiting(pool, waiting);
 			this.#refund(waiting.ask);
+			if (waiting.ask.attempt > 1) {
+				pool.retryBudget.refund(waiting.requestedAt, this.#options.clock.now());
+			}
 		}
 	}
 
--- a/src/allocation/pool-retry-budget.ts
+++ b/src/allocation/pool-retry-budget.ts
@@ -65,4 +65,9 @@
 		this.#retries.add(1, now);
 		return true;
 	}
+
+	/** Returns a retry that was spent at a time, if it was not made. */
+	refund(spentAt: number, now: number): void {
+		this.#retries.remove(1, spentAt, now);
+	}
 }
--- a/src/allocation/sliding-window.ts
+++ b/src/allocation/sliding-window.ts
@@ -31,6 +31,15 @@
 		this.#amounts[this.#advance(now)]! += amount;
 	}
 
+	/** Removes an amount that was added at an earlier time, unless it has expired. */
+	remove(amount: number, addedAt: number, now: number): void {
+		this.#advance(now);
+		const interval = Math.floor(addedAt * this.#intervalCount / this.#windowMs);
+		if (interval >= this.#interval - this.#intervalCount) {
+			this.#amounts[interval % (this.#intervalCount + 1)]! -= amount;
+		}
+	}
+
 	/** Raises the current interval to a level observed in it, if that is higher. */
 	raiseTo(level: number, now: number): void {
 		const index = this.#advance(now);
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -25,33 +25,13 @@
 import {type Decision, type LedgerEntry, type RequestLedger} from './request-ledger.js';
 import {DEADLINE_GRACE_MS, requestDeadline} from './request-deadline.js';
 import {Operation, type Route} from './routing-table.js';
+import {callerPatienceMs, stallTimeoutMs} from './stall-timeout.js';
 import {type Upstream} from './upstream-list.js';
 import {UpstreamExchange} from './upstream-exchange.js';
 import {type UpstreamPauses} from './upstream-pauses.js';
 
 /** Number of connections that may fail before a request is rejected; no byte was sent on them. */
 const MAX_CONNECT_FAILURES = 3;
-/**
- * A started stream that makes no progress for this time resumes at another upstream, in ms. Engines pause for some hundred
- * ms while they process long prompts; callers disconnect after two seconds or more.
- */
-const STREAM_STALL_TIMEOUT_MS = 1400;
-/**
- * A stream that has not started is sent to another upstream after this base time in ms plus this multiple of the expected
- * time to the first event. An unresponsive engine is detected while the caller still waits, and a busy one is not
- * abandoned.
- */
-const FIRST_EVENT_STALL_BASE_MS = 500;
-const FIRST_EVENT_STALL_FACTOR = 3;
-/** A safe non-stream request goes to another upstream if its response is incomplete after this many objectives. */
-const RESPONSE_STALL_OBJECTIVE_FACTOR = 2.2;
-/**
- * Callers disconnect from a stream without an event for the longest of: a minimum time in ms, this multiple of the
- * objective, this multiple of the longest pause.
- */
-const MIN_PATIENCE_MS = 2000;
-const PATIENCE_OBJECTIVE_FACTOR = 4;
-const PATIENCE_PAUSE_FACTOR = 8;
 /** Minimum remaining time to send a request, in ms; with less, no response can arrive in time. */
 const MIN_SEND_BUDGET_MS = 20;
 const OK_STATUS = 200;
@@ -139,6 +119,8 @@
 	#askId: string | undefined;
 	#askedAt = 0;
 	#attempt: Attempt | undefined;
+	/** Connects to another upstream while the exchange of the current attempt makes no progress; nothing was sent on it. */
+	#reserve: Attempt | undefined;
 	#sentCount = 0;
 	/** The allocator granted an upstream, so the request was charged to the quota. */
 	#isGranted = false;
@@ -173,11 +155,18 @@
 	abortIfQuarantined(): void {
 		const {quarantine, clock} = this.#context;
 		const attempt = this.#attempt;
-		if (attempt?.firstProgressAt === undefined && attempt !== undefined && quarantine.findQuarantined(this.#call.features, clock.now()) !== undefined) {
+		if (attempt === undefined || quarantine.findQuarantined(this.#call.features, clock.now()) === undefined) {
+			return;
+		}
+
+		this.#cancelTakeover();
+		if (attempt.firstProgressAt === undefined) {
 			attempt.exchange?.abort();
 			this.#lastDetail = 'quarantined';
 			this.#endAttempt(attempt, attempt.exchange?.isSent === false ? Ending.NotConnected : Ending.Cancelled);
 			this.#onRefused(ErrorKind.CrashSuspect, 0);
+		} else {
+			this.#restartStallTimer(attempt);
 		}
 	}
 
@@ -228,7 +217,7 @@
 			dataCentre,
 			region,
 			attempt: this.#sentCount + 1,
-			excluded: [...this.#excluded, ...pauses.pausedIds(state.upstreams)],
+			excluded: [...this.#excluded, ...(this.#attempt === undefined ? [] : [this.#attempt.upstream.id]), ...pauses.pausedIds(state.upstreams)],
 			fingerprint,
 			features,
 		};
@@ -282,16 +271,22 @@
 		const remainingMs = this.#deadlineAt - now;
 		if (remainingMs < MIN_SEND_BUDGET_MS) {
 			allocation.release(askId, emptyReport(Ending.Cancelled));
-			this.#fail(ErrorKind.DeadlineUnreachable);
+			if (this.#attempt === undefined) {
+				this.#fail(ErrorKind.DeadlineUnreachable);
+			}
+
 			return;
 		}
 
 		const attempt: Attempt = {
 			askId, upstream, exchange: undefined, expectedFirstMs, sentAt: now, firstProgressAt: undefined, lastProgressAt: now, events: 0, load: undefined,
 		};
-		this.#attempt = attempt;
-		this.#chunks = [];
-		this.#bufferedBytes = 0;
+		if (this.#attempt === undefined) {
+			this.#beginAttempt(attempt);
+		} else {
+			this.#reserve = attempt;
+		}
+
 		attempt.exchange = UpstreamExchange.start(clock, {
 			address: upstream.address,
 			method: req.method!,
@@ -306,6 +301,7 @@
 			body,
 		}, {
 			onSending: () => {
+				this.#takeOver(attempt);
 				attempt.sentAt = clock.now();
 				this.#sentCount += 1;
 				this.#restartStallTimer(attempt);
@@ -325,6 +321,41 @@
 		});
 	}
 
+	#beginAttempt(attempt: Attempt): void {
+		this.#attempt = attempt;
+		this.#splitter.reset();
+		this.#chunks = [];
+		this.#bufferedBytes = 0;
+	}
+
+	/** Ends the exchange that makes no progress before the request is sent to another upstream: it never runs at both. */
+	#takeOver(attempt: Attempt): void {
+		const stalled = this.#attempt;
+		if (stalled !== attempt && stalled !== undefined) {
+			this.#reserve = undefined;
+			stalled.exchange?.abort();
+			this.#lastDetail = `no progress for ${Math.round(this.#silentMs(stalled))} ms`;
+			this.#endAttempt(stalled, Ending.Stalled);
+			this.#beginAttempt(attempt);
+		}
+	}
+
+	/** Gives up what was asked for, or is being connected to, to take the request over. */
+	#cancelTakeover(): void {
+		const {allocation} = this.#context;
+		if (this.#askId !== undefined) {
+			allocation.withdraw(this.#askId);
+			this.#askId = undefined;
+		}
+
+		const reserve = this.#reserve;
+		if (reserve !== undefined) {
+			this.#reserve = undefined;
+			reserve.exchange?.abort();
+			allocation.release(reserve.askId, emptyReport(Ending.Cancelled));
+		}
+	}
+
 	#onHead(attempt: Attempt, status: number, headers: IncomingHttpHeaders): void {
 		const {codec} = this.#context;
 		const response = codec.decodeResponse(status, headers, this.#call.head);
@@ -397,7 +428,6 @@
 		if (events.count > 0) {
 			attempt.events += events.count;
 			this.#recordProgress(attempt);
-			this.#restartStallTimer(attempt);
 		}
 
 		const bytes = this.#isResumable ? events.bytes : chunk;
@@ -418,10 +448,13 @@
 		const now = this.#context.clock.now();
 		attempt.lastProgressAt = now;
 		this.#waitsSince = now;
+		this.#cancelTakeover();
 		if (attempt.firstProgressAt === undefined) {
 			attempt.firstProgressAt = now;
 			this.#reportFirstProgress(attempt);
 		}
+
+		this.#restartStallTimer(attempt);
 	}
 
 	#buffer(attempt: Attempt, chunk: Uint8Array): void {
@@ -470,11 +503,19 @@
 
 	#onFail(attempt: Attempt, ending: Ending, detail: string): void {
 		this.#lastDetail = detail;
-		this.#endAttempt(attempt, ending);
 		if (ending === Ending.NotConnected) {
 			this.#connectFailures += 1;
 		}
 
+		if (attempt === this.#reserve) {
+			this.#reserve = undefined;
+			this.#excluded.push(attempt.upstream.id);
+			this.#context.allocation.release(attempt.askId, emptyReport(ending));
+			this.#logFailure(attempt, ending);
+		} else {
+			this.#endAttempt(attempt, ending);
+		}
+
 		this.#retryOrGiveUp(ending);
 	}
 
@@ -510,20 +551,24 @@
 		};
 		this.#context.allocation.release(attempt.askId, report);
 		if (ending !== Ending.Answered) {
-			const {id, promptParts} = this.#call.head;
-			this.#context.log.info('Exchange failed.', {
-				request: id,
-				upstream: attempt.upstream.id,
-				ending,
-				detail: this.#lastDetail,
-				sent: this.#sentCount,
-				status: this.#status,
-				events: attempt.events,
-				promptParts: promptParts.slice(0, MAX_LOGGED_PARTS).join(',') || undefined,
-			});
+			this.#logFailure(attempt, ending);
 		}
 	}
 
+	#logFailure(attempt: Attempt, ending: Ending): void {
+		const {id, promptParts} = this.#call.head;
+		this.#context.log.info('Exchange failed.', {
+			request: id,
+			upstream: attempt.upstream.id,
+			ending,
+			detail: this.#lastDetail,
+			sent: this.#sentCount,
+			status: this.#status,
+			events: attempt.events,
+			promptParts: promptParts.slice(0, MAX_LOGGED_PARTS).join(',') || undefined,
+		});
+	}
+
 	#mayRetry(ending: Ending): boolean {
 		const {clock} = this.#context;
 		const {route} = this.#call;
@@ -539,13 +584,21 @@
 			return;
 		}
 
-		if (this.#mayRetry(ending)) {
-			this.#splitter.reset();
+		if (this.#attempt !== undefined) {
+			// Only the takeover failed: the exchange may still go on.
+			if (this.#mayRetry(ending)) {
+				this.#ask();
+			} else {
+				this.#restartStallTimer(this.#attempt);
+			}
+		} else if (!this.#mayRetry(ending)) {
+			this.#giveUp(ending);
+		} else if (this.#reserve !== undefined) {
+			this.#beginAttempt(this.#reserve);
+			this.#reserve = undefined;
+		} else if (this.#askId === undefined) {
 			this.#ask();
-			return;
 		}
-
-		this.#giveUp(ending);
 	}
 
 	/** Responds with the error that matches what is known after the last attempt. */
@@ -560,7 +613,12 @@
 	}
 
 	#onRefused(kind: ErrorKind, retryAfterMs: number): void {
-		if (this.#mayHaveRun) {
+		if (this.#attempt !== undefined) {
+			this.#context.log.info('No other upstream for a stalled exchange; it goes on.', {
+				request: this.#call.head.id, upstream: this.#attempt.upstream.id, kind, silentMs: Math.round(this.#silentMs(this.#attempt)),
+			});
+			this.#restartStallTimer(this.#attempt, retryAfterMs);
+		} else if (this.#mayHaveRun) {
 			this.#giveUp(this.#lastEnding ?? Ending.Lost);
 		} else if (kind === ErrorKind.CrashSuspect) {
 			this.#fail(kind);
@@ -587,11 +645,7 @@
 	 * @param sentEnding - How its exchange ends if it has been sent.
 	 */
 	#endOpen(notRunKind: ErrorKind, sentEnding: Ending, detail: string): void {
-		if (this.#askId !== undefined) {
-			this.#context.allocation.withdraw(this.#askId);
-			this.#askId = undefined;
-		}
-
+		this.#cancelTakeover();
 		const attempt = this.#attempt;
 		if (attempt !== undefined) {
 			const ending = attempt.exchange?.isSent === true ? sentEnding : Ending.NotConnected;
@@ -608,11 +662,7 @@
 			return;
 		}
 
-		if (this.#askId !== undefined) {
-			this.#context.allocation.withdraw(this.#askId);
-			this.#askId = undefined;
-		}
-
+		this.#cancelTakeover();
 		const attempt = this.#attempt;
 		if (attempt !== undefined) {
 			attempt.exchange?.abort();
@@ -623,15 +673,23 @@
 		this.#finish(undefined, RequestOutcome.Failed, Ending.Cancelled);
 	}
 
-	/** Restarts the timer that sends a stalled request to another upstream, where that is allowed. */
-	#restartStallTimer(attempt: Attempt): void {
-		const {clock} = this.#context;
-		const {route} = this.#call;
+	/** @returns Time since the exchange made progress, in ms. */
+	#silentMs({sentAt, firstProgressAt, lastProgressAt}: Attempt): number {
+		return this.#context.clock.now() - (firstProgressAt === undefined ? sentAt : lastProgressAt);
+	}
+
+	/**
+	 * Restarts the timer after which another upstream is asked to take the request over, where that is allowed. The exchange
+	 * goes on until then: an upstream that is silent may be sound.
+	 *
+	 * @param minMs - Minimum time, in ms.
+	 */
+	#restartStallTimer(attempt: Attempt, minMs = 0): void {
+		const stallMs = stallTimeoutMs(this.#call.route, attempt.expectedFirstMs, attempt.firstProgressAt !== undefined);
 		this.#stallTimer?.cancel();
-		const stallMs = stallTimeoutMs(route, attempt);
-		this.#stallTimer = clock.setTimer(stallMs, () => {
-			if (this.#attempt === attempt && this.#mayRetry(Ending.Stalled)) {
-				this.#abortAttempt(attempt, Ending.Stalled, `no progress for ${Math.round(stallMs)} ms`);
+		this.#stallTimer = this.#context.clock.setTimer(Math.max(minMs, stallMs), () => {
+			if (this.#attempt === attempt && this.#askId === undefined && this.#reserve === undefined && this.#mayRetry(Ending.Stalled)) {
+				this.#ask();
 			}
 		});
 	}
@@ -698,6 +756,7 @@
 		}
 
 		this.#isDone = true;
+		this.#cancelTakeover();
 		this.#deadlineTimer?.cancel();
 		this.#stallTimer?.cancel();
 		const {clock, metrics} = this.#context;
@@ -720,19 +779,3 @@
 		}
 	}
 }
-
-/** @returns How long a caller waits for the first or the next event of a stream, in ms; unlimited for other operations. */
-function callerPatienceMs({operation, objectiveMs, maxPauseMs}: Route): number {
-	return operation === Operation.Stream
-		? Math.max(MIN_PATIENCE_MS, PATIENCE_OBJECTIVE_FACTOR * objectiveMs, PATIENCE_PAUSE_FACTOR * (maxPauseMs ?? 0))
-		: Number.POSITIVE_INFINITY;
-}
-
-/** @returns Time without progress after which an exchange counts as stalled, in ms. */
-function stallTimeoutMs({operation, objectiveMs}: Route, {firstProgressAt, expectedFirstMs}: Attempt): number {
-	if (operation !== Operation.Stream) {
-		return RESPONSE_STALL_OBJECTIVE_FACTOR * objectiveMs;
-	}
-
-	return firstProgressAt === undefined ? FIRST_EVENT_STALL_BASE_MS + (FIRST_EVENT_STALL_FACTOR * expectedFirstMs) : STREAM_STALL_TIMEOUT_MS;
-}
--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -92,6 +92,20 @@
 		}
 	}
 
+	// Guards against streams that were silent for a while and went on using up the retry budget.
+	it('gives a retry back to the budget when its request is withdrawn before it gets a place', () => {
+		fillEngines();
+		for (let index = 0; index < 100; index += 1) {
+			ask(`stalled-${index}`, {attempt: 2, patienceMs: 9000});
+			allocator.withdraw(`stalled-${index}`);
+		}
+
+		ask('broken', {attempt: 2, patienceMs: 9000});
+		expect([...refused]).to.deep.equal([]);
+		allocator.release('filler-0', answered);
+		expect(granted.has('broken')).to.equal(true);
+	});
+
 	// Guards against retried requests taking the places of new ones in a load spike, so that both miss their objective. On
 	// the mahabir site (grown, scale-1), this made 2,500 of the 9,500 requests of the least important kind late.
 	it('serves a new request before one that is retried after a refusal and has missed its objective', () => {
--- a/test/allocation/pool-retry-budget.test.ts
+++ b/test/allocation/pool-retry-budget.test.ts
@@ -35,4 +35,26 @@
 
 		expect(retries).to.be.at.least(bounds.ratio * REQUEST_COUNT);
 	});
+
+	// Guards against upstreams that fall silent and go on using up the budget, and against a refund that allows more later.
+	it('takes back retries that were not made, however late, and allows no more for it', () => {
+		for (let delayMs = 0; delayMs < 2 * bounds.windowMs; delayMs += 150) {
+			const budget = PoolRetryBudget.create(bounds);
+			let allowed = 0;
+			while (budget.spend(0, 1)) {
+				allowed += 1;
+			}
+
+			for (let index = 0; index < allowed; index += 1) {
+				budget.refund(0, delayMs);
+			}
+
+			let retries = 0;
+			for (let now = delayMs; now < delayMs + (0.9 * bounds.windowMs); now += 100) {
+				retries += budget.spend(now, 1) ? 1 : 0;
+			}
+
+			expect(retries, `refund after ${delayMs} ms`).to.equal(allowed);
+		}
+	});
 });
