Slow callers: a stream was cut, and its upstream blamed, while its caller did not read

What callers saw: a caller of a resumable stream that did not read for over 1.4 s lost the rest of it: its connection was closed, or the stream was begun again at another upstream, and three such callers ejected a sound upstream.

Cause: while the caller had not taken what was sent, the exchange was paused but its stall timer ran.

The timer now stops with the exchange, and the wait for the next event counts from the moment at which the caller had taken all. One listener resumes whichever exchange is current; before, each paused chunk added one, bound to its own attempt.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -133,6 +133,8 @@
 	#fallback: BufferedResponse | undefined;
 	#mayHaveRun = false;
 	#isStreaming = false;
+	/** The caller has not taken what was sent to it. */
+	#isPaused = false;
 	/** When the caller began to wait for the first or the next event. */
 	#waitsSince: number;
 	#isDone = false;
@@ -437,11 +439,27 @@
 
 		this.#beginStream();
 		if (!this.#call.res.write(bytes)) {
-			attempt.exchange?.pause();
-			this.#call.res.once('drain', () => {
-				attempt.exchange?.resume();
-			});
+			this.#pauseUntilDrained(attempt);
+		}
+	}
+
+	/** Stops reading until the caller has taken what was sent; the silence meanwhile is not the upstream's. */
+	#pauseUntilDrained(attempt: Attempt): void {
+		this.#stallTimer?.cancel();
+		attempt.exchange?.pause();
+		if (this.#isPaused) {
+			return;
 		}
+
+		this.#isPaused = true;
+		this.#call.res.once('drain', () => {
+			this.#isPaused = false;
+			this.#waitsSince = this.#context.clock.now();
+			if (this.#attempt !== undefined) {
+				this.#attempt.exchange?.resume();
+				this.#restartStallTimer(this.#attempt);
+			}
+		});
 	}
 
 	#recordProgress(attempt: Attempt): void {
--- /dev/null
+++ b/test/gateway/slow-callers.test.ts
@@ -0,0 +1,66 @@
+import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {eventually} from '../support/eventually.js';
+import {
+	formatChunk, formatRequest, formatResponse, formatStreamHead, FrontHarness, RawUpstream, type ReceivedRequest,
+} from '../support/front-harness.js';
+
+describe('a caller that reads slowly', () => {
+	let harness: FrontHarness;
+	let upstreams: RawUpstream[];
+
+	beforeEach(async () => {
+		harness = await FrontHarness.start();
+		upstreams = [];
+	});
+
+	afterEach(() => {
+		harness.stop();
+		for (const upstream of upstreams) {
+			upstream.stop();
+		}
+	});
+
+	async function start(id: string, answer: (req: ReceivedRequest) => void): Promise<RawUpstream> {
+		const upstream = await RawUpstream.start(id, answer);
+		upstreams.push(upstream);
+		harness.state.applyUpstreams({changed: [upstream.toUpstream()], removed: []});
+		return upstream;
+	}
+
+	const event = `id: 7\ndata: ${'x'.repeat(16_000)}\n\n`;
+
+	// Guards against an upstream that is blamed and cut because its caller does not read.
+	it('gets each byte of a stream, from one upstream', async () => {
+		const count = 1500;
+		const sound = await start('sound', ({id, socket}) => {
+			socket.write(formatStreamHead(id) + formatChunk(event).repeat(count));
+			socket.write('0\r\n\r\n');
+		});
+		const caller = harness.connect();
+		caller.socket.write(formatRequest('resumable', 'slow'));
+		await eventually(() => sound.received.length === 1);
+		const other = await start('other', ({socket}) => socket.destroy());
+		caller.socket.pause();
+		await sleep(2200);
+		caller.socket.resume();
+		await eventually(() => caller.isClosed || caller.text.endsWith('0\r\n\r\n'));
+		expect(caller.text.match(/data: x/gv)).to.have.length(count);
+		expect(caller.text.endsWith('0\r\n\r\n')).to.equal(true);
+		expect(other.received).to.have.length(0);
+		caller.socket.destroy();
+	});
+
+	it('gets each byte of a response with a length before its connection closes', async () => {
+		const body = 'y'.repeat(6_000_000);
+		await start('sound', ({id, socket}) => socket.write(formatResponse(id, body)));
+		const caller = harness.connect();
+		caller.socket.pause();
+		caller.socket.write(formatRequest('safe', 'slow', 'Connection: close\r\n'));
+		await sleep(1500);
+		caller.socket.resume();
+		await eventually(() => caller.isClosed);
+		expect(Buffer.byteLength(caller.text.split('\r\n\r\n')[1]!)).to.equal(body.length);
+	});
+});
