Streams: a long stream that broke off near its end was not resumed

What callers saw: a resumable stream of a model that broke off when most of its events had come ended with the connection closed and no end, although other engines were idle and there was time for the rest.

Cause: the place to resume it was asked for with the expected number of all events. The allocator refused it as 'overloaded' if the time left was less than the whole answer takes.

Evidence: test/gateway/stream-resumption.test.ts, 'asks for a place for the rest of its events only', before this change: expected [ undefined, 'overloaded' ] to deeply equal [ undefined, undefined ].

The events that the caller has got no longer count.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -133,6 +133,8 @@
 	#fallback: BufferedResponse | undefined;
 	#mayHaveRun = false;
 	#isStreaming = false;
+	/** Number of events from all upstreams. */
+	#eventCount = 0;
 	/** The caller has not taken what was sent to it. */
 	#isPaused = false;
 	/** When the caller began to wait for the first or the next event. */
@@ -194,7 +196,7 @@
 		const {
 			clock, allocation, state, pauses, nextAskId, dataCentre, region,
 		} = this.#context;
-		const {head, route, pool, customer, rank, quotaCost, outputEvents, arrivedAt, fingerprint, features} = this.#call;
+		const {head, route, pool, customer, rank, quotaCost, arrivedAt, fingerprint, features} = this.#call;
 		const now = clock.now();
 		const askId = nextAskId();
 		this.#askId = askId;
@@ -207,7 +209,7 @@
 			rank,
 			operation: route.operation,
 			promptTokens: head.generation?.promptTokens ?? 0,
-			outputEvents,
+			outputEvents: Math.max(0, this.#call.outputEvents - this.#eventCount),
 			quotaCost,
 			isCharged: this.#isGranted && this.#sentCount === 0,
 			isCounted: false,
@@ -429,6 +431,7 @@
 		// Bytes that complete no event do not count as progress.
 		if (events.count > 0) {
 			attempt.events += events.count;
+			this.#eventCount += events.count;
 			this.#recordProgress(attempt);
 		}
 
--- a/test/gateway/stream-resumption.test.ts
+++ b/test/gateway/stream-resumption.test.ts
@@ -2,7 +2,7 @@
 import {expect} from 'chai';
 import {eventually} from '../support/eventually.js';
 import {
-	formatChunk, formatStreamHead, FrontHarness, RawUpstream, type ReceivedRequest,
+	formatChunk, formatRequest, formatStreamHead, FrontHarness, RawUpstream, type ReceivedRequest,
 } from '../support/front-harness.js';
 
 describe('a stream that breaks off', () => {
@@ -54,4 +54,26 @@
 		expect(body).to.include('data: b');
 		expect(harness.heldCount).to.equal(0);
 	});
+
+	// Guards against a stream that is not resumed because there would be no time to run all of it again.
+	it('asks for a place for the rest of its events only', async () => {
+		const events = formatChunk('id: 1\ndata: a\n\n'.repeat(30));
+		await start('broken', ({id, socket}) => {
+			socket.write(formatStreamHead(id) + events);
+			setTimeout(() => socket.destroy(), 500);
+		});
+		harness.change({
+			pools: [{
+				name: 'desk', slots: 4, maxConnections: 100, isEngine: true, tokensPerEvent: 1,
+			}],
+		});
+		const caller = harness.connect();
+		caller.socket.write(formatRequest('resumable', 'long', 'X-Token-Count: 100,200\r\nX-Length-Hint: 70\r\nX-Deadline-Ms: 1500\r\n'));
+		await eventually(() => caller.text.includes('data: a'));
+		await start('other', ({id, socket}) => socket.write(`${formatStreamHead(id)}${formatChunk('id: 2\ndata: b\n\n')}0\r\n\r\n`));
+		await eventually(() => harness.decisions.length === 2);
+		expect(harness.decisions.map(({refusal}) => refusal)).to.deep.equal([undefined, undefined]);
+		expect(harness.decisions.map(({ask}) => ask.outputEvents)).to.deep.equal([70, 40]);
+		caller.socket.destroy();
+	});
 });
