--- a/src/base/header-text.ts
+++ b/src/base/header-text.ts
@@ -1,9 +1,10 @@
 /**
- * Which texts can be written as HTTP header fields. Node.js throws at others, also at some that its parser accepts.
+ * Which texts can be written into the head of an HTTP message. Node.js throws at others, also at some that its parser reads.
  */
 
 const namePattern = /^[\w!#$%\u0026'*+\-.`\|~^]+$/v;
 const valuePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
+const targetPattern = /^[\u0021-\u00FF]+$/v;
 
 /** @returns Whether a header can have this name. */
 export function isHeaderName(text: string): boolean {
@@ -14,3 +15,8 @@
 export function isHeaderValue(text: string): boolean {
 	return valuePattern.test(text);
 }
+
+/** @returns Whether a request can have this target. */
+export function isRequestTarget(text: string): boolean {
+	return targetPattern.test(text);
+}
--- a/src/gateway/call-codec.ts
+++ b/src/gateway/call-codec.ts
@@ -86,7 +86,7 @@
 
 /** Decodes and encodes the HTTP headers exchanged with callers and upstreams. */
 export abstract class CallCodec {
-	/** @returns The decoded request headers, or `undefined` when the request has no ID. */
+	/** @returns The decoded request headers, or `undefined` when the request has no ID or its head cannot be sent on. */
 	abstract decode(req: IncomingMessage): CallHead | undefined;
 
 	/** @returns Headers for the upstream, as alternating names and values. */
--- /dev/null
+++ b/test/gateway/unusable-heads.test.ts
@@ -0,0 +1,57 @@
+import {expect} from 'chai';
+import {
+	formatResponse, FrontHarness, RawUpstream, type ReceivedRequest,
+} from '../support/front-harness.js';
+import {sendRaw} from '../support/raw-http.js';
+
+describe('heads with what the parser of Node.js reads and its writer refuses', () => {
+	let harness: FrontHarness;
+	let upstreams: RawUpstream[];
+
+	beforeEach(async () => {
+		harness = await FrontHarness.start();
+		upstreams = [];
+	});
+
+	afterEach(() => {
+		harness.stop();
+		for (const upstream of upstreams) {
+			upstream.stop();
+		}
+	});
+
+	async function start(id: string, answer: (req: ReceivedRequest) => void): Promise<RawUpstream> {
+		const upstream = await RawUpstream.start(id, answer);
+		upstreams.push(upstream);
+		harness.state.applyUpstreams({changed: [upstream.toUpstream()], removed: []});
+		return upstream;
+	}
+
+	async function sendHead(target: string, header: string): Promise<number> {
+		const {status} = await sendRaw(harness.address, [`GET ${target} HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: r\r\n${header}\r\n\r\n`]);
+		return status;
+	}
+
+	async function expectServed(): Promise<void> {
+		const {status, body} = await harness.call('safe');
+		expect({status, body}).to.deep.equal({status: 200, body: 'done'});
+	}
+
+	const requests: ReadonlyArray<readonly [name: string, target: string, header: string]> = [
+		['a tab in its target', '/safe/a\tb', 'X-A: 1'],
+		['a form feed in its target', '/safe/a\fb', 'X-A: 1'],
+		['a space in the name of a header', '/safe/a', 'X A: 1'],
+	];
+	for (const [name, target, header] of requests) {
+		// Guards against a request that ends the process, and one that counts as a failure of each upstream that it could not be sent to.
+		it(`refuses a request with ${name}, and blames no upstream`, async () => {
+			const first = await start('first', ({id, socket}) => socket.write(formatResponse(id, 'done')));
+			for (let count = 0; count < 6; count += 1) {
+				expect(await sendHead(target, header)).to.equal(400); // eslint-disable-line no-await-in-loop -- one request after the other
+			}
+
+			expect(first.received).to.deep.equal([]);
+			await expectServed();
+		});
+	}
+});
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -109,7 +109,7 @@
 			headers[rawHeaders[index]!.toLowerCase()] = rawHeaders[index + 1]!;
 		}
 
-		const req = {headers, rawHeaders} as unknown as IncomingMessage;
+		const req = {url: '/', headers, rawHeaders} as unknown as IncomingMessage;
 		const head = codec.decode(req)!;
 		expect(head).to.deep.include({id: 'id-1', apiKey: 'key', patienceMs: 5000});
 		expect(head.generation).to.deep.equal({promptTokens: 100, maxOutputTokens: 20, expectedOutputTokens: 7});
@@ -198,7 +198,7 @@
 	// Guards against lists of parts that are malformed, repeated or very long, which callers may send.
 	it('decodes the shared parts of a prompt, bounded', () => {
 		const codec = HeaderCodec.create();
-		const decode = (value: string) => codec.decode({headers: {'x-request-id': 'r', 'x-prompt-prefix': value}} as unknown as IncomingMessage)!.promptParts;
+		const decode = (value: string) => codec.decode({url: '/', rawHeaders: [], headers: {'x-request-id': 'r', 'x-prompt-prefix': value}} as unknown as IncomingMessage)!.promptParts;
 		expect(decode('5c1e07a2:800,91BD3f06:410,e4402b7d:250')).to.deep.equal(['5c1e07a2', '91bd3f06']);
 		expect(decode(' a1:1 , a1:1,a1:2, b2:3,c:1')).to.deep.equal(['a1', 'b2']);
 		expect(decode('a1:1')).to.deep.equal([]);
--- a/test/support/front-harness.ts
+++ b/test/support/front-harness.ts
@@ -213,6 +213,11 @@
 		this.#front.destroy();
 	}
 
+	/** Address of the front server, as `IP:PORT`. */
+	get address(): string {
+		return this.#address;
+	}
+
 	/** Number of places held at upstreams. */
 	get heldCount(): number {
 		return this.#allocator.heldCount;
