--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -372,6 +372,8 @@
 			this.#abortAttempt(attempt, Ending.NotRun, `upstream responded with ${status}, request not run`);
 		} else if (!response.isForRequest || response.isAltered || (isSuccess && !response.isSigned)) {
 			this.#abortAttempt(attempt, Ending.Spoiled, 'response is not the upstream\'s own response to this request');
+		} else if (status < OK_STATUS) {
+			this.#abortAttempt(attempt, Ending.Spoiled, `${status} is not the status of a final response`);
 		} else if (notRunStatuses.has(status)) {
 			// Passed on, the status would state what the upstream does not.
 			this.#abortAttempt(attempt, Ending.Spoiled, `upstream responded with ${status} but does not state that the request was not run`);
--- a/test/gateway/unusable-heads.test.ts
+++ b/test/gateway/unusable-heads.test.ts
@@ -54,4 +54,18 @@
 			await expectServed();
 		});
 	}
+
+	for (const status of ['099', '000', '001']) {
+		// Guards against a status that ends the process of the VM that passes it on.
+		it(`passes on no response with the status ${status}`, async () => {
+			const first = await start('first', ({id, socket}) => socket.write(formatResponse(id, 'done', '', `${status} Odd`)));
+			for (const route of ['unsafe', 'stream']) {
+				const answer = await harness.call(route); // eslint-disable-line no-await-in-loop -- one request after the other
+				expect(answer.status).to.equal(502);
+			}
+
+			first.answer = ({id, socket}) => socket.write(formatResponse(id, 'done'));
+			await expectServed();
+		});
+	}
 });
