--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -19,6 +19,7 @@
 import {findLimitExcess, type LimitSpan} from './limit-rule.js';
 import {type CallCircumstances, findEndingFault} from './ending-rule.js';
 import {CALLER_TIMEOUT_MS, Operator} from './operator.js';
+import {findAccountFaults} from './request-account.js';
 import {type CallKind, type CallerAnswer, type SentCall} from './sent-call.js';
 import {VmProcess} from './vm-process.js';
 
@@ -186,6 +187,18 @@
 		return status === 200;
 	}
 
+	/** Checks each VM's own account of the requests that it has read; call it after all requests have ended. */
+	async checkAccounts(): Promise<void> {
+		await Promise.all(this.vms.map(async vm => {
+			const {status, body} = await this.#get(vm.metrics, '/metrics');
+			const faults = status === 200 ? findAccountFaults(body) : ['no metrics'];
+			this.check(faults.length === 0, `${vm.name}: ${faults.join(', ')}`);
+			for (const line of vm.violationLines) {
+				this.addViolation(`${vm.name}: ${line}`);
+			}
+		}));
+	}
+
 	/** @returns The addresses that a VM's directory returns. */
 	async addresses(vm: VmProcess): Promise<readonly string[]> {
 		const {status, body} = await this.#get(vm.directory, '/api/resolve?name=desk.example&region=region-a&zone=zone-a');
@@ -275,7 +288,7 @@
 
 		for (const call of this.#calls.values()) {
 			const fault = findEndingFault(call, this.#circumstancesOf(call, runsById.get(call.id) ?? []));
-			this.check(fault === undefined, `${call.id} at ${call.vm.name} ${fault} (${call.method} ${call.target})`);
+			this.check(fault === undefined, `${call.id} at ${call.vm.name} ${fault} (${call.method} ${call.target}, ${timestamp(call.endedAt)})`);
 		}
 	}
 
@@ -300,10 +313,11 @@
 		this.checks += 1;
 	}
 
-	/** Saves the output of the processes for the analysis of a violation. */
-	async saveLogs(): Promise<void> {
+	/** Saves the output of the processes, and what was done to them, for the analysis of a violation. */
+	async saveLogs(events: readonly string[]): Promise<void> {
 		const folder = await mkdtemp(path.join(tmpdir(), 'redwingspool-finding-'));
 		await Promise.all(this.vms.map(async vm => writeFile(path.join(folder, `${vm.name}.log`), vm.log.join('\n'))));
+		await writeFile(path.join(folder, 'events.log'), [...events, ...this.violations].join('\n'));
 		console.error(`logs: ${folder}`);
 	}
 
@@ -437,6 +451,11 @@
 	return prompt.split(',').slice(0, -1).map(entry => entry.split(':')[0]!);
 }
 
+/** @returns The time of the day as in the logs of the processes. */
+export function timestamp(ms: number): string {
+	return new Date(performance.timeOrigin + ms).toISOString();
+}
+
 function customerOf(apiKey: string | undefined): string {
 	return apiKey === 'key-3' ? 'guest' : 'crew';
 }
--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -10,7 +10,7 @@
 import {ProxyMode} from '../standins/tcp-proxy.js';
 import {callOnConnection} from './connection-callers.js';
 import {type ManifestChange, manifestChanges} from './operator.js';
-import {PlatformDeployment} from './platform-deployment.js';
+import {PlatformDeployment, timestamp} from './platform-deployment.js';
 import {type VmProcess} from './vm-process.js';
 
 /** Mean time between two requests, in ms. */
@@ -86,6 +86,7 @@
 	async server(run: ProcessRun) {
 		const {server} = run.random.pick([...run.deployment.servers.values()]);
 		server.mode = run.random.pick(Object.values(ServerMode));
+		run.note(`${server.id} ${server.mode}`);
 		await run.waitForFaultDuration();
 		server.mode = ServerMode.Healthy;
 	},
@@ -121,7 +122,9 @@
 	},
 	async configuration(run: ProcessRun) {
 		for (let count = run.random.integer(1, MAX_CHANGES_IN_SERIES); count > 0; count -= 1) {
-			run.deployment.operator.change(run.random.pick(Object.keys(manifestChanges) as ManifestChange[]), run.random);
+			const change = run.random.pick(Object.keys(manifestChanges) as ManifestChange[]);
+			run.deployment.operator.change(change, run.random);
+			run.note(`${change}, version ${run.deployment.operator.manifest.version}`);
 			await sleep(run.random.integer(0, MAX_CHANGE_INTERVAL_MS)); // eslint-disable-line no-await-in-loop -- changes in series
 		}
 	},
@@ -129,6 +132,9 @@
 
 type FaultKind = keyof typeof faults;
 
+/** The kinds as often as they are chosen: changes of the configuration and planned work are more frequent than the others. */
+const faultChoices: readonly FaultKind[] = [...Object.keys(faults) as FaultKind[], 'configuration', 'configuration', 'configuration', 'stop', 'stop', 'server'];
+
 /** One run. */
 export class ProcessRun {
 	static async create(seed: number, vmCount = VM_COUNT): Promise<ProcessRun> {
@@ -144,6 +150,8 @@
 	readonly random: Random;
 	readonly deployment: PlatformDeployment;
 	readonly injectedFaults = new Map<FaultKind, number>();
+	/** What was done to the deployment, with its times. */
+	readonly events: string[] = [];
 
 	private constructor(random: Random, deployment: PlatformDeployment) {
 		this.random = random;
@@ -151,7 +159,13 @@
 	}
 
 	pickVm(): VmProcess {
-		return this.random.pick(this.deployment.vms);
+		const vm = this.random.pick(this.deployment.vms);
+		this.note(`picked ${vm.name}`);
+		return vm;
+	}
+
+	note(event: string): void {
+		this.events.push(`${timestamp(performance.now())} ${event}`);
 	}
 
 	async waitForFaultDuration(): Promise<void> {
@@ -173,9 +187,7 @@
 			this.#track(pending, this.deployment.call(this.random.pick(this.deployment.vms), this.random.pick(['unsafe', 'safe', 'stream'])));
 			if (performance.now() >= nextFaultAt) {
 				nextFaultAt += this.random.exponential(MEAN_FAULT_INTERVAL_MS);
-				const kind = this.random.pick(Object.keys(faults) as FaultKind[]);
-				this.injectedFaults.set(kind, (this.injectedFaults.get(kind) ?? 0) + 1);
-				this.#track(pending, faults[kind](this));
+				this.#track(pending, this.#inject(this.random.pick(faultChoices)));
 			}
 
 			await sleep(this.random.exponential(MEAN_REQUEST_INTERVAL_MS)); // eslint-disable-line no-await-in-loop -- paces the requests
@@ -189,9 +201,17 @@
 
 		this.deployment.setConfiguration();
 		await this.#recover();
+		await this.deployment.checkAccounts();
 		this.deployment.checkServers();
 	}
 
+	async #inject(kind: FaultKind): Promise<void> {
+		this.injectedFaults.set(kind, (this.injectedFaults.get(kind) ?? 0) + 1);
+		this.note(`${kind} begins`);
+		await faults[kind](this);
+		this.note(`${kind} ends`);
+	}
+
 	/** Opens one connection after the other, and uses each until the VM closes it. */
 	async #useConnections(vm: VmProcess, end: number): Promise<void> {
 		while (performance.now() < end) {
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -20,7 +20,7 @@
 			await run.execute(Number(args.seconds)); // eslint-disable-line no-await-in-loop
 			const {deployment, injectedFaults} = run;
 			if (deployment.violations.length > 0) {
-				await deployment.saveLogs(); // eslint-disable-line no-await-in-loop
+				await deployment.saveLogs(run.events); // eslint-disable-line no-await-in-loop
 			}
 
 			await deployment.stop(); // eslint-disable-line no-await-in-loop
--- a/soak/vm-process.ts
+++ b/soak/vm-process.ts
@@ -6,7 +6,9 @@
 import process from 'node:process';
 import {Spans} from '../standins/spans.js';
 
-const MAX_LOG_LINES = 4000;
+const MAX_LOG_LINES = 20_000;
+/** Message of the program about a violated promise. */
+const VIOLATION = 'A promise was violated.';
 
 /** The process of one VM. */
 export class VmProcess {
@@ -21,6 +23,8 @@
 	child: ChildProcess | undefined;
 	/** Most recent lines of its output. */
 	readonly log: string[] = [];
+	/** Lines that report a violated promise. */
+	readonly violationLines: string[] = [];
 	/** Number of processes that a SIGHUP terminated while Node.js was starting, before the first line of the program ran. */
 	earlyHupCount = 0;
 	#hasLogged = false;
@@ -49,7 +53,9 @@
 		for (const stream of [child.stdout, child.stderr]) {
 			stream.setEncoding('utf8');
 			stream.on('data', (text: string) => {
-				this.log.push(...text.split('\n').filter(line => line !== ''));
+				const lines = text.split('\n').filter(line => line !== '');
+				this.log.push(...lines);
+				this.violationLines.push(...lines.filter(line => line.includes(VIOLATION)));
 				this.log.splice(0, this.log.length - MAX_LOG_LINES);
 				this.#hasLogged ||= this.child === child;
 			});
