--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -207,9 +207,13 @@
 
 	/** Sends a request to a VM and checks the answer. */
 	async call(vm: VmProcess, kind: CallKind, prefix = `/${kind}/`, prompt?: string): Promise<CallerAnswer> {
-		const call = this.createCall(vm, kind, {prefix, prompt});
+		return this.sendCall(this.createCall(vm, kind, {prefix, prompt}));
+	}
+
+	/** Sends a request on any connection and checks the answer. */
+	async sendCall(call: SentCall): Promise<CallerAnswer> {
 		call.startedAt = performance.now();
-		const answer = await this.#send(vm.front, {
+		const answer = await this.#send(call.vm.front, {
 			method: call.method, target: call.target, headers: this.headersOf(call), body: call.body, timeoutMs: CALLER_PATIENCE_MS, call,
 		});
 		return this.endCall(call, answer);
@@ -344,7 +348,7 @@
 		return {
 			runs: inOrder.map(({run}) => run),
 			isVmDisturbed: vm.disturbed.overlaps(startedAt, endedAt),
-			isLastRunDisturbed: last?.server.unsound.overlaps(last.run.at, endedAt) === true,
+			isLastRunDisturbed: last !== undefined && (last.run.isTorn || last.server.unsound.overlaps(last.run.at, endedAt)),
 			isServerDisturbed: this.#allServers.some(({unsound}) => unsound.overlaps(startedAt, endedAt)),
 			timeLimitMs: {min: Math.min(CALLER_TIMEOUT_MS, ...timeLimits), max: Math.max(0, ...timeLimits)},
 		};
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -39,6 +39,8 @@
 	readonly at: number;
 	/** When the response ended or the connection was closed. */
 	endedAt: number | undefined;
+	/** Whether the server broke off the stream, as the target of the request asked. */
+	isTorn: boolean;
 };
 
 /** How a server handles requests. */
@@ -192,18 +194,20 @@
 			prompt: String(req.headers['x-prompt-prefix'] ?? ''),
 			at: performance.now(),
 			endedAt: undefined,
+			isTorn: false,
 		};
 		this.runs.push(run);
 		res.once('close', () => {
 			run.endedAt = performance.now();
 		});
-		await this.#respond(req, res, id);
+		await this.#respond(req, res, run);
 		this.#runningCount -= 1;
 		run.isBodyRead = await body.finished;
 		run.body = body.text;
 	}
 
-	async #respond(req: IncomingMessage, res: ServerResponse, id: string): Promise<void> {
+	async #respond(req: IncomingMessage, res: ServerResponse, run: Run): Promise<void> {
+		const {id} = run;
 		const headers = {'x-request-id': this.mode === ServerMode.WrongRequestId ? 'another' : id, 'x-server-seal': `${this.id}.${id}`, 'x-server-load': `${this.#runningCount},0,${this.slots}`};
 		if (this.mode === ServerMode.Unframed) {
 			res.useChunkedEncodingByDefault = false;
@@ -223,7 +227,7 @@
 			await sleep(PAUSE_MS.min + (this.runs.length * PAUSE_STEP_MS % (PAUSE_MS.max - PAUSE_MS.min)));
 		}
 
-		await (req.url!.includes('stream') ? this.#sendStream(exchange) : this.#sendBody(exchange, expectedBody(id, targetParameter(req.url!, 'bytes'))));
+		await (req.url!.includes('stream') ? this.#sendStream(exchange, run) : this.#sendBody(exchange, expectedBody(id, targetParameter(req.url!, 'bytes'))));
 	}
 
 	async #sendBody(exchange: ServerExchange, body: string): Promise<void> {
@@ -250,7 +254,7 @@
 		}
 	}
 
-	async #sendStream(exchange: ServerExchange): Promise<void> {
+	async #sendStream(exchange: ServerExchange, run: Run): Promise<void> {
 		const {req, res, headers} = exchange;
 		const durationMs = targetParameter(req.url!, 'ms');
 		const intervalMs = durationMs === undefined ? EVENT_INTERVAL_MS : durationMs / STREAM_EVENTS;
@@ -270,7 +274,8 @@
 			}
 
 			const isThird = event === first + 2;
-			const end = faultyEnds[this.mode];
+			run.isTorn = isThird && first === 1 && targetParameter(req.url!, 'torn') !== undefined;
+			const end = run.isTorn ? faultyEnds.truncates : faultyEnds[this.mode];
 			if (isThird && end !== undefined) {
 				res.write(`id: ${event}\nda`, () => {
 					end(exchange);
--- a/test/soak/ending-rule.test.ts
+++ b/test/soak/ending-rule.test.ts
@@ -9,7 +9,7 @@
 	front: '', ready: '', directory: '', metrics: '',
 });
 const run: Run = {
-	id: 'r1', method: 'POST', target: '/unsafe/r1', body: '', isBodyRead: true, tenant: 'crew', deadlineMs: 3000, prompt: '', at: 105, endedAt: 120,
+	id: 'r1', method: 'POST', target: '/unsafe/r1', body: '', isBodyRead: true, tenant: 'crew', deadlineMs: 3000, prompt: '', at: 105, endedAt: 120, isTorn: false,
 };
 
 function createCall(status: number, isWhole: boolean, changes: Partial<SentCall> = {}): SentCall {
