Callers' connections: a reset behind the last answer destroyed it, and the next request ran unanswered

What callers saw: in a planned stop, or behind any answer with 'Connection: close', a caller that had sent more bytes on the connection lost the part of the answer that it had not read. A request among these bytes was passed on and never answered.

Cause: the HTTP server destroys a connection behind its last response; with unread bytes the kernel then resets it, which discards response bytes on both sides. Requests of one connection ran at the same time, although only the first of them was answered.

Requests of a connection are served in turn; behind an answer that closes the connection none is run.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -16,6 +16,7 @@
 import {type CallHead} from './call-codec.js';
 import {Forwarding, type ForwardingContext} from './forwarding.js';
 import {writeErrorResponse} from './error-response.js';
+import {LingeringClose} from './lingering-close.js';
 import {type LedgerEntry} from './request-ledger.js';
 import {type PlannedStop} from './planned-stop.js';
 import {requestDeadline} from './request-deadline.js';
@@ -47,20 +48,28 @@
 	readonly #context: ForwardingContext;
 	readonly #random: Random;
 	readonly #server: Server;
+	readonly #closing: LingeringClose;
+	/** The latest response of each connection. */
+	readonly #responses = new WeakMap<Socket, ServerResponse>();
 	/** Ends the reading of each request whose body is not complete yet. */
 	readonly #unread = new Set<() => void>();
-	#inFlight = 0;
+	/** Responses that have not been sent completely. */
+	readonly #open = new Set<ServerResponse>();
 	#stop: PlannedStop | undefined;
 
 	private constructor(context: ForwardingContext, random: Random) {
 		this.#context = context;
 		this.#random = random;
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: 1000}, (req, res) => {
-			void this.#serve(req, res);
+			void this.#serveInTurn(req, res);
 		});
 		this.#server.on('clientError', (err, socket) => {
 			this.#rejectMalformed(err, socket as Socket);
 		});
+		this.#closing = LingeringClose.create(context.clock);
+		this.#server.on('connection', socket => {
+			this.#closing.attach(socket);
+		});
 		context.state.listen({
 			onTable: table => {
 				this.#setTimeouts(table.configuration.limits);
@@ -70,7 +79,7 @@
 
 	/** Number of requests that have not been answered yet. */
 	get inFlight(): number {
-		return this.#inFlight;
+		return this.#open.size;
 	}
 
 	/** Aborts exchanges with requests that a new verdict holds for, before they crash further upstreams. */
@@ -118,12 +127,31 @@
 		this.#server.keepAliveTimeout = idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
 	}
 
-	async #serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const {clock, state, codec, ledger} = this.#context;
-		const arrivedAt = clock.now();
-		this.#inFlight += 1;
+	/** Serves a request after those before it on its connection, unless the connection is closed behind one of them. */
+	async #serveInTurn(req: IncomingMessage, res: ServerResponse): Promise<void> {
+		const arrivedAt = this.#context.clock.now();
+		const {socket} = req;
+		const previous = this.#responses.get(socket);
+		this.#responses.set(socket, res);
+		if (previous !== undefined && !previous.closed) {
+			await new Promise<void>(resolve => {
+				previous.once('close', resolve);
+				socket.once('close', () => {
+					resolve();
+				});
+			});
+		}
+
+		if (socket.writable) {
+			await this.#serve(req, res, arrivedAt);
+		}
+	}
+
+	async #serve(req: IncomingMessage, res: ServerResponse, arrivedAt: number): Promise<void> {
+		const {state, codec, ledger} = this.#context;
+		this.#open.add(res);
 		res.once('close', () => {
-			this.#inFlight -= 1;
+			this.#open.delete(res);
 		});
 		if (this.#stop !== undefined) {
 			res.setHeader('connection', 'close');
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -6,7 +6,7 @@
 	type ReceivedRequest, formatChunk, formatResponse, formatStreamHead,
 } from '../support/front-harness.js';
 import {GatewayHarness} from '../support/gateway-harness.js';
-import {RawConnection} from '../support/raw-connection.js';
+import {RawConnection} from '../support/raw-http.js';
 
 /** Time that a planned stop may take here, in ms. */
 const GRACE_MS = 5000;
@@ -21,15 +21,9 @@
 	});
 
 	async function expectRefused(address: string): Promise<void> {
-		let code: string | undefined;
-		try {
-			const connection = await RawConnection.open(address);
-			connection.destroy();
-		} catch (err) {
-			({code} = err as NodeJS.ErrnoException);
-		}
-
-		expect(code).to.equal('ECONNREFUSED');
+		const connection = RawConnection.open(address);
+		await connection.closed();
+		expect(connection.errorCode).to.equal('ECONNREFUSED');
 	}
 
 	/** Answers after the given time. */
@@ -146,4 +140,27 @@
 		expect(performance.now() - startedAt).to.be.below(500);
 		await expectRefused(harness.address);
 	});
+
+	// Guards against an answer being destroyed because the caller had sent more bytes behind its request.
+	it('delivers a whole answer on a connection that holds unread bytes', async () => {
+		const body = 'x'.repeat(2_000_000);
+		harness = await GatewayHarness.start(GRACE_MS, ({id, socket}) => {
+			socket.write(formatResponse(id, body));
+		});
+		const stopped = harness.gateway.stop();
+		const connection = RawConnection.open(harness.address);
+		const first = harness.nextRequest('unsafe', {deadlineMs: 1000});
+		connection.socket.pause();
+		connection.socket.write(first.head);
+		await sleep(300);
+		const second = harness.nextRequest('unsafe', {deadlineMs: 1000});
+		connection.socket.write(second.head);
+		await sleep(300);
+		connection.socket.resume();
+		await connection.closed();
+		expect(connection.errorCode).to.equal(undefined);
+		expect(connection.text.length).to.be.above(body.length);
+		expect(harness.hasRun(second.id)).to.equal(false);
+		await stopped;
+	});
 });
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -18,7 +18,7 @@
 import {eventually} from './eventually.js';
 import {freePort} from './free-port.js';
 import {RawUpstream, type ReceivedRequest} from './front-harness.js';
-import {RawConnection} from './raw-connection.js';
+import {RawConnection} from './raw-http.js';
 
 const HOST = 'desk.example';
 
@@ -164,12 +164,12 @@
 	async call(route: string, options: CallOptions = {}): Promise<CallAnswer> {
 		const {id, head} = this.nextRequest(route, options);
 		const sentAt = performance.now();
-		const connection = await RawConnection.open(this.address);
-		connection.write(head);
+		const connection = RawConnection.open(this.address);
+		connection.socket.write(head);
 		const {bodyBytes = 0, bodyDelayMs = 0} = options;
 		if (bodyBytes > 0 && Number.isFinite(bodyDelayMs)) {
 			await sleep(bodyDelayMs);
-			connection.write('x'.repeat(bodyBytes));
+			connection.socket.write('x'.repeat(bodyBytes));
 		}
 
 		await connection.closed();
--- a/test/support/raw-http.ts
+++ b/test/support/raw-http.ts
@@ -21,14 +21,16 @@
 	/** All bytes that were received, as Latin-1. */
 	text = '';
 	isClosed = false;
+	/** Code of the error that ended the connection. */
+	errorCode: string | undefined;
 
 	private constructor(socket: Socket) {
 		this.socket = socket;
 		socket.on('data', chunk => {
 			this.text += chunk.toString('latin1');
 		});
-		socket.on('error', () => {
-			// The test looks at what was received.
+		socket.on('error', err => {
+			this.errorCode = (err as NodeJS.ErrnoException).code;
 		});
 		socket.on('close', () => {
 			this.isClosed = true;
@@ -39,6 +41,31 @@
 	get statuses(): number[] {
 		return [...this.text.matchAll(/HTTP\/1\.1 (?<status>\d+) /gv)].map(match => Number(match.groups!.status));
 	}
+
+	/** Waits until the connection is established or has failed. */
+	async opened(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.socket.once('connect', () => {
+				resolve();
+			});
+			this.socket.once('error', () => {
+				resolve();
+			});
+		});
+	}
+
+	/** Waits until the connection has closed. */
+	async closed(): Promise<void> {
+		await new Promise<void>(resolve => {
+			if (this.isClosed) {
+				resolve();
+			} else {
+				this.socket.once('close', () => {
+					resolve();
+				});
+			}
+		});
+	}
 }
 
 /** Sends bytes on a new connection and reads until it closes or until one response, with a length or chunked, is complete. */
