Planned stop: answers in flight did not say that their connection closes

What callers saw: requests on connections that the VM was about to close.

Cause: only responses to requests that arrived after the signal carried 'Connection: close'.

Fix: it is set on all responses whose head has not been sent.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -97,6 +97,11 @@
 	/** Closes each connection after its next response, and rejects requests that could outlive the process. */
 	beginStop(stop: PlannedStop): void {
 		this.#stop = stop;
+		for (const res of this.#open) {
+			if (!res.headersSent) {
+				res.setHeader('connection', 'close');
+			}
+		}
 	}
 
 	/** Gives every request that is still open its final answer. */
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -163,4 +163,17 @@
 		expect(harness.hasRun(second.id)).to.equal(false);
 		await stopped;
 	});
+
+	// Guards against connections being kept that the VM is about to close, and against requests that were just sent on them.
+	it('closes connections behind the answers to requests that were in flight before', async () => {
+		harness = await GatewayHarness.start(GRACE_MS, after(300));
+		const call = harness.call('unsafe', {deadlineMs: 1000});
+		await eventually(() => harness.upstream.received.length === 1);
+		const stopped = harness.gateway.stop();
+		const {status, text, afterMs} = await call;
+		expect(status).to.equal(200);
+		expect(text.toLowerCase()).to.include('connection: close\r\n');
+		expect(afterMs).to.be.below(1000);
+		await stopped;
+	});
 });
