Planned stop: connections accepted just before the listener closed were cut

What callers saw: a connection that the VM had accepted ended without an answer if its request arrived as the listener closed; a response that was written but not yet delivered could be cut by the exit of the process.

Cause: the listener, all connections and the process ended in one step.

Fix: the listener closes first; requests on connections that it had accepted are served for another 0.1 s.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -82,6 +82,11 @@
 		return this.#open.size;
 	}
 
+	/** Whether a response, or the end of a connection behind it, may not have reached its caller yet. */
+	get isBusy(): boolean {
+		return this.#open.size > 0 || this.#closing.size > 0;
+	}
+
 	/** Aborts exchanges with requests that a new verdict holds for, before they crash further upstreams. */
 	abortQuarantined(): void {
 		for (const forwarding of this.#context.running) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,7 +25,9 @@
 import {PlannedStop} from './planned-stop.js';
 import {UpstreamPauses} from './upstream-pauses.js';
 
-const STOP_POLL_INTERVAL_MS = 50;
+/** Time in which connections that were accepted before the listener closed deliver their requests, in ms. */
+const ACCEPTED_PERIOD_MS = 100;
+const STOP_POLL_INTERVAL_MS = 25;
 const MAX_LOGGED_CRASHES = 8;
 
 /** Dependencies and settings of a gateway. */
@@ -197,21 +199,23 @@
 		this.#publishReadiness();
 		this.#front.beginStop(stop);
 		this.coordinator.resign();
-		while (!stop.isOver(this.#front.inFlight)) {
-			await clock.sleep(STOP_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- polling
-		}
-
-		this.#front.endRequests();
-		while (clock.now() < stop.exitsAt && this.#front.inFlight > 0) {
-			await clock.sleep(STOP_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop
-		}
-
+		await this.#until(() => stop.isOver(this.#front.inFlight));
 		this.#front.closeListener();
+		const closedAt = clock.now();
+		await this.#until(() => clock.now() >= stop.endsAt || (!this.#front.isBusy && clock.now() >= closedAt + ACCEPTED_PERIOD_MS));
+		this.#front.endRequests();
+		await this.#until(() => clock.now() >= stop.exitsAt || !this.#front.isBusy);
 		log.part(LogPrefix.Gateway).info('Stopped.', {inFlight: this.#front.inFlight, ...this.#ledger.counts, afterMs: Math.round(clock.now() - stop.startedAt)});
 		this.coordinator.stop();
 		this.#front.destroy();
 	}
 
+	async #until(holds: () => boolean): Promise<void> {
+		while (!holds()) {
+			await this.#options.clock.sleep(STOP_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- polling
+		}
+	}
+
 	#publishReadiness(): void {
 		this.coordinator.setReady(this.isReady);
 	}
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -176,4 +176,24 @@
 		expect(afterMs).to.be.below(1000);
 		await stopped;
 	});
+
+	// Guards against requests being lost whose connection was accepted just before the listener closed.
+	it('serves a request that arrives after the listener closed, on a connection that was opened before', async () => {
+		harness = await GatewayHarness.start(GRACE_MS, after(20));
+		const stopped = harness.gateway.stop();
+		await sleep(2300);
+		const connection = RawConnection.open(harness.address);
+		let probe = connection;
+		while (probe.errorCode !== 'ECONNREFUSED') {
+			await sleep(10); // eslint-disable-line no-await-in-loop -- polling
+			probe = RawConnection.open(harness.address);
+			await probe.opened(); // eslint-disable-line no-await-in-loop
+			probe.socket.end();
+		}
+
+		connection.socket.write(harness.nextRequest('unsafe', {deadlineMs: 1000}).head);
+		await connection.closed();
+		expect(connection.statuses).to.deep.equal([200]);
+		await stopped;
+	});
 });
