--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -3,6 +3,7 @@
  * only complete events.
  */
 import {Buffer} from 'node:buffer';
+import {isHeaderValue} from '../base/header-text.js';
 
 const LINE_FEED = 10;
 const CARRIAGE_RETURN = 13;
@@ -40,6 +41,11 @@
 		return !isEnded && bytes.some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
 	}
 
+	/** Whether another upstream can be told, in a header, after which event it has to go on. */
+	get canResume(): boolean {
+		return this.lastId === undefined || isHeaderValue(this.lastId);
+	}
+
 	/** Whether the incomplete event exceeds the maximum event length. */
 	get isOversized(): boolean {
 		return this.#partialEvent.length > MAX_EVENT_BYTES;
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -595,7 +595,7 @@
 	#mayRetry(ending: Ending): boolean {
 		const {clock} = this.#context;
 		const {route} = this.#call;
-		if (this.#deadlineAt - clock.now() < MIN_SEND_BUDGET_MS || !mayRetry(ending, route.operation, route.isResumable)) {
+		if (this.#deadlineAt - clock.now() < MIN_SEND_BUDGET_MS || !mayRetry(ending, route.operation, route.isResumable) || !this.#splitter.canResume) {
 			return false;
 		}
 
--- a/test/gateway/unusable-heads.test.ts
+++ b/test/gateway/unusable-heads.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {
-	formatResponse, FrontHarness, RawUpstream, type ReceivedRequest,
+	formatChunk, formatResponse, formatStreamHead, FrontHarness, RawUpstream, type ReceivedRequest,
 } from '../support/front-harness.js';
 import {sendRaw} from '../support/raw-http.js';
 
@@ -86,4 +86,28 @@
 		// Guards against a header of an upstream that ends the process of the VM that passes it on.
 		it(`drops the header '${header}' of a response`, async () => expectHeaderDropped(header));
 	}
+
+	// Guards against the ID of an event that no header can carry to the next upstream: it ended the process when the stream broke off.
+	it('does not resume a stream after an event whose ID no header can carry', async () => {
+		for (const eventId of ['\u0001', 'a\0b', '\u007F']) {
+			const answer = ({id, socket}: ReceivedRequest) => {
+				socket.write(`${formatStreamHead(id)}${formatChunk(`id: ${eventId}\ndata: a\n\n`)}`, () => {
+					socket.destroySoon();
+				});
+			};
+
+			/* eslint-disable no-await-in-loop -- one stream after the other */
+			const both = [await start('first', answer), await start('second', answer)];
+			const {text} = await harness.call('resumable');
+			/* eslint-enable no-await-in-loop */
+			expect(text).to.include('data: a').and.not.include('0\r\n\r\n');
+			expect(both.flatMap(({received}) => received)).to.have.length(1);
+		}
+
+		for (const upstream of upstreams) {
+			upstream.answer = ({id, socket}) => socket.write(formatResponse(id, 'done'));
+		}
+
+		await expectServed();
+	});
 });
