--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -39,6 +39,18 @@
 /** Value of `recovery` once all VMs have answered every call of a round; it is 0 until then. Any positive number would do. */
 const RECOVERED = 20;
 
+/** Entries that another writer leaves among those of the servers, as JSON. */
+const oddEntry = {
+	service: 'desk', address: '127.0.0.1:9', zone: 'zone-a', slots: 6, state: 'ready', born: 1,
+};
+const oddEntries: readonly string[] = [
+	JSON.stringify({...oddEntry, address: '127.0.0.1:70000'}),
+	JSON.stringify({...oddEntry, slots: 'many', state: 7}),
+	JSON.stringify(oddEntry).replace('6', '1e999'),
+	JSON.stringify(oddEntry).replace('"zone-a"', `${'['.repeat(20_000)}${']'.repeat(20_000)}`),
+	'{',
+];
+
 /** Injects each kind of fault, and ends it. */
 const faults = {
 	async kill(run: ProcessRun) {
@@ -120,6 +132,12 @@
 		await run.waitForFaultDuration();
 		server.limit = undefined;
 	},
+	async oddEntry(run: ProcessRun) {
+		const key = `odd-${run.random.integer(1, 3)}`;
+		run.deployment.store.putText('servers', key, run.random.pick(oddEntries));
+		await run.waitForFaultDuration();
+		run.deployment.store.delete('servers', key);
+	},
 	async configuration(run: ProcessRun) {
 		for (let count = run.random.integer(1, MAX_CHANGES_IN_SERIES); count > 0; count -= 1) {
 			const change = run.random.pick(Object.keys(manifestChanges) as ManifestChange[]);
