Callers' connections: an answer was lost to unusable bytes behind its request

What callers saw: a request that was followed, on the same connection and before its answer, by bytes that are no request (a head over the limit, no HTTP, a head not complete within its limit, CONNECT) got no answer: the 431, 400 or 408 for the bytes behind it was written in its place, or the connection was closed, while the request ran at an upstream, also one that must not be repeated.

Cause: the handler of parser errors wrote to the socket and ended it whatever else was in progress there; for CONNECT the HTTP library does so itself.

The order of a connection, which requests already took turns in, now lives in a module of its own, and the rejection of unusable bytes takes its turn there too. Requests that come behind a rejection, or on a connection that is closing, are not run and are counted as 'unserved'.

--- /dev/null
+++ b/src/gateway/caller-connections.ts
@@ -0,0 +1,96 @@
+/**
+ * The order of the requests of each caller's connection. Requests that are sent together are served one after another, and
+ * bytes that are no request are answered behind the requests before them.
+ */
+import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
+import {type LingeringClose} from './lingering-close.js';
+
+type Connection = {
+	/** The latest request and its response. */
+	req?: IncomingMessage;
+	res?: ServerResponse;
+	/** The response to the request before it. */
+	previous?: ServerResponse;
+	/** What follows on the connection cannot be read or is not served. */
+	isRejected: boolean;
+};
+
+/** Decides whose turn it is on each connection. */
+export class CallerConnections {
+	static create(closing: LingeringClose): CallerConnections {
+		return new CallerConnections(closing);
+	}
+
+	readonly #closing: LingeringClose;
+	readonly #connections = new WeakMap<Socket, Connection>();
+
+	private constructor(closing: LingeringClose) {
+		this.#closing = closing;
+	}
+
+	attach(socket: Socket): void {
+		this.#connections.set(socket, {isRejected: false});
+		this.#closing.attach(socket);
+	}
+
+	/** @returns Whether to serve the request, once those before it are answered; if not, it gets no answer and must not run. */
+	async waitForTurn(req: IncomingMessage, res: ServerResponse): Promise<boolean> {
+		const {socket} = req;
+		const connection = this.#connections.get(socket)!;
+		if (connection.isRejected) {
+			return false;
+		}
+
+		const previous = connection.res;
+		Object.assign(connection, {req, res, previous});
+		await waitForEnd(previous, socket);
+		// A connection that was rejected inside this request's body answers with the rejection.
+		return socket.writable && (!connection.isRejected || req.complete);
+	}
+
+	/**
+	 * Answers bytes that are no request of this server and closes the connection, behind the answers to the requests before.
+	 *
+	 * @param response - All bytes of the response.
+	 * @returns Whether they are answered; if not, the connection is closing already.
+	 */
+	reject(socket: Socket, response: string): boolean {
+		const connection = this.#connections.get(socket)!;
+		if (connection.isRejected || this.#closing.has(socket)) {
+			return false;
+		}
+
+		connection.isRejected = true;
+		const {req, res, previous} = connection;
+		const isInsideBody = req?.complete === false && res?.headersSent === false;
+		void this.#close(socket, response, isInsideBody ? previous : res);
+		return true;
+	}
+
+	async #close(socket: Socket, response: string, before: ServerResponse | undefined): Promise<void> {
+		await waitForEnd(before, socket);
+		if (socket.writable) {
+			socket.write(response);
+			socket.destroySoon();
+		}
+	}
+}
+
+/** Waits until a response has been sent or the connection is closed. */
+async function waitForEnd(res: ServerResponse | undefined, socket: Socket): Promise<void> {
+	if (res === undefined || res.closed || socket.destroyed) {
+		return;
+	}
+
+	await new Promise<void>(resolve => {
+		const finish = () => {
+			res.off('close', finish);
+			socket.off('close', finish);
+			resolve();
+		};
+
+		res.once('close', finish);
+		socket.once('close', finish);
+	});
+}
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -14,6 +14,7 @@
 import {type Random} from '../base/random.js';
 import {promptPartFeature} from '../policy/features.js';
 import {type CallHead} from './call-codec.js';
+import {CallerConnections} from './caller-connections.js';
 import {Forwarding, type ForwardingContext} from './forwarding.js';
 import {writeErrorResponse} from './error-response.js';
 import {LingeringClose} from './lingering-close.js';
@@ -36,7 +37,7 @@
 /** The caller closed the connection inside a request. */
 const INCOMPLETE_REQUEST_CODE = 'HPE_INVALID_EOF_STATE';
 const statusLines: Readonly<Record<number, string>> = {
-	400: '400 Bad Request', 408: '408 Request Timeout', 431: '431 Request Header Fields Too Large',
+	400: '400 Bad Request', 405: '405 Method Not Allowed', 408: '408 Request Timeout', 431: '431 Request Header Fields Too Large',
 };
 
 /** HTTP server for callers' requests. */
@@ -49,8 +50,7 @@
 	readonly #random: Random;
 	readonly #server: Server;
 	readonly #closing: LingeringClose;
-	/** The latest response of each connection. */
-	readonly #responses = new WeakMap<Socket, ServerResponse>();
+	readonly #connections: CallerConnections;
 	/** Ends the reading of each request whose body is not complete yet. */
 	readonly #unread = new Set<() => void>();
 	/** Responses that have not been sent completely. */
@@ -63,12 +63,16 @@
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: 1000}, (req, res) => {
 			void this.#serveInTurn(req, res);
 		});
+		this.#closing = LingeringClose.create(context.clock);
+		this.#connections = CallerConnections.create(this.#closing);
+		this.#server.on('connection', socket => {
+			this.#connections.attach(socket);
+		});
 		this.#server.on('clientError', (err, socket) => {
 			this.#rejectMalformed(err, socket as Socket);
 		});
-		this.#closing = LingeringClose.create(context.clock);
-		this.#server.on('connection', socket => {
-			this.#closing.attach(socket);
+		this.#server.on('connect', (_req, socket) => {
+			this.#rejectConnect(socket as Socket);
 		});
 		context.state.listen({
 			onTable: table => {
@@ -137,23 +141,12 @@
 		this.#server.keepAliveTimeout = idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
 	}
 
-	/** Serves a request after those before it on its connection, unless the connection is closed behind one of them. */
 	async #serveInTurn(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const arrivedAt = this.#context.clock.now();
-		const {socket} = req;
-		const previous = this.#responses.get(socket);
-		this.#responses.set(socket, res);
-		if (previous !== undefined && !previous.closed) {
-			await new Promise<void>(resolve => {
-				previous.once('close', resolve);
-				socket.once('close', () => {
-					resolve();
-				});
-			});
-		}
-
-		if (socket.writable) {
+		if (await this.#connections.waitForTurn(req, res)) {
 			await this.#serve(req, res, arrivedAt);
+		} else if (req.complete && !req.socket.readableEnded) {
+			this.#context.ledger.record(RequestEnd.Unserved, {request: this.#context.codec.decode(req)?.id});
 		}
 	}
 
@@ -264,17 +257,32 @@
 
 	#rejectMalformed(err: Error, socket: Socket): void {
 		const {code} = err as NodeJS.ErrnoException;
-		if (code === 'ECONNRESET' || !socket.writable) {
+		if (code === 'ECONNRESET') {
 			socket.destroy();
 			return;
 		}
 
 		const status = code === 'HPE_HEADER_OVERFLOW' ? 431 : (code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400);
-		if (code !== INCOMPLETE_REQUEST_CODE) {
+		this.#rejectUnread(socket, status, code);
+	}
+
+	/** The HTTP server no longer follows a connection on which it has read CONNECT. */
+	#rejectConnect(socket: Socket): void {
+		socket.on('error', () => {
+			socket.destroy();
+		});
+		socket.once('end', () => {
+			socket.end();
+		});
+		socket.resume();
+		this.#rejectUnread(socket, 405, 'CONNECT');
+	}
+
+	#rejectUnread(socket: Socket, status: number, code: string | undefined): void {
+		const isAnswered = this.#connections.reject(socket, `HTTP/1.1 ${statusLines[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		if (isAnswered && code !== INCOMPLETE_REQUEST_CODE) {
 			this.#context.ledger.record(RequestEnd.Refused, {code, status});
 		}
-
-		socket.end(`HTTP/1.1 ${statusLines[status]}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 	}
 }
 
--- a/src/gateway/lingering-close.ts
+++ b/src/gateway/lingering-close.ts
@@ -26,6 +26,11 @@
 		return this.#sockets.size;
 	}
 
+	/** @returns Whether the connection has been ended. */
+	has(socket: Socket): boolean {
+		return this.#sockets.has(socket);
+	}
+
 	/** Makes the HTTP server, which closes a connection by `destroySoon`, close this one in this way. */
 	attach(socket: Socket): void {
 		socket.destroySoon = () => {
