Callers' connections: a request with an unknown expectation was refused with 417

The HTTP library answers a request by itself if it has an Expect header other than 100-continue: a proper request was refused, past the limits, the log and the metrics. RFC 9110 (10.1.1) allows the refusal but does not ask for it, and the header is not forwarded. Such requests are now served.

Evidence: test/gateway/caller-connections.test.ts, 'serves a request with an expectation it does not know', before this change: expected [ 417 ] to deeply equal [ 200 ].

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -63,6 +63,10 @@
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: 1000}, (req, res) => {
 			void this.#serveInTurn(req, res);
 		});
+		// An expectation that is not understood is no reason to refuse a request.
+		this.#server.on('checkExpectation', (req, res) => {
+			void this.#serveInTurn(req, res);
+		});
 		this.#closing = LingeringClose.create(context.clock);
 		this.#connections = CallerConnections.create(this.#closing);
 		this.#server.on('connection', socket => {
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -114,6 +114,15 @@
 		expect(received()).to.deep.equal([]);
 	});
 
+	// Guards against requests that are answered by the HTTP library in place of the gateway.
+	it('serves a request with an expectation it does not know', async () => {
+		const caller = harness.connect();
+		caller.socket.write(formatRequest('unsafe', 'a', 'Expect: a-miracle\r\n'));
+		await eventually(() => caller.statuses.length === 1);
+		expect(caller.statuses).to.deep.equal([200]);
+		caller.socket.destroy();
+	});
+
 	it('asks for the body of a request that expects to be told to continue', async () => {
 		const caller = harness.connect();
 		const [head, body] = formatRequest('unsafe', 'a', 'Expect: 100-continue\r\n', 'body').split('\r\n\r\n');
