Callers' connections: a body over its limit was read without end before it was refused

What callers saw: no answer to a request with a body over the limit until all of the body had been sent, however long; a body in chunks without end was read for ever. A caller that gave up had no answer at all.

Now the request is refused as soon as the stated or the read length is over the limit. Bodies that come before there is a configuration are still read, up to 64 KB, so that their connections stay.

Evidence: test/gateway/caller-connections.test.ts, 'rejects a body with ... over its limit before it has arrived, and delivers the answer', with 5 MB sent, before this change: expected [] to deeply equal [ 413 ], with a length and with chunks.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -27,6 +27,8 @@
 
 /** Maximum bytes of request headers that are read; the configured limit is meant to be lower. */
 const MAX_HEADER_BYTES = 65_536;
+/** Maximum bytes of a body that are read before there is a configuration; the request is refused anyway. */
+const MAX_UNCONFIGURED_BODY_BYTES = 65_536;
 /** How much longer idle connections stay open than callers are told, in ms: none should close as a request arrives. */
 const KEEP_ALIVE_MARGIN_MS = 2000;
 /** Route ranks are below this value, so that the customer's rank takes precedence. */
@@ -165,7 +167,7 @@
 		}
 
 		const {table} = state;
-		const body = await this.#readBody(req, table?.configuration.limits.maxBodyBytes ?? 0);
+		const body = await this.#readBody(req, table?.configuration.limits.maxBodyBytes ?? MAX_UNCONFIGURED_BODY_BYTES);
 		const head = codec.decode(req);
 		if (body === 'aborted') {
 			return;
@@ -255,6 +257,11 @@
 		const {codec, metrics} = this.#context;
 		const {ran, status} = errorAnswers[kind];
 		metrics.countError(kind);
+		if (!res.req.complete && !res.headersSent) {
+			// The rest of the body is not read.
+			res.setHeader('connection', 'close');
+		}
+
 		writeErrorResponse(res, codec, head, kind);
 		entry.decide(ran === Ran.No ? RequestEnd.Refused : RequestEnd.Failed, {kind, status});
 	}
@@ -298,17 +305,25 @@
 		return undefined;
 	}
 
+	if (Number(req.headers['content-length']) > maxBytes) {
+		req.resume();
+		return 'too-large';
+	}
+
 	return new Promise(resolve => {
 		const chunks: Uint8Array[] = [];
 		let length = 0;
 		req.on('data', (chunk: Uint8Array) => {
 			length += chunk.length;
-			if (length <= maxBytes) {
+			if (length > maxBytes) {
+				chunks.length = 0;
+				resolve('too-large');
+			} else {
 				chunks.push(chunk);
 			}
 		});
 		req.once('end', () => {
-			resolve(length > maxBytes ? 'too-large' : Buffer.concat(chunks));
+			resolve(Buffer.concat(chunks));
 		});
 		req.once('close', () => {
 			if (!req.complete) {
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -149,6 +149,38 @@
 		caller.socket.destroy();
 	});
 
+	/** Sends a body over its limit bit by bit, also behind the answer. */
+	async function expectTooLarge(lengthHeader: string, piece: string): Promise<void> {
+		harness.setLimits({maxBodyBytes: 1000});
+		const caller = harness.connect();
+		caller.socket.write(formatRequest('unsafe', 'a').replace('Content-Length: 0', lengthHeader));
+		let sent = 0;
+		while (sent < 5_000_000 && caller.statuses.length === 0) {
+			caller.socket.write(piece);
+			sent += piece.length;
+			await sleep(2); // eslint-disable-line no-await-in-loop -- written bit by bit
+		}
+
+		expect(caller.statuses).to.deep.equal([413]);
+		for (let count = 0; count < 20 && !caller.isClosed; count += 1) {
+			caller.socket.write(piece);
+			await sleep(10); // eslint-disable-line no-await-in-loop
+		}
+
+		await eventually(() => caller.isClosed);
+		expect(caller.text.endsWith('"}')).to.equal(true);
+		expect(received()).to.deep.equal([]);
+		expect(harness.ends).to.deep.equal([['a', 'refused']]);
+	}
+
+	// Guards against a body that is read without end, and against an answer that is lost with the rest of a body.
+	for (const [name, lengthHeader, piece] of [
+		['a length', 'Content-Length: 100000000', 'x'.repeat(65_536)],
+		['chunks', 'Transfer-Encoding: chunked', formatChunk('x'.repeat(65_536))],
+	] as const) {
+		it(`rejects a body with ${name} over its limit before it has arrived, and delivers the answer`, async () => expectTooLarge(lengthHeader, piece));
+	}
+
 	it('serves the request behind one that was refused together with its body', async () => {
 		const caller = harness.connect();
 		caller.socket.write(formatRequest('unknown', 'a', '', 'x'.repeat(30_000)) + formatRequest('unsafe', 'b'));
