--- a/test/support/front-harness.ts
+++ b/test/support/front-harness.ts
@@ -16,7 +16,7 @@
 import {Random} from '../../src/base/random.js';
 import {DeploymentState} from '../../src/gateway/deployment-state.js';
 import {FrontServer} from '../../src/gateway/front-server.js';
-import {type PlannedStop} from '../../src/gateway/planned-stop.js';
+import {PlannedStop} from '../../src/gateway/planned-stop.js';
 import {
 	type CallerLimits, type Configuration, Operation, type Route,
 } from '../../src/gateway/routing-table.js';
@@ -243,8 +243,9 @@
 		this.state.applyConfiguration({...configuration, ...changes, version: configuration.version + 1});
 	}
 
-	beginStop(stop: PlannedStop): void {
-		this.#front.beginStop(stop);
+	/** @param graceMs - Time for the stop, in ms. */
+	beginStop(graceMs: number): void {
+		this.#front.beginStop(PlannedStop.create(this.#clock, graceMs));
 	}
 
 	/** Opens a connection without sending anything. */
