--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -196,4 +196,40 @@
 		expect(connection.statuses).to.deep.equal([200]);
 		await stopped;
 	});
+
+	// Guards against a refusal being destroyed by the rest of a body that still arrives.
+	it('delivers the refusal of a request whose body arrives slowly until the end', async () => {
+		harness = await GatewayHarness.start(GRACE_MS, after(20));
+		const connection = RawConnection.open(harness.address);
+		connection.socket.write(harness.nextRequest('unsafe', {bodyBytes: 60_000}).head);
+		const stopped = harness.gateway.stop();
+		while (connection.socket.writable) {
+			connection.socket.write('x');
+			await sleep(5); // eslint-disable-line no-await-in-loop -- bytes are sent at intervals
+		}
+
+		await connection.closed();
+		expect(connection.statuses).to.deep.equal([503]);
+		expect(connection.errorCode).to.equal(undefined);
+		expect(harness.upstream.received).to.deep.equal([]);
+		await stopped;
+	});
+
+	// Guards against the end of a long answer being cut because its caller reads slowly.
+	it('ends only when a slow reader has been sent its whole answer', async () => {
+		const body = 'x'.repeat(8_000_000);
+		harness = await GatewayHarness.start(GRACE_MS, ({id, socket}) => {
+			socket.write(formatResponse(id, body));
+		});
+		const connection = RawConnection.open(harness.address);
+		connection.socket.pause();
+		connection.socket.write(harness.nextRequest('unsafe', {deadlineMs: 1000}).head);
+		await eventually(() => harness.upstream.received.length === 1);
+		const stopped = harness.gateway.stop();
+		await sleep(3200);
+		connection.socket.resume();
+		await connection.closed();
+		expect(connection.text.endsWith(body)).to.equal(true);
+		await stopped;
+	});
 });
