Requests: an exception in the handling of one request ended the process

What callers saw: had the handling of a request thrown an exception, in the reading of its head, the choice of an upstream or a callback of its exchange, the process would have ended, and all its requests with it: the handler's promise was not awaited, and nothing caught what callbacks of sockets and timers threw. An exception inside a grant also went through the allocator's loop over the waiting requests.

Exchanges that end for reasons of this VM (its stop, a verdict, a defect, a caller that left) before anything was sent are released as cancelled: they do not count as failures of the upstream, and the request counts as not run.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -27,7 +27,7 @@
 import {Operation, type Route} from './routing-table.js';
 import {callerPatienceMs, stallTimeoutMs} from './stall-timeout.js';
 import {type Upstream} from './upstream-list.js';
-import {UpstreamExchange} from './upstream-exchange.js';
+import {type ExchangeEvents, UpstreamExchange} from './upstream-exchange.js';
 import {type UpstreamPauses} from './upstream-pauses.js';
 
 /** Number of connections that may fail before a request is rejected; no byte was sent on them. */
@@ -157,6 +157,43 @@
 
 	/** Aborts an exchange whose answer has not begun, if requests like this one crash upstreams. */
 	abortIfQuarantined(): void {
+		this.#guard(() => {
+			this.#abortIfQuarantined();
+		});
+	}
+
+	/** Gives the final answer of a request that is still open when the VM ends; a stream that has begun is cut. */
+	endByStop(): void {
+		this.#guard(() => {
+			this.#endOpen(ErrorKind.Draining, Ending.Cancelled, 'this VM stops');
+		});
+	}
+
+	/** Runs a handler; an exception in it fails this request only. */
+	#guard(handle: () => void): void {
+		try {
+			handle();
+		} catch (error) {
+			this.#onDefect(error);
+		}
+	}
+
+	#onDefect(err: unknown): void {
+		const {res, entry, head} = this.#call;
+		this.#context.ledger.noteDefect(head.id, err);
+		try {
+			this.#fallback = undefined;
+			this.#abandon(Ending.Cancelled, 'internal error');
+			this.#fail(ErrorKind.Internal);
+		} finally {
+			if (entry.decision === undefined) {
+				entry.decide(RequestEnd.Broken);
+				res.destroy();
+			}
+		}
+	}
+
+	#abortIfQuarantined(): void {
 		const {quarantine, clock} = this.#context;
 		const attempt = this.#attempt;
 		if (attempt === undefined || quarantine.findQuarantined(this.#call.features, clock.now()) === undefined) {
@@ -167,29 +204,30 @@
 		if (attempt.firstProgressAt === undefined) {
 			attempt.exchange?.abort();
 			this.#lastDetail = 'quarantined';
-			this.#endAttempt(attempt, attempt.exchange?.isSent === false ? Ending.NotConnected : Ending.Cancelled);
+			this.#endAttempt(attempt, Ending.Cancelled);
 			this.#onRefused(ErrorKind.CrashSuspect, 0);
 		} else {
 			this.#restartStallTimer(attempt);
 		}
 	}
 
-	/** Gives the final answer of a request that is still open when the VM ends; a stream that has begun is cut. */
-	endByStop(): void {
-		this.#endOpen(ErrorKind.Draining, Ending.Cancelled, 'this VM stops');
-	}
-
 	#begin(): void {
 		const {clock} = this.#context;
 		this.#deadlineTimer = clock.setTimer(Math.max(0, this.#deadlineAt - clock.now()) + DEADLINE_GRACE_MS, () => {
-			this.#onDeadline();
+			this.#guard(() => {
+				this.#onDeadline();
+			});
 		});
 		this.#context.running.add(this);
 		this.#call.res.once('close', () => {
 			this.#context.running.delete(this);
-			this.#onCallerClosed();
+			this.#guard(() => {
+				this.#onCallerClosed();
+			});
+		});
+		this.#guard(() => {
+			this.#ask();
 		});
-		this.#ask();
 	}
 
 	#ask(): void {
@@ -228,11 +266,15 @@
 		allocation.ask(ask, {
 			grant: (upstreamId, expectedFirstMs) => {
 				this.#askId = undefined;
-				this.#onGranted(askId, upstreamId, expectedFirstMs);
+				this.#guard(() => {
+					this.#onGranted(askId, upstreamId, expectedFirstMs);
+				});
 			},
 			refuse: (kind, retryAfterMs) => {
 				this.#askId = undefined;
-				this.#onRefused(kind, retryAfterMs);
+				this.#guard(() => {
+					this.#onRefused(kind, retryAfterMs);
+				});
 			},
 		});
 	}
@@ -303,26 +345,41 @@
 				lastEventId: this.#isResumable ? this.#splitter.lastId : head.lastEventId,
 			}),
 			body,
-		}, {
+		}, this.#eventsOf(attempt));
+	}
+
+	#eventsOf(attempt: Attempt): ExchangeEvents {
+		const {clock} = this.#context;
+		return {
 			onSending: () => {
-				this.#takeOver(attempt);
-				attempt.sentAt = clock.now();
-				this.#sentCount += 1;
-				this.#restartStallTimer(attempt);
+				this.#guard(() => {
+					this.#takeOver(attempt);
+					attempt.sentAt = clock.now();
+					this.#sentCount += 1;
+					this.#restartStallTimer(attempt);
+				});
 			},
 			onHead: (status, headers) => {
-				this.#onHead(attempt, status, headers);
+				this.#guard(() => {
+					this.#onHead(attempt, status, headers);
+				});
 			},
 			onData: chunk => {
-				this.#onData(attempt, chunk);
+				this.#guard(() => {
+					this.#onData(attempt, chunk);
+				});
 			},
 			onEnd: () => {
-				this.#onEnd(attempt);
+				this.#guard(() => {
+					this.#onEnd(attempt);
+				});
 			},
 			onFail: (ending, detail) => {
-				this.#onFail(attempt, ending, detail);
+				this.#guard(() => {
+					this.#onFail(attempt, ending, detail);
+				});
 			},
-		});
+		};
 	}
 
 	#beginAttempt(attempt: Attempt): void {
@@ -561,7 +618,7 @@
 			this.#excluded.push(attempt.upstream.id);
 		}
 
-		if (ranByEnding[ending] !== Ran.No) {
+		if (ranByEnding[ending] !== Ran.No && attempt.exchange?.isSent === true) {
 			this.#mayHaveRun = true;
 		}
 
@@ -668,32 +725,27 @@
 	 * @param sentEnding - How its exchange ends if it has been sent.
 	 */
 	#endOpen(notRunKind: ErrorKind, sentEnding: Ending, detail: string): void {
+		this.#abandon(sentEnding, detail);
+		this.#fail(this.#mayHaveRun ? ErrorKind.UpstreamTimeout : notRunKind);
+	}
+
+	/** Aborts the exchange and gives up whatever was asked for. */
+	#abandon(sentEnding: Ending, detail: string): void {
 		this.#cancelTakeover();
 		const attempt = this.#attempt;
 		if (attempt !== undefined) {
-			const ending = attempt.exchange?.isSent === true ? sentEnding : Ending.NotConnected;
+			const isUnsentTimeout = sentEnding === Ending.TimedOut && attempt.exchange?.isSent !== true;
 			attempt.exchange?.abort();
 			this.#lastDetail = detail;
-			this.#endAttempt(attempt, ending);
+			this.#endAttempt(attempt, isUnsentTimeout ? Ending.NotConnected : sentEnding);
 		}
-
-		this.#fail(this.#mayHaveRun ? ErrorKind.UpstreamTimeout : notRunKind);
 	}
 
 	#onCallerClosed(): void {
-		if (this.#isDone) {
-			return;
+		if (!this.#isDone) {
+			this.#abandon(Ending.Cancelled, 'caller disconnected');
+			this.#finish(undefined, RequestOutcome.Failed, Ending.Cancelled);
 		}
-
-		this.#cancelTakeover();
-		const attempt = this.#attempt;
-		if (attempt !== undefined) {
-			attempt.exchange?.abort();
-			this.#lastDetail = 'caller disconnected';
-			this.#endAttempt(attempt, Ending.Cancelled);
-		}
-
-		this.#finish(undefined, RequestOutcome.Failed, Ending.Cancelled);
 	}
 
 	/** @returns Time since the exchange made progress, in ms. */
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -148,11 +148,28 @@
 	}
 
 	async #serveInTurn(req: IncomingMessage, res: ServerResponse): Promise<void> {
-		const arrivedAt = this.#context.clock.now();
-		if (await this.#connections.waitForTurn(req, res)) {
-			await this.#serve(req, res, arrivedAt);
-		} else if (req.complete && !req.socket.readableEnded) {
-			this.#context.ledger.record(RequestEnd.Unserved, {request: this.#context.codec.decode(req)?.id});
+		const {clock, ledger, codec} = this.#context;
+		const arrivedAt = clock.now();
+		try {
+			if (await this.#connections.waitForTurn(req, res)) {
+				await this.#serve(req, res, arrivedAt);
+			} else if (req.complete && !req.socket.readableEnded) {
+				ledger.record(RequestEnd.Unserved, {request: codec.decode(req)?.id});
+			}
+		} catch (error) {
+			this.#failRequest(res, error);
+		}
+	}
+
+	#failRequest(res: ServerResponse, err: unknown): void {
+		const {ledger} = this.#context;
+		const entry = ledger.entryOf(res) ?? ledger.begin(res, undefined);
+		ledger.noteDefect(entry.id, err);
+		if (entry.decision === undefined && !res.headersSent) {
+			this.#reject(res, entry, undefined, ErrorKind.Internal);
+		} else if (entry.decision === undefined) {
+			entry.decide(RequestEnd.Broken);
+			res.destroy();
 		}
 	}
 
--- a/src/gateway/request-ledger.ts
+++ b/src/gateway/request-ledger.ts
@@ -9,6 +9,9 @@
 import {type Log, type LogFields} from '../base/log.js';
 import {type Metrics, RequestEnd} from '../base/metrics.js';
 
+/** Maximum length of a stack trace in a log line. */
+const MAX_STACK_LENGTH = 2000;
+
 /** How a response ends if the caller stays until it has been sent. */
 export type Decision = typeof RequestEnd.Answered | typeof RequestEnd.Refused | typeof RequestEnd.Failed | typeof RequestEnd.Broken;
 
@@ -79,6 +82,7 @@
 
 	readonly #options: LedgerOptions;
 	readonly #open = new Set<LedgerEntry>();
+	readonly #byResponse = new WeakMap<ServerResponse, LedgerEntry>();
 	#begun = 0;
 	#ended = 0;
 	#isClosing = false;
@@ -103,6 +107,7 @@
 		this.#begun += 1;
 		metrics.countRequestBegun();
 		this.#open.add(entry);
+		this.#byResponse.set(res, entry);
 		res.once('finish', () => {
 			isSent = !entry.socket.destroyed;
 		});
@@ -123,6 +128,18 @@
 		this.#end(end, fields);
 	}
 
+	/** @returns The account of the request with this response, if it was opened. */
+	entryOf(res: ServerResponse): LedgerEntry | undefined {
+		return this.#byResponse.get(res);
+	}
+
+	/** Reports an exception in the handling of a request; only this request fails. */
+	noteDefect(id: string | undefined, err: unknown): void {
+		const {message, stack} = err instanceof Error ? err : new Error(String(err));
+		this.#options.log.error('The handling of a request failed.', {request: id, err: message, stack: stack?.slice(0, MAX_STACK_LENGTH)});
+		this.#check(false, () => message);
+	}
+
 	/** All connections are about to be closed, whatever is in flight. */
 	noteClosing(): void {
 		this.#isClosing = true;
--- a/test/support/front-harness.ts
+++ b/test/support/front-harness.ts
@@ -149,6 +149,7 @@
 	/** Violations of the account of requests. */
 	readonly violations: string[] = [];
 	readonly metrics = Metrics.create();
+	readonly codec = HeaderCodec.create();
 	readonly ledger: RequestLedger;
 	readonly state = DeploymentState.create(Log.create('silent'));
 	/** Decisions of the allocator, in order. */
@@ -193,7 +194,7 @@
 			quarantine: this.#allocator.quarantine,
 			ledger: this.ledger,
 			running: new Set(),
-			codec: HeaderCodec.create(),
+			codec: this.codec,
 			dataCentre: 'a',
 			region: 'r',
 			nextAskId() {
