Health: torn streams ejected upstreams that answer, and sound streams got 503

Cause: a stream that breaks off after its first events counted like a connection that gets no answer. Three in a row at one upstream ejected it, and behind the ejection it got one request at a time until one succeeded. At several upstreams at once this took most of the capacity: waiting requests were refused as overloaded or as too late.

Evidence: test/gateway/stream-resumption.test.ts, 'does not eject its upstream, which answers other requests', before this change: stream 6: expected 503 to equal 200.

An upstream that had begun to answer is alive: its failure rate rises, so that others are preferred, but it is not ejected. Those that refuse connections, are silent, or break off before anything came are ejected as before.

--- a/src/allocation/upstream-health.ts
+++ b/src/allocation/upstream-health.ts
@@ -51,7 +51,8 @@
 		return this.#failures / (this.#failures + this.#successes + 1);
 	}
 
-	note(ending: Ending, now: number): void {
+	/** @param hasBegun - Whether the upstream had begun to answer. */
+	note(ending: Ending, hasBegun: boolean, now: number): void {
 		this.#decay(now);
 		if (ending === Ending.Answered) {
 			this.#successes += 1;
@@ -65,9 +66,9 @@
 			return;
 		}
 
-		if (ending === Ending.UpstreamError) {
+		if (ending === Ending.UpstreamError || (ending === Ending.Spoiled && hasBegun)) {
 			// The upstream is alive and responds, so only its failure rate rises.
-			this.#failures += ERROR_RESPONSE_WEIGHT;
+			this.#failures += ending === Ending.UpstreamError ? ERROR_RESPONSE_WEIGHT : 1;
 			this.#consecutiveFailures = 0;
 			return;
 		}
