--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -96,6 +96,7 @@
 	function expectWholeAnswers(calls: readonly SentCall[]): void {
 		deployment.checkServers();
 		expect(deployment.violations).to.deep.equal([]);
+		expect(calls.filter(({answer}) => answer?.status === 200)).to.have.length.above(80);
 		const lost = calls.filter(({answer, sentAt, endedAt}) => answer?.isWhole !== true && !Number.isNaN(sentAt) && endedAt - sentAt > 200);
 		expect(lost.map(({id, kind}) => `${kind} ${id}`)).to.deep.equal([]);
 		for (const {id, answer} of calls) {
@@ -146,4 +147,19 @@
 		expect(account(vm)).to.include({open: 0});
 		expect(vm.log.filter(line => /"end":"(?:stopped|lost|broken)"/v.test(line))).to.deep.equal([]);
 	});
+
+	// Guards against requests being lost while the place that decides on them moves from one stopping VM to another.
+	it('leaves no request without an answer or a refusal if all VMs stop and start in turn', async () => {
+		const load = sendLoad(deployment.vms);
+		await Promise.all(deployment.vms.map(async (vm, index) => {
+			await sleep(500 + (index * 1300));
+			await vm.terminate('SIGTERM');
+			vm.start();
+		}));
+		expectWholeAnswers(await load);
+		for (const vm of deployment.vms) {
+			expect(account(vm)).to.include({open: 0});
+			expect(vm.log.filter(line => /"end":"(?:stopped|lost|broken)"/v.test(line))).to.deep.equal([]);
+		}
+	});
 });
