Planned stop: idle connections were destroyed with the requests just sent on them

What callers saw: a request on a kept connection that crossed the end of a stop got a closed connection, although the process was still there.

Cause: the HTTP server's close method also destroys all connections that it takes for idle; among them can be those that are being closed behind an answer.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -8,7 +8,7 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type Socket} from 'node:net';
+import {type Socket, Server as TcpServer} from 'node:net';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
 import {RequestEnd} from '../base/metrics.js';
 import {type Random} from '../base/random.js';
@@ -130,9 +130,10 @@
 		}
 	}
 
-	/** Stops accepting connections and closes idle ones; requests in flight are still served. */
+	/** Stops accepting connections; requests on those that are open are still served. */
 	closeListener(): void {
-		this.#server.close();
+		// The HTTP server's own method also destroys idle connections, with the requests that have just been sent on them.
+		TcpServer.prototype.close.call(this.#server);
 	}
 
 	/** Closes all connections. */
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -177,26 +177,45 @@
 		await stopped;
 	});
 
+	/** Waits until the VM accepts no more connections. */
+	async function listenerClosed(): Promise<void> {
+		let probe: RawConnection;
+		do {
+			await sleep(10); // eslint-disable-line no-await-in-loop -- polling
+			probe = RawConnection.open(harness.address);
+			await probe.opened(); // eslint-disable-line no-await-in-loop
+			probe.socket.end();
+		} while (probe.errorCode !== 'ECONNREFUSED');
+	}
+
 	// Guards against requests being lost whose connection was accepted just before the listener closed.
 	it('serves a request that arrives after the listener closed, on a connection that was opened before', async () => {
 		harness = await GatewayHarness.start(GRACE_MS, after(20));
 		const stopped = harness.gateway.stop();
 		await sleep(2300);
 		const connection = RawConnection.open(harness.address);
-		let probe = connection;
-		while (probe.errorCode !== 'ECONNREFUSED') {
-			await sleep(10); // eslint-disable-line no-await-in-loop -- polling
-			probe = RawConnection.open(harness.address);
-			await probe.opened(); // eslint-disable-line no-await-in-loop
-			probe.socket.end();
-		}
-
+		await listenerClosed();
 		connection.socket.write(harness.nextRequest('unsafe', {deadlineMs: 1000}).head);
 		await connection.closed();
 		expect(connection.statuses).to.deep.equal([200]);
 		await stopped;
 	});
 
+	// Guards against idle connections being closed, with the requests that were just sent on them, before the process ends.
+	it('serves a request that arrives after the listener closed, on a kept connection', async () => {
+		harness = await GatewayHarness.start(GRACE_MS, after(20));
+		const connection = RawConnection.open(harness.address);
+		connection.socket.write(harness.nextRequest('unsafe', {deadlineMs: 1000}).head);
+		await eventually(() => connection.text.endsWith('answer'));
+		const stopped = harness.gateway.stop();
+		await sleep(2300);
+		await listenerClosed();
+		connection.socket.write(harness.nextRequest('unsafe', {deadlineMs: 1000}).head);
+		await connection.closed();
+		expect(connection.statuses).to.deep.equal([200, 200]);
+		await stopped;
+	});
+
 	// Guards against a refusal being destroyed by the rest of a body that still arrives.
 	it('delivers the refusal of a request whose body arrives slowly until the end', async () => {
 		harness = await GatewayHarness.start(GRACE_MS, after(20));
