Configuration: a request whose body was being read was handled by the configuration before

What callers saw: a request whose body arrived slowly ran at the service that its route had before it was moved, or with a key that had been withdrawn, however long before its last byte. One that came while the VM had no configuration yet was refused although it had one when the body was complete.

Cause: the routing table was taken when the head was read, and used after the body.

Requests that were waiting or running keep the route they had. The limit on bodies is the one from when the body began.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -184,8 +184,10 @@
 			res.setHeader('connection', 'close');
 		}
 
+		const limits = state.table?.configuration.limits;
+		const body = await this.#readBody(req, limits?.maxBodyBytes ?? MAX_UNCONFIGURED_BODY_BYTES);
+		// A body can take long to arrive: the request is handled by the configuration that is in force now.
 		const {table} = state;
-		const body = await this.#readBody(req, table?.configuration.limits.maxBodyBytes ?? MAX_UNCONFIGURED_BODY_BYTES);
 		const head = codec.decode(req);
 		if (body === 'aborted') {
 			return;
@@ -198,7 +200,7 @@
 		}
 
 		if (body === 'too-large') {
-			this.#reject(res, entry, head, table === undefined ? ErrorKind.NotReady : ErrorKind.BodyTooLarge);
+			this.#reject(res, entry, head, limits === undefined ? ErrorKind.NotReady : ErrorKind.BodyTooLarge);
 			return;
 		}
 
