--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -199,7 +199,7 @@
 		}
 
 		this.#removeHeld(target, held.ask.id);
-		target.standing.note(report.ending, held.hasFirst, now);
+		target.standing.note(report.ending, now);
 		if (report.firstMs !== undefined && !held.hasFirst) {
 			target.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, report.firstMs);
 		}
--- a/src/allocation/upstream-health.ts
+++ b/src/allocation/upstream-health.ts
@@ -51,8 +51,7 @@
 		return this.#failures / (this.#failures + this.#successes + 1);
 	}
 
-	/** @param hasBegun - Whether the upstream had begun to answer. */
-	note(ending: Ending, hasBegun: boolean, now: number): void {
+	note(ending: Ending, now: number): void {
 		this.#decay(now);
 		if (ending === Ending.Answered) {
 			this.#successes += 1;
@@ -66,9 +65,9 @@
 			return;
 		}
 
-		if (ending === Ending.UpstreamError || (ending === Ending.Spoiled && hasBegun)) {
+		if (ending === Ending.UpstreamError) {
 			// The upstream is alive and responds, so only its failure rate rises.
-			this.#failures += ending === Ending.UpstreamError ? ERROR_RESPONSE_WEIGHT : 1;
+			this.#failures += ERROR_RESPONSE_WEIGHT;
 			this.#consecutiveFailures = 0;
 			return;
 		}
