Stand-in of the store: goes back to an earlier state, with an era in all responses

The state of the store can be copied and restored: rows and the version counter go back, versions are given out again, reads from versions that do not exist are answered with 410, and the era rises.

--- a/standins/platform-store.ts
+++ b/standins/platform-store.ts
@@ -1,5 +1,6 @@
 /**
- * Stand-in for the users' store: versioned rows, conditional transactions, a change feed with long polling, and faults.
+ * Stand-in for the users' store: versioned rows, conditional transactions, a change feed with long polling, faults, and a
+ * return to an earlier state.
  */
 import {Buffer} from 'node:buffer';
 import {
@@ -14,6 +15,15 @@
 type Transaction = {expectedRev: Condition[]; put: Change[]; delete: Array<Omit<Change, 'value'>>};
 type FeedWaiter = {readonly check: () => boolean};
 
+/** Header that all responses carry: the era of the store. */
+const ERA_HEADER = 'store-era';
+
+/** All rows and the version counter at one moment. */
+export type StoreCopy = {
+	readonly rows: ReadonlyMap<string, Readonly<Row>>;
+	readonly version: number;
+};
+
 /** How the store handles calls. */
 export const StoreMode = {
 	Healthy: 'healthy',
@@ -38,6 +48,10 @@
 	}
 
 	mode: StoreMode = StoreMode.Healthy;
+	/** Rises by one with each `restore`. */
+	era = 1;
+	/** Text of the header in place of the era; an empty text omits the header. */
+	eraText: string | undefined;
 	readonly #server: Server;
 	readonly #rows = new Map<string, Row>();
 	readonly #waiters = new Set<FeedWaiter>();
@@ -81,6 +95,32 @@
 		this.#compactedVersion = this.#version;
 	}
 
+	/** @returns The present state, for a later `restore`. */
+	copy(): StoreCopy {
+		return {rows: new Map(this.#rows), version: this.#version};
+	}
+
+	/**
+	 * Goes back to an earlier state: what was written since is gone, and versions are given out again. Whoever wrote
+	 * entries since must write them again. Calls that wait for changes keep waiting.
+	 */
+	restore({rows, version}: StoreCopy): void {
+		this.#rows.clear();
+		for (const [id, row] of rows) {
+			this.#rows.set(id, row);
+		}
+
+		this.#version = version;
+		this.#compactedVersion = Math.min(this.#compactedVersion, version);
+		this.era += 1;
+	}
+
+	/** @returns The value of a row; `undefined` if there is none. */
+	get(table: string, key: string): unknown {
+		const row = this.#rows.get(rowId(table, '', key));
+		return row === undefined || row.tombstone === true ? undefined : JSON.parse(Buffer.from(row.value, 'base64').toString('utf8'));
+	}
+
 	close(): void {
 		this.#server.closeAllConnections();
 		this.#server.close();
@@ -97,7 +137,7 @@
 		}
 
 		if (this.mode === StoreMode.Busy) {
-			sendJson(res, 503, {});
+			this.#send(res, 503, {});
 			return;
 		}
 
@@ -109,7 +149,7 @@
 				const from = query.get('from') ?? '';
 				const to = query.get('to') ?? undefined;
 				const rows = [...this.#rows.values()].filter(row => row.table === table && row.tombstone !== true && row.key >= from && (to === undefined || row.key < to));
-				sendJson(res, 200, {rows: rows.sort((a, b) => a.key < b.key ? -1 : 1), hasMore: false, ver: this.#version});
+				this.#send(res, 200, {rows: rows.sort((a, b) => a.key < b.key ? -1 : 1), hasMore: false, ver: this.#version});
 				break;
 			}
 
@@ -124,15 +164,21 @@
 			}
 
 			default: {
-				sendJson(res, 404, {});
+				this.#send(res, 404, {});
 			}
 		}
 	}
 
+	#send(res: ServerResponse, status: number, body: unknown): void {
+		const era = this.eraText ?? String(this.era);
+		res.writeHead(status, {'content-type': 'application/json', ...(era === '' ? {} : {[ERA_HEADER]: era})});
+		res.end(JSON.stringify(body));
+	}
+
 	#handleFeed(query: URLSearchParams, res: ServerResponse): void {
 		const after = Number(query.get('after'));
-		if (after < this.#compactedVersion) {
-			sendJson(res, 410, {});
+		if (after < this.#compactedVersion || after > this.#version) {
+			this.#send(res, 410, {});
 			return;
 		}
 
@@ -141,7 +187,7 @@
 			check: () => {
 				const rows = [...this.#rows.values()].filter(row => row.table === table && row.ver > after).sort((a, b) => a.ver - b.ver);
 				if (rows.length > 0) {
-					sendJson(res, 200, {rows, ver: this.#version});
+					this.#send(res, 200, {rows, ver: this.#version});
 				}
 
 				return rows.length > 0;
@@ -154,7 +200,7 @@
 		this.#waiters.add(waiter);
 		const timer = setTimeout(() => {
 			if (this.#waiters.delete(waiter)) {
-				sendJson(res, 200, {rows: [], ver: this.#version});
+				this.#send(res, 200, {rows: [], ver: this.#version});
 			}
 		}, Number(query.get('waitMs')));
 		res.once('close', () => {
@@ -173,7 +219,7 @@
 		}
 
 		if (this.mode !== StoreMode.LosesAnswers) {
-			sendJson(res, isConditionMet ? 200 : 412, {ver: this.#version});
+			this.#send(res, isConditionMet ? 200 : 412, {ver: this.#version});
 		}
 	}
 
@@ -200,8 +246,3 @@
 function rowId(table: string, part: string, key: string): string {
 	return JSON.stringify([table, part, key]);
 }
-
-function sendJson(res: ServerResponse, status: number, body: unknown): void {
-	res.writeHead(status, {'content-type': 'application/json'});
-	res.end(JSON.stringify(body));
-}
