Terms, claims, listings and changes belong to an era of the store

What callers saw: after the store had come back from an older copy, with a leader that ended, part of the VMs listed other members than the rest and decided alone for good; some changes of the store reached no VM. Cause: versions of the store were compared over such a return. VMs that knew a higher term refused every later leader, and a watch went on from a version that the store had given out anew, so that rows written in between were missed. Why this works: Store-Era is read from each response. A term is the era that a claim was made for with the version of the record, compared era first. The era is part of the record, so that a record from a copy, or a claim performed late, is known as such; the leader claims it again and keeps its links. Responses of an earlier era are dropped, waits for changes end when a new era is seen, and no write is conditional on a version of another era. A VM that finds no current record asks the leader it knows, and other VMs, before it claims. A new leader is always treated as a successor: a missing record no longer tells a new deployment.

--- a/soak/link-simulation.ts
+++ b/soak/link-simulation.ts
@@ -14,6 +14,7 @@
 import {type Upstream} from '../src/gateway/upstream-list.js';
 import {Coordinator, Role} from '../src/link/coordinator.js';
 import {type Member} from '../src/link/messages.js';
+import {isLater, type StoreVersion} from '../src/link/store-version.js';
 import {
 	SimulatedCallers, QUOTA, RETRY_BOUNDS, QUOTA_TOLERANCE,
 } from './simulated-callers.js';
@@ -103,7 +104,7 @@
 	readonly coordinator: Coordinator;
 	isWatchingStore: boolean;
 	/** Term of the last allocator that it followed. */
-	term: number;
+	term: StoreVersion;
 	isStopping: boolean;
 };
 
@@ -125,7 +126,7 @@
 	readonly #vms: Array<Vm | undefined> = [];
 	readonly #violations: LinkViolation[] = [];
 	readonly #storeUnreachableSince = new Map<string, number>();
-	readonly #leaderBootByTerm = new Map<number, string>();
+	readonly #leaderBootByTerm = new Map<string, string>();
 	#bootCount = 0;
 	#version = 1;
 	#leavingUpstream: Upstream | undefined;
@@ -287,7 +288,7 @@
 			state,
 			allocation,
 			isWatchingStore: false,
-			term: 0,
+			term: {era: 0, version: 0},
 			isStopping: false,
 			coordinator: Coordinator.create({
 				clock,
@@ -374,10 +375,7 @@
 	#pollStore(): void {
 		for (const vm of this.#running) {
 			if (!vm.clock.isPaused && vm.isWatchingStore && !this.#row.isUnreachableFor(vm.member.name)) {
-				if (this.#row.leader !== undefined) {
-					vm.coordinator.noteLeader(this.#row.leader);
-				}
-
+				vm.coordinator.noteRecord(this.#row.record);
 				vm.state.replaceUpstreams(this.#upstreamList);
 				vm.state.applyConfiguration(this.#configuration);
 			}
@@ -396,16 +394,17 @@
 			return;
 		}
 
-		if (leader.term < vm.term) {
-			this.#addViolation(LinkProperty.MonotonicTerms, `${member.name} followed term ${vm.term}, then ${leader.term}`);
+		const term = termText(leader.term);
+		if (isLater(vm.term, leader.term)) {
+			this.#addViolation(LinkProperty.MonotonicTerms, `${member.name} followed term ${termText(vm.term)}, then ${term}`);
 		}
 
 		vm.term = leader.term;
 		if (role === Role.Leading) {
-			const firstBoot = this.#leaderBootByTerm.get(leader.term) ?? member.boot;
-			this.#leaderBootByTerm.set(leader.term, firstBoot);
+			const firstBoot = this.#leaderBootByTerm.get(term) ?? member.boot;
+			this.#leaderBootByTerm.set(term, firstBoot);
 			if (firstBoot !== member.boot) {
-				this.#addViolation(LinkProperty.OneAllocatorPerTerm, `${firstBoot} and ${member.boot} allocate under term ${leader.term}`);
+				this.#addViolation(LinkProperty.OneAllocatorPerTerm, `${firstBoot} and ${member.boot} allocate under term ${term}`);
 			}
 		}
 	}
@@ -521,3 +520,7 @@
 		}
 	}
 }
+
+function termText({era, version}: StoreVersion): string {
+	return `${era}.${version}`;
+}
--- a/soak/simulated-register.ts
+++ b/soak/simulated-register.ts
@@ -3,8 +3,9 @@
  */
 import Result, {ok} from 'true-myth/result';
 import {type Random} from '../src/base/random.js';
-import {LeaderRegister} from '../src/link/leader-register.js';
+import {type LeaderRecord, LeaderRegister} from '../src/link/leader-register.js';
 import {type Leader} from '../src/link/messages.js';
+import {type StoreVersion} from '../src/link/store-version.js';
 import {type StoreError} from '../src/store/table.js';
 import {type ProcessClock} from './process-clock.js';
 
@@ -17,11 +18,24 @@
 /** The store's row that records the leader, and the VMs that the store is failing for. */
 export class LeaderRow {
 	leader: Leader | undefined;
+	/** Rises by one with each `restore`. */
+	era = 1;
 	claims = 0;
 	readonly unreachableFor = new Set<string>();
 	readonly losesResponsesFor = new Set<string>();
 	readonly slowFor = new Set<string>();
 
+	/** The record as the store tells it at present. */
+	get record(): LeaderRecord {
+		return {at: {era: this.era, version: this.leader?.term.version ?? 0}, leader: this.leader};
+	}
+
+	/** Goes back to an earlier record; versions are given out again. */
+	restore(leader: Leader | undefined): void {
+		this.leader = leader;
+		this.era += 1;
+	}
+
 	isUnreachableFor(name: string): boolean {
 		return this.unreachableFor.has(name) || this.unreachableFor.has('all');
 	}
@@ -51,29 +65,26 @@
 		this.#options = options;
 	}
 
-	async read(): Promise<Result<Leader | undefined, StoreError>> {
+	/** The response tells the state of the store at the time of its sending. */
+	async read(): Promise<Result<LeaderRecord, StoreError>> {
 		await this.#delayOneWay();
-		return this.#deliversResponse ? ok(this.#options.row.leader) : Result.err(unavailable);
+		return this.#deliversResponse ? ok(this.#options.row.record) : Result.err(unavailable);
 	}
 
-	/** Reads the row after a lost response, as the platform's adapter does. */
-	async claim(candidate: Omit<Leader, 'term'>, term: number): Promise<Result<Leader, StoreError>> {
+	/** Reads the row after a lost response or one of another era, as the platform's adapter does. */
+	async claim(candidate: Omit<Leader, 'term'>, at: StoreVersion): Promise<Result<LeaderRecord, StoreError>> {
 		const {row, name, claimsUnconditionally} = this.#options;
 		await this.#delayOneWay();
 		const isDelivered = !row.isUnreachableFor(name);
-		const isTermUnchanged = (row.leader?.term ?? 0) === term || claimsUnconditionally;
-		if (isDelivered && isTermUnchanged) {
-			row.leader = {...candidate, term: term + 1};
+		const isClaimed = isDelivered && (row.record.at.version === at.version || claimsUnconditionally);
+		const leader: Leader = {...candidate, term: {era: at.era, version: at.version + 1}};
+		if (isClaimed) {
+			row.leader = leader;
 			row.claims += 1;
 		}
 
 		await this.#delayOneWay();
-		if (isDelivered && isTermUnchanged && this.#deliversResponse) {
-			return ok({...candidate, term: term + 1});
-		}
-
-		const read = await this.read();
-		return read.andThen(leader => leader === undefined ? Result.err<Leader, StoreError>(unavailable) : ok(leader));
+		return isClaimed && this.#deliversResponse && row.era === at.era ? ok({at: leader.term, leader}) : this.read();
 	}
 
 	get #deliversResponse(): boolean {
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -9,18 +9,19 @@
 import {globalScope, standaloneScope} from '../allocation/scope.js';
 import {type SwitchedAllocation} from '../allocation/switched-allocation.js';
 import {type Clock, type Timer} from '../base/clock.js';
-import {type Log} from '../base/log.js';
+import {type Log, type LogFields} from '../base/log.js';
 import {type Random} from '../base/random.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
 import {LeaderClient} from './leader-client.js';
 import {LeaderHost, MAX_SUSPICIONS} from './leader-host.js';
-import {type LeaderRegister} from './leader-register.js';
+import {isCurrent, type LeaderRecord, type LeaderRegister} from './leader-register.js';
 import {LeaderElection, SEARCH_INTERVAL_MS} from './leader-election.js';
 import {type Channel, type LinkConnection, type LinkNetwork} from './link-network.js';
 import {
 	type FromLeader, type FromPeer, type Leader, type Member, type ToLeader, type ToPeer,
 } from './messages.js';
 import {PeerCalls} from './peer-calls.js';
+import {isLater} from './store-version.js';
 
 /** A leader hands over to a ready VM that is at least this many times as strong. */
 const HAND_OVER_STRENGTH_RATIO = 1.8;
@@ -32,8 +33,6 @@
 const WATCH_DELAY_MS = 700;
 /** The same delay at process start, in ms; shorter because a new process has no list of upstreams to work with. */
 const STARTUP_WATCH_DELAY_MS = 450;
-/** Term of the first leader of a deployment. */
-const FIRST_TERM = 1;
 /** How long requests wait for a link to the leader after process start, in ms, before the VM allocates alone. */
 const STARTUP_LINK_TIMEOUT_MS = 350;
 
@@ -49,7 +48,7 @@
 	readonly network: LinkNetwork;
 	/** This VM at process start; `setReady` updates `isReady`. */
 	readonly self: Member;
-	/** Link addresses to try when the store does not answer. */
+	/** Link addresses of other VMs to ask when the store does not tell the leader, or when no other VM is known. */
 	readonly seeds: readonly string[];
 	/** Whether this process has reached the store recently. */
 	readonly reachesStore: () => boolean;
@@ -113,12 +112,17 @@
 			self: () => this.#self,
 			leader: () => this.#leader,
 			isAlone: () => this.#role === Role.Alone,
+			isLeading: () => this.#role === Role.Leading,
 			linkTo: async address => this.#linkTo(address),
 			onLeaderFound: leader => {
 				this.noteLeader(leader);
 			},
 			onElected: leader => {
-				this.#becomeLeading(leader);
+				if (this.#role === Role.Leading) {
+					this.#renew(leader);
+				} else {
+					this.#becomeLeading(leader);
+				}
 			},
 		});
 		options.allocator.onSuspicion = suspicion => {
@@ -207,9 +211,26 @@
 		}
 	}
 
+	/**
+	 * Takes the leader record that the store reported. A record that is not current names no leader, and the leader claims it
+	 * again.
+	 */
+	noteRecord(record: LeaderRecord): void {
+		if (isCurrent(record)) {
+			this.noteLeader(record.leader);
+		} else if (this.#role === Role.Leading) {
+			void this.#election.restoreRecord();
+		}
+	}
+
 	/** Takes a leader that the store or another VM reported; only a later term replaces the known leader. */
 	noteLeader(leader: Leader): void {
-		if (leader.term <= (this.#leader?.term ?? 0) || this.#isStopped) {
+		if (this.#isStopped || (this.#leader !== undefined && !isLater(leader.term, this.#leader.term))) {
+			return;
+		}
+
+		if (leader.boot === this.#self.boot && this.#role === Role.Leading) {
+			this.#renew(leader);
 			return;
 		}
 
@@ -218,7 +239,7 @@
 			return;
 		}
 
-		this.#options.log.info('Another VM allocates.', {vm: leader.name, term: leader.term});
+		this.#options.log.info('Another VM allocates.', {vm: leader.name, ...termFields(leader)});
 		if (this.#role === Role.Leading) {
 			this.#host.stop();
 		}
@@ -269,14 +290,15 @@
 		this.#leader = leader;
 		this.#election.reset();
 		this.#hasStartedAllocating = true;
-		allocator.restart(globalScope(leader.term === FIRST_TERM));
+		// Even if no leader was recorded, one may have been before the store went back.
+		allocator.restart(globalScope(false));
 		allocator.adopt(allocation.places);
 		allocation.use(allocator);
-		log.info('This VM allocates.', {term: leader.term});
+		log.info('This VM allocates.', termFields(leader));
 		onWatchNeeded(true);
 		this.#host.start(leader);
 		this.#options.clock.setTimer(HAND_OVER_CHECK_DELAY_MS, () => {
-			if (this.#role === Role.Leading && this.#leader === leader) {
+			if (this.#role === Role.Leading && this.#leader?.boot === leader.boot) {
 				this.#host.handOver(this.#self.strength * HAND_OVER_STRENGTH_RATIO);
 			}
 		});
@@ -287,6 +309,15 @@
 		}
 	}
 
+	/** Keeps leading, and all links, under the term of a later claim. */
+	#renew(leader: Leader): void {
+		if (this.#leader === undefined || isLater(leader.term, this.#leader.term)) {
+			this.#leader = leader;
+			this.#options.log.warn('Recorded again as the allocator.', termFields(leader));
+			this.#host.renew(leader);
+		}
+	}
+
 	#becomeLinked(client: LeaderClient, leader: Leader): void {
 		const {allocation, log, onWatchNeeded} = this.#options;
 		this.#client = client;
@@ -294,7 +325,7 @@
 		this.#leader = leader;
 		this.#election.reset();
 		this.#watchTimer?.cancel();
-		log.info('Linked to the allocator.', {vm: leader.name, term: leader.term});
+		log.info('Linked to the allocator.', {vm: leader.name, ...termFields(leader)});
 		this.#hasStartedAllocating = true;
 		const {leaving} = this.#options.state.upstreams;
 		if (leaving.length > 0) {
@@ -419,7 +450,7 @@
 					}
 
 					if (message.kind === 'welcome') {
-						if (this.#role !== Role.Alone || message.leader.term < (this.#leader?.term ?? 0)) {
+						if (this.#role !== Role.Alone || (this.#leader !== undefined && isLater(this.#leader.term, message.leader.term))) {
 							channel.close();
 							return;
 						}
@@ -438,7 +469,7 @@
 					client.close();
 					resolve(false);
 					if (leader !== undefined && this.#client === client) {
-						log.warn('Link to the allocator lost.', {vm: leader.name, term: leader.term});
+						log.warn('Link to the allocator lost.', {vm: leader.name, ...termFields(leader)});
 						this.#election.noteLeaderLost(leader.boot);
 						this.#becomeAlone();
 					}
@@ -490,9 +521,17 @@
 				break;
 			}
 
+			case 'renewed': {
+				if (this.#leader === undefined || isLater(message.leader.term, this.#leader.term)) {
+					this.#leader = message.leader;
+				}
+
+				break;
+			}
+
 			case 'take-over': {
 				if (this.#leader !== undefined) {
-					void this.#election.claimAfterDelay(this.#leader.term, 0);
+					void this.#election.claimAfterDelay(this.#leader.term, this.#leader, 0);
 				}
 
 				break;
@@ -544,3 +583,7 @@
 		}
 	}
 }
+
+function termFields({term: {era, version}}: Leader): LogFields {
+	return {era, term: version};
+}
--- a/src/link/leader-election.ts
+++ b/src/link/leader-election.ts
@@ -7,9 +7,10 @@
 import {type Log} from '../base/log.js';
 import {type Random} from '../base/random.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
-import {type LeaderRegister} from './leader-register.js';
+import {isCurrent, type LeaderRecord, type LeaderRegister} from './leader-register.js';
 import {type Leader, type Member} from './messages.js';
 import {type PeerCalls} from './peer-calls.js';
+import {isLater, type StoreVersion} from './store-version.js';
 
 /** Time between two searches for the leader, in ms. */
 export const SEARCH_INTERVAL_MS = 300;
@@ -41,18 +42,19 @@
 	readonly state: DeploymentState;
 	readonly register: LeaderRegister;
 	readonly peers: PeerCalls;
-	/** Link addresses to try when the store does not answer. */
+	/** Link addresses of other VMs to ask when the store does not tell the leader, or when no other VM is known. */
 	readonly seeds: readonly string[];
 	readonly self: () => Member;
 	/** The latest known leader. */
 	readonly leader: () => Leader | undefined;
 	/** Whether this VM is neither the leader nor linked to one. */
 	readonly isAlone: () => boolean;
+	readonly isLeading: () => boolean;
 	/** @returns Whether this VM is now linked to the leader. */
 	readonly linkTo: (address: string) => Promise<boolean>;
 	/** Another VM is the leader. */
 	readonly onLeaderFound: (leader: Leader) => void;
-	/** This VM is the leader from now on. */
+	/** This VM is the leader from now on, or was recorded again as the leader. */
 	readonly onElected: (leader: Leader) => void;
 };
 
@@ -67,6 +69,7 @@
 	#lostBoot: string | undefined;
 	#timer: Timer | undefined;
 	#isSearching = false;
+	#isRestoring = false;
 	#isStopped = false;
 	#mayClaim = true;
 	#leaderWithoutStoreSince: number | undefined;
@@ -120,15 +123,19 @@
 		}
 	}
 
-	/** Claims leadership from the leader of a term after a delay, unless a leader of a later term is known by then. */
-	async claimAfterDelay(term: number, delayMs: number): Promise<void> {
-		const {clock, register, log, leader} = this.#options;
+	/**
+	 * Claims leadership after a delay, unless a later leader than the one to replace is known by then.
+	 *
+	 * @param at - Version of the record.
+	 */
+	async claimAfterDelay(at: StoreVersion, replaced: Leader | undefined, delayMs: number): Promise<void> {
+		const {clock, register, log} = this.#options;
 		await clock.sleep(delayMs);
-		if (this.#isStopped || !this.#mayClaim || (leader()?.term ?? 0) > term) {
+		if (this.#isStopped || !this.#mayClaim || this.#knowsLaterThan(replaced)) {
 			return;
 		}
 
-		const claimed = await register.claim(this.#candidate(), term);
+		const claimed = await register.claim(this.#candidate(), at);
 		if (claimed.isErr) {
 			log.warn('Cannot take over as the allocator.', {err: claimed.error.detail});
 			return;
@@ -155,6 +162,38 @@
 		}
 	}
 
+	/** Claims the record again for this VM, which leads, unless it names a leader that was claimed since the store went back. */
+	async restoreRecord(): Promise<void> {
+		if (this.#isRestoring) {
+			return;
+		}
+
+		this.#isRestoring = true;
+		const {clock, isLeading} = this.#options;
+		while (isLeading() && this.#mayClaim && !this.#isStopped && !await this.#tryRestoreRecord()) { // eslint-disable-line no-await-in-loop -- attempts are sequential
+			await clock.sleep(SEARCH_INTERVAL_MS); // eslint-disable-line no-await-in-loop
+		}
+
+		this.#isRestoring = false;
+	}
+
+	/** @returns Whether the record is current now. */
+	async #tryRestoreRecord(): Promise<boolean> {
+		const {register, isLeading} = this.#options;
+		const read = await register.read();
+		if (read.isErr || !isLeading()) {
+			return false;
+		}
+
+		const restored = isCurrent(read.value) ? read : await register.claim(this.#candidate(), read.value.at);
+		if (restored.isErr || !isCurrent(restored.value)) {
+			return false;
+		}
+
+		this.#applyClaim(restored.value);
+		return true;
+	}
+
 	async #search(): Promise<void> {
 		if (this.#isSearching || this.#isStopped || !this.#options.isAlone()) {
 			return;
@@ -170,40 +209,64 @@
 
 	/** @returns Time until the next search, in ms. */
 	async #findOrClaim(): Promise<number> {
-		const {register, self, linkTo} = this.#options;
+		const {register, self, linkTo, isAlone} = this.#options;
 		const read = await register.read();
 		if (read.isErr) {
 			await this.#linkWithoutStore();
 			return SEARCH_INTERVAL_WITHOUT_STORE_MS;
 		}
 
-		const leader = read.value;
-		if (leader === undefined) {
-			await this.claimAfterDelay(0, this.#firstClaimDelay());
+		const record = read.value;
+		const leader = this.#latestLeader(record);
+		const isSelf = leader?.boot === self().boot;
+		if (leader !== undefined && !isSelf && await linkTo(leader.linkAddress)) {
+			return SEARCH_INTERVAL_MS;
+		}
+
+		if (!isCurrent(record) && (leader === undefined || record.leader?.boot !== this.#options.leader()?.boot)) {
+			await this.#linkThroughOthers();
+		}
+
+		if (!isAlone() || this.#knowsLaterThan(leader)) {
 			return SEARCH_INTERVAL_MS;
 		}
 
-		const isSelf = leader.boot === self().boot;
-		if (!isSelf && await linkTo(leader.linkAddress)) {
+		if (leader === undefined) {
+			await this.claimAfterDelay(record.at, undefined, this.#firstClaimDelay());
 			return SEARCH_INTERVAL_MS;
 		}
 
 		this.noteLeaderLost(leader.boot);
 		if (isSelf || await this.#isConfirmedLost(leader)) {
-			await this.claimAfterDelay(leader.term, this.#claimDelay(leader));
+			await this.claimAfterDelay(record.at, leader, this.#claimDelay(leader));
 		}
 
 		return SEARCH_INTERVAL_MS;
 	}
 
-	/** Without the store, tries the latest known leader, then some seeds and members, which may know the leader. */
+	/** The later one of the recorded leader and the known one: a store that went back records an earlier leader, or none. */
+	#latestLeader({leader: recorded}: LeaderRecord): Leader | undefined {
+		const known = this.#options.leader();
+		return recorded === undefined || (known !== undefined && isLater(known.term, recorded.term)) ? known : recorded;
+	}
+
+	#knowsLaterThan(leader: Leader | undefined): boolean {
+		const known = this.#options.leader();
+		return known !== undefined && (leader === undefined || isLater(known.term, leader.term));
+	}
+
+	/** Without the store, tries the latest known leader, then other VMs. */
 	async #linkWithoutStore(): Promise<void> {
-		const {leader, self, linkTo, isAlone, state, seeds, random} = this.#options;
+		const {leader, self, linkTo} = this.#options;
 		const known = leader();
-		if (known !== undefined && known.boot !== self().boot && await linkTo(known.linkAddress)) {
-			return;
+		if (known === undefined || known.boot === self().boot || !await linkTo(known.linkAddress)) {
+			await this.#linkThroughOthers();
 		}
+	}
 
+	/** Tries some seeds and members, which may know the leader. */
+	async #linkThroughOthers(): Promise<void> {
+		const {self, linkTo, isAlone, state, seeds, random} = this.#options;
 		const others = new Set([...seeds, ...state.members.map(member => member.linkAddress)]);
 		others.delete(self().linkAddress);
 		if (isAlone()) {
@@ -218,17 +281,17 @@
 		};
 	}
 
-	/** Whether enough other VMs answered a probe or refused the connection, and none of them is still connected to the leader. */
+	/**
+	 * Whether enough other VMs answered a probe or refused the connection, and none of them is still connected to the leader.
+	 * A VM that knows no others asks its seeds, of which none needs to be running.
+	 */
 	async #isConfirmedLost(leader: Leader): Promise<boolean> {
-		const {state, self, peers} = this.#options;
-		const others = state.members.filter(member => member.name !== self().name && member.boot !== leader.boot);
-		if (others.length === 0) {
-			return true;
-		}
-
-		const answers = await Promise.all(others.map(async member => peers.probeLeader(member.linkAddress, leader.boot)));
+		const {state, self, seeds, peers} = this.#options;
+		const members = state.members.filter(member => member.name !== self().name && member.boot !== leader.boot).map(member => member.linkAddress);
+		const others = members.length > 0 ? members : seeds.filter(address => address !== self().linkAddress);
+		const answers = await Promise.all(others.map(async address => peers.probeLeader(address, leader.boot)));
 		const answeredCount = answers.filter(answer => answer !== undefined).length;
-		return !answers.includes(true) && answeredCount >= MIN_REACHED_SHARE * others.length;
+		return !answers.includes(true) && answeredCount >= MIN_REACHED_SHARE * members.length;
 	}
 
 	/** Delay when no other VM is known: shorter for stronger VMs, plus jitter. */
@@ -266,29 +329,38 @@
 		}
 
 		const read = await register.read();
-		if (read.isErr || read.value === undefined || !isStillNeeded()) {
+		if (read.isErr || !isStillNeeded()) {
 			return;
 		}
 
-		if (read.value.boot !== replaced.boot) {
-			onLeaderFound(read.value);
+		const record = read.value;
+		if (isCurrent(record) && record.leader.boot !== replaced.boot) {
+			onLeaderFound(record.leader);
 			return;
 		}
 
-		const claimed = await register.claim(this.#candidate(), read.value.term);
-		if (claimed.isOk && claimed.value.boot === self().boot) {
+		const claimed = await register.claim(this.#candidate(), record.at);
+		if (claimed.isOk && claimed.value.leader?.boot === self().boot) {
 			log.warn('The allocator does not reach the store; this VM takes over.', {before: replaced.name});
 			this.#applyClaim(claimed.value);
 		}
 	}
 
-	/** Applies the result of a claim, unless its term had already ended when the answer arrived. */
-	#applyClaim(elected: Leader): void {
+	/**
+	 * Applies the result of a claim, unless its term had already ended when the answer arrived, or the store went back
+	 * meanwhile.
+	 */
+	#applyClaim(record: LeaderRecord): void {
 		const {leader, self, onElected, onLeaderFound} = this.#options;
+		if (!isCurrent(record)) {
+			return;
+		}
+
 		const known = leader();
+		const elected = record.leader;
 		if (elected.boot !== self().boot) {
 			onLeaderFound(elected);
-		} else if (!this.#isStopped && (known === undefined || elected.term > known.term || elected.boot === known.boot)) {
+		} else if (!this.#isStopped && (known === undefined || isLater(elected.term, known.term) || elected.boot === known.boot)) {
 			// The store watch may have reported this VM's own claim before the answer to it arrived.
 			onElected(elected);
 		}
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -108,6 +108,12 @@
 		this.publishMembers();
 	}
 
+	/** @param leader - This VM under a later term; the links stay. */
+	renew(leader: Leader): void {
+		this.#leader = leader;
+		this.#broadcast({kind: 'renewed', leader}, [...this.#links.values()]);
+	}
+
 	stop(): void {
 		this.#timer?.cancel();
 		this.#membersTimer?.cancel();
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -7,6 +7,7 @@
 import {type AgedLimit} from '../gateway/upstream-limits.js';
 import {type Upstream, type UpstreamBoot} from '../gateway/upstream-list.js';
 import {type Suspicion} from '../policy/suspicion.js';
+import {type StoreVersion} from './store-version.js';
 
 /** What the other VMs know about a VM. */
 export type Member = {
@@ -30,8 +31,8 @@
 	readonly name: string;
 	readonly linkAddress: string;
 	readonly boot: string;
-	/** Increases with each change of the leader. */
-	readonly term: number;
+	/** Version at which the leader was recorded, in the era that its claim was made for; increases with each claim. */
+	readonly term: StoreVersion;
 	/** Number of VMs that the leader knew of when it was elected; a restarted VM knows of none. */
 	readonly vmCount: number;
 };
@@ -72,6 +73,8 @@
 	| {readonly kind: 'suspicions'; readonly suspicions: readonly Suspicion[]}
 	/** VMs that joined or changed, and names of those that left; `isWhole` replaces the list. */
 	| {readonly kind: 'members'; readonly isWhole: boolean; readonly changed: readonly Member[]; readonly removed: readonly string[]}
+	/** The leader was recorded again, since the store had gone back; the link stays. */
+	| {readonly kind: 'renewed'; readonly leader: Leader}
 	/** Asks the receiver to claim leadership. */
 	| {readonly kind: 'take-over'}
 	/** Version of a configuration that is too large to send; VMs read it from the store. */
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -12,8 +12,9 @@
 import {Ending} from '../../src/gateway/exchange-ending.js';
 import {type Configuration} from '../../src/gateway/routing-table.js';
 import {Coordinator, Role} from '../../src/link/coordinator.js';
-import {LeaderRegister} from '../../src/link/leader-register.js';
+import {type LeaderRecord, LeaderRegister} from '../../src/link/leader-register.js';
 import {type Leader, type Member} from '../../src/link/messages.js';
+import {type StoreVersion} from '../../src/link/store-version.js';
 import {TcpNetwork} from '../../src/link/tcp-network.js';
 import {type StoreError} from '../../src/store/table.js';
 import {createPlaceRequest} from '../support/place-request.js';
@@ -26,9 +27,14 @@
 /** The leader record in the store, shared by all VMs of a test. */
 class MemoryRow {
 	leader: Leader | undefined;
+	era = 1;
 	readonly unreachableFor = new Set<string>();
 	/** Claims take effect immediately, but are answered only when this resolves. */
 	claimAnswers: Promise<void> | undefined;
+
+	get record(): LeaderRecord {
+		return {at: {era: this.era, version: this.leader?.term.version ?? 0}, leader: this.leader};
+	}
 }
 
 class MemoryRegister extends LeaderRegister {
@@ -41,22 +47,22 @@
 		this.#name = name;
 	}
 
-	async read(): Promise<Result<Leader | undefined, StoreError>> {
-		return this.#isUnavailable ? Result.err(unavailable) : ok(this.#row.leader);
+	async read(): Promise<Result<LeaderRecord, StoreError>> {
+		return this.#isUnavailable ? Result.err(unavailable) : ok(this.#row.record);
 	}
 
-	async claim(candidate: Omit<Leader, 'term'>, term: number): Promise<Result<Leader, StoreError>> {
+	async claim(candidate: Omit<Leader, 'term'>, at: StoreVersion): Promise<Result<LeaderRecord, StoreError>> {
 		if (this.#isUnavailable) {
 			return Result.err(unavailable);
 		}
 
-		if ((this.#row.leader?.term ?? 0) === term) {
-			this.#row.leader = {...candidate, term: term + 1};
+		if (this.#row.record.at.version === at.version) {
+			this.#row.leader = {...candidate, term: {era: at.era, version: at.version + 1}};
 		}
 
-		const leader = this.#row.leader!;
+		const {record} = this.#row;
 		await this.#row.claimAnswers;
-		return ok(leader);
+		return ok(record);
 	}
 
 	get #isUnavailable(): boolean {
@@ -288,7 +294,7 @@
 		const late = await startVm('late', 9);
 		late.state.setMembers(vms.filter(vm => vm !== late && vm !== leader).flatMap(vm => vm.state.members.filter(member => member.name === vm.name)));
 		await clock.sleep(1200);
-		expect(row.leader?.term).to.equal(term);
+		expect(row.leader?.term).to.deep.equal(term);
 		expect(late.coordinator.role).to.equal(Role.Alone);
 	});
 
@@ -504,7 +510,7 @@
 
 		await eventually(() => granted.has('holder'));
 		vm.coordinator.noteLeader({
-			name: 'gone', linkAddress: '127.0.0.1:1', boot: 'gone', term: 5, vmCount: 2,
+			name: 'gone', linkAddress: '127.0.0.1:1', boot: 'gone', term: {era: 1, version: 5}, vmCount: 2,
 		});
 		vm.allocation.release('holder', {
 			ending: Ending.Answered, firstMs: 10, streamMs: 0, events: 0, load: undefined,
@@ -518,14 +524,14 @@
 			answerClaim = resolve;
 		});
 		const vm = await startVm('slow', 1);
-		await eventually(() => row.leader?.term === 1);
+		await eventually(() => row.leader?.term.version === 1);
 		vm.coordinator.noteLeader({
-			name: 'next', linkAddress: '127.0.0.1:1', boot: 'next', term: 2, vmCount: 2,
+			name: 'next', linkAddress: '127.0.0.1:1', boot: 'next', term: {era: 1, version: 2}, vmCount: 2,
 		});
 		answerClaim();
 		await clock.sleep(20);
 		expect(vm.coordinator.role).to.equal(Role.Alone);
-		expect(vm.coordinator.leader?.term).to.equal(2);
+		expect(vm.coordinator.leader?.term).to.deep.equal({era: 1, version: 2});
 	});
 
 	it('becomes the allocator when the store watch reports its claim before the claim is answered', async () => {
@@ -534,12 +540,12 @@
 			answerClaim = resolve;
 		});
 		const vm = await startVm('only', 1);
-		await eventually(() => row.leader?.term === 1);
+		await eventually(() => row.leader?.term.version === 1);
 		vm.coordinator.noteLeader(row.leader!);
 		answerClaim();
 		await clock.sleep(20);
 		expect(vm.coordinator.role).to.equal(Role.Leading);
-		expect(row.leader?.term).to.equal(1);
+		expect(row.leader?.term.version).to.equal(1);
 	});
 
 	it('elects the strongest remaining VM', async () => {
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -113,7 +113,7 @@
 	// then claim leadership without probing any of them.
 	it('publish no member list after the VM has stopped leading', () => {
 		const leader: Leader = {
-			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: 1, vmCount: 2,
+			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: {era: 1, version: 1}, vmCount: 2,
 		};
 		const closed: Array<Channel<FromLeader>> = [];
 		const thirdChannel = LineChannel.create<FromLeader, ToLeader>(new Socket(), {
@@ -151,7 +151,7 @@
 
 		reachesStore = false;
 		host.start({
-			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: 1, vmCount: 2,
+			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: {era: 1, version: 1}, vmCount: 2,
 		});
 		clock.advance(600);
 		expect(shares.at(-1)).to.equal(1);
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -4,6 +4,8 @@
 import {Log} from '../../src/base/log.js';
 import {type CallHead} from '../../src/gateway/call-codec.js';
 import {Operation} from '../../src/gateway/routing-table.js';
+import {type LeaderRecord} from '../../src/link/leader-register.js';
+import {isLater, type StoreVersion} from '../../src/link/store-version.js';
 import {HeaderCodec} from '../../platform/header-codec.js';
 import {LeaderRow} from '../../platform/leader-row.js';
 import {decodeManifest} from '../../platform/manifest.js';
@@ -244,7 +246,7 @@
 
 	beforeEach(async () => {
 		store = await PlatformStore.start();
-		client = StoreClient.create(clock, store.address);
+		client = StoreClient.create(clock, Log.create('silent'), store.address);
 	});
 
 	afterEach(() => {
@@ -257,29 +259,32 @@
 		const candidate = {
 			name: 'a', linkAddress: 'x:1', boot: 'b1', vmCount: 3,
 		};
+		const none: LeaderRecord = {at: {era: 1, version: 0}, leader: undefined};
 		const empty = await register.read();
-		expect(empty.unwrapOr('failed' as never)).to.equal(undefined);
-		const claim = async (boot: string, term: number) => {
-			const claimed = await register.claim({...candidate, boot}, term);
+		expect(empty.unwrapOr('failed' as never)).to.deep.equal(none);
+		const claim = async (boot: string, at: StoreVersion) => {
+			const claimed = await register.claim({...candidate, boot}, at);
 			return claimed.unwrapOr(undefined as never);
 		};
 
-		const first = await claim('b1', 0);
-		expect(first).to.deep.include({...candidate});
-		const second = await claim('b2', 0);
+		const first = await claim('b1', none.at);
+		expect(first.leader).to.deep.include({...candidate});
+		const second = await claim('b2', none.at);
 		expect(second).to.deep.equal(first);
-		const third = await claim('b3', first.term);
-		expect(third.boot).to.equal('b3');
-		expect(third.term).to.be.above(first.term);
+		const third = await claim('b3', first.at);
+		expect(third.leader?.boot).to.equal('b3');
+		expect(isLater(third.leader!.term, first.leader!.term)).to.equal(true);
 	});
 
 	it('finds its own claim when the response to the write was lost', async () => {
 		const register = LeaderRow.create(client);
+		const empty = await register.read();
+		const {at} = empty.unwrapOr(undefined as never);
 		store.mode = StoreMode.LosesAnswers;
 		const claimed = await register.claim({
 			name: 'a', linkAddress: 'x:1', boot: 'b1', vmCount: 1,
-		}, 0);
-		expect(claimed.unwrapOr(undefined as never).boot).to.equal('b1');
+		}, at);
+		expect(claimed.unwrapOr(undefined as never).leader?.boot).to.equal('b1');
 	});
 
 	it('distinguishes a busy or unresponsive store from an empty one', async () => {
@@ -303,12 +308,14 @@
 
 		store.put('servers', 'a', 1);
 		const watch = StoreWatch.create(clock, Log.create('silent'), client, {table: 'servers', waitMs: 200, batchDelayMs: 0}, {
-			onList(listed) {
+			onList({rows: listed}) {
 				listCount += 1;
 				rows.clear();
 				applyRows(listed);
 			},
-			onChanges: applyRows,
+			onChanges({rows: changed}) {
+				applyRows(changed);
+			},
 			onReachabilityChange(isReachable) {
 				reachabilityChanges.push(isReachable);
 			},
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -12,8 +12,9 @@
 import {Random} from '../../src/base/random.js';
 import {Gateway} from '../../src/gateway/gateway.js';
 import {Operation, type Route} from '../../src/gateway/routing-table.js';
-import {LeaderRegister} from '../../src/link/leader-register.js';
+import {type LeaderRecord, LeaderRegister} from '../../src/link/leader-register.js';
 import {type Leader} from '../../src/link/messages.js';
+import {type StoreVersion} from '../../src/link/store-version.js';
 import {type StoreError} from '../../src/store/table.js';
 import {eventually} from './eventually.js';
 import {freePort} from './free-port.js';
@@ -24,15 +25,19 @@
 
 /** A record that one VM uses. */
 class OwnRegister extends LeaderRegister {
-	#leader: Leader | undefined;
+	#record: LeaderRecord = {at: {era: 0, version: 0}, leader: undefined};
 
-	async read(): Promise<Result<Leader | undefined, StoreError>> {
-		return ok(this.#leader);
+	async read(): Promise<Result<LeaderRecord, StoreError>> {
+		return ok(this.#record);
 	}
 
-	async claim(candidate: Omit<Leader, 'term'>, term: number): Promise<Result<Leader, StoreError>> {
-		this.#leader ??= {...candidate, term: term + 1};
-		return ok(this.#leader);
+	async claim(candidate: Omit<Leader, 'term'>, {era, version}: StoreVersion): Promise<Result<LeaderRecord, StoreError>> {
+		if (this.#record.leader === undefined) {
+			const term = {era, version: version + 1};
+			this.#record = {at: term, leader: {...candidate, term}};
+		}
+
+		return this.read();
 	}
 }
 
