--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -1,167 +1,47 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import Result, {ok} from 'true-myth/result';
 import {emptyReport} from '../../src/allocation/allocation.js';
-import {Allocator} from '../../src/allocation/allocator.js';
-import {SwitchedAllocation} from '../../src/allocation/switched-allocation.js';
 import {SystemClock} from '../../src/base/clock.js';
 import {ErrorKind} from '../../src/base/errors.js';
-import {Log} from '../../src/base/log.js';
-import {Random} from '../../src/base/random.js';
-import {DeploymentState} from '../../src/gateway/deployment-state.js';
 import {Ending} from '../../src/gateway/exchange-ending.js';
-import {type Configuration} from '../../src/gateway/routing-table.js';
-import {Coordinator, Role} from '../../src/link/coordinator.js';
-import {type LeaderRecord, LeaderRegister} from '../../src/link/leader-register.js';
-import {type Leader, type Member} from '../../src/link/messages.js';
-import {type StoreVersion} from '../../src/link/store-version.js';
-import {TcpNetwork} from '../../src/link/tcp-network.js';
-import {type StoreError} from '../../src/store/table.js';
+import {Role} from '../../src/link/coordinator.js';
 import {createPlaceRequest} from '../support/place-request.js';
 import {eventually} from '../support/eventually.js';
-import {freePort} from '../support/free-port.js';
+import {
+	createConfiguration as configuration, LinkedVms, type MemoryRow, type Vm,
+} from '../support/linked-vms.js';
 
 const clock = SystemClock.create();
-const unavailable: StoreError = {failure: 'unavailable', detail: 'no answer'};
-
-/** The leader record in the store, shared by all VMs of a test. */
-class MemoryRow {
-	leader: Leader | undefined;
-	era = 1;
-	readonly unreachableFor = new Set<string>();
-	/** Claims take effect immediately, but are answered only when this resolves. */
-	claimAnswers: Promise<void> | undefined;
-
-	get record(): LeaderRecord {
-		return {at: {era: this.era, version: this.leader?.term.version ?? 0}, leader: this.leader};
-	}
-}
-
-class MemoryRegister extends LeaderRegister {
-	readonly #row: MemoryRow;
-	readonly #name: string;
-
-	constructor(row: MemoryRow, name: string) {
-		super();
-		this.#row = row;
-		this.#name = name;
-	}
-
-	async read(): Promise<Result<LeaderRecord, StoreError>> {
-		return this.#isUnavailable ? Result.err(unavailable) : ok(this.#row.record);
-	}
-
-	async claim(candidate: Omit<Leader, 'term'>, at: StoreVersion): Promise<Result<LeaderRecord, StoreError>> {
-		if (this.#isUnavailable) {
-			return Result.err(unavailable);
-		}
-
-		if (this.#row.record.at.version === at.version) {
-			this.#row.leader = {...candidate, term: {era: at.era, version: at.version + 1}};
-		}
-
-		const {record} = this.#row;
-		await this.#row.claimAnswers;
-		return ok(record);
-	}
-
-	get #isUnavailable(): boolean {
-		return this.#row.unreachableFor.has(this.#name) || this.#row.unreachableFor.has('all');
-	}
-}
-
-type Vm = {
-	readonly name: string;
-	readonly linkAddress: string;
-	readonly coordinator: Coordinator;
-	readonly state: DeploymentState;
-	readonly allocation: SwitchedAllocation;
-	isWatchingStore: boolean;
-	versions: number[];
-};
 
 describe('choice of the allocator', function () {
 	this.timeout(15_000);
+	let deployment: LinkedVms;
 	let row: MemoryRow;
 	let vms: Vm[];
 
 	beforeEach(() => {
-		row = new MemoryRow();
-		vms = [];
+		deployment = LinkedVms.create();
+		({row, vms} = deployment);
 	});
 
 	afterEach(() => {
-		for (const {coordinator} of vms) {
-			coordinator.stop();
-		}
+		deployment.stop();
 	});
 
 	async function startVm(name: string, strength: number, seeds: readonly string[] = []): Promise<Vm> {
-		const log = Log.create('silent');
-		const state = DeploymentState.create(log);
-		const random = Random.create(strength);
-		const allocator = Allocator.create({
-			clock, random, nodeId: name, repeatBounds: {ratio: 0.2, slack: 20, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000}, limits: state.limits,
-		});
-		state.listen({
-			onUpstreams(changes) {
-				allocator.setUpstreams(changes);
-			},
-		});
-		const allocation = SwitchedAllocation.create(clock);
-		const self: Member = {
-			name, frontAddress: `${name}:80`, linkAddress: `127.0.0.1:${await freePort()}`, dataCentre: 'a', region: 'r', strength, boot: `${name}-${vms.length}`, isReady: true,
-		};
-		const vm: Vm = {
-			name,
-			linkAddress: self.linkAddress,
-			state,
-			allocation,
-			isWatchingStore: false,
-			versions: [],
-			coordinator: Coordinator.create({
-				clock,
-				random,
-				log,
-				state,
-				allocator,
-				allocation,
-				register: new MemoryRegister(row, name),
-				network: TcpNetwork.create(clock),
-				self,
-				seeds,
-				reachesStore: () => !row.unreachableFor.has(name) && !row.unreachableFor.has('all'),
-				onVersion(version) {
-					vm.versions.push(version);
-				},
-				onWatchNeeded(isNeeded) {
-					vm.isWatchingStore = isNeeded;
-				},
-			}),
-		};
-		vms.push(vm);
-		await vm.coordinator.start();
-		return vm;
+		return deployment.start(name, strength, seeds);
 	}
 
 	async function startVms(): Promise<void> {
-		await startVm('strong', 3);
-		await startVm('middle', 2);
-		await startVm('weak', 1);
-		await settled(3);
+		await deployment.startThree();
 	}
 
-	/** Waits until one of the running VMs allocates and all others are linked to it. */
 	async function settled(count: number): Promise<Vm> {
-		const countOf = (role: Role) => vms.filter(vm => vm.coordinator.role === role).length;
-		await eventually(() => countOf(Role.Leading) === 1 && countOf(Role.Linked) === count - 1
-			&& vms.every(vm => vm.state.members.length === count));
-		return vms.find(vm => vm.coordinator.role === Role.Leading)!;
+		return deployment.settled(count);
 	}
 
 	function kill(vm: Vm): void {
-		vm.coordinator.stop();
-		vms = vms.filter(other => other !== vm);
+		deployment.kill(vm);
 	}
 
 	describe('with an upstream that states a limit', () => {
@@ -317,21 +197,6 @@
 		await eventually(() => vms.filter(vm => vm.isWatchingStore).length === 1);
 	});
 
-	function configuration(version: number, poolCount: number): Configuration {
-		return {
-			version,
-			routes: [],
-			customers: [],
-			pools: Array.from({length: poolCount}, (_, index) => ({
-				name: `pool-${index}`, isEngine: false, slots: undefined, maxConnections: 10, tokensPerEvent: 1,
-			})),
-			limits: {
-				maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000, maxHeaderBytes: 1000,
-			},
-			hasCustomers: false,
-		};
-	}
-
 	it('sends only the last of several small configurations in quick succession to linked VMs', async () => {
 		await startVms();
 		const leader = await settled(3);
