--- a/test/platform/store-restore.test.ts
+++ b/test/platform/store-restore.test.ts
@@ -45,6 +45,44 @@
 		await eventually(() => recordedLeader() !== leader);
 	}
 
+	/** A configuration that is too large to be sent over a link without need. */
+	function setLargeConfiguration(): void {
+		deployment.setConfiguration(['/new/', ...Array.from({length: 400}, (_, index) => `/route-${index}/`)]);
+	}
+
+	async function eventuallyServedByAll(): Promise<void> {
+		await eventually(async () => {
+			const answers = await Promise.all(deployment.vms.map(async vm => deployment.call(vm, 'safe', '/new/')));
+			return answers.every(({status}) => status === 200);
+		}, 50);
+	}
+
+	/** Restarts a VM and then the leader after the store has forgotten the configuration. */
+	async function checkServedAfterRestarts(): Promise<void> {
+		const leader = recordedLeader();
+		await eventuallyServedByAll();
+		deployment.store.restore(copy);
+		for (const vm of [deployment.vms.find(other => other !== leader)!, leader]) {
+			/* eslint-disable no-await-in-loop -- one restart after the other */
+			await vm.terminate('SIGKILL');
+			vm.start();
+			await deployment.ready();
+			await eventuallyServedByAll();
+			/* eslint-enable no-await-in-loop */
+		}
+	}
+
+	// Guards against a VM that goes on with the older configuration of the copy that it read when it started.
+	it('serve a confirmed route also after restarts beside a copy without it', async () => {
+		deployment.setConfiguration(['/new/']);
+		await checkServedAfterRestarts();
+	});
+
+	it('serve a confirmed route of a large configuration also after restarts beside a copy without it', async () => {
+		setLargeConfiguration();
+		await checkServedAfterRestarts();
+	});
+
 	// Guards against VMs that refuse each leader whose term is lower than one from before the store went back.
 	it('agree on one leader when the leader ends after the store forgot who it was', async () => {
 		for (let count = 0; count < 20; count += 1) {
