Configuration: an allocating VM with an older one gets it from the VMs that link to it

A VM that starts with an older copy of the store and becomes the allocating one kept its configuration, and gave it to VMs that had none, until the operator wrote the next. Cause: configurations were sent from the allocating VM to the others only. Evidence, on the logic before: coordinator.test.ts ('learns a later small/large configuration ...'): 'The condition did not hold within 10 s.' Why this works: a VM states its version when it links, and one with a later version is asked for it; if its link ends, the next one is. Without an allocating VM, each VM sends a later version to a VM that asks who allocates.

--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -385,8 +385,8 @@
 				} else if (isLinked) {
 					this.#host.receive(channel, message);
 				} else {
-					if (message.kind === 'hello' && message.isBlank) {
-						this.#sendState(channel);
+					if (message.kind === 'hello') {
+						this.#sendState(channel, message.configurationVersion);
 					}
 
 					channel.send({kind: 'not-leader', leader: this.#leader});
@@ -399,16 +399,24 @@
 		});
 	}
 
-	/** Sends upstreams, their limits and configuration to a VM that has just started and gets them neither from the store nor from a leader. */
-	#sendState(channel: Channel<FromLeader | FromPeer>): void {
+	/**
+	 * Sends a VM that found no leader a later configuration than its own; to a VM that has none, as it has just started and gets
+	 * nothing from the store, also upstreams and their limits.
+	 */
+	#sendState(channel: Channel<FromLeader | FromPeer>, configurationVersion: number): void {
 		const {clock, state: {table, upstreams, limits}} = this.#options;
-		if (table !== undefined) {
+		if (table === undefined || table.version <= configurationVersion) {
+			return;
+		}
+
+		if (configurationVersion === 0) {
 			channel.send({
 				kind: 'upstreams', isWhole: true, changed: upstreams.all, removed: [],
 			});
 			channel.send({kind: 'limits', limits: limits.list(clock.now())});
-			channel.send({kind: 'configuration', configuration: table.configuration});
 		}
+
+		channel.send({kind: 'configuration', configuration: table.configuration});
 	}
 
 	#isConnectedToLeader(leaderBoot: string): boolean {
@@ -461,7 +469,7 @@
 					}
 
 					client.receive(message);
-					if (leader !== undefined || this.#hasNoConfiguration) {
+					if (leader !== undefined || this.#hasNoConfiguration || message.kind === 'configuration') {
 						this.#handleMessage(message);
 					}
 				},
@@ -478,7 +486,7 @@
 			const client = LeaderClient.create(clock, channel, () => {
 				channel.close();
 			});
-			client.send({kind: 'hello', member: this.#self, isBlank: this.#hasNoConfiguration});
+			client.send({kind: 'hello', member: this.#self, configurationVersion: this.#options.state.table?.version ?? 0});
 		});
 	}
 
@@ -547,6 +555,14 @@
 				break;
 			}
 
+			case 'need-configuration': {
+				if (state.table !== undefined) {
+					this.#client?.send({kind: 'configuration', configuration: state.table.configuration});
+				}
+
+				break;
+			}
+
 			case 'paces': {
 				allocator.restorePaces(message.paces);
 				break;
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -62,6 +62,8 @@
 	member: Member;
 	readonly channel: Channel<FromLeader>;
 	readonly askIds: Set<string>;
+	/** Version in force at the VM when it linked. */
+	readonly configurationVersion: number;
 	/** An earlier link of the same VM whose loss is not detected yet; it no longer owns asks and places that the VM sends on this link. */
 	readonly before: Link | undefined;
 	lastReceivedAt: number;
@@ -85,6 +87,8 @@
 	#limitsTimer: Timer | undefined;
 	/** Upstreams whose limits are sent next. */
 	readonly #limitsToSend = new Set<string>();
+	/** The link that was asked for its configuration. */
+	#configurationSource: Link | undefined;
 	readonly #publishedFeatures = new LRUCache<string, true>({max: MAX_SUSPICIONS});
 	#pacesSentAt = 0;
 	/** Number of VMs, this one included, that were recently in contact at the same time. */
@@ -124,6 +128,7 @@
 		this.#configurationTimer = undefined;
 		this.#limitsTimer = undefined;
 		this.#limitsToSend.clear();
+		this.#configurationSource = undefined;
 		// Cleared before closing: each close would otherwise publish a member list without that VM, also to this VM.
 		const links = [...this.#links.values()];
 		this.#links.clear();
@@ -140,7 +145,7 @@
 		const now = clock.now();
 		const before = [...this.#links.values()].findLast(({member}) => member.name === hello.member.name);
 		const link: Link = {
-			member: hello.member, channel, askIds: new Set(), before, lastReceivedAt: now, lastSentAt: now, hasMemberList: false,
+			member: hello.member, channel, askIds: new Set(), configurationVersion: hello.configurationVersion, before, lastReceivedAt: now, lastSentAt: now, hasMemberList: false,
 		};
 		this.#links.set(channel, link);
 		log.info('VM linked.', {vm: hello.member.name, links: this.#links.size});
@@ -162,6 +167,7 @@
 		}
 
 		this.#sendConfiguration([link]);
+		this.#requestLaterConfiguration();
 		this.publishMembers();
 	}
 
@@ -236,6 +242,13 @@
 				break;
 			}
 
+			case 'configuration': {
+				state.applyConfiguration(message.configuration);
+				this.#configurationSource = undefined;
+				this.#requestLaterConfiguration();
+				break;
+			}
+
 			case 'beat':
 			case 'hello': {
 				break;
@@ -257,6 +270,11 @@
 			this.#cancelAsk(link, id);
 		}
 
+		if (this.#configurationSource === link) {
+			this.#configurationSource = undefined;
+			this.#requestLaterConfiguration();
+		}
+
 		this.publishMembers();
 	}
 
@@ -375,6 +393,16 @@
 		this.#broadcast(isSmall ? {kind: 'configuration', configuration} : {kind: 'version', version}, links);
 	}
 
+	/** Asks one VM for its configuration if it has a later one: this VM may have started with an older copy of the store. */
+	#requestLaterConfiguration(): void {
+		const version = this.#options.state.table?.version ?? 0;
+		const source = [...this.#links.values()].find(({configurationVersion}) => configurationVersion > version);
+		if (this.#configurationSource === undefined && source !== undefined) {
+			this.#configurationSource = source;
+			this.#send(source, {kind: 'need-configuration'});
+		}
+	}
+
 	#handleAsk(link: Link, ask: Extract<ToLeader, {kind: 'ask'}>['ask']): void {
 		link.before?.askIds.delete(ask.id);
 		link.askIds.add(ask.id);
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -39,8 +39,8 @@
 
 /** From a VM to the leader. */
 export type ToLeader =
-	/** `isBlank`: the VM has no configuration, so any VM that receives this should send what it has. */
-	| {readonly kind: 'hello'; readonly member: Member; readonly isBlank: boolean}
+	/** `configurationVersion`: version in force at the VM; with 0 it has none, and any VM that receives this should send what it has. */
+	| {readonly kind: 'hello'; readonly member: Member; readonly configurationVersion: number}
 	/** Sent after the welcome, since the leader does not learn of places released before it. */
 	| {readonly kind: 'places'; readonly places: readonly HeldPlace[]}
 	| {readonly kind: 'member'; readonly member: Member}
@@ -56,6 +56,8 @@
 	| {readonly kind: 'suspicions'; readonly suspicions: readonly Suspicion[]}
 	/** The VM cannot read the configuration from the store. */
 	| {readonly kind: 'need-configuration'}
+	/** The configuration in force at the VM, which the leader has asked for. */
+	| {readonly kind: 'configuration'; readonly configuration: Configuration}
 	| {readonly kind: 'beat'};
 
 /** From the leader, or a VM mistaken for it, to a VM. */
@@ -81,6 +83,8 @@
 	| {readonly kind: 'version'; readonly version: number}
 	/** The configuration in force at the leader. */
 	| {readonly kind: 'configuration'; readonly configuration: Configuration}
+	/** The VM said that it has a later configuration than the leader. */
+	| {readonly kind: 'need-configuration'}
 	/** Learned pace factors of upstreams, for a successor. */
 	| {readonly kind: 'paces'; readonly paces: ReadonlyArray<readonly [upstreamId: string, factor: number]>}
 	/** Heartbeat, sent when nothing else was, and always while the leader cannot reach the store. */
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -219,6 +219,46 @@
 		expect(vms.filter(vm => vm !== leader).map(vm => vm.state.table)).to.deep.equal([undefined, undefined]);
 	});
 
+	/** A leader with an older configuration, then VMs with a later one. */
+	async function checkLaterConfiguration(poolCount: number): Promise<void> {
+		const leader = await deployment.start('leader', 3, [], state => {
+			state.applyConfiguration(configuration(3, poolCount));
+		});
+		await settled(1);
+		await deployment.start('blank', 2);
+		await settled(2);
+		for (const name of ['later', 'later too']) {
+			// eslint-disable-next-line no-await-in-loop -- the second one brings nothing new
+			await deployment.start(name, 1, [], state => {
+				state.applyConfiguration(configuration(4, poolCount));
+			});
+		}
+
+		await settled(4);
+		await eventually(() => leader.state.table?.version === 4);
+		await eventually(() => vms.every(vm => vm.state.table?.version === 4 || vm.versions.includes(4)));
+	}
+
+	// Guards against a leader that started with an older copy of the store, and from which no VM gets the confirmed version.
+	it('learns a later small configuration from a VM that links, and tells the others of it', async () => {
+		await checkLaterConfiguration(3);
+	});
+
+	it('learns a later large configuration from a VM that links, and tells the others of it', async () => {
+		await checkLaterConfiguration(2000);
+	});
+
+	it('learns a later configuration from a VM that is no leader while there is none', async () => {
+		row.unreachableFor.add('all');
+		const other = await deployment.start('later', 1, [], state => {
+			state.applyConfiguration(configuration(4, 3));
+		});
+		const vm = await deployment.start('older', 1, [other.linkAddress], state => {
+			state.applyConfiguration(configuration(3, 3));
+		});
+		await eventually(() => vm.state.table?.version === 4);
+	});
+
 	it('tells every VM of an upstream that told one of them that it leaves, whoever allocates next', async () => {
 		await startVms();
 		const upstream = {
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -62,7 +62,7 @@
 			clock, log, state, allocator, self: () => self, reachesStore: () => reachesStore,
 		});
 		channel = makeChannel();
-		host.add(channel, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, isBlank: false});
+		host.add(channel, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, configurationVersion: 0});
 	});
 
 	afterEach(() => {
@@ -92,7 +92,7 @@
 		host.receive(channel, {kind: 'ask', ask: makeDeskAsk('kept')});
 		host.receive(channel, {kind: 'ask', ask: makeDeskAsk('given-up')});
 		const next = makeChannel();
-		host.add(next, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, isBlank: false});
+		host.add(next, {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, configurationVersion: 0});
 		host.receive(next, {
 			kind: 'places', places: [{
 				ask: makeDeskAsk('kept'), upstreamId: 'one', heldMs: 10, hasFirst: false,
@@ -125,7 +125,7 @@
 				closed.push(thirdChannel);
 			},
 		});
-		host.add(thirdChannel, {kind: 'hello', member: {...self, name: 'third', boot: 'third-1'}, isBlank: false});
+		host.add(thirdChannel, {kind: 'hello', member: {...self, name: 'third', boot: 'third-1'}, configurationVersion: 0});
 		host.start(leader);
 		clock.advance(100);
 		expect(state.members).to.have.length(3);
@@ -136,7 +136,7 @@
 	});
 
 	it('count a VM with an earlier link only once', () => {
-		host.add(makeChannel(), {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, isBlank: false});
+		host.add(makeChannel(), {kind: 'hello', member: {...self, name: 'other', boot: 'other-1'}, configurationVersion: 0});
 		clock.advance(100);
 		expect(state.members.map(({name}) => name)).to.deep.equal(['vm', 'other']);
 	});
--- a/test/support/linked-vms.ts
+++ b/test/support/linked-vms.ts
@@ -97,7 +97,8 @@
 		// Instances come from `create`.
 	}
 
-	async start(name: string, strength: number, seeds: readonly string[] = []): Promise<Vm> {
+	/** @param prepare - Called with the VM's state before it looks for a leader. */
+	async start(name: string, strength: number, seeds: readonly string[] = [], prepare?: (state: DeploymentState) => void): Promise<Vm> {
 		const {row} = this;
 		const clock = SystemClock.create();
 		const log = Log.create('silent');
@@ -149,6 +150,7 @@
 			}),
 		};
 		this.vms.push(vm);
+		prepare?.(state);
 		await vm.coordinator.start();
 		return vm;
 	}
