Upstreams: what left before the store went back stays out, what came since the copy stays in

What callers saw: after the store had come back from an older copy, requests went to a server that had left before, and a server that had come in between was dropped until it registered again. Cause: a removed entry was forgotten at once, so that the same start counted as new when the copy listed it; and the time in which entries may reappear began only after an outage that was long enough to be noticed. Why this works: removed starts are remembered with the era of the store. One that a later era lists again is not used until its entry changes after the first listing of that era. VMs tell each other of departures when they link, so that a VM that started beside the older copy, and allocates, learns them. The time to reappear begins with each new era. The number in an entry (sequence) is not taken as a sign of life: it may rise without a new version, so that a copy may hold a higher one than was last seen.

--- a/src/gateway/deployment-state.ts
+++ b/src/gateway/deployment-state.ts
@@ -6,9 +6,9 @@
 import {type Member} from '../link/messages.js';
 import {type Configuration, RoutingTable} from './routing-table.js';
 import {type AgedLimit, type UpstreamLimit, UpstreamLimits} from './upstream-limits.js';
-import {
-	type Upstream, type UpstreamBoot, type UpstreamChanges, UpstreamList,
-} from './upstream-list.js';
+import {type Departure} from './departed-upstreams.js';
+import {type UpstreamBoot} from './upstream-boot.js';
+import {type Upstream, type UpstreamChanges, UpstreamList} from './upstream-list.js';
 
 /** Maximum number of names in one log line, which keeps the line below 1 KB. */
 const MAX_LOGGED_NAMES = 20;
@@ -19,6 +19,8 @@
 	onUpstreams?(changes: UpstreamChanges): void;
 	/** Upstreams told this VM, or a VM that it allocates for, that they are shutting down. */
 	onLeaving?(boots: readonly UpstreamBoot[]): void;
+	/** Upstreams that left were listed again, and are removed. */
+	onDeparted?(departures: readonly Departure[]): void;
 	/** Limits that upstreams stated in responses to this VM changed. */
 	onStatedLimits?(limits: readonly AgedLimit[]): void;
 	onMembers?(members: readonly Member[]): void;
@@ -101,6 +103,20 @@
 		}
 	}
 
+	/** Takes departures that another VM knows of, and removes upstreams that a store which went back has listed again. */
+	noteDeparted(departures: readonly Departure[]): void {
+		const effective = this.upstreams.markDeparted(departures);
+		if (effective.length === 0) {
+			return;
+		}
+
+		for (const listener of this.#listeners) {
+			listener.onDeparted?.(effective);
+		}
+
+		this.#notifyUpstreams({changed: [], removed: effective.map(({id}) => id)});
+	}
+
 	/**
 	 * Records the limit that an upstream stated in a response, or that it stated none.
 	 *
--- a/src/gateway/upstream-limits.ts
+++ b/src/gateway/upstream-limits.ts
@@ -3,7 +3,7 @@
  * for as long as it applies; a response without one ends it.
  */
 import {LRUCache} from 'lru-cache';
-import {type UpstreamBoot} from './upstream-list.js';
+import {type UpstreamBoot} from './upstream-boot.js';
 
 /** The limit of one start of an upstream. */
 export type UpstreamLimit = UpstreamBoot & {
--- a/src/gateway/upstream-list.ts
+++ b/src/gateway/upstream-list.ts
@@ -2,6 +2,8 @@
  * The current upstreams, as listed by the registry.
  */
 import {LRUCache} from 'lru-cache';
+import {DepartedUpstreams, type Departure} from './departed-upstreams.js';
+import {bootKey, type UpstreamBoot} from './upstream-boot.js';
 
 /** An upstream as listed by the registry. */
 export type Upstream = {
@@ -20,13 +22,6 @@
 	readonly startedAt: number;
 };
 
-/** Identifies one start of an upstream. */
-export type UpstreamBoot = {
-	readonly id: string;
-	/** In ms since the Unix epoch. */
-	readonly startedAt: number;
-};
-
 /** Changes to the list. */
 export type UpstreamChanges = {
 	readonly changed: readonly Upstream[];
@@ -46,6 +41,7 @@
 		return new UpstreamList();
 	}
 
+	readonly departed = DepartedUpstreams.create();
 	readonly #upstreams = new Map<string, Upstream>();
 	readonly #leavingBoots = new LRUCache<string, true>({max: MAX_LEAVING_BOOTS});
 
@@ -72,7 +68,7 @@
 
 	/** @returns The changes that had an effect. */
 	apply({changed, removed}: UpstreamChanges): UpstreamChanges {
-		const deleted = removed.filter(id => this.#upstreams.delete(id));
+		const deleted = removed.filter(id => this.#remove(id));
 		const updated: Upstream[] = [];
 		for (const upstream of changed) {
 			if (upstream.isLeaving) {
@@ -80,7 +76,13 @@
 			}
 
 			const effective = this.#withLeavingState(upstream);
-			if (!isSameEntry(this.#upstreams.get(upstream.id), effective)) {
+			const before = this.#upstreams.get(upstream.id);
+			if (before !== undefined && before.startedAt !== upstream.startedAt) {
+				this.departed.note(before);
+			}
+
+			this.departed.forget(upstream);
+			if (!isSameEntry(before, effective)) {
 				this.#upstreams.set(upstream.id, effective);
 				updated.push(effective);
 			}
@@ -107,6 +109,27 @@
 		return this.apply({changed, removed: []});
 	}
 
+	/**
+	 * Takes departures that another VM knows of, and removes the entries that the registry has brought back.
+	 *
+	 * @returns The departures that had an effect.
+	 */
+	markDeparted(departures: readonly Departure[]): Departure[] {
+		const effective: Departure[] = [];
+		for (const departure of departures) {
+			const isListed = this.#upstreams.get(departure.id)?.startedAt === departure.startedAt;
+			if (!isListed) {
+				this.departed.add(departure);
+			} else if (this.departed.isBroughtBack(departure)) {
+				this.departed.add(departure);
+				this.#remove(departure.id);
+				effective.push(departure);
+			}
+		}
+
+		return effective;
+	}
+
 	/**
 	 * @param next - The complete new list.
 	 * @returns The changes that turn this list into `next`.
@@ -119,15 +142,22 @@
 		};
 	}
 
+	/** @returns Whether it was listed. */
+	#remove(id: string): boolean {
+		const upstream = this.#upstreams.get(id);
+		if (upstream !== undefined) {
+			this.departed.note(upstream);
+			this.#upstreams.delete(id);
+		}
+
+		return upstream !== undefined;
+	}
+
 	#withLeavingState(upstream: Upstream): Upstream {
 		return this.#leavingBoots.has(bootKey(upstream)) ? {...upstream, isLeaving: true} : upstream;
 	}
 }
 
-function bootKey({id, startedAt}: UpstreamBoot): string {
-	return `${id} ${startedAt}`;
-}
-
 function isSameEntry(a: Upstream | undefined, b: Upstream): boolean {
 	return a?.pool === b.pool
 		&& a.address === b.address
--- a/src/gateway/upstream-pauses.ts
+++ b/src/gateway/upstream-pauses.ts
@@ -5,7 +5,8 @@
 import {type Clock} from '../base/clock.js';
 import {type Log} from '../base/log.js';
 import {type RetryAfter} from './call-codec.js';
-import {type UpstreamBoot, type UpstreamList} from './upstream-list.js';
+import {type UpstreamBoot} from './upstream-boot.js';
+import {type UpstreamList} from './upstream-list.js';
 
 /** Pause when the upstream's value cannot be parsed, in ms; about the time that a short queue takes to drain. */
 const DEFAULT_PAUSE_MS = 1000;
--- a/src/gateway/upstream-registry.ts
+++ b/src/gateway/upstream-registry.ts
@@ -1,13 +1,22 @@
 /**
  * Derives the upstream list used for routing from the store's entries. While the store is unreachable, entries of live
- * upstreams expire; these upstreams stay listed until they have had time to register again.
+ * upstreams expire; these upstreams stay listed until they have had time to register again. The same holds after the store
+ * came back in an earlier state, and entries that it has brought back of upstreams that left are not used.
  */
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Upstream, type UpstreamChanges, type UpstreamList} from './upstream-list.js';
 
-/** How long an entry that expired during a store outage may take to reappear after the outage, in ms. */
+/** How long an entry that expired during a store outage, or that the store forgot, may take to reappear after the store's return, in ms. */
 const REREGISTRATION_GRACE_MS = 2300;
 
+/** The state of the store in which all entries were listed. */
+export type ListedState = {
+	/** Rises when the store comes back in an earlier state. */
+	readonly era: number;
+	/** Version of the last change of each entry, by upstream. */
+	readonly versions: ReadonlyMap<string, number>;
+};
+
 /** Applies the store's changes to the upstream list, and delays removals after a store outage. */
 export class UpstreamRegistry {
 	/**
@@ -23,6 +32,8 @@
 	readonly #list: UpstreamList;
 	/** IDs of upstreams whose entries expired and may reappear. */
 	readonly #expiredIds = new Set<string>();
+	/** The first state that was listed in the present era. */
+	#firstListed: ListedState | undefined;
 	#isStoreUnreachable = false;
 	#graceEndsAt = Number.NEGATIVE_INFINITY;
 	#timer: Timer | undefined;
@@ -47,12 +58,37 @@
 	}
 
 	/** Applies the store's complete list. */
-	replace(upstreams: readonly Upstream[]): void {
-		this.apply(this.#list.diff(upstreams));
+	replace(upstreams: readonly Upstream[], state: ListedState): void {
+		const {departed} = this.#list;
+		if (this.#firstListed?.era === state.era) {
+			for (const upstream of upstreams) {
+				if (this.#firstListed.versions.get(upstream.id) !== state.versions.get(upstream.id)) {
+					departed.noteRegistered(upstream);
+				}
+			}
+		} else {
+			const knownEra = Math.max(departed.era, this.#firstListed?.era ?? 0);
+			if (knownEra > 0 && knownEra < state.era) {
+				this.#graceEndsAt = this.#clock.now() + REREGISTRATION_GRACE_MS;
+			}
+
+			this.#firstListed = state;
+			departed.beginEra(state.era);
+		}
+
+		this.#update(this.#list.diff(upstreams.filter(upstream => !departed.has(upstream))));
 	}
 
 	/** Applies changes to the store's list. */
-	apply({changed, removed}: UpstreamChanges): void {
+	apply(changes: UpstreamChanges): void {
+		for (const upstream of changes.changed) {
+			this.#list.departed.noteRegistered(upstream);
+		}
+
+		this.#update(changes);
+	}
+
+	#update({changed, removed}: UpstreamChanges): void {
 		for (const upstream of changed) {
 			this.#expiredIds.delete(upstream.id);
 		}
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -137,6 +137,11 @@
 					this.#host.publishUpstreams(changes);
 				}
 			},
+			onDeparted: departures => {
+				if (this.#role === Role.Leading) {
+					this.#host.publishDepartures(departures);
+				}
+			},
 			onLeaving: boots => {
 				this.#client?.send({kind: 'leaving', boots});
 			},
@@ -332,6 +337,12 @@
 			client.send({kind: 'leaving', boots: leaving});
 		}
 
+		const {departed} = this.#options.state.upstreams;
+		departed.beginEra(leader.term.era);
+		if (departed.all.length > 0) {
+			client.send({kind: 'departed', departures: departed.all});
+		}
+
 		const limits = this.#options.state.limits.list(this.#options.clock.now());
 		if (limits.length > 0) {
 			client.send({kind: 'limits', limits});
@@ -413,6 +424,7 @@
 			channel.send({
 				kind: 'upstreams', isWhole: true, changed: upstreams.all, removed: [],
 			});
+			channel.send({kind: 'departed', departures: upstreams.departed.all});
 			channel.send({kind: 'limits', limits: limits.list(clock.now())});
 		}
 
@@ -509,6 +521,11 @@
 				break;
 			}
 
+			case 'departed': {
+				state.noteDeparted(message.departures);
+				break;
+			}
+
 			case 'limits': {
 				state.replaceLimits(message.limits, clock.now());
 				break;
@@ -532,6 +549,7 @@
 			case 'renewed': {
 				if (this.#leader === undefined || isLater(message.leader.term, this.#leader.term)) {
 					this.#leader = message.leader;
+					state.upstreams.departed.beginEra(message.leader.term.era);
 				}
 
 				break;
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -8,6 +8,7 @@
 import {reachableShare} from '../allocation/scope.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log} from '../base/log.js';
+import {type Departure} from '../gateway/departed-upstreams.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
 import {Ending} from '../gateway/exchange-ending.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
@@ -156,6 +157,11 @@
 		this.#send(link, {
 			kind: 'upstreams', isWhole: true, changed: state.upstreams.all, removed: [],
 		});
+		const departures = state.upstreams.departed.all;
+		if (departures.length > 0) {
+			this.#send(link, {kind: 'departed', departures});
+		}
+
 		const limits = state.limits.list(now);
 		if (limits.length > 0) {
 			this.#send(link, {kind: 'limits', limits});
@@ -222,6 +228,11 @@
 				break;
 			}
 
+			case 'departed': {
+				state.noteDeparted(message.departures);
+				break;
+			}
+
 			case 'limits': {
 				state.mergeLimits(message.limits, clock.now());
 				// Also sent if nothing changed, as the VM may know less than this leader.
@@ -278,6 +289,10 @@
 		this.publishMembers();
 	}
 
+	publishDepartures(departures: readonly Departure[]): void {
+		this.#broadcast({kind: 'departed', departures}, [...this.#links.values()]);
+	}
+
 	publishUpstreams({changed, removed}: UpstreamChanges): void {
 		this.#broadcast({
 			kind: 'upstreams', isWhole: false, changed, removed,
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -5,7 +5,9 @@
 import {type ErrorKind} from '../base/errors.js';
 import {type Configuration} from '../gateway/routing-table.js';
 import {type AgedLimit} from '../gateway/upstream-limits.js';
-import {type Upstream, type UpstreamBoot} from '../gateway/upstream-list.js';
+import {type Departure} from '../gateway/departed-upstreams.js';
+import {type UpstreamBoot} from '../gateway/upstream-boot.js';
+import {type Upstream} from '../gateway/upstream-list.js';
 import {type Suspicion} from '../policy/suspicion.js';
 import {type StoreVersion} from './store-version.js';
 
@@ -50,6 +52,8 @@
 	| {readonly kind: 'release'; readonly id: string; readonly report: PlaceReport}
 	/** Upstreams that announced to the VM that they are leaving. */
 	| {readonly kind: 'leaving'; readonly boots: readonly UpstreamBoot[]}
+	/** Upstreams that were removed; sent after the welcome, since a store that went back lists them again. */
+	| {readonly kind: 'departed'; readonly departures: readonly Departure[]}
 	/** Limits that upstreams stated to the VM; after the welcome, all limits that it knows. */
 	| {readonly kind: 'limits'; readonly limits: readonly AgedLimit[]}
 	/** What the VM knows of features of requests that crash upstreams; sent after the welcome, and when an operator lifts a quarantine there. */
@@ -69,6 +73,8 @@
 	| {readonly kind: 'grant'; readonly id: string; readonly upstreamId: string; readonly expectedFirstMs: number}
 	| {readonly kind: 'refuse'; readonly id: string; readonly error: ErrorKind; readonly retryAfterMs: number}
 	| {readonly kind: 'upstreams'; readonly isWhole: boolean; readonly changed: readonly Upstream[]; readonly removed: readonly string[]}
+	/** Upstreams that were removed before the store went back and listed them again; to a VM that has just linked, all that were removed. */
+	| {readonly kind: 'departed'; readonly departures: readonly Departure[]}
 	/** Limits of upstreams that changed, or to a VM that has just linked, all in force. */
 	| {readonly kind: 'limits'; readonly limits: readonly AgedLimit[]}
 	/** Features that were in several crashes or are quarantined, and those that are cleared; to a VM that has just linked, all of them. */
--- a/test/gateway/modules.test.ts
+++ b/test/gateway/modules.test.ts
@@ -130,10 +130,11 @@
 		registry = UpstreamRegistry.create(clock, list, changes => {
 			list.apply(changes);
 		});
-		registry.replace([upstream('a'), upstream('b'), upstream('c', true)]);
+		registry.replace([upstream('a'), upstream('b'), upstream('c', true)], state(1));
 	});
 
 	const ids = () => list.all.map(({id}) => id);
+	const state = (era: number, versions: Readonly<Record<string, number>> = {}) => ({era, versions: new Map(Object.entries(versions))});
 
 	it('removes an upstream as soon as the store removes it', () => {
 		registry.apply({changed: [], removed: ['a']});
@@ -144,7 +145,7 @@
 		registry.noteStoreUnreachable();
 		clock.advance(5000);
 		registry.noteStoreReachable();
-		registry.replace([]);
+		registry.replace([], state(1));
 		expect(ids()).to.deep.equal(['a', 'b']);
 		clock.advance(1000);
 		registry.apply({changed: [upstream('a')], removed: []});
@@ -152,6 +153,53 @@
 		expect(ids()).to.deep.equal(['a']);
 	});
 
+	// Guards against upstreams that left and are used again because a store that went back lists them.
+	it('keeps out what had left before the store went back, until it registers again', () => {
+		registry.apply({changed: [], removed: ['a']});
+		registry.replace([upstream('a'), upstream('b'), upstream('c', true)], state(2, {a: 3}));
+		expect(ids()).to.deep.equal(['b', 'c']);
+		registry.replace([upstream('a'), upstream('b'), upstream('c', true)], state(2, {a: 3}));
+		expect(ids()).to.deep.equal(['b', 'c']);
+		registry.replace([upstream('a'), upstream('b')], state(3, {a: 3}));
+		expect(ids()).to.deep.equal(['b']);
+		registry.apply({changed: [upstream('a')], removed: []});
+		expect(ids()).to.deep.equal(['b', 'a']);
+	});
+
+	it('takes an entry that was written since the first listing after the store went back', () => {
+		registry.apply({changed: [], removed: ['a']});
+		registry.replace([upstream('a'), upstream('b')], state(2, {a: 3}));
+		registry.replace([upstream('a'), upstream('b')], state(2, {a: 9}));
+		expect(ids()).to.deep.equal(['b', 'a']);
+	});
+
+	it('takes an upstream that comes back while the store has not gone back', () => {
+		registry.apply({changed: [], removed: ['a']});
+		registry.replace([upstream('a'), upstream('b')], state(1));
+		expect(ids()).to.deep.equal(['b', 'a']);
+		registry.replace([upstream('a'), upstream('b')], state(2));
+		expect(ids()).to.deep.equal(['b', 'a']);
+	});
+
+	it('keeps out the start before, and keeps the present one, if the store went back over a restart', () => {
+		registry.apply({changed: [{...upstream('a'), startedAt: 2}], removed: []});
+		registry.replace([upstream('a'), upstream('b')], state(2));
+		expect(list.get('a')?.startedAt).to.equal(2);
+		registry.apply({changed: [{...upstream('a'), startedAt: 2}], removed: []});
+		clock.advance(5000);
+		expect(list.get('a')?.startedAt).to.equal(2);
+	});
+
+	// Guards against upstreams that are dropped because the store forgot them, in an outage too short to be noticed.
+	it('keeps upstreams that came since the copy until they had time to register again', () => {
+		registry.apply({changed: [upstream('new'), upstream('newer')], removed: []});
+		registry.replace([upstream('a'), upstream('b')], state(2));
+		expect(ids()).to.deep.equal(['a', 'b', 'new', 'newer']);
+		registry.apply({changed: [upstream('new')], removed: []});
+		clock.advance(2400);
+		expect(ids()).to.deep.equal(['a', 'b', 'new']);
+	});
+
 	it('removes a leaving upstream immediately, even after a store outage', () => {
 		registry.noteStoreUnreachable();
 		registry.noteStoreReachable();
--- a/test/link/restored-record.test.ts
+++ b/test/link/restored-record.test.ts
@@ -135,6 +135,35 @@
 		await eventuallyRecorded(2);
 	});
 
+	// Guards against a leader that started beside an older copy of the store, and uses upstreams that the others know to be gone.
+	it('tells a leader that has just started of upstreams that left before the store went back', async () => {
+		const upstream = {
+			id: 'gone', pool: 'desk', address: '10.0.0.1:80', dataCentre: 'a', region: 'r', slots: 1, isLeaving: false, startedAt: 1,
+		};
+		const isListed = (vm: Vm) => vm.state.upstreams.get('gone') !== undefined;
+		for (const vm of deployment.vms) {
+			vm.state.upstreams.departed.beginEra(1);
+			vm.state.applyUpstreams({changed: [upstream, {...upstream, id: 'back'}], removed: []});
+			vm.state.applyUpstreams({changed: [], removed: ['gone', 'back']});
+			deployment.row.unreachableFor.add(vm.name);
+		}
+
+		deployment.kill(leader);
+		deployment.restore(undefined);
+		const late = await deployment.start('late', 9, [], state => {
+			state.upstreams.departed.beginEra(2);
+			state.upstreams.departed.noteRegistered({id: 'back', startedAt: 1});
+			state.applyUpstreams({changed: [upstream, {...upstream, id: 'back'}], removed: []});
+		});
+		await eventually(() => late.coordinator.role === Role.Leading);
+		deployment.row.unreachableFor.clear();
+		expect(await deployment.settled(3)).to.equal(late);
+		await eventually(() => deployment.vms.every(vm => !isListed(vm)));
+		expect(deployment.vms.map(vm => vm.state.upstreams.get('back')?.id)).to.deep.equal(['back', 'back', 'back']);
+		// The others still know that it left in the earlier era.
+		expect(deployment.vms.map(vm => vm.state.upstreams.departed.all.find(({id}) => id === 'gone')?.era)).to.deep.equal([1, 1, 1]);
+	});
+
 	it('gives way to a VM that was recorded since the store went back', async () => {
 		deployment.row.unreachableFor.add(leader.name);
 		deployment.restore(earlier);
--- a/test/platform/store-restore.test.ts
+++ b/test/platform/store-restore.test.ts
@@ -1,9 +1,11 @@
 /**
  * A store that comes back from a copy some seconds old: what the VMs wrote since is gone, and versions are given out again.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {PlatformDeployment} from '../../soak/platform-deployment.js';
 import {type VmProcess} from '../../soak/vm-process.js';
+import {type PlatformServer} from '../../standins/platform-server.js';
 import {type StoreCopy} from '../../standins/platform-store.js';
 import {eventually} from '../support/eventually.js';
 
@@ -45,6 +47,61 @@
 		await eventually(() => recordedLeader() !== leader);
 	}
 
+	/** Sends more requests at a time than one server has slots. */
+	async function callAll(): Promise<number[]> {
+		const answers = await Promise.all(deployment.vms.flatMap(vm => [1, 2, 3].map(async () => deployment.call(vm, 'unsafe'))));
+		return answers.map(({status}) => status);
+	}
+
+	/** Sends requests for some time, and checks that all are answered by another server than the one that left. */
+	async function checkServedWithout(departed: PlatformServer, durationMs: number): Promise<void> {
+		const before = departed.runs.length;
+		const endsAt = performance.now() + durationMs;
+		while (performance.now() < endsAt) {
+			expect(new Set(await callAll())).to.deep.equal(new Set([200])); // eslint-disable-line no-await-in-loop
+			await sleep(100); // eslint-disable-line no-await-in-loop
+		}
+
+		expect(departed.runs).to.have.length(before);
+	}
+
+	// Guards against servers that left, without a word, and are used again because a copy lists them, and against servers that
+	// came since the copy and are dropped before they could register again.
+	it('use the servers that came, and not those that left, since the copy', async () => {
+		const departed = [...deployment.servers.values()].find(({service}) => service === 'desk')!.server;
+		const arrived = await deployment.addServer('desk', 6);
+		await eventually(async () => {
+			await callAll();
+			return arrived.runs.length > 0;
+		}, 50);
+		deployment.store.delete('servers', departed.id);
+		await eventually(async () => {
+			const before = departed.runs.length;
+			await callAll();
+			return departed.runs.length === before;
+		}, 50);
+		await checkServedWithout(departed, 300);
+		deployment.store.restore(copy);
+		await checkServedWithout(departed, 1000);
+		deployment.store.put('servers', arrived.id, arrived.entry('desk'));
+		await checkServedWithout(departed, 2500);
+
+		const leader = recordedLeader();
+		await leader.terminate('SIGKILL');
+		await eventually(() => recordedLeader() !== leader);
+		leader.start();
+		await deployment.ready();
+		await agreed();
+		await checkServedWithout(departed, 1000);
+
+		deployment.store.put('servers', departed.id, {...departed.entry('desk'), slots: 7});
+		const before = departed.runs.length;
+		await eventually(async () => {
+			await callAll();
+			return departed.runs.length > before;
+		}, 50);
+	});
+
 	/** A configuration that is too large to be sent over a link without need. */
 	function setLargeConfiguration(): void {
 		deployment.setConfiguration(['/new/', ...Array.from({length: 400}, (_, index) => `/route-${index}/`)]);
