Configuration: of two with the same version, the allocating VM's is in force everywhere

What callers saw: nothing yet. Where an operator writes a version a second time with other content, VMs that had read the first and VMs that started later acted by different rules until the next version. Cause: a configuration was compared by its number only, and each VM kept the one that it had read first. Evidence, on the logic before: coordinator.test.ts ('has its configuration in force at all VMs where another one has the same version'): 'The condition did not hold within 10 s.' Why this works: what the allocating VM sends prevails at the same number, and is logged; a lower number never does, whoever sends it.

--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -71,6 +71,8 @@
 	readonly openRequests?: () => number;
 	/** Number of features whose requests are refused because they crash upstreams. */
 	readonly quarantined?: () => number;
+	/** How often the store came back in an earlier state, as it counts. */
+	readonly storeEra: () => number;
 };
 
 /** Durations recorded in an HDR histogram and exposed as a summary in seconds, over the lifetime of the process. */
@@ -168,6 +170,7 @@
 		gauge('redwingspool_requests_open', 'Requests that were read completely and have not ended.', sources.openRequests ?? (() => 0));
 		gauge('redwingspool_waiting', 'Requests that wait in the queues.', sources.waiting);
 		gauge('redwingspool_limited_upstreams', 'Upstreams that limit the requests they take.', sources.limitedUpstreams);
+		gauge('redwingspool_store_era', 'Era of the store: rises each time it comes back in an earlier state.', sources.storeEra);
 		if (sources.quarantined !== undefined) {
 			gauge('redwingspool_quarantined', 'Features whose requests are refused because they crash upstreams.', sources.quarantined);
 		}
--- a/src/gateway/deployment-state.ts
+++ b/src/gateway/deployment-state.ts
@@ -57,9 +57,12 @@
 		this.#listeners.push(listener);
 	}
 
-	/** Activates a configuration unless the active one is as new or newer: a process never reverts to an earlier version. */
-	applyConfiguration(configuration: Configuration): void {
-		if (this.#table !== undefined && this.#table.version >= configuration.version) {
+	/**
+	 * Activates a configuration unless the active one is as new or newer: a process never reverts to an earlier version. Of
+	 * two with the same version, the leader's prevails, so that all VMs act by the same one.
+	 */
+	applyConfiguration(configuration: Configuration, isFromLeader = false): void {
+		if (this.#table !== undefined && !this.#isReplacedBy(configuration, this.#table, isFromLeader)) {
 			return;
 		}
 
@@ -167,6 +170,19 @@
 		}
 	}
 
+	#isReplacedBy(configuration: Configuration, active: RoutingTable, isFromLeader: boolean): boolean {
+		if (active.version !== configuration.version) {
+			return configuration.version > active.version;
+		}
+
+		if (JSON.stringify(active.configuration) === JSON.stringify(configuration)) {
+			return false;
+		}
+
+		this.#log.error('Two configurations have the same version.', {version: configuration.version, isReplaced: isFromLeader});
+		return isFromLeader;
+	}
+
 	/** @param toldBy - Who told this VM. */
 	#logLimits(limits: readonly UpstreamLimit[], toldBy: 'upstream' | 'vm' | 'allocator'): void {
 		for (const {id, perSecond} of limits) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -45,6 +45,8 @@
 	/** Time allowed for a graceful shutdown, in ms. */
 	readonly graceMs: number;
 	readonly reachesStore: () => boolean;
+	/** Latest era that the store named. */
+	readonly storeEra: () => number;
 	readonly onVersion: (version: number) => void;
 	readonly onWatchNeeded: (isNeeded: boolean) => void;
 };
@@ -145,6 +147,7 @@
 			openRequests: () => this.#ledger.counts.open,
 			waiting: () => this.#allocator.waitingCount,
 			limitedUpstreams: () => this.state.limits.size,
+			storeEra: options.storeEra,
 			quarantined: () => this.quarantined.length,
 		});
 	}
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -569,7 +569,7 @@
 			}
 
 			case 'configuration': {
-				state.applyConfiguration(message.configuration);
+				state.applyConfiguration(message.configuration, true);
 				break;
 			}
 
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -235,7 +235,7 @@
 		} = this.#options;
 		const {dispatcher, config: {sync, service}} = core;
 		this.metrics.registerSources({
-			invariants: this.invariants, inFlight: () => dispatcher.inFlightCount, waiting: () => dispatcher.scheduler.waitingCount, limitedUpstreams: () => 0, quarantined: () => dispatcher.scheduler.quarantinedCount,
+			invariants: this.invariants, inFlight: () => dispatcher.inFlightCount, waiting: () => dispatcher.scheduler.waitingCount, limitedUpstreams: () => 0, storeEra: () => 0, quarantined: () => dispatcher.scheduler.quarantinedCount,
 		});
 		registerConfigMetrics(this.metrics.registry, sync);
 		return EntryPart.create({
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -248,6 +248,22 @@
 		await checkLaterConfiguration(2000);
 	});
 
+	// Guards against VMs that act by different configurations because the operator wrote a version twice.
+	it('has its configuration in force at all VMs where another one has the same version', async () => {
+		await deployment.start('leader', 3, [], state => {
+			state.applyConfiguration(configuration(4, 3));
+		});
+		await settled(1);
+		const other = await deployment.start('other', 1, [], state => {
+			state.applyConfiguration(configuration(4, 2));
+			state.applyConfiguration(configuration(4, 5));
+			expect(state.table?.configuration.pools).to.have.length(2);
+		});
+		await eventually(() => other.state.table?.configuration.pools.length === 3);
+		await settled(2);
+		expect(vms.map(vm => vm.state.table?.configuration.pools.length)).to.deep.equal([3, 3]);
+	});
+
 	it('learns a later configuration from a VM that is no leader while there is none', async () => {
 		row.unreachableFor.add('all');
 		const other = await deployment.start('later', 1, [], state => {
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -147,6 +147,7 @@
 			quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000},
 			graceMs,
 			reachesStore: () => true,
+			storeEra: () => 0,
 			onVersion: () => undefined,
 			onWatchNeeded: () => undefined,
 		});
