--- a/src/link/leader-election.ts
+++ b/src/link/leader-election.ts
@@ -16,6 +16,8 @@
 export const SEARCH_INTERVAL_MS = 300;
 /** The same while the store does not answer, in ms; longer because each call to the store is billed. */
 const SEARCH_INTERVAL_WITHOUT_STORE_MS = 1000;
+/** Time between two attempts of the leader to claim a record again that the store forgot, in ms; its links hold meanwhile. */
+const RESTORE_RETRY_MS = 1000;
 /** Head start of each VM over the next weaker one when the leader is lost, in ms; a claim takes about 50 ms. */
 const CLAIM_DELAY_PER_RANK_MS = 120;
 /** Longest delay of a claim by rank, in ms. */
@@ -171,7 +173,7 @@
 		this.#isRestoring = true;
 		const {clock, isLeading} = this.#options;
 		while (isLeading() && this.#mayClaim && !this.#isStopped && !await this.#tryRestoreRecord()) { // eslint-disable-line no-await-in-loop -- attempts are sequential
-			await clock.sleep(SEARCH_INTERVAL_MS); // eslint-disable-line no-await-in-loop
+			await clock.sleep(RESTORE_RETRY_MS); // eslint-disable-line no-await-in-loop
 		}
 
 		this.#isRestoring = false;
--- a/test/link/restored-record.test.ts
+++ b/test/link/restored-record.test.ts
@@ -135,6 +135,24 @@
 		await eventuallyRecorded(2);
 	});
 
+	// Guards against two leaders, or none, where the store serves only some of the VMs that it has forgotten.
+	forEachRecord('names one leader while the store turns away half of the VMs', async record => {
+		const late = await deployment.start('late', 1.5);
+		await deployment.settled(4);
+		const served = deployment.vms.filter(vm => vm !== leader && vm !== late);
+		for (const vm of [leader, late]) {
+			deployment.row.unreachableFor.add(vm.name);
+		}
+
+		deployment.restore(record);
+		const next = await eventuallyRecorded(4);
+		expect(served).to.include(next);
+		deployment.row.unreachableFor.clear();
+		deployment.tellRecord();
+		await clock.sleep(500);
+		expect(await eventuallyRecorded(4)).to.equal(next);
+	});
+
 	// Guards against a leader that started beside an older copy of the store, and uses upstreams that the others know to be gone.
 	it('tells a leader that has just started of upstreams that left before the store went back', async () => {
 		const upstream = {
--- a/test/platform/store-restore.test.ts
+++ b/test/platform/store-restore.test.ts
@@ -114,6 +114,34 @@
 		}, 50);
 	}
 
+	// Guards against an invalid or older configuration of the store that comes into force, or after which a later one no longer does.
+	it('keep the configuration in force beside invalid and older ones, and take the next', async () => {
+		deployment.setConfiguration();
+		deployment.setConfiguration(['/new/']);
+		await eventuallyServedByAll();
+		const confirmed = deployment.store.get('op', 'config') as {version: number};
+		const {version} = confirmed;
+		const unusable: unknown[] = [
+			'{', {version: version + 1}, {...confirmed, version: String(version + 1)}, {...confirmed, version: version + 1, routes: 'none'}, {...confirmed, version: version - 1, routes: []}, {...confirmed, routes: []},
+		];
+		for (const value of unusable) {
+			deployment.store.put('op', 'config', value);
+			await sleep(300); // eslint-disable-line no-await-in-loop -- each one is read by itself
+		}
+
+		const answers = await Promise.all(deployment.vms.map(async vm => deployment.call(vm, 'safe', '/new/')));
+		expect(answers.map(({status}) => status)).to.deep.equal([200, 200, 200, 200]);
+		const countLines = (message: string) => deployment.vms.flatMap(vm => vm.log.filter(line => line.includes(message))).length;
+		expect(countLines('Manifest not readable; the one before stays in force.')).to.equal(4);
+		expect(countLines('Store has an older configuration than the one in force, which stays.')).to.equal(1);
+		expect(countLines('Two configurations have the same version.')).to.equal(1);
+		deployment.setConfiguration(['/next/']);
+		await eventually(async () => {
+			const next = await Promise.all(deployment.vms.map(async vm => deployment.call(vm, 'safe', '/next/')));
+			return next.every(({status}) => status === 200);
+		}, 50);
+	});
+
 	/** Restarts a VM and then the leader after the store has forgotten the configuration. */
 	async function checkServedAfterRestarts(): Promise<void> {
 		const leader = recordedLeader();
