Store client: deletions were left out as unusable rows

The server had left without reporting `draining`. The stand-in of the store sent an empty value, so that no test could fail. The test passes.

--- a/standins/platform-store.ts
+++ b/standins/platform-store.ts
@@ -187,7 +187,8 @@
 			check: () => {
 				const rows = [...this.#rows.values()].filter(row => row.table === table && row.ver > after).sort((a, b) => a.ver - b.ver);
 				if (rows.length > 0) {
-					this.#send(res, 200, {rows, ver: this.#version});
+					// A deleted row has no value.
+					this.#send(res, 200, {rows: rows.map(row => row.tombstone === true ? {...row, value: undefined} : row), ver: this.#version});
 				}
 
 				return rows.length > 0;
--- a/test/platform/odd-store.test.ts
+++ b/test/platform/odd-store.test.ts
@@ -49,6 +49,19 @@
 		return listed.map(({rows}) => rows.map(({key}) => key)).unwrapOr(undefined as never);
 	}
 
+	// Guards against deletions being left out as unusable rows: a server that left went on getting requests.
+	it('report a deleted row that has no value', async () => {
+		body = JSON.stringify(sound);
+		await client.list('t');
+		body = JSON.stringify({
+			...sound, rows: [{
+				table: 't', part: '', key: 'a', ver: 5, tombstone: true,
+			}],
+		});
+		const changed = await client.changes('t', {era: 1, version: 4}, 10);
+		expect(changed.unwrapOr(undefined)?.rows).to.deep.equal([{key: 'a', text: undefined, version: 5}]);
+	});
+
 	// Guards against a response of the store, or a row in it, that ends the process: the error was thrown in a promise that nothing awaits.
 	it('of any shape are a failed call or yield usable rows', async () => {
 		const at = {era: 1, version: 4};
