--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -12,11 +12,12 @@
 import {type Log, type LogFields} from '../base/log.js';
 import {type Random} from '../base/random.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
+import {tellLeader, tellVm} from './known-state.js';
 import {LeaderClient} from './leader-client.js';
-import {LeaderHost, MAX_SUSPICIONS} from './leader-host.js';
+import {LeaderHost} from './leader-host.js';
 import {isCurrent, type LeaderRecord, type LeaderRegister} from './leader-register.js';
 import {LeaderElection, SEARCH_INTERVAL_MS} from './leader-election.js';
-import {type Channel, type LinkConnection, type LinkNetwork} from './link-network.js';
+import {type LinkConnection, type LinkNetwork} from './link-network.js';
 import {
 	type FromLeader, type FromPeer, type Leader, type Member, type ToLeader, type ToPeer,
 } from './messages.js';
@@ -324,7 +325,9 @@
 	}
 
 	#becomeLinked(client: LeaderClient, leader: Leader): void {
-		const {allocation, log, onWatchNeeded} = this.#options;
+		const {
+			clock, state, allocator, allocation, log, onWatchNeeded,
+		} = this.#options;
 		this.#client = client;
 		this.#role = Role.Linked;
 		this.#leader = leader;
@@ -332,28 +335,10 @@
 		this.#watchTimer?.cancel();
 		log.info('Linked to the allocator.', {vm: leader.name, ...termFields(leader)});
 		this.#hasStartedAllocating = true;
-		const {leaving} = this.#options.state.upstreams;
-		if (leaving.length > 0) {
-			client.send({kind: 'leaving', boots: leaving});
-		}
-
-		const {departed} = this.#options.state.upstreams;
-		departed.beginEra(leader.term.era);
-		if (departed.all.length > 0) {
-			client.send({kind: 'departed', departures: departed.all});
-		}
-
-		const limits = this.#options.state.limits.list(this.#options.clock.now());
-		if (limits.length > 0) {
-			client.send({kind: 'limits', limits});
-		}
-
-		const {allocator: {quarantine}, clock} = this.#options;
-		const suspicions = quarantine.export(clock.now()).filter(({isCleared}) => !isCleared);
-		if (suspicions.length > 0) {
-			client.send({kind: 'suspicions', suspicions: suspicions.slice(0, MAX_SUSPICIONS)});
-		}
-
+		state.upstreams.departed.beginEra(leader.term.era);
+		tellLeader(message => {
+			client.send(message);
+		}, clock, state, allocator);
 		client.send({kind: 'places', places: allocation.places});
 		allocation.use(client);
 		onWatchNeeded(false);
@@ -397,7 +382,7 @@
 					this.#host.receive(channel, message);
 				} else {
 					if (message.kind === 'hello') {
-						this.#sendState(channel, message.configurationVersion);
+						tellVm(channel, this.#options.clock, this.#options.state, message.configurationVersion);
 					}
 
 					channel.send({kind: 'not-leader', leader: this.#leader});
@@ -410,27 +395,6 @@
 		});
 	}
 
-	/**
-	 * Sends a VM that found no leader a later configuration than its own; to a VM that has none, as it has just started and gets
-	 * nothing from the store, also upstreams and their limits.
-	 */
-	#sendState(channel: Channel<FromLeader | FromPeer>, configurationVersion: number): void {
-		const {clock, state: {table, upstreams, limits}} = this.#options;
-		if (table === undefined || table.version <= configurationVersion) {
-			return;
-		}
-
-		if (configurationVersion === 0) {
-			channel.send({
-				kind: 'upstreams', isWhole: true, changed: upstreams.all, removed: [],
-			});
-			channel.send({kind: 'departed', departures: upstreams.departed.all});
-			channel.send({kind: 'limits', limits: limits.list(clock.now())});
-		}
-
-		channel.send({kind: 'configuration', configuration: table.configuration});
-	}
-
 	#isConnectedToLeader(leaderBoot: string): boolean {
 		return (this.#role === Role.Leading && this.#self.boot === leaderBoot) || (this.#role === Role.Linked && this.#leader?.boot === leaderBoot);
 	}
--- a/src/link/leader-election.ts
+++ b/src/link/leader-election.ts
@@ -2,31 +2,21 @@
  * How a VM without a link finds the leader, or takes over from a lost one. The register decides between concurrent
  * claims.
  */
-import {MIN_REACHED_SHARE} from '../allocation/scope.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log} from '../base/log.js';
 import {type Random} from '../base/random.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
+import {claimDelay, firstClaimDelay} from './claim-delay.js';
 import {isCurrent, type LeaderRecord, type LeaderRegister} from './leader-register.js';
 import {type Leader, type Member} from './messages.js';
 import {type PeerCalls} from './peer-calls.js';
+import {RecordKeeper} from './record-keeper.js';
 import {isLater, type StoreVersion} from './store-version.js';
 
 /** Time between two searches for the leader, in ms. */
 export const SEARCH_INTERVAL_MS = 300;
 /** The same while the store does not answer, in ms; longer because each call to the store is billed. */
 const SEARCH_INTERVAL_WITHOUT_STORE_MS = 1000;
-/** Time between two attempts of the leader to claim a record again that the store forgot, in ms; its links hold meanwhile. */
-const RESTORE_RETRY_MS = 1000;
-/** Head start of each VM over the next weaker one when the leader is lost, in ms; a claim takes about 50 ms. */
-const CLAIM_DELAY_PER_RANK_MS = 120;
-/** Longest delay of a claim by rank, in ms. */
-const MAX_CLAIM_DELAY_MS = 1500;
-/** Delay of a claim when no other VM is known, in ms for each unit of strength below `SUFFICIENT_STRENGTH`. */
-const FIRST_CLAIM_DELAY_PER_STRENGTH_MS = 250;
-const SUFFICIENT_STRENGTH = 0.7;
-/** Upper bound of the random part of that delay, in ms; concurrent claims cost an extra call to the store. */
-const FIRST_CLAIM_JITTER_MS = 40;
 /** Addresses that one search without the store tries besides the last leader's; few, as the store may be back at the next search. */
 const MAX_LINK_ATTEMPTS = 4;
 /** Number of VMs to assume when none is known. */
@@ -67,11 +57,11 @@
 	}
 
 	readonly #options: LeaderElectionOptions;
+	readonly #keeper: RecordKeeper;
 	/** Boot ID of the last leader that was lost or could not be reached. */
 	#lostBoot: string | undefined;
 	#timer: Timer | undefined;
 	#isSearching = false;
-	#isRestoring = false;
 	#isStopped = false;
 	#mayClaim = true;
 	#leaderWithoutStoreSince: number | undefined;
@@ -79,6 +69,15 @@
 
 	private constructor(options: LeaderElectionOptions) {
 		this.#options = options;
+		this.#keeper = RecordKeeper.create({
+			clock: options.clock,
+			register: options.register,
+			candidate: () => this.#candidate(),
+			isNeeded: () => options.isLeading() && this.#mayClaim && !this.#isStopped,
+			onCurrent: record => {
+				this.#applyClaim(record);
+			},
+		});
 	}
 
 	/** Number of VMs, known or assumed. */
@@ -166,34 +165,7 @@
 
 	/** Claims the record again for this VM, which leads, unless it names a leader that was claimed since the store went back. */
 	async restoreRecord(): Promise<void> {
-		if (this.#isRestoring) {
-			return;
-		}
-
-		this.#isRestoring = true;
-		const {clock, isLeading} = this.#options;
-		while (isLeading() && this.#mayClaim && !this.#isStopped && !await this.#tryRestoreRecord()) { // eslint-disable-line no-await-in-loop -- attempts are sequential
-			await clock.sleep(RESTORE_RETRY_MS); // eslint-disable-line no-await-in-loop
-		}
-
-		this.#isRestoring = false;
-	}
-
-	/** @returns Whether the record is current now. */
-	async #tryRestoreRecord(): Promise<boolean> {
-		const {register, isLeading} = this.#options;
-		const read = await register.read();
-		if (read.isErr || !isLeading()) {
-			return false;
-		}
-
-		const restored = isCurrent(read.value) ? read : await register.claim(this.#candidate(), read.value.at);
-		if (restored.isErr || !isCurrent(restored.value)) {
-			return false;
-		}
-
-		this.#applyClaim(restored.value);
-		return true;
+		await this.#keeper.restore();
 	}
 
 	async #search(): Promise<void> {
@@ -211,7 +183,9 @@
 
 	/** @returns Time until the next search, in ms. */
 	async #findOrClaim(): Promise<number> {
-		const {register, self, linkTo, isAlone} = this.#options;
+		const {
+			register, self, linkTo, isAlone, state, random, peers, seeds,
+		} = this.#options;
 		const read = await register.read();
 		if (read.isErr) {
 			await this.#linkWithoutStore();
@@ -234,13 +208,13 @@
 		}
 
 		if (leader === undefined) {
-			await this.claimAfterDelay(record.at, undefined, this.#firstClaimDelay());
+			await this.claimAfterDelay(record.at, undefined, firstClaimDelay(self(), random));
 			return SEARCH_INTERVAL_MS;
 		}
 
 		this.noteLeaderLost(leader.boot);
-		if (isSelf || await this.#isConfirmedLost(leader)) {
-			await this.claimAfterDelay(record.at, leader, this.#claimDelay(leader));
+		if (isSelf || await peers.confirmLoss(leader, self().name, state.members, seeds)) {
+			await this.claimAfterDelay(record.at, leader, claimDelay(self(), state.members, leader.boot, random));
 		}
 
 		return SEARCH_INTERVAL_MS;
@@ -283,48 +257,17 @@
 		};
 	}
 
-	/**
-	 * Whether enough other VMs answered a probe or refused the connection, and none of them is still connected to the leader.
-	 * A VM that knows no others asks its seeds, of which none needs to be running.
-	 */
-	async #isConfirmedLost(leader: Leader): Promise<boolean> {
-		const {state, self, seeds, peers} = this.#options;
-		const members = state.members.filter(member => member.name !== self().name && member.boot !== leader.boot).map(member => member.linkAddress);
-		const others = members.length > 0 ? members : seeds.filter(address => address !== self().linkAddress);
-		const answers = await Promise.all(others.map(async address => peers.probeLeader(address, leader.boot)));
-		const answeredCount = answers.filter(answer => answer !== undefined).length;
-		return !answers.includes(true) && answeredCount >= MIN_REACHED_SHARE * members.length;
-	}
-
-	/** Delay when no other VM is known: shorter for stronger VMs, plus jitter. */
-	#firstClaimDelay(): number {
-		const {self, random} = this.#options;
-		const shortfall = Math.max(0, SUFFICIENT_STRENGTH - self().strength);
-		return (FIRST_CLAIM_DELAY_PER_STRENGTH_MS * shortfall) + (FIRST_CLAIM_JITTER_MS * random.next());
-	}
-
-	/** Delay by rank, so that stronger VMs claim first; the lost leader is not counted. */
-	#claimDelay(leader: Leader): number {
-		const {state, self} = this.#options;
-		if (state.members.length === 0) {
-			return this.#firstClaimDelay();
-		}
-
-		const {strength, name} = self();
-		const stronger = state.members.filter(member => member.boot !== leader.boot
-			&& (member.strength > strength || (member.strength === strength && member.name < name)));
-		return Math.min(MAX_CLAIM_DELAY_MS, stronger.length * CLAIM_DELAY_PER_RANK_MS);
-	}
-
 	/** Replaces a running leader that cannot reach the store, if this VM can. */
 	async #replaceLeader(): Promise<void> {
-		const {clock, register, log, leader, self, isAlone, onLeaderFound} = this.#options;
+		const {
+			clock, register, log, leader, self, isAlone, state, random, onLeaderFound,
+		} = this.#options;
 		const replaced = leader();
 		if (replaced === undefined || !this.#mayClaim) {
 			return;
 		}
 
-		await clock.sleep(this.#claimDelay(replaced));
+		await clock.sleep(claimDelay(self(), state.members, replaced.boot, random));
 		const isStillNeeded = () => leader() === replaced && !isAlone() && this.isLeaderWithoutStore && !this.#isStopped;
 		if (!isStillNeeded()) {
 			return;
--- a/src/link/peer-calls.ts
+++ b/src/link/peer-calls.ts
@@ -1,9 +1,12 @@
 /**
  * Calls between VMs outside the link to the leader, each on a separate connection.
  */
+import {MIN_REACHED_SHARE} from '../allocation/scope.js';
 import {type Clock} from '../base/clock.js';
 import {ConnectFailure, type LinkNetwork} from './link-network.js';
-import {type FromPeer, type ToPeer} from './messages.js';
+import {
+	type FromPeer, type Leader, type Member, type ToPeer,
+} from './messages.js';
 
 /** Time for the answer to a probe, in ms; the same as for connecting. */
 const PROBE_TIMEOUT_MS = 700;
@@ -63,4 +66,20 @@
 			channel.send({kind: 'probe', leaderBoot});
 		});
 	}
+
+	/**
+	 * Asks other VMs whether the leader is lost. A VM that knows no others asks its seeds, of which none needs to be running.
+	 *
+	 * @param selfName - This VM.
+	 * @param members - The known VMs.
+	 * @param seeds - Link addresses of other VMs.
+	 * @returns Whether enough other VMs answered or refused the connection, and none of them is still connected to the leader.
+	 */
+	async confirmLoss(leader: Leader, selfName: string, members: readonly Member[], seeds: readonly string[]): Promise<boolean> {
+		const others = members.filter(({name, boot}) => name !== selfName && boot !== leader.boot);
+		const addresses = others.length > 0 ? others.map(({linkAddress}) => linkAddress) : seeds;
+		const answers = await Promise.all(addresses.map(async address => this.probeLeader(address, leader.boot)));
+		const answeredCount = answers.filter(answer => answer !== undefined).length;
+		return !answers.includes(true) && answeredCount >= MIN_REACHED_SHARE * others.length;
+	}
 }
--- a/test/platform/store-era.test.ts
+++ b/test/platform/store-era.test.ts
@@ -21,7 +21,6 @@
 	let client: StoreClient;
 	let log: Log;
 	let logged: string;
-	let newEras: number;
 
 	beforeEach(async () => {
 		store = await PlatformStore.start();
@@ -32,10 +31,6 @@
 		});
 		log = Log.create('info', stream);
 		client = StoreClient.create(clock, log, store.address);
-		newEras = 0;
-		client.onNewEra = () => {
-			newEras += 1;
-		};
 	});
 
 	afterEach(() => {
@@ -96,7 +91,6 @@
 		store.mode = StoreMode.Healthy;
 		await eventually(() => rows.has('new-3'));
 		expect([...rows.keys()].toSorted()).to.deep.equal(['kept', 'new-1', 'new-2', 'new-3']);
-		expect(newEras).to.equal(1);
 		expect(countLines('Store went back to an earlier state.')).to.equal(1);
 		end();
 	});
@@ -131,7 +125,7 @@
 		store.eraText = undefined;
 		expect(await keys()).to.deep.equal(['a']);
 		expect(client.era).to.equal(2);
-		expect(newEras).to.equal(1);
+		expect(countLines('Store went back to an earlier state.')).to.equal(1);
 		expect(countLines('Response of an earlier era of the store dropped.')).to.equal(1);
 	});
 
@@ -150,7 +144,7 @@
 		}
 
 		expect(client.era).to.equal(0);
-		expect(newEras).to.equal(0);
+		expect(countLines('Store went back to an earlier state.')).to.equal(0);
 		expect(countLines('Era of the store not readable')).to.equal(1);
 	});
 
