--- a/soak/simulated-network.ts
+++ b/soak/simulated-network.ts
@@ -8,6 +8,7 @@
 import {
 	Channel, type ChannelEvents, ConnectFailure, encodeLine, LinkConnection, LinkNetwork,
 } from '../src/link/link-network.js';
+import {type MessageDecoder} from '../src/link/message-schemas.js';
 import {type ProcessClock} from './process-clock.js';
 
 /** Time after which an unanswered connection attempt fails, in ms, as with TCP. */
@@ -129,6 +130,7 @@
 class ConnectionEnd {
 	remote: ConnectionEnd | undefined;
 	events: ChannelEvents<unknown> | undefined;
+	decode: MessageDecoder<unknown> | undefined;
 	readonly #network: SimulatedNetwork;
 	readonly #clock: VirtualClock;
 	readonly #host: Host;
@@ -187,7 +189,14 @@
 
 			const line = this.#network.applyFilter(next.line, this.#peer.name, this.#host.name);
 			if (line !== undefined) {
-				this.events.onMessage(JSON.parse(line));
+				const message = this.decode!(JSON.parse(line));
+				if (message.isErr) {
+					throw new Error(`${this.#peer.name} sent a message that ${this.#host.name} cannot use: ${message.error}: ${line}`);
+				}
+
+				if (message.value !== undefined) {
+					this.events.onMessage(message.value);
+				}
 			}
 		}
 	}
@@ -207,8 +216,9 @@
 		this.#end = end;
 	}
 
-	open<Sent, Received>(events: ChannelEvents<Received>): Channel<Sent> {
+	open<Sent, Received>(events: ChannelEvents<Received>, decode: MessageDecoder<Received>): Channel<Sent> {
 		this.#end.events = events;
+		this.#end.decode = decode;
 		return new SimulatedChannel<Sent>(this.#end);
 	}
 }
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -18,6 +18,7 @@
 import {isCurrent, type LeaderRecord, type LeaderRegister} from './leader-register.js';
 import {LeaderElection, SEARCH_INTERVAL_MS} from './leader-election.js';
 import {type LinkConnection, type LinkNetwork} from './link-network.js';
+import {decodeFromLeader, decodeToVm} from './message-schemas.js';
 import {
 	type FromLeader, type FromPeer, type Leader, type Member, type ToLeader, type ToPeer,
 } from './messages.js';
@@ -389,10 +390,17 @@
 					channel.close();
 				}
 			},
+			onUnusable: reason => {
+				this.#logUnusable(reason);
+			},
 			onClose: () => {
 				this.#host.remove(channel);
 			},
-		});
+		}, decodeToVm);
+	}
+
+	#logUnusable(reason: string): void {
+		this.#options.log.warn('Message on a link not usable; the link is closed.', {err: reason});
 	}
 
 	#isConnectedToLeader(leaderBoot: string): boolean {
@@ -449,6 +457,9 @@
 						this.#handleMessage(message);
 					}
 				},
+				onUnusable: reason => {
+					this.#logUnusable(reason);
+				},
 				onClose: () => {
 					client.close();
 					resolve(false);
@@ -458,7 +469,7 @@
 						this.#becomeAlone();
 					}
 				},
-			});
+			}, decodeFromLeader);
 			const client = LeaderClient.create(clock, channel, () => {
 				channel.close();
 			});
--- a/src/link/line-channel.ts
+++ b/src/link/line-channel.ts
@@ -7,6 +7,7 @@
 import {setImmediate} from 'node:timers';
 import {parseJson} from '../base/parse-json.js';
 import {Channel, type ChannelEvents, encodeLine} from './link-network.js';
+import {type MessageDecoder} from './message-schemas.js';
 
 /** Longest line, in characters; a configuration with a few thousand routes takes about 1 MB. */
 const MAX_LINE_LENGTH = 16_777_216;
@@ -15,23 +16,26 @@
 
 /** A channel over one TCP socket. */
 export class LineChannel<Sent, Received> extends Channel<Sent> {
-	static create<Sent, Received>(socket: Socket, events: ChannelEvents<Received>): LineChannel<Sent, Received> {
-		const channel = new LineChannel<Sent, Received>(socket, events);
+	/** @param decode - Checks each line; the connection is closed at the first one that is not usable. */
+	static create<Sent, Received>(socket: Socket, events: ChannelEvents<Received>, decode: MessageDecoder<Received>): LineChannel<Sent, Received> {
+		const channel = new LineChannel<Sent, Received>(socket, events, decode);
 		channel.#attachHandlers();
 		return channel;
 	}
 
 	readonly #socket: Socket;
 	readonly #events: ChannelEvents<Received>;
+	readonly #decode: MessageDecoder<Received>;
 	readonly #decoder = new StringDecoder('utf8');
 	#sendBuffer = '';
 	#partialLine = '';
 	#isClosed = false;
 
-	private constructor(socket: Socket, events: ChannelEvents<Received>) {
+	private constructor(socket: Socket, events: ChannelEvents<Received>, decode: MessageDecoder<Received>) {
 		super();
 		this.#socket = socket;
 		this.#events = events;
+		this.#decode = decode;
 	}
 
 	send(message: Sent): void {
@@ -105,14 +109,17 @@
 				return;
 			}
 
-			const message = parseJson(line);
-			if (typeof message !== 'object' || message === null) {
+			const message = this.#decode(parseJson(line));
+			if (message.isErr) {
 				// The peer does not speak the protocol, so its connection is useless.
+				this.#events.onUnusable?.(message.error);
 				this.#socket.destroy();
 				return;
 			}
 
-			this.#events.onMessage(message as Received);
+			if (message.value !== undefined) {
+				this.#events.onMessage(message.value);
+			}
 		}
 	}
 }
--- a/src/link/link-network.ts
+++ b/src/link/link-network.ts
@@ -2,10 +2,13 @@
  * Abstract network between VMs, so that the coordination code runs both over TCP and in a simulation without sockets.
  */
 import {type Result} from 'true-myth/result';
+import {type MessageDecoder} from './message-schemas.js';
 
 /** Handlers of a channel's events. */
 export type ChannelEvents<Message> = {
 	onMessage(message: Message): void;
+	/** Something that is not usable as a message arrived; the channel closes. */
+	onUnusable?(reason: string): void;
 	/** Called once, also when the channel is closed from this side. */
 	onClose(): void;
 };
@@ -23,8 +26,12 @@
 
 /** An established connection without message handlers. */
 export abstract class LinkConnection {
-	/** Must be called once, in the event-loop turn in which the connection was handed out. */
-	abstract open<Sent, Received>(events: ChannelEvents<Received>): Channel<Sent>;
+	/**
+	 * Must be called once, in the event-loop turn in which the connection was handed out.
+	 *
+	 * @param decode - Checks what arrives.
+	 */
+	abstract open<Sent, Received>(events: ChannelEvents<Received>, decode: MessageDecoder<Received>): Channel<Sent>;
 }
 
 /** Why a connection attempt failed. */
--- a/src/link/peer-calls.ts
+++ b/src/link/peer-calls.ts
@@ -4,6 +4,7 @@
 import {MIN_REACHED_SHARE} from '../allocation/scope.js';
 import {type Clock} from '../base/clock.js';
 import {ConnectFailure, type LinkNetwork} from './link-network.js';
+import {decodeFromPeer} from './message-schemas.js';
 import {
 	type FromPeer, type Leader, type Member, type ToPeer,
 } from './messages.js';
@@ -36,7 +37,7 @@
 				onClose() {
 					// Nothing waits for the connection.
 				},
-			});
+			}, decodeFromPeer);
 			channel.send(message);
 			channel.close();
 		}
@@ -62,7 +63,7 @@
 					timer.cancel();
 					resolve(undefined);
 				},
-			});
+			}, decodeFromPeer);
 			channel.send({kind: 'probe', leaderBoot});
 		});
 	}
--- a/src/link/tcp-network.ts
+++ b/src/link/tcp-network.ts
@@ -12,6 +12,7 @@
 import {
 	type Channel, type ChannelEvents, ConnectFailure, LinkConnection, LinkNetwork,
 } from './link-network.js';
+import {type MessageDecoder} from './message-schemas.js';
 
 /** Connect timeout, in ms; covers a round trip between regions, a lost packet and a busy CPU. */
 const CONNECT_TIMEOUT_MS = 700;
@@ -91,7 +92,7 @@
 		this.#socket = socket;
 	}
 
-	open<Sent, Received>(events: ChannelEvents<Received>): Channel<Sent> {
-		return LineChannel.create<Sent, Received>(this.#socket, events);
+	open<Sent, Received>(events: ChannelEvents<Received>, decode: MessageDecoder<Received>): Channel<Sent> {
+		return LineChannel.create<Sent, Received>(this.#socket, events, decode);
 	}
 }
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -301,7 +301,7 @@
 	it('sums crashes by a prompt part over the VMs that saw them, also after a change of the leader', async () => {
 		await startVms();
 		const upstreams = Array.from({length: 8}, (_, index) => ({
-			id: `engine-${index}`, pool: 'advice', address: `engine-${index}:80`, dataCentre: 'a', region: 'r', slots: 4, isLeaving: false, startedAt: 1,
+			id: `engine-${index}`, pool: 'advice', address: `10.2.0.${index}:80`, dataCentre: 'a', region: 'r', slots: 4, isLeaving: false, startedAt: 1,
 		}));
 		for (const {state} of vms) {
 			state.applyUpstreams({changed: upstreams, removed: []});
@@ -345,7 +345,7 @@
 	it('refuses a request that crashed three upstreams, whichever VM allocates next', async () => {
 		await startVms();
 		const upstreams = ['one', 'two', 'three', 'four'].map(id => ({
-			id, pool: 'advice', address: `${id}:80`, dataCentre: 'a', region: 'r', slots: 4, isLeaving: false, startedAt: 1,
+			id, pool: 'advice', address: '10.2.0.1:80', dataCentre: 'a', region: 'r', slots: 4, isLeaving: false, startedAt: 1,
 		}));
 		for (const {state} of vms) {
 			state.applyUpstreams({changed: upstreams, removed: []});
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -1,5 +1,6 @@
 import {Socket} from 'node:net';
 import {expect} from 'chai';
+import {ok} from 'true-myth/result';
 import {Allocator} from '../../src/allocation/allocator.js';
 import {type PlaceRequest} from '../../src/allocation/allocation.js';
 import {Log} from '../../src/base/log.js';
@@ -33,7 +34,7 @@
 		onClose() {
 			// The tests call `host.remove` where they need it.
 		},
-	});
+	}, value => ok(value as ToLeader));
 }
 
 describe('links of the leader', () => {
@@ -124,7 +125,7 @@
 				host.remove(thirdChannel);
 				closed.push(thirdChannel);
 			},
-		});
+		}, value => ok(value as ToLeader));
 		host.add(thirdChannel, {kind: 'hello', member: {...self, name: 'third', boot: 'third-1'}, configurationVersion: 0});
 		host.start(leader);
 		clock.advance(100);
--- a/test/link/line-channel.test.ts
+++ b/test/link/line-channel.test.ts
@@ -3,6 +3,8 @@
 	type AddressInfo, createConnection, createServer, type Server, type Socket,
 } from 'node:net';
 import {expect} from 'chai';
+import Result, {ok} from 'true-myth/result';
+import * as z from 'zod/mini';
 import {LineChannel} from '../../src/link/line-channel.js';
 import {encodeLine} from '../../src/link/link-network.js';
 import {eventually} from '../support/eventually.js';
@@ -13,19 +15,27 @@
 	let server: Server;
 	let sender: Socket;
 	let received: Message[];
+	let reasons: string[];
 	let isClosed: boolean;
 
 	beforeEach(async () => {
 		received = [];
+		reasons = [];
 		isClosed = false;
 		server = createServer(socket => {
 			LineChannel.create<Message, Message>(socket, {
 				onMessage(message) {
 					received.push({kind: message.kind});
 				},
+				onUnusable(reason) {
+					reasons.push(reason);
+				},
 				onClose() {
 					isClosed = true;
 				},
+			}, value => {
+				const parsed = z.object({kind: z.string()}).safeParse(value);
+				return parsed.success ? ok(parsed.data.kind === 'unknown' ? undefined : parsed.data) : Result.err('no message');
 			});
 		});
 		server.listen(0, '127.0.0.1');
@@ -57,6 +67,14 @@
 			sender.write(`${line}\n${encodeLine({kind: 'after'})}`);
 			await eventually(() => isClosed);
 			expect(received).to.deep.equal([]);
+			expect(reasons).to.deep.equal(['no message']);
 		});
 	}
+
+	it('ignores messages of unknown kinds', async () => {
+		sender.write(encodeLine({kind: 'unknown'}) + encodeLine({kind: 'known'}));
+		await eventually(() => received.length === 1);
+		expect(received).to.deep.equal([{kind: 'known'}]);
+		expect(isClosed).to.equal(false);
+	});
 });
--- a/test/support/linked-vms.ts
+++ b/test/support/linked-vms.ts
@@ -115,7 +115,7 @@
 		const allocation = SwitchedAllocation.create(clock);
 		this.#startCount += 1;
 		const self: Member = {
-			name, frontAddress: `${name}:80`, linkAddress: `127.0.0.1:${await freePort()}`, dataCentre: 'a', region: 'r', strength, boot: `${name}-${this.#startCount}`, isReady: true,
+			name, frontAddress: `10.1.0.${this.#startCount}:80`, linkAddress: `127.0.0.1:${await freePort()}`, dataCentre: 'a', region: 'r', strength, boot: `${name}-${this.#startCount}`, isReady: true,
 		};
 		const vm: Vm = {
 			name,
