--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -235,6 +235,29 @@
 		expect(codec.decodeResponse(200, {}, head).limit).to.equal(undefined);
 	});
 
+	// Guards against counts of a caller that refund its quota, and against sums that no link can carry or that stay infinite for ever.
+	it('decodes numbers in headers only where they are amounts, bounded', () => {
+		const codec = HeaderCodec.create();
+		const decode = (headers: Record<string, string>) => codec.decode({url: '/', rawHeaders: [], headers: {'x-request-id': 'r', ...headers}} as unknown as IncomingMessage)!;
+		const size = (text: string, hint?: string) => decode({'x-token-count': text, ...(hint === undefined ? {} : {'x-length-hint': hint})}).generation;
+		const usual = {promptTokens: 100, maxOutputTokens: 20, expectedOutputTokens: undefined};
+		expect(size('100,20')).to.deep.equal(usual);
+		expect(size('100, 20', '-1')).to.deep.equal(usual);
+		expect(size('1e308,1e999', '1e308')).to.deep.equal({promptTokens: 1e9, maxOutputTokens: 1e9, expectedOutputTokens: 1e9});
+		for (const text of ['-100,20', '100,-20', '100', '100,', ',20', 'NaN,1', 'many,20', '']) {
+			expect(size(text), text).to.equal(undefined);
+		}
+
+		expect(decode({'x-deadline-ms': '1e308'}).patienceMs).to.equal(1e9);
+		const head = decode({});
+		const load = (text: string) => codec.decodeResponse(200, {'x-request-id': 'r', 'x-server-load': text}, head).load;
+		expect(load('3,1,8')).to.deep.equal({running: 3, waiting: 1});
+		expect(load('1e308,1e308,8')).to.deep.equal({running: 1e9, waiting: 1e9});
+		for (const text of ['-3,1,8', '3,-1,8', '3', ',,', 'NaN,NaN', '']) {
+			expect(load(text), text).to.equal(undefined);
+		}
+	});
+
 	it('encodes Retry-After in fractional seconds', () => {
 		expect(HeaderCodec.create().errorResponseHeaders(undefined, 1234)).to.deep.equal({'Retry-After': '1.234'});
 	});
