--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -2,6 +2,9 @@
  * Clock interface and the system clock. All times and durations are in milliseconds.
  */
 
+/** Longest delay that the timers of Node.js count, in ms, about 25 days; they fire at once for a longer one. */
+const MAX_DELAY_MS = 2_147_483_647;
+
 /** A pending timer. */
 export type Timer = {
 	/** Cancels the timer; has no effect once it has fired. */
@@ -52,7 +55,7 @@
 	abstract setTimer(ms: number, action: () => void): Timer;
 }
 
-/** Clock backed by the operating system. */
+/** Clock backed by the operating system. Timers with a longer delay than about 25 days fire after that time. */
 export class SystemClock extends Clock {
 	static create(): SystemClock {
 		return new SystemClock();
@@ -71,7 +74,7 @@
 	}
 
 	setTimer(ms: number, action: () => void): Timer {
-		const handle = setTimeout(action, ms);
+		const handle = setTimeout(action, Math.min(MAX_DELAY_MS, ms));
 		return {
 			cancel() {
 				clearTimeout(handle);
