--- a/soak/connection-callers.ts
+++ b/soak/connection-callers.ts
@@ -4,6 +4,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Random} from '../src/base/random.js';
 import {CallerConnection} from './caller-connection.js';
+import {extraPrefixes, versionPrefix} from './operator.js';
 import {type CallOptions, CALLER_PATIENCE_MS, type PlatformDeployment} from './platform-deployment.js';
 import {type CallKind, type SentCall} from './sent-call.js';
 import {type VmProcess} from './vm-process.js';
@@ -29,6 +30,9 @@
 /** Service times of slow requests, in ms; below the shortest time-out of a route. */
 const SLOW_SERVICE_MS = {min: 300, max: 1000} as const;
 
+/** Share of the safe requests that show which configuration is in force. */
+const PROBE_SHARE = 0.4;
+
 type Style = (session: Session) => Promise<void>;
 
 const styles = {
@@ -80,7 +84,10 @@
 	create(options: CallOptions & {readonly kind?: CallKind} = {}): SentCall {
 		const kind = options.kind ?? this.random.pick(['unsafe', 'safe', 'stream'] as const);
 		const isSlow = this.random.next() < 0.2;
+		const {version} = this.#deployment.operator.manifest;
+		const isProbe = kind === 'safe' && this.random.next() < PROBE_SHARE;
 		return this.#deployment.createCall(this.#vm, kind, {
+			...(isProbe ? {prefix: this.random.pick([versionPrefix(version), versionPrefix(version - 1), ...extraPrefixes])} : {}),
 			apiKey: this.random.pick(['key-1', 'key-1', 'key-1', 'key-2', 'key-3']),
 			...(isSlow ? {query: `ms=${this.random.integer(SLOW_SERVICE_MS.min, SLOW_SERVICE_MS.max)}`} : {}),
 			...options,
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -40,6 +40,13 @@
 /** Prefixes of routes that come and go. */
 export const extraPrefixes = ['/extra-1/', '/extra-2/', '/extra-3/'] as const;
 
+const VERSION_PREFIX = '/version-';
+
+/** @returns Prefix of the route that only this version has, which shows whether a VM has applied it. */
+export function versionPrefix(version: number): string {
+	return `${VERSION_PREFIX}${version}/`;
+}
+
 /** Changes of the manifest, by kind. */
 export const manifestChanges = {
 	moveRoute(manifest: Manifest, random: Random) {
@@ -86,7 +93,7 @@
 		manifest.tenants = hasGuest ? manifest.tenants.filter(({name}) => name !== 'guest') : [...manifest.tenants, {name: 'guest', apiKeys: ['key-3']}];
 	},
 	timeout(manifest: Manifest, random: Random) {
-		random.pick(manifest.routes).timeoutMs = random.pick(TIMEOUTS_MS);
+		random.pick(manifest.routes.filter(({prefix}) => !prefix.startsWith(VERSION_PREFIX))).timeoutMs = random.pick(TIMEOUTS_MS);
 	},
 	idleLimit(manifest: Manifest, random: Random) {
 		manifest.limits.idleTimeoutMs = random.pick(IDLE_TIMEOUTS_MS);
@@ -160,9 +167,17 @@
 		this.#write(manifest);
 	}
 
-	/** Writes the newest manifest again, as after a restore of the store that lost it. */
-	writeAgain(): void {
-		this.#store.put('op', 'config', this.manifest);
+	/**
+	 * Writes again what the store has lost.
+	 *
+	 * @param since - Time of the copy that the store came back from, in ms of `performance.now()`.
+	 * @param isInFull - Writes each version since then, and the newest one last; otherwise only that one.
+	 */
+	writeAgain(since: number, isInFull: boolean): void {
+		const lost = isInFull ? this.written.filter(({at}) => at > since) : [];
+		for (const {manifest} of [...lost, this.written.at(-1)!]) {
+			this.#store.put('op', 'config', manifest);
+		}
 	}
 
 	/** @returns Manifests that VMs may have had between two times if they apply one within `applyMs`. */
@@ -175,6 +190,8 @@
 	#write(manifest: Manifest): void {
 		this.#version += 1;
 		manifest.version = this.#version;
+		const prefix = versionPrefix(this.#version);
+		manifest.routes = [...manifest.routes.filter(route => !route.prefix.startsWith(VERSION_PREFIX)), createRoute(prefix, 'idempotent', prefix, 'desk')];
 		this.written.push({manifest, at: performance.now()});
 		this.#store.put('op', 'config', manifest);
 	}
--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -9,6 +9,7 @@
 import {clearTimeout, setTimeout} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {splitAddress} from '../src/base/address.js';
+import {type Random} from '../src/base/random.js';
 import {
 	PlatformServer, expectedBody, expectedStreamBody, type Run, targetParameter,
 } from '../standins/platform-server.js';
@@ -16,6 +17,7 @@
 import {Spans} from '../standins/spans.js';
 import {TcpProxy} from '../standins/tcp-proxy.js';
 import {freePort} from '../test/support/free-port.js';
+import {findConfigurationFaults} from './configuration-rule.js';
 import {findLimitExcess, type LimitSpan} from './limit-rule.js';
 import {type CallCircumstances, findEndingFault} from './ending-rule.js';
 import {CALLER_TIMEOUT_MS, Operator} from './operator.js';
@@ -35,12 +37,21 @@
 const LIMIT_CONTACT_MS = 4500;
 /** Time until a crashed server is replaced, in ms. */
 const RESTART_MS = 1000;
+/** Longest time between two writers that write again what the store has lost, in ms. */
+const MAX_REWRITE_INTERVAL_MS = 150;
+/** Time without disturbance after which VMs must apply configurations in time, in ms. */
+const CONTACT_MS = 3000;
+/** Row of the store that records the leader. */
+const LEADER_TABLE = 'redwingspool';
+const LEADER_KEY = 'allocator';
 const READY_TIMEOUT_MS = 20_000;
 const GET_TIMEOUT_MS = 500;
 const READY_POLL_INTERVAL_MS = 50;
 /** Time within which VMs surely apply a configuration, in ms, if they are not disturbed. */
 const MAX_APPLY_MS = 10_000;
 
+type RunsById = Map<string, Array<{readonly run: Run; readonly server: PlatformServer}>>;
+
 /** Options of a request. */
 export type CallOptions = {
 	/** Prefix of the path; that of the route for its kind by default. */
@@ -102,6 +113,10 @@
 	readonly #allServers: PlatformServer[] = [];
 	readonly #drainStartTimes = new Map<string, number>();
 	readonly #limitSpans = new Map<string, LimitSpan[]>();
+	/** Entry of each server as it was written last; `undefined` if it was removed. */
+	readonly #entries = new Map<string, Record<string, unknown> | undefined>();
+	readonly #serviceByServer = new Map<string, string>();
+	readonly #storeDisturbed = new Spans();
 	/** When VMs may receive changes of the store late. */
 	readonly #disturbed = new Spans();
 	/** Link addresses of the VMs added so far. */
@@ -128,18 +143,29 @@
 
 		this.#allServers.push(server);
 		this.servers.set(server.id, {server, service});
-		this.store.put('servers', server.id, server.entry(service));
+		this.#serviceByServer.set(server.id, service);
+		this.#putEntry(server.id, server.entry(service));
 		return server;
 	}
 
 	/** Marks a server as draining; after `DRAIN_PROPAGATION_LIMIT_MS` it must receive no more requests. */
 	drainServer(id: string): void {
 		const {server, service} = this.servers.get(id)!;
-		this.store.put('servers', id, server.entry(service, 'draining'));
+		this.#putEntry(id, server.entry(service, 'draining'));
 		this.#drainStartTimes.set(id, performance.now());
 		this.servers.delete(id);
 	}
 
+	/** Drains all servers but the newest of each service, which VMs then must use. */
+	retireOlderServers(): void {
+		for (const service of new Set([...this.servers.values()].map(entry => entry.service))) {
+			const ids = [...this.servers].filter(([, entry]) => entry.service === service).map(([id]) => id);
+			for (const id of ids.slice(0, -1)) {
+				this.drainServer(id);
+			}
+		}
+	}
+
 	/** Lets a server state a limit in its responses until the returned function ends it. */
 	limitServer(server: PlatformServer, perSecond: number): () => void {
 		const span: LimitSpan = {perSecond, from: performance.now(), until: Number.POSITIVE_INFINITY};
@@ -156,7 +182,7 @@
 		this.servers.get(id)!.server.crash();
 		this.servers.delete(id);
 		setTimeout(() => {
-			this.store.delete('servers', id);
+			this.#putEntry(id, undefined);
 		}, 1500).unref();
 	}
 
@@ -168,6 +194,21 @@
 		this.operator.writeBase(extraRoutes, apiKeys);
 	}
 
+	/** The VM that the store's record names as the leader. */
+	get recordedLeader(): VmProcess | undefined {
+		const text = this.store.getText(LEADER_TABLE, LEADER_KEY);
+		const name = text === undefined ? undefined : (JSON.parse(text) as {name: string}).name;
+		return this.vms.find(vm => vm.name === name);
+	}
+
+	/** @returns What keeps the VMs from having one leader and one list of members; `undefined` if nothing does. */
+	async disagreement(): Promise<string | undefined> {
+		const leaders = new Set(this.vms.map(vm => vm.leader));
+		const lists = await Promise.all(this.vms.map(async vm => this.addresses(vm)));
+		const isLed = leaders.size === 1 && !leaders.has(undefined);
+		return isLed && lists.every(({length}) => length === this.vms.length) ? undefined : `leaders: ${[...leaders].join(', ')}; listed VMs: ${lists.map(({length}) => length).join(', ')}`;
+	}
+
 	/** Waits until all running processes report that they are ready. */
 	async ready(): Promise<void> {
 		const end = performance.now() + READY_TIMEOUT_MS;
@@ -225,7 +266,7 @@
 		this.#nextId += 1;
 		const isGet = kind === 'safe';
 		const call: SentCall = {
-			id, kind, vm, prefix, apiKey, prompt, followsOpenRequest,
+			id, kind, vm, pid: vm.child?.pid, prefix, apiKey, prompt, followsOpenRequest,
 			method: isGet ? 'GET' : 'POST',
 			target: `${prefix}${id}?${query}`,
 			body: isGet ? '' : `body of ${id}`.padEnd(bodyBytes, '.'),
@@ -268,11 +309,10 @@
 
 	/** Checks the requests that the servers executed; call it after all requests have ended. */
 	checkServers(): void {
-		const runsById = new Map<string, Array<{readonly run: Run; readonly server: PlatformServer}>>();
+		const runsById = this.#collectRuns();
 		for (const server of this.#allServers) {
 			const drainStartedAt = this.#drainStartTimes.get(server.id);
 			for (const run of server.runs) {
-				runsById.set(run.id, [...(runsById.get(run.id) ?? []), {run, server}]);
 				const call = this.#calls.get(run.id);
 				const isBodyOfCaller = run.isBodyRead ? call?.body === run.body : call?.body.startsWith(run.body);
 				this.check(call?.target === run.target && isBodyOfCaller === true, `server ran ${run.id}, which no caller sent in this form: ${run.method} ${run.target}`);
@@ -296,6 +336,57 @@
 		}
 	}
 
+	/** Checks which configurations the VMs applied, for each start of a process; call it after all requests have ended. */
+	checkConfigurations(): void {
+		const runsById = this.#collectRuns();
+		for (const pid of new Set([...this.#calls.values()].map(call => call.pid))) {
+			const calls = [...this.#calls.values()].filter(call => call.pid === pid && !Number.isNaN(call.endedAt));
+			const handled = calls.flatMap(call => {
+				const services = new Set((runsById.get(call.id) ?? []).map(({server}) => this.#serviceByServer.get(server.id)));
+				const [from, until] = [call.startedAt - CONTACT_MS, call.endedAt];
+				const isVmDisturbed = call.vm.disturbed.overlaps(from, until);
+				const isCalm = !isVmDisturbed && !call.vm.restarting.overlaps(from, until) && !this.#storeDisturbed.overlaps(from, until);
+				return (services.size === 0 ? [undefined] : [...services]).map(service => ({
+					call, service, isCalm, isVmDisturbed,
+				}));
+			});
+			for (const fault of findConfigurationFaults(handled, this.operator.written)) {
+				this.addViolation(fault);
+			}
+
+			this.checks += handled.length;
+		}
+	}
+
+	/**
+	 * Lets the servers and the operator write again what the store has lost, in any order.
+	 *
+	 * @param since - Time of the copy that the store came back from, in ms of `performance.now()`.
+	 */
+	async writeAgain(since: number, random: Random): Promise<void> {
+		const operatorTurn = random.integer(0, this.#entries.size);
+		for (const [index, id] of shuffle([...this.#entries.keys()], random).entries()) {
+			if (index === operatorTurn) {
+				this.operator.writeAgain(since, random.next() < 0.5);
+			}
+
+			this.#putEntry(id, this.#entries.get(id));
+			await sleep(random.integer(0, MAX_REWRITE_INTERVAL_MS)); // eslint-disable-line no-await-in-loop -- one writer after the other
+		}
+
+		this.operator.writeAgain(since, false);
+	}
+
+	/** Begins a disturbance of the store, or of the way to it. The returned function ends it. */
+	disturbStore(): () => void {
+		const ends = [this.#storeDisturbed.begin(), this.#disturbed.begin()];
+		return () => {
+			for (const end of ends) {
+				end();
+			}
+		};
+	}
+
 	/** Begins a disturbance after which VMs may receive changes of the store late. The returned function ends it. */
 	beginDisturbance(): () => void {
 		return this.#disturbed.begin();
@@ -363,6 +454,27 @@
 		}
 	}
 
+	#collectRuns(): RunsById {
+		const runsById: RunsById = new Map();
+		for (const server of this.#allServers) {
+			for (const run of server.runs) {
+				runsById.set(run.id, [...(runsById.get(run.id) ?? []), {run, server}]);
+			}
+		}
+
+		return runsById;
+	}
+
+	/** Writes the entry of a server, or removes it. */
+	#putEntry(id: string, entry: Record<string, unknown> | undefined): void {
+		this.#entries.set(id, entry);
+		if (entry === undefined) {
+			this.store.delete('servers', id);
+		} else {
+			this.store.put('servers', id, entry);
+		}
+	}
+
 	#countOutcome(outcome: string): void {
 		this.counts.set(outcome, (this.counts.get(outcome) ?? 0) + 1);
 	}
@@ -455,6 +567,10 @@
 	return prompt.split(',').slice(0, -1).map(entry => entry.split(':')[0]!);
 }
 
+function shuffle<Item>(items: readonly Item[], random: Random): Item[] {
+	return items.map(item => ({item, position: random.next()})).sort((a, b) => a.position - b.position).map(({item}) => item);
+}
+
 /** @returns The time of the day as in the logs of the processes. */
 export function timestamp(ms: number): string {
 	return new Date(performance.timeOrigin + ms).toISOString();
--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -5,12 +5,10 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Random} from '../src/base/random.js';
-import {ServerMode} from '../standins/platform-server.js';
-import {StoreMode} from '../standins/platform-store.js';
-import {ProxyMode} from '../standins/tcp-proxy.js';
 import {callOnConnection} from './connection-callers.js';
-import {type ManifestChange, manifestChanges} from './operator.js';
+import {versionPrefix} from './operator.js';
 import {PlatformDeployment, timestamp} from './platform-deployment.js';
+import {faultChoices, type FaultKind, faults} from './process-faults.js';
 import {type VmProcess} from './vm-process.js';
 
 /** Mean time between two requests, in ms. */
@@ -19,139 +17,18 @@
 const MEAN_FAULT_INTERVAL_MS = 700;
 /** Maximum duration of a fault, in ms. */
 const MAX_FAULT_DURATION_MS = 2500;
-/** Limits that servers state, in requests per second, and how long they do, in ms: several windows in which requests are counted. */
-const LIMITS_PER_SECOND = [0, 0.4, 2, 7.5, 1e9] as const;
-const LIMIT_DURATION_MS = {min: 5000, max: 12_000} as const;
-/** Changes of the configuration in series, and the longest time between two of them, in ms. */
-const MAX_CHANGES_IN_SERIES = 5;
-const MAX_CHANGE_INTERVAL_MS = 500;
 /** Callers at each VM that use one connection for many requests. */
 const CONNECTIONS_PER_VM = 3;
 /** Longest time between two connections of such a caller, in ms. */
 const MAX_CONNECTION_INTERVAL_MS = 100;
-/** Time after which the platform kills a process that it has asked to stop, in ms. */
-const STOP_TIMEOUT_MS = 8000;
 /** Time after the last fault within which every VM must serve again, in ms. */
 const RECOVERY_TIMEOUT_MS = 12_000;
+/** Time after the last fault within which all VMs must follow one leader, in ms, as in the simulation of links. */
+const LINK_TIMEOUT_MS = 8000;
 /** Default number of VMs in a run. */
 export const VM_COUNT = 4;
 const SERVER_COUNT = 3;
-/** Value of `recovery` once all VMs have answered every call of a round; it is 0 until then. Any positive number would do. */
-const RECOVERED = 20;
-
-/** Entries that another writer leaves among those of the servers, as JSON. */
-const oddEntry = {
-	service: 'desk', address: '127.0.0.1:9', zone: 'zone-a', slots: 6, state: 'ready', born: 1,
-};
-const oddEntries: readonly string[] = [
-	JSON.stringify({...oddEntry, address: '127.0.0.1:70000'}),
-	JSON.stringify({...oddEntry, slots: 'many', state: 7}),
-	JSON.stringify(oddEntry).replace('6', '1e999'),
-	JSON.stringify(oddEntry).replace('"zone-a"', `${'['.repeat(20_000)}${']'.repeat(20_000)}`),
-	'{',
-];
-
-/** Injects each kind of fault, and ends it. */
-const faults = {
-	async kill(run: ProcessRun) {
-		const vm = run.pickVm();
-		await vm.terminate('SIGKILL');
-		await run.waitForFaultDuration();
-		vm.start();
-	},
-	async stop(run: ProcessRun) {
-		const vm = run.pickVm();
-		const startedAt = performance.now();
-		await vm.terminate('SIGTERM');
-		const tookMs = performance.now() - startedAt;
-		run.deployment.check(tookMs < STOP_TIMEOUT_MS || vm.disturbed.overlaps(startedAt, startedAt + tookMs), `${vm.name} took ${Math.round(tookMs)} ms to stop`);
-		vm.start();
-	},
-	async pause(run: ProcessRun) {
-		const endDisturbance = run.deployment.beginDisturbance();
-		const vm = run.pickVm();
-		vm.signal('SIGSTOP');
-		await run.waitForFaultDuration();
-		vm.signal('SIGCONT');
-		endDisturbance();
-	},
-	async hup(run: ProcessRun) {
-		run.pickVm().signal('SIGHUP');
-	},
-	async store(run: ProcessRun) {
-		const endDisturbance = run.deployment.beginDisturbance();
-		run.deployment.store.mode = run.random.pick([StoreMode.Busy, StoreMode.Silent, StoreMode.LosesAnswers]);
-		await run.waitForFaultDuration();
-		run.deployment.store.mode = StoreMode.Healthy;
-		endDisturbance();
-	},
-	async storeForgets(run: ProcessRun) {
-		run.deployment.store.compact();
-	},
-	async storeLink(run: ProcessRun) {
-		const endDisturbance = run.deployment.beginDisturbance();
-		run.deployment.storeProxy.setMode(run.random.pick([ProxyMode.Delay, ProxyMode.Silent, ProxyMode.OneWay, ProxyMode.Reset]));
-		await run.waitForFaultDuration();
-		run.deployment.storeProxy.setMode(ProxyMode.Pass);
-		endDisturbance();
-	},
-	async server(run: ProcessRun) {
-		const {server} = run.random.pick([...run.deployment.servers.values()]);
-		server.mode = run.random.pick(Object.values(ServerMode));
-		run.note(`${server.id} ${server.mode}`);
-		await run.waitForFaultDuration();
-		server.mode = ServerMode.Healthy;
-	},
-	async serverCrash(run: ProcessRun) {
-		const {server, service} = run.random.pick([...run.deployment.servers.values()]);
-		run.deployment.crashServer(server.id);
-		await run.deployment.addServer(service, server.slots);
-	},
-	async serverLeaves(run: ProcessRun) {
-		const {server, service} = run.random.pick([...run.deployment.servers.values()]);
-		await run.deployment.addServer(service, server.slots);
-		run.deployment.drainServer(server.id);
-	},
-	async limit(run: ProcessRun) {
-		const {server} = run.random.pick([...run.deployment.servers.values()]);
-		if (server.limit !== undefined) {
-			return;
-		}
-
-		const endLimit = run.deployment.limitServer(server, run.random.pick(LIMITS_PER_SECOND));
-		await sleep(run.random.integer(LIMIT_DURATION_MS.min, LIMIT_DURATION_MS.max));
-		endLimit();
-	},
-	async unusableLimit(run: ProcessRun) {
-		const {server} = run.random.pick([...run.deployment.servers.values()]);
-		if (server.limit !== undefined) {
-			return;
-		}
-
-		server.limit = run.random.pick(['many', '-1', '', '2;3']);
-		await run.waitForFaultDuration();
-		server.limit = undefined;
-	},
-	async oddEntry(run: ProcessRun) {
-		const key = `odd-${run.random.integer(1, 3)}`;
-		run.deployment.store.putText('servers', key, run.random.pick(oddEntries));
-		await run.waitForFaultDuration();
-		run.deployment.store.delete('servers', key);
-	},
-	async configuration(run: ProcessRun) {
-		for (let count = run.random.integer(1, MAX_CHANGES_IN_SERIES); count > 0; count -= 1) {
-			const change = run.random.pick(Object.keys(manifestChanges) as ManifestChange[]);
-			run.deployment.operator.change(change, run.random);
-			run.note(`${change}, version ${run.deployment.operator.manifest.version}`);
-			await sleep(run.random.integer(0, MAX_CHANGE_INTERVAL_MS)); // eslint-disable-line no-await-in-loop -- changes in series
-		}
-	},
-} as const satisfies Record<string, (run: ProcessRun) => Promise<void>>;
-
-type FaultKind = keyof typeof faults;
-
-/** The kinds as often as they are chosen: changes of the configuration and planned work are more frequent than the others. */
-const faultChoices: readonly FaultKind[] = [...Object.keys(faults) as FaultKind[], 'configuration', 'configuration', 'configuration', 'stop', 'stop', 'server'];
+const ROUND_INTERVAL_MS = 100;
 
 /** One run. */
 export class ProcessRun {
@@ -221,6 +98,7 @@
 		await this.#recover();
 		await this.deployment.checkAccounts();
 		this.deployment.checkServers();
+		this.deployment.checkConfigurations();
 	}
 
 	async #inject(kind: FaultKind): Promise<void> {
@@ -245,20 +123,31 @@
 		void promise.finally(() => pending.delete(promise)); // eslint-disable-line promise/prefer-await-to-then -- runs concurrently with other promises
 	}
 
+	/** Checks that all VMs follow one leader, serve again, and have the newest configuration and the newest servers. */
 	async #recover(): Promise<void> {
-		const end = performance.now() + RECOVERY_TIMEOUT_MS;
-		let recovery = 0;
-		while (recovery < RECOVERED && performance.now() < end) {
+		const {deployment} = this;
+		await deployment.ready();
+		const startedAt = performance.now();
+		deployment.retireOlderServers();
+		let problem: string | undefined = '';
+		let disagreement: string | undefined = '';
+		while (problem !== undefined && performance.now() < startedAt + RECOVERY_TIMEOUT_MS) {
 			/* eslint-disable no-await-in-loop -- rounds are sequential */
-			const answers = await Promise.all(this.deployment.vms.flatMap(vm => [this.deployment.call(vm, 'unsafe'), this.deployment.call(vm, 'stream')]));
-			recovery = answers.every(({status, isWhole}) => status === 200 && isWhole) ? RECOVERED : 0;
-			await sleep(100);
+			problem = await this.#findProblem();
+			disagreement = performance.now() < startedAt + LINK_TIMEOUT_MS ? await deployment.disagreement() : disagreement;
+			await sleep(ROUND_INTERVAL_MS);
 			/* eslint-enable no-await-in-loop */
 		}
 
-		this.deployment.countCheck();
-		if (recovery === 0) {
-			this.deployment.addViolation(`not all VMs serve ${RECOVERY_TIMEOUT_MS} ms after the last fault`);
-		}
+		deployment.check(disagreement === undefined, `no agreement ${LINK_TIMEOUT_MS} ms after the last fault: ${disagreement}`);
+		deployment.check(problem === undefined, `not recovered ${RECOVERY_TIMEOUT_MS} ms after the last fault: ${problem}`);
+	}
+
+	async #findProblem(): Promise<string | undefined> {
+		const {deployment} = this;
+		const newest = versionPrefix(deployment.operator.manifest.version);
+		const answers = await Promise.all(deployment.vms.flatMap(vm => [deployment.call(vm, 'unsafe'), deployment.call(vm, 'stream'), deployment.call(vm, 'safe', newest)]));
+		const failed = answers.filter(({status, isWhole}) => status !== 200 || !isWhole).map(({id, status}) => `${id} ${status}`);
+		return failed.length > 0 ? `not served: ${failed.join(', ')}` : undefined;
 	}
 }
--- a/soak/sent-call.ts
+++ b/soak/sent-call.ts
@@ -22,6 +22,8 @@
 	readonly id: string;
 	readonly kind: CallKind;
 	readonly vm: VmProcess;
+	/** Process of the VM at that time, by its ID. */
+	readonly pid: number | undefined;
 	readonly method: string;
 	/** Prefix of its route. */
 	readonly prefix: string;
--- a/soak/vm-process.ts
+++ b/soak/vm-process.ts
@@ -6,6 +6,11 @@
 import process from 'node:process';
 import {Spans} from '../standins/spans.js';
 
+/** Messages of the program about the leader. */
+const LEADING_LINES = ['"link: This VM allocates."', '"link: Recorded again as the allocator."'];
+const LINKED_LINE = '"link: Linked to the allocator."';
+const UNLINKED_LINE = '"link: Link to the allocator lost."';
+const STARTED_LINE = '"gateway: Started."';
 const MAX_LOG_LINES = 20_000;
 /** Message of the program about a violated promise. */
 const VIOLATION = 'A promise was violated.';
@@ -20,6 +25,8 @@
 	readonly metrics: string;
 	/** When the process was killed or paused. */
 	readonly disturbed = new Spans();
+	/** When the process was stopped as planned, or was starting. */
+	readonly restarting = new Spans();
 	child: ChildProcess | undefined;
 	/** Most recent lines of its output. */
 	readonly log: string[] = [];
@@ -49,6 +56,7 @@
 			env: {...process.env, REDWINGSPOOL_NODE_FILE: this.settingsPath}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		this.child = child;
+		this.restarting.begin()();
 		this.#hasLogged = false;
 		for (const stream of [child.stdout, child.stderr]) {
 			stream.setEncoding('utf8');
@@ -62,6 +70,25 @@
 		}
 	}
 
+	/** Name of the VM that allocates for this one, by the last line of its log about that; `undefined` if it allocates alone. */
+	get leader(): string | undefined {
+		for (const line of this.log.toReversed()) {
+			if (LEADING_LINES.some(message => line.includes(message))) {
+				return this.name;
+			}
+
+			if (line.includes(LINKED_LINE)) {
+				return (JSON.parse(line) as {vm: string}).vm;
+			}
+
+			if (line.includes(UNLINKED_LINE) || line.includes(STARTED_LINE)) {
+				return undefined;
+			}
+		}
+
+		return undefined;
+	}
+
 	get isRunning(): boolean {
 		return this.child?.exitCode === null && this.child.signalCode === null;
 	}
@@ -92,10 +119,10 @@
 		const {child} = this;
 		if (child !== undefined && this.isRunning) {
 			const ended = once(child, 'exit');
-			const endDisturbance = signal === 'SIGKILL' ? this.disturbed.begin() : undefined;
+			const endDisturbance = (signal === 'SIGKILL' ? this.disturbed : this.restarting).begin();
 			child.kill(signal);
 			await ended;
-			endDisturbance?.();
+			endDisturbance();
 		}
 
 		this.child = undefined;
--- a/test/soak/ending-rule.test.ts
+++ b/test/soak/ending-rule.test.ts
@@ -14,7 +14,7 @@
 
 function createCall(status: number, isWhole: boolean, changes: Partial<SentCall> = {}): SentCall {
 	return {
-		id: 'r1', kind: 'unsafe', vm, method: 'POST', prefix: '/unsafe/', target: '/unsafe/r1', body: '', apiKey: 'key-1', prompt: undefined, followsOpenRequest: false, startedAt: 100, sentAt: 100, endedAt: 500, hasCallerLeft: false,
+		id: 'r1', kind: 'unsafe', vm, pid: 1, method: 'POST', prefix: '/unsafe/', target: '/unsafe/r1', body: '', apiKey: 'key-1', prompt: undefined, followsOpenRequest: false, startedAt: 100, sentAt: 100, endedAt: 500, hasCallerLeft: false,
 		answer: {
 			id: 'r1', status, headers: {}, body: '', isWhole,
 		},
