Simulation of links: the store comes back from a copy (CONFIG)

The leader's record and the versions of the store go back to an earlier time, the era rises, and the operator writes a lost configuration again 1.5 s later. All properties are checked as before; besides, no VM's configuration may go back.

--- a/soak/link-faults.ts
+++ b/soak/link-faults.ts
@@ -10,6 +10,9 @@
 /** Size of a wall clock jump, in ms. */
 const WALL_JUMP_MS = 3_600_000;
 
+/** Ages of the copies that the store comes back from, in ms: from before the fault before it, some seconds, and from before the first claim. */
+const COPY_AGES_MS = [1500, 4000, 60_000] as const;
+
 /** The parts of the simulation that faults act on. */
 export type FaultTargets = {
 	readonly vms: number;
@@ -20,6 +23,8 @@
 	/** Ends the process of a VM immediately. */
 	readonly kill: (vm: number) => void;
 	readonly start: (vm: number) => void;
+	/** Lets the store come back from a copy of its state at a time, in ms. */
+	readonly restoreStore: (copiedAt: number) => void;
 	/** Begins a planned stop of a VM. */
 	readonly stop: (vm: number) => void;
 };
@@ -74,6 +79,11 @@
 			break;
 		}
 
+		case 'store-restored': {
+			row.unreachableFor.add('restore');
+			break;
+		}
+
 		case 'store-loses-answers': {
 			row.losesResponsesFor.add(name);
 			break;
@@ -139,6 +149,12 @@
 			break;
 		}
 
+		case 'store-restored': {
+			row.unreachableFor.delete('restore');
+			targets.restoreStore(fault.at - COPY_AGES_MS[vm % COPY_AGES_MS.length]!);
+			break;
+		}
+
 		case 'store-loses-answers': {
 			row.losesResponsesFor.delete(name);
 			break;
--- a/soak/link-plans.ts
+++ b/soak/link-plans.ts
@@ -7,9 +7,10 @@
 
 /** One fault of a VM, or of the connection between two VMs. Times are in ms from the start of the run. */
 export type LinkFault = {
-	readonly kind: 'kill' | 'stop' | 'freeze' | 'cut' | 'split' | 'isolate' | 'store-away' | 'store-away-for-all' | 'store-loses-answers' | 'store-slow' | 'wall-jump';
+	readonly kind: 'kill' | 'stop' | 'freeze' | 'cut' | 'split' | 'isolate' | 'store-away' | 'store-away-for-all' | 'store-loses-answers' | 'store-slow' | 'store-restored' | 'wall-jump';
 	readonly at: number;
 	readonly until: number;
+	/** For `store-restored`: the age of the copy, by `COPY_AGES_MS`. */
 	readonly vm: number;
 	/** For `cut`: the VM that no longer receives messages from `vm`. */
 	readonly other: number;
@@ -27,6 +28,8 @@
 export type LinkDefect = {
 	/** Claims are written without checking the term of the row. */
 	readonly claimsUnconditionally?: boolean;
+	/** Versions of different eras of the store are compared. */
+	readonly ignoresEra?: boolean;
 	readonly messageFilter?: MessageFilter;
 	/** Replaces the scope that an allocator receives when it is restarted or its share changes. */
 	readonly scope?: (scope: Scope) => Scope;
@@ -47,7 +50,7 @@
 
 type FaultKind = LinkFault['kind'];
 
-const faultKinds: readonly FaultKind[] = ['kill', 'stop', 'freeze', 'cut', 'split', 'isolate', 'store-away', 'store-away-for-all', 'store-loses-answers', 'store-slow', 'wall-jump'];
+const faultKinds: readonly FaultKind[] = ['kill', 'stop', 'freeze', 'cut', 'split', 'isolate', 'store-away', 'store-away-for-all', 'store-loses-answers', 'store-slow', 'store-restored', 'wall-jump'];
 
 /** All faults of three VMs, without their times; a fault that affects all VMs equally occurs once. */
 function distinctFaults(): Array<Pick<LinkFault, 'kind' | 'vm' | 'other'>> {
--- a/soak/link-simulation.ts
+++ b/soak/link-simulation.ts
@@ -38,6 +38,8 @@
 const STORE_LOSS_DETECTION_MS = 1300;
 /** Interval at which VMs that watch the store receive changes, in ms. */
 const WATCH_INTERVAL_MS = 100;
+/** Time until the operator has written again what the store lost, in ms. */
+const REWRITE_MS = 1500;
 const UPSTREAM_COUNT = 6;
 const SLOTS_PER_UPSTREAM = 8;
 /** The upstream that states limits, and the limits in turn, in requests per second, beginning with one that depends on the seed. It is closest to the callers and would get about 38 without one. */
@@ -72,7 +74,7 @@
 	Limit: 'limit of an upstream over all VMs',
 	/** An upstream that announced that it is leaving gets no work once all VMs know of it, and none from the VM that received the announcement. */
 	Leaving: 'no work for a leaving upstream',
-	/** A new configuration is applied by every VM. */
+	/** A new configuration is applied by every VM, and none goes back to an earlier one, even if the store did. */
 	Configuration: 'configuration in force everywhere',
 } as const;
 
@@ -105,6 +107,8 @@
 	isWatchingStore: boolean;
 	/** Term of the last allocator that it followed. */
 	term: StoreVersion;
+	/** Version of the configuration that it had when it was last checked. */
+	version: number;
 	isStopping: boolean;
 };
 
@@ -129,6 +133,9 @@
 	readonly #leaderBootByTerm = new Map<string, string>();
 	#bootCount = 0;
 	#version = 1;
+	/** Version that the store has, which may have gone back. */
+	#storedVersion = 1;
+	#versionChangedAt = Number.POSITIVE_INFINITY;
 	#leavingUpstream: Upstream | undefined;
 	#leavingAt = Number.POSITIVE_INFINITY;
 	#linkedAt: number | undefined;
@@ -137,6 +144,7 @@
 	private constructor(plan: LinkPlan) {
 		this.#plan = plan;
 		this.#random = Random.create(plan.seed);
+		this.#row.risesEra = plan.defect?.ignoresEra !== true;
 		this.#network = SimulatedNetwork.create(this.#clock, this.#random, plan.defect?.messageFilter);
 		this.#callers = SimulatedCallers.create({
 			clock: this.#clock,
@@ -184,6 +192,8 @@
 		const middleOfFaults = this.#faultsEndAt / 2;
 		this.#schedule(middleOfFaults, () => {
 			this.#version = 2;
+			this.#storedVersion = 2;
+			this.#versionChangedAt = this.#now;
 			this.#announceLeaving();
 		});
 		this.#pollStore();
@@ -289,6 +299,7 @@
 			allocation,
 			isWatchingStore: false,
 			term: {era: 0, version: 0},
+			version: 0,
 			isStopping: false,
 			coordinator: Coordinator.create({
 				clock,
@@ -350,9 +361,23 @@
 			stop: index => {
 				this.#stop(index);
 			},
+			restoreStore: copiedAt => {
+				this.#restoreStore(copiedAt);
+			},
 		};
 	}
 
+	/** The operator writes the configuration again some time later if the store lost it. */
+	#restoreStore(copiedAt: number): void {
+		this.#row.restore(copiedAt, this.#now);
+		if (copiedAt < this.#versionChangedAt) {
+			this.#storedVersion = 1;
+			this.#clock.setTimer(REWRITE_MS, () => {
+				this.#storedVersion = this.#version;
+			});
+		}
+	}
+
 	#stop(index: number): void {
 		const vm = this.#vms[index];
 		if (vm !== undefined) {
@@ -381,6 +406,7 @@
 			}
 
 			this.#checkTerm(vm);
+			this.#checkVersion(vm);
 		}
 
 		this.#clock.setTimer(WATCH_INTERVAL_MS, () => {
@@ -409,6 +435,15 @@
 		}
 	}
 
+	#checkVersion(vm: Vm): void {
+		const version = vm.state.table?.version ?? 0;
+		if (version < vm.version) {
+			this.#addViolation(LinkProperty.Configuration, `${vm.member.name} went back from version ${vm.version} to ${version}`);
+		}
+
+		vm.version = version;
+	}
+
 	get #upstreamList(): Upstream[] {
 		return Array.from({length: UPSTREAM_COUNT}, (_, index) => ({
 			id: `up-${index}`,
@@ -425,7 +460,7 @@
 
 	get #configuration(): Configuration {
 		return {
-			version: this.#version,
+			version: this.#storedVersion,
 			routes: [],
 			customers: [{
 				name: 'hot', apiKeys: [], rank: undefined, quota: {...QUOTA, isInTokens: false, plainTokens: 1},
--- a/soak/links.ts
+++ b/soak/links.ts
@@ -8,12 +8,13 @@
 
 const MAX_SHOWN = 20;
 
-function * plansOf(arguments_: {all: string; seed: string; runs: string; vms: string; part: string}): Generator<LinkPlan> {
+function * plansOf(arguments_: {all: string; seed: string; runs: string; vms: string; part: string; fault: string}): Generator<LinkPlan> {
 	if (arguments_.all !== '0') {
 		const [partIndex, partCount] = arguments_.part.split('/').map(Number) as [number, number];
 		let index = 0;
 		for (const plan of exhaustivePlans(arguments_.all === '2' ? 2 : 1, Number(arguments_.seed))) {
-			if (index % partCount === partIndex) {
+			const isChosen = arguments_.fault === '' || plan.faults.some(({kind}) => kind === arguments_.fault);
+			if (isChosen && index % partCount === partIndex) {
 				yield plan;
 			}
 
@@ -33,6 +34,7 @@
 	args: {
 		all: {type: 'string', default: '0', description: 'Run all plans with this number of faults (1 or 2) of three VMs instead of random plans'},
 		part: {type: 'string', default: '0/1', description: 'Part of all plans to run, as INDEX/PARTS, to spread them over several processes'},
+		fault: {type: 'string', default: '', description: 'Run only those of all plans that contain this kind of fault'},
 		seed: {type: 'string', default: '1', description: 'Seed of the first run; incremented for each further random run'},
 		runs: {type: 'string', default: '100', description: 'Number of random runs'},
 		vms: {type: 'string', default: '3', description: 'Number of VMs in random runs'},
--- a/soak/simulated-register.ts
+++ b/soak/simulated-register.ts
@@ -13,6 +13,8 @@
 const CALL_DURATION_MS = {min: 5, max: 60} as const;
 /** The same while the store is slow for a VM, in ms; calls time out after 1,000. */
 const SLOW_CALL_DURATION_MS = {min: 200, max: 990} as const;
+/** Time between two writes of others to the store, each of which takes a version, in ms. */
+const WRITE_INTERVAL_MS = 50;
 const unavailable: StoreError = {failure: 'unavailable', detail: 'no answer'};
 
 /** The store's row that records the leader, and the VMs that the store is failing for. */
@@ -20,24 +22,47 @@
 	leader: Leader | undefined;
 	/** Rises by one with each `restore`. */
 	era = 1;
+	/** Injected defect if it is `false`: the era stays the same, so that versions of before and after are compared. */
+	risesEra = true;
 	claims = 0;
 	readonly unreachableFor = new Set<string>();
 	readonly losesResponsesFor = new Set<string>();
 	readonly slowFor = new Set<string>();
+	/** Contents of the row and versions of the store since each change, with the times, in ms. */
+	readonly #history: Array<{readonly at: number; readonly leader: Leader | undefined; readonly version: number}> = [];
 
 	/** The record as the store tells it at present. */
 	get record(): LeaderRecord {
 		return {at: {era: this.era, version: this.leader?.term.version ?? 0}, leader: this.leader};
 	}
 
-	/** Goes back to an earlier record; versions are given out again. */
-	restore(leader: Leader | undefined): void {
+	/** Goes back to what the store contained at an earlier time; versions are given out again. Times in ms. */
+	restore(copiedAt: number, now: number): void {
+		const version = this.#versionAt(copiedAt);
+		this.leader = this.#history.findLast(entry => entry.at <= copiedAt)?.leader;
+		this.era += this.risesEra ? 1 : 0;
+		this.#history.push({at: now, leader: this.leader, version});
+	}
+
+	/** @returns The version that the next write gets. */
+	nextVersion(now: number): number {
+		return Math.max(this.#versionAt(now), (this.leader?.term.version ?? 0) + 1);
+	}
+
+	write(leader: Leader, now: number): void {
 		this.leader = leader;
-		this.era += 1;
+		this.claims += 1;
+		this.#history.push({at: now, leader, version: leader.term.version});
 	}
 
 	isUnreachableFor(name: string): boolean {
-		return this.unreachableFor.has(name) || this.unreachableFor.has('all');
+		return this.unreachableFor.has(name) || this.unreachableFor.has('all') || this.unreachableFor.has('restore');
+	}
+
+	/** Newest version of the store, which others write to as well. */
+	#versionAt(at: number): number {
+		const last = this.#history.findLast(entry => entry.at <= at);
+		return (last?.version ?? 0) + Math.floor((at - (last?.at ?? 0)) / WRITE_INTERVAL_MS);
 	}
 }
 
@@ -73,14 +98,14 @@
 
 	/** Reads the row after a lost response or one of another era, as the platform's adapter does. */
 	async claim(candidate: Omit<Leader, 'term'>, at: StoreVersion): Promise<Result<LeaderRecord, StoreError>> {
-		const {row, name, claimsUnconditionally} = this.#options;
+		const {row, clock, name, claimsUnconditionally} = this.#options;
 		await this.#delayOneWay();
 		const isDelivered = !row.isUnreachableFor(name);
 		const isClaimed = isDelivered && (row.record.at.version === at.version || claimsUnconditionally);
-		const leader: Leader = {...candidate, term: {era: at.era, version: at.version + 1}};
+		const version = claimsUnconditionally ? at.version + 1 : row.nextVersion(clock.now());
+		const leader: Leader = {...candidate, term: {era: at.era, version}};
 		if (isClaimed) {
-			row.leader = leader;
-			row.claims += 1;
+			row.write(leader, clock.now());
 		}
 
 		await this.#delayOneWay();
--- a/test/soak/links.test.ts
+++ b/test/soak/links.test.ts
@@ -82,9 +82,16 @@
 	}
 
 	const twoIsolatedVms = Array.from({length: 3}, (_, seed) => ({...createPlan(createFault('isolate', 0, 1500, 15_000), createFault('isolate', 1, 1500, 15_000)), seed}));
+	// The leader ends, the store comes back from a copy of before, and a VM ends: for any first and second VM.
+	const restores = [1, 0, 2].flatMap(first => [1, 0, 2].map(second => createPlan(createFault('kill', first, 3000, 3400), createFault('store-restored', 1, 4400, 4800), createFault('kill', second, 5000, 5400))));
+	it('violates no property when the store goes back between the ends of two VMs', async () => {
+		expect(await findViolations(restores)).to.deep.equal([]);
+	});
+
 	const defects: ReadonlyArray<readonly [LinkProperty, string, LinkDefect, LinkPlan[]?]> = [
 		[LinkProperty.OneAllocatorPerTerm, 'claims that are written without a condition', {claimsUnconditionally: true}],
 		[LinkProperty.Linked, 'member lists of the allocator that are lost in transit', {messageFilter: line => line.includes('"kind":"members"') ? undefined : line}],
+		[LinkProperty.Linked, 'versions of the store that are compared over its return to a copy', {ignoresEra: true}, restores],
 		[LinkProperty.Configuration, 'configurations that are lost in transit', {messageFilter: line => line.includes('"kind":"configuration"') ? undefined : line}],
 		[LinkProperty.Leaving, 'departures that are lost in transit', {messageFilter: line => line.includes('"kind":"leaving"') || line.includes('"kind":"upstreams"') ? undefined : line}],
 		[LinkProperty.RetryBudget, 'VMs that grant ten times their share of the retry slack', {scope: scope => ({...scope, share: scope.share * 10})}],
