Configuration: the same one, read from the store and over a link, was taken for two

What operators saw: 'Two configurations have the same version.' at each VM that had read the configuration from the store and then got it over its link. The VM replaced it by itself; callers saw nothing. Cause: the two were compared as text. Since messages between VMs are checked by a schema, their fields come in its order. They are compared by their values now, and the file passes.

--- a/src/gateway/deployment-state.ts
+++ b/src/gateway/deployment-state.ts
@@ -2,6 +2,7 @@
  * A VM's view of the deployment: active configuration, upstreams and other VMs. Changes are reported to the components
  * that depend on them; configuration changes are logged with their version.
  */
+import {isDeepStrictEqual} from 'node:util';
 import {type Log, type LogFields} from '../base/log.js';
 import {type Member} from '../link/messages.js';
 import {type Configuration, RoutingTable} from './routing-table.js';
@@ -175,7 +176,7 @@
 			return configuration.version > active.version;
 		}
 
-		if (JSON.stringify(active.configuration) === JSON.stringify(configuration)) {
+		if (isSameConfiguration(active.configuration, configuration)) {
 			return false;
 		}
 
@@ -225,3 +226,9 @@
 function vmLogFields(vms: readonly Member[]): LogFields {
 	return {count: vms.length, vms: vms.slice(0, MAX_LOGGED_NAMES).map(({name}) => name).join(',')};
 }
+
+/** Compares values only: one of the two may have come over a link, which keeps neither the order of fields nor undefined ones. */
+function isSameConfiguration(a: Configuration, b: Configuration): boolean {
+	const withoutUndefined = (configuration: Configuration): unknown => JSON.parse(JSON.stringify(configuration)); // eslint-disable-line unicorn/prefer-structured-clone -- drops undefined fields
+	return isDeepStrictEqual(withoutUndefined(a), withoutUndefined(b));
+}
