--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -13,7 +13,7 @@
 import {
 	PlatformServer, expectedBody, expectedStreamBody, type Run, targetParameter,
 } from '../standins/platform-server.js';
-import {PlatformStore} from '../standins/platform-store.js';
+import {PlatformStore, type StoreCopy} from '../standins/platform-store.js';
 import {Spans} from '../standins/spans.js';
 import {TcpProxy} from '../standins/tcp-proxy.js';
 import {freePort} from '../test/support/free-port.js';
@@ -86,6 +86,7 @@
 		}
 
 		deployment.setConfiguration();
+		deployment.firstCopy = store.copy();
 		for (let index = 0; index < vmCount; index += 1) {
 			await deployment.#addVm(index); // eslint-disable-line no-await-in-loop
 		}
@@ -107,6 +108,8 @@
 	/** Times of the crashes by such parts, in ms of `performance.now()`. */
 	readonly deadlyCrashes: number[] = [];
 	checks = 0;
+	/** Copy of the store from before the first VM started. */
+	firstCopy: StoreCopy;
 	readonly #folder: string;
 	readonly #agent = new Agent({keepAlive: true, maxSockets: 60});
 	readonly #calls = new Map<string, SentCall>();
@@ -127,6 +130,7 @@
 		this.store = store;
 		this.operator = Operator.create(store);
 		this.storeProxy = storeProxy;
+		this.firstCopy = store.copy();
 		this.#folder = folder;
 	}
 
--- a/soak/process-faults.ts
+++ b/soak/process-faults.ts
@@ -19,6 +19,8 @@
 /** Age of the copy that the store comes back from, and how long the store is away before that, in ms. */
 const COPY_AGE_MS = {min: 500, max: 4000} as const;
 const STORE_AWAY_MS = {min: 300, max: 3000} as const;
+/** Share of the returns to a copy of before the VMs started. */
+const FIRST_COPY_SHARE = 0.3;
 
 /** Entries that another writer leaves among those of the servers, as JSON. */
 const oddEntry = {
@@ -69,14 +71,16 @@
 	/** The store is away for a moment and comes back from a copy; what was written meanwhile is written again. */
 	async restore(run: ProcessRun) {
 		const {store} = run.deployment;
-		const [copy, copiedAt] = [store.copy(), performance.now()];
+		// In the first copy is nothing that the VMs wrote.
+		const isFirstCopy = run.random.next() < FIRST_COPY_SHARE;
+		const [copy, copiedAt] = isFirstCopy ? [run.deployment.firstCopy, 0] : [store.copy(), performance.now()];
 		await sleep(run.random.integer(COPY_AGE_MS.min, COPY_AGE_MS.max));
 		const endDisturbance = run.deployment.disturbStore();
 		store.mode = run.random.pick([StoreMode.Busy, StoreMode.Silent]);
 		await sleep(run.random.integer(STORE_AWAY_MS.min, STORE_AWAY_MS.max));
 		store.restore(copy);
 		store.mode = StoreMode.Healthy;
-		run.note(`store restored, era ${store.era}`);
+		run.note(`store restored, era ${store.era}${isFirstCopy ? ', first copy' : ''}`);
 		await run.deployment.writeAgain(copiedAt, run.random);
 		endDisturbance();
 	},
