Callers' connections: a connection on which nothing had been sent was answered 408

What callers saw: a response on a connection on which no request waited, once a new connection had been silent for the header limit; a caller that sent its first request then could take it for the answer to that one. The account counted a request that never came. Cause: the timer for heads starts with the connection, and its expiry was always answered. Such a connection is closed without an answer now.

--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -38,6 +38,8 @@
 const MAX_ROUTE_RANK = RANKS_PER_CUSTOMER_RANK - 1;
 /** The caller closed the connection inside a request. */
 const INCOMPLETE_REQUEST_CODE = 'HPE_INVALID_EOF_STATE';
+/** The head of a request was not complete within its limit. */
+const HEAD_TIMEOUT_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
 const statusLines: Readonly<Record<number, string>> = {
 	400: '400 Bad Request', 405: '405 Method Not Allowed', 408: '408 Request Timeout', 431: '431 Request Header Fields Too Large',
 };
@@ -293,7 +295,13 @@
 			return;
 		}
 
-		const status = code === 'HPE_HEADER_OVERFLOW' ? 431 : (code === 'ERR_HTTP_REQUEST_TIMEOUT' ? 408 : 400);
+		if (code === HEAD_TIMEOUT_CODE && socket.bytesRead === 0) {
+			// Nothing was asked, so there is nothing to answer.
+			socket.destroySoon();
+			return;
+		}
+
+		const status = code === 'HPE_HEADER_OVERFLOW' ? 431 : (code === HEAD_TIMEOUT_CODE ? 408 : 400);
 		this.#rejectUnread(socket, status, code);
 	}
 
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -92,6 +92,15 @@
 		expect(caller.text.indexOf('answer to a')).to.be.within(1, caller.text.lastIndexOf('HTTP/1.1'));
 	});
 
+	// Guards against bytes that no request waits for, which a caller may take for the answer to the next one.
+	it('closes a connection on which nothing was sent within the header limit, without an answer', async () => {
+		harness.setLimits({headerTimeoutMs: 300});
+		const caller = harness.connect();
+		await eventually(() => caller.isClosed, 100);
+		expect(caller.text).to.equal('');
+		expect(harness.ledger.counts.begun).to.equal(0);
+	});
+
 	it('answers 408 to a head that is not complete within the header limit, and passes on nothing of it', async () => {
 		harness.setLimits({headerTimeoutMs: 300});
 		const caller = harness.connect();
