Upstreams: one that came in the lost seconds was dropped for good at the VMs that linked to a new leader

What callers saw: 503 at a VM while others served, once only servers were left that had registered shortly before the store went back; until then, grants of such a server were returned by that VM. Cause: a VM that watches the store keeps what it misses there for 2.3 s. If it links meanwhile, the leader's list is in use, but the time ran on and removed the server; the leader, which lists it, never sends it again. Likewise an entry that was listed again, unchanged, within that time was removed at its end. Evidence, found by a reviewer: four real processes, the leader killed while the store is away: statuses [200, 503, 503], 'Upstream gone.' at both followers; modules.test.ts: expected [ 'a' ] to deeply equal [ 'a', 'b' ]. What was about to be removed is forgotten when another VM's list comes into use, and when the store lists it.

--- a/src/gateway/upstream-registry.ts
+++ b/src/gateway/upstream-registry.ts
@@ -57,9 +57,20 @@
 		}
 	}
 
+	/** Called when another VM's list comes into use in place of the store's. */
+	suspend(): void {
+		this.#expiredIds.clear();
+		this.#timer?.cancel();
+		this.#timer = undefined;
+	}
+
 	/** Applies the store's complete list. */
 	replace(upstreams: readonly Upstream[], state: ListedState): void {
 		const {departed} = this.#list;
+		for (const {id} of upstreams) {
+			this.#expiredIds.delete(id);
+		}
+
 		if (this.#firstListed?.era === state.era) {
 			for (const upstream of upstreams) {
 				if (this.#firstListed.versions.get(upstream.id) !== state.versions.get(upstream.id)) {
--- a/test/gateway/modules.test.ts
+++ b/test/gateway/modules.test.ts
@@ -136,6 +136,24 @@
 	const ids = () => list.all.map(({id}) => id);
 	const state = (era: number, versions: Readonly<Record<string, number>> = {}) => ({era, versions: new Map(Object.entries(versions))});
 
+	// Guards against upstreams of the leader's list that are removed by what this VM saw in the store before it linked.
+	it('removes nothing once the list of another VM is in use', () => {
+		registry.replace([upstream('a')], state(2));
+		registry.suspend();
+		list.apply(list.diff([upstream('a'), upstream('b')]));
+		clock.advance(6000);
+		expect(ids()).to.deep.equal(['a', 'b']);
+	});
+
+	// Guards against upstreams that are removed although they have registered again, unchanged.
+	it('keeps an upstream that is listed again before the time to register again is over', () => {
+		registry.replace([upstream('a')], state(2));
+		clock.advance(300);
+		registry.replace([upstream('a'), upstream('b')], state(2));
+		clock.advance(6000);
+		expect(ids()).to.deep.equal(['a', 'b']);
+	});
+
 	it('removes an upstream as soon as the store removes it', () => {
 		registry.apply({changed: [], removed: ['a']});
 		expect(ids()).to.deep.equal(['b', 'c']);
--- a/test/platform/store-restore.test.ts
+++ b/test/platform/store-restore.test.ts
@@ -6,7 +6,7 @@
 import {PlatformDeployment} from '../../soak/platform-deployment.js';
 import {type VmProcess} from '../../soak/vm-process.js';
 import {type PlatformServer} from '../../standins/platform-server.js';
-import {type StoreCopy} from '../../standins/platform-store.js';
+import {type StoreCopy, StoreMode} from '../../standins/platform-store.js';
 import {eventually} from '../support/eventually.js';
 
 describe('platform processes and a store that goes back', function () {
@@ -102,6 +102,26 @@
 		}, 50);
 	});
 
+	// Guards against VMs that drop such a server for good because they had watched the store before they linked to the new leader.
+	it('use a server that came since the copy at each VM if the leader ends while the store is away', async () => {
+		const arrived = await deployment.addServer('desk', 6);
+		await sleep(1500);
+		const leader = recordedLeader();
+		deployment.store.mode = StoreMode.Busy;
+		await leader.terminate('SIGKILL');
+		await sleep(1500);
+		deployment.store.restore(copy);
+		deployment.store.mode = StoreMode.Healthy;
+		await sleep(1200);
+		deployment.store.put('servers', arrived.id, arrived.entry('desk'));
+		await sleep(4000);
+		const before = [...deployment.servers.values()].find(({service, server}) => service === 'desk' && server !== arrived)!.server;
+		deployment.drainServer(before.id);
+		await sleep(3000);
+		const answers = await Promise.all(deployment.vms.filter(vm => vm !== leader).map(async vm => deployment.call(vm, 'unsafe')));
+		expect(answers.map(({status}) => status)).to.deep.equal([200, 200, 200]);
+	});
+
 	/** A configuration that is too large to be sent over a link without need. */
 	function setLargeConfiguration(): void {
 		deployment.setConfiguration(['/new/', ...Array.from({length: 400}, (_, index) => `/route-${index}/`)]);
