Upstreams: a timer ran each millisecond while the store was away for a second time

Cause: the removal of what expired was planned for the end of the time to register again, also when that was over and the store away. Evidence: modules.test.ts, 'waits for the store to return before it removes what expired': expected 5702 to be below 5 (timers in 8 s). It is planned only while the store is reached, and again when it returns. The test passes.

--- a/src/gateway/upstream-registry.ts
+++ b/src/gateway/upstream-registry.ts
@@ -54,6 +54,7 @@
 		if (this.#isStoreUnreachable) {
 			this.#isStoreUnreachable = false;
 			this.#graceEndsAt = this.#clock.now() + REREGISTRATION_GRACE_MS;
+			this.#scheduleRemoval();
 		}
 	}
 
@@ -125,7 +126,7 @@
 	}
 
 	#scheduleRemoval(): void {
-		if (this.#expiredIds.size === 0 || this.#timer !== undefined) {
+		if (this.#expiredIds.size === 0 || this.#timer !== undefined || this.#isStoreUnreachable) {
 			return;
 		}
 
--- a/test/gateway/modules.test.ts
+++ b/test/gateway/modules.test.ts
@@ -154,6 +154,25 @@
 		expect(ids()).to.deep.equal(['a', 'b']);
 	});
 
+	// Guards against a timer that runs each ms while the store is away.
+	it('waits for the store to return before it removes what expired', () => {
+		let timers = 0;
+		const {setTimer} = clock;
+		clock.setTimer = (ms, callback) => {
+			timers += 1;
+			return setTimer.call(clock, ms, callback);
+		};
+
+		registry.replace([upstream('a')], state(2));
+		registry.noteStoreUnreachable();
+		clock.advance(8000);
+		expect(timers).to.be.below(5);
+		expect(ids()).to.deep.equal(['a', 'b']);
+		registry.noteStoreReachable();
+		clock.advance(3000);
+		expect(ids()).to.deep.equal(['a']);
+	});
+
 	it('removes an upstream as soon as the store removes it', () => {
 		registry.apply({changed: [], removed: ['a']});
 		expect(ids()).to.deep.equal(['b', 'c']);
