Leader record: a VM that had not called the store since it went back could not take over

What callers saw: by reading, a planned stop of the leader after a return of the store waits 0.5 s for a successor and then leaves all VMs alone for a search; a handover to a stronger VM is lost. Cause: no write is conditional on a version of another era than the latest that the process has read, and a linked VM reads nothing. Evidence, found by a reviewer: store-era.test.ts, 'can be claimed from by a VM that was told of a later era by another': expected 'b1' to equal 'b2'.

--- a/test/platform/store-era.test.ts
+++ b/test/platform/store-era.test.ts
@@ -192,4 +192,17 @@
 		expect(claimed.unwrapOr(undefined as never)).to.deep.equal({at: {era: 2, version: 0}, leader: undefined});
 		expect(store.get('redwingspool', 'allocator')).to.equal(undefined);
 	});
+
+	// Guards against a leader whose successor cannot take over, since it has not called the store since that went back.
+	it('can be claimed from by a VM that was told of a later era by another', async () => {
+		const other = StoreClient.create(clock, log, store.address);
+		const [leaderRow, successorRow] = [LeaderRow.create(other), LeaderRow.create(client)];
+		await successorRow.read();
+		store.restore(store.copy());
+		const read = await leaderRow.read();
+		const led = await leaderRow.claim(candidate, read.unwrapOr(undefined)!.at);
+		const claimed = await successorRow.claim({...candidate, boot: 'b2'}, led.unwrapOr(undefined)!.leader!.term);
+		other.close();
+		expect(claimed.unwrapOr(undefined)?.leader?.boot).to.equal('b2');
+	});
 });
