Quotas: a refusal while nothing may be granted closed the link of its VM

What callers saw: nothing yet; by reading, `Retry-After: Infinity`, and a link that closes at each refusal of a customer beyond its quota, while a leader hears few VMs or does not reach the store and the customer's burst is large against the tolerance. Cause: the time until a quota suffices was divided by a share of 0. JSON carries no infinity, and messages between VMs are checked now. Evidence, found by a reviewer: message-schemas.test.ts, 'carry refusals by a quota of which nothing may be granted': Infinity: expected false to equal true. The time is one minute at most.

--- a/src/allocation/quotas.ts
+++ b/src/allocation/quotas.ts
@@ -7,6 +7,8 @@
 import {OverageWindow} from './overage-window.js';
 
 const MS_PER_SECOND = 1000;
+/** Longest time that a customer is told to wait for its quota, in ms. */
+const MAX_WAIT_MS = 60_000;
 
 /** How far the deployment allows a customer to exceed its quota. */
 export type QuotaTolerance = {
@@ -143,7 +145,8 @@
 			return 0;
 		}
 
-		return Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / (bucket.quota.perSecond * share));
+		// Nothing may be granted while the share is 0, so the time would be infinite.
+		return Math.min(MAX_WAIT_MS, Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / (bucket.quota.perSecond * share)));
 	}
 
 	/** Refunds the cost of a request that did not run. */
--- a/test/link/message-schemas.test.ts
+++ b/test/link/message-schemas.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
+import {Quotas} from '../../src/allocation/quotas.js';
 import {ErrorKind} from '../../src/base/errors.js';
 import {Ending} from '../../src/gateway/exchange-ending.js';
 import {Operation} from '../../src/gateway/routing-table.js';
@@ -159,4 +160,23 @@
 			expect(decode(message).isErr, JSON.stringify(message)).to.equal(true);
 		}
 	});
+
+	// Guards against refusals that close the link: JSON carries no infinity.
+	it('carry refusals by a quota of which nothing may be granted', () => {
+		const quotas = Quotas.create({ratio: 0.1, slack: 100, windowMs: 8000});
+		quotas.setCustomers([{
+			name: 'hot', apiKeys: [], rank: undefined, quota: {
+				perSecond: 10, burst: 400, isInTokens: false, plainTokens: 1,
+			},
+		}], 0);
+		quotas.setShare(0.25, 0);
+		const waits = Array.from({length: 20}, () => quotas.spend('hot', 1, false, 0)).filter(ms => ms > 0);
+		expect(waits).to.have.length.above(0);
+		for (const retryAfterMs of waits) {
+			const refusal: FromLeader = {
+				kind: 'refuse', id: 'a', error: ErrorKind.RateLimited, retryAfterMs,
+			};
+			expect(decodeFromLeader(parseJson(JSON.stringify(refusal))).isOk, String(retryAfterMs)).to.equal(true);
+		}
+	});
 });
