Planned stop: with little time allowed, requests were taken after its end

Cause: requests that may be repeated are taken for 2.5 s, also where the stop ends before; with 8 s allowed nothing changes. Evidence, found by a reviewer: planned-stop.test.ts, 'takes nothing after the end of a stop for which little time is allowed': expected true to equal false.

--- a/src/gateway/planned-stop.ts
+++ b/src/gateway/planned-stop.ts
@@ -51,7 +51,7 @@
 		const now = this.#clock.now();
 		const isRepeatable = operation === Operation.Safe || (operation === Operation.Stream && isResumable);
 		const isTaken = deadlineAt + DEADLINE_GRACE_MS + DELIVERY_MARGIN_MS <= this.endsAt
-			|| (isRepeatable && now <= this.startedAt + REPEATABLE_PERIOD_MS);
+			|| (isRepeatable && now <= Math.min(this.startedAt + REPEATABLE_PERIOD_MS, this.endsAt));
 		if (isTaken) {
 			this.#lastTakenAt = now;
 		}
--- a/test/gateway/planned-stop.test.ts
+++ b/test/gateway/planned-stop.test.ts
@@ -1,6 +1,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {setTimeout} from 'node:timers';
 import {expect} from 'chai';
+import {VirtualClock} from '../../src/base/virtual-clock.js';
+import {PlannedStop} from '../../src/gateway/planned-stop.js';
+import {Operation, type Route} from '../../src/gateway/routing-table.js';
 import {eventually} from '../support/eventually.js';
 import {
 	type ReceivedRequest, formatChunk, formatResponse, formatStreamHead,
@@ -252,3 +255,13 @@
 		await stopped;
 	});
 });
+
+describe('schedule of a planned stop', () => {
+	// Guards against requests that are taken after those that are open got their final answer, and cut when the process exits.
+	it('takes nothing after the end of a stop for which little time is allowed', () => {
+		const clock = VirtualClock.create();
+		const stop = PlannedStop.create(clock, 2000);
+		clock.advance(1500);
+		expect(stop.take({operation: Operation.Safe, isResumable: false} as Route, clock.now() + 3000)).to.equal(false);
+	});
+});
