--- a/soak/link-simulation.ts
+++ b/soak/link-simulation.ts
@@ -289,7 +289,7 @@
 			},
 		});
 		const member: Member = {
-			name, frontAddress: `10.0.0.${index}:80`, linkAddress: `10.0.0.${index}:81`, dataCentre: 'a', region: 'r', strength: 1 - (index / 1000), boot: `${name}-${this.#bootCount}`, isReady: true,
+			name, frontAddress: addressOf(index, 80), linkAddress: addressOf(index, 81), dataCentre: 'a', region: 'r', strength: 1 - (index / 1000), boot: `${name}-${this.#bootCount}`, isReady: true,
 		};
 		const allocation = SwitchedAllocation.create(clock);
 		const vm: Vm = {
@@ -342,7 +342,7 @@
 	/** Link addresses of two other VMs, as in the settings of each VM. */
 	#seeds(index: number): string[] {
 		const {vms} = this.#plan;
-		return [1, 2].map(step => `10.0.0.${(index + step) % vms}:81`);
+		return [1, 2].map(step => addressOf((index + step) % vms, 81));
 	}
 
 	get #faultTargets(): FaultTargets {
@@ -559,3 +559,7 @@
 function termText({era, version}: StoreVersion): string {
 	return `${era}.${version}`;
 }
+
+function addressOf(index: number, port: number): string {
+	return `10.0.${Math.floor(index / 256)}.${index % 256}:${port}`;
+}
