--- a/test/link/message-schemas.test.ts
+++ b/test/link/message-schemas.test.ts
@@ -64,6 +64,7 @@
 	{kind: 'release', id: 'vm-1', report},
 	{kind: 'release', id: 'vm-1', report: {...report, firstMs: undefined, load: undefined}},
 	{kind: 'leaving', boots: [{id: 'x', startedAt: 1}]},
+	{kind: 'departed', departures: [{id: 'x', startedAt: 1, era: 2}]},
 	{kind: 'limits', limits},
 	{kind: 'suspicions', suspicions},
 	{kind: 'need-configuration'},
@@ -85,6 +86,7 @@
 	{
 		kind: 'upstreams', isWhole: true, changed: [upstream], removed: ['y'],
 	},
+	{kind: 'departed', departures: [{id: 'x', startedAt: 1, era: 2}]},
 	{kind: 'limits', limits},
 	{kind: 'suspicions', suspicions},
 	{
