Logs: the last lines of a process were lost with its exit

What operators saw: no line 'Stopped.' of a VM that had stopped as planned, so that its account of requests could not be read. Cause: log lines are written asynchronously, and the process exited while a write was in flight: what was buffered behind it was lost.

--- a/src/base/bounded-output.ts
+++ b/src/base/bounded-output.ts
@@ -23,6 +23,7 @@
 	#bufferedBytes = 0;
 	#droppedLines = 0;
 	#isWriting = false;
+	readonly #onDrained: Array<() => void> = [];
 
 	private constructor(descriptor: number) {
 		super({decodeStrings: false});
@@ -42,8 +43,25 @@
 		callback();
 	}
 
+	/** Waits until all lines so far are written; a reader that does not read delays this without limit. */
+	async drain(): Promise<void> {
+		if (this.#isWriting) {
+			await new Promise<void>(resolve => {
+				this.#onDrained.push(resolve);
+			});
+		}
+	}
+
 	#flush(): void {
-		if (this.#isWriting || this.#chunks.length === 0) {
+		if (this.#isWriting) {
+			return;
+		}
+
+		if (this.#chunks.length === 0) {
+			for (const resolve of this.#onDrained.splice(0)) {
+				resolve();
+			}
+
 			return;
 		}
 
--- a/test/base/bounded-output.test.ts
+++ b/test/base/bounded-output.test.ts
@@ -47,4 +47,23 @@
 		expect(written.map(({line}) => line)).to.deep.equal(written.map(({line}) => line as number).toSorted((left, right) => left - right));
 		expect(lines.at(-1)).to.deep.equal({line: 'last'});
 	});
+
+	// Guards against the last lines of a process, such as how it stopped, being lost with its exit.
+	it('has written all lines before a process exits that waits for it', async () => {
+		const program = `
+			import {BoundedOutput} from './src/base/bounded-output.ts';
+			const output = BoundedOutput.create(1);
+			output.write('first\\n');
+			output.write('last\\n');
+			await output.drain();
+			process.exit(0);
+		`;
+		const child = spawn(process.execPath, ['--import', 'tsx', '--input-type=module', '--eval', program], {stdio: ['ignore', 'pipe', 'inherit']});
+		let text = '';
+		child.stdout.on('data', (chunk: Uint8Array) => {
+			text += new TextDecoder().decode(chunk);
+		});
+		await once(child, 'close');
+		expect(text).to.equal('first\nlast\n');
+	});
 });
