--- a/soak/vm-process.ts
+++ b/soak/vm-process.ts
@@ -114,11 +114,11 @@
 		}
 	}
 
-	/** Sends the signal and waits until the process has exited. */
+	/** Sends the signal and waits until the process has exited and its output is read. */
 	async terminate(signal: NodeJS.Signals): Promise<void> {
 		const {child} = this;
 		if (child !== undefined && this.isRunning) {
-			const ended = once(child, 'exit');
+			const ended = once(child, 'close');
 			const endDisturbance = (signal === 'SIGKILL' ? this.disturbed : this.restarting).begin();
 			child.kill(signal);
 			await ended;
