--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -11,30 +11,31 @@
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
 import {type Log} from '../base/log.js';
 import {
-	type Metrics, RequestEnd, RequestOutcome, UpstreamNotice,
+	type Metrics, RequestEnd, RequestOutcome,
 } from '../base/metrics.js';
 import {endToEndHeaders} from '../dispatch/hop-headers.js';
 import {type Quarantine} from '../policy/quarantine.js';
-import {type ResponseHead, type CallCodec, type CallHead} from './call-codec.js';
+import {type CallCodec, type CallHead} from './call-codec.js';
 import {type DeploymentState} from './deployment-state.js';
 import {continuesEventStream, EventSplitter} from './event-splitter.js';
 import {
-	Ending, mayRetry, notRunStatuses, ranByEnding,
+	Ending, mayRetry, ranByEnding,
 } from './exchange-ending.js';
 import {writeErrorResponse} from './error-response.js';
 import {type Decision, type LedgerEntry, type RequestLedger} from './request-ledger.js';
 import {DEADLINE_GRACE_MS, requestDeadline} from './request-deadline.js';
+import {findResponseFault} from './response-fault.js';
 import {Operation, type Route} from './routing-table.js';
 import {callerPatienceMs, stallTimeoutMs} from './stall-timeout.js';
 import {type Upstream} from './upstream-list.js';
 import {type ExchangeEvents, UpstreamExchange} from './upstream-exchange.js';
+import {applyNotices} from './upstream-notices.js';
 import {type UpstreamPauses} from './upstream-pauses.js';
 
 /** Number of connections that may fail before a request is rejected; no byte was sent on them. */
 const MAX_CONNECT_FAILURES = 3;
 /** Minimum remaining time to send a request, in ms; with less, no response can arrive in time. */
 const MIN_SEND_BUDGET_MS = 20;
-const OK_STATUS = 200;
 const FIRST_ERROR_STATUS = 400;
 /** Maximum size of an error response that is kept while another upstream is tried, in bytes. */
 const MAX_FALLBACK_BYTES = 262_144;
@@ -421,56 +422,13 @@
 		const {codec} = this.#context;
 		const response = codec.decodeResponse(status, headers, this.#call.head);
 		attempt.load = response.load === undefined ? undefined : response.load.running + response.load.waiting;
-		this.#applyUpstreamState(attempt, response);
-		const isSuccess = status >= OK_STATUS && status < FIRST_ERROR_STATUS;
-		if (response.isOtherUpstream) {
-			this.#abortAttempt(attempt, Ending.OtherUpstream, 'address belongs to another upstream');
-		} else if (response.isNotRun) {
-			this.#abortAttempt(attempt, Ending.NotRun, `upstream responded with ${status}, request not run`);
-		} else if (!response.isForRequest || response.isAltered || (isSuccess && !response.isSigned)) {
-			this.#abortAttempt(attempt, Ending.Spoiled, 'response is not the upstream\'s own response to this request');
-		} else if (status < OK_STATUS) {
-			this.#abortAttempt(attempt, Ending.Spoiled, `${status} is not the status of a final response`);
-		} else if (notRunStatuses.has(status)) {
-			// Passed on, the status would state what the upstream does not.
-			this.#abortAttempt(attempt, Ending.Spoiled, `upstream responded with ${status} but does not state that the request was not run`);
-		} else if (this.#isStreaming && isSuccess && !continuesEventStream(status, headers['content-type'])) {
-			this.#abortAttempt(attempt, Ending.Spoiled, `status ${status} and ${headers['content-type'] ?? 'no content type'} do not continue an event stream`);
-		} else {
+		applyNotices(this.#context, attempt.upstream, attempt.sentAt, response);
+		const fault = findResponseFault(status, headers, response, this.#isStreaming);
+		if (fault === undefined) {
 			this.#status = status;
 			this.#headers = headers;
-		}
-	}
-
-	/** Applies what a response says about the upstream itself, whether or not the response is used. */
-	#applyUpstreamState(attempt: Attempt, response: ResponseHead): void {
-		const {state, pauses, metrics} = this.#context;
-		const {upstream} = attempt;
-		if (response.isLeaving && !upstream.isLeaving) {
-			metrics.countUpstreamNotice(UpstreamNotice.Leaving);
-			state.noteLeaving([upstream]);
-		}
-
-		if (response.retryAfter !== undefined) {
-			metrics.countUpstreamNotice(UpstreamNotice.Pause);
-			pauses.note(upstream, response.retryAfter);
-		}
-
-		this.#applyLimit(attempt, response);
-	}
-
-	/** A response that another server sent, or that may be damaged, does not show that a limit has ended. */
-	#applyLimit({upstream, sentAt}: Attempt, {limit, isOtherUpstream, isForRequest, isAltered, isSigned, isNotRun}: ResponseHead): void {
-		const {clock, state, metrics, log} = this.#context;
-		const {id, startedAt} = upstream;
-		if (limit !== undefined && limit.perSecond === undefined) {
-			metrics.countUpstreamNotice(UpstreamNotice.UnusableLimit);
-			log.warn('Limit of an upstream is not usable.', {upstream: id, limit: limit.text.slice(0, 40), kept: state.limits.perSecond(upstream)});
-		} else if (limit !== undefined) {
-			metrics.countUpstreamNotice(UpstreamNotice.Limit);
-			state.noteLimit({id, startedAt, perSecond: limit.perSecond}, sentAt, clock.now());
-		} else if (!isOtherUpstream && isForRequest && !isAltered && (isSigned || isNotRun)) {
-			state.noteLimit({id, startedAt, perSecond: undefined}, sentAt, clock.now());
+		} else {
+			this.#abortAttempt(attempt, fault.ending, fault.detail);
 		}
 	}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -2,8 +2,6 @@
  * The HTTP server for callers: reads requests within their limits, resolves route and customer, and starts forwarding.
  * Uses `node:http` directly: it starts within 50 ms on a small VM and adds the least overhead to each stream event.
  */
-import {Buffer} from 'node:buffer';
-import {createHash} from 'node:crypto';
 import {once} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
@@ -13,16 +11,20 @@
 import {RequestEnd} from '../base/metrics.js';
 import {type Random} from '../base/random.js';
 import {promptPartFeature} from '../policy/features.js';
+import {
+	combinedRank, expectedOutputEvents, quotaCost, requestFingerprint,
+} from './call-attributes.js';
 import {type CallHead} from './call-codec.js';
 import {CallerConnections} from './caller-connections.js';
 import {Forwarding, type ForwardingContext} from './forwarding.js';
 import {writeErrorResponse} from './error-response.js';
 import {LingeringClose} from './lingering-close.js';
+import {readBody, type UnusableBody} from './request-body.js';
 import {type LedgerEntry} from './request-ledger.js';
 import {type PlannedStop} from './planned-stop.js';
 import {requestDeadline} from './request-deadline.js';
 import {
-	type CallerLimits, type Customer, pickTarget, type PoolSettings, type Quota, type Route, type RoutingTable,
+	type CallerLimits, type Customer, pickTarget, type PoolSettings, type Route, type RoutingTable,
 } from './routing-table.js';
 
 /** Maximum bytes of request headers that are read; the configured limit is meant to be lower. */
@@ -31,11 +33,6 @@
 const MAX_UNCONFIGURED_BODY_BYTES = 65_536;
 /** How much longer idle connections stay open than callers are told, in ms: none should close as a request arrives. */
 const KEEP_ALIVE_MARGIN_MS = 2000;
-/** Route ranks are below this value, so that the customer's rank takes precedence. */
-const RANKS_PER_CUSTOMER_RANK = 10;
-/** Fraction of the maximum output that is expected when the caller gives no estimate. */
-const EXPECTED_OUTPUT_FRACTION = 0.5;
-const MAX_ROUTE_RANK = RANKS_PER_CUSTOMER_RANK - 1;
 /** The caller closed the connection inside a request. */
 const INCOMPLETE_REQUEST_CODE = 'HPE_INVALID_EOF_STATE';
 /** The head of a request was not complete within its limit. */
@@ -242,7 +239,7 @@
 		});
 	}
 
-	async #readBody(req: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined | 'too-large' | 'aborted' | 'stopped'> {
+	async #readBody(req: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined | UnusableBody | 'stopped'> {
 		let endReading!: () => void;
 		const stopped = new Promise<'stopped'>(resolve => {
 			endReading = () => {
@@ -324,74 +321,3 @@
 		}
 	}
 }
-
-/** @returns The body, `undefined` for a request without one, or why the body is unusable. */
-async function readBody(req: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined | 'too-large' | 'aborted'> {
-	const hasBody = req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined;
-	if (!hasBody) {
-		req.resume();
-		return undefined;
-	}
-
-	if (Number(req.headers['content-length']) > maxBytes) {
-		req.resume();
-		return 'too-large';
-	}
-
-	return new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
-		let length = 0;
-		req.on('data', (chunk: Uint8Array) => {
-			length += chunk.length;
-			if (length > maxBytes) {
-				chunks.length = 0;
-				resolve('too-large');
-			} else {
-				chunks.push(chunk);
-			}
-		});
-		req.once('end', () => {
-			resolve(Buffer.concat(chunks));
-		});
-		req.once('close', () => {
-			if (!req.complete) {
-				resolve('aborted');
-			}
-		});
-		req.once('error', () => {
-			resolve('aborted');
-		});
-	});
-}
-
-/** @returns A single rank in which the customer's rank takes precedence over the route's. */
-function combinedRank(route: Route, customer: Customer | undefined): number {
-	return ((customer?.rank ?? 0) * RANKS_PER_CUSTOMER_RANK) + Math.min(MAX_ROUTE_RANK, route.rank);
-}
-
-function quotaCost(quota: Quota | undefined, {generation}: CallHead): number {
-	if (quota === undefined) {
-		return 0;
-	}
-
-	if (!quota.isInTokens) {
-		return 1;
-	}
-
-	return generation === undefined ? quota.plainTokens : generation.promptTokens + generation.maxOutputTokens;
-}
-
-function expectedOutputEvents({generation}: CallHead, pool: PoolSettings): number {
-	if (generation === undefined || !pool.isEngine) {
-		return 0;
-	}
-
-	const tokens = generation.expectedOutputTokens ?? (generation.maxOutputTokens * EXPECTED_OUTPUT_FRACTION);
-	return tokens / pool.tokensPerEvent;
-}
-
-/** Identifies requests that share the blame for a crash: same method, path, customer and body. */
-function requestFingerprint(req: IncomingMessage, customer: Customer | undefined, body: Uint8Array | undefined): string {
-	const hash = createHash('sha256').update(`${req.method!} ${req.url!}\n${customer?.name ?? ''}\n`);
-	return hash.update(body ?? '').digest('base64').slice(0, 16);
-}
--- /dev/null
+++ b/src/gateway/request-body.ts
@@ -0,0 +1,50 @@
+/**
+ * Reading of the bodies of callers' requests within a limit.
+ */
+import {Buffer} from 'node:buffer';
+import {type IncomingMessage} from 'node:http';
+
+/** Why a body is not used: it exceeds the limit, or the caller closed the connection inside it. */
+export type UnusableBody = 'too-large' | 'aborted';
+
+/**
+ * @param maxBytes - Maximum length of the body, in bytes. Of a longer one, the rest is not read.
+ * @returns The body, `undefined` for a request without one, or why the body is unusable.
+ */
+export async function readBody(req: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined | UnusableBody> {
+	const hasBody = req.headers['content-length'] !== undefined || req.headers['transfer-encoding'] !== undefined;
+	if (!hasBody) {
+		req.resume();
+		return undefined;
+	}
+
+	if (Number(req.headers['content-length']) > maxBytes) {
+		req.resume();
+		return 'too-large';
+	}
+
+	return new Promise(resolve => {
+		const chunks: Uint8Array[] = [];
+		let length = 0;
+		req.on('data', (chunk: Uint8Array) => {
+			length += chunk.length;
+			if (length > maxBytes) {
+				chunks.length = 0;
+				resolve('too-large');
+			} else {
+				chunks.push(chunk);
+			}
+		});
+		req.once('end', () => {
+			resolve(Buffer.concat(chunks));
+		});
+		req.once('close', () => {
+			if (!req.complete) {
+				resolve('aborted');
+			}
+		});
+		req.once('error', () => {
+			resolve('aborted');
+		});
+	});
+}
