Requests: an exception while the failure of a defect is answered escaped

Callers saw: had the answer to a defect thrown, too, a caller whose request was being read would have waited for ever; one whose request was forwarded had its exception pass through the allocator or a socket's event. Evidence, found by a reviewer by reading: defects.test.ts, 'breaks this request off only: while its failure is answered', before: after decode, 'The condition did not hold within 10 s.'; after encode, three violations in place of two. Such a request is broken off. The handler that goes on when a slow caller has read is guarded like the others. All tests of the file pass.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -186,11 +186,13 @@
 			this.#fallback = undefined;
 			this.#abandon(Ending.Cancelled, 'internal error');
 			this.#fail(ErrorKind.Internal);
-		} finally {
-			if (entry.decision === undefined) {
-				entry.decide(RequestEnd.Broken);
-				res.destroy();
-			}
+		} catch (error) {
+			this.#context.ledger.noteDefect(head.id, error);
+		}
+
+		if (entry.decision === undefined) {
+			entry.decide(RequestEnd.Broken);
+			res.destroy();
 		}
 	}
 
@@ -473,15 +475,21 @@
 
 		this.#isPaused = true;
 		this.#call.res.once('drain', () => {
-			this.#isPaused = false;
-			this.#waitsSince = this.#context.clock.now();
-			if (this.#attempt !== undefined) {
-				this.#attempt.exchange?.resume();
-				this.#restartStallTimer(this.#attempt);
-			}
+			this.#guard(() => {
+				this.#onDrain();
+			});
 		});
 	}
 
+	#onDrain(): void {
+		this.#isPaused = false;
+		this.#waitsSince = this.#context.clock.now();
+		if (this.#attempt !== undefined) {
+			this.#attempt.exchange?.resume();
+			this.#restartStallTimer(this.#attempt);
+		}
+	}
+
 	#recordProgress(attempt: Attempt): void {
 		const now = this.#context.clock.now();
 		attempt.lastProgressAt = now;
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -165,9 +165,15 @@
 		const {ledger} = this.#context;
 		const entry = ledger.entryOf(res) ?? ledger.begin(res, undefined);
 		ledger.noteDefect(entry.id, err);
-		if (entry.decision === undefined && !res.headersSent) {
-			this.#reject(res, entry, undefined, ErrorKind.Internal);
-		} else if (entry.decision === undefined) {
+		try {
+			if (entry.decision === undefined && !res.headersSent) {
+				this.#reject(res, entry, undefined, ErrorKind.Internal);
+			}
+		} catch (error) {
+			ledger.noteDefect(entry.id, error);
+		}
+
+		if (entry.decision === undefined) {
 			entry.decide(RequestEnd.Broken);
 			res.destroy();
 		}
--- a/test/gateway/defects.test.ts
+++ b/test/gateway/defects.test.ts
@@ -94,4 +94,20 @@
 		expect(harness.ends).to.deep.equal([['a', 'broken']]);
 		expect(harness.violations).to.deep.equal(['a defect']);
 	});
+
+	for (const method of ['decode', 'encode'] as const) {
+		it(`breaks this request off only: while its failure is answered, after ${method}`, async () => expectBroken(method));
+	}
+
+	async function expectBroken(method: 'decode' | 'encode'): Promise<void> {
+		Object.assign(harness.codec, {[method]: fail, errorResponseHeaders: fail});
+		const caller = harness.connect();
+		caller.socket.write(formatRequest('unsafe', 'a'));
+		await eventually(() => caller.isClosed);
+		expect(caller.text).to.equal('');
+		await eventually(() => harness.ends.length === 1);
+		expect(harness.ends.map(([, end]) => end)).to.deep.equal(['broken']);
+		expect(harness.violations).to.deep.equal(['a defect', 'a defect']);
+		expect(harness.heldCount).to.equal(0);
+	}
 });
