--- a/review/1/run.js
+++ b/review/1/run.js
@@ -65,6 +65,7 @@
 	const endCount = deployment.machines.reduce((sum, machine) => sum + machine.endCount, 0);
 	await deployment.stop();
 	const isBroken = lossCount > ALLOWED_LOSSES;
-	record.finish(`LOST ${isBroken ? 'broken' : 'held'}: ${lossCount} lookups on kept channels were passed on to a sound server, and the channel closed without an answer; processes ended by themselves ${endCount} times`);
+	record.finish(`LOST ${isBroken ? 'broken' : 'held'}: ${lossCount} lookups on kept channels were passed on to a sound server, and the channel closed without an answer; `
+		+ `processes ended by themselves ${endCount} times`);
 	return isBroken;
 });
--- a/review/common/deployment.js
+++ b/review/common/deployment.js
@@ -107,7 +107,10 @@
 			writeFileSync(machine.settings, JSON.stringify({
 				nodeName: machine.name, role: 'gateway', machineClass: 'front', serves: ['front', 'directory', 'control'], ip: '127.0.0.1', zone: 'zone-a', region: 'region-a', zones: {'zone-a': 'region-a'}, listen: {
 					front: machine.front, ready: machine.ready, control: machine.control, directory: machine.directory,
-				}, internalPorts: [port, port + 15], seeds, bootstrap: true, limits: {
+				}, internalPorts: [port, port + 15],
+				seeds,
+				bootstrap: true,
+				limits: {
 					cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000, diskMb: 0,
 				}, discovery: 'platform', entry: 'directory', heartbeatMs: 1200, bounds, platform: {address: store.address, form: 'table'},
 			}));
