--- a/review/3/run.js
+++ b/review/3/run.js
@@ -1,120 +1,143 @@
 /**
- * Case 3: requests whose bodies come in chunks of a few bytes, within `maxBodyBytes`, make the process of a machine run out of
- * memory.
+ * Case 3: a part of a prompt crashes each server that begins to write an answer on it, after the first event.
  */
-import {Buffer} from 'node:buffer';
 import {randomBytes} from 'node:crypto';
-import {connect} from 'node:net';
 import process from 'node:process';
-import {clearTimeout, setTimeout} from 'node:timers';
+import {setTimeout} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {HOST} from '../common/caller.js';
-import {Deployment} from '../common/deployment.js';
-import {answerAfter, lookOnKeptChannel, runCase} from '../common/load.js';
+import {call} from '../common/caller.js';
+import {bounds, Deployment} from '../common/deployment.js';
+import {runCase} from '../common/load.js';
 import {keyHeaders, manifest} from '../common/manifest.js';
-import {split} from '../common/network.js';
 import {Record} from '../common/record.js';
-import {Server} from '../common/server.js';
+import {answerHeaders, Server} from '../common/server.js';
 import {Store} from '../common/store.js';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
+/** Events that a server writes before it crashes. */
+const EVENTS_BEFORE_CRASH = Number(process.env.EVENTS ?? 1);
 const MACHINE_COUNT = 2;
-const KEPT_CHANNELS_PER_MACHINE = 5;
+const SERVER_COUNT = 6;
 const LOAD_MS = 40_000;
-const LOOK_MS = 300;
-const DEADLINE_MS = 5000;
-/** Below the manifest's `maxBodyBytes` of 4,194,304. */
-const BODY_BYTES = 4_000_000;
-const CHUNK_BYTES = 8;
-const CHUNKS_PER_WRITE = 2000;
-/** Requests with such a body that come at a machine at once, and the time until the next ones. */
-const UPLOADS_AT_ONCE = 3;
-const UPLOAD_INTERVAL_MS = 8000;
-const UPLOAD_PATIENCE_MS = 10_000;
-/** LOST allows that many kept channels closed without an answer. */
-const ALLOWED_LOSSES = 3;
+const SOUND_INTERVAL_MS = 150;
+const DEADLY_INTERVAL_MS = 500;
+const EVENT_COUNT = 10;
+const EVENT_INTERVAL_MS = 40;
+const DEADLINE_MS = 6000;
+const DEADLY_PART = 'dead:400';
+/** A crashed server's entry is gone, and the server is back, after so long, in ms. */
+const ENTRY_LAPSES_MS = 1500;
+const BACK_AFTER_MS = 2500;
+const CRASHES_TO_KNOW = 5;
+const ALLOWED_ARRIVALS = 3;
 
 const record = new Record('review/3');
+const crashes = [];
+const deadlyArrivals = [];
+let serverCount = 0;
+let isOver = false;
 
-/** Sends one request with a long body, in small chunks or with a length. */
-async function upload(machine) {
-	const id = randomBytes(8).toString('hex');
-	const text = 'x'.repeat(CHUNK_BYTES);
-	const piece = Buffer.from((HAS_TROUBLE ? `${CHUNK_BYTES.toString(16)}\r\n${text}\r\n` : text).repeat(CHUNKS_PER_WRITE));
-	const headers = Object.entries({
-		Host: HOST, 'X-Request-Id': id, ...keyHeaders(UPLOAD_PATIENCE_MS), Connection: 'close', ...(HAS_TROUBLE ? {'Transfer-Encoding': 'chunked'} : {'Content-Length': BODY_BYTES}),
+async function startServer(store) {
+	serverCount += 1;
+	const server = await Server.start(store, record, {
+		id: `engine-${serverCount}`, service: 'engine', slots: 5, respond,
 	});
-	const socket = connect(split(machine.front));
-	const startedAt = performance.now();
-	let answer = '';
-	let sentBytes = 0;
-	const send = () => {
-		while (sentBytes < BODY_BYTES) {
-			sentBytes += CHUNK_BYTES * CHUNKS_PER_WRITE;
-			if (!socket.write(piece)) {
-				return;
-			}
+	return server;
+}
+
+function crash(server) {
+	if (server.hasCrashed) {
+		return;
+	}
+
+	server.hasCrashed = true;
+	crashes.push(performance.now());
+	record.note('crash', {server: server.id});
+	server.close();
+	setTimeout(() => {
+		server.store.drop('servers', server.id);
+	}, ENTRY_LAPSES_MS);
+	setTimeout(() => {
+		if (!isOver) {
+			startServer(server.store);
 		}
+	}, BACK_AFTER_MS);
+}
 
-		socket.off('drain', send);
-		if (HAS_TROUBLE) {
-			socket.write('0\r\n\r\n');
+async function respond(req, res, _body, server) {
+	const isDeadly = req.headers['x-prompt-prefix'].split(',').includes(DEADLY_PART);
+	if (isDeadly) {
+		deadlyArrivals.push(performance.now());
+	}
+
+	await sleep(EVENT_INTERVAL_MS);
+	res.writeHead(200, {...answerHeaders(req), 'Content-Type': 'text/event-stream'});
+	const from = Number(req.headers['last-event-id'] ?? 0);
+	for (let id = from + 1; id <= EVENT_COUNT; id += 1) {
+		if (isDeadly && HAS_TROUBLE && id > from + EVENTS_BEFORE_CRASH) {
+			crash(server);
+			return;
 		}
-	};
 
-	socket.on('error', () => undefined);
-	socket.on('data', chunk => {
-		answer += String(chunk);
-	});
-	socket.on('drain', send);
-	const timer = setTimeout(() => {
-		socket.destroy();
-	}, UPLOAD_PATIENCE_MS);
-	socket.write(`POST /hold/1 HTTP/1.1\r\n${headers.map(([name, value]) => `${name}: ${value}\r\n`).join('')}\r\n`);
-	send();
-	await new Promise(resolve => {
-		socket.once('close', resolve);
-	});
-	clearTimeout(timer);
-	record.note('upload', {
-		machine: machine.name, request: id, status: answer.slice(9, 12) || 0, ms: Math.round(performance.now() - startedAt),
-	});
+		res.write(`id: ${id}\ndata: word\n\n`);
+		await sleep(EVENT_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- events follow each other
+	}
+
+	res.end();
+}
+
+/** Sends streams with a part at an even rate. */
+async function sendPrompts({machines}, {endsAt, intervalMs, part, onAnswer}) {
+	const streams = [];
+	for (let count = 0; performance.now() < endsAt; count += 1) {
+		streams.push((async () => {
+			const answer = await call(machines[count % machines.length].front, {
+				method: 'POST',
+				target: '/stream-once/1',
+				headers: {...keyHeaders(DEADLINE_MS), 'X-Token-Count': '560,30', 'X-Prompt-Prefix': `aa:60,${part},${randomBytes(4).toString('hex')}:100`},
+				body: randomBytes(8).toString('hex'),
+				timeoutMs: DEADLINE_MS + 1000,
+			});
+			record.note('stream', {
+				part, request: answer.id, status: answer.status, whole: answer.isWhole,
+			});
+			onAnswer(answer);
+		})());
+		await sleep(intervalMs); // eslint-disable-line no-await-in-loop
+	}
+
+	await Promise.all(streams);
 }
 
 await runCase(record, async () => {
 	const store = await Store.start();
-	const limits = {timeoutMs: DEADLINE_MS, targetLatencyMs: 1000};
-	store.put('op', 'config', manifest(1, {look: limits, hold: limits}));
-	await Server.start(store, record, {id: 'engine-1', service: 'engine', slots: 5});
-	for (const id of ['desk-1', 'desk-2', 'desk-3']) {
-		// eslint-disable-next-line no-await-in-loop -- few
-		await Server.start(store, record, {
-			id, service: 'desk', slots: 6, respond: answerAfter(LOOK_MS),
-		});
+	store.put('op', 'config', manifest(1));
+	for (let count = 0; count < SERVER_COUNT; count += 1) {
+		await startServer(store); // eslint-disable-line no-await-in-loop -- few
 	}
 
+	await Server.start(store, record, {id: 'desk-1', service: 'desk', slots: 6});
 	const deployment = await Deployment.start(store, record, MACHINE_COUNT);
 	const endsAt = performance.now() + LOAD_MS;
-	let lossCount = 0;
-	const onAnswer = ({id, status, isSilent}) => {
-		if (status === 0 && !isSilent && record.lines.some(line => line.includes(' runs ') && line.includes(id))) {
-			lossCount += 1;
-		}
-	};
-
-	const load = deployment.machines.flatMap(machine => Array.from({length: KEPT_CHANNELS_PER_MACHINE}, async () => lookOnKeptChannel({
-		record, machine, endsAt, deadlineMs: DEADLINE_MS, onAnswer,
-	})));
-	for (let at = performance.now() + 1000; at < endsAt; at += UPLOAD_INTERVAL_MS) {
-		await sleep(Math.max(0, at - performance.now())); // eslint-disable-line no-await-in-loop
-		load.push(...deployment.machines.flatMap(machine => Array.from({length: UPLOADS_AT_ONCE}, async () => upload(machine))));
-	}
-
-	await Promise.all(load);
-	const endCount = deployment.machines.reduce((sum, machine) => sum + machine.endCount, 0);
+	let soundCount = 0;
+	let cutCount = 0;
+	await Promise.all([
+		sendPrompts(deployment, {
+			endsAt, intervalMs: SOUND_INTERVAL_MS, part: 'bb:400', onAnswer({status, isWhole}) {
+				soundCount += 1;
+				cutCount += status === 502 || (status === 200 && !isWhole) ? 1 : 0;
+			},
+		}),
+		sendPrompts(deployment, {
+			endsAt, intervalMs: DEADLY_INTERVAL_MS, part: DEADLY_PART, onAnswer: () => undefined,
+		}),
+	]);
+	isOver = true;
 	await deployment.stop();
-	const isBroken = lossCount > ALLOWED_LOSSES;
-	record.finish(`LOST ${isBroken ? 'broken' : 'held'}: ${lossCount} lookups on kept channels were passed on to a sound server, and the channel closed without an answer; `
-		+ `processes ended by themselves ${endCount} times`);
+	const knownFrom = (crashes[CRASHES_TO_KNOW - 1] ?? Number.POSITIVE_INFINITY) + bounds.contactMs;
+	const late = deadlyArrivals.filter(at => at > knownFrom);
+	const isBroken = late.length > ALLOWED_ARRIVALS;
+	record.finish(`BUDGET ${isBroken ? 'broken' : 'held'}: ${late.length} requests with the part reached servers later than contactMs after the fifth of ${crashes.length} crashes; `
+		+ `${cutCount} of ${soundCount} sound streams were broken off or lost`);
 	return isBroken;
 });
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+cd "$(dirname "$0")/../.." && exec node review/5/run.js
