--- a/review/5/run.js
+++ b/review/5/run.js
@@ -32,8 +32,12 @@
 await runCase(record, async () => {
 	const store = await Store.start();
 	store.put('op', 'config', manifest(1, {look: {timeoutMs: ROUTE_TIMEOUT_MS}}));
-	const faulty = await Server.start(store, record, {id: 'engine-1', service: 'engine', slots: 5});
-	await Server.start(store, record, {id: 'engine-2', service: 'engine', slots: 5});
+	const faulty = [];
+	for (const id of ['engine-1', 'engine-2']) {
+		faulty.push(await Server.start(store, record, {id, service: 'engine', slots: 5})); // eslint-disable-line no-await-in-loop -- few
+	}
+
+	await Server.start(store, record, {id: 'engine-3', service: 'engine', slots: 5});
 	for (const id of ['desk-1', 'desk-2']) {
 		// eslint-disable-next-line no-await-in-loop -- few
 		await Server.start(store, record, {
@@ -56,8 +60,10 @@
 	];
 	await sleep(TROUBLE_AFTER_MS);
 	if (HAS_TROUBLE) {
-		record.note('trouble-begins', {server: faulty.id});
-		faulty.respond = answerWithoutEnd('200 OK');
+		for (const server of faulty) {
+			record.note('trouble-begins', {server: server.id});
+			server.respond = answerWithoutEnd('200 OK');
+		}
 	}
 
 	await Promise.all(load);
