--- a/review/1/run.js
+++ b/review/1/run.js
@@ -23,7 +23,7 @@
 /** LOST allows that many kept channels closed without an answer. */
 const ALLOWED_LOSSES = 3;
 
-const record = new Record('review/1');
+const record = new Record('review/1/record.txt');
 
 await runCase(record, async () => {
 	const store = await Store.start();
--- a/review/3/run.js
+++ b/review/3/run.js
@@ -31,7 +31,7 @@
 const CRASHES_TO_KNOW = 5;
 const ALLOWED_ARRIVALS = 3;
 
-const record = new Record('review/3');
+const record = new Record('review/3/record.txt');
 const crashes = [];
 const deadlyArrivals = [];
 let serverCount = 0;
--- a/review/5/run.js
+++ b/review/5/run.js
@@ -27,7 +27,7 @@
 /** CONFIG counts from that many requests on. */
 const MIN_UNANSWERED = 8;
 
-const record = new Record('review/5');
+const record = new Record('review/5/record.txt');
 
 await runCase(record, async () => {
 	const store = await Store.start();
--- a/review/common/record.js
+++ b/review/common/record.js
@@ -3,10 +3,10 @@
  */
 import {writeFileSync} from 'node:fs';
 
-/** Collects lines and writes them to `record.txt` in the folder of the case. */
+/** Collects lines and writes them to a file. */
 export class Record {
-	constructor(folder) {
-		this.path = `${folder}/record.txt`;
+	constructor(path) {
+		this.path = path;
 		this.lines = [];
 		this.startedAt = performance.now();
 	}
