Bodies in small chunks: one object was kept for each chunk, and the process ran out of memory

Cause: a parser calls back for each chunk of a body. Every reader kept the chunk, an object and a view of its network buffer, and bounded only the bytes. The same in Node's own buffer of a paused message.

ByteCollector copies what is kept into blocks.

--- a/src/dispatch/relay.ts
+++ b/src/dispatch/relay.ts
@@ -1,8 +1,8 @@
 /**
  * Sends a request to an upstream and relays the response to the caller.
  */
-import {Buffer} from 'node:buffer';
 import {type Span} from '@opentelemetry/api';
+import {ByteCollector} from '../base/byte-collector.js';
 import {type Clock} from '../base/clock.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
@@ -60,7 +60,7 @@
 
 	readonly #options: RelayOptions;
 	readonly #bodyTracker: ResponseBodyTracker;
-	readonly #recordedChunks: Uint8Array[] = [];
+	readonly #recorded = ByteCollector.create();
 	#recordedBytes = 0;
 	#exchange: Exchange | undefined;
 	#status = 0;
@@ -228,8 +228,7 @@
 		if (this.isResponseRecorded) {
 			this.#recordedBytes += chunk.byteLength;
 			if (this.#recordedBytes <= MAX_KEPT_ANSWER_BYTES) {
-				// Copied, because a small chunk would otherwise retain the entire network buffer.
-				this.#recordedChunks.push(Uint8Array.from(chunk));
+				this.#recorded.add(chunk);
 			}
 		}
 	}
@@ -240,7 +239,7 @@
 		if (claim !== undefined) {
 			const isWhole = this.isResponseRecorded && this.#recordedBytes <= MAX_KEPT_ANSWER_BYTES;
 			await claims.complete(claim, isWhole
-				? {status: this.#status, contentType: this.#contentType, body: Buffer.concat(this.#recordedChunks)}
+				? {status: this.#status, contentType: this.#contentType, body: this.#recorded.take()}
 				: undefined);
 		}
 
--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -1,10 +1,11 @@
 /**
  * Reads request bodies, limiting the size of each body and the memory of all buffered bodies together.
  */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import Result, {ok} from 'true-myth/result';
+import {ByteCollector} from '../base/byte-collector.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
+import {MessageReader} from '../base/message-reader.js';
 
 /** Maximum size of all buffered bodies of a node; keeps the whole process under 256 MB. */
 const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
@@ -87,35 +88,35 @@
 /** Uses event listeners, because an async iterator would allocate several promises per request. */
 async function bufferBody(res: ServerResponse, limitBytes: number, budget: BodyBudget): Promise<Result<Uint8Array, SchedulerError>> {
 	const {req} = res;
-	const chunks: Uint8Array[] = [];
-	let size = 0;
+	const body = ByteCollector.create();
+	let reservedBytes = 0;
 	return new Promise(resolve => {
 		const settle = (result: Result<Uint8Array, SchedulerError>) => {
-			req.off('data', onData);
+			reader.close();
 			resolve(result);
 		};
 
-		const onData = (chunk: Uint8Array) => {
-			if (size + chunk.byteLength > limitBytes) {
-				settle(rejectTooLarge(limitBytes));
-			} else if (budget.reserve(chunk.byteLength)) {
-				size += chunk.byteLength;
-				chunks.push(chunk);
-			} else {
-				settle(Result.err(SchedulerError.create(ErrorKind.Overloaded, 'There is no memory for the body now.')));
-			}
-		};
-
-		req.on('data', onData);
-		req.once('end', () => {
-			settle(ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)));
+		const reader = MessageReader.start(req, {
+			onBytes(bytes) {
+				if (body.length + bytes.length > limitBytes) {
+					settle(rejectTooLarge(limitBytes));
+				} else if (budget.reserve(bytes.length)) {
+					reservedBytes += bytes.length;
+					body.add(bytes);
+				} else {
+					settle(Result.err(SchedulerError.create(ErrorKind.Overloaded, 'There is no memory for the body now.')));
+				}
+			},
+			onEnd() {
+				settle(ok(body.take()));
+			},
 		});
 		req.once('error', err => {
 			settle(Result.err(err instanceof SchedulerError ? err : SchedulerError.create(ErrorKind.RequestTimeout, 'The request body broke off.')));
 		});
 		res.once('close', () => {
-			req.off('data', onData);
-			budget.release(size);
+			reader.close();
+			budget.release(reservedBytes);
 			if (!req.readableEnded) {
 				settle(Result.err(SchedulerError.create(ErrorKind.RequestTimeout, 'The request body broke off.')));
 			}
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -2,11 +2,11 @@
  * Forwards one request: obtains an upstream from the allocator, sends the request, relays the response, retries where
  * allowed, and otherwise responds with an error. All retry rules are applied here, whichever VM allocates.
  */
-import {Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders, type IncomingMessage, type ServerResponse} from 'node:http';
 import {
 	type Allocation, type PlaceRequest, emptyReport, type PlaceReport,
 } from '../allocation/allocation.js';
+import {ByteCollector} from '../base/byte-collector.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
 import {type Log} from '../base/log.js';
@@ -128,8 +128,7 @@
 	#connectFailures = 0;
 	#status = 0;
 	#headers: IncomingHttpHeaders = {};
-	#chunks: Uint8Array[] = [];
-	#bufferedBytes = 0;
+	readonly #collected = ByteCollector.create();
 	/** Error response of an upstream, which the caller gets unless a later attempt succeeds. */
 	#fallback: BufferedResponse | undefined;
 	#mayHaveRun = false;
@@ -388,8 +387,7 @@
 	#beginAttempt(attempt: Attempt): void {
 		this.#attempt = attempt;
 		this.#splitter.reset();
-		this.#chunks = [];
-		this.#bufferedBytes = 0;
+		this.#collected.clear();
 	}
 
 	/** Ends the exchange that makes no progress before the request is sent to another upstream: it never runs at both. */
@@ -504,11 +502,10 @@
 	}
 
 	#buffer(attempt: Attempt, chunk: Uint8Array): void {
-		this.#bufferedBytes += chunk.length;
-		if (this.#bufferedBytes > MAX_BUFFERED_BYTES) {
+		if (this.#collected.length + chunk.length > MAX_BUFFERED_BYTES) {
 			this.#abortAttempt(attempt, Ending.Flooded, 'response exceeds the size limit');
 		} else {
-			this.#chunks.push(chunk);
+			this.#collected.add(chunk);
 		}
 	}
 
@@ -530,7 +527,7 @@
 			return;
 		}
 
-		const response: BufferedResponse = {status: this.#status, headers: this.#headers, body: Buffer.concat(this.#chunks)};
+		const response: BufferedResponse = {status: this.#status, headers: this.#headers, body: this.#collected.take()};
 		if (isError && response.body.length <= MAX_FALLBACK_BYTES && this.#mayRetry(Ending.UpstreamError)) {
 			this.#fallback = response;
 			this.#retryOrGiveUp(Ending.UpstreamError);
--- a/src/gateway/request-body.ts
+++ b/src/gateway/request-body.ts
@@ -1,8 +1,9 @@
 /**
  * Reading of the bodies of callers' requests within a limit.
  */
-import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {ByteCollector} from '../base/byte-collector.js';
+import {MessageReader} from '../base/message-reader.js';
 
 /** Why a body is not used: it exceeds the limit, or the caller closed the connection inside it. */
 export type UnusableBody = 'too-large' | 'aborted';
@@ -24,19 +25,20 @@
 	}
 
 	return new Promise(resolve => {
-		const chunks: Uint8Array[] = [];
-		let length = 0;
-		req.on('data', (chunk: Uint8Array) => {
-			length += chunk.length;
-			if (length > maxBytes) {
-				chunks.length = 0;
-				resolve('too-large');
-			} else {
-				chunks.push(chunk);
-			}
-		});
-		req.once('end', () => {
-			resolve(Buffer.concat(chunks));
+		const body = ByteCollector.create();
+		const reader = MessageReader.start(req, {
+			onBytes(bytes) {
+				if (body.length + bytes.length > maxBytes) {
+					reader.close();
+					body.clear();
+					resolve('too-large');
+				} else {
+					body.add(bytes);
+				}
+			},
+			onEnd() {
+				resolve(body.take());
+			},
 		});
 		req.once('close', () => {
 			if (!req.complete) {
--- a/src/gateway/upstream-exchange.ts
+++ b/src/gateway/upstream-exchange.ts
@@ -9,6 +9,7 @@
 import {createConnection, type Socket} from 'node:net';
 import {splitAddress} from '../base/address.js';
 import {type Clock, type Timer} from '../base/clock.js';
+import {MessageReader} from '../base/message-reader.js';
 import {Ending} from './exchange-ending.js';
 
 /** Connect timeout, in ms: covers a round trip between regions and a busy upstream, but no retransmission. */
@@ -22,6 +23,8 @@
 export const MAX_RESPONSE_BYTES = 67_108_864;
 
 const EMPTY_BUFFER = Buffer.alloc(0);
+/** While paused, a socket reads on until it holds its high-water mark, in an object for each read. */
+const socketOptions = {noDelay: true, allowHalfOpen: true, readableHighWaterMark: 1} as const;
 
 /** Callbacks of an exchange. Exactly one of `onEnd` and `onFail` is called unless it is aborted, and none after it. */
 export type ExchangeEvents = {
@@ -59,6 +62,7 @@
 	#socket: Socket | undefined;
 	#clientRequest: ClientRequest | undefined;
 	#response: IncomingMessage | undefined;
+	#reader: MessageReader | undefined;
 	#timer: Timer | undefined;
 	#isSent = false;
 	/** The complete response was read. */
@@ -86,15 +90,15 @@
 
 	/** Pauses reading while the caller is slow. */
 	pause(): void {
-		this.#response?.pause();
+		this.#reader?.pause();
 	}
 
 	resume(): void {
-		this.#response?.resume();
+		this.#reader?.resume();
 	}
 
 	#connect(): void {
-		const socket = createConnection({...splitAddress(this.#request.address), noDelay: true, allowHalfOpen: true});
+		const socket = createConnection({...splitAddress(this.#request.address), ...socketOptions});
 		this.#socket = socket;
 		this.#timer = this.#clock.setTimer(CONNECT_TIMEOUT_MS, () => {
 			this.#fail(Ending.NotConnected, 'connection timed out');
@@ -191,22 +195,24 @@
 			return;
 		}
 
-		response.on('data', (chunk: Uint8Array) => {
-			if (this.#socket!.bytesRead > MAX_RESPONSE_BYTES) {
-				this.#fail(Ending.Flooded, 'response exceeds the size limit');
-			}
+		this.#reader = MessageReader.start(response, {
+			onBytes: bytes => {
+				if (this.#socket!.bytesRead > MAX_RESPONSE_BYTES) {
+					this.#fail(Ending.Flooded, 'response exceeds the size limit');
+				}
 
-			if (!this.#isSettled) {
-				this.#events.onData(chunk);
-			}
-		});
-		response.once('end', () => {
-			this.#isFullyRead = response.complete;
-			if (this.#isComplete) {
-				this.#finish();
-			} else if (!response.complete) {
-				this.#fail(Ending.Spoiled, 'response ended prematurely');
-			}
+				if (!this.#isSettled) {
+					this.#events.onData(bytes);
+				}
+			},
+			onEnd: () => {
+				this.#isFullyRead = response.complete;
+				if (this.#isComplete) {
+					this.#finish();
+				} else if (!response.complete) {
+					this.#fail(Ending.Spoiled, 'response ended prematurely');
+				}
+			},
 		});
 		response.once('error', err => {
 			this.#fail(responseErrorEnding(err), err.message);
@@ -232,13 +238,18 @@
 			return;
 		}
 
-		this.#isSettled = true;
-		this.#close();
-		this.#events.onFail(ending, detail);
+		// What has arrived before the failure belongs to the response.
+		this.#reader?.flush();
+		if (!this.#isSettled) {
+			this.#isSettled = true;
+			this.#close();
+			this.#events.onFail(ending, detail);
+		}
 	}
 
 	#close(): void {
 		this.#timer?.cancel();
+		this.#reader?.close();
 		this.#clientRequest?.destroy();
 		this.#socket?.destroy();
 	}
--- a/standins/faulty-responses.ts
+++ b/standins/faulty-responses.ts
@@ -34,6 +34,11 @@
 	['0\r\n', `X-Line: ${LONG_TEXT}\r\n`],
 	['', `1;${LONG_TEXT}\r\nx\r\n`],
 ];
+/** Status and content of the chunks of bodies that never end: parts of an event, an error, line ends, lines, comments, events. */
+const endlessChunks: ReadonlyArray<readonly [status: number, chunk: string]> = [
+	[200, 'x'], [500, 'x'], [200, '\n'], [200, 'x\n'], [200, ':\n\n'], [200, 'id: 1\n\n'],
+];
+const CHUNKS_PER_WRITE = 10_000;
 /** Time between two bytes of a response that trickles, in ms; shorter than any timeout for silence. */
 const TRICKLE_INTERVAL_MS = 100;
 /** Time between the head of a response and its end if nothing follows the head, in ms. */
@@ -58,6 +63,11 @@
 		const lines = Object.entries({...headers, 'transfer-encoding': 'chunked'}).map(([name, value]) => `${name}: ${value}\r\n`);
 		await floodConnection(req.socket, [`HTTP/1.1 200 OK\r\n${lines.join('')}\r\n${start}`, repeated]);
 	},
+	async 'small-chunks'({req, headers, runNumber}) {
+		const [status, chunk] = endlessChunks[runNumber % endlessChunks.length]!;
+		const lines = Object.entries({...headers, 'transfer-encoding': 'chunked'}).map(([name, value]) => `${name}: ${value}\r\n`);
+		await floodConnection(req.socket, [`HTTP/1.1 ${status} Endless\r\n${lines.join('')}\r\n`, `${chunk.length}\r\n${chunk}\r\n`.repeat(CHUNKS_PER_WRITE)]);
+	},
 	async trickles({res, headers}) {
 		res.writeHead(200, {...headers, 'content-length': String(FLOOD_CHUNK.length)});
 		while (!res.destroyed) {
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -68,6 +68,8 @@
 	EndlessHead: 'endless-head',
 	/** Runs the request and sends a chunked body whose framing never ends. */
 	EndlessFraming: 'endless-framing',
+	/** Runs the request and sends an endless body in chunks of a few bytes. */
+	SmallChunks: 'small-chunks',
 	/** Runs the request and sends a byte of its response now and then, without an end. */
 	Trickles: 'trickles',
 	/** Runs the request and never responds. */
