Quarantine: a part that crashed upstreams behind their first event was never held back

Cause: an answer that began cleared all features of its request and marked them as harmless, and the crash behind it was not counted. A silent upstream was never counted; a resumed answer would have cleared the part too.

Change: whole answers clear, beginnings only show that the upstream runs. A lost exchange accuses its request unless the answer went on for 10 s; so does an open or silent one when the upstream's entry lapses. Resumed answers clear nothing (PlaceRequest.isContinuation; false in messages without it). More is accused now, so that the evidence is better: a part that always comes with a narrower suspect is innocent, few crashes suffice only with little else in flight and hardly other crashes, and shares are summed by moments. An upstream that answers 5 s later has not crashed.

Tests changed, none weaker: "clears a part on which an upstream begins an answer" stated the fault; it now needs a completed one. The control requests of the tests are answered instead of begun. The simulation accuses running requests as the product does.

--- a/bench/allocation.ts
+++ b/bench/allocation.ts
@@ -73,6 +73,7 @@
 			quotaCost: 0,
 			isCharged: false,
 			isCounted: false,
+			isContinuation: false,
 			objectiveMs: hasMissedObjective ? 0 : UNREACHED_DEADLINE_MS,
 			remainingMs: UNREACHED_DEADLINE_MS,
 			patienceMs: UNREACHED_DEADLINE_MS,
--- a/bench/quarantine-simulation.ts
+++ b/bench/quarantine-simulation.ts
@@ -32,6 +32,8 @@
 	readonly deadlyShare: number;
 	/** Whether the deadly part is the first of the prompt instead of the second. */
 	readonly isFirstPart: boolean;
+	/** How long an upstream writes its answer to such a request before it crashes, in ms; 0 if it crashes before the first event. */
+	readonly crashAfterMs?: number;
 	/** Upstreams that crash for other reasons, per second. */
 	readonly killsPerSecond: number;
 	/** Fraction of the upstreams that lose power at once, halfway. */
@@ -54,7 +56,7 @@
 	readonly soundRefused: number;
 };
 
-type Running = {readonly features: readonly string[]; readonly vm: number; hasBegun: boolean};
+type Running = {readonly features: readonly string[]; readonly vm: number};
 type Upstream = {readonly id: string; boot: number; isUp: boolean; readonly running: Set<Running>};
 
 /** Plays a plan. */
@@ -148,7 +150,7 @@
 
 		this.#late += isDeadly && this.#now > this.#fifthCrashAt + CONTACT_MS ? 1 : 0;
 		const upstream = this.#random.pick(up);
-		const running: Running = {features, vm: this.#random.integer(0, vms - 1), hasBegun: false};
+		const running: Running = {features, vm: this.#random.integer(0, vms - 1)};
 		upstream.running.add(running);
 		const {boot} = upstream;
 		this.#clock.setTimer(this.#random.integer(PREFILL_MS.min, PREFILL_MS.max), () => {
@@ -157,9 +159,7 @@
 			}
 
 			if (isDeadly) {
-				this.#crashes += 1;
-				this.#fifthCrashAt = this.#crashes === CRASHES_TO_VERDICT ? this.#now : this.#fifthCrashAt;
-				this.#crash(upstream);
+				this.#beginDeadly(upstream, boot, running);
 			} else if (this.#random.next() < lostShare) {
 				upstream.running.delete(running);
 				this.#report(upstream, running);
@@ -170,14 +170,47 @@
 	}
 
 	#begin(upstream: Upstream, boot: number, running: Running): void {
-		running.hasBegun = true;
-		for (const vm of new Set([this.#leader, running.vm])) {
-			this.#vms[vm]!.noteBegun({crash: crashId.refused(upstream.id, String(boot)), pool: POOL, features: running.features}, this.#now);
+		const crash = crashId.refused(upstream.id, String(boot));
+		this.#tell(running, quarantine => {
+			quarantine.noteAlive(crash, this.#now);
+		});
+		this.#clock.setTimer(ANSWER_MS, () => {
+			if (upstream.running.delete(running)) {
+				this.#tell(running, quarantine => {
+					quarantine.noteAnswered({crash, pool: POOL, features: running.features}, this.#now);
+				});
+			}
+		});
+	}
+
+	#beginDeadly(upstream: Upstream, boot: number, running: Running): void {
+		const crashAfterMs = this.#plan.crashAfterMs ?? 0;
+		if (crashAfterMs === 0) {
+			this.#crashByPart(upstream);
+			return;
 		}
 
-		this.#clock.setTimer(ANSWER_MS, () => {
-			upstream.running.delete(running);
+		this.#tell(running, quarantine => {
+			quarantine.noteAlive(crashId.refused(upstream.id, String(boot)), this.#now);
 		});
+		this.#clock.setTimer(crashAfterMs, () => {
+			if (upstream.running.has(running)) {
+				this.#crashByPart(upstream);
+			}
+		});
+	}
+
+	#crashByPart(upstream: Upstream): void {
+		this.#crashes += 1;
+		this.#fifthCrashAt = this.#crashes === CRASHES_TO_VERDICT ? this.#now : this.#fifthCrashAt;
+		this.#crash(upstream);
+	}
+
+	/** Tells the VM that sent a request, and the one that allocates. */
+	#tell({vm}: Running, tell: (quarantine: Quarantine) => void): void {
+		for (const index of new Set([this.#leader, vm])) {
+			tell(this.#vms[index]!);
+		}
 	}
 
 	#crash(upstream: Upstream): void {
@@ -187,9 +220,7 @@
 
 		upstream.isUp = false;
 		for (const running of upstream.running) {
-			if (!running.hasBegun) {
-				this.#report(upstream, running);
-			}
+			this.#report(upstream, running);
 		}
 
 		upstream.running.clear();
@@ -199,15 +230,13 @@
 		});
 	}
 
-	#report({id, boot}: Upstream, {features, vm}: Running): void {
-		if (this.#plan.isBlind === true) {
-			return;
-		}
-
-		for (const index of new Set([this.#leader, vm])) {
-			this.#vms[index]!.noteCrash({
-				crash: crashId.refused(id, String(boot)), pool: POOL, features, seenBy: `vm-${vm}`,
-			}, this.#now);
+	#report({id, boot}: Upstream, running: Running): void {
+		if (this.#plan.isBlind !== true) {
+			this.#tell(running, quarantine => {
+				quarantine.noteCrash({
+					crash: crashId.refused(id, String(boot)), pool: POOL, features: running.features, seenBy: `vm-${running.vm}`,
+				}, this.#now);
+			});
 		}
 	}
 
--- a/bench/quarantine.ts
+++ b/bench/quarantine.ts
@@ -14,6 +14,9 @@
 	['1 in 50', {}],
 	['1 in 100, the first part', {deadlyShare: 0.01, isFirstPart: true}],
 	['1 in 5', {deadlyShare: 0.2}],
+	['1 in 50, behind the first event', {crashAfterMs: 40}],
+	['1 in 20, before the last event', {deadlyShare: 0.05, crashAfterMs: 550}],
+	['1 in 5, the first part, behind the first event', {deadlyShare: 0.2, isFirstPart: true, crashAfterMs: 40}],
 	['1 in 20, beside kills, a power loss and lost answers', {
 		deadlyShare: 0.05, killsPerSecond: 0.5, powerLossShare: 0.5, lostShare: 0.02,
 	}],
--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -107,6 +107,8 @@
 	readonly deadlyParts = new Set<string>();
 	/** Times of the crashes by such parts, in ms of `performance.now()`. */
 	readonly deadlyCrashes: number[] = [];
+	/** How servers that are added crash by such parts. */
+	deadlyCrash: Pick<PlatformServer, 'eventsBeforeCrash' | 'crashesSilently'> = {eventsBeforeCrash: 0, crashesSilently: false};
 	checks = 0;
 	/** Copy of the store from before the first VM started. */
 	firstCopy: StoreCopy;
@@ -137,6 +139,7 @@
 	async addServer(service: string, slots: number): Promise<PlatformServer> {
 		const server = await PlatformServer.start(`i-${this.#allServers.length}`, slots);
 		server.isDeadly = prompt => promptParts(prompt).some(part => this.deadlyParts.has(part));
+		Object.assign(server, this.deadlyCrash);
 		server.onCrash = () => {
 			this.deadlyCrashes.push(performance.now());
 			this.crashServer(server.id);
@@ -152,6 +155,14 @@
 		return server;
 	}
 
+	/** Sets how all servers crash by deadly parts. */
+	setDeadlyCrash(deadlyCrash: Partial<PlatformDeployment['deadlyCrash']>): void {
+		this.deadlyCrash = {...this.deadlyCrash, ...deadlyCrash};
+		for (const {server} of this.servers.values()) {
+			Object.assign(server, this.deadlyCrash);
+		}
+	}
+
 	/** Marks a server as draining; after `DRAIN_PROPAGATION_LIMIT_MS` it must receive no more requests. */
 	drainServer(id: string): void {
 		const {server, service} = this.servers.get(id)!;
@@ -183,7 +194,11 @@
 
 	/** Crashes a server; its entry is removed from the store after a delay, as if it had expired. */
 	crashServer(id: string): void {
-		this.servers.get(id)!.server.crash();
+		const {server} = this.servers.get(id)!;
+		if (!server.crashesSilently) {
+			server.crash();
+		}
+
 		this.servers.delete(id);
 		setTimeout(() => {
 			this.#putEntry(id, undefined);
--- a/soak/simulated-callers.ts
+++ b/soak/simulated-callers.ts
@@ -115,6 +115,7 @@
 			quotaCost: customer === undefined ? 0 : 1,
 			isCharged: false,
 			isCounted: false,
+			isContinuation: false,
 			objectiveMs: 300,
 			remainingMs: 2000,
 			callerLeavesMs: 2000,
--- a/src/allocation/allocation.ts
+++ b/src/allocation/allocation.ts
@@ -30,6 +30,8 @@
 	readonly isCharged: boolean;
 	/** An allocator was already asked for this attempt, and counted the request towards the retry budget. */
 	readonly isCounted: boolean;
+	/** The upstream is to go on behind an event of another one. */
+	readonly isContinuation: boolean;
 	/** Time left until the response-time objective is missed; negative once it has been missed. */
 	readonly objectiveMs: number;
 	/** Time left until the request's deadline, after which the answer is useless. */
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -186,6 +186,7 @@
 
 	setUpstreams({changed, removed}: UpstreamChanges): void {
 		for (const id of removed) {
+			this.#noteGone(id);
 			this.#poolByUpstream.get(id)?.removeUpstream(id);
 			this.#poolByUpstream.delete(id);
 		}
@@ -194,6 +195,10 @@
 		for (const upstream of changed) {
 			const pool = this.#getOrCreatePool(upstream.pool);
 			const previous = this.#poolByUpstream.get(upstream.id);
+			if (previous?.upstreams.get(upstream.id)?.upstream.startedAt !== upstream.startedAt) {
+				this.#noteGone(upstream.id);
+			}
+
 			if (previous !== undefined && previous !== pool) {
 				previous.removeUpstream(upstream.id);
 			}
@@ -272,7 +277,7 @@
 		const pool = this.#poolByRequest.get(id);
 		const held = pool?.held.get(id);
 		if (pool !== undefined && held !== undefined) {
-			this.#crashRecorder.noteBegun(held.ask, recordedUpstream(pool, held));
+			this.#crashRecorder.noteBegun(recordedUpstream(pool, held));
 			pool.noteFirst(id, firstMs);
 		}
 	}
@@ -286,7 +291,7 @@
 
 		this.#poolByRequest.delete(id);
 		const now = this.#options.clock.now();
-		this.#crashRecorder.noteEnding(held.ask, recordedUpstream(pool, held), report.ending, held.hasFirst);
+		this.#crashRecorder.noteEnding(held.ask, recordedUpstream(pool, held), report.ending, report.streamMs);
 		pool.release(held, report, now, this.#scope.isStandalone);
 		if (report.ending !== Ending.Answered) {
 			this.#callerRetries.note(held.ask.fingerprint, held, now);
@@ -295,6 +300,16 @@
 		this.#grantPlaces(pool);
 	}
 
+	/** Tells the recorder that the listed start of an upstream has ended. */
+	#noteGone(id: string): void {
+		const target = this.#poolByUpstream.get(id)?.upstreams.get(id);
+		if (target !== undefined) {
+			const {upstream} = target;
+			const running = [...target.held.values()].filter(({upstreamStartedAt}) => upstreamStartedAt === upstream.startedAt);
+			this.#crashRecorder.noteGone(upstream, running.map(({ask}) => ask));
+		}
+	}
+
 	#defer(ask: PlaceRequest, events: PlaceRequestEvents): void {
 		const {clock} = this.#options;
 		this.#deferred.set(ask.id, clock.setTimer(STANDALONE_QUOTA_WAIT_MS, () => {
--- a/src/allocation/switched-allocation.ts
+++ b/src/allocation/switched-allocation.ts
@@ -95,7 +95,7 @@
 		const entry = this.#entries.get(id);
 		if (entry !== undefined) {
 			if (this.#current?.recordsCrashes === false && entry.upstream !== undefined) {
-				this.#ownCrashes?.recorder.noteBegun(entry.ask, entry.upstream);
+				this.#ownCrashes?.recorder.noteBegun(entry.upstream);
 			}
 
 			entry.hasFirst = true;
@@ -111,12 +111,27 @@
 
 		this.#entries.delete(id);
 		if (this.#current?.recordsCrashes === false && entry.upstream !== undefined) {
-			this.#ownCrashes?.recorder.noteEnding(entry.ask, entry.upstream, report.ending, entry.hasFirst);
+			this.#ownCrashes?.recorder.noteEnding(entry.ask, entry.upstream, report.ending, report.streamMs);
 		}
 
 		this.#current?.release(id, report);
 	}
 
+	/** Records that upstreams are no longer listed, with the requests that they have not answered. */
+	noteGone(ids: readonly string[]): void {
+		if (this.#current?.recordsCrashes !== false) {
+			return;
+		}
+
+		for (const id of ids) {
+			const entries = [...this.#entries.values()].filter(({upstreamId}) => upstreamId === id);
+			const upstream = entries.find(entry => entry.upstream !== undefined)?.upstream;
+			if (upstream !== undefined) {
+				this.#ownCrashes?.recorder.noteGone(upstream, entries.map(({ask}) => ask));
+			}
+		}
+	}
+
 	#forward(allocation: Allocation, entry: Entry, ask: PlaceRequest): void {
 		allocation.ask(ask, {
 			grant: (upstreamId, expectedFirstMs) => {
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -253,6 +253,7 @@
 			quotaCost,
 			isCharged: this.#isGranted && this.#sentCount === 0,
 			isCounted: false,
+			isContinuation: this.#splitter.lastId !== undefined,
 			objectiveMs: Math.round(arrivedAt + route.objectiveMs - now),
 			remainingMs: Math.round(this.#deadlineAt - now),
 			patienceMs: Math.round(Math.min(this.#deadlineAt, this.#waitsSince + callerPatienceMs(route)) - now),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -104,6 +104,7 @@
 			},
 			onUpstreams: changes => {
 				this.#allocator.setUpstreams(changes);
+				allocation.noteGone(changes.removed);
 				this.#publishReadiness();
 			},
 		});
--- a/src/link/message-schemas.ts
+++ b/src/link/message-schemas.ts
@@ -56,6 +56,7 @@
 	quotaCost: amount,
 	isCharged: z.boolean(),
 	isCounted: z.boolean(),
+	isContinuation: z._default(z.boolean(), false),
 	objectiveMs: z.number(),
 	remainingMs: z.number(),
 	patienceMs: z.number(),
--- a/src/policy/crash-log.ts
+++ b/src/policy/crash-log.ts
@@ -4,6 +4,7 @@
  */
 import {LRUCache} from 'lru-cache';
 import {isSharedFeature} from './features.js';
+import {type SuspectRecord} from './suspicion.js';
 
 const MAX_CRASHES = 4096;
 /** Features that are remembered as harmless. */
@@ -17,23 +18,28 @@
 /** Crashes that make a feature guilty if few other requests were in flight, and those that do in any case. */
 const FEW_CRASHES = 3;
 const MANY_CRASHES = 5;
-/** Sum of a feature's shares in the crashes, with which few crashes suffice. */
+/** Sum of a feature's shares in the crashes, with which few crashes suffice: of a request, and of what requests share. */
 const MIN_TOTAL_SHARE = 1;
+const MIN_TOTAL_SHARE_SHARED = 2;
 /** Crashes without the feature, for each one with it, above which crashes have another cause: with few and with many crashes of the feature. */
-const MAX_OTHERS_RATIO_FEW = 2;
-const MAX_OTHERS_RATIO_MANY = 4;
-/** Requests without a shared feature that must have begun since its first crash, which shows that upstreams are sound without it. */
+const MAX_OTHERS_RATIO_FEW = 0.25;
+const MAX_OTHERS_RATIO_MANY = 2;
+/** Requests without a shared feature that must have been answered since its first crash, which shows that upstreams are sound without it. */
 const MIN_CONTROL_REQUESTS = 3;
-/** Time after a crash in which a response of the same start of the upstream shows that it did not crash, in ms: not delayed from before, and before the upstream can be back. */
+/**
+ * Times after a crash at which a response of the same start of the upstream shows that it did not crash, in ms: it is not
+ * delayed from before the crash, and it comes before the upstream can be back, or after VMs have learned that it is back.
+ */
 const REFUTATION_FROM_MS = 150;
 const REFUTATION_UNTIL_MS = 2000;
+const REFUTATION_AGAIN_FROM_MS = 5000;
 
 type Crash = {
 	readonly pool: string;
 	readonly at: number;
 	readonly features: Set<string>;
-	/** Requests of the pool that had begun by then. */
-	readonly begunBefore: number;
+	/** Requests of the pool that had been answered by then. */
+	readonly answeredBefore: number;
 	isExplained: boolean;
 };
 
@@ -43,8 +49,8 @@
 	readonly crashes: ReadonlySet<string>;
 	/** Features that all these requests had. */
 	readonly companions: ReadonlySet<string>;
-	/** Returns the crashes of another feature. */
-	readonly suspects: (feature: string) => ReadonlySet<string> | undefined;
+	/** Returns what is held against another feature. */
+	readonly suspects: (feature: string) => Readonly<Pick<SuspectRecord, 'crashes' | 'companions'>> | undefined;
 };
 
 /** Crashes known to one node. Times in ms of its monotonic clock. */
@@ -55,7 +61,7 @@
 
 	readonly #crashes = new LRUCache<string, Crash>({max: MAX_CRASHES});
 	readonly #harmless = new LRUCache<string, true>({max: MAX_HARMLESS_FEATURES, ttl: HARMLESS_MS, ttlResolution: 1000});
-	readonly #begunCounts = new Map<string, number>();
+	readonly #answeredCounts = new Map<string, number>();
 
 	private constructor() {
 		// Instances come from `create`.
@@ -64,15 +70,15 @@
 	/** Adds a feature of a request that was in flight at a crash. */
 	add(id: string, {pool, feature, at}: {readonly pool: string; readonly feature: string; readonly at: number}): void {
 		const crash = this.#crashes.get(id) ?? {
-			pool, at, features: new Set(), begunBefore: this.#begunCounts.get(pool) ?? 0, isExplained: false,
+			pool, at, features: new Set(), answeredBefore: this.#answeredCounts.get(pool) ?? 0, isExplained: false,
 		};
 		crash.features.add(feature);
 		this.#crashes.set(id, crash);
 	}
 
-	/** Records that an upstream of the pool began to answer a request with these features. */
-	noteBegun(pool: string, features: readonly string[]): void {
-		this.#begunCounts.set(pool, (this.#begunCounts.get(pool) ?? 0) + 1);
+	/** Records that an upstream of the pool answered a request with these features as a whole. */
+	noteAnswered(pool: string, features: readonly string[]): void {
+		this.#answeredCounts.set(pool, (this.#answeredCounts.get(pool) ?? 0) + 1);
 		for (const feature of features) {
 			if (isSharedFeature(feature)) {
 				this.#harmless.set(feature, true);
@@ -101,7 +107,8 @@
 	 */
 	refute(id: string, now: number): Iterable<string> {
 		const crash = this.#crashes.peek(id);
-		if (crash === undefined || now - crash.at < REFUTATION_FROM_MS || now - crash.at > REFUTATION_UNTIL_MS) {
+		const ageMs = crash === undefined ? 0 : now - crash.at;
+		if (crash === undefined || ageMs < REFUTATION_FROM_MS || (ageMs > REFUTATION_UNTIL_MS && ageMs < REFUTATION_AGAIN_FROM_MS)) {
 			return [];
 		}
 
@@ -140,10 +147,11 @@
 			return false;
 		}
 
-		const count = isSharedFeature(feature) ? countMoments(own, this.#harmless.has(feature) ? SIMULTANEOUS_HARMLESS_MS : SIMULTANEOUS_MS) : own.length;
-		const share = own.reduce((sum, crash) => sum + (1 / countRequests(crash)), 0);
+		const moments = isSharedFeature(feature) ? firstOfMoments(own, this.#harmless.has(feature) ? SIMULTANEOUS_HARMLESS_MS : SIMULTANEOUS_MS) : own;
+		const count = moments.length;
+		const share = moments.reduce((sum, crash) => sum + (1 / countRequests(crash)), 0);
 		const isMany = count >= MANY_CRASHES;
-		if (!isMany && (count < FEW_CRASHES || share < MIN_TOTAL_SHARE)) {
+		if (!isMany && (count < FEW_CRASHES || share < (isSharedFeature(feature) ? MIN_TOTAL_SHARE_SHARED : MIN_TOTAL_SHARE))) {
 			return false;
 		}
 
@@ -156,11 +164,14 @@
 		}
 
 		const others = [...this.#crashes.entries()].filter(([id, crash]) => !crash.isExplained && crash.pool === first.pool && crash.at >= first.at - SIMULTANEOUS_MS && !crashes.has(id)).length;
-		const begun = (this.#begunCounts.get(first.pool) ?? 0) - Math.min(...own.map(({begunBefore}) => begunBefore));
-		return begun >= MIN_CONTROL_REQUESTS && others <= own.length * (isMany ? MAX_OTHERS_RATIO_MANY : MAX_OTHERS_RATIO_FEW);
+		const answered = (this.#answeredCounts.get(first.pool) ?? 0) - Math.min(...own.map(({answeredBefore}) => answeredBefore));
+		return answered >= MIN_CONTROL_REQUESTS && others <= own.length * (isMany ? MAX_OTHERS_RATIO_MANY : MAX_OTHERS_RATIO_FEW);
 	}
 
-	/** @returns Whether a feature of other requests was in flight at all these crashes and at more, or is as suspect and shared by more requests. */
+	/**
+	 * @returns Whether a feature of other requests was in flight at all these crashes, and at more of them, or is as suspect and
+	 * shared by more requests, or came with this feature each time, so that it narrows the cause down.
+	 */
 	#hasBetterSuspect(feature: string, own: readonly Crash[], {crashes, companions, suspects}: Accusation): boolean {
 		const [first, ...rest] = own;
 		return [...first!.features].some(other => {
@@ -168,9 +179,13 @@
 				return false;
 			}
 
-			const otherCrashes = suspects(other);
-			const isSuperset = otherCrashes !== undefined && [...crashes].every(id => otherCrashes.has(id));
-			return isSuperset && (otherCrashes.size > crashes.size || (isSharedFeature(other) && !isSharedFeature(feature)));
+			const suspect = suspects(other);
+			if (suspect === undefined || ![...crashes].every(id => suspect.crashes.has(id))) {
+				return false;
+			}
+
+			const isNarrower = isSharedFeature(other) && suspect.companions?.has(feature) === true;
+			return suspect.crashes.size > crashes.size || isNarrower || (isSharedFeature(other) && !isSharedFeature(feature));
 		});
 	}
 }
@@ -180,16 +195,14 @@
 	return Math.max(1, [...features].filter(feature => !isSharedFeature(feature)).length);
 }
 
-/** @returns Number of crashes, where those within `windowMs` of the first one count as one. */
-function countMoments(crashes: readonly Crash[], windowMs: number): number {
-	let count = 0;
-	let start = Number.NEGATIVE_INFINITY;
-	for (const {at} of crashes) {
-		if (at - start > windowMs) {
-			count += 1;
-			start = at;
+/** @returns The crashes without those within `windowMs` of an earlier one that remains. */
+function firstOfMoments(own: readonly Crash[], windowMs: number): Crash[] {
+	const moments: Crash[] = [];
+	for (const crash of own) {
+		if (crash.at - (moments.at(-1)?.at ?? Number.NEGATIVE_INFINITY) > windowMs) {
+			moments.push(crash);
 		}
 	}
 
-	return count;
+	return moments;
 }
--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -150,16 +150,21 @@
 	}
 
 	/**
-	 * Records that an upstream began to answer a request, which clears all its features.
+	 * Records that an upstream answered a request as a whole, which clears all its features.
 	 *
-	 * @param crash - ID that a crash of this start of the upstream has; a recent one is withdrawn, as the upstream still runs.
+	 * @param crash - ID that a crash of this start of the upstream has.
 	 */
-	noteBegun({crash, pool, features}: Omit<CrashedRequest, 'seenBy'>, now: number): void {
-		this.#log.noteBegun(pool, features);
+	noteAnswered({crash, pool, features}: Omit<CrashedRequest, 'seenBy'>, now: number): void {
+		this.#log.noteAnswered(pool, features);
 		for (const feature of features) {
 			this.noteSuccess(feature, now);
 		}
 
+		this.noteAlive(crash, now);
+	}
+
+	/** Records that an upstream answers: a crash of this start of it did not happen, and is withdrawn. */
+	noteAlive(crash: string, now: number): void {
 		for (const feature of this.#log.refute(crash, now)) {
 			const record = this.#findUnexpired(feature, now);
 			if (record?.crashes.has(crash) === true) {
@@ -286,13 +291,13 @@
 				continue;
 			}
 
-			if (record.wasQuarantined || this.#log.isGuilty(feature, {crashes: record.crashes, companions: record.companions ?? new Set([feature]), suspects: this.#crashesBy})) {
+			if (record.wasQuarantined || this.#log.isGuilty(feature, {crashes: record.crashes, companions: record.companions ?? new Set([feature]), suspects: this.#recordOf})) {
 				this.#quarantine(feature, record, now + this.#quarantineMs, now);
 			}
 		}
 	}
 
-	readonly #crashesBy = (feature: string): ReadonlySet<string> | undefined => this.#records.peek(feature)?.crashes;
+	readonly #recordOf = (feature: string): SuspectRecord | undefined => this.#records.peek(feature);
 
 	#quarantine(feature: string, record: SuspectRecord, until: number, now: number): void {
 		record.quarantinedUntil = until;
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -105,8 +105,12 @@
 
 	/** Value of the limit that each response states; `undefined` for none. */
 	limit: string | undefined;
-	/** Tells whether a prompt crashes the server as soon as it begins to answer. */
+	/** Tells whether a prompt crashes the server while it answers. */
 	isDeadly: ((prompt: string) => boolean) | undefined;
+	/** Number of events that it writes before such a crash. */
+	eventsBeforeCrash = 0;
+	/** Whether a crash leaves its connections open and silent, as a loss of power does. */
+	crashesSilently = false;
 	/** Called when a prompt crashed the server. */
 	onCrash: (() => void) | undefined;
 	/** Times at which requests arrived, whether they ran or not, in ms of `performance.now()`. */
@@ -120,6 +124,7 @@
 	#mode: ServerMode = ServerMode.Healthy;
 	#endUnsound: (() => void) | undefined;
 	#runningCount = 0;
+	#isSilent = false;
 
 	private constructor(id: string, slots: number) {
 		this.id = id;
@@ -150,6 +155,12 @@
 		};
 	}
 
+	/** Stops writing on all connections, and leaves them open. */
+	fallSilent(): void {
+		this.mode = ServerMode.Mute;
+		this.#isSilent = true;
+	}
+
 	/** Stops immediately and closes all connections. */
 	crash(): void {
 		this.unsound.begin();
@@ -269,9 +280,21 @@
 				return;
 			}
 
-			if (this.isDeadly?.(String(req.headers['x-prompt-prefix'] ?? '')) === true) {
-				this.crash();
+			if (event >= first + this.eventsBeforeCrash && this.isDeadly?.(String(req.headers['x-prompt-prefix'] ?? '')) === true && !this.#isSilent) {
+				if (this.crashesSilently) {
+					this.fallSilent();
+				} else {
+					this.crash();
+				}
+
 				this.onCrash?.();
+			}
+
+			if (this.#isSilent) {
+				await waitForClose(res); // eslint-disable-line no-await-in-loop -- leaves the loop
+			}
+
+			if (res.destroyed) {
 				return;
 			}
 
--- a/test/allocation/allocator.test.ts
+++ b/test/allocation/allocator.test.ts
@@ -369,7 +369,7 @@
 		ask('waiting too', {...features('waiting too', 'sound'), ...patient, rank: 2});
 		allocator.release('first', lost);
 		for (const id of ['sound-1', 'sound-2', 'sound-3', 'sound-4']) {
-			allocator.noteFirst(id, 50);
+			allocator.release(id, answered);
 		}
 
 		clock.advance(200);
--- a/test/platform/deadly-parts.test.ts
+++ b/test/platform/deadly-parts.test.ts
@@ -2,6 +2,7 @@
 import {expect} from 'chai';
 import {PlatformDeployment} from '../../soak/platform-deployment.js';
 import {type CallerAnswer} from '../../soak/sent-call.js';
+import {STREAM_EVENTS} from '../../standins/platform-server.js';
 
 /** Time within which all VMs must know of a verdict, and the requests allowed after it, as the platform's rules state. */
 const CONTACT_MS = 3000;
@@ -47,9 +48,10 @@
 		expect(deployment.violations).to.deep.equal([]);
 	}
 
-	// Guards against requests that share a deadly part but nothing else, each of which crashed one more engine after the other.
-	it('keeps requests with the part from engines, and serves those with the same first part', async () => {
+	/** Lets a part crash engines in some way, and checks what reaches them and what happens to requests with the same first part. */
+	async function crashEngines(deadlyCrash: Partial<PlatformDeployment['deadlyCrash']>): Promise<void> {
 		await send(() => 'a1:60,b2:40,ff:20', 500);
+		deployment.setDeadlyCrash(deadlyCrash);
 		deployment.deadlyParts.add('dead');
 		await send(mixedPrompt, 2 * CONTACT_MS);
 		const answers = await send(mixedPrompt, CONTACT_MS);
@@ -59,5 +61,17 @@
 		const refused = answers.filter((_answer, count) => count % DEADLY_INTERVAL === 0);
 		expect([...new Set(refused.map(({status}) => status))]).to.deep.equal([422]);
 		expect(refused.filter(({headers}) => headers['retry-after'] !== undefined)).to.deep.equal([]);
-	});
+	}
+
+	// Guards against requests that share a deadly part but nothing else, each of which crashed one more engine after the other.
+	it('keeps requests with the part from engines, and serves those with the same first part', async () => crashEngines({}));
+
+	// Guards against a part that the beginning of each answer cleared (review/3).
+	it('does so if engines crash behind their first event', async () => crashEngines({eventsBeforeCrash: 1}));
+
+	// Guards against a part that is cleared by an upstream that writes only the end of an answer.
+	it('does so if engines crash before their last event', async () => crashEngines({eventsBeforeCrash: STREAM_EVENTS - 1}));
+
+	// Guards against crashes that are not known as such, as no connection was closed.
+	it('does so if engines fall silent behind their first event', async () => crashEngines({eventsBeforeCrash: 1, crashesSilently: true}));
 });
--- a/test/policy/quarantine-features.test.ts
+++ b/test/policy/quarantine-features.test.ts
@@ -28,15 +28,21 @@
 		}
 	}
 
-	begin(upstream: string, ...requests: ReadonlyArray<readonly string[]>): void {
+	/** Lets an upstream begin to answer. */
+	begin(upstream: string): void {
+		this.quarantine.noteAlive(crashId.refused(upstream, '1'), this.now);
+	}
+
+	/** Lets an upstream answer requests as a whole. */
+	answer(upstream: string, ...requests: ReadonlyArray<readonly string[]>): void {
 		for (const features of requests) {
-			this.quarantine.noteBegun({crash: crashId.refused(upstream, '1'), pool: 'p', features}, this.now);
+			this.quarantine.noteAnswered({crash: crashId.refused(upstream, '1'), pool: 'p', features}, this.now);
 		}
 	}
 
-	/** Lets unrelated requests begin, which shows that upstreams are sound. */
-	beginOthers(): void {
-		this.begin('sound', ['o1', 'part:o'], ['o2', 'part:o'], ['o3', 'part:o']);
+	/** Lets unrelated requests be answered, which shows that upstreams are sound. */
+	answerOthers(): void {
+		this.answer('sound', ['o1', 'part:o'], ['o2', 'part:o'], ['o3', 'part:o']);
 	}
 
 	isRefused(...features: readonly string[]): boolean {
@@ -53,7 +59,7 @@
 				const parts = [`part:x${count}`, `part:y${count}`];
 				parts[position] = 'part:dead';
 				course.crash([`r${count}`, ...parts], [`s${count}`, 'part:a', `part:z${count}`]);
-				course.beginOthers();
+				course.answerOthers();
 			}
 
 			expect(course.isRefused('new', 'part:q', 'part:dead')).to.equal(true);
@@ -67,27 +73,71 @@
 		const course = new Course();
 		for (let count = 0; count < MAX_CRASHES_TO_VERDICT; count += 1) {
 			course.crash([`r${count}`, 'part:victim', 'part:dead']);
-			course.beginOthers();
+			course.answerOthers();
 		}
 
 		expect(course.isRefused('new', 'part:victim', 'part:dead')).to.equal(true);
 		expect(course.isRefused('new', 'part:victim')).to.equal(false);
-		course.begin('sound', ['new', 'part:victim']);
+		course.answer('sound', ['new', 'part:victim']);
 		expect(course.isRefused('other', 'part:dead')).to.equal(true);
 		expect(course.isRefused('other', 'part:victim')).to.equal(false);
 	});
 
-	it('clears a part on which an upstream begins an answer', () => {
+	it('clears a part on which an upstream completes an answer', () => {
 		const course = new Course();
 		for (let count = 0; count < 2 * MAX_CRASHES_TO_VERDICT; count += 1) {
 			course.crash([`r${count}`, 'part:a']);
-			course.beginOthers();
-			course.begin('sound', [`s${count}`, 'part:a']);
+			course.answerOthers();
+			course.answer('sound', [`s${count}`, 'part:a']);
+		}
+
+		expect(course.isRefused('new', 'part:a')).to.equal(false);
+	});
+
+	// Guards against a part that crashes upstreams behind their first event, whose beginning cleared it each time (review/3).
+	it('refuses a part on which upstreams begin answers and crash', () => {
+		const course = new Course();
+		for (let count = 0; count < MAX_CRASHES_TO_VERDICT; count += 1) {
+			course.answerOthers();
+			course.now += 1000;
+			course.begin(`up-${count}`);
+			course.crashAt(`up-${count}`, [`r${count}`, 'part:dead', `part:${count}`], [`s${count}`, 'part:a']);
 		}
 
+		course.answerOthers();
+		course.crash(['r', 'part:dead']);
+		expect(course.isRefused('new', 'part:dead')).to.equal(true);
 		expect(course.isRefused('new', 'part:a')).to.equal(false);
 	});
 
+	// Guards against the first part that all requests share, when no answer came between the crashes to clear it.
+	it('prefers the part with which another one came each time', () => {
+		const course = new Course();
+		for (let count = 0; count < MAX_CRASHES_TO_VERDICT; count += 1) {
+			course.crash([`r${count}`, 'part:all', 'part:dead'], [`s${count}`, 'part:all', `part:${count}`]);
+			course.answerOthers();
+		}
+
+		expect(course.isRefused('new', 'part:all', 'part:dead')).to.equal(true);
+		expect(course.isRefused('new', 'part:all', 'part:9')).to.equal(false);
+	});
+
+	// Guards against a lookup that came while answers were lost for seconds, and was refused for hours (KNOWN-RED 10).
+	it('withdraws the verdict on a request whose answers were lost, once the upstreams answer others', () => {
+		const course = new Course();
+		for (let count = 0; count < MAX_CRASHES_TO_VERDICT; count += 1) {
+			course.crash(['lookup']);
+		}
+
+		expect(course.isRefused('lookup')).to.equal(true);
+		course.now += 5000;
+		for (let count = 0; count < MAX_CRASHES_TO_VERDICT; count += 1) {
+			course.answer(`up-${count + 1}`, [`other${count}`]);
+		}
+
+		expect(course.isRefused('lookup')).to.equal(false);
+	});
+
 	// Guards against parts condemned by servers that crash for another reason: power, a bad build, a roll-out, lost answers.
 	it('condemns no part when many upstreams lose power at once, though all requests in flight share it', () => {
 		const course = new Course();
@@ -96,7 +146,7 @@
 			course.crashAt(`dark-${index}`, [`r${index}`, 'part:all']);
 		}
 
-		course.beginOthers();
+		course.answerOthers();
 		expect(course.isRefused('new', 'part:all')).to.equal(false);
 	});
 
@@ -116,7 +166,7 @@
 			course.now += 1000;
 			course.crashAt(`up-${count}`, [`r${count}`, 'part:a']);
 			course.now += 500;
-			course.begin(`up-${count}`, [`o${count}`, 'part:o'], [`p${count}`, 'part:o']);
+			course.answer(`up-${count}`, [`o${count}`, 'part:o'], [`p${count}`, 'part:o']);
 		}
 
 		expect(course.isRefused('new', 'part:a')).to.equal(false);
@@ -131,12 +181,12 @@
 			course.crashAt(`up-${index}`, [`r${index}`, 'part:dead', `part:${index}`]);
 		}
 
-		leader.beginOthers();
+		leader.answerOthers();
 		for (const course of courses) {
 			leader.quarantine.import(course.quarantine.export(leader.now), leader.now);
 		}
 
-		leader.beginOthers();
+		leader.answerOthers();
 		leader.crashAt('up-5', ['r5', 'part:dead']);
 		expect(leader.isRefused('new', 'part:dead', 'part:9')).to.equal(true);
 		const late = new Course();
@@ -149,7 +199,7 @@
 		const course = new Course();
 		for (let count = 0; count < MAX_CRASHES_TO_VERDICT; count += 1) {
 			course.crash([`r${count}`, 'part:dead']);
-			course.beginOthers();
+			course.answerOthers();
 		}
 
 		for (let trial = 0; trial < 3; trial += 1) {
@@ -163,7 +213,7 @@
 		}
 
 		course.now += QUARANTINE_MS;
-		course.begin('new-version', ['new', 'part:dead']);
+		course.answer('new-version', ['new', 'part:dead']);
 		expect(course.isRefused('next', 'part:dead')).to.equal(false);
 		course.crash(['r', 'part:dead']);
 		expect(course.isRefused('next', 'part:dead')).to.equal(false);
@@ -173,12 +223,12 @@
 		const course = new Course();
 		for (let count = 0; count < MAX_CRASHES_TO_VERDICT; count += 1) {
 			course.crash([`r${count}`, 'part:dead']);
-			course.beginOthers();
+			course.answerOthers();
 		}
 
 		course.crashAt('up-9', ['s', 'part:dead']);
 		course.now += 500;
-		course.begin('up-9', ['t', 'part:other']);
+		course.answer('up-9', ['t', 'part:other']);
 		expect(course.isRefused('new', 'part:dead')).to.equal(true);
 		expect(course.quarantine.exportQuarantined(course.now).map(({feature, isCleared}) => [feature, isCleared])).to.deep.equal([['part:dead', false]]);
 		expect(course.quarantine.lift('part:dead', course.now)).to.equal(true);
@@ -190,7 +240,7 @@
 		const course = new Course();
 		for (let count = 0; count < MAX_CRASHES_TO_VERDICT; count += 1) {
 			course.crash([`r${count}`, 'part:dead']);
-			course.beginOthers();
+			course.answerOthers();
 		}
 
 		for (let count = 0; count < 400; count += 1) {
@@ -204,6 +254,9 @@
 		['one in five, the first part', {deadlyShare: 0.2, isFirstPart: true}],
 		['kills, a power loss and lost answers', {killsPerSecond: 0.5, powerLossShare: 0.5, lostShare: 0.02}],
 		['the allocator lost', {leaderLostAt: 4700}],
+		['crashes behind the first event', {crashAfterMs: 40}],
+		['crashes before the last event, beside kills', {crashAfterMs: 550, killsPerSecond: 0.5}],
+		['crashes behind the first event, the allocator lost', {crashAfterMs: 40, leaderLostAt: 4700}],
 	];
 	const quiet: QuarantinePlan = {
 		seed: 1, vms: 5, deadlyShare: 0.05, isFirstPart: false, killsPerSecond: 0, powerLossShare: 0, lostShare: 0, leaderLostAt: undefined,
--- a/test/support/place-request.ts
+++ b/test/support/place-request.ts
@@ -15,6 +15,7 @@
 		quotaCost: 0,
 		isCharged: false,
 		isCounted: false,
+		isContinuation: false,
 		objectiveMs: 1000,
 		remainingMs: 5000,
 		callerLeavesMs: 5000,
