Event streams in small chunks: work grew with the square of an event, and the event loop stood still

Cause: EventSplitter.push copied and searched the whole incomplete event for each chunk, thousands of chunks in one turn.

Change: the incomplete event is kept in blocks; only new bytes, and the two before them, are searched.

--- a/src/gateway/event-splitter.ts
+++ b/src/gateway/event-splitter.ts
@@ -3,6 +3,7 @@
  * only complete events.
  */
 import {Buffer} from 'node:buffer';
+import {ByteCollector} from '../base/byte-collector.js';
 import {isHeaderValue} from '../base/header-text.js';
 
 const LINE_FEED = 10;
@@ -10,6 +11,9 @@
 const OK_STATUS = 200;
 const EVENT_STREAM_TYPE = 'text/event-stream';
 const ID_FIELD = Buffer.from('id:');
+/** Number of bytes of the end of an event that can be in the chunk before its last byte. */
+const MAX_SPLIT_END_BYTES = 2;
+const EMPTY = new Uint8Array();
 
 /** Maximum length of a stream event, in bytes; typical events are under 1 KB. */
 export const MAX_EVENT_BYTES = 262_144;
@@ -20,7 +24,7 @@
 	readonly count: number;
 };
 
-/** Buffers the incomplete event between chunks. */
+/** Buffers the incomplete event between chunks, with work that is linear in the bytes whatever the size of the chunks. */
 export class EventSplitter {
 	static create(): EventSplitter {
 		return new EventSplitter();
@@ -28,7 +32,11 @@
 
 	/** ID of the last complete event, as sent by the upstream. */
 	lastId: string | undefined;
-	#partialEvent = Buffer.alloc(0);
+	readonly #partialEvent = ByteCollector.create();
+	/** The last bytes of the incomplete event, in which the blank line that ends it can begin. */
+	#lastBytes = EMPTY;
+	/** Whether the incomplete event has other bytes than line ends. */
+	#hasContent = false;
 
 	private constructor() {
 		// Instances come from `create`.
@@ -36,9 +44,8 @@
 
 	/** Whether the bytes so far end inside an event. Line ends between events belong to none. */
 	get isInsideEvent(): boolean {
-		const bytes = this.#partialEvent;
-		const isEnded = bytes.length > 1 && bytes.at(-1) === CARRIAGE_RETURN && bytes.at(-2) === CARRIAGE_RETURN;
-		return !isEnded && bytes.some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+		const isEnded = this.#lastBytes.length > 1 && this.#lastBytes.every(byte => byte === CARRIAGE_RETURN);
+		return !isEnded && this.#hasContent;
 	}
 
 	/** Whether another upstream can be told, in a header, after which event it has to go on. */
@@ -53,31 +60,52 @@
 
 	/** Discards the incomplete event after its upstream was lost. */
 	reset(): void {
-		this.#partialEvent = Buffer.alloc(0);
+		this.#partialEvent.clear();
+		this.#lastBytes = EMPTY;
+		this.#hasContent = false;
 	}
 
 	/** @returns The events completed by this chunk; the remaining bytes are buffered. */
 	push(chunk: Uint8Array): CompleteEvents {
-		const bytes = Buffer.concat([this.#partialEvent, chunk]);
+		const unsearched = this.#lastBytes.length === 0 ? chunk : Buffer.concat([this.#lastBytes, chunk]);
+		const firstEnd = findEventEnd(unsearched, 0);
+		if (firstEnd === -1) {
+			this.#buffer(chunk, unsearched);
+			return {bytes: EMPTY, count: 0};
+		}
+
+		const bytes = this.#partialEvent.length === 0 ? chunk : this.#takeWith(chunk);
 		let start = 0;
 		let count = 0;
-		for (let end = findEventEnd(bytes, start); end !== -1; end = findEventEnd(bytes, start)) {
+		for (let end = bytes.length - unsearched.length + firstEnd; end !== -1; end = findEventEnd(bytes, start)) {
 			this.#recordId(bytes.subarray(start, end));
 			start = end;
 			count += 1;
 		}
 
-		this.#partialEvent = bytes.subarray(start);
+		this.reset();
+		this.#buffer(bytes.subarray(start), bytes.subarray(start));
 		return {bytes: bytes.subarray(0, start), count};
 	}
 
+	/** @param end - Bytes with which the incomplete event ends, these ones included. */
+	#buffer(bytes: Uint8Array, end: Uint8Array): void {
+		this.#partialEvent.add(bytes);
+		this.#lastBytes = Uint8Array.from(end.subarray(-MAX_SPLIT_END_BYTES));
+		this.#hasContent ||= bytes.some(byte => byte !== LINE_FEED && byte !== CARRIAGE_RETURN);
+	}
+
+	#takeWith(chunk: Uint8Array): Uint8Array {
+		this.#partialEvent.add(chunk);
+		return this.#partialEvent.take();
+	}
+
 	#recordId(event: Uint8Array): void {
 		for (let start = 0; start < event.length;) {
 			const lineFeedIndex = event.indexOf(LINE_FEED, start);
 			const end = lineFeedIndex === -1 ? event.length : lineFeedIndex;
-			const line = Buffer.from(event.buffer, event.byteOffset + start, end - start);
-			if (line.subarray(0, ID_FIELD.length).equals(ID_FIELD)) {
-				this.lastId = line.toString('latin1', ID_FIELD.length).trim();
+			if (ID_FIELD.every((byte, index) => event[start + index] === byte)) {
+				this.lastId = Buffer.from(event.buffer, event.byteOffset + start, end - start).toString('latin1', ID_FIELD.length).trim();
 			}
 
 			start = end + 1;
--- a/test/gateway/modules.test.ts
+++ b/test/gateway/modules.test.ts
@@ -4,7 +4,7 @@
 import {Ran} from '../../src/base/errors.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
 import {addressesFor} from '../../src/gateway/address-selection.js';
-import {EventSplitter} from '../../src/gateway/event-splitter.js';
+import {EventSplitter, MAX_EVENT_BYTES} from '../../src/gateway/event-splitter.js';
 import {Ending, mayRetry, ranByEnding} from '../../src/gateway/exchange-ending.js';
 import {
 	Operation, pickTarget, type Route, RoutingTable,
@@ -107,6 +107,46 @@
 		}));
 	});
 
+	// Guards against work for each chunk that grows with the event, which kept the event loop for seconds (review/5).
+	it('copies a number of bytes that is linear in those it was given, whatever the size of the chunks', () => {
+		const {concat} = Buffer;
+		let copied = 0;
+		Buffer.concat = (list, length) => {
+			const bytes = concat(list, length);
+			copied += bytes.length;
+			return bytes;
+		};
+
+		try {
+			const text = 'data: '.padEnd(MAX_EVENT_BYTES / 4, 'x\n');
+			for (const chunkBytes of [1, 2, 7, 1000]) {
+				copied = 0;
+				const splitter = EventSplitter.create();
+				for (let start = 0; start < text.length; start += chunkBytes) {
+					splitter.push(Buffer.from(text.slice(start, start + chunkBytes)));
+				}
+
+				expect(splitter.push(Buffer.from('\n')).bytes.length).to.equal(text.length + 1);
+				expect(copied).to.be.below(5 * text.length);
+			}
+		} finally {
+			Buffer.concat = concat;
+		}
+	});
+
+	it('knows line ends between events from the inside of one', () => {
+		for (const [text, isInside] of [['', false], ['\n', false], ['\r\n', false], ['data', true], ['data\n', true], ['data\r', true], ['data\r\r', false], ['data\n\n', false], ['data\n\r\n\n', false]] as const) {
+			for (const chunkBytes of [1, 2, text.length + 1]) {
+				const splitter = EventSplitter.create();
+				for (let start = 0; start < text.length; start += chunkBytes) {
+					splitter.push(Buffer.from(text.slice(start, start + chunkBytes)));
+				}
+
+				expect(splitter.isInsideEvent, JSON.stringify(text)).to.equal(isInside);
+			}
+		}
+	});
+
 	it('discards an incomplete event when its upstream is lost', () => {
 		const splitter = EventSplitter.create();
 		splitter.push(Buffer.from('id: 1\n\nid: 2\ndata: ha'));
