Reading: a connection that was paused was read on

So the connection of an upstream whose caller does not read was paused and resumed again, and all of its stream was held. MessageReader now keeps the message from that while reading is stopped.

Evidence: slow-callers.test.ts "keeps an upstream waiting that sends large events" fails without the change (all of 40 MB had been read) and passes.

--- a/src/base/message-reader.ts
+++ b/src/base/message-reader.ts
@@ -12,6 +12,21 @@
 	onEnd(): void;
 };
 
+/**
+ * Keeps a message from reading on by itself: Node.js lets each message restart the reading of its connection whenever it has
+ * passed on all that was read, even if the connection was paused.
+ *
+ * @param isStopped - Whether reading is stopped now.
+ */
+export function stopReadingWhile(message: IncomingMessage, isStopped: () => boolean): void {
+	const read = message._read.bind(message);
+	message._read = size => {
+		if (!isStopped()) {
+			read(size);
+		}
+	};
+}
+
 /** Reads one body. */
 export class MessageReader {
 	static start(message: IncomingMessage, events: BodyEvents): MessageReader {
@@ -21,6 +36,7 @@
 	}
 
 	readonly #joiner: PieceJoiner;
+	#isStopped = false;
 
 	private constructor({socket}: IncomingMessage, events: BodyEvents) {
 		this.#joiner = PieceJoiner.create({
@@ -28,10 +44,12 @@
 				events.onBytes(bytes);
 			},
 			// The connection is paused rather than the message, which would buffer each further chunk as an object.
-			stopReading() {
+			stopReading: () => {
+				this.#isStopped = true;
 				socket.pause();
 			},
-			startReading() {
+			startReading: () => {
+				this.#isStopped = false;
 				socket.resume();
 			},
 		});
@@ -57,6 +75,7 @@
 	}
 
 	#attach(message: IncomingMessage, {onEnd}: BodyEvents): void {
+		stopReadingWhile(message, () => this.#isStopped);
 		message.on('data', (piece: Uint8Array) => {
 			this.#joiner.push(piece);
 		});
--- a/test/gateway/slow-callers.test.ts
+++ b/test/gateway/slow-callers.test.ts
@@ -40,6 +40,25 @@
 		caller.socket.destroy();
 	});
 
+	// Guards against a connection that is read on although it was paused: what the caller has not taken was held without a bound.
+	async function expectUpstreamWaits(repeatedEvent: string): Promise<void> {
+		const upstream = await harness.startUpstream('sound', ({id, socket}) => {
+			const chunk = formatChunk(repeatedEvent);
+			socket.write(formatStreamHead(id) + chunk.repeat(40_000_000 / chunk.length));
+		});
+		const caller = harness.connect();
+		caller.socket.pause();
+		caller.socket.write(formatRequest('resumable', 'slow'));
+		await eventually(() => upstream.received.length === 1);
+		await sleep(1500);
+		// The system's buffers take some MB of the 40.
+		expect(upstream.received[0]!.socket.writableLength).to.be.above(20_000_000);
+		caller.socket.destroy();
+	}
+
+	it('keeps an upstream waiting that sends large events', async () => expectUpstreamWaits(event));
+	it('keeps an upstream waiting that sends small events', async () => expectUpstreamWaits('id: 7\n\n'));
+
 	it('gets each byte of a response with a length before its connection closes', async () => {
 		const body = 'y'.repeat(6_000_000);
 		await harness.startUpstream('sound', ({id, socket}) => socket.write(formatResponse(id, body)));
