Callers' connections: requests sent without waiting for answers were all read and held

Cause: each request behind another one was parsed and held with its response, without a bound.

Change: above 32 waiting requests on a connection, reading stops after the present read, until fewer wait. Nobody is refused for it.

Evidence: caller-connections.test.ts "stops reading while many requests wait": all of 21 MB had been read on; now at least 5 MB of it wait at the caller, and all 1,500 requests are answered in their order.

--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -4,8 +4,16 @@
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import process from 'node:process';
+import {stopReadingWhile} from '../base/message-reader.js';
 import {type LingeringClose} from './lingering-close.js';
 
+/**
+ * Number of requests that may wait on one connection. Reading stops above it, as each of them is held with its response; one
+ * read can still bring some hundred more.
+ */
+const MAX_WAITING_REQUESTS = 32;
+
 type Connection = {
 	/** The latest request and its response. */
 	req?: IncomingMessage;
@@ -14,6 +22,8 @@
 	previous?: ServerResponse;
 	/** What follows on the connection cannot be read or is not served. */
 	isRejected: boolean;
+	/** Requests that wait for the response to one before them. */
+	waitingCount: number;
 };
 
 /** Decides whose turn it is on each connection. */
@@ -30,7 +40,7 @@
 	}
 
 	attach(socket: Socket): void {
-		this.#connections.set(socket, {isRejected: false});
+		this.#connections.set(socket, {isRejected: false, waitingCount: 0});
 		this.#closing.attach(socket);
 	}
 
@@ -44,7 +54,22 @@
 
 		const previous = connection.res;
 		Object.assign(connection, {req, res, previous});
+		connection.waitingCount += 1;
+		const isFull = () => connection.waitingCount >= MAX_WAITING_REQUESTS;
+		stopReadingWhile(req, isFull);
+		// Not before the parser is done with this read, as it resumes the connection at the end of each message.
+		process.nextTick(() => {
+			if (isFull()) {
+				socket.pause();
+			}
+		});
+
 		await waitForEnd(previous, socket);
+		connection.waitingCount -= 1;
+		if (connection.waitingCount === MAX_WAITING_REQUESTS - 1) {
+			socket.resume();
+		}
+
 		// A connection that was rejected inside this request's body answers with the rejection.
 		return socket.writable && (!connection.isRejected || req.complete);
 	}
--- a/test/gateway/caller-connections.test.ts
+++ b/test/gateway/caller-connections.test.ts
@@ -38,6 +38,30 @@
 		caller.socket.destroy();
 	});
 
+	// Guards against a caller that sends requests without waiting for answers: each was held with its response, until memory ran out.
+	it('stops reading while many requests wait, and answers all of them in their order', async () => {
+		const ids = Array.from({length: 1500}, (_, index) => `r${index}`);
+		const answers: Array<() => void> = [];
+		upstream.answer = ({id, socket}) => {
+			const answer = () => socket.write(formatResponse(id, `answer to ${id}`));
+			if (answers.push(answer) > 1) {
+				answer();
+			}
+		};
+
+		const caller = harness.connect();
+		const padding = `X-Padding: ${'x'.repeat(14_000)}\r\n`;
+		caller.socket.write(ids.map(id => formatRequest('safe', id, padding)).join(''));
+		await eventually(() => answers.length === 1);
+		await sleep(300);
+		// The system's buffers take some MB of the 21.
+		expect(caller.socket.writableLength).to.be.above(5_000_000);
+		answers[0]!();
+		await eventually(() => caller.text.endsWith(`answer to ${ids.at(-1)}`), 200);
+		expect([...caller.text.matchAll(/answer to (?<id>r\d+)/gv)].map(match => match.groups!.id)).to.deep.equal(ids);
+		caller.socket.destroy();
+	});
+
 	/** Sends two requests together and checks that the second is not run, as the connection closes behind the first answer. */
 	async function expectOneAnswer(first: string): Promise<void> {
 		const caller = harness.connect();
