--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -520,7 +520,7 @@
 			platform: {address: this.storeProxy.address},
 		}));
 		const vm = new VmProcess(`vm-${index}`, settingsPath, {
-			front: loopbackAddress(front), ready: loopbackAddress(ready), directory: loopbackAddress(directory), metrics: loopbackAddress(metrics),
+			front: loopbackAddress(front), ready: loopbackAddress(ready), directory: loopbackAddress(directory), metrics: loopbackAddress(metrics), control: loopbackAddress(control),
 		});
 		this.vms.push(vm);
 		vm.start();
--- a/soak/vm-process.ts
+++ b/soak/vm-process.ts
@@ -23,6 +23,8 @@
 	readonly ready: string;
 	readonly directory: string;
 	readonly metrics: string;
+	/** Address of the links to other VMs. */
+	readonly control: string;
 	/** When the process was killed or paused. */
 	readonly disturbed = new Spans();
 	/** When the process was stopped as planned, or was starting. */
@@ -37,13 +39,14 @@
 	#hasLogged = false;
 	#endPause: (() => void) | undefined;
 
-	constructor(name: string, settingsPath: string, addresses: {front: string; ready: string; directory: string; metrics: string}) {
+	constructor(name: string, settingsPath: string, addresses: {front: string; ready: string; directory: string; metrics: string; control: string}) {
 		this.name = name;
 		this.settingsPath = settingsPath;
 		this.front = addresses.front;
 		this.ready = addresses.ready;
 		this.directory = addresses.directory;
 		this.metrics = addresses.metrics;
+		this.control = addresses.control;
 	}
 
 	/** Starts the process unless it is running, as overlapping faults may each restart it. */
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -2,12 +2,12 @@
  * The HTTP server for callers: reads requests within their limits, resolves route and customer, and starts forwarding.
  * Uses `node:http` directly: it starts within 50 ms on a small VM and adds the least overhead to each stream event.
  */
-import {once} from 'node:events';
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket, Server as TcpServer} from 'node:net';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
+import {listen} from '../base/listening.js';
 import {RequestEnd} from '../base/metrics.js';
 import {type Random} from '../base/random.js';
 import {promptPartFeature} from '../policy/features.js';
@@ -104,8 +104,8 @@
 	}
 
 	async listen(host: string, port: number): Promise<void> {
-		this.#server.listen({host, port, backlog: 4096});
-		await once(this.#server, 'listening');
+		const {clock, log} = this.#context;
+		await listen(this.#server, {host, port, backlog: 4096}, clock, log);
 	}
 
 	/** Closes each connection after its next response, and rejects requests that could outlive the process. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -135,7 +135,7 @@
 			allocator: this.#allocator,
 			allocation,
 			register: options.register,
-			network: TcpNetwork.create(clock),
+			network: TcpNetwork.create(clock, log.part(LogPrefix.Link)),
 			self,
 			seeds: options.seeds,
 			reachesStore: options.reachesStore,
--- a/src/link/tcp-network.ts
+++ b/src/link/tcp-network.ts
@@ -1,13 +1,14 @@
 /**
  * The network between VMs over TCP.
  */
-import {once} from 'node:events';
 import {
 	createConnection, createServer, type Server, type Socket,
 } from 'node:net';
 import Result, {ok} from 'true-myth/result';
 import {splitAddress} from '../base/address.js';
 import {type Clock} from '../base/clock.js';
+import {listen} from '../base/listening.js';
+import {type Log} from '../base/log.js';
 import {LineChannel} from './line-channel.js';
 import {
 	type Channel, type ChannelEvents, ConnectFailure, LinkConnection, LinkNetwork,
@@ -19,17 +20,19 @@
 
 /** Opens, accepts and tracks the sockets of one VM. */
 export class TcpNetwork extends LinkNetwork {
-	static create(clock: Clock): TcpNetwork {
-		return new TcpNetwork(clock);
+	static create(clock: Clock, log: Log): TcpNetwork {
+		return new TcpNetwork(clock, log);
 	}
 
 	readonly #clock: Clock;
+	readonly #log: Log;
 	readonly #sockets = new Set<Socket>();
 	#server: Server | undefined;
 
-	private constructor(clock: Clock) {
+	private constructor(clock: Clock, log: Log) {
 		super();
 		this.#clock = clock;
+		this.#log = log;
 	}
 
 	async listen(address: string, onConnection: (connection: LinkConnection) => void): Promise<void> {
@@ -39,8 +42,7 @@
 			onConnection(new TcpConnection(socket));
 		});
 		this.#server = server;
-		server.listen(port, host);
-		await once(server, 'listening');
+		await listen(server, {host, port}, this.#clock, this.#log);
 	}
 
 	async connect(address: string): Promise<Result<LinkConnection, ConnectFailure>> {
