--- a/src/upstream/http-transport.ts
+++ b/src/upstream/http-transport.ts
@@ -4,7 +4,6 @@
  */
 import {Pool, type Dispatcher, errors} from 'undici';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
-import {PieceJoiner} from '../base/piece-joiner.js';
 import {
 	Exchange, type ExchangeHandler, StreamedBody, type UpstreamHeaders, type UpstreamRequest,
 } from './exchange.js';
@@ -72,7 +71,6 @@
 class HttpExchange extends Exchange implements Dispatcher.DispatchHandler {
 	readonly #handler: ExchangeHandler;
 	readonly #isForRequest: (headers: UpstreamHeaders) => boolean;
-	readonly #joiner: PieceJoiner;
 	#controller: Dispatcher.DispatchController | undefined;
 	#wasSent = false;
 	#isEnded = false;
@@ -82,26 +80,14 @@
 		super();
 		this.#handler = handler;
 		this.#isForRequest = isForRequest;
-		this.#joiner = PieceJoiner.create({
-			onBytes: bytes => {
-				this.#handleData(bytes);
-			},
-			stopReading: () => {
-				this.#controller?.pause();
-			},
-			startReading: () => {
-				this.#controller?.resume();
-			},
-		});
 	}
 
 	resume(): void {
-		this.#joiner.resume();
+		this.#controller?.resume();
 	}
 
 	abort(): void {
 		this.#isAborted = true;
-		this.#joiner.close();
 		this.#controller?.abort(new errors.RequestAbortedError());
 	}
 
@@ -128,16 +114,13 @@
 		}
 	}
 
-	onResponseData(_controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
-		this.#joiner.push(chunk);
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Uint8Array): void {
+		if (!this.#isAborted && !this.#handler.onData(chunk)) {
+			controller.pause();
+		}
 	}
 
 	onResponseEnd(): void {
-		this.#joiner.flush();
-		if (this.#isAborted) {
-			return;
-		}
-
 		this.#isEnded = true;
 		this.#handler.onEnd();
 	}
@@ -147,22 +130,9 @@
 			return;
 		}
 
-		this.#joiner.flush();
 		this.#isEnded = true;
 		this.#handler.onError(toSchedulerError(err, this.#wasSent, this.#isAborted), this.#wasSent);
 	}
-
-	/** The handler is called outside undici's own error handling, so an exception is turned into a failure of the exchange. */
-	#handleData(bytes: Uint8Array): void {
-		try {
-			if (!this.#isAborted && !this.#handler.onData(bytes)) {
-				this.#joiner.pause();
-			}
-		} catch (error) {
-			this.#joiner.close();
-			this.#controller?.abort(error as Error);
-		}
-	}
 }
 
 function toSchedulerError(err: Error, wasSent: boolean, isAborted: boolean): SchedulerError {
