--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -1,6 +1,8 @@
 /**
  * Metrics of a node in the Prometheus exposition format. Label values come only from closed sets.
  */
+import {readdirSync} from 'node:fs';
+import process from 'node:process';
 import {build, type Histogram} from 'hdr-histogram-js';
 import {
 	Counter, Gauge, type Metric, Registry,
@@ -13,6 +15,8 @@
 const MAX_TRACKED_MICROSECONDS = 3_600_000_000;
 const SIGNIFICANT_DIGITS = 2;
 const MAX_TIER = 4;
+/** Lists the open file descriptors of the process on Linux. */
+const DESCRIPTOR_FOLDER = '/proc/self/fd';
 const quantiles = [0.5, 0.9, 0.95, 0.99, 0.999];
 
 /** How a request ended: with a response from its upstream, with an error after dispatch, or without dispatch. */
@@ -131,6 +135,7 @@
 	readonly #errors: Counter<'kind'>;
 	readonly #upstreamNotices: Counter<'notice'>;
 	readonly #quarantines: Counter;
+	readonly #unhandledErrors: Counter;
 
 	private constructor() {
 		this.#requests = new Counter({
@@ -151,6 +156,16 @@
 		this.#quarantines = new Counter({
 			name: 'redwingspool_quarantines_total', help: 'Features whose requests were found to crash upstreams.', registers: [this.registry],
 		});
+		this.#unhandledErrors = new Counter({
+			name: 'redwingspool_unhandled_errors_total', help: 'Errors that no handler caught.', registers: [this.registry],
+		});
+		this.#registerGauge('redwingspool_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
+		this.#registerGauge('redwingspool_open_descriptors', 'Open file descriptors of the process; 0 where the system does not list them.', countOpenDescriptors);
+	}
+
+	/** Counts an error that no handler caught. */
+	countUnhandledError(): void {
+		this.#unhandledErrors.inc();
 	}
 
 	/** Counts a feature whose requests are refused from now on. */
@@ -161,11 +176,7 @@
 	/** Registers metrics whose values are kept by other components. */
 	registerSources(sources: MetricSources): void {
 		const registers = [this.registry];
-		const gauge = (name: string, help: string, read: () => number) => new Gauge({
-			name, help, registers, collect() {
-				this.set(read());
-			},
-		});
+		const gauge = this.#registerGauge.bind(this);
 		gauge('redwingspool_in_flight', 'Requests that are not answered yet.', sources.inFlight);
 		gauge('redwingspool_requests_open', 'Requests that were read completely and have not ended.', sources.openRequests ?? (() => 0));
 		gauge('redwingspool_waiting', 'Requests that wait in the queues.', sources.waiting);
@@ -213,4 +224,22 @@
 	async expose(): Promise<string> {
 		return this.registry.metrics();
 	}
+
+	/** @param read - Called at each scrape. */
+	#registerGauge(name: string, help: string, read: () => number): void {
+		// eslint-disable-next-line no-new -- the constructor registers the metric
+		new Gauge({
+			name, help, registers: [this.registry], collect() {
+				this.set(read());
+			},
+		});
+	}
+}
+
+function countOpenDescriptors(): number {
+	try {
+		return readdirSync(DESCRIPTOR_FOLDER).length;
+	} catch {
+		return 0;
+	}
 }
