--- a/test/platform/build.test.ts
+++ b/test/platform/build.test.ts
@@ -84,11 +84,11 @@
 		child.kill('SIGHUP');
 		await sleep(SIGNAL_MS);
 		const isEnded = child.signalCode !== null;
-		await pipe!.close();
 		if (!isEnded) {
 			await writeFile(program, text);
 		}
 
+		await pipe!.close();
 		await ended;
 		expect(child.signalCode).to.equal(null);
 	});
