Outgoing connections kept VMs on the same machine from listening on their ports

Callers saw a VM that did not come back after a restart. Cause: the system chooses the local port of a connection; if it is the port of a VM that is down, that VM cannot listen while the connection is open and for 60 s after it. Each exchange with an upstream is a connection of its own, so that thousands of ports are taken in this way where VMs share an address. Change: base/connecting.ts opens all outgoing connections and binds their local port first, which Node.js does with SO_REUSEADDR: others can listen on it all the same. A connection that the system has connected to itself ends as refused.

--- a/src/gateway/upstream-exchange.ts
+++ b/src/gateway/upstream-exchange.ts
@@ -6,9 +6,10 @@
 import {
 	type ClientRequest, type IncomingHttpHeaders, type IncomingMessage, request,
 } from 'node:http';
-import {createConnection, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
 import {splitAddress} from '../base/address.js';
 import {type Clock, type Timer} from '../base/clock.js';
+import {openConnection} from '../base/connecting.js';
 import {MessageReader} from '../base/message-reader.js';
 import {Ending} from './exchange-ending.js';
 
@@ -98,14 +99,14 @@
 	}
 
 	#connect(): void {
-		const socket = createConnection({...splitAddress(this.#request.address), ...socketOptions});
+		const socket = openConnection({...splitAddress(this.#request.address), ...socketOptions});
 		this.#socket = socket;
 		this.#timer = this.#clock.setTimer(CONNECT_TIMEOUT_MS, () => {
 			this.#fail(Ending.NotConnected, 'connection timed out');
 		});
 		socket.once('connect', () => {
 			this.#timer?.cancel();
-			if (!this.#isSettled) {
+			if (!this.#isSettled && !socket.destroyed) {
 				this.#send(socket);
 			}
 		});
--- a/src/link/tcp-network.ts
+++ b/src/link/tcp-network.ts
@@ -1,12 +1,11 @@
 /**
  * The network between VMs over TCP.
  */
-import {
-	createConnection, createServer, type Server, type Socket,
-} from 'node:net';
+import {createServer, type Server, type Socket} from 'node:net';
 import Result, {ok} from 'true-myth/result';
 import {splitAddress} from '../base/address.js';
 import {type Clock} from '../base/clock.js';
+import {openConnection} from '../base/connecting.js';
 import {listen} from '../base/listening.js';
 import {type Log} from '../base/log.js';
 import {LineChannel} from './line-channel.js';
@@ -48,26 +47,32 @@
 	async connect(address: string): Promise<Result<LinkConnection, ConnectFailure>> {
 		return new Promise(resolve => {
 			let failure: ConnectFailure = ConnectFailure.Silent;
-			const socket = createConnection(splitAddress(address));
+			const socket = openConnection(splitAddress(address));
+			this.#track(socket);
 			const timer = this.#clock.setTimer(CONNECT_TIMEOUT_MS, () => {
 				socket.destroy();
 			});
-			socket.once('connect', () => {
-				timer.cancel();
-				socket.removeAllListeners('error');
-				socket.removeAllListeners('close');
-				this.#track(socket);
-				resolve(ok(new TcpConnection(socket)));
-			});
-			socket.once('error', err => {
-				if ((err as NodeJS.ErrnoException).code === 'ECONNREFUSED') {
+			const onError = (err: NodeJS.ErrnoException) => {
+				if (err.code === 'ECONNREFUSED') {
 					failure = ConnectFailure.Refused;
 				}
-			});
-			socket.once('close', () => {
+			};
+
+			const onClose = () => {
 				timer.cancel();
 				resolve(Result.err(failure));
+			};
+
+			socket.once('connect', () => {
+				if (!socket.destroyed) {
+					timer.cancel();
+					socket.off('error', onError);
+					socket.off('close', onClose);
+					resolve(ok(new TcpConnection(socket)));
+				}
 			});
+			socket.once('error', onError);
+			socket.once('close', onClose);
 		});
 	}
 
