Listening: an address that stays in use, or a connection that cannot be accepted, ended the process

Callers saw a VM end 15 s after its start, again and again for as long as something else had one of its addresses. Cause: `listen` gave up after 15 s and threw outside of every handler; and a server without an error listener throws the errors of accept(). The addresses do not wait for one another any more: the VM is ready once callers can connect and it has a configuration and upstreams; it does not claim to be the allocator before others can link to it.

--- a/src/base/unhandled-errors.ts
+++ b/src/base/unhandled-errors.ts
@@ -20,6 +20,6 @@
 	});
 }
 
-function describeStack(error: unknown): string | undefined {
+export function describeStack(error: unknown): string | undefined {
 	return error instanceof Error ? error.stack?.slice(0, MAX_STACK_LENGTH) : undefined;
 }
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -56,6 +56,8 @@
 	readonly #unread = new Set<() => void>();
 	/** Responses that have not been sent completely. */
 	readonly #open = new Set<ServerResponse>();
+	/** Aborted once the server no longer listens or tries to. */
+	readonly #listening = new AbortController();
 	#stop: PlannedStop | undefined;
 
 	private constructor(context: ForwardingContext, random: Random) {
@@ -103,9 +105,10 @@
 		}
 	}
 
-	async listen(host: string, port: number): Promise<void> {
+	/** @returns Whether callers can connect; false if the listener was closed meanwhile. */
+	async listen(host: string, port: number): Promise<boolean> {
 		const {clock, log} = this.#context;
-		await listen(this.#server, {host, port, backlog: 4096}, clock, log);
+		return listen(this.#server, {host, port, backlog: 4096}, {clock, log, signal: this.#listening.signal});
 	}
 
 	/** Closes each connection after its next response, and rejects requests that could outlive the process. */
@@ -131,6 +134,7 @@
 
 	/** Stops accepting connections; requests on those that are open are still served. */
 	closeListener(): void {
+		this.#listening.abort();
 		// The HTTP server's own method also destroys idle connections, with the requests that have just been sent on them.
 		TcpServer.prototype.close.call(this.#server);
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import {CrashRecorder} from '../allocation/crash-recorder.js';
 import {SwitchedAllocation} from '../allocation/switched-allocation.js';
 import {splitAddress} from '../base/address.js';
+import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
 import {type Log, LogPrefix} from '../base/log.js';
 import {type Metrics} from '../base/metrics.js';
@@ -63,6 +64,8 @@
 	readonly #front: FrontServer;
 	readonly #allocator: Allocator;
 	readonly #ledger: RequestLedger;
+	#isStarted = false;
+	/** Whether callers can connect. */
 	#isListening = false;
 	#isStopping = false;
 	#stopped: Promise<void> | undefined;
@@ -155,7 +158,7 @@
 
 	/** Whether callers may be directed to this VM. */
 	get isReady(): boolean {
-		return !this.#isStopping && this.state.table !== undefined && this.state.upstreams.size > 0;
+		return this.#isListening && !this.#isStopping && this.state.table !== undefined && this.state.upstreams.size > 0;
 	}
 
 	/** Features whose requests are refused because they crash upstreams, with the evidence. */
@@ -173,29 +176,38 @@
 		return this.coordinator.liftQuarantine(feature);
 	}
 
-	/** Accepts callers and joins the other VMs, unless it was told to stop before. */
-	async start(): Promise<void> {
+	/** Accepts callers and joins the other VMs, each as soon as the address for it is available; unless it was told to stop before. */
+	start(): void {
 		if (this.#isStopping) {
 			return;
 		}
 
 		const {self, log} = this.#options;
-		const {host, port} = splitAddress(self.frontAddress);
-		this.#isListening = true;
-		await this.#front.listen(host, port);
-		await this.coordinator.start();
+		this.#isStarted = true;
 		log.part(LogPrefix.Gateway).info('Started.', {
 			vm: self.name, front: self.frontAddress, boot: self.boot, pid: process.pid,
 		});
+		runInBackground(log.part(LogPrefix.Gateway), 'listening for callers', async () => this.#acceptCallers());
+		runInBackground(log.part(LogPrefix.Link), 'listening for other VMs', async () => this.coordinator.start());
 	}
 
 	/** Shuts down without interrupting requests that can finish in time. Later calls wait for the same end. */
 	async stop(): Promise<void> {
 		this.#isStopping = true;
-		this.#stopped ??= this.#isListening ? this.#stopGracefully() : Promise.resolve();
+		this.#stopped ??= this.#isStarted ? this.#stopGracefully() : Promise.resolve();
 		await this.#stopped;
 	}
 
+	async #acceptCallers(): Promise<void> {
+		const {self, log} = this.#options;
+		const {host, port} = splitAddress(self.frontAddress);
+		this.#isListening = await this.#front.listen(host, port);
+		if (this.#isListening) {
+			log.part(LogPrefix.Gateway).info('Callers can connect.', {front: self.frontAddress});
+			this.#publishReadiness();
+		}
+	}
+
 	async #stopGracefully(): Promise<void> {
 		const {clock, log, graceMs} = this.#options;
 		const stop = PlannedStop.create(clock, graceMs);
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -171,12 +171,16 @@
 		return this.#leader;
 	}
 
-	/** Accepts links from other VMs and searches for the leader. */
+	/**
+	 * Searches for the leader, and accepts links from other VMs as soon as the address for them is available. Until then this
+	 * VM does not claim leadership, as none could link to it.
+	 */
 	async start(): Promise<void> {
+		this.#becomeAlone();
 		await this.#options.network.listen(this.#self.linkAddress, connection => {
 			this.#accept(connection);
 		});
-		this.#becomeAlone();
+		this.#election.enableClaims();
 	}
 
 	/** Gives up leadership and stops claiming it, so that another VM takes over while this one still serves its callers. */
@@ -416,9 +420,11 @@
 
 		const attempt = this.#openLink(address);
 		this.#pendingLinks.set(address, attempt);
-		const isLinked = await attempt;
-		this.#pendingLinks.delete(address);
-		return isLinked;
+		try {
+			return await attempt;
+		} finally {
+			this.#pendingLinks.delete(address);
+		}
 	}
 
 	async #openLink(address: string): Promise<boolean> {
@@ -531,8 +537,9 @@
 			}
 
 			case 'take-over': {
-				if (this.#leader !== undefined) {
-					void this.#election.claimAfterDelay(this.#leader.term, this.#leader, 0);
+				const leader = this.#leader;
+				if (leader !== undefined) {
+					void this.#election.claimAfterDelay(leader.term, leader, 0);
 				}
 
 				break;
--- a/src/link/leader-election.ts
+++ b/src/link/leader-election.ts
@@ -63,7 +63,10 @@
 	#timer: Timer | undefined;
 	#isSearching = false;
 	#isStopped = false;
-	#mayClaim = true;
+	/** Whether other VMs can link to this one. */
+	#isReachable = false;
+	/** Whether this VM stops as planned. */
+	#isResigned = false;
 	#leaderWithoutStoreSince: number | undefined;
 	#replaceAttemptedAt = Number.NEGATIVE_INFINITY;
 
@@ -73,7 +76,7 @@
 			clock: options.clock,
 			register: options.register,
 			candidate: () => this.#candidate(),
-			isNeeded: () => options.isLeading() && this.#mayClaim && !this.#isStopped,
+			isNeeded: () => options.isLeading() && this.#isClaimant,
 			onCurrent: record => {
 				this.#applyClaim(record);
 			},
@@ -107,9 +110,14 @@
 		this.#leaderWithoutStoreSince = undefined;
 	}
 
+	/** Lets this VM claim leadership, as other VMs can link to it now. */
+	enableClaims(): void {
+		this.#isReachable = true;
+	}
+
 	/** Stops this VM from claiming leadership, before a planned stop. */
 	disableClaims(): void {
-		this.#mayClaim = false;
+		this.#isResigned = true;
 	}
 
 	stop(): void {
@@ -132,7 +140,7 @@
 	async claimAfterDelay(at: StoreVersion, replaced: Leader | undefined, delayMs: number): Promise<void> {
 		const {clock, register, log} = this.#options;
 		await clock.sleep(delayMs);
-		if (this.#isStopped || !this.#mayClaim || this.#knowsLaterThan(replaced)) {
+		if (!this.#isClaimant || this.#knowsLaterThan(replaced)) {
 			return;
 		}
 
@@ -168,16 +176,24 @@
 		await this.#keeper.restore();
 	}
 
+	get #isClaimant(): boolean {
+		return this.#isReachable && !this.#isResigned && !this.#isStopped;
+	}
+
 	async #search(): Promise<void> {
 		if (this.#isSearching || this.#isStopped || !this.#options.isAlone()) {
 			return;
 		}
 
 		this.#isSearching = true;
-		const delayMs = await this.#findOrClaim();
-		this.#isSearching = false;
-		if (this.#options.isAlone() && !this.#isStopped) {
-			this.scheduleSearch(delayMs);
+		let delayMs = SEARCH_INTERVAL_MS;
+		try {
+			delayMs = await this.#findOrClaim();
+		} finally {
+			this.#isSearching = false;
+			if (this.#options.isAlone() && !this.#isStopped) {
+				this.scheduleSearch(delayMs);
+			}
 		}
 	}
 
@@ -263,7 +279,7 @@
 			clock, register, log, leader, self, isAlone, state, random, onLeaderFound,
 		} = this.#options;
 		const replaced = leader();
-		if (replaced === undefined || !this.#mayClaim) {
+		if (replaced === undefined || !this.#isClaimant) {
 			return;
 		}
 
--- a/src/link/tcp-network.ts
+++ b/src/link/tcp-network.ts
@@ -26,6 +26,7 @@
 	readonly #clock: Clock;
 	readonly #log: Log;
 	readonly #sockets = new Set<Socket>();
+	readonly #stopped = new AbortController();
 	#server: Server | undefined;
 
 	private constructor(clock: Clock, log: Log) {
@@ -41,7 +42,7 @@
 			onConnection(new TcpConnection(socket));
 		});
 		this.#server = server;
-		await listen(server, {host, port}, this.#clock, this.#log);
+		await listen(server, {host, port}, {clock: this.#clock, log: this.#log, signal: this.#stopped.signal});
 	}
 
 	async connect(address: string): Promise<Result<LinkConnection, ConnectFailure>> {
@@ -77,6 +78,7 @@
 	}
 
 	stop(): void {
+		this.#stopped.abort();
 		this.#server?.close();
 		for (const socket of this.#sockets) {
 			socket.destroy();
