Errors without an owner ended the process

Callers would have seen all connections of a VM cut by one error in a timer, a listener or a promise that nobody awaits. Cause: Node's default for each of them is to end the process. A loop that failed was not resumed either, and its flag kept it from being started again. Change: an error that no handler caught is logged with its stack trace, counted, and the process goes on, as it concerns one callback and an end concerns all requests. Work that nobody awaits runs through base/background.ts, which logs its failure.

--- a/src/base/unhandled-errors.ts
+++ b/src/base/unhandled-errors.ts
@@ -9,17 +9,19 @@
 const MAX_STACK_LENGTH = 2000;
 
 /**
- * Logs each error that no handler caught, before anything else is done about it.
+ * Logs each error that no handler caught, and lets the process go on: the error concerns the callback or promise in which it
+ * occurred, and an end would cut all requests of the process.
  *
- * @param afterLogging - Called after the log line was written.
+ * @param onError - Called after each log line.
  */
-export function logUnhandledErrors(log: Log, afterLogging: () => void): void {
+export function logUnhandledErrors(log: Log, onError: () => void): void {
 	process.on('uncaughtException', (error: unknown, origin) => {
-		log.error('Unhandled error.', {err: String(error), origin, stack: describeStack(error)});
-		afterLogging();
+		log.error('Unhandled error; the process goes on.', {err: String(error), origin, stack: describeStack(error)});
+		onError();
 	});
 }
 
+/** @returns The stack trace in a length that suits a log line; `undefined` if something else than an error was thrown. */
 export function describeStack(error: unknown): string | undefined {
 	return error instanceof Error ? error.stack?.slice(0, MAX_STACK_LENGTH) : undefined;
 }
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -5,6 +5,8 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import process from 'node:process';
+import {runInBackground} from '../base/background.js';
+import {type Log} from '../base/log.js';
 import {stopReadingWhile} from '../base/message-reader.js';
 import {type LingeringClose} from './lingering-close.js';
 
@@ -28,15 +30,17 @@
 
 /** Decides whose turn it is on each connection. */
 export class CallerConnections {
-	static create(closing: LingeringClose): CallerConnections {
-		return new CallerConnections(closing);
+	static create(closing: LingeringClose, log: Log): CallerConnections {
+		return new CallerConnections(closing, log);
 	}
 
 	readonly #closing: LingeringClose;
+	readonly #log: Log;
 	readonly #connections = new WeakMap<Socket, Connection>();
 
-	private constructor(closing: LingeringClose) {
+	private constructor(closing: LingeringClose, log: Log) {
 		this.#closing = closing;
+		this.#log = log;
 	}
 
 	attach(socket: Socket): void {
@@ -89,7 +93,7 @@
 		connection.isRejected = true;
 		const {req, res, previous} = connection;
 		const isInsideBody = req?.complete === false && res?.headersSent === false;
-		void this.#close(socket, response, isInsideBody ? previous : res);
+		runInBackground(this.#log, 'rejection', async () => this.#close(socket, response, isInsideBody ? previous : res));
 		return true;
 	}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -7,6 +7,7 @@
 } from 'node:http';
 import {type Socket, Server as TcpServer} from 'node:net';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
+import {runInBackground} from '../base/background.js';
 import {listen} from '../base/listening.js';
 import {RequestEnd} from '../base/metrics.js';
 import {type Random} from '../base/random.js';
@@ -64,14 +65,14 @@
 		this.#context = context;
 		this.#random = random;
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: 1000}, (req, res) => {
-			void this.#serveInTurn(req, res);
+			this.#serveInBackground(req, res);
 		});
 		// An expectation that is not understood is no reason to refuse a request.
 		this.#server.on('checkExpectation', (req, res) => {
-			void this.#serveInTurn(req, res);
+			this.#serveInBackground(req, res);
 		});
 		this.#closing = LingeringClose.create(context.clock);
-		this.#connections = CallerConnections.create(this.#closing);
+		this.#connections = CallerConnections.create(this.#closing, context.log);
 		this.#server.on('connection', socket => {
 			this.#connections.attach(socket);
 		});
@@ -151,6 +152,10 @@
 		this.#server.keepAliveTimeout = idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
 	}
 
+	#serveInBackground(req: IncomingMessage, res: ServerResponse): void {
+		runInBackground(this.#context.log, 'request', async () => this.#serveInTurn(req, res));
+	}
+
 	async #serveInTurn(req: IncomingMessage, res: ServerResponse): Promise<void> {
 		const {clock, ledger, codec} = this.#context;
 		const arrivedAt = clock.now();
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -8,6 +8,7 @@
 import {type Allocator} from '../allocation/allocator.js';
 import {globalScope, standaloneScope} from '../allocation/scope.js';
 import {type SwitchedAllocation} from '../allocation/switched-allocation.js';
+import {runInBackground} from '../base/background.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log, type LogFields} from '../base/log.js';
 import {type Random} from '../base/random.js';
@@ -230,7 +231,7 @@
 		if (isCurrent(record)) {
 			this.noteLeader(record.leader);
 		} else if (this.#role === Role.Leading) {
-			void this.#election.restoreRecord();
+			runInBackground(this.#options.log, 'restoring the record', async () => this.#election.restoreRecord());
 		}
 	}
 
@@ -257,7 +258,7 @@
 
 		// A search in progress may still be waiting for a lost VM, so the link to the new leader does not wait for the search.
 		this.#becomeAlone(SEARCH_INTERVAL_MS);
-		void this.#linkTo(leader.linkAddress);
+		runInBackground(this.#options.log, 'link', async () => this.#linkTo(leader.linkAddress));
 	}
 
 	/**
@@ -315,7 +316,7 @@
 		});
 		for (const {linkAddress, name} of this.#options.state.members) {
 			if (name !== this.#self.name) {
-				void this.#peers.notify(linkAddress, {kind: 'leading', leader});
+				runInBackground(log, 'notice', async () => this.#peers.notify(linkAddress, {kind: 'leading', leader}));
 			}
 		}
 	}
@@ -489,7 +490,7 @@
 
 	#handleMessage(message: FromLeader): void {
 		const {
-			clock, state, allocator, onVersion,
+			clock, state, allocator, log, onVersion,
 		} = this.#options;
 		switch (message.kind) {
 			case 'upstreams': {
@@ -539,7 +540,7 @@
 			case 'take-over': {
 				const leader = this.#leader;
 				if (leader !== undefined) {
-					void this.#election.claimAfterDelay(leader.term, leader, 0);
+					runInBackground(log, 'claim', async () => this.#election.claimAfterDelay(leader.term, leader, 0));
 				}
 
 				break;
--- a/src/link/leader-election.ts
+++ b/src/link/leader-election.ts
@@ -2,6 +2,7 @@
  * How a VM without a link finds the leader, or takes over from a lost one. The register decides between concurrent
  * claims.
  */
+import {runInBackground} from '../base/background.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log} from '../base/log.js';
 import {type Random} from '../base/random.js';
@@ -99,7 +100,7 @@
 	scheduleSearch(delayMs: number): void {
 		this.#timer?.cancel();
 		this.#timer = this.#options.clock.setTimer(delayMs, () => {
-			void this.#search();
+			runInBackground(this.#options.log, 'search for the allocator', async () => this.#search());
 		});
 	}
 
@@ -167,7 +168,7 @@
 		this.#leaderWithoutStoreSince ??= now;
 		if (now - this.#leaderWithoutStoreSince >= LEADER_STORE_TIMEOUT_MS && now - this.#replaceAttemptedAt >= REPLACE_RETRY_MS) {
 			this.#replaceAttemptedAt = now;
-			void this.#replaceLeader();
+			runInBackground(this.#options.log, 'replacing the allocator', async () => this.#replaceLeader());
 		}
 	}
 
--- a/src/link/record-keeper.ts
+++ b/src/link/record-keeper.ts
@@ -41,11 +41,13 @@
 
 		this.#isRestoring = true;
 		const {clock, isNeeded} = this.#options;
-		while (isNeeded() && !await this.#tryRestore()) { // eslint-disable-line no-await-in-loop -- attempts are sequential
-			await clock.sleep(RETRY_MS); // eslint-disable-line no-await-in-loop
+		try {
+			while (isNeeded() && !await this.#tryRestore()) { // eslint-disable-line no-await-in-loop -- attempts are sequential
+				await clock.sleep(RETRY_MS); // eslint-disable-line no-await-in-loop
+			}
+		} finally {
+			this.#isRestoring = false;
 		}
-
-		this.#isRestoring = false;
 	}
 
 	/** @returns Whether the record is current now. */
