Links: an error in the handling of a message had no owner

It escaped from the socket's listener, and would have left the two ends with different states once it no longer ends the process. The connection is closed with the stack trace in the log line; on a new one, both ends state all that they know. test/link/line-channel.test.ts failed before (the error was thrown) and passes.

--- a/src/link/line-channel.ts
+++ b/src/link/line-channel.ts
@@ -6,6 +6,7 @@
 import {setImmediate} from 'node:timers';
 import {ByteCollector, decodeText} from '../base/byte-collector.js';
 import {parseJson} from '../base/parse-json.js';
+import {describeStack} from '../base/unhandled-errors.js';
 import {Channel, type ChannelEvents, encodeLine} from './link-network.js';
 import {type MessageDecoder} from './message-schemas.js';
 
@@ -125,7 +126,17 @@
 			this.#events.onUnusable?.(message.error);
 			this.#socket.destroy();
 		} else if (message.value !== undefined) {
-			this.#events.onMessage(message.value);
+			this.#handle(message.value);
+		}
+	}
+
+	/** Closes the connection after an error in the handling of a message: both ends state all that they know on a new one. */
+	#handle(message: Received): void {
+		try {
+			this.#events.onMessage(message);
+		} catch (error) {
+			this.#events.onUnusable?.(describeStack(error) ?? String(error));
+			this.#socket.destroy();
 		}
 	}
 }
--- a/test/link/line-channel.test.ts
+++ b/test/link/line-channel.test.ts
@@ -77,6 +77,30 @@
 		expect(lengths).to.deep.equal([300_000]);
 	});
 
+	// Guards against an error in the handling of a message that ends the process, or leaves the two ends with different states (report FAULT).
+	it('closes after an error in the handling of a message', async () => {
+		server.removeAllListeners('connection');
+		server.on('connection', socket => {
+			LineChannel.create<Message, Message>(socket, {
+				onMessage() {
+					throw new Error('not handled');
+				},
+				onUnusable(reason) {
+					reasons.push(reason);
+				},
+				onClose() {
+					isClosed = true;
+				},
+			}, value => ok(value as Message));
+		});
+		const other = createConnection((server.address() as AddressInfo).port, '127.0.0.1');
+		other.write(encodeLine({kind: 'a'}));
+		await eventually(() => isClosed);
+		expect(reasons).to.have.length(1);
+		expect(reasons[0]).to.include('Error: not handled');
+		other.destroy();
+	});
+
 	it('reassembles messages that arrive in several chunks', async () => {
 		const line = encodeLine({kind: 'ä'});
 		const bytes = new TextEncoder().encode(line + line);
