--- a/test/platform/held-addresses.test.ts
+++ b/test/platform/held-addresses.test.ts
@@ -1,24 +1,12 @@
-import {once} from 'node:events';
-import {createServer, type Server} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {PlatformDeployment} from '../../soak/platform-deployment.js';
-import {splitAddress} from '../../src/base/address.js';
 import {eventually} from '../support/eventually.js';
+import {occupyAddress} from '../support/occupy-address.js';
 
 /** How long an address stays in use, in ms. */
 const IN_USE_MS = 20_000;
 
-async function occupy(address: string): Promise<Server> {
-	const server = createServer(socket => {
-		socket.on('error', () => undefined);
-		socket.destroy();
-	});
-	server.listen(splitAddress(address));
-	await once(server, 'listening');
-	return server;
-}
-
 // Guards against a process that ends, again and again, while something else has one of its addresses (report FAULT).
 describe('processes of which each has an address in use for long', function () {
 	this.timeout(90_000);
@@ -35,7 +23,7 @@
 	it('run on, and serve once the address is free', async () => {
 		const {vms} = deployment;
 		await Promise.all(vms.map(async vm => vm.terminate('SIGKILL')));
-		const held = await Promise.all((['front', 'ready', 'control', 'directory'] as const).map(async (name, index) => occupy(vms[index]![name])));
+		const held = await Promise.all((['front', 'ready', 'control', 'directory'] as const).map(async (name, index) => occupyAddress(vms[index]![name])));
 		for (const vm of vms) {
 			vm.start();
 		}
--- a/test/platform/starts.test.ts
+++ b/test/platform/starts.test.ts
@@ -1,11 +1,9 @@
-import {once} from 'node:events';
-import {createServer, type Server} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {PlatformDeployment} from '../../soak/platform-deployment.js';
 import {type VmProcess} from '../../soak/vm-process.js';
-import {splitAddress} from '../../src/base/address.js';
 import {eventually} from '../support/eventually.js';
+import {occupyAddress} from '../support/occupy-address.js';
 
 /** How long an address stays in use, in ms. */
 const IN_USE_MS = 2500;
@@ -25,19 +23,9 @@
 		await deployment.stop();
 	});
 
-	async function occupy(address: string): Promise<Server> {
-		const server = createServer(socket => {
-			socket.on('error', () => undefined);
-			socket.destroy();
-		});
-		server.listen(splitAddress(address));
-		await once(server, 'listening');
-		return server;
-	}
-
 	async function startBeside(address: string): Promise<void> {
 		await vm.terminate('SIGKILL');
-		const server = await occupy(address);
+		const server = await occupyAddress(address);
 		vm.start();
 		const {child} = vm;
 		await sleep(IN_USE_MS);
@@ -62,7 +50,7 @@
 
 	it('serves callers while its metrics address is in use', async () => {
 		await vm.terminate('SIGKILL');
-		const server = await occupy(vm.metrics);
+		const server = await occupyAddress(vm.metrics);
 		vm.start();
 		await deployment.ready();
 		const answer = await deployment.call(vm, 'safe');
