Build: a leftover folder, a build beside it, or older builds with later dates broke the build or the program

Change: a build works in a folder with a random name and removes it in any case; a build that exists already is used; only builds that are older than an hour and not in use are removed.

--- a/scripts/build-platform.js
+++ b/scripts/build-platform.js
@@ -8,58 +8,76 @@
  * files of one build. V8 would accept the cache of another program of the same length.
  */
 import {execFileSync} from 'node:child_process';
-import {createHash} from 'node:crypto';
+import {createHash, randomUUID} from 'node:crypto';
 import {
-	copyFileSync, existsSync, mkdirSync, readdirSync, readFileSync, renameSync, rmSync, statSync, utimesSync, writeFileSync,
+	copyFileSync, existsSync, mkdirSync, readdirSync, readFileSync, renameSync, rmSync, statSync, writeFileSync,
 } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
 
-/** Number of builds that are kept: the one in use, and those that starting processes may still read. */
-const KEPT_BUILDS = 3;
+/** Age in ms from which another build, finished or not, is taken for unused and removed. */
+const MAX_UNUSED_MS = 3_600_000;
 const loaderFiles = ['load-platform.cjs', 'wrap-platform.cjs'];
+const unfinished = `target/unfinished-${randomUUID()}`;
 
-mkdirSync('target', {recursive: true});
-const unfinished = `target/unfinished-${process.pid}`;
-mkdirSync(unfinished);
-await build({
-	entryPoints: ['platform/main.ts'],
-	outfile: `${unfinished}/program.cjs`,
-	bundle: true,
-	minify: true,
-	keepNames: true,
-	platform: 'node',
-	target: 'node20',
-	format: 'cjs',
-	logLevel: 'warning',
-});
-for (const file of loaderFiles) {
-	copyFileSync(`scripts/${file}`, `${unfinished}/${file}`);
-}
+/** @returns Name of the folder of the build. */
+async function createBuild() {
+	await build({
+		entryPoints: ['platform/main.ts'],
+		outfile: `${unfinished}/program.cjs`,
+		bundle: true,
+		minify: true,
+		keepNames: true,
+		platform: 'node',
+		target: 'node20',
+		format: 'cjs',
+		logLevel: 'warning',
+	});
+	for (const file of loaderFiles) {
+		copyFileSync(`scripts/${file}`, `${unfinished}/${file}`);
+	}
+
+	const [, flags] = /^run = "node (.*) target\/gateway\.cjs"$/mv.exec(readFileSync('deploy/system.toml', 'utf8'));
+	execFileSync(process.execPath, [...flags.split(' '), 'scripts/compile-platform.cjs', unfinished]);
+	const hash = createHash('sha256').update(process.version + process.arch + flags);
+	for (const file of ['program.cjs', ...loaderFiles]) {
+		hash.update(readFileSync(`${unfinished}/${file}`));
+	}
 
-const [, flags] = /^run = "node (.*) target\/gateway\.cjs"$/mv.exec(readFileSync('deploy/system.toml', 'utf8'));
-execFileSync(process.execPath, [...flags.split(' '), 'scripts/compile-platform.cjs', unfinished]);
+	const name = `build-${hash.digest('hex').slice(0, 16)}`;
+	try {
+		renameSync(unfinished, `target/${name}`);
+	} catch (error) {
+		if (!existsSync(`target/${name}/program.cache`)) {
+			throw error;
+		}
+	}
 
-const hash = createHash('sha256').update(process.version + process.arch + flags);
-for (const file of ['program.cjs', ...loaderFiles]) {
-	hash.update(readFileSync(`${unfinished}/${file}`));
+	return name;
 }
 
-const name = `build-${hash.digest('hex').slice(0, 16)}`;
-if (existsSync(`target/${name}`)) {
-	rmSync(unfinished, {recursive: true});
-	utimesSync(`target/${name}`, new Date(), new Date());
-} else {
-	renameSync(unfinished, `target/${name}`);
+function useBuild(name) {
+	const entry = `${unfinished}.cjs`;
+	writeFileSync(entry, readFileSync('scripts/start-platform.cjs', 'utf8').replace('BUILD_FOLDER', name));
+	renameSync(entry, 'target/gateway.cjs');
 }
 
-const entry = `target/gateway.cjs.${process.pid}`;
-writeFileSync(entry, readFileSync('scripts/start-platform.cjs', 'utf8').replace('BUILD_FOLDER', name));
-renameSync(entry, 'target/gateway.cjs');
+function removeUnusedBuilds(usedName) {
+	for (const file of readdirSync('target').filter(name => /^(?:build|unfinished)-/v.test(name) && name !== usedName)) {
+		const folder = path.join('target', file);
+		const age = Date.now() - (statSync(folder, {throwIfNoEntry: false})?.mtimeMs ?? Date.now());
+		if (age > MAX_UNUSED_MS) {
+			rmSync(folder, {recursive: true, force: true});
+		}
+	}
+}
 
-const builds = readdirSync('target').filter(file => file.startsWith('build-')).map(file => path.join('target', file));
-builds.sort((a, b) => statSync(b).mtimeMs - statSync(a).mtimeMs);
-for (const old of builds.slice(KEPT_BUILDS)) {
-	rmSync(old, {recursive: true, force: true});
+mkdirSync(unfinished, {recursive: true});
+try {
+	const name = await createBuild();
+	useBuild(name);
+	removeUnusedBuilds(name);
+} finally {
+	rmSync(unfinished, {recursive: true, force: true});
 }
