Errors without a handler: loops that set their timer last did not go on, and some values ended the process

After one error in a listener, a VM without an allocator no longer searched for one, watched or listened (0 store reads in 3 s, 3 without the error), and an allocating VM no longer sent heartbeats (3 ticks in 3 s, about 15 expected), for good. A thrown object without a prototype ended the process with status 7, as its description threw. Change: timers are set before what may fail; base/error-fields.ts describes any value, for all log lines about errors.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -407,15 +407,17 @@
 				this.#grantPlaces(pool);
 			}
 		}
-
-		this.#scheduleCheck();
 	}
 
 	#scheduleCheck(): void {
 		if (this.#timer === undefined && this.waitingCount > 0) {
 			this.#timer = this.#options.clock.setTimer(QUEUE_CHECK_INTERVAL_MS, () => {
 				this.#timer = undefined;
-				this.#checkQueues();
+				try {
+					this.#checkQueues();
+				} finally {
+					this.#scheduleCheck();
+				}
 			});
 		}
 	}
--- a/src/base/background.ts
+++ b/src/base/background.ts
@@ -1,8 +1,8 @@
 /**
  * Work that nobody awaits.
  */
+import {errorFields} from './error-fields.js';
 import {type Log} from './log.js';
-import {describeStack} from './unhandled-errors.js';
 
 /**
  * Runs work in the background; a failure is logged and affects nothing else.
@@ -14,7 +14,7 @@
 		try {
 			await work();
 		} catch (error) {
-			log.error('Background work failed.', {task, err: String(error), stack: describeStack(error)});
+			log.error('Background work failed.', {task, ...errorFields(error)});
 		}
 	};
 
--- a/src/base/listening.ts
+++ b/src/base/listening.ts
@@ -27,6 +27,7 @@
  * at any time. Afterwards, a connection that cannot be accepted is logged.
  *
  * @returns Whether the server listens; false if the attempts were ended.
+ * @throws Errors that are not the system's, such as a server that listens already.
  */
 export async function listen(server: Server, options: ListenOptions, {clock, log, signal}: ListenContext): Promise<boolean> {
 	const startedAt = clock.now();
@@ -42,6 +43,10 @@
 
 			return true;
 		} catch (error) {
+			if ((error as NodeJS.ErrnoException).syscall === undefined) {
+				throw error;
+			}
+
 			if (clock.now() - loggedAt >= LOG_INTERVAL_MS) {
 				loggedAt = clock.now();
 				log.warn('Address not available; trying again.', {host: options.host, port: options.port, err: String(error)});
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -93,7 +93,7 @@
 		connection.isRejected = true;
 		const {req, res, previous} = connection;
 		const isInsideBody = req?.complete === false && res?.headersSent === false;
-		runInBackground(this.#log, 'rejection', async () => this.#close(socket, response, isInsideBody ? previous : res));
+		runInBackground(this.#log, 'rejecting a request', async () => this.#close(socket, response, isInsideBody ? previous : res));
 		return true;
 	}
 
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -153,7 +153,7 @@
 	}
 
 	#serveInBackground(req: IncomingMessage, res: ServerResponse): void {
-		runInBackground(this.#context.log, 'request', async () => this.#serveInTurn(req, res));
+		runInBackground(this.#context.log, 'serving a request', async () => this.#serveInTurn(req, res));
 	}
 
 	async #serveInTurn(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -215,6 +215,10 @@
 		this.#publishReadiness();
 		this.#front.beginStop(stop);
 		this.coordinator.resign();
+		if (!this.#isListening) {
+			this.#front.closeListener();
+		}
+
 		await this.#until(() => stop.isOver(this.#front.inFlight));
 		this.#front.closeListener();
 		const closedAt = clock.now();
--- a/src/gateway/request-ledger.ts
+++ b/src/gateway/request-ledger.ts
@@ -5,13 +5,11 @@
 import {type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
 import {type Clock} from '../base/clock.js';
+import {errorFields} from '../base/error-fields.js';
 import {type Invariants, PromiseId} from '../base/invariant.js';
 import {type Log, type LogFields} from '../base/log.js';
 import {type Metrics, RequestEnd} from '../base/metrics.js';
 
-/** Maximum length of a stack trace in a log line. */
-const MAX_STACK_LENGTH = 2000;
-
 /** How a response ends if the caller stays until it has been sent. */
 export type Decision = typeof RequestEnd.Answered | typeof RequestEnd.Refused | typeof RequestEnd.Failed | typeof RequestEnd.Broken;
 
@@ -135,9 +133,9 @@
 
 	/** Reports an exception in the handling of a request; only this request fails. */
 	noteDefect(id: string | undefined, err: unknown): void {
-		const {message, stack} = err instanceof Error ? err : new Error(String(err));
-		this.#options.log.error('The handling of a request failed.', {request: id, err: message, stack: stack?.slice(0, MAX_STACK_LENGTH)});
-		this.#check(false, () => message);
+		const fields = errorFields(err);
+		this.#options.log.error('The handling of a request failed.', {request: id, ...fields});
+		this.#check(false, () => fields.err);
 	}
 
 	/** All connections are about to be closed, whatever is in flight. */
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -177,16 +177,17 @@
 	 * VM does not claim leadership, as none could link to it.
 	 */
 	async start(): Promise<void> {
-		this.#becomeAlone();
-		await this.#options.network.listen(this.#self.linkAddress, connection => {
+		const listening = this.#options.network.listen(this.#self.linkAddress, connection => {
 			this.#accept(connection);
 		});
-		this.#election.enableClaims();
+		this.#becomeAlone();
+		await listening;
+		this.#election.noteReachable();
 	}
 
 	/** Gives up leadership and stops claiming it, so that another VM takes over while this one still serves its callers. */
 	resign(): void {
-		this.#election.disableClaims();
+		this.#election.resign();
 		if (this.#role === Role.Leading) {
 			this.#options.log.info('Resigned as the allocator.');
 			const hasSuccessor = this.#host.handOver(0);
@@ -231,7 +232,7 @@
 		if (isCurrent(record)) {
 			this.noteLeader(record.leader);
 		} else if (this.#role === Role.Leading) {
-			runInBackground(this.#options.log, 'restoring the record', async () => this.#election.restoreRecord());
+			runInBackground(this.#options.log, 'restoring the record of the allocator', async () => this.#election.restoreRecord());
 		}
 	}
 
@@ -258,7 +259,7 @@
 
 		// A search in progress may still be waiting for a lost VM, so the link to the new leader does not wait for the search.
 		this.#becomeAlone(SEARCH_INTERVAL_MS);
-		runInBackground(this.#options.log, 'link', async () => this.#linkTo(leader.linkAddress));
+		runInBackground(this.#options.log, 'linking to the allocator', async () => this.#linkTo(leader.linkAddress));
 	}
 
 	/**
@@ -284,15 +285,16 @@
 			clock, allocator, allocation, onWatchNeeded,
 		} = this.#options;
 		this.#role = Role.Alone;
-		this.#closeClient();
-		allocator.restart(standaloneScope(this.#election.vmCount));
-		allocator.adopt(allocation.places);
-		this.#allocateAlone();
 		this.#watchTimer?.cancel();
 		this.#watchTimer = clock.setTimer(this.#hasStartedAllocating ? WATCH_DELAY_MS : STARTUP_WATCH_DELAY_MS, () => {
 			onWatchNeeded(this.#role !== Role.Linked);
 		});
 		this.#election.scheduleSearch(searchDelayMs);
+		// The timers are set first, so that an error in what waits for an allocator does not leave this VM alone.
+		this.#closeClient();
+		allocator.restart(standaloneScope(this.#election.vmCount));
+		allocator.adopt(allocation.places);
+		this.#allocateAlone();
 	}
 
 	#becomeLeading(leader: Leader): void {
@@ -316,7 +318,7 @@
 		});
 		for (const {linkAddress, name} of this.#options.state.members) {
 			if (name !== this.#self.name) {
-				runInBackground(log, 'notice', async () => this.#peers.notify(linkAddress, {kind: 'leading', leader}));
+				runInBackground(log, 'notifying a VM', async () => this.#peers.notify(linkAddress, {kind: 'leading', leader}));
 			}
 		}
 	}
@@ -540,7 +542,7 @@
 			case 'take-over': {
 				const leader = this.#leader;
 				if (leader !== undefined) {
-					runInBackground(log, 'claim', async () => this.#election.claimAfterDelay(leader.term, leader, 0));
+					runInBackground(log, 'claiming to be the allocator', async () => this.#election.claimAfterDelay(leader.term, leader, 0));
 				}
 
 				break;
--- a/src/link/leader-client.ts
+++ b/src/link/leader-client.ts
@@ -95,12 +95,11 @@
 			return;
 		}
 
-		if (now - this.#lastSentAt >= HEARTBEAT_INTERVAL_MS) {
-			this.send({kind: 'beat'});
-		}
-
 		this.#timer = this.#clock.setTimer(HEARTBEAT_INTERVAL_MS, () => {
 			this.#tick();
 		});
+		if (now - this.#lastSentAt >= HEARTBEAT_INTERVAL_MS) {
+			this.send({kind: 'beat'});
+		}
 	}
 }
--- a/src/link/leader-election.ts
+++ b/src/link/leader-election.ts
@@ -111,13 +111,13 @@
 		this.#leaderWithoutStoreSince = undefined;
 	}
 
-	/** Lets this VM claim leadership, as other VMs can link to it now. */
-	enableClaims(): void {
+	/** Other VMs can link to this one, so that it may claim leadership. */
+	noteReachable(): void {
 		this.#isReachable = true;
 	}
 
 	/** Stops this VM from claiming leadership, before a planned stop. */
-	disableClaims(): void {
+	resign(): void {
 		this.#isResigned = true;
 	}
 
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -446,6 +446,9 @@
 	#tick(): void {
 		const {clock, allocator, reachesStore} = this.#options;
 		const now = clock.now();
+		this.#timer = clock.setTimer(HEARTBEAT_INTERVAL_MS, () => {
+			this.#tick();
+		});
 		const sendsPaces = now - this.#pacesSentAt >= PACES_INTERVAL_MS;
 		if (sendsPaces) {
 			this.#pacesSentAt = now;
@@ -461,9 +464,6 @@
 		}
 
 		allocator.setShare(this.#grantableShare(now));
-		this.#timer = clock.setTimer(HEARTBEAT_INTERVAL_MS, () => {
-			this.#tick();
-		});
 	}
 
 	/** The share of common quotas and budgets that may be granted; VMs silent for `LEADER_TIMEOUT_MS` may have another leader. */
--- a/src/link/line-channel.ts
+++ b/src/link/line-channel.ts
@@ -5,8 +5,8 @@
 import {type Socket} from 'node:net';
 import {setImmediate} from 'node:timers';
 import {ByteCollector, decodeText} from '../base/byte-collector.js';
+import {errorFields} from '../base/error-fields.js';
 import {parseJson} from '../base/parse-json.js';
-import {describeStack} from '../base/unhandled-errors.js';
 import {Channel, type ChannelEvents, encodeLine} from './link-network.js';
 import {type MessageDecoder} from './message-schemas.js';
 
@@ -135,7 +135,8 @@
 		try {
 			this.#events.onMessage(message);
 		} catch (error) {
-			this.#events.onUnusable?.(describeStack(error) ?? String(error));
+			const {err, stack} = errorFields(error);
+			this.#events.onUnusable?.(stack ?? err);
 			this.#socket.destroy();
 		}
 	}
--- a/test/platform/held-addresses.test.ts
+++ b/test/platform/held-addresses.test.ts
@@ -1,6 +1,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {PlatformDeployment} from '../../soak/platform-deployment.js';
+import {type VmProcess} from '../../soak/vm-process.js';
 import {eventually} from '../support/eventually.js';
 import {occupyAddress} from '../support/occupy-address.js';
 
@@ -30,6 +31,11 @@
 
 		await sleep(IN_USE_MS);
 		expect(vms.filter(vm => vm.hasExitedUnexpectedly).map(({name}) => name)).to.deep.equal([]);
+		const [withoutFront, , withoutControl] = vms as [VmProcess, VmProcess, VmProcess];
+		expect(await deployment.isReady(withoutFront)).to.equal(false);
+		expect(await deployment.addresses(withoutControl)).to.not.include(withoutFront.front);
+		const answer = await deployment.call(withoutControl, 'safe');
+		expect(answer.status).to.equal(200);
 		for (const server of held) {
 			server.close();
 		}
--- a/test/platform/settings-file.test.ts
+++ b/test/platform/settings-file.test.ts
@@ -5,10 +5,18 @@
 
 describe('settings file of a platform process', function () {
 	this.timeout(60_000);
+	let deployment: PlatformDeployment;
+
+	before(async () => {
+		deployment = await PlatformDeployment.start(1, 1);
+	});
+
+	after(async () => {
+		await deployment.stop();
+	});
 
 	// Guards against a process that ends because its settings are being written while it starts (report FAULT).
 	it('may be incomplete at first', async () => {
-		const deployment = await PlatformDeployment.start(1, 1);
 		const vm = deployment.vms[0]!;
 		await vm.terminate('SIGKILL');
 		const text = await readFile(vm.settingsPath, 'utf8');
@@ -19,6 +27,5 @@
 		await writeFile(vm.settingsPath, text);
 		await deployment.ready();
 		expect(vm.hasExitedUnexpectedly).to.equal(false);
-		await deployment.stop();
 	});
 });
