Tests: a VM and an allocating VM go on after an error

The address for links is listened on, and its VM may become the allocator, also if the search for the allocator failed at first.

--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -180,9 +180,12 @@
 		const listening = this.#options.network.listen(this.#self.linkAddress, connection => {
 			this.#accept(connection);
 		});
-		this.#becomeAlone();
-		await listening;
-		this.#election.noteReachable();
+		try {
+			this.#becomeAlone();
+		} finally {
+			await listening;
+			this.#election.noteReachable();
+		}
 	}
 
 	/** Gives up leadership and stops claiming it, so that another VM takes over while this one still serves its callers. */
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -44,6 +44,32 @@
 		deployment.kill(vm);
 	}
 
+	// Guards against a VM that neither searches for the allocator nor takes over after one error (report FAULT).
+	it('goes on after an error in a VM that becomes alone', async () => {
+		const starting = deployment.start('strong', 3, [], (_state, allocator) => {
+			const adopt = allocator.adopt.bind(allocator);
+			allocator.adopt = () => {
+				allocator.adopt = adopt;
+				throw new Error('once');
+			};
+		});
+		await expectFailure(starting);
+		await eventually(() => vms[0]!.coordinator.role === Role.Leading);
+		await startVm('weak', 1);
+		await settled(2);
+	});
+
+	async function expectFailure(promise: Promise<unknown>): Promise<void> {
+		let message = '';
+		try {
+			await promise;
+		} catch (error) {
+			({message} = error as Error);
+		}
+
+		expect(message).to.equal('once');
+	}
+
 	describe('with an upstream that states a limit', () => {
 		const limit = {id: 'up-1', startedAt: 1};
 
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -110,6 +110,26 @@
 		expect(allocator.heldCount).to.equal(0);
 	});
 
+	// Guards against an allocating VM that sends no more heartbeats after one error (report FAULT).
+	it('send heartbeats after an error in one round', () => {
+		let rounds = 0;
+		allocator.setShare = () => {
+			rounds += 1;
+			if (rounds === 2) {
+				throw new Error('once');
+			}
+		};
+
+		host.start({
+			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: {era: 1, version: 1}, vmCount: 2,
+		});
+		expect(() => {
+			clock.advance(1000);
+		}).to.throw('once');
+		clock.advance(3000);
+		expect(rounds).to.be.above(10);
+	});
+
 	// Guards against a former leader that drops all other VMs from its member list while it closes their links: it would
 	// then claim leadership without probing any of them.
 	it('publish no member list after the VM has stopped leading', () => {
--- a/test/support/gateway-harness.ts
+++ b/test/support/gateway-harness.ts
@@ -77,7 +77,7 @@
 	 */
 	static async start(graceMs: number, answer: (req: ReceivedRequest) => void, route: Partial<Route> = {}): Promise<GatewayHarness> {
 		const harness = await GatewayHarness.create(graceMs, answer);
-		await harness.gateway.start();
+		harness.gateway.start();
 		const {state} = harness.gateway;
 		state.applyConfiguration(createConfiguration({objectiveMs: 4000, maxAttempts: 1, ...route}));
 		state.applyUpstreams({changed: [harness.upstream.toUpstream({slots: 50})], removed: []});
--- a/test/support/linked-vms.ts
+++ b/test/support/linked-vms.ts
@@ -97,8 +97,8 @@
 		// Instances come from `create`.
 	}
 
-	/** @param prepare - Called with the VM's state before it looks for a leader. */
-	async start(name: string, strength: number, seeds: readonly string[] = [], prepare?: (state: DeploymentState) => void): Promise<Vm> {
+	/** @param prepare - Called with the VM's state and allocator before it looks for a leader. */
+	async start(name: string, strength: number, seeds: readonly string[] = [], prepare?: (state: DeploymentState, allocator: Allocator) => void): Promise<Vm> {
 		const {row} = this;
 		const clock = SystemClock.create();
 		const log = Log.create('silent');
@@ -150,7 +150,7 @@
 			}),
 		};
 		this.vms.push(vm);
-		prepare?.(state);
+		prepare?.(state, allocator);
 		await vm.coordinator.start();
 		return vm;
 	}
