--- a/standins/platform-store.ts
+++ b/standins/platform-store.ts
@@ -8,6 +8,7 @@
 } from 'node:http';
 import {type AddressInfo} from 'node:net';
 import {clearTimeout, setTimeout} from 'node:timers';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 type Row = {table: string; part: string; key: string; value: string; ver: number; tombstone?: boolean};
 type Change = Omit<Row, 'ver' | 'tombstone'>;
@@ -52,6 +53,8 @@
 	era = 1;
 	/** Text of the header in place of the era; an empty text omits the header. */
 	eraText: string | undefined;
+	/** Delay before a call is handled, in ms. */
+	delayMs: (() => number) | undefined;
 	readonly #server: Server;
 	readonly #rows = new Map<string, Row>();
 	readonly #waiters = new Set<FeedWaiter>();
@@ -132,6 +135,10 @@
 			body += String(chunk);
 		}
 
+		if (this.delayMs !== undefined) {
+			await sleep(this.delayMs());
+		}
+
 		if (this.mode === StoreMode.Silent) {
 			return;
 		}
