Serve: a watch that was written after its end ended the process

An operator's watch stays registered until its response closes. A version that came into force, or a keep-alive, between its end and its close was written to an ended response, which emits an error without a listener. Nothing is written after the end. test/entry/operator-watch.test.ts failed before (ERR_STREAM_WRITE_AFTER_END) and passes.

--- a/src/entry/operator-watch.ts
+++ b/src/entry/operator-watch.ts
@@ -56,7 +56,7 @@
 			unsubscribe();
 			endTimer.cancel();
 		});
-		void this.#keepAlive(res, closed.signal);
+		void this.#keepAlive(res, closed.signal); // eslint-disable-line @typescript-eslint/no-floating-promises -- never rejects
 	}
 
 	/** Closes all watches, so that the server can close. */
@@ -71,7 +71,7 @@
 			// eslint-disable-next-line no-await-in-loop
 			await this.#clock.sleep(KEEP_ALIVE_INTERVAL_MS, closed);
 			if (!closed.aborted) {
-				res.write(': keep-alive\n\n');
+				writeIfOpen(res, ': keep-alive\n\n');
 			}
 		}
 	}
@@ -83,5 +83,12 @@
 	const data = JSON.stringify({
 		team, version, digest, bytes,
 	});
-	res.write(`event: version\nid: ${version}\ndata: ${data}\n\n`);
+	writeIfOpen(res, `event: version\nid: ${version}\ndata: ${data}\n\n`);
+}
+
+/** Writes unless the response has ended, which emits an error; it closes only once the client has read it. */
+function writeIfOpen(res: ServerResponse, text: string): void {
+	if (!res.writableEnded) {
+		res.write(text);
+	}
 }
