--- a/src/peer/connect-transport.ts
+++ b/src/peer/connect-transport.ts
@@ -62,7 +62,11 @@
 	}
 
 	async call<Method extends PeerMethod>(address: string, method: Method, req: PeerRequestInit<Method>, timeoutMs: number): Promise<Result<PeerResponse<Method>, PeerError>> {
-		const peer = this.#getOrCreatePeer(address);
+		const peer = this.#tryGetPeer(address);
+		if (peer === undefined) {
+			return Result.err({kind: PeerErrorKind.Unreachable, detail: `not an address: ${address}`});
+		}
+
 		const invoke = peer.client[method] as unknown as (req: PeerRequestInit<Method>, options: {timeoutMs: number}) => Promise<PeerResponse<Method>>;
 		const knownSession = peer.session;
 		try {
@@ -90,13 +94,22 @@
 		}
 	}
 
+	/** @returns The connection, or `undefined` if the address is not usable, as the VM list may have any text as one. */
+	#tryGetPeer(address: string): PeerConnection | undefined {
+		return URL.canParse(this.#urlOf(address)) ? this.#getOrCreatePeer(address) : undefined;
+	}
+
+	#urlOf(address: string): string {
+		return `${this.#tls ? 'https' : 'http'}://${address}`;
+	}
+
 	#getOrCreatePeer(address: string): PeerConnection {
 		const existing = this.#peers.get(address);
 		if (existing) {
 			return existing;
 		}
 
-		const baseUrl = `${this.#tls ? 'https' : 'http'}://${address}`;
+		const baseUrl = this.#urlOf(address);
 		const http2Sessions = new Http2SessionManager(baseUrl, {idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS}, this.#tls && {...this.#tls, checkServerIdentity: () => undefined});
 		const peer: PeerConnection = {
 			http2Sessions,
