Serve: only the first problem with a file was named, and TLS files were checked after the start

A node with several wrong files had to be started once for each. TLS files that do not fit together were found when the server was created, status 1 in place of 2. All files of the settings are read and checked before anything starts; each problem is printed, status 2.

--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -21,7 +21,10 @@
 			process.kill(process.pid, 'SIGTERM');
 		});
 		if (created.isErr) {
-			console.error(created.error);
+			for (const problem of created.error) {
+				console.error(problem);
+			}
+
 			process.exit(USAGE_EXIT_STATUS);
 		}
 
