Serve: an address in use ended the process

Callers saw a node end with status 1 at once, again and again while something else had one of its two addresses. Both servers listen through base/listening.ts: the address is tried again without limit, with a log line. The node is not ready meanwhile, as nothing answers at the entry address or the node has not joined; SIGTERM ends it with status 0. An error of accept() is logged; it restarted the server before, which cut its connections.

--- a/bench/members-wire.ts
+++ b/bench/members-wire.ts
@@ -5,6 +5,8 @@
 import {randomBytes} from 'node:crypto';
 import {connect, createServer, type AddressInfo} from 'node:net';
 import {once} from 'node:events';
+import {SystemClock} from '../src/base/clock.js';
+import {Log} from '../src/base/log.js';
 import {Authenticator} from '../src/peer/authentication.js';
 import {ConnectTransport} from '../src/peer/connect-transport.js';
 import {PeerPart} from '../src/peer/peer-part.js';
@@ -26,9 +28,9 @@
 export async function measureWire(): Promise<WireCost> {
 	const key = randomBytes(32);
 	const part = PeerPart.create({
-		host: '127.0.0.1', port: 0, authenticator: Authenticator.create(key, () => 1), handlers: {loadReport: () => ({})},
+		host: '127.0.0.1', port: 0, authenticator: Authenticator.create(key, () => 1), handlers: {loadReport: () => ({})}, clock: SystemClock.create(), log: Log.create('silent'),
 	});
-	await part.start(() => undefined);
+	await part.start();
 	let bytes = 0;
 	const proxy = createServer({noDelay: true}, socket => {
 		const target = connect(Number(part.address.split(':')[1]), '127.0.0.1');
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -34,7 +34,9 @@
 			await close();
 		}, node.drainRequested);
 		try {
-			await node.start();
+			if (!await node.start()) {
+				return;
+			}
 		} catch (error) {
 			log.part(LogPrefix.Cli).error('The node cannot start.', {err: (error as Error).message});
 			process.exit(1);
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -8,7 +8,8 @@
 import {NestFactory} from '@nestjs/core';
 import {FastifyAdapter, type NestFastifyApplication} from '@nestjs/platform-fastify';
 import {type FastifyReply, type FastifyRequest} from 'fastify';
-import {type Log, LogPrefix} from '../base/log.js';
+import {listen} from '../base/listening.js';
+import {Log, LogPrefix} from '../base/log.js';
 import {Part} from '../supervisor/part.js';
 import {BodyBudget} from './body.js';
 import {CompletionsController} from './completions-controller.js';
@@ -68,6 +69,7 @@
 	readonly #operators: OperatorContext | undefined;
 	#app: NestFastifyApplication | undefined;
 	#reloader: TlsReloader | undefined;
+	#stopping = new AbortController();
 
 	private constructor(context: EntryContext, options: ListenOptions, operators: OperatorContext | undefined) {
 		super();
@@ -86,8 +88,16 @@
 		return `${address}:${port}`;
 	}
 
-	async start(onFailure: (err: Error) => void): Promise<void> {
-		const {limits = defaultHttpLimits, log, tls} = this.#options;
+	/** Whether callers can connect. */
+	get isListening(): boolean {
+		return this.#app?.getHttpServer().listening ?? false;
+	}
+
+	/** Waits until the address is available or the part is stopped. */
+	async start(): Promise<void> {
+		const {limits = defaultHttpLimits, log, tls, host, port} = this.#options;
+		const stopping = new AbortController();
+		this.#stopping = stopping;
 		const credentials = tls && readTlsCredentials(tls);
 		const clientErrorHandler = ClientErrorHandler.create(this.#context.instruments);
 		const filter = new ProblemFilter(log?.part(LogPrefix.Entry), this.#context.instruments);
@@ -111,9 +121,13 @@
 		app.useGlobalFilters(filter);
 		this.#app = app;
 		clientErrorHandler.attach(this.#server);
-		await app.listen(this.#options.port, this.#options.host);
-		this.#server.on('error', onFailure);
-		if (tls !== undefined && credentials !== undefined) {
+		await app.init();
+		await adapter.getInstance().ready();
+		const listenLog = log ?? Log.create('silent');
+		const isListening = await listen(this.#server, {host, port}, {
+			clock: this.#context.clock, log: listenLog.part(LogPrefix.Entry), signal: stopping.signal,
+		});
+		if (isListening && tls !== undefined && credentials !== undefined) {
 			const server = app.getHttpServer() as unknown as HttpsServer;
 			this.#reloader = TlsReloader.start({
 				server, files: tls, current: credentials, clock: this.#context.clock, log: log?.part(LogPrefix.Entry),
@@ -126,7 +140,13 @@
 		this.#server.closeAllConnections();
 	}
 
+	/** Ends a start that waits for the address; a server that listens goes on. */
+	override async drain(): Promise<void> {
+		this.#stopping.abort();
+	}
+
 	async stop(): Promise<void> {
+		this.#stopping.abort();
 		const app = this.#app;
 		if (app === undefined) {
 			return;
--- a/src/peer/peer-part.ts
+++ b/src/peer/peer-part.ts
@@ -11,6 +11,9 @@
 	Code, ConnectError, type ConnectRouter, type Interceptor, type ServiceImpl,
 } from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {type Clock} from '../base/clock.js';
+import {listen} from '../base/listening.js';
+import {type Log} from '../base/log.js';
 import {Part} from '../supervisor/part.js';
 import {
 	AuthFailure, type Authenticator, readAuthHeaders, writeAuthHeaders,
@@ -29,6 +32,8 @@
 	readonly authenticator: Authenticator;
 	readonly tls?: PeerTls;
 	readonly handlers: PeerHandlers;
+	readonly clock: Clock;
+	readonly log: Log;
 };
 
 /** Serves the peer service. */
@@ -40,6 +45,7 @@
 	readonly #options: PeerPartOptions;
 	readonly #sessions = new Set<ServerHttp2Session>();
 	#server: Http2Server | undefined;
+	#stopping = new AbortController();
 	#address = '';
 
 	private constructor(options: PeerPartOptions) {
@@ -56,8 +62,11 @@
 		return this.#address;
 	}
 
-	async start(onFailure: (err: Error) => void): Promise<void> {
-		const {host, port, tls} = this.#options;
+	/** Waits until the address is available or the part is stopped. */
+	async start(): Promise<void> {
+		const {host, port, tls, clock, log} = this.#options;
+		const stopping = new AbortController();
+		this.#stopping = stopping;
 		const handler = connectNodeAdapter({
 			routes: (router: ConnectRouter) => router.service(PeerService, createServiceImpl(this.#options.handlers)),
 			interceptors: [createAuthInterceptor(this.#options.authenticator)],
@@ -73,14 +82,22 @@
 			session.on('close', () => this.#sessions.delete(session));
 		});
 		// After a restart the server listens on the same port, because peers know its address.
-		server.listen(this.#address === '' ? port : Number(this.#address.split(':').at(-1)), host);
-		await once(server, 'listening');
-		server.on('error', onFailure);
+		const knownPort = this.#address === '' ? port : Number(this.#address.split(':').at(-1));
+		if (!await listen(server, {host, port: knownPort}, {clock, log, signal: stopping.signal})) {
+			return;
+		}
+
 		this.#server = server;
 		this.#address = `${host}:${(server.address() as AddressInfo).port}`;
 	}
 
+	/** Ends a start that waits for the address; a server that listens goes on. */
+	override async drain(): Promise<void> {
+		this.#stopping.abort();
+	}
+
 	async stop(): Promise<void> {
+		this.#stopping.abort();
 		const server = this.#server;
 		this.#server = undefined;
 		if (!server) {
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -2,6 +2,7 @@
  * Process of an entry VM, which is the root of the supervisor tree.
  */
 import {randomBytes, randomUUID} from 'node:crypto';
+import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
 import {Invariants, PromiseId} from '../base/invariant.js';
 import {type Log, LogPrefix} from '../base/log.js';
@@ -101,6 +102,7 @@
 	#entry: EntryPart | undefined;
 	readonly #supervisor: Supervisor;
 	readonly #drainController = new AbortController();
+	#starting: Promise<boolean> | undefined;
 	#isDraining = false;
 	#isRefusing = false;
 
@@ -122,7 +124,7 @@
 		this.#authenticator = Authenticator.create(key, () => this.#core?.members.incarnation ?? 0);
 		this.#transport = ConnectTransport.create(this.#authenticator, tls);
 		this.#peer = PeerPart.create({
-			host, port, authenticator: this.#authenticator, tls, handlers: this.#handlers,
+			host, port, authenticator: this.#authenticator, tls, handlers: this.#handlers, clock: options.clock, log: options.log.part(LogPrefix.Peer),
 		});
 		this.#supervisor = Supervisor.create({
 			name: 'node', parts: [], clock: options.clock, log: options.log,
@@ -157,27 +159,14 @@
 		return this.#drainController.signal;
 	}
 
-	async start(): Promise<void> {
-		const {region} = this.#options;
-		await this.#supervisor.add(this.#peer);
-		const core = this.#createCore();
-		this.#core = core;
-		// Not awaited: claim operations wait for this read themselves and repeat it if it failed.
-		void core.claims.start();
-		Object.assign(this.#handlers, core.handlers);
-		this.#entry = this.#createEntry(core);
-		await this.#supervisor.add(this.#entry);
-		for (const part of core.parts) {
-			// eslint-disable-next-line no-await-in-loop -- parts depend on those before them
-			await this.#supervisor.add(part);
-		}
-
-		// Publishes the entry address only after this node has received the state of its peers.
-		await waitUntil(this.#options.clock, () => core.members.isSynced, MAX_SYNC_WAIT_MS);
-		core.members.setEntryAddress(this.address);
-		this.#log.info('Node started.', {
-			vm: this.#vmId, process: this.id, address: this.address, peerAddress: this.peerAddress, region,
-		});
+	/**
+	 * Waits until both addresses are available and the state of the peers was received.
+	 *
+	 * @returns Whether the node serves; false if it was stopped meanwhile.
+	 */
+	async start(): Promise<boolean> {
+		this.#starting = this.#startParts();
+		return this.#starting;
 	}
 
 	/** Planned stop: announces the stop, rejects new work after `leaveMs`, and waits up to `maxDrainMs` for requests in flight. */
@@ -185,27 +174,66 @@
 		this.#isDraining = true;
 		const {clock, leaveMs = 0, maxDrainMs = DEFAULT_MAX_DRAIN_MS} = this.#options;
 		await this.#supervisor.drain();
-		if (leaveMs > 0) {
+		await this.#starting;
+		const core = this.#core;
+		const entry = this.#entry;
+		if (entry?.isListening === true && leaveMs > 0) {
 			await clock.sleep(leaveMs);
 		}
 
 		this.#isRefusing = true;
-		const isIdle = () => this.dispatcher.inFlightCount === 0;
+		const isIdle = () => (core?.dispatcher.inFlightCount ?? 0) === 0;
 		const isDrained = await waitUntil(clock, isIdle, maxDrainMs);
 		if (!isDrained) {
-			this.#entry!.closeConnections();
+			entry?.closeConnections();
 			// Waits until the cancellation of the remaining requests has reached the engines.
 			await waitUntil(clock, isIdle, CANCEL_TIMEOUT_MS);
 		}
 
-		await this.#entry!.stop();
-		await this.core.flush();
+		await entry?.stop();
+		await core?.flush();
 		await this.#supervisor.stop();
-		await this.core.close();
+		await core?.close();
 		this.invariants.check(PromiseId.GracefulStop, isDrained, 'A request was in flight at the end of a planned stop.');
 		this.#log.info('Node stopped.', {vm: this.#vmId});
 	}
 
+	async #startParts(): Promise<boolean> {
+		const {region} = this.#options;
+		await this.#supervisor.add(this.#peer);
+		if (this.#isDraining) {
+			return false;
+		}
+
+		const core = this.#createCore();
+		this.#core = core;
+		// Not awaited: claim operations wait for this read themselves and repeat it if it failed.
+		runInBackground(this.#log, 'first read of the claim clock', async () => core.claims.start());
+		Object.assign(this.#handlers, core.handlers);
+		this.#entry = this.#createEntry(core);
+		await this.#supervisor.add(this.#entry);
+		for (const part of core.parts) {
+			if (this.#isDraining) {
+				return false;
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- parts depend on those before them
+			await this.#supervisor.add(part);
+		}
+
+		// Publishes the entry address only after this node has received the state of its peers.
+		await waitUntil(this.#options.clock, () => core.members.isSynced || this.#isDraining, MAX_SYNC_WAIT_MS);
+		if (this.#isDraining) {
+			return false;
+		}
+
+		core.members.setEntryAddress(this.address);
+		this.#log.info('Node started.', {
+			vm: this.#vmId, process: this.id, address: this.address, peerAddress: this.peerAddress, region,
+		});
+		return true;
+	}
+
 	#createCore(): NodeCore {
 		const {clock, log, region, dataCentre, peers} = this.#options;
 		return NodeCore.create({
