--- a/src/cli/dev.ts
+++ b/src/cli/dev.ts
@@ -1,11 +1,12 @@
 /**
  * `redwingspool dev`: runs a node with in-memory stores and stand-in upstreams in one process, for evaluation.
  */
+import process from 'node:process';
 import {defineCommand} from 'citty';
 import {BookingStandIn} from '../../standins/booking.js';
 import {EngineStandIn} from '../../standins/engine.js';
 import {SystemClock} from '../base/clock.js';
-import {Log} from '../base/log.js';
+import {Log, LogPrefix} from '../base/log.js';
 import {toArguments} from '../base/settings.js';
 import {digestKey} from '../config/deployment.js';
 import {SettingsTree} from '../config/settings-tree.js';
@@ -59,6 +60,7 @@
 	args: toArguments(commonSettings),
 	async run({args}) {
 		const settings = readSettingsOrExit(commonSettings, args);
+		const log = Log.create(settings['log-level']);
 		const engineOptions = {tokenIntervalMs: TOKEN_INTERVAL_MS, defaultTokens: DEFAULT_TOKENS};
 		const engines = [await EngineStandIn.start(engineOptions), await EngineStandIn.start(engineOptions)];
 		const booking = await BookingStandIn.start();
@@ -69,7 +71,7 @@
 		});
 		const node = Node.create({
 			clock,
-			log: Log.create(settings['log-level']),
+			log,
 			platform,
 			host: settings.host,
 			port: settings.port,
@@ -93,6 +95,12 @@
 		stopOnSignal(async () => {
 			await node.stop();
 			await Promise.all([...engines, booking].map(async standIn => standIn.stop()));
-		}, node.drainRequested);
+		}, {
+			log: log.part(LogPrefix.Cli),
+			async exit(status) {
+				process.exit(status);
+			},
+			stopRequest: node.drainRequested,
+		});
 	},
 });
--- a/src/cli/stop-on-signal.ts
+++ b/src/cli/stop-on-signal.ts
@@ -2,34 +2,45 @@
  * Starts a graceful shutdown on SIGTERM and SIGINT.
  */
 import process from 'node:process';
+import {runInBackground} from '../base/background.js';
+import {type Log} from '../base/log.js';
+import {describeStack} from '../base/unhandled-errors.js';
+
+/** Dependencies of a command that stops on a signal. */
+export type StopContext = {
+	readonly log: Log;
+	/** Ends the process. */
+	readonly exit: (status: number) => Promise<void>;
+	/** Requests a stop by other means than a signal. */
+	readonly stopRequest?: AbortSignal;
+};
 
 /**
  * @param stop - Called once, on the first signal. The process exits with 0 when it resolves and with 1 when it rejects.
- * @param stopRequest - Requests a stop by other means than a signal.
  */
-export function stopOnSignal(stop: () => Promise<void>, stopRequest?: AbortSignal): void {
+export function stopOnSignal(stop: () => Promise<void>, {log, exit, stopRequest}: StopContext): void {
 	let isStopping = false;
-	const stopOnce = async () => {
+	const stopOnce = () => {
 		if (isStopping) {
 			return;
 		}
 
 		isStopping = true;
-		try {
-			await stop();
-			process.exit(0);
-		} catch (error) {
-			console.error((error as Error).message);
-			process.exit(1);
-		}
+		runInBackground(log, 'stop', async () => {
+			try {
+				await stop();
+			} catch (error) {
+				log.error('The node cannot stop.', {err: String(error), stack: describeStack(error)});
+				await exit(1);
+				return;
+			}
+
+			await exit(0);
+		});
 	};
 
-	stopRequest?.addEventListener('abort', () => {
-		void stopOnce();
-	}, {once: true});
+	stopRequest?.addEventListener('abort', stopOnce, {once: true});
 	for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-		process.on(signal, () => {
-			void stopOnce();
-		});
+		process.on(signal, stopOnce);
 	}
 }
