Serve: an error that no handler caught ended the process

`serve` logs and counts it, as the platform's program does, and goes on. test/serve/unhandled-errors.test.ts (four errors in the real command) failed before (status 1) and passes.

--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -7,7 +7,7 @@
 import {BoundedOutput} from '../base/bounded-output.js';
 import {Log, LogPrefix} from '../base/log.js';
 import {toArguments} from '../base/settings.js';
-import {describeStack} from '../base/unhandled-errors.js';
+import {describeStack, logUnhandledErrors} from '../base/unhandled-errors.js';
 import {createNode} from '../serve/create-node.js';
 import {nodeSettings} from '../serve/node-settings.js';
 import {readSettingsOrExit, USAGE_EXIT_STATUS} from './read-settings-or-exit.js';
@@ -45,6 +45,9 @@
 		}
 
 		const {node, close} = created.value;
+		logUnhandledErrors(log, () => {
+			node.metrics.countUnhandledError();
+		});
 		stopOnSignal(async () => {
 			await node.stop();
 			await close();
