Serve: a background write that threw ended the process and stopped its queue

The queue kept its flag, so that no later completion or release of a claim was written. A job that throws is logged and tried again after the back-off.

--- a/src/coordination/background-writes.ts
+++ b/src/coordination/background-writes.ts
@@ -1,7 +1,10 @@
 /**
  * Retries writes in the background until the store decides them, within bounded memory.
  */
+import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
+import {type Log} from '../base/log.js';
+import {describeStack} from '../base/unhandled-errors.js';
 
 /** One write or a short sequence of writes; idempotent. */
 export type BackgroundJob = {
@@ -30,11 +33,12 @@
 
 /** A queue that runs a few jobs at a time, the least recently tried first. */
 export class BackgroundWrites {
-	static create(clock: Clock, limits = defaultBackgroundLimits): BackgroundWrites {
-		return new BackgroundWrites(clock, limits);
+	static create(clock: Clock, log: Log, limits = defaultBackgroundLimits): BackgroundWrites {
+		return new BackgroundWrites(clock, log, limits);
 	}
 
 	readonly #clock: Clock;
+	readonly #log: Log;
 	readonly #limits: BackgroundLimits;
 	readonly #jobs = new Set<BackgroundJob>();
 	readonly #stopping = new AbortController();
@@ -43,8 +47,9 @@
 	#isProcessing = false;
 	readonly #emptyListeners: Array<() => void> = [];
 
-	private constructor(clock: Clock, limits: BackgroundLimits) {
+	private constructor(clock: Clock, log: Log, limits: BackgroundLimits) {
 		this.#clock = clock;
+		this.#log = log;
 		this.#limits = limits;
 	}
 
@@ -70,7 +75,7 @@
 		}
 
 		if (!this.#isProcessing) {
-			void this.#processQueue();
+			runInBackground(this.#log, 'background writes', async () => this.#processQueue());
 		}
 	}
 
@@ -94,6 +99,18 @@
 
 	async #processQueue(): Promise<void> {
 		this.#isProcessing = true;
+		try {
+			await this.#runJobs();
+		} finally {
+			this.#isProcessing = false;
+		}
+
+		for (const notify of this.#emptyListeners.splice(0)) {
+			notify();
+		}
+	}
+
+	async #runJobs(): Promise<void> {
 		let backOffMs = this.#limits.minBackOffMs;
 		while (this.#jobs.size > 0 && !this.#stopping.signal.aborted) {
 			const batch = [...this.#jobs].slice(0, MAX_CONCURRENT_JOBS);
@@ -107,15 +124,10 @@
 				backOffMs = Math.min(backOffMs * 2, this.#limits.maxBackOffMs);
 			}
 		}
-
-		this.#isProcessing = false;
-		for (const notify of this.#emptyListeners.splice(0)) {
-			notify();
-		}
 	}
 
 	async #runJob(job: BackgroundJob): Promise<boolean> {
-		const isDecided = await job.run();
+		const isDecided = await this.#tryRun(job);
 		if (isDecided) {
 			this.#remove(job);
 		} else if (this.#jobs.delete(job)) {
@@ -126,6 +138,15 @@
 		return isDecided;
 	}
 
+	async #tryRun(job: BackgroundJob): Promise<boolean> {
+		try {
+			return await job.run();
+		} catch (error) {
+			this.#log.error('A background write failed; it is tried again.', {err: String(error), stack: describeStack(error)});
+			return false;
+		}
+	}
+
 	#dropOldest(): void {
 		const [oldest] = this.#jobs as Iterable<BackgroundJob> as [BackgroundJob];
 		this.#remove(oldest);
--- a/src/coordination/table-claims.ts
+++ b/src/coordination/table-claims.ts
@@ -5,6 +5,7 @@
 import {type Clock, SystemClock} from '../base/clock.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {Invariants, PromiseId} from '../base/invariant.js';
+import {Log} from '../base/log.js';
 import {MemoryObjectStore} from '../store/memory-table.js';
 import {type ObjectStore} from '../store/object-store.js';
 import {type Condition, type Row, type Table} from '../store/table.js';
@@ -25,6 +26,7 @@
 /** Options of `TableClaims`; the defaults are for a single process. */
 export type TableClaimsOptions = {
 	readonly clock?: Clock;
+	readonly log?: Log;
 	readonly invariants?: Invariants;
 	/** Stores the bodies of large answers. */
 	readonly objects?: ObjectStore;
@@ -87,8 +89,9 @@
 		this.#completeWaitMs = options.completeWaitMs ?? COMPLETE_WAIT_MS;
 		this.#createToken = options.createToken ?? randomUUID;
 		const limits = options.backgroundLimits ?? defaultBackgroundLimits;
-		this.background = BackgroundWrites.create(this.#clock, limits);
-		this.#releases = BackgroundWrites.create(this.#clock, limits);
+		const log = options.log ?? Log.create('silent');
+		this.background = BackgroundWrites.create(this.#clock, log, limits);
+		this.#releases = BackgroundWrites.create(this.#clock, log, limits);
 	}
 
 	/** Number of attempts that are waiting or running. */
--- a/test/coordination/claim-run.ts
+++ b/test/coordination/claim-run.ts
@@ -8,9 +8,12 @@
 import {ClaimPeers, type ClaimStatus, MemoryClaimPeers} from '../../src/coordination/claim-peers.js';
 import {type Claim, type ClaimDecision} from '../../src/coordination/claims.js';
 import {TableClaims} from '../../src/coordination/table-claims.js';
+import {createStrictLog} from '../support/strict-log.js';
 import {FaultyTable} from './faulty-table.js';
 import {type Mutation, NodeClock, NodeTable} from './simulated-node.js';
 
+const strictLog = createStrictLog();
+
 const STEP_COUNT = 60;
 const NODE_COUNT = 3;
 
@@ -128,6 +131,7 @@
 		const invariants = Invariants.create({throwOnViolation: false, onViolation: (_, detail) => this.#result.violations.push(detail)});
 		const claims = TableClaims.create(table, id, {
 			clock,
+			log: strictLog,
 			invariants,
 			peers: new MutatedPeers(this.#peers, this.#mutation.status ?? (status => status)),
 			createToken: () => {
