Serve: an error of recording an answer left the caller without its end

The rejection ended the process; with the last handler, the request would never end. The error is logged and the caller gets the answer. test/dispatch/relay.test.ts "ends the response to a keyed request whose recording fails" failed before (no end within 2 s) and passes.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -2,10 +2,11 @@
  * Request pipeline: idempotency claim, queue, upstream attempts and response.
  */
 import {type Span} from '@opentelemetry/api';
+import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
 import {ErrorKind, Ran, SchedulerError} from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
-import {type Log} from '../base/log.js';
+import {Log} from '../base/log.js';
 import {type Metrics, RequestOutcome} from '../base/metrics.js';
 import {endSpan, type RequestTrace, SpanName} from '../base/trace.js';
 import {type Claim, type ClaimRequest, type Claims} from '../coordination/claims.js';
@@ -96,7 +97,7 @@
 	readonly #retryBudget: RetryBudget;
 	readonly #clock: Clock;
 	readonly #metrics: Metrics | undefined;
-	readonly #log: Log | undefined;
+	readonly #log: Log;
 	#claimingCount = 0;
 	readonly #jobs = new Map<string, RunningJob>();
 
@@ -106,7 +107,7 @@
 		this.#claims = options.claims;
 		this.#clock = options.clock;
 		this.#metrics = options.metrics;
-		this.#log = options.log;
+		this.#log = options.log ?? Log.create('silent');
 		this.#retryBudget = RetryBudget.create(options.clock);
 		this.scheduler = options.createScheduler({
 			start: (work, upstreamId) => {
@@ -279,7 +280,7 @@
 		if (wasCommitted) {
 			this.#claims.abandon(claim);
 		} else {
-			void this.#claims.release(claim);
+			runInBackground(this.#log, 'release of a claim', async () => this.#claims.release(claim));
 		}
 	}
 
@@ -309,7 +310,7 @@
 			return;
 		}
 
-		this.#log?.warn(err.kind === ErrorKind.AnswerIncomplete ? 'An upstream broke its answer.' : 'An upstream failed.', {
+		this.#log.warn(err.kind === ErrorKind.AnswerIncomplete ? 'An upstream broke its answer.' : 'An upstream failed.', {
 			traceId: job.traceId, dispatchId: job.lifecycle.id, upstream, kind: err.kind, cause: err.message,
 		});
 	}
@@ -322,7 +323,7 @@
 			this.#metrics?.countError(err.kind);
 		}
 
-		if (this.#log?.isDebugEnabled) {
+		if (this.#log.isDebugEnabled) {
 			this.#log.debug('Request ended.', {
 				traceId: job.traceId, dispatchId: job.lifecycle.id, outcome, kind: err?.kind, tier: job.work.tier, upstream: job.upstreamId,
 			});
--- a/src/dispatch/relay.ts
+++ b/src/dispatch/relay.ts
@@ -2,6 +2,7 @@
  * Sends a request to an upstream and relays the response to the caller.
  */
 import {type Span} from '@opentelemetry/api';
+import {runInBackground} from '../base/background.js';
 import {ByteCollector} from '../base/byte-collector.js';
 import {type Clock} from '../base/clock.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
@@ -9,6 +10,7 @@
 import {type Log} from '../base/log.js';
 import {type Metrics} from '../base/metrics.js';
 import {endSpan, SpanName} from '../base/trace.js';
+import {describeStack} from '../base/unhandled-errors.js';
 import {type Claim, type Claims, MAX_KEPT_ANSWER_BYTES} from '../coordination/claims.js';
 import {type Scheduler, WorkOutcome} from '../policy/scheduler.js';
 import {Engine, type UpstreamClient} from '../upstream/engine.js';
@@ -42,7 +44,7 @@
 	readonly scheduler: Scheduler;
 	readonly client: UpstreamClient;
 	readonly upstreamId: string;
-	readonly log: Log | undefined;
+	readonly log: Log;
 	readonly canResume: boolean;
 	/** Called at most once, before a response with a retryable status is relayed; returns true to discard that response. */
 	readonly shouldRetry: () => boolean;
@@ -157,7 +159,7 @@
 	handleEnd(): void {
 		if (!this.#isEnded) {
 			this.#isEnded = true;
-			void this.#complete();
+			runInBackground(this.#options.log, 'end of a response', async () => this.#complete());
 		}
 	}
 
@@ -201,7 +203,7 @@
 
 		const {client, job} = this.#options;
 		if (client instanceof Engine && job.lifecycle.wasCommitted) {
-			void client.cancel(job.lifecycle.id);
+			runInBackground(this.#options.log, 'cancelation at an engine', async () => client.cancel(job.lifecycle.id));
 		}
 
 		this.#exchange?.abort();
@@ -238,9 +240,14 @@
 		const {job, claim, claims} = this.#options;
 		if (claim !== undefined) {
 			const isWhole = this.isResponseRecorded && this.#recordedBytes <= MAX_KEPT_ANSWER_BYTES;
-			await claims.complete(claim, isWhole
-				? {status: this.#status, contentType: this.#contentType, body: this.#recorded.take()}
-				: undefined);
+			try {
+				await claims.complete(claim, isWhole
+					? {status: this.#status, contentType: this.#contentType, body: this.#recorded.take()}
+					: undefined);
+			} catch (error) {
+				// The caller gets its response all the same; a repeat is refused, as nothing is recorded.
+				this.#options.log.error('An answer could not be recorded.', {dispatchId: job.lifecycle.id, err: String(error), stack: describeStack(error)});
+			}
 		}
 
 		if (!this.#isCallerDisconnected) {
@@ -276,7 +283,7 @@
 	#resume(): void {
 		const {client, job} = this.#options;
 		this.#resumesWithoutProgress += 1;
-		this.#options.log?.warn('The connection of an answer was lost; the answer is resumed.', {
+		this.#options.log.warn('The connection of an answer was lost; the answer is resumed.', {
 			traceId: job.traceId, dispatchId: job.lifecycle.id, upstream: this.#options.upstreamId, offset: this.#bodyTracker.delivered,
 		});
 		const offset = this.#bodyTracker.delivered;
--- a/test/dispatch/relay.test.ts
+++ b/test/dispatch/relay.test.ts
@@ -146,6 +146,19 @@
 		expect(cluster.booking.holds).to.have.length(1);
 	});
 
+	// Guards against an error of the recording that leaves the caller without the end of its response.
+	it('ends the response to a keyed request whose recording fails', async () => {
+		cluster.node.core.claims.complete = async () => {
+			throw new Error('fault');
+		};
+
+		const res = await request(`${cluster.url}/services/booking/holds`, {
+			method: 'POST', body: 'table 9', signal: AbortSignal.timeout(2000), headers: {authorization: `Bearer ${testApiKey}`, 'idempotency-key': 'fault'},
+		});
+		expect(await res.body.json()).to.deep.equal({hold: 1});
+		await eventually(() => cluster.node.dispatcher.inFlightCount === 0);
+	});
+
 	it('applies backpressure to the engine when the caller reads slowly', async () => {
 		const body = JSON.stringify({
 			model: 'crew-advice', stream: true, max_tokens: 200_000, messages: [{role: 'user', content: 'slow'}],
