Promises that nobody awaits have owners: the lint rule refuses the others

@typescript-eslint/no-floating-promises with ignoreVoid: false, for src and platform; Fastify's reply is known as safe. Each runs through base/background.ts with the log of its component, or has the reason why it does not reject. The collection of claims goes on after a page that failed.

--- a/bench/members.ts
+++ b/bench/members.ts
@@ -10,8 +10,11 @@
 import {SharesPart, type TieredDemand} from '../src/peer/shares-part.js';
 import {DEMAND_INTERVAL_MS} from '../src/policy/shares.js';
 import {Cluster, type ClusterNode} from '../test/members/cluster.js';
+import {createStrictLog} from '../test/support/strict-log.js';
 import {measureWire, type WireCost} from './members-wire.js';
 
+const strictLog = createStrictLog();
+
 /** Upstreams and nodes of the target deployment; see docs/design.md, section 4. */
 const TARGET_UPSTREAMS = 790;
 const TARGET_NODES = 360;
@@ -106,6 +109,7 @@
 		const part = SharesPart.create({
 			self: node,
 			clock: node.clock,
+			log: strictLog,
 			transport: node.transport,
 			demand: pattern.create(assignment.upstreamsOf(node.id), random),
 			allocatorOf: id => assignment.allocatorOf(id),
--- a/bench/upstream-faults.ts
+++ b/bench/upstream-faults.ts
@@ -8,11 +8,11 @@
 import {type ReadableSpan, type Span, type SpanProcessor} from '@opentelemetry/sdk-trace-node';
 import {request} from 'undici';
 import {SystemClock} from '../src/base/clock.js';
-import {Log} from '../src/base/log.js';
 import {SpanName, Tracing} from '../src/base/trace.js';
 import {Deployment, digestKey} from '../src/config/deployment.js';
 import {subtreeSchema} from '../src/config/schema.js';
 import {Node} from '../src/serve/node.js';
+import {createStrictLog} from '../test/support/strict-log.js';
 
 const ENGINE_COUNT = 3;
 const CALLERS = 60;
@@ -98,7 +98,7 @@
 		const recorder = new SendRecorder();
 		const node = Node.create({
 			clock: SystemClock.create(),
-			log: Log.create('silent'),
+			log: createStrictLog(),
 			host: '127.0.0.1',
 			port: 0,
 			...location,
--- a/soak/soak-node.ts
+++ b/soak/soak-node.ts
@@ -5,7 +5,6 @@
 import {Buffer} from 'node:buffer';
 import type Result from 'true-myth/result';
 import {type Invariants} from '../src/base/invariant.js';
-import {Log} from '../src/base/log.js';
 import {Metrics} from '../src/base/metrics.js';
 import {Random} from '../src/base/random.js';
 import {type Ran, type SchedulerError} from '../src/base/errors.js';
@@ -21,6 +20,7 @@
 } from '../src/store/table.js';
 import {Supervisor} from '../src/supervisor/supervisor.js';
 import {type UpstreamClient} from '../src/upstream/engine.js';
+import {createStrictLog} from '../test/support/strict-log.js';
 import {type CallerRequest, isPlainRequest, RequestKind} from './request-history.js';
 import {type ProcessClock} from './process-clock.js';
 
@@ -151,7 +151,7 @@
 		this.process = process;
 		this.address = addressOf(index);
 		const handlers: Record<string, unknown> = {};
-		const log = Log.create('silent');
+		const log = createStrictLog();
 		this.core = NodeCore.create({
 			clock: process,
 			log,
--- a/src/config/config-parts.ts
+++ b/src/config/config-parts.ts
@@ -3,7 +3,7 @@
  */
 import {type Clock} from '../base/clock.js';
 import {type Invariants} from '../base/invariant.js';
-import {type Log} from '../base/log.js';
+import {type Log, LogPrefix} from '../base/log.js';
 import {type Random} from '../base/random.js';
 import {type ObjectStore} from '../store/object-store.js';
 import {type Table} from '../store/table.js';
@@ -52,7 +52,7 @@
 		clock, log, random, tree, peers, subtrees,
 	});
 	const writer = FreshnessWriter.create({
-		clock, tree, region, nodeId, isWriter: isFreshnessWriter,
+		clock, log: log.part(LogPrefix.Config), tree, region, nodeId, isWriter: isFreshnessWriter,
 	});
 	const service = ConfigService.create({
 		clock, tree, sync, peers, nodeId, region,
--- a/src/config/config-sync.ts
+++ b/src/config/config-sync.ts
@@ -1,6 +1,7 @@
 /**
  * Keeps a node's settings up to date: polls all heads every 4 s and applies versions announced by peers.
  */
+import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
 import {type Log, LogPrefix} from '../base/log.js';
 import {type Random} from '../base/random.js';
@@ -106,9 +107,9 @@
 		this.#abortController = abortController;
 		peers.serveBodies((team, digest) => subtrees.body(team, digest));
 		this.#unsubscribe = peers.subscribe(({head}) => {
-			void this.#applyAnnounced(head);
+			void this.#applyAnnounced(head); // eslint-disable-line @typescript-eslint/no-floating-promises -- never rejects
 		});
-		void this.#run(abortController.signal, onFailure);
+		runInBackground(this.#log, 'reading the settings', async () => this.#run(abortController.signal, onFailure));
 	}
 
 	async stop(): Promise<void> {
--- a/src/config/freshness-writer.ts
+++ b/src/config/freshness-writer.ts
@@ -1,7 +1,9 @@
 /**
  * Periodically rewrites the freshness row of a region while this node is the region's designated writer.
  */
+import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
+import {type Log} from '../base/log.js';
 import {IntervalPart} from '../supervisor/interval-part.js';
 import {FRESHNESS_INTERVAL_MS} from './freshness.js';
 import {type SettingsTree} from './settings-tree.js';
@@ -9,6 +11,7 @@
 /** Dependencies of the part. */
 export type FreshnessWriterOptions = {
 	readonly clock: Clock;
+	readonly log: Log;
 	readonly tree: SettingsTree;
 	readonly region: string;
 	readonly nodeId: string;
@@ -34,10 +37,10 @@
 	}
 
 	protected round(): void {
-		const {tree, region, nodeId, isWriter} = this.#options;
+		const {log, tree, region, nodeId, isWriter} = this.#options;
 		if (isWriter()) {
 			// A failed write is not retried, because the next one follows after the interval.
-			void tree.touchRegion(region, nodeId);
+			runInBackground(log, 'writing the freshness row', async () => tree.touchRegion(region, nodeId));
 		}
 	}
 }
--- a/src/coordination/claim-collector.ts
+++ b/src/coordination/claim-collector.ts
@@ -1,7 +1,9 @@
 /**
  * Garbage collection of claim rows at a bounded rate. It is enough to run it on one node at a time.
  */
+import {runInBackground} from '../base/background.js';
 import {type Clock, type Timer} from '../base/clock.js';
+import {type Log} from '../base/log.js';
 import {type Row, type Table, type Write} from '../store/table.js';
 import {ClaimClock} from './claim-clock.js';
 import {CLAIM_PREFIX, parseClaim} from './claim-row.js';
@@ -25,21 +27,23 @@
  * Deletes claim rows that are older than a day by the shared claim clock, and advances that clock.
  */
 export class ClaimCollector {
-	static create(table: Table, clock: Clock, rate: CollectorRate): ClaimCollector {
-		return new ClaimCollector(table, clock, rate);
+	static create(table: Table, clock: Clock, log: Log, rate: CollectorRate): ClaimCollector {
+		return new ClaimCollector(table, clock, log, rate);
 	}
 
 	readonly #table: Table;
 	readonly #clock: Clock;
+	readonly #log: Log;
 	readonly #claimClock: ClaimClock;
 	readonly #rate: CollectorRate;
 	#cursor = '';
 	#deletedCount = 0;
 	#timer: Timer | undefined;
 
-	private constructor(table: Table, clock: Clock, rate: CollectorRate) {
+	private constructor(table: Table, clock: Clock, log: Log, rate: CollectorRate) {
 		this.#table = table;
 		this.#clock = clock;
+		this.#log = log;
 		this.#claimClock = ClaimClock.create(table, clock);
 		this.#rate = {...rate, pageRows: Math.min(rate.pageRows, MAX_TRANSACTION_WRITES)};
 	}
@@ -51,7 +55,7 @@
 
 	start(): void {
 		this.#timer = this.#clock.setTimer(this.#rate.intervalMs, () => {
-			void this.#tick();
+			runInBackground(this.#log, 'collection of claims', async () => this.#tick());
 		});
 	}
 
@@ -79,9 +83,12 @@
 	}
 
 	async #tick(): Promise<void> {
-		await this.collectPage();
-		if (this.#timer !== undefined) {
-			this.start();
+		try {
+			await this.collectPage();
+		} finally {
+			if (this.#timer !== undefined) {
+				this.start();
+			}
 		}
 	}
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -42,4 +42,4 @@
 });
 
 // The single-executable bundle is CommonJS, which does not support top-level await.
-void runProgram(mainCommand, process.argv.slice(2));
+void runProgram(mainCommand, process.argv.slice(2)); // eslint-disable-line @typescript-eslint/no-floating-promises -- commands report their errors
--- a/src/members/gossip-part.ts
+++ b/src/members/gossip-part.ts
@@ -2,7 +2,9 @@
  * Runs the gossip protocol of a membership over a transport: periodic exchanges, pushes and responses to peers.
  */
 import {type Result} from 'true-myth/result';
+import {runInBackground} from '../base/background.js';
 import {type Clock, type Timer} from '../base/clock.js';
+import {type Log} from '../base/log.js';
 import {type Random} from '../base/random.js';
 import {type ExchangeRequest, type ExchangeResponse} from '../peer/generated/redwingspool/peer/v1/peer_pb.js';
 import {type PeerError, type PeerHandlers, type PeerTransport} from '../peer/peer-transport.js';
@@ -19,6 +21,7 @@
 	readonly membership: Membership;
 	readonly transport: PeerTransport;
 	readonly clock: Clock;
+	readonly log: Log;
 	readonly random: Random;
 	/** Called once, when this node first has all entries of a peer. */
 	readonly onSynced?: () => void;
@@ -90,7 +93,7 @@
 		const {membership, clock} = this.#options;
 		if (membership.hasUrgent) {
 			for (const call of membership.takeUrgent(clock.now())) {
-				void this.#exchange(call);
+				this.#startExchange(call);
 			}
 		}
 	}
@@ -109,12 +112,16 @@
 	#tick(): void {
 		const {membership, clock} = this.#options;
 		for (const call of membership.tick(clock.now())) {
-			void this.#exchange(call);
+			this.#startExchange(call);
 		}
 
 		this.pushUrgent();
 	}
 
+	#startExchange(call: GossipCall): void {
+		runInBackground(this.#options.log, 'gossip', async () => this.#exchange(call));
+	}
+
 	#markSynced(): void {
 		if (!this.#hasSynced) {
 			this.#hasSynced = true;
--- a/src/peer/memory-transport.ts
+++ b/src/peer/memory-transport.ts
@@ -129,6 +129,7 @@
 			};
 
 			this.#network.send(this.#address, address, bytes, handlers => {
+				// eslint-disable-next-line @typescript-eslint/no-floating-promises -- a handler that fails ends the run of a test
 				void this.#serve(address, handlers[method] as Handler | undefined, fromBinary(input, bytes), {output, answer: onResponse});
 			});
 		});
--- a/src/peer/shares-part.ts
+++ b/src/peer/shares-part.ts
@@ -1,7 +1,9 @@
 /**
  * Sends this node's demand for slots to the allocators and grants shares to the nodes whose allocator it is.
  */
+import {runInBackground} from '../base/background.js';
 import {type Clock, type Timer} from '../base/clock.js';
+import {type Log} from '../base/log.js';
 import {type MemberView} from '../members/member.js';
 import {
 	DEMAND_INTERVAL_MS, ShareAllocator, type Share, type ShareDemand, ShareHolder,
@@ -24,6 +26,7 @@
 export type SharesPartOptions = {
 	readonly self: {readonly id: string; readonly process: string};
 	readonly clock: Clock;
+	readonly log: Log;
 	readonly transport: PeerTransport;
 	/** Returns the current demand; upstreams without requests in flight or waiting may be omitted. */
 	readonly demand: () => readonly TieredDemand[];
@@ -68,14 +71,7 @@
 	}
 
 	async start(onFailure: (err: Error) => void): Promise<void> {
-		this.#timer = this.#options.clock.setTimer(DEMAND_INTERVAL_MS, () => {
-			try {
-				this.sendDemand();
-				void this.start(onFailure);
-			} catch (error) {
-				onFailure(error as Error);
-			}
-		});
+		this.#schedule(onFailure);
 	}
 
 	async stop(): Promise<void> {
@@ -113,13 +109,24 @@
 		}
 
 		for (const batch of batches.values()) {
-			void this.#send(batch);
+			runInBackground(this.#options.log, 'exchange of shares', async () => this.#send(batch));
 		}
 
 		this.#allocator.retain(id => this.#isAllocator(id), now);
 		this.#holder.retain(id => this.#options.maxConcurrencyOf(id) !== undefined);
 	}
 
+	#schedule(onFailure: (err: Error) => void): void {
+		this.#timer = this.#options.clock.setTimer(DEMAND_INTERVAL_MS, () => {
+			try {
+				this.sendDemand();
+				this.#schedule(onFailure);
+			} catch (error) {
+				onFailure(error as Error);
+			}
+		});
+	}
+
 	/** Returns the demand for upstreams in use, and an empty demand for upstreams that were in use recently. */
 	#currentDemand(): ShareDemand[] {
 		const demands: ShareDemand[] = [];
--- a/src/serve/members.ts
+++ b/src/serve/members.ts
@@ -2,7 +2,7 @@
  * Connects the membership components of a node: gossip, topics, the VM list and the assignment of upstreams to nodes.
  */
 import {type Clock} from '../base/clock.js';
-import {type Log} from '../base/log.js';
+import {type Log, LogPrefix} from '../base/log.js';
 import {type Random} from '../base/random.js';
 import {type Deployment, type Upstream} from '../config/deployment.js';
 import {Assignment} from '../members/assignment.js';
@@ -67,6 +67,7 @@
 			membership: this.#membership,
 			transport,
 			clock,
+			log: log.part(LogPrefix.Members),
 			random,
 			onSynced: () => {
 				this.#notifyUpstreams();
--- a/src/serve/node-core.ts
+++ b/src/serve/node-core.ts
@@ -1,6 +1,7 @@
 /**
  * Connects all components of a node except its servers: scheduling, claims, settings and communication with other nodes.
  */
+import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
 import {type Invariants} from '../base/invariant.js';
 import {type Log, LogPrefix} from '../base/log.js';
@@ -90,7 +91,7 @@
 			clock, log, random, invariants, metrics, settings, platform, self, transport,
 		} = options;
 		this.#options = options;
-		this.#upstreams = UpstreamRegistry.create(options.createClient);
+		this.#upstreams = UpstreamRegistry.create(log.part(LogPrefix.Upstream), options.createClient);
 		this.members = Members.create({
 			...options,
 			vmList: platform.vmList,
@@ -103,7 +104,7 @@
 		};
 
 		this.claims = TableClaims.create(platform.table, self.process, {
-			clock, invariants, objects: platform.objects, peers: NetworkClaimPeers.create(transport, () => this.members.others),
+			clock, log: log.part(LogPrefix.Coordination), invariants, objects: platform.objects, peers: NetworkClaimPeers.create(transport, () => this.members.others),
 		});
 		this.dispatcher = Dispatcher.create({
 			clock,
@@ -192,11 +193,12 @@
 	}
 
 	#createShares(): SharesPart {
-		const {clock, transport, self, settings} = this.#options;
+		const {clock, log, transport, self, settings} = this.#options;
 		const {members} = this;
 		return SharesPart.create({
 			self,
 			clock,
+			log: log.part(LogPrefix.Peer),
 			transport,
 			demand: () => this.dispatcher.scheduler.demand,
 			allocatorOf: id => members.allocatorOf(id),
@@ -211,6 +213,7 @@
 	#createObserver(): ObserverPart {
 		return ObserverPart.create({
 			clock: this.#options.clock,
+			log: this.#options.log.part(LogPrefix.Upstream),
 			upstreams: this.#upstreams,
 			scheduler: this.dispatcher.scheduler,
 			assigned: () => this.members.assigned,
@@ -233,8 +236,8 @@
 	}
 
 	#createCollector(): LeasedPart {
-		const {clock, platform, self} = this.#options;
-		const collector = ClaimCollector.create(platform.table, clock, CLAIM_COLLECTOR_RATE);
+		const {clock, log, platform, self} = this.#options;
+		const collector = ClaimCollector.create(platform.table, clock, log.part(LogPrefix.Coordination), CLAIM_COLLECTOR_RATE);
 		return LeasedPart.create({
 			name: 'claim-collector',
 			clock,
@@ -263,12 +266,13 @@
 
 	#sendLoadReport(upstreamId: string, {runningCount, waitingCount, cacheCapacityTokens, cacheUsedTokens, ageMs}: LoadReport): void {
 		const {transport, self} = this.#options;
+		const log = this.#options.log.part(LogPrefix.Peer);
 		const loads = [{
 			upstreamId, running: runningCount, waiting: waitingCount, kvCacheUsed: cacheUsedTokens / Math.max(1, cacheCapacityTokens), ageMs: Math.round(ageMs),
 		}];
 		for (const {id, address, status} of this.members.nodesOf(upstreamId)) {
 			if (id !== self.id && status === MemberStatus.Alive) {
-				void transport.call(address, 'loadReport', {loads}, LOAD_REPORT_TIMEOUT_MS);
+				runInBackground(log, 'report of a load', async () => transport.call(address, 'loadReport', {loads}, LOAD_REPORT_TIMEOUT_MS));
 			}
 		}
 	}
--- a/src/supervisor/interval-part.ts
+++ b/src/supervisor/interval-part.ts
@@ -20,7 +20,7 @@
 	/** Starts the rounds without waiting for the first one to finish. */
 	async start(onFailure: (err: Error) => void): Promise<void> {
 		this.#abortController = new AbortController();
-		void this.#run(this.#abortController.signal, onFailure);
+		void this.#run(this.#abortController.signal, onFailure); // eslint-disable-line @typescript-eslint/no-floating-promises -- failures go to onFailure
 	}
 
 	async stop(): Promise<void> {
--- a/src/supervisor/supervisor.ts
+++ b/src/supervisor/supervisor.ts
@@ -1,6 +1,7 @@
 /**
  * Starts parts in order, restarts a failed part without affecting the others, and stops the parts in reverse order.
  */
+import {runInBackground} from '../base/background.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {type Log, LogPrefix} from '../base/log.js';
 import {Part} from './part.js';
@@ -108,7 +109,7 @@
 		child.restarts += 1;
 		this.#log.error('Part failed and will be restarted.', {part: child.part.name, err: err.message, delayMs: delay});
 		child.timer = this.#clock.setTimer(delay, () => {
-			void this.#restart(child);
+			runInBackground(this.#log, 'restart of a part', async () => this.#restart(child));
 		});
 	}
 
--- a/src/upstream/observer-part.ts
+++ b/src/upstream/observer-part.ts
@@ -1,7 +1,9 @@
 /**
  * Polls the engines assigned to this node for cache events, and those that it allocates for load reports.
  */
+import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
+import {type Log} from '../base/log.js';
 import {type Scheduler} from '../policy/scheduler.js';
 import {IntervalPart} from '../supervisor/interval-part.js';
 import {Engine, type LoadReport} from './engine.js';
@@ -22,6 +24,7 @@
 /** Dependencies of the part. */
 export type ObserverPartOptions = {
 	readonly clock: Clock;
+	readonly log: Log;
 	readonly upstreams: UpstreamRegistry;
 	readonly scheduler: Scheduler;
 	/** Upstreams assigned to this node. */
@@ -55,11 +58,12 @@
 	}
 
 	protected round(): void {
+		const {assigned, log} = this.#options;
 		const pollsCache = this.#roundCount % ROUNDS_PER_CACHE_POLL === 0;
 		this.#roundCount += 1;
 		// Not awaited, so that a slow engine delays neither the polls of other engines nor the next round.
-		for (const upstreamId of this.#options.assigned()) {
-			void this.#pollEngine(upstreamId, pollsCache);
+		for (const upstreamId of assigned()) {
+			runInBackground(log, 'poll of an engine', async () => this.#pollEngine(upstreamId, pollsCache));
 		}
 	}
 
--- a/src/upstream/registry.ts
+++ b/src/upstream/registry.ts
@@ -1,6 +1,8 @@
 /**
  * Registry of the clients of all configured upstreams.
  */
+import {runInBackground} from '../base/background.js';
+import {type Log} from '../base/log.js';
 import {type Deployment, type Upstream} from '../config/deployment.js';
 import {type UpstreamClient} from './engine.js';
 import {CompletionsEngine} from './completions-engine.js';
@@ -16,15 +18,17 @@
 /** Maintains one client per upstream. The client of a removed upstream is destroyed after its last exchange has ended. */
 export class UpstreamRegistry {
 	/** @param createClient - Creates the client of an upstream. */
-	static create(createClient: (upstream: Upstream) => UpstreamClient = createHttpClient): UpstreamRegistry {
-		return new UpstreamRegistry(createClient);
+	static create(log: Log, createClient: (upstream: Upstream) => UpstreamClient = createHttpClient): UpstreamRegistry {
+		return new UpstreamRegistry(log, createClient);
 	}
 
+	readonly #log: Log;
 	readonly #createClient: (upstream: Upstream) => UpstreamClient;
 
 	readonly #entries = new Map<string, Entry>();
 
-	private constructor(createClient: (upstream: Upstream) => UpstreamClient) {
+	private constructor(log: Log, createClient: (upstream: Upstream) => UpstreamClient) {
+		this.#log = log;
 		this.#createClient = createClient;
 	}
 
@@ -40,7 +44,7 @@
 			if (next.get(id)?.settings.url !== entry.upstream.settings.url) {
 				this.#entries.delete(id);
 				entry.isRemoved = true;
-				destroyIfIdle(entry);
+				this.#destroyIfIdle(entry);
 			}
 		}
 
@@ -71,9 +75,9 @@
 		return {
 			client: entry.client,
 			upstream: entry.upstream,
-			release() {
+			release: () => {
 				entry.inFlight -= 1;
-				destroyIfIdle(entry);
+				this.#destroyIfIdle(entry);
 			},
 		};
 	}
@@ -84,6 +88,12 @@
 		this.#entries.clear();
 		await Promise.all(entries.map(async entry => entry.client.destroy()));
 	}
+
+	#destroyIfIdle(entry: Entry): void {
+		if (entry.isRemoved && entry.inFlight === 0) {
+			runInBackground(this.#log, 'closing a client', async () => entry.client.destroy());
+		}
+	}
 }
 
 /** @returns An HTTP client that matches the kind of the upstream. */
@@ -91,9 +101,3 @@
 	const {url} = upstream.settings;
 	return upstream.kind === 'model' ? CompletionsEngine.create(url) : HttpPlainService.create(url);
 }
-
-function destroyIfIdle(entry: Entry): void {
-	if (entry.isRemoved && entry.inFlight === 0) {
-		void entry.client.destroy();
-	}
-}
--- a/test/cli/status.test.ts
+++ b/test/cli/status.test.ts
@@ -2,12 +2,12 @@
 import process from 'node:process';
 import {expect} from 'chai';
 import {SystemClock} from '../../src/base/clock.js';
-import {Log} from '../../src/base/log.js';
 import {digestKey} from '../../src/config/deployment.js';
 import {SettingsTree} from '../../src/config/settings-tree.js';
 import {Node} from '../../src/serve/node.js';
 import {MemoryObjectStore, MemoryTable} from '../../src/store/memory-table.js';
 import {eventually} from '../support/eventually.js';
+import {createStrictLog} from '../support/strict-log.js';
 
 type CommandResult = {status: number | undefined; stdout: string; stderr: string};
 
@@ -21,7 +21,7 @@
 			team: 'skimmers', fromVersion: 0, author: 'test', body: JSON.stringify({operators: {rana: {keyDigests: [digestKey('operator')]}}}),
 		});
 		node = Node.create({
-			clock, log: Log.create('silent'), platform, host: '127.0.0.1', port: 0, region: 'azraq', dataCentre: 'azraq-1', bootstrapDigest: digestKey('bootstrap'), throwOnViolation: true,
+			clock, log: createStrictLog(), platform, host: '127.0.0.1', port: 0, region: 'azraq', dataCentre: 'azraq-1', bootstrapDigest: digestKey('bootstrap'), throwOnViolation: true,
 		});
 		await node.start();
 		await eventually(() => node.settings.isLoaded);
--- a/test/config/retire-region.test.ts
+++ b/test/config/retire-region.test.ts
@@ -1,6 +1,5 @@
 import {expect} from 'chai';
 import {Invariants} from '../../src/base/invariant.js';
-import {Log} from '../../src/base/log.js';
 import {Random} from '../../src/base/random.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
 import {createConfigParts} from '../../src/config/config-parts.js';
@@ -8,6 +7,7 @@
 import {MemoryPeerNetwork} from '../../src/config/memory-peers.js';
 import {SettingsTree} from '../../src/config/settings-tree.js';
 import {MemoryObjectStore, MemoryTable} from '../../src/store/memory-table.js';
+import {createStrictLog} from '../support/strict-log.js';
 
 describe('retired regions', () => {
 	// Guards against a decommissioned region that keeps blocking changes unless they are made with `--force`.
@@ -17,7 +17,7 @@
 		const objects = MemoryObjectStore.create();
 		const {parts, service} = createConfigParts({
 			clock,
-			log: Log.create('silent'),
+			log: createStrictLog(),
 			random: Random.create(1),
 			invariants: Invariants.create({throwOnViolation: true}),
 			table,
--- a/test/config/simulated-cluster.ts
+++ b/test/config/simulated-cluster.ts
@@ -2,7 +2,6 @@
  * Simulates several nodes with a shared faulty table and in-memory peers, in virtual time.
  */
 import {Invariants} from '../../src/base/invariant.js';
-import {Log} from '../../src/base/log.js';
 import {Random} from '../../src/base/random.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
 import {AppliedVersions} from '../../src/config/applied-versions.js';
@@ -15,8 +14,11 @@
 import {SubtreeStore} from '../../src/config/subtree-store.js';
 import {MemoryObjectStore, MemoryTable} from '../../src/store/memory-table.js';
 import {type Table} from '../../src/store/table.js';
+import {createStrictLog} from '../support/strict-log.js';
 import {FaultyTable, ObservedTable} from './faulty-table.js';
 
+const strictLog = createStrictLog();
+
 /** Defects injected into the code under test, to verify that the checks detect them. */
 export type InjectedDefects = {
 	readonly applied?: (invariants: Invariants) => AppliedVersions;
@@ -70,10 +72,10 @@
 		const settings = CurrentSettings.create();
 		const applied = this.defects.applied?.(invariants) ?? AppliedVersions.create(invariants);
 		const sync = ConfigSync.create({
-			clock, log: Log.create('silent'), random, tree, peers, subtrees: SubtreeStore.create(applied, settings),
+			clock, log: strictLog, random, tree, peers, subtrees: SubtreeStore.create(applied, settings),
 		});
 		const writer = FreshnessWriter.create({
-			clock, tree, region, nodeId: id, isWriter: () => this.#freshnessWriterOf(region) === id,
+			clock, log: strictLog, tree, region, nodeId: id, isWriter: () => this.#freshnessWriterOf(region) === id,
 		});
 		const node: SimulatedNode = {
 			id, region, table, settings, sync, writer, tree, startedAt: clock.now(), service: ConfigService.create({
--- a/test/coordination/table-claims.test.ts
+++ b/test/coordination/table-claims.test.ts
@@ -10,8 +10,11 @@
 import {type Claim, type ClaimDecision, type ClaimRequest} from '../../src/coordination/claims.js';
 import {TableClaims, type TableClaimsOptions} from '../../src/coordination/table-claims.js';
 import {MemoryObjectStore} from '../../src/store/memory-table.js';
+import {createStrictLog} from '../support/strict-log.js';
 import {type Fault, FaultyTable} from './faulty-table.js';
 
+const strictLog = createStrictLog();
+
 const booking: ClaimRequest = {
 	pool: 'tea/tables', customer: 'tea/concierge', key: 'k', digest: 'd', isFirstAttempt: false, keepsAnswer: true,
 };
@@ -38,7 +41,7 @@
 
 	node(id: string, options: TableClaimsOptions = {}): TableClaims {
 		const claims = TableClaims.create(this.table, id, {
-			clock: this.clock, objects: this.objects, peers: this.peers, invariants: Invariants.create({throwOnViolation: true}), ...options,
+			clock: this.clock, log: strictLog, objects: this.objects, peers: this.peers, invariants: Invariants.create({throwOnViolation: true}), ...options,
 		});
 		this.peers.add(id, claims);
 		return claims;
@@ -232,7 +235,7 @@
 
 	/** Runs a collector, which advances the claim clock, for the given time. */
 	async function runCollector(ms: number): Promise<ClaimCollector> {
-		const collector = ClaimCollector.create(cluster.table, cluster.clock, {pageRows: 100, intervalMs: 30_000});
+		const collector = ClaimCollector.create(cluster.table, cluster.clock, strictLog, {pageRows: 100, intervalMs: 30_000});
 		collector.start();
 		await cluster.clock.advanceAsync(ms);
 		collector.stop();
@@ -248,7 +251,7 @@
 		const firstRun = await runCollector(25 * HOUR_MS);
 		expect(firstRun.deletedCount).to.equal(0);
 		await cluster.grant(cluster.a, {...booking, key: '6'});
-		const collector = ClaimCollector.create(cluster.table, cluster.clock, {pageRows: 2, intervalMs: 30_000});
+		const collector = ClaimCollector.create(cluster.table, cluster.clock, strictLog, {pageRows: 2, intervalMs: 30_000});
 		collector.start();
 		await cluster.clock.advanceAsync(200_000);
 		expect(collector.deletedCount).to.be.within(1, 4);
@@ -284,7 +287,7 @@
 
 	it('deletes nothing early if two collectors run concurrently', async () => {
 		await cluster.grant(cluster.a);
-		const collectors = [1, 2].map(() => ClaimCollector.create(cluster.table, cluster.clock, {pageRows: 100, intervalMs: 15_000}));
+		const collectors = [1, 2].map(() => ClaimCollector.create(cluster.table, cluster.clock, strictLog, {pageRows: 100, intervalMs: 15_000}));
 		for (const collector of collectors) {
 			collector.start();
 		}
--- a/test/dispatch/retries.test.ts
+++ b/test/dispatch/retries.test.ts
@@ -5,7 +5,6 @@
 import {request} from 'undici';
 import {SystemClock} from '../../src/base/clock.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
-import {Log} from '../../src/base/log.js';
 import {Deployment, digestKey} from '../../src/config/deployment.js';
 import {subtreeSchema} from '../../src/config/schema.js';
 import {RetryBudget} from '../../src/policy/retry-budget.js';
@@ -13,6 +12,7 @@
 import {Node} from '../../src/serve/node.js';
 import {MemoryTable} from '../../src/store/memory-table.js';
 import {BookingStandIn} from '../../standins/booking.js';
+import {createStrictLog} from '../support/strict-log.js';
 
 const location = {region: 'local', dataCentre: 'local-1'};
 
@@ -23,7 +23,7 @@
 	beforeEach(async () => {
 		upstreams = await Promise.all([BookingStandIn.start(), BookingStandIn.start(), BookingStandIn.start()]);
 		node = Node.create({
-			clock: SystemClock.create(), log: Log.create('silent'), platform: {table: MemoryTable.create()}, host: '127.0.0.1', port: 0, ...location, throwOnViolation: true,
+			clock: SystemClock.create(), log: createStrictLog(), platform: {table: MemoryTable.create()}, host: '127.0.0.1', port: 0, ...location, throwOnViolation: true,
 			// The default scheduler stops sending to failing upstreams, which would mask a missing retry budget.
 			createScheduler: createUnselectiveScheduler,
 		});
--- a/test/entry/graceful-stop.test.ts
+++ b/test/entry/graceful-stop.test.ts
@@ -5,7 +5,6 @@
 import {expect} from 'chai';
 import {Agent, request} from 'undici';
 import {SystemClock} from '../../src/base/clock.js';
-import {Log} from '../../src/base/log.js';
 import {Node} from '../../src/serve/node.js';
 import {MemoryTable} from '../../src/store/memory-table.js';
 import {BookingStandIn} from '../../standins/booking.js';
@@ -13,6 +12,7 @@
 import {expectedWords} from '../../standins/engine-answers.js';
 import {createDeployment, testApiKey} from '../support/dev-cluster.js';
 import {eventually} from '../support/eventually.js';
+import {createStrictLog} from '../support/strict-log.js';
 
 const streamCount = 100;
 const tokens = 100;
@@ -73,7 +73,7 @@
 		const booking = await BookingStandIn.start();
 		const node = Node.create({
 			clock: SystemClock.create(),
-			log: Log.create('silent'),
+			log: createStrictLog(),
 			platform: {table: MemoryTable.create()},
 			host: '127.0.0.1',
 			port: 0,
--- a/test/entry/limits.test.ts
+++ b/test/entry/limits.test.ts
@@ -3,7 +3,6 @@
 import {request} from 'undici';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
 import {SystemClock} from '../../src/base/clock.js';
-import {Log} from '../../src/base/log.js';
 import {Deployment, digestKey} from '../../src/config/deployment.js';
 import {subtreeSchema} from '../../src/config/schema.js';
 import {BodyBudget} from '../../src/entry/body.js';
@@ -14,6 +13,7 @@
 import {MemoryTable} from '../../src/store/memory-table.js';
 import {BookingStandIn} from '../../standins/booking.js';
 import {sendRaw} from '../support/raw-http.js';
+import {createStrictLog} from '../support/strict-log.js';
 
 const tiers = [{name: 'advice', deadlineMs: 10_000}];
 const location = {region: 'local', dataCentre: 'local-1'};
@@ -26,7 +26,7 @@
 		booking = await BookingStandIn.start();
 		node = Node.create({
 			clock: SystemClock.create(),
-			log: Log.create('silent'),
+			log: createStrictLog(),
 			platform: {table: MemoryTable.create()},
 			host: '127.0.0.1',
 			port: 0,
--- a/test/entry/operator-node.test.ts
+++ b/test/entry/operator-node.test.ts
@@ -4,7 +4,6 @@
 import {request} from 'undici';
 import {SystemClock} from '../../src/base/clock.js';
 import {errorAnswers, type ErrorKind} from '../../src/base/errors.js';
-import {Log} from '../../src/base/log.js';
 import {digestKey} from '../../src/config/deployment.js';
 import {SettingsTree} from '../../src/config/settings-tree.js';
 import {type NodeStatus} from '../../src/entry/node-status.js';
@@ -12,6 +11,7 @@
 import {MemoryObjectStore, MemoryTable} from '../../src/store/memory-table.js';
 import {eventually} from '../support/eventually.js';
 import {sendRaw} from '../support/raw-http.js';
+import {createStrictLog} from '../support/strict-log.js';
 
 const teams = ['skimmers', 'tea-rooms'];
 const bootstrapKey = 'the-bootstrap-key';
@@ -44,7 +44,7 @@
 			team, fromVersion: 0, author: 'test', body: JSON.stringify(createSubtree(team)),
 		})));
 		node = Node.create({
-			clock, log: Log.create('silent'), platform, host: '127.0.0.1', port: 0, region: 'azraq', dataCentre: 'azraq-1', bootstrapDigest: digestKey(bootstrapKey), throwOnViolation: true,
+			clock, log: createStrictLog(), platform, host: '127.0.0.1', port: 0, region: 'azraq', dataCentre: 'azraq-1', bootstrapDigest: digestKey(bootstrapKey), throwOnViolation: true,
 		});
 		await node.start();
 		await eventually(() => node.settings.isLoaded);
--- a/test/entry/tls.test.ts
+++ b/test/entry/tls.test.ts
@@ -8,10 +8,10 @@
 import {expect} from 'chai';
 import {generate} from 'selfsigned';
 import {SystemClock} from '../../src/base/clock.js';
-import {Log} from '../../src/base/log.js';
 import {Node} from '../../src/serve/node.js';
 import {MemoryTable} from '../../src/store/memory-table.js';
 import {eventually} from '../support/eventually.js';
+import {createStrictLog} from '../support/strict-log.js';
 
 describe('TLS for callers', () => {
 	it('serves the certificate from its files and reloads a replaced one without a restart', async () => {
@@ -28,7 +28,7 @@
 		await write('first');
 		const node = Node.create({
 			clock: SystemClock.create(),
-			log: Log.create('silent'),
+			log: createStrictLog(),
 			platform: {table: MemoryTable.create()},
 			host: '127.0.0.1',
 			port: 0,
--- a/test/members/cluster.ts
+++ b/test/members/cluster.ts
@@ -14,6 +14,9 @@
 import {
 	PeerTransport, type PeerError, type PeerHandlers, type PeerMethod, type PeerRequestInit, type PeerResponse,
 } from '../../src/peer/peer-transport.js';
+import {createStrictLog} from '../support/strict-log.js';
+
+const strictLog = createStrictLog();
 
 /** Clock of one node. While the node is paused, its timers are held back. */
 class PausableClock extends Clock {
@@ -168,7 +171,7 @@
 		};
 		node.transport = new PausableTransport(this.network.attach(self.address, handlers), clock);
 		node.gossip = GossipPart.create({
-			membership, transport: node.transport, clock, random,
+			membership, transport: node.transport, clock, log: strictLog, random,
 		});
 		void node.gossip.start(err => {
 			throw err;
--- a/test/members/shares.test.ts
+++ b/test/members/shares.test.ts
@@ -5,8 +5,11 @@
 import {
 	divide, ShareAllocator, type ShareDemand, ShareHolder,
 } from '../../src/policy/shares.js';
+import {createStrictLog} from '../support/strict-log.js';
 import {Cluster, type ClusterNode} from './cluster.js';
 
+const strictLog = createStrictLog();
+
 const LIMIT = 40;
 const NODES = 8;
 const STEP_MS = 50;
@@ -46,6 +49,7 @@
 		this.part = SharesPart.create({
 			self: node,
 			clock: node.clock,
+			log: strictLog,
 			transport: node.transport,
 			demand: (): TieredDemand[] => [{
 				upstreamId: upstream.id, limitEstimate: LIMIT, held: this.held, waitingByTier: this.waiting,
--- a/test/serve/members.test.ts
+++ b/test/serve/members.test.ts
@@ -1,6 +1,5 @@
 import {expect} from 'chai';
 import Result from 'true-myth/result';
-import {Log} from '../../src/base/log.js';
 import {Random} from '../../src/base/random.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
 import {Deployment} from '../../src/config/deployment.js';
@@ -8,6 +7,7 @@
 import {PeerErrorKind, PeerTransport} from '../../src/peer/peer-transport.js';
 import {Members} from '../../src/serve/members.js';
 import {MemoryVmList} from '../../src/store/memory-table.js';
+import {createStrictLog} from '../support/strict-log.js';
 
 /** A transport through which no peer responds. */
 class SilentTransport extends PeerTransport {
@@ -38,7 +38,7 @@
 	const upstreamCounts: number[] = [];
 	const members = Members.create({
 		clock,
-		log: Log.create('silent'),
+		log: createStrictLog(),
 		random: Random.create(1),
 		self: {
 			id: 'vm', process: 'p', address: '127.0.0.1:7000', entryAddress: '', region: 'north', dataCentre: 'north-1',
--- a/test/support/dev-cluster.ts
+++ b/test/support/dev-cluster.ts
@@ -2,7 +2,6 @@
  * A node with stand-in upstreams in the process of the test.
  */
 import {SystemClock} from '../../src/base/clock.js';
-import {Log} from '../../src/base/log.js';
 import {Deployment, digestKey} from '../../src/config/deployment.js';
 import {subtreeSchema} from '../../src/config/schema.js';
 import {LeastInFlightScheduler} from '../../src/policy/least-in-flight.js';
@@ -12,6 +11,7 @@
 import {type Table} from '../../src/store/table.js';
 import {BookingStandIn} from '../../standins/booking.js';
 import {EngineStandIn, type EngineStandInOptions} from '../../standins/engine.js';
+import {createStrictLog} from './strict-log.js';
 
 export const testApiKey = 'test-key';
 
@@ -64,7 +64,7 @@
 export function createTestNode(table: Table, createScheduler?: (events: SchedulerEvents) => Scheduler): Node {
 	return Node.create({
 		clock: SystemClock.create(),
-		log: Log.create('silent'),
+		log: createStrictLog(),
 		platform: {table},
 		host: '127.0.0.1',
 		port: 0,
--- a/test/upstream/registry.test.ts
+++ b/test/upstream/registry.test.ts
@@ -3,6 +3,7 @@
 import {subtreeSchema} from '../../src/config/schema.js';
 import {UpstreamClient} from '../../src/upstream/engine.js';
 import {UpstreamRegistry} from '../../src/upstream/registry.js';
+import {createStrictLog} from '../support/strict-log.js';
 
 /** A client that only records whether it was destroyed. */
 class IdleClient extends UpstreamClient {
@@ -40,7 +41,7 @@
 
 	beforeEach(() => {
 		client = new IdleClient();
-		registry = UpstreamRegistry.create(() => client);
+		registry = UpstreamRegistry.create(createStrictLog(), () => client);
 		registry.update(createDeployment(1));
 	});
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -29,6 +29,16 @@
 			'@typescript-eslint/no-extraneous-class': 'off',
 		},
 	},
+	{
+		files: ['src/**/*.ts', 'platform/**/*.ts'],
+		rules: {
+			// A promise that nobody awaits needs an owner; `void` is none.
+			'@typescript-eslint/no-floating-promises': ['error', {
+				ignoreVoid: false,
+				allowForKnownSafePromises: [{from: 'package', package: 'fastify', name: 'FastifyReply'}],
+			}],
+		},
+	},
 	{
 		files: ['examples/library/**'],
 		rules: {
