Links: a VM that became ready while it was being linked was in no directory

Callers were not directed to a VM that said it was ready, until its next link or restart. Change: the entry is sent after the welcome if it has changed since the hello. Measured: test/link/coordinator.test.ts, new test, failed without the change (no entry within 10 s) and passes.

--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -461,6 +461,11 @@
 
 						leader = message.leader;
 						this.#becomeLinked(client, leader);
+						if (this.#self !== announced) {
+							// This VM became ready, or no longer is, since its hello.
+							client.send({kind: 'member', member: this.#self});
+						}
+
 						resolve(true);
 					}
 
@@ -485,7 +490,8 @@
 			const client = LeaderClient.create(clock, channel, () => {
 				channel.close();
 			});
-			client.send({kind: 'hello', member: this.#self, configurationVersion: this.#options.state.table?.version ?? 0});
+			const announced = this.#self;
+			client.send({kind: 'hello', member: announced, configurationVersion: this.#options.state.table?.version ?? 0});
 		});
 	}
 
--- a/test/link/coordinator.test.ts
+++ b/test/link/coordinator.test.ts
@@ -1,12 +1,17 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {ok} from 'true-myth/result';
 import {emptyReport} from '../../src/allocation/allocation.js';
 import {SystemClock} from '../../src/base/clock.js';
 import {ErrorKind} from '../../src/base/errors.js';
+import {Log} from '../../src/base/log.js';
 import {Ending} from '../../src/gateway/exchange-ending.js';
 import {Role} from '../../src/link/coordinator.js';
+import {type FromLeader, type ToLeader} from '../../src/link/messages.js';
+import {TcpNetwork} from '../../src/link/tcp-network.js';
 import {createPlaceRequest} from '../support/place-request.js';
 import {eventually} from '../support/eventually.js';
+import {freePort} from '../support/free-port.js';
 import {
 	createConfiguration as configuration, LinkedVms, type MemoryRow, type Vm,
 } from '../support/linked-vms.js';
@@ -59,6 +64,33 @@
 		await settled(2);
 	});
 
+	// Guards against a VM that is in no directory because it became ready between its hello and the answer to it (report FAULT).
+	it('tells the allocator of a readiness that changes while it is being linked', async () => {
+		const leader = {
+			name: 'leader', linkAddress: `127.0.0.1:${await freePort()}`, boot: 'leader-1', term: {era: 1, version: 1}, vmCount: 2,
+		};
+		const received: ToLeader[] = [];
+		const network = TcpNetwork.create(clock, Log.create('silent'));
+		await network.listen(leader.linkAddress, connection => {
+			const channel = connection.open<FromLeader, ToLeader>({
+				onMessage(message) {
+					received.push(message);
+					if (message.kind === 'hello') {
+						vms[0]!.coordinator.setReady(false);
+						channel.send({kind: 'welcome', leader});
+					}
+				},
+				onClose() {
+					// The test ends.
+				},
+			}, value => ok(value as ToLeader));
+		});
+		row.leader = leader;
+		await startVm('other', 1);
+		await eventually(() => received.some(message => message.kind === 'member' && !message.member.isReady));
+		network.stop();
+	});
+
 	async function expectFailure(promise: Promise<unknown>): Promise<void> {
 		let message = '';
 		try {
