--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -7,7 +7,8 @@
 import {BoundedOutput} from '../base/bounded-output.js';
 import {Log, LogPrefix} from '../base/log.js';
 import {toArguments} from '../base/settings.js';
-import {describeStack, logUnhandledErrors} from '../base/unhandled-errors.js';
+import {errorFields} from '../base/error-fields.js';
+import {logUnhandledErrors} from '../base/unhandled-errors.js';
 import {createNode} from '../serve/create-node.js';
 import {nodeSettings} from '../serve/node-settings.js';
 import {readSettingsOrExit, USAGE_EXIT_STATUS} from './read-settings-or-exit.js';
@@ -57,7 +58,7 @@
 				return;
 			}
 		} catch (error) {
-			cliLog.error('The node cannot start.', {err: String(error), stack: describeStack(error)});
+			cliLog.error('The node cannot start.', errorFields(error));
 			await exit(1);
 			return;
 		}
--- a/src/cli/stop-on-signal.ts
+++ b/src/cli/stop-on-signal.ts
@@ -4,7 +4,7 @@
 import process from 'node:process';
 import {runInBackground} from '../base/background.js';
 import {type Log} from '../base/log.js';
-import {describeStack} from '../base/unhandled-errors.js';
+import {errorFields} from '../base/error-fields.js';
 
 /** Dependencies of a command that stops on a signal. */
 export type StopContext = {
@@ -30,7 +30,7 @@
 			try {
 				await stop();
 			} catch (error) {
-				log.error('The node cannot stop.', {err: String(error), stack: describeStack(error)});
+				log.error('The node cannot stop.', errorFields(error));
 				await exit(1);
 				return;
 			}
--- a/src/coordination/background-writes.ts
+++ b/src/coordination/background-writes.ts
@@ -4,7 +4,7 @@
 import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
 import {type Log} from '../base/log.js';
-import {describeStack} from '../base/unhandled-errors.js';
+import {errorFields} from '../base/error-fields.js';
 
 /** One write or a short sequence of writes; idempotent. */
 export type BackgroundJob = {
@@ -142,7 +142,7 @@
 		try {
 			return await job.run();
 		} catch (error) {
-			this.#log.error('A background write failed; it is tried again.', {err: String(error), stack: describeStack(error)});
+			this.#log.error('A background write failed; it is tried again.', errorFields(error));
 			return false;
 		}
 	}
--- a/src/dispatch/relay.ts
+++ b/src/dispatch/relay.ts
@@ -10,7 +10,7 @@
 import {type Log} from '../base/log.js';
 import {type Metrics} from '../base/metrics.js';
 import {endSpan, SpanName} from '../base/trace.js';
-import {describeStack} from '../base/unhandled-errors.js';
+import {errorFields} from '../base/error-fields.js';
 import {type Claim, type Claims, MAX_KEPT_ANSWER_BYTES} from '../coordination/claims.js';
 import {type Scheduler, WorkOutcome} from '../policy/scheduler.js';
 import {Engine, type UpstreamClient} from '../upstream/engine.js';
@@ -246,7 +246,7 @@
 					: undefined);
 			} catch (error) {
 				// The caller gets its response all the same; a repeat is refused, as nothing is recorded.
-				this.#options.log.error('An answer could not be recorded.', {dispatchId: job.lifecycle.id, err: String(error), stack: describeStack(error)});
+				this.#options.log.error('An answer could not be recorded.', {dispatchId: job.lifecycle.id, ...errorFields(error)});
 			}
 		}
 
--- a/test/platform/start-readiness.test.ts
+++ b/test/platform/start-readiness.test.ts
@@ -1,12 +1,10 @@
-import {once} from 'node:events';
-import {createServer, type Server} from 'node:net';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {splitAddress} from '../../src/base/address.js';
 import {Random} from '../../src/base/random.js';
 import {StoreMode} from '../../standins/platform-store.js';
 import {BuiltVms, type BuiltVm} from '../support/built-vms.js';
+import {occupyAddress} from '../support/occupy-address.js';
 
 /** Time within which all VMs of a deployment are started, in ms. */
 const START_SPREAD_MS = 300;
@@ -26,16 +24,6 @@
 /** Environment variable that, if set, lets the tests print what they measure. */
 const SHOW_VARIABLE = 'SHOW_READINESS';
 
-async function occupy(address: string): Promise<Server> {
-	const server = createServer(socket => {
-		socket.on('error', () => undefined);
-		socket.destroy();
-	});
-	server.listen(splitAddress(address));
-	await once(server, 'listening');
-	return server;
-}
-
 // Guards against VMs that are not ready in time, or whose processes end, because something is late when all start (report FAULT).
 describe('start of nine VMs', function () {
 	this.timeout(60_000);
@@ -137,7 +125,7 @@
 		deployment.configure();
 		deployment.registerServers();
 		const names = ['front', 'ready', 'control'] as const;
-		const held = await Promise.all(names.map(async (name, index) => occupy(vms[index * 4]!.listen[name])));
+		const held = await Promise.all(names.map(async (name, index) => occupyAddress(vms[index * 4]!.listen[name])));
 		await deployment.start(START_SPREAD_MS);
 		await sleep(HELD_MS);
 		for (const server of held) {
