Soak of processes: starts, held addresses, ports of connections, incomplete settings, builds, herds

Cause: the soak never met an address in use, a port of an outgoing connection, a file that is being written or a build; its processes started one after another, on one IP address, from the sources. Change: kinds of faults for these, and for kills of many VMs, kills right after a change, stops in turn, a store that a part of the VMs does not reach, and bursts. Layouts of addresses (--layout), nine VMs in three zones that start within 0.3 s and are ready within 12 s, the bundle with its flags (--bundle), resident memory and descriptors of each process. A process that ends by itself is a violation with its last log lines, and is started again.

--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -2,6 +2,7 @@
  * A deployment of real processes on one machine: VMs that run the platform's program, a stand-in store, stand-in servers,
  * and callers. Checks the answers that callers receive and the requests that servers receive.
  */
+import {writeFileSync} from 'node:fs';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {Agent, type IncomingHttpHeaders, request} from 'node:http';
 import {tmpdir} from 'node:os';
@@ -9,14 +10,14 @@
 import {clearTimeout, setTimeout} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {splitAddress} from '../src/base/address.js';
-import {type Random} from '../src/base/random.js';
+import {Random} from '../src/base/random.js';
 import {
 	PlatformServer, expectedBody, expectedStreamBody, type Run, targetParameter,
 } from '../standins/platform-server.js';
 import {PlatformStore, type StoreCopy} from '../standins/platform-store.js';
 import {Spans} from '../standins/spans.js';
-import {TcpProxy} from '../standins/tcp-proxy.js';
-import {freePort} from '../test/support/free-port.js';
+import {type ProxyMode, TcpProxy} from '../standins/tcp-proxy.js';
+import {AddressLayout, LayoutKind, type VmAddresses} from './address-layout.js';
 import {findConfigurationFaults} from './configuration-rule.js';
 import {findLimitExcess, type LimitSpan} from './limit-rule.js';
 import {type CallCircumstances, findEndingFault} from './ending-rule.js';
@@ -24,6 +25,8 @@
 import {findAccountFaults} from './request-account.js';
 import {type CallKind, type CallerAnswer, type SentCall} from './sent-call.js';
 import {VmProcess} from './vm-process.js';
+import {SourceProgram, type VmProgram} from './vm-program.js';
+import {encodeVmSettings} from './vm-settings.js';
 
 /** How long callers wait for an answer, in ms. */
 export const CALLER_PATIENCE_MS = CALLER_TIMEOUT_MS + 1000;
@@ -44,12 +47,31 @@
 /** Row of the store that records the leader. */
 const LEADER_TABLE = 'redwingspool';
 const LEADER_KEY = 'allocator';
+/** Number of VMs that the settings name, as on the platform. */
+const MAX_SEEDS = 3;
+/** Time after which the platform starts a process that has ended, in ms. */
+const VM_RESTART_MS = 200;
 const READY_TIMEOUT_MS = 20_000;
 const GET_TIMEOUT_MS = 500;
+/** Time within which a VM must state its metrics, in ms; all are read at once on a busy machine. */
+const METRICS_TIMEOUT_MS = 5000;
 const READY_POLL_INTERVAL_MS = 50;
 /** Time within which VMs surely apply a configuration, in ms, if they are not disturbed. */
 const MAX_APPLY_MS = 10_000;
 
+/** Options of a deployment. */
+export type DeploymentOptions = {
+	readonly vmCount: number;
+	readonly layout: AddressLayout;
+	/** Zone of each VM; repeated if there are more VMs. */
+	readonly zones?: readonly string[];
+	readonly program?: VmProgram;
+	/** Whether a process that ends by itself is recorded as a violation and started again. */
+	readonly isSupervised?: boolean;
+	/** Number of ways to the store that can be disturbed by themselves. */
+	readonly storeProxyCount?: number;
+};
+
 type RunsById = Map<string, Array<{readonly run: Run; readonly server: PlatformServer}>>;
 
 /** Options of a request. */
@@ -76,10 +98,24 @@
 /** The deployment, with the callers and their checks. */
 export class PlatformDeployment {
 	static async start(vmCount: number, serverCount: number): Promise<PlatformDeployment> {
+		const deployment = await PlatformDeployment.create(serverCount, {
+			vmCount, layout: AddressLayout.create(LayoutKind.OneAddress, Random.create()),
+		});
+		for (const vm of deployment.vms) {
+			vm.start();
+		}
+
+		await deployment.ready();
+		return deployment;
+	}
+
+	/** Creates a deployment of which no VM runs yet. */
+	static async create(serverCount: number, options: DeploymentOptions): Promise<PlatformDeployment> {
+		const {storeProxyCount = 1} = options;
 		const store = await PlatformStore.start();
-		const storeProxy = await TcpProxy.start(store.address);
+		const storeProxies = await Promise.all(Array.from({length: storeProxyCount}, async () => TcpProxy.start(store.address)));
 		const folder = await mkdtemp(path.join(tmpdir(), 'redwingspool-'));
-		const deployment = new PlatformDeployment(store, storeProxy, folder);
+		const deployment = new PlatformDeployment(store, storeProxies, folder);
 		for (let index = 0; index < serverCount; index += 1) {
 			await deployment.addServer('engines', 4); // eslint-disable-line no-await-in-loop
 			await deployment.addServer('desk', 6); // eslint-disable-line no-await-in-loop
@@ -87,17 +123,16 @@
 
 		deployment.setConfiguration();
 		deployment.firstCopy = store.copy();
-		for (let index = 0; index < vmCount; index += 1) {
-			await deployment.#addVm(index); // eslint-disable-line no-await-in-loop
-		}
-
-		await deployment.ready();
+		await deployment.#createVms({
+			zones: ['zone-a'], program: SourceProgram.create(), isSupervised: false, storeProxyCount, ...options,
+		});
 		return deployment;
 	}
 
 	readonly operator: Operator;
 	readonly store: PlatformStore;
-	readonly storeProxy: TcpProxy;
+	/** Ways to the store; VMs use them in turn. */
+	readonly storeProxies: readonly TcpProxy[];
 	readonly vms: VmProcess[] = [];
 	readonly servers = new Map<string, {readonly server: PlatformServer; readonly service: string}>();
 	/** Descriptions of the violations found. */
@@ -124,14 +159,13 @@
 	readonly #storeDisturbed = new Spans();
 	/** When VMs may receive changes of the store late. */
 	readonly #disturbed = new Spans();
-	/** Link addresses of the VMs added so far. */
-	readonly #seeds: string[] = [];
 	#nextId = 1;
+	#isStopped = false;
 
-	private constructor(store: PlatformStore, storeProxy: TcpProxy, folder: string) {
+	private constructor(store: PlatformStore, storeProxies: readonly TcpProxy[], folder: string) {
 		this.store = store;
 		this.operator = Operator.create(store);
-		this.storeProxy = storeProxy;
+		this.storeProxies = storeProxies;
 		this.firstCopy = store.copy();
 		this.#folder = folder;
 	}
@@ -230,16 +264,26 @@
 
 	/** Waits until all running processes report that they are ready. */
 	async ready(): Promise<void> {
-		const end = performance.now() + READY_TIMEOUT_MS;
+		const problem = await this.findUnready(READY_TIMEOUT_MS);
+		if (problem !== undefined) {
+			throw new Error(problem);
+		}
+	}
+
+	/** @returns The first running process that does not report in time that it is ready; `undefined` if all do. */
+	async findUnready(timeoutMs: number): Promise<string | undefined> {
+		const end = performance.now() + timeoutMs;
 		for (const vm of this.vms) {
 			while (vm.child !== undefined && !await this.isReady(vm)) { // eslint-disable-line no-await-in-loop
 				if (performance.now() > end) {
-					throw new Error(`${vm.name} is not ready: ${vm.log.slice(-5).join(' | ')}`);
+					return `${vm.name} is not ready after ${timeoutMs} ms: ${vm.log.slice(-5).join(' | ')}`;
 				}
 
 				await sleep(READY_POLL_INTERVAL_MS); // eslint-disable-line no-await-in-loop
 			}
 		}
+
+		return undefined;
 	}
 
 	async isReady(vm: VmProcess): Promise<boolean> {
@@ -250,8 +294,8 @@
 	/** Checks each VM's own account of the requests that it has read; call it after all requests have ended. */
 	async checkAccounts(): Promise<void> {
 		await Promise.all(this.vms.map(async vm => {
-			const {status, body} = await this.#get(vm.metrics, '/metrics');
-			const faults = status === 200 ? findAccountFaults(body) : ['no metrics'];
+			const {status, body} = await this.#get(vm.metrics, '/metrics', METRICS_TIMEOUT_MS);
+			const faults = status === 200 ? findAccountFaults(body) : [`no metrics, status ${status}`];
 			this.check(faults.length === 0, `${vm.name}: ${faults.join(', ')}`);
 			for (const line of vm.violationLines) {
 				this.addViolation(`${vm.name}: ${line}`);
@@ -259,9 +303,9 @@
 		}));
 	}
 
-	/** @returns The addresses that a VM's directory returns. */
+	/** @returns The addresses that a VM's directory returns to a caller that does not state its location. */
 	async addresses(vm: VmProcess): Promise<readonly string[]> {
-		const {status, body} = await this.#get(vm.directory, '/api/resolve?name=desk.example&region=region-a&zone=zone-a');
+		const {status, body} = await this.#get(vm.directory, '/api/resolve?name=desk.example');
 		return status === 200 ? (JSON.parse(body) as {addresses: string[]}).addresses : [];
 	}
 
@@ -396,6 +440,17 @@
 		this.operator.writeAgain(since, false);
 	}
 
+	setStoreLinks(mode: ProxyMode): void {
+		for (const proxy of this.storeProxies) {
+			proxy.setMode(mode);
+		}
+	}
+
+	/** Ports to which the VMs open connections other than those to other VMs. */
+	get connectionTargets(): ReadonlySet<number> {
+		return new Set([...this.storeProxies, ...this.#allServers].map(({address}) => splitAddress(address).port));
+	}
+
 	/** Begins a disturbance of the store, or of the way to it. The returned function ends it. */
 	disturbStore(): () => void {
 		const ends = [this.#storeDisturbed.begin(), this.#disturbed.begin()];
@@ -436,12 +491,16 @@
 	}
 
 	async stop(): Promise<void> {
+		this.#isStopped = true;
 		await Promise.all(this.vms.map(async vm => {
 			vm.signal('SIGCONT');
 			await vm.terminate('SIGKILL');
 		}));
 		this.#agent.destroy();
-		this.storeProxy.close();
+		for (const proxy of this.storeProxies) {
+			proxy.close();
+		}
+
 		this.store.close();
 		for (const server of this.#allServers) {
 			server.crash();
@@ -498,37 +557,42 @@
 		this.counts.set(outcome, (this.counts.get(outcome) ?? 0) + 1);
 	}
 
-	async #addVm(index: number): Promise<void> {
-		const [front, ready, control, directory, metrics] = await Promise.all(Array.from({length: 5}, async () => freePort()));
-		const loopbackAddress = (port: number | undefined) => `127.0.0.1:${port}`;
-		const settingsPath = path.join(this.#folder, `vm-${index}.json`);
-		this.#seeds.push(loopbackAddress(control));
-		await writeFile(settingsPath, JSON.stringify({
-			nodeName: `vm-${index}`,
-			zone: 'zone-a',
-			region: 'region-a',
-			zones: {'zone-a': 'region-a'},
-			listen: {
-				front: loopbackAddress(front), ready: loopbackAddress(ready), control: loopbackAddress(control), directory: loopbackAddress(directory),
-			},
-			internalPorts: [metrics, metrics],
-			seeds: this.#seeds,
-			limits: {cpuShare: 1 - (index / 100), cores: 1, linkMbps: 1000},
-			bounds: {
-				graceS: 8, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 50, quotaWindowS: 8, quotaOver: 0.1, quotaSlack: 1000,
-			},
-			platform: {address: this.storeProxy.address},
-		}));
-		const vm = new VmProcess(`vm-${index}`, settingsPath, {
-			front: loopbackAddress(front), ready: loopbackAddress(ready), directory: loopbackAddress(directory), metrics: loopbackAddress(metrics), control: loopbackAddress(control),
-		});
-		this.vms.push(vm);
-		vm.start();
+	/** Creates the VMs' processes without starting them. */
+	async #createVms({vmCount, layout, zones, program, isSupervised}: Required<DeploymentOptions>): Promise<void> {
+		const allAddresses: VmAddresses[] = [];
+		for (let index = 0; index < vmCount; index += 1) {
+			allAddresses.push(await layout.assign(index)); // eslint-disable-line no-await-in-loop -- ports in order
+		}
+
+		for (const [index, addresses] of allAddresses.entries()) {
+			const settingsPath = path.join(this.#folder, `vm-${index}.json`);
+			const vm = new VmProcess(`vm-${index}`, settingsPath, addresses, program);
+			writeFileSync(settingsPath, encodeVmSettings({
+				index, addresses, zone: zones[index % zones.length]!, zones: [...new Set(zones)], seeds: allAddresses.slice(0, MAX_SEEDS).map(({control}) => control), storeAddress: this.storeProxies[index % this.storeProxies.length]!.address,
+			}));
+			if (isSupervised) {
+				vm.onUnexpectedEnd = detail => {
+					this.#restartEnded(vm, detail);
+				};
+			}
+
+			this.vms.push(vm);
+		}
+	}
+
+	/** Records an unexpected end and starts the process again, as the platform does. */
+	#restartEnded(vm: VmProcess, detail: string): void {
+		this.addViolation(detail);
+		setTimeout(() => {
+			if (vm.hasExitedUnexpectedly && !this.#isStopped) {
+				vm.start();
+			}
+		}, VM_RESTART_MS).unref();
 	}
 
-	async #get(address: string, target: string): Promise<Omit<CallerAnswer, 'id'>> {
+	async #get(address: string, target: string, timeoutMs = GET_TIMEOUT_MS): Promise<Omit<CallerAnswer, 'id'>> {
 		return this.#send(address, {
-			method: 'GET', target, headers: {}, body: '', timeoutMs: GET_TIMEOUT_MS,
+			method: 'GET', target, headers: {}, body: '', timeoutMs,
 		});
 	}
 
--- a/soak/process-faults.ts
+++ b/soak/process-faults.ts
@@ -5,8 +5,10 @@
 import {ServerMode} from '../standins/platform-server.js';
 import {StoreMode} from '../standins/platform-store.js';
 import {ProxyMode} from '../standins/tcp-proxy.js';
+import {herdFaults} from './herd-faults.js';
 import {type ManifestChange, manifestChanges} from './operator.js';
 import {type ProcessRun} from './process-run.js';
+import {startFaults} from './start-faults.js';
 
 /** Limits that servers state, in requests per second, and how long they do, in ms: several windows in which requests are counted. */
 const LIMITS_PER_SECOND = [0, 0.4, 2, 7.5, 1e9] as const;
@@ -14,8 +16,6 @@
 /** Changes of the configuration in series, and the longest time between two of them, in ms. */
 const MAX_CHANGES_IN_SERIES = 5;
 const MAX_CHANGE_INTERVAL_MS = 500;
-/** Time after which the platform kills a process that it has asked to stop, in ms. */
-const STOP_TIMEOUT_MS = 8000;
 /** Age of the copy that the store comes back from, and how long the store is away before that, in ms. */
 const COPY_AGE_MS = {min: 500, max: 4000} as const;
 const STORE_AWAY_MS = {min: 300, max: 3000} as const;
@@ -36,6 +36,8 @@
 
 /** Injects each kind of fault, and ends it. */
 export const faults = {
+	...startFaults,
+	...herdFaults,
 	async kill(run: ProcessRun) {
 		const vm = run.pickVm();
 		await vm.terminate('SIGKILL');
@@ -44,10 +46,7 @@
 	},
 	async stop(run: ProcessRun) {
 		const vm = run.pickVm();
-		const startedAt = performance.now();
-		await vm.terminate('SIGTERM');
-		const tookMs = performance.now() - startedAt;
-		run.deployment.check(tookMs < STOP_TIMEOUT_MS || vm.disturbed.overlaps(startedAt, startedAt + tookMs), `${vm.name} took ${Math.round(tookMs)} ms to stop`);
+		await run.stopVm(vm);
 		vm.start();
 	},
 	async pause(run: ProcessRun) {
@@ -98,9 +97,9 @@
 	},
 	async storeLink(run: ProcessRun) {
 		const endDisturbance = run.deployment.disturbStore();
-		run.deployment.storeProxy.setMode(run.random.pick([ProxyMode.Delay, ProxyMode.Silent, ProxyMode.OneWay, ProxyMode.Reset]));
+		run.deployment.setStoreLinks(run.random.pick([ProxyMode.Delay, ProxyMode.Silent, ProxyMode.OneWay, ProxyMode.Reset]));
 		await run.waitForFaultDuration();
-		run.deployment.storeProxy.setMode(ProxyMode.Pass);
+		run.deployment.setStoreLinks(ProxyMode.Pass);
 		endDisturbance();
 	},
 	async server(run: ProcessRun) {
--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -5,11 +5,14 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Random} from '../src/base/random.js';
+import {AddressLayout, LayoutKind} from './address-layout.js';
 import {callOnConnection} from './connection-callers.js';
 import {versionPrefix} from './operator.js';
 import {PlatformDeployment, timestamp} from './platform-deployment.js';
 import {faultChoices, type FaultKind, faults} from './process-faults.js';
+import {ResourceGauge} from './resource-gauge.js';
 import {type VmProcess} from './vm-process.js';
+import {BundleProgram, SourceProgram, type VmProgram} from './vm-program.js';
 
 /** Mean time between two requests, in ms. */
 const MEAN_REQUEST_INTERVAL_MS = 12;
@@ -25,32 +28,78 @@
 const RECOVERY_TIMEOUT_MS = 12_000;
 /** Time after the last fault within which all VMs must follow one leader, in ms, as in the simulation of links. */
 const LINK_TIMEOUT_MS = 8000;
+/** Time within which all VMs must be ready, in ms: the platform starts traffic after it. */
+const START_TIMEOUT_MS = 12_000;
+/** Longest time between the starts of two VMs at the beginning, in ms, as on the platform. */
+const MAX_START_DELAY_MS = 300;
+/** Share of the VMs that are killed during their first start, and longest time until then, in ms. */
+const RESTARTED_SHARE = 0.4;
+const MAX_RESTART_DELAY_MS = 500;
+/** Time after which the platform kills a process that it has asked to stop, in ms. */
+const STOP_TIMEOUT_MS = 8000;
+/** Ways to the store that fail by themselves. */
+const STORE_PROXY_COUNT = 3;
+/** Zone of each VM of a large deployment, as on mahabir-tables. */
+const largeZones = ['zone-a', 'zone-a', 'zone-a', 'zone-a', 'zone-b', 'zone-b', 'zone-b', 'zone-c', 'zone-c'];
 /** Default number of VMs in a run. */
 export const VM_COUNT = 4;
 const SERVER_COUNT = 3;
 const ROUND_INTERVAL_MS = 100;
 
+export type ProcessRunOptions = {
+	readonly layout?: LayoutKind;
+	/** Whether there are nine VMs in three zones. */
+	readonly isLarge?: boolean;
+	/** Whether the processes run the bundle, not the sources. */
+	readonly isBundled?: boolean;
+	readonly vmCount?: number;
+	/** Kinds of faults, as often as they are chosen. */
+	readonly kinds?: readonly FaultKind[];
+};
+
 /** One run. */
 export class ProcessRun {
-	static async create(seed: number, vmCount = VM_COUNT): Promise<ProcessRun> {
-		const deployment = await PlatformDeployment.start(vmCount, SERVER_COUNT);
+	static async create(seed: number, options: ProcessRunOptions = {}): Promise<ProcessRun> {
+		const {layout = LayoutKind.OneAddress, isLarge = false, isBundled = false, vmCount = isLarge ? largeZones.length : VM_COUNT, kinds = faultChoices} = options;
+		const random = Random.create(seed);
+		const program = isBundled ? await BundleProgram.create() : SourceProgram.create();
+		const addresses = AddressLayout.create(layout, random);
+		const deployment = await PlatformDeployment.create(SERVER_COUNT, {
+			vmCount, layout: addresses, zones: isLarge ? largeZones : ['zone-a'], program, isSupervised: true, storeProxyCount: STORE_PROXY_COUNT,
+		});
+		const run = new ProcessRun(random, deployment, program, addresses.isShared, kinds);
+		await run.#start();
 		await deployment.addServer('counter', 6);
 		await deployment.addServer('counter', 6);
-		const random = Random.create(seed);
 		deployment.operator.change('withdrawKey', random);
 		deployment.operator.change('removeTenant', random);
-		return new ProcessRun(random, deployment);
+		return run;
 	}
 
 	readonly random: Random;
 	readonly deployment: PlatformDeployment;
+	readonly program: VmProgram;
+	/** Whether the VMs share an IP address with the outgoing connections of one another. */
+	readonly sharesAddress: boolean;
+	readonly gauge: ResourceGauge;
+	/** Factor on the rate of the requests. */
+	rateFactor = 1;
+	/** Time from the first start of a process until all were ready, in ms. */
+	readyAfterMs = Number.NaN;
 	readonly injectedFaults = new Map<FaultKind, number>();
 	/** What was done to the deployment, with its times. */
 	readonly events: string[] = [];
+	readonly #kinds: readonly FaultKind[];
 
-	private constructor(random: Random, deployment: PlatformDeployment) {
+	private constructor(random: Random, deployment: PlatformDeployment, program: VmProgram, sharesAddress: boolean, kinds: readonly FaultKind[]) {
 		this.random = random;
 		this.deployment = deployment;
+		this.program = program;
+		this.sharesAddress = sharesAddress;
+		this.#kinds = kinds;
+		this.gauge = ResourceGauge.start(deployment.vms, detail => {
+			deployment.addViolation(detail);
+		});
 	}
 
 	pickVm(): VmProcess {
@@ -59,6 +108,34 @@
 		return vm;
 	}
 
+	/** Passes a VM whose settings and addresses no other fault changes meanwhile; does nothing if there is none. */
+	async withReservedVm(action: (vm: VmProcess) => Promise<void>): Promise<void> {
+		const free = this.deployment.vms.filter(({isReserved}) => !isReserved);
+		if (free.length === 0) {
+			return;
+		}
+
+		const vm = this.random.pick(free);
+		vm.isReserved = true;
+		this.note(`picked ${vm.name}`);
+		await action(vm);
+		vm.isReserved = false;
+	}
+
+	/** Stops a VM as planned and checks how long that takes. */
+	async stopVm(vm: VmProcess): Promise<void> {
+		const startedAt = performance.now();
+		await vm.terminate('SIGTERM');
+		const tookMs = performance.now() - startedAt;
+		this.deployment.check(tookMs < STOP_TIMEOUT_MS || vm.disturbed.overlaps(startedAt, startedAt + tookMs), `${vm.name} took ${Math.round(tookMs)} ms to stop`);
+	}
+
+	async stop(): Promise<void> {
+		this.gauge.stop();
+		await this.deployment.stop();
+		await this.program.remove();
+	}
+
 	note(event: string): void {
 		this.events.push(`${timestamp(performance.now())} ${event}`);
 	}
@@ -82,15 +159,15 @@
 			this.#track(pending, this.deployment.call(this.random.pick(this.deployment.vms), this.random.pick(['unsafe', 'safe', 'stream'])));
 			if (performance.now() >= nextFaultAt) {
 				nextFaultAt += this.random.exponential(MEAN_FAULT_INTERVAL_MS);
-				this.#track(pending, this.#inject(this.random.pick(faultChoices)));
+				this.#track(pending, this.#inject(this.random.pick(this.#kinds)));
 			}
 
-			await sleep(this.random.exponential(MEAN_REQUEST_INTERVAL_MS)); // eslint-disable-line no-await-in-loop -- paces the requests
+			await sleep(this.random.exponential(MEAN_REQUEST_INTERVAL_MS / this.rateFactor)); // eslint-disable-line no-await-in-loop -- paces the requests
 		}
 
 		await Promise.all(pending);
-		for (const vm of this.deployment.vms.filter(candidate => candidate.hasExitedUnexpectedly)) {
-			this.deployment.addViolation(`the process of ${vm.name} exited unexpectedly: status ${vm.child?.exitCode}, signal ${vm.child?.signalCode}`);
+		for (const vm of this.deployment.vms) {
+			// Overlapping faults, or an end that was recorded a moment ago.
 			vm.start();
 		}
 
@@ -101,6 +178,26 @@
 		this.deployment.checkConfigurations();
 	}
 
+	/** Starts all VMs at almost the same time, some of them twice. */
+	async #start(): Promise<void> {
+		const {deployment, random} = this;
+		const startedAt = performance.now();
+		await Promise.all(deployment.vms.map(async vm => {
+			const [delayMs, restartDelayMs] = [random.integer(0, MAX_START_DELAY_MS), random.integer(0, MAX_RESTART_DELAY_MS)];
+			const isRestarted = random.next() < RESTARTED_SHARE;
+			await sleep(delayMs);
+			vm.start();
+			if (isRestarted) {
+				await sleep(restartDelayMs);
+				await vm.terminate('SIGKILL');
+				vm.start();
+			}
+		}));
+		const unready = await deployment.findUnready(START_TIMEOUT_MS);
+		this.readyAfterMs = Math.round(performance.now() - startedAt);
+		deployment.check(unready === undefined, `at the start: ${unready}`);
+	}
+
 	async #inject(kind: FaultKind): Promise<void> {
 		this.injectedFaults.set(kind, (this.injectedFaults.get(kind) ?? 0) + 1);
 		this.note(`${kind} begins`);
@@ -126,7 +223,8 @@
 	/** Checks that all VMs follow one leader, serve again, and have the newest configuration and the newest servers. */
 	async #recover(): Promise<void> {
 		const {deployment} = this;
-		await deployment.ready();
+		const unready = await deployment.findUnready(START_TIMEOUT_MS);
+		deployment.check(unready === undefined, `after the last fault: ${unready}`);
 		const startedAt = performance.now();
 		deployment.retireOlderServers();
 		let problem: string | undefined = '';
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -3,7 +3,17 @@
  */
 import process from 'node:process';
 import {defineCommand, runMain} from 'citty';
-import {ProcessRun, VM_COUNT} from './process-run.js';
+import {LayoutKind} from './address-layout.js';
+import {type FaultKind, faults} from './process-faults.js';
+import {ProcessRun, type ProcessRunOptions, VM_COUNT} from './process-run.js';
+
+/** Options of `--layout`; `mahabir` has nine VMs in three zones. */
+const layouts: Record<string, ProcessRunOptions> = {
+	...Object.fromEntries(Object.values(LayoutKind).map(layout => [layout, {layout}])),
+	mahabir: {layout: LayoutKind.OwnAddresses, isLarge: true},
+	'mahabir-outgoing': {layout: LayoutKind.OutgoingRange, isLarge: true},
+};
+const layoutNames = Object.keys(layouts);
 
 const command = defineCommand({
 	meta: {name: 'soak:processes', description: 'Randomised runs of real processes with external faults'},
@@ -11,22 +21,37 @@
 		seed: {type: 'string', default: '1', description: 'Seed of the first run; incremented for each further run'},
 		seconds: {type: 'string', default: '10', description: 'Duration of the faults in each run, in seconds'},
 		runs: {type: 'string', default: '1', description: 'Number of runs'},
-		vms: {type: 'string', default: String(VM_COUNT), description: 'Number of VMs, each with a process of about 100 MB'},
+		vms: {type: 'string', description: `Number of VMs, each with a process of about 100 MB; ${VM_COUNT} by default, 9 with mahabir`},
+		layout: {type: 'string', default: 'seed', description: `Addresses of the VMs: ${layoutNames.join(', ')}; chosen by the seed by default`},
+		bundle: {type: 'boolean', default: false, description: 'Run the bundle with the flags of deploy/system.toml, and check its memory'},
+		faults: {type: 'string', description: 'Kinds of faults, separated by commas; all by default'},
 	},
 	async run({args}) {
 		let violations = 0;
+		const kinds = args.faults?.split(',').map(kind => {
+			if (!Object.hasOwn(faults, kind)) {
+				throw new Error(`unknown kind of fault: ${kind}`);
+			}
+
+			return kind as FaultKind;
+		});
 		for (let seed = Number(args.seed); seed < Number(args.seed) + Number(args.runs); seed += 1) {
-			const run = await ProcessRun.create(seed, Number(args.vms)); // eslint-disable-line no-await-in-loop -- runs are sequential
-			await run.execute(Number(args.seconds)); // eslint-disable-line no-await-in-loop
-			const {deployment, injectedFaults} = run;
+			const layout = args.layout === 'seed' ? layoutNames[seed % layoutNames.length]! : args.layout;
+			/* eslint-disable no-await-in-loop -- runs are sequential */
+			const run = await ProcessRun.create(seed, {
+				...layouts[layout], isBundled: args.bundle, ...(args.vms === undefined ? {} : {vmCount: Number(args.vms)}), ...(kinds === undefined ? {} : {kinds}),
+			});
+			await run.execute(Number(args.seconds));
+			const {deployment, injectedFaults, gauge, readyAfterMs} = run;
 			if (deployment.violations.length > 0) {
-				await deployment.saveLogs(run.events); // eslint-disable-line no-await-in-loop
+				await deployment.saveLogs(run.events);
 			}
 
-			await deployment.stop(); // eslint-disable-line no-await-in-loop
+			await run.stop();
+			/* eslint-enable no-await-in-loop */
 			violations += deployment.violations.length;
 			console.log(JSON.stringify({
-				seed, processes: deployment.vms.length, faults: Object.fromEntries(injectedFaults), answers: Object.fromEntries(deployment.counts), checks: deployment.checks, endedBeforeFirstLine: deployment.vms.reduce((sum, vm) => sum + vm.earlyHupCount, 0), violations: deployment.violations,
+				seed, layout, processes: deployment.vms.length, readyAfterMs, peak: gauge.peak, faults: Object.fromEntries(injectedFaults), answers: Object.fromEntries(deployment.counts), checks: deployment.checks, endedBeforeFirstLine: deployment.vms.reduce((sum, vm) => sum + vm.earlyHupCount, 0), violations: deployment.violations,
 			}));
 		}
 
--- a/soak/vm-process.ts
+++ b/soak/vm-process.ts
@@ -5,6 +5,8 @@
 import {once} from 'node:events';
 import process from 'node:process';
 import {Spans} from '../standins/spans.js';
+import {type VmAddresses} from './address-layout.js';
+import {SourceProgram, type VmProgram} from './vm-program.js';
 
 /** Messages of the program about the leader. */
 const LEADING_LINES = ['"link: This VM allocates."', '"link: Recorded again as the allocator."'];
@@ -12,6 +14,8 @@
 const UNLINKED_LINE = '"link: Link to the allocator lost."';
 const STARTED_LINE = '"gateway: Started."';
 const MAX_LOG_LINES = 20_000;
+/** Log lines that are part of the description of an unexpected end. */
+const LINES_OF_END = 6;
 /** Message of the program about a violated promise. */
 const VIOLATION = 'A promise was violated.';
 
@@ -19,12 +23,13 @@
 export class VmProcess {
 	readonly name: string;
 	readonly settingsPath: string;
-	readonly front: string;
-	readonly ready: string;
-	readonly directory: string;
-	readonly metrics: string;
-	/** Address of the links to other VMs. */
-	readonly control: string;
+	readonly program: VmProgram;
+	/** Addresses as in the settings file. */
+	addresses: VmAddresses;
+	/** Whether a fault changes the settings or the addresses, so that no other one may. */
+	isReserved = false;
+	/** Called when a process ended without a reason from outside, with its last log lines. */
+	onUnexpectedEnd: ((detail: string) => void) | undefined;
 	/** When the process was killed or paused. */
 	readonly disturbed = new Spans();
 	/** When the process was stopped as planned, or was starting. */
@@ -36,17 +41,35 @@
 	readonly violationLines: string[] = [];
 	/** Number of processes that a SIGHUP terminated while Node.js was starting, before the first line of the program ran. */
 	earlyHupCount = 0;
+	readonly #endedFromOutside = new WeakSet<ChildProcess>();
 	#hasLogged = false;
 	#endPause: (() => void) | undefined;
 
-	constructor(name: string, settingsPath: string, addresses: {front: string; ready: string; directory: string; metrics: string; control: string}) {
+	constructor(name: string, settingsPath: string, addresses: VmAddresses, program: VmProgram = SourceProgram.create()) {
 		this.name = name;
 		this.settingsPath = settingsPath;
-		this.front = addresses.front;
-		this.ready = addresses.ready;
-		this.directory = addresses.directory;
-		this.metrics = addresses.metrics;
-		this.control = addresses.control;
+		this.addresses = addresses;
+		this.program = program;
+	}
+
+	get front(): string {
+		return this.addresses.front;
+	}
+
+	get ready(): string {
+		return this.addresses.ready;
+	}
+
+	get directory(): string {
+		return this.addresses.directory;
+	}
+
+	get metrics(): string {
+		return this.addresses.metrics;
+	}
+
+	get control(): string {
+		return this.addresses.control;
 	}
 
 	/** Starts the process unless it is running, as overlapping faults may each restart it. */
@@ -55,12 +78,15 @@
 			return;
 		}
 
-		const child = spawn(process.execPath, ['--import', 'tsx', 'platform/main.ts'], {
+		const child = spawn(process.execPath, this.program.args, {
 			env: {...process.env, REDWINGSPOOL_NODE_FILE: this.settingsPath}, stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		this.child = child;
 		this.restarting.begin()();
 		this.#hasLogged = false;
+		child.once('close', () => {
+			this.#checkEnd(child);
+		});
 		for (const stream of [child.stdout, child.stderr]) {
 			stream.setEncoding('utf8');
 			stream.on('data', (text: string) => {
@@ -92,6 +118,10 @@
 		return undefined;
 	}
 
+	get isPaused(): boolean {
+		return this.#endPause !== undefined;
+	}
+
 	get isRunning(): boolean {
 		return this.child?.exitCode === null && this.child.signalCode === null;
 	}
@@ -122,13 +152,24 @@
 		const {child} = this;
 		if (child !== undefined && this.isRunning) {
 			const ended = once(child, 'close');
+			this.#endedFromOutside.add(child);
 			const endDisturbance = (signal === 'SIGKILL' ? this.disturbed : this.restarting).begin();
 			child.kill(signal);
 			await ended;
 			endDisturbance();
 		}
 
-		this.child = undefined;
+		if (this.child === child) {
+			this.child = undefined;
+		}
+	}
+
+	/** A status other than 0 is a failure even of a process that was asked to stop. */
+	#checkEnd(child: ChildProcess): void {
+		const {exitCode, signalCode, pid} = child;
+		if (!this.#endedFromOutside.has(child) || (exitCode !== null && exitCode !== 0)) {
+			this.onUnexpectedEnd?.(`process ${pid} of ${this.name} ended by itself: status ${exitCode}, signal ${signalCode}; ${this.log.slice(-LINES_OF_END).join(' | ')}`);
+		}
 	}
 
 	/**
@@ -141,6 +182,7 @@
 		child?.once('exit', (_status, signal) => {
 			if (signal === 'SIGHUP' && this.child === child) {
 				this.earlyHupCount += 1;
+				this.#endedFromOutside.add(child);
 				this.start();
 			}
 		});
--- a/test/soak/processes.test.ts
+++ b/test/soak/processes.test.ts
@@ -1,7 +1,11 @@
 import {once} from 'node:events';
+import process from 'node:process';
 import {expect} from 'chai';
+import {LayoutKind} from '../../soak/address-layout.js';
 import {ProcessRun} from '../../soak/process-run.js';
 import {VmProcess} from '../../soak/vm-process.js';
+import {MEMORY_LIMIT_MB} from '../../soak/vm-settings.js';
+import {eventually} from '../support/eventually.js';
 
 describe('randomised run of real processes', function () {
 	this.timeout(90_000);
@@ -11,13 +15,39 @@
 		it(`violates no promise under external faults with seed ${seed}`, async () => {
 			const run = await ProcessRun.create(seed);
 			await run.execute(6);
-			await run.deployment.stop();
+			await run.stop();
 			expect(run.deployment.checks).to.be.above(1000);
 			expect([...run.injectedFaults.values()].reduce((sum, count) => sum + count, 0)).to.be.above(1);
 			expect(run.deployment.violations).to.deep.equal([]);
 		});
 	}
 
+	// Guards against processes that end while they start (report FAULT).
+	it('runs on through addresses and ports that are taken, incomplete settings and a build, with nine VMs that start at once', async () => {
+		const run = await ProcessRun.create(3, {
+			layout: LayoutKind.OutgoingRange, isLarge: true, isBundled: true, kinds: ['portOfVm', 'incompleteSettings', 'build', 'herdKill', 'killAfterChange'],
+		});
+		await run.execute(6);
+		await run.stop();
+		expect(run.deployment.checks).to.be.above(1000);
+		expect([...run.injectedFaults.values()].reduce((sum, count) => sum + count, 0)).to.be.above(1);
+		expect(run.gauge.peak.memoryMb).to.be.within(1, MEMORY_LIMIT_MB);
+		expect(run.deployment.violations).to.deep.equal([]);
+	});
+
+	it('records a process that ended by itself, and starts it again', async () => {
+		const run = await ProcessRun.create(4, {vmCount: 1, kinds: []});
+		const {deployment} = run;
+		const [vm] = deployment.vms;
+		const {pid} = vm!.child!;
+		process.kill(pid!, 'SIGKILL');
+		await eventually(() => vm!.isRunning && vm!.child?.pid !== pid);
+		await deployment.ready();
+		await run.stop();
+		expect(deployment.violations).to.have.lengthOf(1);
+		expect(deployment.violations[0]).to.include(`process ${pid} of vm-0 ended by itself: status null, signal SIGKILL; {`);
+	});
+
 	// Guards against a second process that finds the ports in use, as after two overlapping kills of one VM (seed 408).
 	it('starts only one process when overlapping faults each restart it', async () => {
 		const vm = new VmProcess('vm-1', '/nonexistent', {
