Soak of processes: ports that other programs have taken, and connections of the soak itself

Change: the soak's connections bind their port first, as the product does; ports are free when they are assigned; the recovery waits for ports that /proc/net/tcp shows as those of another program, and checks that all others are listened on.

--- a/soak/address-layout.ts
+++ b/soak/address-layout.ts
@@ -3,7 +3,7 @@
  */
 import process from 'node:process';
 import {type Random} from '../src/base/random.js';
-import {freePort} from '../test/support/free-port.js';
+import {freePort, isFree} from '../test/support/free-port.js';
 
 /** Addresses of one VM, each `IP:PORT`. */
 export type VmAddresses = {
@@ -94,7 +94,10 @@
 	async assign(): Promise<VmAddresses> {
 		const ports = new Set<number>();
 		while (ports.size < addressNames.length) {
-			ports.add(this.#random.integer(OUTGOING_PORTS.min, OUTGOING_PORTS.max));
+			const port = this.#random.integer(OUTGOING_PORTS.min, OUTGOING_PORTS.max);
+			if (await isFree(port)) { // eslint-disable-line no-await-in-loop -- one port at a time
+				ports.add(port);
+			}
 		}
 
 		return createAddresses(LOCALHOST, [...ports]);
--- a/soak/caller-connection.ts
+++ b/soak/caller-connection.ts
@@ -6,6 +6,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {connect, type Socket} from 'node:net';
 import {splitAddress} from '../src/base/address.js';
+import {ANY_ADDRESS} from '../standins/tcp-proxy.js';
 
 /** How a request on the connection ended. */
 export type ConnectionAnswer = {
@@ -33,7 +34,7 @@
 export class CallerConnection {
 	/** @returns The connection; `undefined` if the VM refused it or did not accept it in time. */
 	static async open(address: string, timeoutMs: number): Promise<CallerConnection | undefined> {
-		const socket = connect(splitAddress(address));
+		const socket = connect({...splitAddress(address), localAddress: ANY_ADDRESS});
 		return new Promise(resolve => {
 			const timer = setTimeout(() => {
 				socket.destroy();
--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -16,7 +16,7 @@
 } from '../standins/platform-server.js';
 import {PlatformStore, type StoreCopy} from '../standins/platform-store.js';
 import {Spans} from '../standins/spans.js';
-import {type ProxyMode, TcpProxy} from '../standins/tcp-proxy.js';
+import {ANY_ADDRESS, type ProxyMode, TcpProxy} from '../standins/tcp-proxy.js';
 import {AddressLayout, LayoutKind, type VmAddresses} from './address-layout.js';
 import {findConfigurationFaults} from './configuration-rule.js';
 import {findLimitExcess, type LimitSpan} from './limit-rule.js';
@@ -148,7 +148,7 @@
 	/** Copy of the store from before the first VM started. */
 	firstCopy: StoreCopy;
 	readonly #folder: string;
-	readonly #agent = new Agent({keepAlive: true, maxSockets: 60});
+	readonly #agent = new Agent({keepAlive: true, maxSockets: 60, localAddress: ANY_ADDRESS});
 	readonly #calls = new Map<string, SentCall>();
 	readonly #allServers: PlatformServer[] = [];
 	readonly #drainStartTimes = new Map<string, number>();
--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -4,11 +4,13 @@
  * servers. Callers use persistent connections and check every answer; servers record which requests ran.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
+import {splitAddress} from '../src/base/address.js';
 import {Random} from '../src/base/random.js';
 import {AddressLayout, LayoutKind} from './address-layout.js';
 import {callOnConnection} from './connection-callers.js';
 import {versionPrefix} from './operator.js';
 import {PlatformDeployment, timestamp} from './platform-deployment.js';
+import {canConnect, findForeignPorts} from './port-table.js';
 import {faultChoices, type FaultKind, faults} from './process-faults.js';
 import {ResourceGauge} from './resource-gauge.js';
 import {type VmProcess} from './vm-process.js';
@@ -223,6 +225,7 @@
 	/** Checks that all VMs follow one leader, serve again, and have the newest configuration and the newest servers. */
 	async #recover(): Promise<void> {
 		const {deployment} = this;
+		await this.#checkListening();
 		const unready = await deployment.findUnready(START_TIMEOUT_MS);
 		deployment.check(unready === undefined, `after the last fault: ${unready}`);
 		const startedAt = performance.now();
@@ -241,6 +244,27 @@
 		deployment.check(problem === undefined, `not recovered ${RECOVERY_TIMEOUT_MS} ms after the last fault: ${problem}`);
 	}
 
+	/** Checks that all addresses are listened on. Waits for those whose port a connection of another program has, or had a minute ago. */
+	async #checkListening(): Promise<void> {
+		const {deployment} = this;
+		const startedAt = performance.now();
+		let missing = deployment.vms.flatMap(vm => Object.values(vm.addresses));
+		while (missing.length > 0) {
+			/* eslint-disable no-await-in-loop -- rounds are sequential */
+			const connectable = await Promise.all(missing.map(async address => canConnect(address)));
+			missing = missing.filter((_address, index) => !connectable[index]);
+			if (performance.now() - startedAt > START_TIMEOUT_MS) {
+				const foreign = await findForeignPorts(new Set([...deployment.connectionTargets, ...deployment.vms.map(({control}) => splitAddress(control).port)]));
+				const unexplained = missing.filter(address => !foreign.has(splitAddress(address).port));
+				deployment.check(unexplained.length === 0, `not listening after the last fault: ${unexplained.join(', ')}`);
+				missing = missing.filter(address => !unexplained.includes(address));
+			}
+
+			await sleep(ROUND_INTERVAL_MS);
+			/* eslint-enable no-await-in-loop */
+		}
+	}
+
 	async #findProblem(): Promise<string | undefined> {
 		const {deployment} = this;
 		const newest = versionPrefix(deployment.operator.manifest.version);
--- a/soak/start-faults.ts
+++ b/soak/start-faults.ts
@@ -4,13 +4,13 @@
  */
 import {once} from 'node:events';
 import {readFileSync, writeFileSync} from 'node:fs';
-import {readFile} from 'node:fs/promises';
 import {
 	type AddressInfo, createConnection, createServer, type Server, type Socket,
 } from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {splitAddress} from '../src/base/address.js';
 import {type AddressName, addressNames} from './address-layout.js';
+import {canConnect, findOutgoingPorts, SocketState} from './port-table.js';
 import {type ProcessRun} from './process-run.js';
 import {type VmProcess} from './vm-process.js';
 import {moveVm} from './vm-settings.js';
@@ -26,9 +26,6 @@
 const RESTART_INTERVAL_MS = {min: 20, max: 120} as const;
 const VMS_BESIDE_BUILD = 2;
 const LOCALHOST = '127.0.0.1';
-/** States of a TCP socket in `/proc/net/tcp`. */
-const ESTABLISHED = '01';
-const TIME_WAIT = '06';
 
 /** Faults at the start of a process. */
 export const startFaults = {
@@ -60,7 +57,7 @@
 		await run.withReservedVm(async vm => {
 			const name = run.random.pick(addressNames);
 			await vm.terminate('SIGKILL');
-			const state = run.random.pick([ESTABLISHED, TIME_WAIT]);
+			const state = run.random.pick([SocketState.Established, SocketState.TimeWait]);
 			const ports = await findOutgoingPorts(state, run.deployment.connectionTargets);
 			if (ports.length > 0) {
 				const port = run.random.pick(ports);
@@ -179,21 +176,6 @@
 	};
 }
 
-/** @returns Local ports of connections in a state to one of the targets. */
-async function findOutgoingPorts(state: string, targets: ReadonlySet<number>): Promise<number[]> {
-	const table = await readFile('/proc/net/tcp', 'utf8');
-	return table.split('\n').slice(1).flatMap(line => {
-		const [, local = '', remote = '', lineState] = line.trim().split(/\s+/v);
-		const [localPort, remotePort] = [portOf(local), portOf(remote)];
-		return lineState === state && targets.has(remotePort) && !targets.has(localPort) ? [localPort] : [];
-	});
-}
-
-/** @param address - Address and port in hexadecimal notation. */
-function portOf(address: string): number {
-	return Number.parseInt(address.split(':')[1] ?? '', 16);
-}
-
 /** Checks that a process listens in time, counted from its last start or disturbance. */
 async function checkListening(run: ProcessRun, vm: VmProcess, name: AddressName): Promise<void> {
 	let {child} = vm;
@@ -217,18 +199,6 @@
 	run.deployment.addViolation(`${vm.name} does not listen on its ${name} address ${vm.addresses[name]} after ${LISTEN_TIMEOUT_MS} ms: ${vm.log.slice(-3).join(' | ')}`);
 }
 
-async function canConnect(address: string): Promise<boolean> {
-	const socket = createConnection(splitAddress(address));
-	try {
-		await once(socket, 'connect');
-		return socket.localPort !== socket.remotePort;
-	} catch {
-		return false;
-	} finally {
-		socket.destroy();
-	}
-}
-
 function ignore(): void {
 	// The connection is closed anyway.
 }
--- a/standins/tcp-proxy.ts
+++ b/standins/tcp-proxy.ts
@@ -23,6 +23,8 @@
 export type ProxyMode = (typeof ProxyMode)[keyof typeof ProxyMode];
 
 const DELAY_MS = 120;
+/** Local address of connections whose ports VMs can listen on all the same: a port that is bound first has SO_REUSEADDR. */
+export const ANY_ADDRESS = '0.0.0.0';
 
 /** A proxy for one target address. */
 export class TcpProxy {
@@ -75,7 +77,7 @@
 			return;
 		}
 
-		const target = createConnection({...splitAddress(this.#target), allowHalfOpen: true});
+		const target = createConnection({...splitAddress(this.#target), allowHalfOpen: true, localAddress: ANY_ADDRESS});
 		this.#forward(caller, target, [ProxyMode.Silent]);
 		this.#forward(target, caller, [ProxyMode.Silent, ProxyMode.OneWay]);
 	}
--- a/test/support/free-port.ts
+++ b/test/support/free-port.ts
@@ -17,7 +17,8 @@
 	}
 }
 
-async function isFree(port: number): Promise<boolean> {
+/** @returns Whether a process can listen on the port now. */
+export async function isFree(port: number): Promise<boolean> {
 	return new Promise(resolve => {
 		const server = createServer();
 		server.once('error', () => {
