Soak of processes: distinct ports, an agreement that is awaited, supports moved beside freePort

Change: ports differ between VMs; servers' addresses are kept; the recovery goes on until the VMs agree, within the same limits; an error of the soak itself is a violation, so that its processes are stopped and the logs kept.

--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -17,7 +17,7 @@
 import {PlatformStore, type StoreCopy} from '../standins/platform-store.js';
 import {Spans} from '../standins/spans.js';
 import {ANY_ADDRESS, type ProxyMode, TcpProxy} from '../standins/tcp-proxy.js';
-import {AddressLayout, LayoutKind, type VmAddresses} from './address-layout.js';
+import {AddressLayout, LayoutKind, type VmAddresses} from '../test/support/address-layout.js';
 import {findConfigurationFaults} from './configuration-rule.js';
 import {findLimitExcess, type LimitSpan} from './limit-rule.js';
 import {type CallCircumstances, findEndingFault} from './ending-rule.js';
@@ -151,6 +151,7 @@
 	readonly #agent = new Agent({keepAlive: true, maxSockets: 60, localAddress: ANY_ADDRESS});
 	readonly #calls = new Map<string, SentCall>();
 	readonly #allServers: PlatformServer[] = [];
+	readonly #serverAddresses: string[] = [];
 	readonly #drainStartTimes = new Map<string, number>();
 	readonly #limitSpans = new Map<string, LimitSpan[]>();
 	/** Entry of each server as it was written last; `undefined` if it was removed. */
@@ -183,6 +184,7 @@
 		};
 
 		this.#allServers.push(server);
+		this.#serverAddresses.push(server.address);
 		this.servers.set(server.id, {server, service});
 		this.#serviceByServer.set(server.id, service);
 		this.#putEntry(server.id, server.entry(service));
@@ -448,7 +450,7 @@
 
 	/** Ports to which the VMs open connections other than those to other VMs. */
 	get connectionTargets(): ReadonlySet<number> {
-		return new Set([...this.storeProxies, ...this.#allServers].map(({address}) => splitAddress(address).port));
+		return new Set([...this.storeProxies.map(({address}) => address), ...this.#serverAddresses].map(address => splitAddress(address).port));
 	}
 
 	/** Begins a disturbance of the store, or of the way to it. The returned function ends it. */
--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -6,11 +6,11 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {splitAddress} from '../src/base/address.js';
 import {Random} from '../src/base/random.js';
-import {AddressLayout, LayoutKind} from './address-layout.js';
+import {AddressLayout, LayoutKind} from '../test/support/address-layout.js';
 import {callOnConnection} from './connection-callers.js';
 import {versionPrefix} from './operator.js';
 import {PlatformDeployment, timestamp} from './platform-deployment.js';
-import {canConnect, findForeignPorts} from './port-table.js';
+import {canConnect, findForeignPorts} from '../test/support/port-table.js';
 import {faultChoices, type FaultKind, faults} from './process-faults.js';
 import {ResourceGauge} from './resource-gauge.js';
 import {type VmProcess} from './vm-process.js';
@@ -232,7 +232,7 @@
 		deployment.retireOlderServers();
 		let problem: string | undefined = '';
 		let disagreement: string | undefined = '';
-		while (problem !== undefined && performance.now() < startedAt + RECOVERY_TIMEOUT_MS) {
+		while ((problem !== undefined || disagreement !== undefined) && performance.now() < startedAt + RECOVERY_TIMEOUT_MS) {
 			/* eslint-disable no-await-in-loop -- rounds are sequential */
 			problem = await this.#findProblem();
 			disagreement = performance.now() < startedAt + LINK_TIMEOUT_MS ? await deployment.disagreement() : disagreement;
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -3,7 +3,7 @@
  */
 import process from 'node:process';
 import {defineCommand, runMain} from 'citty';
-import {LayoutKind} from './address-layout.js';
+import {LayoutKind} from '../test/support/address-layout.js';
 import {type FaultKind, faults} from './process-faults.js';
 import {ProcessRun, type ProcessRunOptions, VM_COUNT} from './process-run.js';
 
@@ -41,7 +41,12 @@
 			const run = await ProcessRun.create(seed, {
 				...layouts[layout], isBundled: args.bundle, ...(args.vms === undefined ? {} : {vmCount: Number(args.vms)}), ...(kinds === undefined ? {} : {kinds}),
 			});
-			await run.execute(Number(args.seconds));
+			try {
+				await run.execute(Number(args.seconds));
+			} catch (error) {
+				run.deployment.addViolation(`the soak failed: ${(error as Error).stack}`);
+			}
+
 			const {deployment, injectedFaults, gauge, readyAfterMs} = run;
 			if (deployment.violations.length > 0) {
 				await deployment.saveLogs(run.events);
--- a/soak/start-faults.ts
+++ b/soak/start-faults.ts
@@ -9,8 +9,8 @@
 } from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {splitAddress} from '../src/base/address.js';
-import {type AddressName, addressNames} from './address-layout.js';
-import {canConnect, findOutgoingPorts, SocketState} from './port-table.js';
+import {type AddressName, addressNames} from '../test/support/address-layout.js';
+import {canConnect, findOutgoingPorts, SocketState} from '../test/support/port-table.js';
 import {type ProcessRun} from './process-run.js';
 import {type VmProcess} from './vm-process.js';
 import {moveVm} from './vm-settings.js';
--- a/soak/vm-process.ts
+++ b/soak/vm-process.ts
@@ -5,7 +5,7 @@
 import {once} from 'node:events';
 import process from 'node:process';
 import {Spans} from '../standins/spans.js';
-import {type VmAddresses} from './address-layout.js';
+import {type VmAddresses} from '../test/support/address-layout.js';
 import {SourceProgram, type VmProgram} from './vm-program.js';
 
 /** Messages of the program about the leader. */
--- a/soak/vm-settings.ts
+++ b/soak/vm-settings.ts
@@ -3,7 +3,7 @@
  */
 import {readFileSync, writeFileSync} from 'node:fs';
 import {splitAddress} from '../src/base/address.js';
-import {type VmAddresses} from './address-layout.js';
+import {type VmAddresses} from '../test/support/address-layout.js';
 import {type VmProcess} from './vm-process.js';
 
 /** Resident memory, in MB, and descriptors at which the platform kills a process. */
--- a/soak/address-layout.ts
+++ b/test/support/address-layout.ts
@@ -2,8 +2,8 @@
  * Which addresses the VMs of a deployment on one machine have.
  */
 import process from 'node:process';
-import {type Random} from '../src/base/random.js';
-import {freePort, isFree} from '../test/support/free-port.js';
+import {type Random} from '../../src/base/random.js';
+import {freePort, isFree} from './free-port.js';
 
 /** Addresses of one VM, each `IP:PORT`. */
 export type VmAddresses = {
@@ -81,6 +81,7 @@
 
 class OutgoingRange extends AddressLayout {
 	readonly #random: Random;
+	readonly #assigned = new Set<number>();
 
 	constructor(random: Random) {
 		super();
@@ -92,15 +93,16 @@
 	}
 
 	async assign(): Promise<VmAddresses> {
-		const ports = new Set<number>();
-		while (ports.size < addressNames.length) {
+		const ports: number[] = [];
+		while (ports.length < addressNames.length) {
 			const port = this.#random.integer(OUTGOING_PORTS.min, OUTGOING_PORTS.max);
-			if (await isFree(port)) { // eslint-disable-line no-await-in-loop -- one port at a time
-				ports.add(port);
+			if (!this.#assigned.has(port) && await isFree(port)) { // eslint-disable-line no-await-in-loop -- one port at a time
+				this.#assigned.add(port);
+				ports.push(port);
 			}
 		}
 
-		return createAddresses(LOCALHOST, [...ports]);
+		return createAddresses(LOCALHOST, ports);
 	}
 }
 
--- a/soak/port-table.ts
+++ b/test/support/port-table.ts
@@ -4,8 +4,8 @@
 import {once} from 'node:events';
 import {readFile} from 'node:fs/promises';
 import {createConnection} from 'node:net';
-import {splitAddress} from '../src/base/address.js';
-import {ANY_ADDRESS} from '../standins/tcp-proxy.js';
+import {splitAddress} from '../../src/base/address.js';
+import {ANY_ADDRESS} from '../../standins/tcp-proxy.js';
 
 /** States of a socket in `/proc/net/tcp`. */
 export const SocketState = {Established: '01', TimeWait: '06', Listening: '0A'} as const;
