Outgoing connections: exchanges with upstreams kept VMs from listening again

Change: all connections are bound up to 1,000 a minute and process, which leaves other programs most of the 28,000 ports; more frequent ones are not, and none for a minute after the system found no port.

--- a/src/link/tcp-network.ts
+++ b/src/link/tcp-network.ts
@@ -5,7 +5,7 @@
 import Result, {ok} from 'true-myth/result';
 import {splitAddress} from '../base/address.js';
 import {type Clock} from '../base/clock.js';
-import {openLastingConnection} from '../base/connecting.js';
+import {openConnection} from '../base/connecting.js';
 import {listen} from '../base/listening.js';
 import {type Log} from '../base/log.js';
 import {LineChannel} from './line-channel.js';
@@ -48,7 +48,7 @@
 	async connect(address: string): Promise<Result<LinkConnection, ConnectFailure>> {
 		return new Promise(resolve => {
 			let failure: ConnectFailure = ConnectFailure.Silent;
-			const socket = openLastingConnection(splitAddress(address));
+			const socket = openConnection(splitAddress(address));
 			this.#track(socket);
 			const timer = this.#clock.setTimer(CONNECT_TIMEOUT_MS, () => {
 				socket.destroy();
--- a/test/platform/outgoing-ports.test.ts
+++ b/test/platform/outgoing-ports.test.ts
@@ -4,6 +4,7 @@
 } from 'node:net';
 import {StoreClient} from '../../platform/store-client.js';
 import {SystemClock} from '../../src/base/clock.js';
+import {processBindings} from '../../src/base/connecting.js';
 import {Log} from '../../src/base/log.js';
 import {UpstreamExchange} from '../../src/gateway/upstream-exchange.js';
 import {TcpNetwork} from '../../src/link/tcp-network.js';
@@ -15,6 +16,8 @@
 	let address: string;
 
 	beforeEach(async () => {
+		// Other tests of this process have opened connections.
+		processBindings.clear();
 		server = createServer(socket => {
 			socket.on('error', () => undefined);
 			socket.resume();
