--- a/test/base/connecting.test.ts
+++ b/test/base/connecting.test.ts
@@ -35,7 +35,9 @@
 		const released = once(closed, 'close');
 		closed.close();
 		await released;
-		const socket = openConnection({host: '127.0.0.1', port: freePort, localAddress: '127.0.0.1', localPort: freePort});
+		const socket = openConnection({
+			host: '127.0.0.1', port: freePort, localAddress: '127.0.0.1', localPort: freePort,
+		});
 		const [err] = await once(socket, 'error') as [NodeJS.ErrnoException];
 		expect(err.code).to.equal('ECONNREFUSED');
 	});
