--- a/src/base/error-fields.ts
+++ b/src/base/error-fields.ts
@@ -16,7 +16,7 @@
 /** @returns A description of any thrown value; never throws itself. */
 export function errorFields(error: unknown): ErrorFields {
 	try {
-		const [err, stack] = error instanceof Error ? [String(error), error.stack] : [inspect(error), undefined];
+		const [err, stack] = error instanceof Error ? [error.message || error.name, error.stack] : [inspect(error), undefined];
 		return {err: err.slice(0, MAX_LENGTH), stack: stack?.slice(0, MAX_LENGTH)};
 	} catch {
 		return {err: 'a value that cannot be described', stack: undefined};
