--- a/src/base/background.ts
+++ b/src/base/background.ts
@@ -2,14 +2,18 @@
  * Work that nobody awaits.
  */
 import {errorFields} from './error-fields.js';
-import {type Log} from './log.js';
+
+/** Where failures are logged; the library has no log of its own. */
+export type FailureLog = {
+	error(message: string, fields: Readonly<Record<string, string | undefined>>): void;
+};
 
 /**
  * Runs work in the background; a failure is logged and affects nothing else.
  *
  * @param task - What the work is for, for the log.
  */
-export function runInBackground(log: Log, task: string, work: () => Promise<unknown>): void {
+export function runInBackground(log: FailureLog, task: string, work: () => Promise<unknown>): void {
 	const run = async () => {
 		try {
 			await work();
--- a/src/coordination/background-writes.ts
+++ b/src/coordination/background-writes.ts
@@ -1,9 +1,8 @@
 /**
  * Retries writes in the background until the store decides them, within bounded memory.
  */
-import {runInBackground} from '../base/background.js';
+import {type FailureLog, runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
-import {type Log} from '../base/log.js';
 import {errorFields} from '../base/error-fields.js';
 
 /** One write or a short sequence of writes; idempotent. */
@@ -33,12 +32,12 @@
 
 /** A queue that runs a few jobs at a time, the least recently tried first. */
 export class BackgroundWrites {
-	static create(clock: Clock, log: Log, limits = defaultBackgroundLimits): BackgroundWrites {
+	static create(clock: Clock, log: FailureLog, limits = defaultBackgroundLimits): BackgroundWrites {
 		return new BackgroundWrites(clock, log, limits);
 	}
 
 	readonly #clock: Clock;
-	readonly #log: Log;
+	readonly #log: FailureLog;
 	readonly #limits: BackgroundLimits;
 	readonly #jobs = new Set<BackgroundJob>();
 	readonly #stopping = new AbortController();
@@ -47,7 +46,7 @@
 	#isProcessing = false;
 	readonly #emptyListeners: Array<() => void> = [];
 
-	private constructor(clock: Clock, log: Log, limits: BackgroundLimits) {
+	private constructor(clock: Clock, log: FailureLog, limits: BackgroundLimits) {
 		this.#clock = clock;
 		this.#log = log;
 		this.#limits = limits;
--- a/src/coordination/table-claims.ts
+++ b/src/coordination/table-claims.ts
@@ -2,10 +2,10 @@
  * Claims stored in the platform's table service.
  */
 import {randomUUID} from 'node:crypto';
+import {type FailureLog} from '../base/background.js';
 import {type Clock, SystemClock} from '../base/clock.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
 import {Invariants, PromiseId} from '../base/invariant.js';
-import {Log} from '../base/log.js';
 import {MemoryObjectStore} from '../store/memory-table.js';
 import {type ObjectStore} from '../store/object-store.js';
 import {type Condition, type Row, type Table} from '../store/table.js';
@@ -26,7 +26,8 @@
 /** Options of `TableClaims`; the defaults are for a single process. */
 export type TableClaimsOptions = {
 	readonly clock?: Clock;
-	readonly log?: Log;
+	/** Receives failures of background writes; the console by default. */
+	readonly log?: FailureLog;
 	readonly invariants?: Invariants;
 	/** Stores the bodies of large answers. */
 	readonly objects?: ObjectStore;
@@ -89,7 +90,7 @@
 		this.#completeWaitMs = options.completeWaitMs ?? COMPLETE_WAIT_MS;
 		this.#createToken = options.createToken ?? randomUUID;
 		const limits = options.backgroundLimits ?? defaultBackgroundLimits;
-		const log = options.log ?? Log.create('silent');
+		const log = options.log ?? console;
 		this.background = BackgroundWrites.create(this.#clock, log, limits);
 		this.#releases = BackgroundWrites.create(this.#clock, log, limits);
 	}
