Allocation: the choice of an upstream is a module, with a locality and filters; settings of roll-outs and pressure are read

Versions of upstreams and the memory of engines are decoded, but not used yet; decisions are unchanged (allocation, platform and link tests pass).

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -14,6 +14,8 @@
 import {
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, emptyReport, type HeldPlace, type PlaceReport,
 } from './allocation.js';
+import {type Locality} from './locality.js';
+import {type PlacementFilter} from './placement-filter.js';
 import {Pool} from './pool.js';
 import {type RetryBounds} from './pool-retry-budget.js';
 import {Quotas, type QuotaTolerance} from './quotas.js';
@@ -57,6 +59,11 @@
 	readonly quotaTolerance: QuotaTolerance;
 	/** Limits that the upstreams stated, as this VM knows them. */
 	readonly limits: UpstreamLimits;
+	/** Whether customers share scarce room, and the memory of upstreams is accounted for. */
+	readonly isUnderPressure?: boolean;
+	/** Rules that restrict which upstreams a request may use. */
+	readonly filters?: readonly PlacementFilter[];
+	readonly locality?: Locality;
 };
 
 /** A decision on a place request, for logs and metrics. */
@@ -453,9 +460,9 @@
 	#getOrCreatePool(name: string): Pool {
 		let pool = this.#pools.get(name);
 		if (pool === undefined) {
-			const {repeatBounds, limits, random} = this.#options;
+			const {repeatBounds, limits, random, filters, locality} = this.#options;
 			pool = Pool.create({
-				name, settings: this.#table?.pool(name), repeatBounds, limits, random, scope: this.#scope,
+				name, settings: this.#table?.pool(name), repeatBounds, limits, random, scope: this.#scope, filters, locality,
 			});
 			this.#pools.set(name, pool);
 			this.#initRetryBudget(pool);
--- /dev/null
+++ b/src/allocation/placement.ts
@@ -0,0 +1,102 @@
+/**
+ * Choice of the upstream for one request among those that have room.
+ */
+import {type PlaceRequest} from './allocation.js';
+import {FixedLocality, type Locality} from './locality.js';
+import {type PlacementFilter} from './placement-filter.js';
+import {type TrackedUpstream} from './tracked-upstream.js';
+import {type WaitingRequest} from './waiting-queue.js';
+
+/** Cost of an upstream where every request fails, in ms; about the time that a retry takes. */
+const FAILURE_COST_MS = 1500;
+/** Cost of each stream in which reading a long prompt would cause a gap that is too long, in ms. */
+const DELAYED_STREAM_COST_MS = 250;
+/** Fraction of the longest acceptable gap that reading a prompt may take; the rest is left for the engine's own work. */
+const MAX_PREFILL_PAUSE_RATIO = 0.7;
+/** Weight of the total time relative to the time to the first event: a place that is held longer serves fewer requests. */
+const TOTAL_TIME_WEIGHT = 0.12;
+
+/** A decision to grant a place. */
+export type Grant = {
+	readonly waiting: WaitingRequest;
+	readonly target: TrackedUpstream;
+	readonly expectedFirstMs: number;
+};
+
+/** What the choice depends on. */
+export type PlacementOptions = {
+	/** Expected service time of a request at an upstream of average pace, in ms. */
+	readonly serviceMs: (ask: PlaceRequest) => number;
+	readonly filters?: readonly PlacementFilter[];
+	readonly locality?: Locality;
+};
+
+/** A request to be placed, and the upstreams that have room. */
+export type PlacementQuery = {
+	readonly waiting: WaitingRequest;
+	readonly candidates: readonly TrackedUpstream[];
+	/** Whether upstreams are left out at which the request would miss its objective. */
+	readonly mustBeOnTime: boolean;
+	readonly now: number;
+};
+
+/** Chooses the upstream with the lowest cost. */
+export class Placement {
+	static create(options: PlacementOptions): Placement {
+		return new Placement(options);
+	}
+
+	readonly #serviceMs: (ask: PlaceRequest) => number;
+	readonly #filters: readonly PlacementFilter[];
+	readonly #locality: Locality;
+
+	private constructor({serviceMs, filters = [], locality = FixedLocality.create()}: PlacementOptions) {
+		this.#serviceMs = serviceMs;
+		this.#filters = filters;
+		this.#locality = locality;
+	}
+
+	/** @returns The placement with the lowest cost; `undefined` if no candidate may run the request. */
+	choose({waiting, candidates, mustBeOnTime, now}: PlacementQuery): Grant | undefined {
+		const {ask} = waiting;
+		let best: Grant | undefined;
+		let bestCost = Number.POSITIVE_INFINITY;
+		for (const target of candidates) {
+			if (ask.excluded.includes(target.upstream.id) || !this.#filters.every(filter => filter.accepts(ask, target, now))) {
+				continue;
+			}
+
+			const expectedFirstMs = this.#slotWaitMs(target, ask) + target.pace.firstMs(ask.promptTokens, target.pendingPromptTokens);
+			// A request that can be on time at some upstream waits for it, rather than taking a place where it would be late.
+			if (mustBeOnTime && now + expectedFirstMs > waiting.objectiveAt) {
+				continue;
+			}
+
+			const cost = this.#cost(ask, target, expectedFirstMs, now);
+			if (cost < bestCost) {
+				bestCost = cost;
+				best = {waiting, target, expectedFirstMs};
+			}
+		}
+
+		return best;
+	}
+
+	/** @returns Expected time until a full engine has a free slot, in ms. */
+	#slotWaitMs({held, upstream, pace}: TrackedUpstream, ask: PlaceRequest): number {
+		return held.size < upstream.slots ? 0 : pace.factor * this.#serviceMs(ask) / upstream.slots;
+	}
+
+	#cost(ask: PlaceRequest, target: TrackedUpstream, expectedFirstMs: number, now: number): number {
+		const {upstream, pace, standing, held} = target;
+		let cost = expectedFirstMs
+			+ (TOTAL_TIME_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}))
+			+ this.#locality.costMs(ask, upstream, now)
+			+ (FAILURE_COST_MS * standing.failureRate(now));
+		if (ask.maxPauseMs > 0 && pace.interferenceMs(ask.promptTokens) + pace.eventMs > MAX_PREFILL_PAUSE_RATIO * ask.maxPauseMs) {
+			cost += DELAYED_STREAM_COST_MS * held.size;
+		}
+
+		return cost;
+	}
+}
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -8,7 +8,10 @@
 import {type Upstream} from '../gateway/upstream-list.js';
 import {type PlaceRequest, type PlaceReport} from './allocation.js';
 import {Capacity} from './capacity.js';
+import {type Locality} from './locality.js';
 import {Pace, PoolPace} from './pace.js';
+import {type Grant, Placement} from './placement.js';
+import {type PlacementFilter} from './placement-filter.js';
 import {PoolRetryBudget, type RetryBounds} from './pool-retry-budget.js';
 import {type Scope} from './scope.js';
 import {StartPacer, type StartRate} from './start-pacer.js';
@@ -25,18 +28,6 @@
 /** A late request yields to requests of the next rank that can still be on time, but not to those of the rank after it. */
 const LEVELS_PER_RANK = 2;
 const LATE_LEVEL_PENALTY = 3;
-/** Extra cost of an upstream in another region, in ms: 8 ms of latency each way, and traffic there is billed by volume. */
-const OTHER_REGION_COST_MS = 24;
-/** Extra cost of an upstream in another data centre of the region, in ms. */
-const OTHER_DATA_CENTRE_COST_MS = 2;
-/** Cost of an upstream where every request fails, in ms; about the time that a retry takes. */
-const FAILURE_COST_MS = 1500;
-/** Cost of each stream in which reading a long prompt would cause a gap that is too long, in ms. */
-const DELAYED_STREAM_COST_MS = 250;
-/** Fraction of the longest acceptable gap that reading a prompt may take; the rest is left for the engine's own work. */
-const MAX_PREFILL_PAUSE_RATIO = 0.7;
-/** Weight of the total time relative to the time to the first event: a place that is held longer serves fewer requests. */
-const TOTAL_TIME_WEIGHT = 0.12;
 /**
  * Requests that may queue at a full engine, so that its next free slot is used immediately. Otherwise a slot stays idle for
  * up to five one-way delays between regions after an answer ends, a tenth of a typical answer's duration.
@@ -52,13 +43,6 @@
  */
 const MIN_STARTS_PER_SECOND = 0.1;
 
-/** A decision to grant a place. */
-export type Grant = {
-	readonly waiting: WaitingRequest;
-	readonly target: TrackedUpstream;
-	readonly expectedFirstMs: number;
-};
-
 /** Dependencies and settings of a pool. */
 export type PoolOptions = {
 	readonly name: string;
@@ -67,6 +51,8 @@
 	readonly limits: UpstreamLimits;
 	readonly random: Random;
 	readonly scope: Scope;
+	readonly filters?: readonly PlacementFilter[];
+	readonly locality?: Locality;
 };
 
 /** The upstreams and the queue of one service. */
@@ -84,18 +70,20 @@
 	readonly #withFreeSlots = new Set<TrackedUpstream>();
 	readonly #random: Random;
 	readonly #limits: UpstreamLimits;
+	readonly #placement: Placement;
 	#scope: Scope;
 	#pace: PoolPace;
 	#capacity = Capacity.create([]);
 	#capacityAt = Number.NEGATIVE_INFINITY;
 
 	private constructor({
-		name, settings, repeatBounds, limits, random, scope,
+		name, settings, repeatBounds, limits, random, scope, filters, locality,
 	}: PoolOptions) {
 		this.name = name;
 		this.#random = random;
 		this.#limits = limits;
 		this.#scope = scope;
+		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters, locality});
 		this.waiting = WaitingQueue.create({
 			levelOf: (waiting, now) => this.#levelOf(waiting, now),
 			serviceMs: ask => this.serviceMs(ask),
@@ -123,7 +111,14 @@
 		const target = this.upstreams.get(upstream.id);
 		if (target === undefined) {
 			const added: TrackedUpstream = {
-				upstream, pace: Pace.create(this.#pace), standing: UpstreamHealth.create(), pacer: StartPacer.create(this.#random), held: new Map(), pendingPromptTokens: 0, externalLoad: 0, externalLoadAt: Number.NEGATIVE_INFINITY,
+				upstream,
+				pace: Pace.create(this.#pace),
+				standing: UpstreamHealth.create(),
+				pacer: StartPacer.create(this.#random),
+				held: new Map(),
+				pendingPromptTokens: 0,
+				externalLoad: 0,
+				externalLoadAt: Number.NEGATIVE_INFINITY,
 			};
 			this.upstreams.set(upstream.id, added);
 			this.#updateFreeSlots(added);
@@ -295,7 +290,9 @@
 		const candidates = [...this.#withFreeSlots].filter(target => this.#canAccept(target, now, 0));
 		if (candidates.length > 0) {
 			for (const waiting of this.waiting) {
-				const grant = this.#chooseUpstream(waiting, candidates, now);
+				const grant = this.#placement.choose({
+					waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && candidates.length < this.upstreams.size, now,
+				});
 				if (grant !== undefined) {
 					return grant;
 				}
@@ -321,7 +318,9 @@
 				return undefined;
 			}
 
-			const grant = this.#chooseUpstream(waiting, candidates, now);
+			const grant = this.#placement.choose({
+				waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && candidates.length < this.upstreams.size, now,
+			});
 			if (grant !== undefined) {
 				return grant;
 			}
@@ -330,55 +329,6 @@
 		return undefined;
 	}
 
-	#chooseUpstream(waiting: WaitingRequest, candidates: readonly TrackedUpstream[], now: number): Grant | undefined {
-		const {ask} = waiting;
-		// A request that can be on time at some upstream waits for it, rather than taking a place where it would be late.
-		const isLate = this.#isLate(waiting, now);
-		const mustBeOnTime = !isLate && candidates.length < this.upstreams.size;
-		let best: Grant | undefined;
-		let bestCost = Number.POSITIVE_INFINITY;
-		for (const target of candidates) {
-			if (ask.excluded.includes(target.upstream.id)) {
-				continue;
-			}
-
-			const expectedFirstMs = this.#slotWaitMs(target, ask) + target.pace.firstMs(ask.promptTokens, target.pendingPromptTokens);
-			if (mustBeOnTime && now + expectedFirstMs > waiting.objectiveAt) {
-				continue;
-			}
-
-			const cost = this.#placementCost(ask, target, expectedFirstMs, now);
-			if (cost < bestCost) {
-				bestCost = cost;
-				best = {waiting, target, expectedFirstMs};
-			}
-		}
-
-		return best;
-	}
-
-	/** @returns Expected time until a full engine has a free slot, in ms. */
-	#slotWaitMs({held, upstream, pace}: TrackedUpstream, ask: PlaceRequest): number {
-		return held.size < upstream.slots ? 0 : pace.factor * this.serviceMs(ask) / upstream.slots;
-	}
-
-	#placementCost(ask: PlaceRequest, target: TrackedUpstream, expectedFirstMs: number, now: number): number {
-		const {upstream, pace, standing, held} = target;
-		let cost = expectedFirstMs + (TOTAL_TIME_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}));
-		if (upstream.region !== ask.region) {
-			cost += OTHER_REGION_COST_MS;
-		} else if (upstream.dataCentre !== ask.dataCentre) {
-			cost += OTHER_DATA_CENTRE_COST_MS;
-		}
-
-		cost += FAILURE_COST_MS * standing.failureRate(now);
-		if (ask.maxPauseMs > 0 && pace.interferenceMs(ask.promptTokens) + pace.eventMs > MAX_PREFILL_PAUSE_RATIO * ask.maxPauseMs) {
-			cost += DELAYED_STREAM_COST_MS * held.size;
-		}
-
-		return cost;
-	}
-
 	#levelOf(waiting: WaitingRequest, now: number): number {
 		return (waiting.ask.rank * LEVELS_PER_RANK) + (this.#isLate(waiting, now) ? LATE_LEVEL_PENALTY : 0);
 	}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import {type Member} from '../link/messages.js';
 import {TcpNetwork} from '../link/tcp-network.js';
 import {type Suspicion} from '../policy/suspicion.js';
+import {type RolloutBounds} from '../rollout/rollout-bounds.js';
 import {type CallCodec} from './call-codec.js';
 import {DeploymentState} from './deployment-state.js';
 import {FrontServer} from './front-server.js';
@@ -45,6 +46,14 @@
 	readonly quotaTolerance: QuotaTolerance;
 	/** Time allowed for a graceful shutdown, in ms. */
 	readonly graceMs: number;
+	/** Whether customers share scarce room, and the memory of upstreams is accounted for. */
+	readonly isUnderPressure?: boolean;
+	/** Bounds of roll-outs; without them, versions of upstreams are not distinguished. */
+	readonly rollout?: RolloutBounds;
+	/** Memory at which the process is ended, in bytes, if it is limited. */
+	readonly memoryBytes?: number;
+	/** Number of descriptors that the process may have open, if it is limited. */
+	readonly maxDescriptors?: number;
 	readonly reachesStore: () => boolean;
 	/** Latest era that the store named. */
 	readonly storeEra: () => number;
@@ -86,7 +95,7 @@
 		});
 		this.state = DeploymentState.create(log.part(LogPrefix.Config));
 		this.#allocator = Allocator.create({
-			clock, random, nodeId: self.boot, repeatBounds, quotaTolerance, limits: this.state.limits,
+			clock, random, nodeId: self.boot, repeatBounds, quotaTolerance, limits: this.state.limits, isUnderPressure: options.isUnderPressure,
 		});
 		this.#allocator.onDecision = decision => {
 			this.#logDecision(decision);
--- a/src/gateway/routing-table.ts
+++ b/src/gateway/routing-table.ts
@@ -75,6 +75,8 @@
 	readonly isEngine: boolean;
 	/** Tokens per stream event; 1 for plain services. */
 	readonly tokensPerEvent: number;
+	/** Tokens that an engine of this pool holds in memory, if stated. */
+	readonly memoryTokens?: number;
 };
 
 /** Limits on callers' requests and connections. */
--- a/src/gateway/upstream-list.ts
+++ b/src/gateway/upstream-list.ts
@@ -20,6 +20,8 @@
 	readonly isLeaving: boolean;
 	/** Start time in ms since the Unix epoch; distinguishes two starts with the same ID. */
 	readonly startedAt: number;
+	/** Version of its software, if it states one. */
+	readonly version?: string;
 };
 
 /** Changes to the list. */
@@ -164,5 +166,6 @@
 		&& a.dataCentre === b.dataCentre
 		&& a.slots === b.slots
 		&& a.isLeaving === b.isLeaving
-		&& a.startedAt === b.startedAt;
+		&& a.startedAt === b.startedAt
+		&& a.version === b.version;
 }
--- a/src/link/message-schemas.ts
+++ b/src/link/message-schemas.ts
@@ -81,6 +81,7 @@
 	slots: z.int().check(z.positive()),
 	isLeaving: z.boolean(),
 	startedAt: z.int(),
+	version: z.optional(z.string()),
 });
 const departures = z.array(z.object({id: z.string(), startedAt: z.int(), era: count}));
 const limits = z.array(z.object({
@@ -122,7 +123,12 @@
 		})),
 	})),
 	pools: z.array(z.object({
-		name: z.string(), slots: z.optional(z.number()), maxConnections: amount, isEngine: z.boolean(), tokensPerEvent: z.number().check(z.positive()),
+		name: z.string(),
+		slots: z.optional(z.number()),
+		maxConnections: amount,
+		isEngine: z.boolean(),
+		tokensPerEvent: z.number().check(z.positive()),
+		memoryTokens: z.optional(z.number().check(z.positive())),
 	})),
 	limits: z.object({
 		maxHeaderBytes: amount, maxBodyBytes: amount, headerTimeoutMs: connectionTimeout, idleTimeoutMs: connectionTimeout,
