--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -69,6 +69,8 @@
 	readonly before: Link | undefined;
 	lastReceivedAt: number;
 	lastSentAt: number;
+	/** Whether this leader reached the store, as the VM was told last. */
+	toldReachesStore: boolean;
 	/** Whether the whole member list was sent; from then on only changes are. */
 	hasMemberList: boolean;
 };
@@ -146,7 +148,7 @@
 		const now = clock.now();
 		const before = [...this.#links.values()].findLast(({member}) => member.name === hello.member.name);
 		const link: Link = {
-			member: hello.member, channel, askIds: new Set(), configurationVersion: hello.configurationVersion, before, lastReceivedAt: now, lastSentAt: now, hasMemberList: false,
+			member: hello.member, channel, askIds: new Set(), configurationVersion: hello.configurationVersion, before, lastReceivedAt: now, lastSentAt: now, toldReachesStore: true, hasMemberList: false,
 		};
 		this.#links.set(channel, link);
 		log.info('VM linked.', {vm: hello.member.name, links: this.#links.size});
@@ -458,8 +460,10 @@
 		for (const link of this.#links.values()) {
 			if (now - link.lastReceivedAt > VM_TIMEOUT_MS) {
 				link.channel.close();
-			} else if (now - link.lastSentAt >= HEARTBEAT_INTERVAL_MS || !reachesStore()) {
-				this.#send(link, {kind: 'beat', reachesStore: reachesStore()});
+			} else if (now - link.lastSentAt >= HEARTBEAT_INTERVAL_MS || !reachesStore() || !link.toldReachesStore) {
+				// Grants take the place of heartbeats, so a VM under load would not learn that the store is back.
+				link.toldReachesStore = reachesStore();
+				this.#send(link, {kind: 'beat', reachesStore: link.toldReachesStore});
 			}
 		}
 
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -93,7 +93,7 @@
 	| {readonly kind: 'need-configuration'}
 	/** Learned pace factors of upstreams, for a successor. */
 	| {readonly kind: 'paces'; readonly paces: ReadonlyArray<readonly [upstreamId: string, factor: number]>}
-	/** Heartbeat, sent when nothing else was, and always while the leader cannot reach the store. */
+	/** Heartbeat, sent when nothing else was, always while the leader cannot reach the store, and when it reaches it again. */
 	| {readonly kind: 'beat'; readonly reachesStore: boolean};
 
 /** Between any two VMs, each on a separate connection. */
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -132,6 +132,40 @@
 
 	// Guards against a former leader that drops all other VMs from its member list while it closes their links: it would
 	// then claim leadership without probing any of them.
+	// Guards against VMs that go on watching the store after an outage of the leader: under load, grants took the place of the
+	// heartbeat that says that the store is back, and 30 VMs made 2,759 calls on a day that needs some hundred.
+	it('tell a VM that the store is back although it is sent other messages all the time', () => {
+		const sent: FromLeader[] = [];
+		channel.sendLine = line => {
+			sent.push(JSON.parse(line) as FromLeader);
+		};
+
+		channel.send = message => {
+			sent.push(message);
+		};
+
+		host.start({
+			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: {era: 1, version: 1}, vmCount: 2,
+		});
+		reachesStore = false;
+		clock.advance(500);
+		reachesStore = true;
+		for (let count = 0; count < 10; count += 1) {
+			host.receive(channel, {kind: 'ask', ask: makeDeskAsk(`busy-${count}`)});
+			host.receive(channel, {
+				kind: 'release', id: `busy-${count}`, report: {
+					ending: 'answered', firstMs: 10, streamMs: 0, events: 0, load: undefined,
+				},
+			});
+			// A VM that sends nothing for too long is taken as lost.
+			clock.advance(100);
+		}
+
+		const beats = sent.filter(message => message.kind === 'beat').map(message => message.reachesStore);
+		expect(beats).to.include(false);
+		expect(beats.at(-1)).to.equal(true);
+	});
+
 	it('publish no member list after the VM has stopped leading', () => {
 		const leader: Leader = {
 			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: {era: 1, version: 1}, vmCount: 2,
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -331,7 +331,7 @@
 		};
 
 		store.put('servers', 'a', 1);
-		const watch = StoreWatch.create(clock, Log.create('silent'), client, {table: 'servers', waitMs: 200, batchDelayMs: 0}, {
+		const watch = StoreWatch.create(clock, Log.create('silent'), client, {table: 'servers', waitMs: () => 200, batchDelayMs: 0}, {
 			onList({rows: listed}) {
 				listCount += 1;
 				rows.clear();
--- a/test/platform/store-era.test.ts
+++ b/test/platform/store-era.test.ts
@@ -55,7 +55,7 @@
 			}
 		};
 
-		const storeWatch = StoreWatch.create(clock, log, client, {table: 'servers', waitMs, batchDelayMs: 0}, {
+		const storeWatch = StoreWatch.create(clock, log, client, {table: 'servers', waitMs: () => waitMs, batchDelayMs: 0}, {
 			onList({rows: listed}) {
 				rows.clear();
 				apply(listed);
--- a/test/platform/store-watch.test.ts
+++ b/test/platform/store-watch.test.ts
@@ -24,7 +24,7 @@
 		};
 
 		store.putText('table', 'row', 'text');
-		const watch = StoreWatch.create(clock, log, client, {table: 'table', waitMs: 300, batchDelayMs: 0}, {
+		const watch = StoreWatch.create(clock, log, client, {table: 'table', waitMs: () => 300, batchDelayMs: 0}, {
 			onList({rows}) {
 				handle(rows);
 			},
