Pace: what upstreams state about the moment is read, carried to the leader and used with decay

Every upstream of customer N has slow moments of 2.5 times, and one in three is 4.4 times slower for good; estimates from answers saw both late. The fourth number of X-Server-Load comes with the first event and the release, with its age. The factor of an upstream is learnt from answers divided by the moment; both terms of the time to the first event are fitted; streams of two events count; a request that can wait is not sent where it is only just on time.

--- a/src/allocation/allocation.ts
+++ b/src/allocation/allocation.ts
@@ -5,6 +5,7 @@
 import {type ErrorKind} from '../base/errors.js';
 import {type Ending} from '../gateway/exchange-ending.js';
 import {type Operation} from '../gateway/routing-table.js';
+import {type StatedPace} from './momentary-pace.js';
 
 /**
  * A request for a place, made for one attempt to serve a caller's request; the link protocol calls it `ask`. It carries
@@ -76,6 +77,8 @@
 	readonly events: number;
 	/** Requests running and queued at the upstream, if it reported them. */
 	readonly load: number | undefined;
+	/** The pace that the upstream stated in the head of its answer, if it did. */
+	readonly pace?: StatedPace;
 };
 
 /** @returns The report for a place whose exchange produced no answer. */
@@ -120,8 +123,12 @@
 	/** Cancels a request that has not been decided; no event follows. */
 	abstract withdraw(id: string): void;
 
-	/** Records that the first byte or event of the answer arrived `firstMs` after the request was sent. */
-	abstract noteFirst(id: string, firstMs: number): void;
+	/**
+	 * Records that the first byte or event of the answer arrived `firstMs` after the request was sent.
+	 *
+	 * @param stated - The pace that the upstream stated in the head of the answer, if it did.
+	 */
+	abstract noteFirst(id: string, firstMs: number, stated?: StatedPace): void;
 
 	/** Releases a place and reports how it was used. */
 	abstract release(id: string, report: PlaceReport): void;
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -15,6 +15,7 @@
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, emptyReport, type HeldPlace, type PlaceReport,
 } from './allocation.js';
 import {type Locality} from './locality.js';
+import {type StatedPace} from './momentary-pace.js';
 import {type PlacementFilter} from './placement-filter.js';
 import {Pool} from './pool.js';
 import {type RetryBounds} from './pool-retry-budget.js';
@@ -280,15 +281,20 @@
 		}
 	}
 
-	noteFirst(id: string, firstMs: number): void {
+	noteFirst(id: string, firstMs: number, stated?: StatedPace): void {
 		const pool = this.#poolByRequest.get(id);
 		const held = pool?.held.get(id);
 		if (pool !== undefined && held !== undefined) {
 			this.#crashRecorder.noteBegun(recordedUpstream(pool, held));
-			pool.noteFirst(id, firstMs);
+			pool.noteFirst(id, firstMs, stated, this.#options.clock.now());
 		}
 	}
 
+	/** Records a pace that an upstream stated other than in an answer. */
+	noteStatedPace(upstreamId: string, stated: StatedPace): void {
+		this.#poolByUpstream.get(upstreamId)?.upstreams.get(upstreamId)?.pace.noteStated(stated, this.#options.clock.now());
+	}
+
 	release(id: string, report: PlaceReport): void {
 		const pool = this.#poolByRequest.get(id);
 		const held = pool?.held.get(id);
--- a/src/allocation/pace.ts
+++ b/src/allocation/pace.ts
@@ -1,7 +1,13 @@
 /**
  * Estimates how fast upstreams are from the answers they gave. This handles deployments in which one engine in three is
  * several times slower than the others while load reports are seconds old.
+ *
+ * In a pool whose upstreams state their momentary pace, the factor of an upstream is learnt from answers divided by the
+ * momentary factor, both terms of the time to the first event are learnt, and short streams count. Other pools keep the
+ * simpler model, so that their decisions do not change.
  */
+import {FirstEventModel} from './first-event-model.js';
+import {MomentaryPace, type StatedPace} from './momentary-pace.js';
 
 /** Initial estimate of the time from sending a prompt to the first event, without the time to read the prompt, in ms. */
 const INITIAL_FIRST_MS = 50;
@@ -17,6 +23,14 @@
 const POOL_SAMPLE_WEIGHT = 0.05;
 /** Streams with fewer events are too short to estimate the pace from. */
 const MIN_PACE_EVENTS = 4;
+/** The same where upstreams state their pace: half of the streams at engines with 7 tokens an event have 7 events or fewer. */
+const MIN_STATED_PACE_EVENTS = 2;
+/** Events from which the time between them counts fully; shorter streams count in proportion to their gaps. */
+const FULL_SAMPLE_EVENTS = 6;
+/** Weight of the time to the first event in an upstream's factor; lower, as other prompts disturb it. */
+const FIRST_SAMPLE_WEIGHT = 0.1;
+/** Weight of the initial factor of an upstream relative to its samples, where upstreams state their pace. */
+const INITIAL_FACTOR_WEIGHT = 0.1;
 /** Limits each sample, so that one slow answer does not make an upstream unusable. */
 const MAX_PACE_FACTOR = 12;
 
@@ -37,11 +51,26 @@
 	#firstScale = 1;
 	#plainMs = INITIAL_PLAIN_SERVICE_MS;
 	#eventMs = INITIAL_EVENT_MS;
+	/** `undefined` until an upstream of the pool states its pace. */
+	#firstEvent: FirstEventModel | undefined;
 
 	private constructor(isEngine: boolean) {
 		this.isEngine = isEngine;
 	}
 
+	/** Whether upstreams of the pool state their momentary pace. */
+	get hasStatements(): boolean {
+		return this.#firstEvent !== undefined;
+	}
+
+	/** Records that an upstream of the pool stated its pace. */
+	noteStatement(): void {
+		if (this.#firstEvent === undefined) {
+			const scale = this.#firstScale;
+			this.#firstEvent = FirstEventModel.create(promptTokens => scale * (INITIAL_FIRST_MS + (promptTokens * INITIAL_PREFILL_MS_PER_TOKEN)));
+		}
+	}
+
 	/** Time between two events at an upstream of factor 1, in ms. */
 	get eventMs(): number {
 		return this.#eventMs;
@@ -49,12 +78,16 @@
 
 	/** @returns Time to the first event, or to the answer of a plain service, at an idle upstream of factor 1, in ms. */
 	firstMs(promptTokens: number): number {
-		return this.isEngine ? this.#firstScale * (INITIAL_FIRST_MS + this.prefillMs(promptTokens)) : this.#plainMs;
+		if (!this.isEngine) {
+			return this.#plainMs;
+		}
+
+		return this.#firstEvent?.firstMs(promptTokens) ?? this.#firstScale * (INITIAL_FIRST_MS + this.prefillMs(promptTokens));
 	}
 
 	/** @returns Time to read a prompt at an upstream of factor 1, in ms. */
 	prefillMs(promptTokens: number): number {
-		return promptTokens * INITIAL_PREFILL_MS_PER_TOKEN;
+		return this.#firstEvent?.prefillMs(promptTokens) ?? promptTokens * INITIAL_PREFILL_MS_PER_TOKEN;
 	}
 
 	/** @returns Time from sending the request to the end of the answer, at an idle upstream of factor 1, in ms. */
@@ -64,7 +97,9 @@
 
 	/** Updates the estimates with a time to the first event, already divided by the upstream's factor. */
 	noteFirst(promptTokens: number, firstMs: number): void {
-		if (this.isEngine) {
+		if (this.#firstEvent !== undefined && this.isEngine) {
+			this.#firstEvent.note(promptTokens, firstMs);
+		} else if (this.isEngine) {
 			const observed = firstMs / (INITIAL_FIRST_MS + this.prefillMs(promptTokens));
 			this.#firstScale += POOL_SAMPLE_WEIGHT * (Math.min(MAX_PACE_FACTOR, observed) - this.#firstScale);
 		} else {
@@ -85,19 +120,38 @@
 	}
 
 	readonly #pool: PoolPace;
+	readonly #moment = MomentaryPace.create();
 	#factor = 1;
+	/** Sum of the weights of the samples in the factor. */
+	#sampleCount = 0;
 
 	private constructor(pool: PoolPace) {
 		this.#pool = pool;
 	}
 
-	/** Above 1 for an upstream that is slower than its pool's average. */
+	/** Long-term factor; above 1 for an upstream that is slower than its pool's average. */
 	get factor(): number {
 		return this.#factor;
 	}
 
+	/** Whether upstreams of the pool state their momentary pace. */
+	get hasStatements(): boolean {
+		return this.#pool.hasStatements;
+	}
+
+	/** When the upstream stated its pace last; `undefined` if it has not. */
+	get statedAt(): number | undefined {
+		return this.#moment.statedAt;
+	}
+
+	/** @returns The factor at this time. */
+	factorAt(now: number): number {
+		return this.#factor * this.#moment.at(now);
+	}
+
 	/** Restores a factor estimated by another allocator. */
 	restore(factor: number): void {
+		this.#sampleCount = 1;
 		this.#factor = Math.min(MAX_PACE_FACTOR, Math.max(1 / MAX_PACE_FACTOR, factor));
 	}
 
@@ -105,44 +159,63 @@
 	 * @param pendingPromptTokens - Tokens of the prompts that the upstream has to read first.
 	 * @returns Expected time to the first event, or to the answer of a plain service, in ms.
 	 */
-	firstMs(promptTokens: number, pendingPromptTokens: number): number {
-		return this.#factor * this.#pool.firstMs(promptTokens + pendingPromptTokens);
+	firstMs(promptTokens: number, pendingPromptTokens: number, now: number): number {
+		return this.#atMoment(this.#factor * this.#pool.firstMs(promptTokens + pendingPromptTokens), now);
 	}
 
 	/** @returns Expected time from sending the request to the end of the answer, in ms. */
-	totalMs(size: RequestSize): number {
-		return this.#factor * this.#pool.totalMs(size);
+	totalMs(size: RequestSize, now: number): number {
+		return this.#atMoment(this.#factor * this.#pool.totalMs(size), now);
 	}
 
 	/** @returns Expected time for which reading the prompt delays the other streams of the upstream, in ms. */
-	interferenceMs(promptTokens: number): number {
-		return this.#factor * this.#pool.prefillMs(promptTokens);
+	interferenceMs(promptTokens: number, now: number): number {
+		return this.#atMoment(this.#factor * this.#pool.prefillMs(promptTokens), now);
 	}
 
-	/** Expected time between two events, in ms. */
-	get eventMs(): number {
-		return this.#factor * this.#pool.eventMs;
+	/** @returns Expected time between two events, in ms. */
+	eventMs(now: number): number {
+		return this.#atMoment(this.#factor * this.#pool.eventMs, now);
+	}
+
+	/** Records what the upstream stated about its pace at the moment. */
+	noteStated(stated: StatedPace, now: number): void {
+		this.#pool.noteStatement();
+		this.#moment.note(stated, now);
 	}
 
 	/** Updates the estimates with the time to the first event of a request that had to wait for other prompts. */
-	noteFirst(promptTokens: number, pendingPromptTokens: number, firstMs: number): void {
+	noteFirst(promptTokens: number, pendingPromptTokens: number, firstMs: number, now: number): void {
+		const usualMs = firstMs / this.#moment.mean(now - firstMs, now);
 		if (!this.#pool.isEngine) {
-			this.#updateFactor(firstMs / this.#pool.firstMs(0));
+			this.#updateFactor(usualMs / this.#pool.firstMs(0), SAMPLE_WEIGHT);
+		} else if (this.#pool.hasStatements) {
+			this.#updateFactor(usualMs / this.#pool.firstMs(promptTokens + pendingPromptTokens), FIRST_SAMPLE_WEIGHT);
 		}
 
-		this.#pool.noteFirst(promptTokens + pendingPromptTokens, firstMs / this.#factor);
+		this.#pool.noteFirst(promptTokens + pendingPromptTokens, usualMs / this.#factor);
 	}
 
-	/** Updates the estimates with the duration of a complete stream. */
-	noteStream(events: number, streamMs: number): void {
-		if (events >= MIN_PACE_EVENTS) {
-			const eventMs = streamMs / (events - 1);
-			this.#updateFactor(eventMs / this.#pool.eventMs);
+	/** Updates the estimates with the duration of a stream that has just ended. */
+	noteStream(events: number, streamMs: number, now: number): void {
+		const {hasStatements} = this.#pool;
+		if (events >= (hasStatements ? MIN_STATED_PACE_EVENTS : MIN_PACE_EVENTS)) {
+			const eventMs = streamMs / this.#moment.mean(now - streamMs, now) / (events - 1);
+			const weight = hasStatements ? Math.min(1, (events - 1) / (FULL_SAMPLE_EVENTS - 1)) : 1;
+			this.#updateFactor(eventMs / this.#pool.eventMs, weight * SAMPLE_WEIGHT);
 			this.#pool.noteEvents(eventMs / this.#factor);
 		}
 	}
 
-	#updateFactor(factor: number): void {
-		this.#factor += SAMPLE_WEIGHT * (Math.min(MAX_PACE_FACTOR, factor) - this.#factor);
+	/** @returns Time that work takes if it begins now, in ms. */
+	#atMoment(usualMs: number, now: number): number {
+		return usualMs * this.#moment.mean(now, now + usualMs);
+	}
+
+	#updateFactor(factor: number, weight: number): void {
+		this.#sampleCount += weight;
+		// The first samples count fully: a new upstream that is several times slower would otherwise get too much work.
+		const earlyWeight = this.#pool.hasStatements ? weight / (this.#sampleCount + INITIAL_FACTOR_WEIGHT) : 0;
+		this.#factor += Math.max(weight, earlyWeight) * (Math.min(MAX_PACE_FACTOR, factor) - this.#factor);
 	}
 }
--- a/src/allocation/placement.ts
+++ b/src/allocation/placement.ts
@@ -16,6 +16,12 @@
 /** Weight of the total time relative to the time to the first event: a place that is held longer serves fewer requests. */
 const TOTAL_TIME_WEIGHT = 0.12;
 
+/**
+ * Factor by which the time to the first event may exceed its expectation before a request that can wait is late. Without it,
+ * three of four late streams of the simulation had been sent to slow engines, where later work delays them for longest.
+ */
+const FIRST_EVENT_MARGIN = 1.5;
+
 /** A decision to grant a place. */
 export type Grant = {
 	readonly waiting: WaitingRequest;
@@ -37,6 +43,8 @@
 	readonly candidates: readonly TrackedUpstream[];
 	/** Whether upstreams are left out at which the request would miss its objective. */
 	readonly mustBeOnTime: boolean;
+	/** Whether the request is expected to be on time if it waits for a better upstream. */
+	readonly canWait: boolean;
 	readonly now: number;
 };
 
@@ -57,7 +65,7 @@
 	}
 
 	/** @returns The placement with the lowest cost; `undefined` if no candidate may run the request. */
-	choose({waiting, candidates, mustBeOnTime, now}: PlacementQuery): Grant | undefined {
+	choose({waiting, candidates, mustBeOnTime, canWait, now}: PlacementQuery): Grant | undefined {
 		const {ask} = waiting;
 		let best: Grant | undefined;
 		let bestCost = Number.POSITIVE_INFINITY;
@@ -66,9 +74,9 @@
 				continue;
 			}
 
-			const expectedFirstMs = this.#slotWaitMs(target, ask) + target.pace.firstMs(ask.promptTokens, target.pendingPromptTokens);
+			const expectedFirstMs = this.#slotWaitMs(target, ask, now) + target.pace.firstMs(ask.promptTokens, target.pendingPromptTokens, now);
 			// A request that can be on time at some upstream waits for it, rather than taking a place where it would be late.
-			if (mustBeOnTime && now + expectedFirstMs > waiting.objectiveAt) {
+			if (mustBeOnTime && (now + expectedFirstMs > waiting.objectiveAt || (canWait && !this.#isLikelyOnTime(waiting, target, expectedFirstMs, now)))) {
 				continue;
 			}
 
@@ -82,18 +90,28 @@
 		return best;
 	}
 
+	/** @returns Whether the request is likely to be on time there, and not to make pauses too long, if the upstream slows down or gets more work. */
+	#isLikelyOnTime({ask, objectiveAt}: WaitingRequest, {pace, held}: TrackedUpstream, expectedFirstMs: number, now: number): boolean {
+		if (now + (FIRST_EVENT_MARGIN * expectedFirstMs) > objectiveAt) {
+			return false;
+		}
+
+		const interferenceMs = held.size === 0 ? 0 : pace.interferenceMs(ask.promptTokens, now);
+		return ask.maxPauseMs === 0 || interferenceMs + pace.eventMs(now) <= MAX_PREFILL_PAUSE_RATIO * ask.maxPauseMs;
+	}
+
 	/** @returns Expected time until a full engine has a free slot, in ms. */
-	#slotWaitMs({held, upstream, pace}: TrackedUpstream, ask: PlaceRequest): number {
-		return held.size < upstream.slots ? 0 : pace.factor * this.#serviceMs(ask) / upstream.slots;
+	#slotWaitMs({held, upstream, pace}: TrackedUpstream, ask: PlaceRequest, now: number): number {
+		return held.size < upstream.slots ? 0 : pace.factorAt(now) * this.#serviceMs(ask) / upstream.slots;
 	}
 
 	#cost(ask: PlaceRequest, target: TrackedUpstream, expectedFirstMs: number, now: number): number {
 		const {upstream, pace, standing, held} = target;
 		let cost = expectedFirstMs
-			+ (TOTAL_TIME_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}))
+			+ (TOTAL_TIME_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}, now))
 			+ this.#locality.costMs(ask, upstream, now)
 			+ (FAILURE_COST_MS * standing.failureRate(now));
-		if (ask.maxPauseMs > 0 && pace.interferenceMs(ask.promptTokens) + pace.eventMs > MAX_PREFILL_PAUSE_RATIO * ask.maxPauseMs) {
+		if (ask.maxPauseMs > 0 && pace.interferenceMs(ask.promptTokens, now) + pace.eventMs(now) > MAX_PREFILL_PAUSE_RATIO * ask.maxPauseMs) {
 			cost += DELAYED_STREAM_COST_MS * held.size;
 		}
 
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -9,6 +9,7 @@
 import {type PlaceRequest, type PlaceReport} from './allocation.js';
 import {Capacity} from './capacity.js';
 import {type Locality} from './locality.js';
+import {type StatedPace} from './momentary-pace.js';
 import {Pace, PoolPace} from './pace.js';
 import {type Grant, Placement} from './placement.js';
 import {type PlacementFilter} from './placement-filter.js';
@@ -37,6 +38,8 @@
 const EXPIRY_MARGIN_MS = 2000;
 /** How long the computed capacity is cached, in ms; an upstream's pace changes only over several answers. */
 const CAPACITY_TTL_MS = 25;
+/** Factor by which the expected wait and time to the first event may be exceeded before a request that was told to wait is late. */
+const WAIT_MARGIN = 3;
 /**
  * Lowest rate of requests to an upstream with a limit, per second. Only a response shows that a limit has ended, so that an
  * upstream that takes none still gets one from time to time.
@@ -170,7 +173,8 @@
 		this.#hold(held);
 	}
 
-	noteFirst(id: string, firstMs: number): void {
+	/** @param stated - The pace that the upstream stated in the head of its answer, if it did. */
+	noteFirst(id: string, firstMs: number, stated: StatedPace | undefined, now: number): void {
 		const held = this.held.get(id);
 		if (held === undefined || held.hasFirst) {
 			return;
@@ -182,7 +186,11 @@
 		}
 
 		held.hasFirst = true;
-		target?.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, firstMs);
+		if (stated !== undefined) {
+			target?.pace.noteStated(stated, now);
+		}
+
+		target?.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, firstMs, now);
 	}
 
 	/** Releases a place and updates health, pace and load from how it was used. */
@@ -195,11 +203,16 @@
 
 		this.#removeHeld(target, held.ask.id);
 		target.standing.note(report.ending, now);
+		// The first event has already brought the same statement.
+		if (report.pace !== undefined && !held.hasFirst) {
+			target.pace.noteStated(report.pace, now);
+		}
+
 		if (report.firstMs !== undefined && !held.hasFirst) {
-			target.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, report.firstMs);
+			target.pace.noteFirst(held.ask.promptTokens, held.pendingPromptTokens, report.firstMs, now);
 		}
 
-		target.pace.noteStream(report.events, report.streamMs);
+		target.pace.noteStream(report.events, report.streamMs, now);
 		if (usesReportedLoad && report.load !== undefined) {
 			target.externalLoad = Math.max(0, report.load - target.held.size);
 			target.externalLoadAt = now;
@@ -291,7 +304,7 @@
 		if (candidates.length > 0) {
 			for (const waiting of this.waiting) {
 				const grant = this.#placement.choose({
-					waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && candidates.length < this.upstreams.size, now,
+					waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && candidates.length < this.upstreams.size, canWait: this.#canWait(waiting, now), now,
 				});
 				if (grant !== undefined) {
 					return grant;
@@ -319,7 +332,7 @@
 			}
 
 			const grant = this.#placement.choose({
-				waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && candidates.length < this.upstreams.size, now,
+				waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && candidates.length < this.upstreams.size, canWait: this.#canWait(waiting, now), now,
 			});
 			if (grant !== undefined) {
 				return grant;
@@ -329,6 +342,11 @@
 		return undefined;
 	}
 
+	/** @returns Whether the request is expected to be on time if it waits for a better upstream. False unless upstreams state their pace. */
+	#canWait(waiting: WaitingRequest, now: number): boolean {
+		return this.#pace.hasStatements && now + (WAIT_MARGIN * (this.waitMs(waiting, now) + this.#pace.firstMs(waiting.ask.promptTokens))) <= waiting.objectiveAt;
+	}
+
 	#levelOf(waiting: WaitingRequest, now: number): number {
 		return (waiting.ask.rank * LEVELS_PER_RANK) + (this.#isLate(waiting, now) ? LATE_LEVEL_PENALTY : 0);
 	}
--- a/src/allocation/switched-allocation.ts
+++ b/src/allocation/switched-allocation.ts
@@ -9,6 +9,7 @@
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, type HeldPlace, type PlaceReport,
 } from './allocation.js';
 import {type CrashRecorder, type RecordedUpstream} from './crash-recorder.js';
+import {type StatedPace} from './momentary-pace.js';
 
 /** Records what this VM's own exchanges show about crashes, for the next allocator. */
 export type OwnCrashes = {
@@ -91,7 +92,7 @@
 		}
 	}
 
-	noteFirst(id: string, firstMs: number): void {
+	noteFirst(id: string, firstMs: number, stated?: StatedPace): void {
 		const entry = this.#entries.get(id);
 		if (entry !== undefined) {
 			if (this.#current?.recordsCrashes === false && entry.upstream !== undefined) {
@@ -99,7 +100,7 @@
 			}
 
 			entry.hasFirst = true;
-			this.#current?.noteFirst(id, firstMs);
+			this.#current?.noteFirst(id, firstMs, stated);
 		}
 	}
 
--- a/src/gateway/call-codec.ts
+++ b/src/gateway/call-codec.ts
@@ -82,6 +82,8 @@
 export type UpstreamLoad = {
 	readonly running: number;
 	readonly waiting: number;
+	/** How long work takes at the upstream at this moment, as a factor of the usual, if it states one. */
+	readonly pace?: number;
 };
 
 /** Decodes and encodes the HTTP headers exchanged with callers and upstreams. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -6,6 +6,7 @@
 import {
 	type Allocation, type PlaceRequest, emptyReport, type PlaceReport,
 } from '../allocation/allocation.js';
+import {type StatedPace} from '../allocation/momentary-pace.js';
 import {ByteCollector} from '../base/byte-collector.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
@@ -93,6 +94,8 @@
 	lastProgressAt: number;
 	events: number;
 	load: number | undefined;
+	/** The pace that the upstream stated, and when. */
+	pace: {readonly factor: number; readonly at: number} | undefined;
 };
 
 /** A completely received response of an upstream. */
@@ -328,7 +331,7 @@
 		}
 
 		const attempt: Attempt = {
-			askId, upstream, exchange: undefined, expectedFirstMs, sentAt: now, firstProgressAt: undefined, lastProgressAt: now, events: 0, load: undefined,
+			askId, upstream, exchange: undefined, expectedFirstMs, sentAt: now, firstProgressAt: undefined, lastProgressAt: now, events: 0, load: undefined, pace: undefined,
 		};
 		if (this.#attempt === undefined) {
 			this.#beginAttempt(attempt);
@@ -420,9 +423,10 @@
 	}
 
 	#onHead(attempt: Attempt, status: number, headers: IncomingHttpHeaders): void {
-		const {codec} = this.#context;
+		const {codec, clock} = this.#context;
 		const response = codec.decodeResponse(status, headers, this.#call.head);
 		attempt.load = response.load === undefined ? undefined : response.load.running + response.load.waiting;
+		attempt.pace = response.load?.pace === undefined ? undefined : {factor: response.load.pace, at: clock.now()};
 		applyNotices(this.#context, attempt.upstream, attempt.sentAt, response);
 		const fault = findResponseFault(status, headers, response, this.#isStreaming);
 		if (fault === undefined) {
@@ -592,6 +596,7 @@
 			streamMs: attempt.firstProgressAt === undefined ? 0 : attempt.lastProgressAt - attempt.firstProgressAt,
 			events: this.#isStreaming ? attempt.events : 0,
 			load: attempt.load,
+			...this.#statedPace(attempt),
 		};
 		this.#context.allocation.release(attempt.askId, report);
 		if (ending !== Ending.Answered) {
@@ -599,6 +604,11 @@
 		}
 	}
 
+	/** @returns The pace that the upstream stated, with its age. */
+	#statedPace({pace}: Attempt): {readonly pace?: StatedPace} {
+		return pace === undefined ? {} : {pace: {factor: pace.factor, ageMs: this.#context.clock.now() - pace.at}};
+	}
+
 	#logFailure(attempt: Attempt, ending: Ending): void {
 		const {id, promptParts} = this.#call.head;
 		this.#context.log.info('Exchange failed.', {
@@ -737,7 +747,7 @@
 		const {allocation, metrics} = this.#context;
 		const firstMs = attempt.firstProgressAt! - attempt.sentAt;
 		if (this.#call.route.operation === Operation.Stream && this.#status < FIRST_ERROR_STATUS) {
-			allocation.noteFirst(attempt.askId, firstMs);
+			allocation.noteFirst(attempt.askId, firstMs, this.#statedPace(attempt).pace);
 			metrics.timeToFirstToken.record(attempt.firstProgressAt! - this.#call.arrivedAt);
 		}
 	}
--- a/src/link/leader-client.ts
+++ b/src/link/leader-client.ts
@@ -4,6 +4,7 @@
 import {
 	Allocation, type PlaceRequest, type PlaceRequestEvents, type PlaceReport,
 } from '../allocation/allocation.js';
+import {type StatedPace} from '../allocation/momentary-pace.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {HEARTBEAT_INTERVAL_MS, LEADER_TIMEOUT_MS} from './leader-host.js';
 import {type Channel} from './link-network.js';
@@ -80,8 +81,10 @@
 		this.send({kind: 'withdraw', id: askId});
 	}
 
-	noteFirst(askId: string, firstMs: number): void {
-		this.send({kind: 'first', id: askId, ms: firstMs});
+	noteFirst(askId: string, firstMs: number, pace?: StatedPace): void {
+		this.send({
+			kind: 'first', id: askId, ms: firstMs, pace,
+		});
 	}
 
 	release(askId: string, report: PlaceReport): void {
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -207,7 +207,7 @@
 			}
 
 			case 'first': {
-				allocator.noteFirst(message.id, message.ms);
+				allocator.noteFirst(message.id, message.ms, message.pace);
 				break;
 			}
 
--- a/src/link/message-schemas.ts
+++ b/src/link/message-schemas.ts
@@ -69,8 +69,9 @@
 	fingerprint: z.string(),
 	features: texts,
 });
+const statedPace = z.object({factor: z.number().check(z.positive()), ageMs: amount});
 const placeReport = z.object({
-	ending: z.enum(Ending), firstMs: z.optional(z.number()), streamMs: z.number(), events: amount, load: z.optional(amount),
+	ending: z.enum(Ending), firstMs: z.optional(z.number()), streamMs: z.number(), events: amount, load: z.optional(amount), pace: z.optional(statedPace),
 });
 const upstream = z.object({
 	id: headerText,
@@ -149,7 +150,7 @@
 	member: z.object({member}),
 	ask: z.object({ask: placeRequest}),
 	withdraw: z.object({id: z.string()}),
-	first: z.object({id: z.string(), ms: z.number()}),
+	first: z.object({id: z.string(), ms: z.number(), pace: z.optional(statedPace)}),
 	release: z.object({id: z.string(), report: placeReport}),
 	leaving: z.object({boots: z.array(z.object({id: z.string(), startedAt: z.int()}))}),
 	departed: z.object({departures}),
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -2,6 +2,7 @@
  * Messages between VMs, which all run the same version of the program.
  */
 import {type PlaceRequest, type HeldPlace, type PlaceReport} from '../allocation/allocation.js';
+import {type StatedPace} from '../allocation/momentary-pace.js';
 import {type ErrorKind} from '../base/errors.js';
 import {type Configuration} from '../gateway/routing-table.js';
 import {type AgedLimit} from '../gateway/upstream-limits.js';
@@ -48,7 +49,8 @@
 	| {readonly kind: 'member'; readonly member: Member}
 	| {readonly kind: 'ask'; readonly ask: PlaceRequest}
 	| {readonly kind: 'withdraw'; readonly id: string}
-	| {readonly kind: 'first'; readonly id: string; readonly ms: number}
+	/** `pace`: what the upstream stated in the head of the answer. */
+	| {readonly kind: 'first'; readonly id: string; readonly ms: number; readonly pace?: StatedPace}
 	| {readonly kind: 'release'; readonly id: string; readonly report: PlaceReport}
 	/** Upstreams that announced to the VM that they are leaving. */
 	| {readonly kind: 'leaving'; readonly boots: readonly UpstreamBoot[]}
