Roll-outs: versions in force, orders and status rows, and what VMs tell each other

Any listed upstream got work, whatever its version. A filter of the allocator now restricts requests to the versions in force; the leader starts a course for each order, writes its state under its term, and tells linked VMs, which acknowledge. Standalone VMs send nothing to a candidate. Takes effect only with the roll-out settings.

--- a/src/allocation/allocation.ts
+++ b/src/allocation/allocation.ts
@@ -17,6 +17,8 @@
 	/** ID of the caller's request, for logs. */
 	readonly requestId: string;
 	readonly pool: string;
+	/** Name of the route, for statistics. */
+	readonly route?: string;
 	readonly customer: string | undefined;
 	/** Priority rank: the customer's, if it has one, combined with the route's; 0 is the most important. */
 	readonly rank: number;
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -17,6 +17,7 @@
 import {type Locality} from './locality.js';
 import {type StatedPace} from './momentary-pace.js';
 import {type PlacementFilter} from './placement-filter.js';
+import {type PlacementObserver} from './placement-observer.js';
 import {Pool} from './pool.js';
 import {type RetryBounds} from './pool-retry-budget.js';
 import {Quotas, type QuotaTolerance} from './quotas.js';
@@ -65,6 +66,8 @@
 	/** Rules that restrict which upstreams a request may use. */
 	readonly filters?: readonly PlacementFilter[];
 	readonly locality?: Locality;
+	/** Follows grants and their ends. */
+	readonly observer?: PlacementObserver;
 };
 
 /** A decision on a place request, for logs and metrics. */
@@ -136,6 +139,11 @@
 		return this.#poolByRequest.size - this.waitingCount;
 	}
 
+	/** Whether it grants the whole of what all VMs share, as no other allocator is known or likely. */
+	get decidesForAll(): boolean {
+		return this.#scope.share === 1 && !this.#scope.isStandalone;
+	}
+
 	/** The pace factor of each upstream, for a successor. */
 	get paces(): ReadonlyMap<string, number> {
 		const paces = new Map<string, number>();
@@ -148,6 +156,22 @@
 		return paces;
 	}
 
+	/** @returns The upstreams of a pool. */
+	upstreamsOf(pool: string): ReadonlyMap<string, TrackedUpstream> {
+		return this.#pools.get(pool)?.upstreams ?? new Map<string, TrackedUpstream>();
+	}
+
+	/** @returns The places that are held in a pool. */
+	placesOf(pool: string): ReadonlyMap<string, HeldRequest> {
+		return this.#pools.get(pool)?.held ?? new Map<string, HeldRequest>();
+	}
+
+	/** @returns Time until the deadline of a request that holds a place, in ms; 0 if it holds none. */
+	remainingMs(id: string): number {
+		const held = this.#poolByRequest.get(id)?.held.get(id);
+		return held === undefined ? 0 : Math.max(0, held.grantedAt + held.ask.remainingMs - this.#options.clock.now());
+	}
+
 	/** Restores pace factors estimated by another allocator. */
 	restorePaces(paces: Iterable<readonly [upstreamId: string, factor: number]>): void {
 		for (const [id, factor] of paces) {
@@ -305,6 +329,7 @@
 		this.#poolByRequest.delete(id);
 		const now = this.#options.clock.now();
 		this.#crashRecorder.noteEnding(held.ask, recordedUpstream(pool, held), report.ending, report.streamMs);
+		this.#options.observer?.noteRelease({askId: id, report, ...pool.expectedTimes(held)}, now);
 		pool.release(held, report, now, this.#scope.isStandalone);
 		if (report.ending !== Ending.Answered) {
 			this.#callerRetries.note(held.ask.fingerprint, held, now);
@@ -386,6 +411,7 @@
 		const held: HeldRequest = {
 			ask, upstreamId: target.upstream.id, upstreamStartedAt: target.upstream.startedAt, grantedAt: now, objectiveAt, callerLeavesAt, pendingPromptTokens: target.pendingPromptTokens, hasFirst: false,
 		};
+		this.#options.observer?.noteGrant(ask, target, now);
 		pool.grant(held);
 		this.quarantine.beginTrial(ask.features, now);
 		this.#poolByRequest.set(ask.id, pool);
--- a/src/allocation/placement-filter.ts
+++ b/src/allocation/placement-filter.ts
@@ -6,6 +6,21 @@
 
 /** Restricts the upstreams that a request may use. */
 export abstract class PlacementFilter {
+	/** @returns Whether ordinary requests may use the upstream; others are no capacity, and get only the requests that `accepts` selects. */
+	isOpen(_target: TrackedUpstream): boolean {
+		return true;
+	}
+
+	/** @returns Whether a request may wait for the upstream, because it may use it now or is expected to soon. */
+	isAwaitable(_target: TrackedUpstream): boolean {
+		return true;
+	}
+
+	/** @returns Extra cost of the upstream for a request that it accepts, in ms; negative to prefer it. */
+	costMs(_ask: PlaceRequest, _target: TrackedUpstream, _now: number): number {
+		return 0;
+	}
+
 	/** @returns Whether the upstream may run the request now, apart from its room and health. */
 	abstract accepts(ask: PlaceRequest, target: TrackedUpstream, now: number): boolean;
 }
--- a/src/allocation/placement.ts
+++ b/src/allocation/placement.ts
@@ -111,6 +111,10 @@
 			+ (TOTAL_TIME_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}, now))
 			+ this.#locality.costMs(ask, upstream, now)
 			+ (FAILURE_COST_MS * standing.failureRate(now));
+		for (const filter of this.#filters) {
+			cost += filter.costMs(ask, target, now);
+		}
+
 		if (ask.maxPauseMs > 0 && pace.interferenceMs(ask.promptTokens, now) + pace.eventMs(now) > MAX_PREFILL_PAUSE_RATIO * ask.maxPauseMs) {
 			cost += DELAYED_STREAM_COST_MS * held.size;
 		}
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -36,6 +36,11 @@
 const OVERCOMMITTED_PLACES = 1;
 /** Delay after a request's deadline before its place is reclaimed, in ms; longer than any VM waits for an answer. */
 const EXPIRY_MARGIN_MS = 2000;
+/**
+ * Waiting requests that are tried while only upstreams have room that are not open to all of them; a longer scan would delay
+ * each grant in a load spike, and a later one finds other requests at the head of the queue.
+ */
+const MAX_RESTRICTED_SCAN = 16;
 /** How long the computed capacity is cached, in ms; an upstream's pace changes only over several answers. */
 const CAPACITY_TTL_MS = 25;
 /** Factor by which the expected wait and time to the first event may be exceeded before a request that was told to wait is late. */
@@ -74,18 +79,20 @@
 	readonly #random: Random;
 	readonly #limits: UpstreamLimits;
 	readonly #placement: Placement;
+	readonly #filters: readonly PlacementFilter[];
 	#scope: Scope;
 	#pace: PoolPace;
 	#capacity = Capacity.create([]);
 	#capacityAt = Number.NEGATIVE_INFINITY;
 
 	private constructor({
-		name, settings, repeatBounds, limits, random, scope, filters, locality,
+		name, settings, repeatBounds, limits, random, scope, filters = [], locality,
 	}: PoolOptions) {
 		this.name = name;
 		this.#random = random;
 		this.#limits = limits;
 		this.#scope = scope;
+		this.#filters = filters;
 		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters, locality});
 		this.waiting = WaitingQueue.create({
 			levelOf: (waiting, now) => this.#levelOf(waiting, now),
@@ -219,6 +226,11 @@
 		}
 	}
 
+	/** @returns What a place at an upstream of average pace is expected to take, in ms. */
+	expectedTimes({ask, pendingPromptTokens}: HeldRequest): {readonly expectedFirstMs: number; readonly expectedEventMs: number} {
+		return {expectedFirstMs: this.#pace.firstMs(ask.promptTokens + pendingPromptTokens), expectedEventMs: this.#pace.eventMs};
+	}
+
 	/** @returns Requests that are past their deadline by a margin, but whose VM did not release the place. */
 	expiredRequests(now: number): HeldRequest[] {
 		return [...this.held.values()].filter(({ask, grantedAt}) => now > grantedAt + ask.remainingMs + EXPIRY_MARGIN_MS);
@@ -226,8 +238,8 @@
 
 	/** @returns Whether any upstream may run the request, now or later. */
 	hasUsableUpstream(excluded: readonly string[]): boolean {
-		for (const {upstream} of this.upstreams.values()) {
-			if (!upstream.isLeaving && !excluded.includes(upstream.id)) {
+		for (const target of this.upstreams.values()) {
+			if (!target.upstream.isLeaving && !excluded.includes(target.upstream.id) && this.#filters.every(filter => filter.isAwaitable(target))) {
 				return true;
 			}
 		}
@@ -238,7 +250,7 @@
 	/** @returns Whether any upstream has a free place. */
 	hasFreePlace(now: number): boolean {
 		for (const target of this.#withFreeSlots) {
-			if (this.#canAccept(target, now, 0)) {
+			if (this.#isOpen(target) && this.#canAccept(target, now, 0)) {
 				return true;
 			}
 		}
@@ -301,17 +313,26 @@
 		}
 
 		const candidates = [...this.#withFreeSlots].filter(target => this.#canAccept(target, now, 0));
+		const open = this.#openAmong(candidates);
 		if (candidates.length > 0) {
+			const isAnyBusy = open.length < this.#openCount;
+			let restrictedScans = 0;
 			for (const waiting of this.waiting) {
+				if (open.length === 0 && ++restrictedScans > MAX_RESTRICTED_SCAN) {
+					break;
+				}
+
 				const grant = this.#placement.choose({
-					waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && candidates.length < this.upstreams.size, canWait: this.#canWait(waiting, now), now,
+					waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && isAnyBusy, canWait: this.#canWait(waiting, now), now,
 				});
 				if (grant !== undefined) {
 					return grant;
 				}
 			}
 
-			return undefined;
+			if (open.length > 0) {
+				return undefined;
+			}
 		}
 
 		return this.#pace.isEngine ? this.#nextOvercommitted(now) : undefined;
@@ -326,13 +347,13 @@
 				continue;
 			}
 
-			candidates ??= [...this.upstreams.values()].filter(target => this.#canAccept(target, now, OVERCOMMITTED_PLACES));
+			candidates ??= [...this.upstreams.values()].filter(target => this.#isOpen(target) && this.#canAccept(target, now, OVERCOMMITTED_PLACES));
 			if (candidates.length === 0) {
 				return undefined;
 			}
 
 			const grant = this.#placement.choose({
-				waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && candidates.length < this.upstreams.size, canWait: this.#canWait(waiting, now), now,
+				waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && candidates.length < this.#openCount, canWait: this.#canWait(waiting, now), now,
 			});
 			if (grant !== undefined) {
 				return grant;
@@ -347,6 +368,19 @@
 		return this.#pace.hasStatements && now + (WAIT_MARGIN * (this.waitMs(waiting, now) + this.#pace.firstMs(waiting.ask.promptTokens))) <= waiting.objectiveAt;
 	}
 
+	/** Number of upstreams that ordinary requests may use. */
+	get #openCount(): number {
+		return this.#filters.length === 0 ? this.upstreams.size : this.#openAmong([...this.upstreams.values()]).length;
+	}
+
+	#openAmong(targets: readonly TrackedUpstream[]): readonly TrackedUpstream[] {
+		return this.#filters.length === 0 ? targets : targets.filter(target => this.#isOpen(target));
+	}
+
+	#isOpen(target: TrackedUpstream): boolean {
+		return this.#filters.every(filter => filter.isOpen(target));
+	}
+
 	#levelOf(waiting: WaitingRequest, now: number): number {
 		return (waiting.ask.rank * LEVELS_PER_RANK) + (this.#isLate(waiting, now) ? LATE_LEVEL_PENALTY : 0);
 	}
@@ -359,7 +393,7 @@
 	#currentCapacity(now: number): Capacity {
 		if (now - this.#capacityAt >= CAPACITY_TTL_MS) {
 			this.#capacityAt = now;
-			const usable = [...this.upstreams.values()].filter(({upstream, standing}) => !upstream.isLeaving && !standing.isEjected(now));
+			const usable = [...this.upstreams.values()].filter(target => !target.upstream.isLeaving && !target.standing.isEjected(now) && this.#isOpen(target));
 			this.#capacity = Capacity.create(usable.map(target => {
 				const rate = this.#startRate(target);
 				return {slots: target.upstream.slots / target.pace.factor, startsPerSecond: rate?.perSecond, startDelayMs: target.pacer.delayMs(rate, now)};
--- a/src/base/log.ts
+++ b/src/base/log.ts
@@ -25,6 +25,7 @@
 	Allocation: 'allocation',
 	Link: 'link',
 	Platform: 'platform',
+	Rollout: 'rollout',
 } as const;
 
 export type LogPrefix = (typeof LogPrefix)[keyof typeof LogPrefix];
--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -136,6 +136,9 @@
 	readonly #upstreamNotices: Counter<'notice'>;
 	readonly #quarantines: Counter;
 	readonly #unhandledErrors: Counter;
+	readonly #rolloutRequests: Counter<'version'>;
+	readonly #rolloutFailures: Counter<'version'>;
+	readonly #rollouts: Gauge<'phase'>;
 
 	private constructor() {
 		this.#requests = new Counter({
@@ -159,6 +162,15 @@
 		this.#unhandledErrors = new Counter({
 			name: 'redwingspool_unhandled_errors_total', help: 'Errors that no handler caught.', registers: [this.registry],
 		});
+		this.#rolloutRequests = new Counter({
+			name: 'redwingspool_rollout_requests_total', help: 'Places granted during roll-outs, by version: base or candidate.', labelNames: ['version'], registers: [this.registry],
+		});
+		this.#rolloutFailures = new Counter({
+			name: 'redwingspool_rollout_failures_total', help: 'Exchanges that failed during roll-outs, by version: base or candidate.', labelNames: ['version'], registers: [this.registry],
+		});
+		this.#rollouts = new Gauge({
+			name: 'redwingspool_rollouts', help: 'Pools by the phase of their latest roll-out.', labelNames: ['phase'], registers: [this.registry],
+		});
 		this.#registerGauge('redwingspool_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
 		this.#registerGauge('redwingspool_open_descriptors', 'Open file descriptors of the process; 0 where the system does not list them.', countOpenDescriptors);
 	}
@@ -173,6 +185,26 @@
 		this.#quarantines.inc();
 	}
 
+	/** Counts a place that was granted during a roll-out. */
+	countRolloutRequest(isCandidate: boolean): void {
+		this.#rolloutRequests.inc({version: isCandidate ? 'candidate' : 'base'});
+	}
+
+	/** Counts an exchange that failed during a roll-out. */
+	countRolloutFailure(isCandidate: boolean): void {
+		this.#rolloutFailures.inc({version: isCandidate ? 'candidate' : 'base'});
+	}
+
+	/** @param phases - Phase of the latest roll-out of each pool; `undefined` if there was none. */
+	setRollouts(phases: ReadonlyArray<string | undefined>): void {
+		this.#rollouts.reset();
+		for (const phase of phases) {
+			if (phase !== undefined) {
+				this.#rollouts.inc({phase});
+			}
+		}
+	}
+
 	/** Registers metrics whose values are kept by other components. */
 	registerSources(sources: MetricSources): void {
 		const registers = [this.registry];
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -248,6 +248,7 @@
 			id: askId,
 			requestId: head.id,
 			pool,
+			route: route.name,
 			customer,
 			rank,
 			operation: route.operation,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,6 +20,8 @@
 import {TcpNetwork} from '../link/tcp-network.js';
 import {type Suspicion} from '../policy/suspicion.js';
 import {type RolloutBounds} from '../rollout/rollout-bounds.js';
+import {type RolloutRegister} from '../rollout/rollout-register.js';
+import {Rollouts} from '../rollout/rollouts.js';
 import {type CallCodec} from './call-codec.js';
 import {DeploymentState} from './deployment-state.js';
 import {FrontServer} from './front-server.js';
@@ -49,7 +51,7 @@
 	/** Whether customers share scarce room, and the memory of upstreams is accounted for. */
 	readonly isUnderPressure?: boolean;
 	/** Bounds of roll-outs; without them, versions of upstreams are not distinguished. */
-	readonly rollout?: RolloutBounds;
+	readonly rollout?: RolloutBounds & {readonly register: RolloutRegister};
 	/** Memory at which the process is ended, in bytes, if it is limited. */
 	readonly memoryBytes?: number;
 	/** Number of descriptors that the process may have open, if it is limited. */
@@ -69,6 +71,8 @@
 
 	readonly state: DeploymentState;
 	readonly coordinator: Coordinator;
+	/** Roll-outs of versions; `undefined` if versions are not distinguished. */
+	readonly rollouts: Rollouts | undefined;
 	readonly #options: GatewayOptions;
 	readonly #front: FrontServer;
 	readonly #allocator: Allocator;
@@ -94,8 +98,19 @@
 			clock, log: log.part(LogPrefix.Gateway), metrics, invariants,
 		});
 		this.state = DeploymentState.create(log.part(LogPrefix.Config));
+		this.rollouts = options.rollout && Rollouts.create({
+			clock, log: log.part(LogPrefix.Rollout), metrics, bounds: options.rollout, register: options.rollout.register, allocator: () => this.#allocator,
+		});
 		this.#allocator = Allocator.create({
-			clock, random, nodeId: self.boot, repeatBounds, quotaTolerance, limits: this.state.limits, isUnderPressure: options.isUnderPressure,
+			clock,
+			random,
+			nodeId: self.boot,
+			repeatBounds,
+			quotaTolerance,
+			limits: this.state.limits,
+			isUnderPressure: options.isUnderPressure,
+			filters: this.rollouts === undefined ? [] : [this.rollouts.gate],
+			observer: this.rollouts?.samples,
 		});
 		this.#allocator.onDecision = decision => {
 			this.#logDecision(decision);
@@ -115,6 +130,7 @@
 				this.#publishReadiness();
 			},
 			onUpstreams: changes => {
+				this.rollouts?.setUpstreams(this.state.upstreams.all);
 				this.#allocator.setUpstreams(changes);
 				allocation.noteGone(changes.removed);
 				this.#publishReadiness();
@@ -151,6 +167,7 @@
 			self,
 			seeds: options.seeds,
 			reachesStore: options.reachesStore,
+			rollouts: this.rollouts,
 			onVersion: options.onVersion,
 			onWatchNeeded: options.onWatchNeeded,
 		});
--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -13,6 +13,7 @@
 import {type Log, type LogFields} from '../base/log.js';
 import {type Random} from '../base/random.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
+import {type Rollouts} from '../rollout/rollouts.js';
 import {tellLeader, tellVm} from './known-state.js';
 import {LeaderClient} from './leader-client.js';
 import {LeaderHost} from './leader-host.js';
@@ -55,6 +56,8 @@
 	readonly seeds: readonly string[];
 	/** Whether this process has reached the store recently. */
 	readonly reachesStore: () => boolean;
+	/** Roll-outs of versions; `undefined` if versions are not distinguished. */
+	readonly rollouts?: Rollouts;
 	/** The leader announced a configuration version that is too large to send over a link; it must be read from the store. */
 	readonly onVersion: (version: number) => void;
 	/** This process must start watching the store itself, or may stop. */
@@ -106,7 +109,14 @@
 			allocator: options.allocator,
 			self: () => this.#self,
 			reachesStore: options.reachesStore,
+			rollouts: options.rollouts,
 		});
+		if (options.rollouts !== undefined) {
+			options.rollouts.onPublish = message => {
+				this.#host.publishRollouts(message);
+			};
+		}
+
 		this.#peers = PeerCalls.create(options.clock, options.network);
 		this.#election = LeaderElection.create({
 			clock: options.clock,
@@ -214,6 +224,7 @@
 		this.#startupTimer?.cancel();
 		this.#client?.close();
 		this.#host.stop();
+		this.#options.rollouts?.stop();
 		this.#options.network.stop();
 	}
 
@@ -299,6 +310,7 @@
 		this.#election.scheduleSearch(searchDelayMs);
 		// The timers are set first, so that an error in what waits for an allocator does not leave this VM alone.
 		this.#closeClient();
+		this.#options.rollouts?.beginFollowing(false);
 		allocator.restart(standaloneScope(this.#election.vmCount));
 		allocator.adopt(allocation.places);
 		this.#allocateAlone();
@@ -312,6 +324,7 @@
 		this.#election.reset();
 		this.#hasStartedAllocating = true;
 		// Even if no leader was recorded, one may have been before the store went back.
+		this.#options.rollouts?.beginLeading(leader, this.#options.state.members.map(({name}) => name).filter(name => name !== this.#self.name));
 		allocator.restart(globalScope(false));
 		allocator.adopt(allocation.places);
 		allocation.use(allocator);
@@ -336,12 +349,13 @@
 			this.#leader = leader;
 			this.#options.log.warn('Recorded again as the allocator.', termFields(leader));
 			this.#host.renew(leader);
+			this.#options.rollouts?.renew(leader);
 		}
 	}
 
 	#becomeLinked(client: LeaderClient, leader: Leader): void {
 		const {
-			clock, state, allocator, allocation, log, onWatchNeeded,
+			clock, state, allocator, allocation, log, onWatchNeeded, rollouts,
 		} = this.#options;
 		this.#client = client;
 		this.#role = Role.Linked;
@@ -355,7 +369,8 @@
 		state.upstreams.departed.beginEra(leader.term.era);
 		tellLeader(message => {
 			client.send(message);
-		}, clock, state, allocator);
+		}, clock, state, allocator, rollouts);
+		rollouts?.beginFollowing(true);
 		client.send({kind: 'places', places: allocation.places});
 		allocation.use(client);
 		onWatchNeeded(false);
@@ -399,7 +414,7 @@
 					this.#host.receive(channel, message);
 				} else {
 					if (message.kind === 'hello') {
-						tellVm(channel, this.#options.clock, this.#options.state, message.configurationVersion);
+						tellVm(channel, this.#options.clock, this.#options.state, message.configurationVersion, this.#options.rollouts);
 					}
 
 					channel.send({kind: 'not-leader', leader: this.#leader});
@@ -507,7 +522,7 @@
 
 	#handleMessage(message: FromLeader): void {
 		const {
-			clock, state, allocator, log, onVersion,
+			clock, state, allocator, log, onVersion, rollouts,
 		} = this.#options;
 		switch (message.kind) {
 			case 'upstreams': {
@@ -535,6 +550,12 @@
 				break;
 			}
 
+			case 'rollouts': {
+				rollouts?.merge(message.rollouts);
+				this.#client?.send({kind: 'rollouts-known', revision: message.revision});
+				break;
+			}
+
 			case 'members': {
 				if (message.isWhole) {
 					state.setMembers(message.changed);
--- a/src/link/known-state.ts
+++ b/src/link/known-state.ts
@@ -4,12 +4,13 @@
 import {type Allocator} from '../allocation/allocator.js';
 import {type Clock} from '../base/clock.js';
 import {type DeploymentState} from '../gateway/deployment-state.js';
+import {type Rollouts} from '../rollout/rollouts.js';
 import {MAX_SUSPICIONS} from './leader-host.js';
 import {type Channel} from './link-network.js';
 import {type FromLeader, type FromPeer, type ToLeader} from './messages.js';
 
 /** Tells a leader what the registry and its predecessor do not tell: upstreams that leave or left, limits and suspicions. */
-export function tellLeader(send: (message: ToLeader) => void, clock: Clock, state: DeploymentState, {quarantine}: Allocator): void {
+export function tellLeader(send: (message: ToLeader) => void, clock: Clock, state: DeploymentState, {quarantine}: Allocator, rollouts?: Rollouts): void {
 	const {leaving, departed} = state.upstreams;
 	if (leaving.length > 0) {
 		send({kind: 'leaving', boots: leaving});
@@ -28,6 +29,10 @@
 	if (suspicions.length > 0) {
 		send({kind: 'suspicions', suspicions: suspicions.slice(0, MAX_SUSPICIONS)});
 	}
+
+	if (rollouts !== undefined) {
+		send({kind: 'rollouts', rollouts: rollouts.message.rollouts});
+	}
 }
 
 /**
@@ -36,7 +41,11 @@
  *
  * @param configurationVersion - Version in force at the receiver; 0 if it has none.
  */
-export function tellVm(channel: Channel<FromLeader | FromPeer>, clock: Clock, {table, upstreams, limits}: DeploymentState, configurationVersion: number): void {
+export function tellVm(channel: Channel<FromLeader | FromPeer>, clock: Clock, {table, upstreams, limits}: DeploymentState, configurationVersion: number, rollouts?: Rollouts): void {
+	if (rollouts !== undefined) {
+		channel.send(rollouts.message);
+	}
+
 	if (table === undefined || table.version <= configurationVersion) {
 		return;
 	}
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -13,6 +13,7 @@
 import {Ending} from '../gateway/exchange-ending.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
 import {type Suspicion} from '../policy/suspicion.js';
+import {type Rollouts, type RolloutsMessage} from '../rollout/rollouts.js';
 import {type Channel, encodeLine} from './link-network.js';
 import {
 	type FromLeader, type Leader, type Member, type ToLeader,
@@ -57,6 +58,8 @@
 	readonly allocator: Allocator;
 	readonly self: () => Member;
 	readonly reachesStore: () => boolean;
+	/** Roll-outs of versions; `undefined` if versions are not distinguished. */
+	readonly rollouts?: Rollouts;
 };
 
 type Link = {
@@ -143,7 +146,7 @@
 	/** Adds the link of a VM that sent a hello. */
 	add(channel: Channel<FromLeader>, hello: Extract<ToLeader, {kind: 'hello'}>): void {
 		const {
-			clock, state, allocator, log,
+			clock, state, allocator, log, rollouts,
 		} = this.#options;
 		const now = clock.now();
 		const before = [...this.#links.values()].findLast(({member}) => member.name === hello.member.name);
@@ -174,6 +177,11 @@
 			this.#send(link, {kind: 'suspicions', suspicions: suspicions.slice(0, MAX_SUSPICIONS)});
 		}
 
+		if (rollouts !== undefined) {
+			rollouts.informed.noteLinked(hello.member.name);
+			this.#send(link, rollouts.message);
+		}
+
 		this.#sendConfiguration([link]);
 		this.#requestLaterConfiguration();
 		this.publishMembers();
@@ -185,7 +193,7 @@
 			return;
 		}
 
-		const {allocator, clock, state} = this.#options;
+		const {allocator, clock, state, rollouts} = this.#options;
 		link.lastReceivedAt = clock.now();
 		switch (message.kind) {
 			case 'ask': {
@@ -247,6 +255,16 @@
 				break;
 			}
 
+			case 'rollouts': {
+				rollouts?.merge(message.rollouts);
+				break;
+			}
+
+			case 'rollouts-known': {
+				rollouts?.informed.noteAcknowledged(link.member.name, message.revision);
+				break;
+			}
+
 			case 'need-configuration': {
 				if (state.table !== undefined) {
 					this.#send(link, {kind: 'configuration', configuration: state.table.configuration});
@@ -276,8 +294,14 @@
 			return;
 		}
 
-		const {log} = this.#options;
+		const {
+			log, rollouts, allocator, clock,
+		} = this.#options;
 		this.#links.delete(channel);
+		if ([...this.#links.values()].every(({member}) => member.name !== link.member.name)) {
+			rollouts?.informed.noteLost(link.member.name, Math.max(0, ...[...link.askIds].map(id => allocator.remainingMs(id))), clock.now());
+		}
+
 		log.warn('Link to a VM lost.', {vm: link.member.name, places: link.askIds.size});
 		for (const id of link.askIds) {
 			this.#cancelAsk(link, id);
@@ -291,6 +315,10 @@
 		this.publishMembers();
 	}
 
+	publishRollouts(message: RolloutsMessage): void {
+		this.#broadcast(message, [...this.#links.values()]);
+	}
+
 	publishDepartures(departures: readonly Departure[]): void {
 		this.#broadcast({kind: 'departed', departures}, [...this.#links.values()]);
 	}
--- a/src/link/message-schemas.ts
+++ b/src/link/message-schemas.ts
@@ -10,6 +10,7 @@
 import {describeIssues} from '../base/parse-json.js';
 import {Ending} from '../gateway/exchange-ending.js';
 import {Operation} from '../gateway/routing-table.js';
+import {RolloutPhase} from '../rollout/rollout-course.js';
 import {
 	type FromLeader, type FromPeer, type ToLeader, type ToPeer,
 } from './messages.js';
@@ -48,6 +49,7 @@
 	id: z.string(),
 	requestId: z.string(),
 	pool: z.string(),
+	route: z.optional(z.string()),
 	customer: z.optional(z.string()),
 	rank: z.number(),
 	operation: z.enum(Operation),
@@ -99,6 +101,21 @@
 	quarantinedMs: z.number(),
 	remainingMs: z.number(),
 }));
+const rollouts = z.array(z.object({
+	pool: z.string(),
+	known: texts,
+	record: z.optional(z.object({
+		pool: z.string(),
+		orderedAt: z.object({era: count, version: count}),
+		to: z.string(),
+		periodMs: amount,
+		phase: z.enum(RolloutPhase),
+		reason: z.string(),
+		base: texts,
+		rejected: texts,
+		ageMs: amount,
+	})),
+}));
 const configuration = z.object({
 	version: count,
 	routes: z.array(z.object({
@@ -156,6 +173,8 @@
 	departed: z.object({departures}),
 	limits: z.object({limits}),
 	suspicions: z.object({suspicions}),
+	rollouts: z.object({rollouts}),
+	'rollouts-known': z.object({revision: count}),
 	'need-configuration': empty,
 	configuration: z.object({configuration}),
 	beat: empty,
@@ -171,6 +190,7 @@
 	departed: z.object({departures}),
 	limits: z.object({limits}),
 	suspicions: z.object({suspicions}),
+	rollouts: z.object({revision: count, rollouts}),
 	members: z.object({isWhole: z.boolean(), changed: z.array(member), removed: texts}),
 	renewed: z.object({leader}),
 	'take-over': empty,
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -9,6 +9,7 @@
 import {type Departure} from '../gateway/departed-upstreams.js';
 import {type UpstreamBoot} from '../gateway/upstream-boot.js';
 import {type Upstream} from '../gateway/upstream-list.js';
+import {type PoolVersions} from '../rollout/rollout-record.js';
 import {type Suspicion} from '../policy/suspicion.js';
 import {type StoreVersion} from './store-version.js';
 
@@ -60,6 +61,10 @@
 	| {readonly kind: 'limits'; readonly limits: readonly AgedLimit[]}
 	/** What the VM knows of features of requests that crash upstreams; sent after the welcome, and when an operator lifts a quarantine there. */
 	| {readonly kind: 'suspicions'; readonly suspicions: readonly Suspicion[]}
+	/** What the VM knows of roll-outs; sent after the welcome. */
+	| {readonly kind: 'rollouts'; readonly rollouts: readonly PoolVersions[]}
+	/** The VM acts on the state of the roll-outs with this number. */
+	| {readonly kind: 'rollouts-known'; readonly revision: number}
 	/** The VM cannot read the configuration from the store. */
 	| {readonly kind: 'need-configuration'}
 	/** The configuration in force at the VM, which the leader has asked for. */
@@ -81,6 +86,8 @@
 	| {readonly kind: 'limits'; readonly limits: readonly AgedLimit[]}
 	/** Features that were in several crashes or are quarantined, and those that are cleared; to a VM that has just linked, all of them. */
 	| {readonly kind: 'suspicions'; readonly suspicions: readonly Suspicion[]}
+	/** The versions in force of all pools, and their roll-outs; `revision` rises with each change under one leader. */
+	| {readonly kind: 'rollouts'; readonly revision: number; readonly rollouts: readonly PoolVersions[]}
 	/** VMs that joined or changed, and names of those that left; `isWhole` replaces the list. */
 	| {readonly kind: 'members'; readonly isWhole: boolean; readonly changed: readonly Member[]; readonly removed: readonly string[]}
 	/** The leader was recorded again, since the store had gone back; the link stays. */
