--- a/src/rollout/pool-rollout.ts
+++ b/src/rollout/pool-rollout.ts
@@ -8,7 +8,9 @@
 import {type KnownPool, type PoolKnowledge} from './pool-knowledge.js';
 import {RecordWriter} from './record-writer.js';
 import {type RolloutBounds} from './rollout-bounds.js';
-import {RolloutCourse, RolloutPhase, type RolloutSnapshot} from './rollout-course.js';
+import {
+	CANARY_UPSTREAMS, RolloutCourse, RolloutPhase, type RolloutSnapshot,
+} from './rollout-course.js';
 import {
 	baseVersions, isFinal, isPending, type ReadOrder, rejectedBefore, type RolloutRecord, type StoredRollout,
 } from './rollout-record.js';
@@ -21,10 +23,6 @@
 const CHECKPOINT_MS = 2000;
 /** Age of the last write at which the canary gets nothing more, in ms, since a successor would not know of it. */
 const MAX_UNSAVED_MS = 5000;
-/** Fewest candidate upstreams in the canary: the evidence from one upstream is not enough for a verdict. */
-const MIN_CANARY_UPSTREAMS = 3;
-/** Part of the exposed share that the canary uses. */
-const WORKING_SHARE = 0.5;
 
 /** The allocator, as far as roll-outs depend on it. */
 export type RolloutAllocator = {
@@ -98,7 +96,7 @@
 
 	/** The canary, while there is one. */
 	get canary(): Canary | undefined {
-		const {clock, allocator, bounds, pool: {record, name}} = this.#options;
+		const {clock, allocator, pool: {record, name}} = this.#options;
 		const course = this.#course;
 		if (course === undefined || record?.phase !== RolloutPhase.Canary) {
 			return undefined;
@@ -107,10 +105,9 @@
 		const upstreams = [...allocator().upstreamsOf(name).values()].filter(({upstream}) => !upstream.isLeaving);
 		const isCandidate = (version: string | undefined) => (version ?? NO_VERSION) === record.to;
 		const candidates = upstreams.filter(({upstream}) => isCandidate(upstream.version)).map(({upstream}) => upstream.id).toSorted();
-		const count = Math.max(MIN_CANARY_UPSTREAMS, Math.ceil(WORKING_SHARE * bounds.exposedShare * (upstreams.length - candidates.length)));
 		return {
 			course,
-			upstreamIds: new Set(candidates.slice(0, count)),
+			upstreamIds: new Set(candidates.slice(0, CANARY_UPSTREAMS)),
 			isAllowed: () => allocator().decidesForAll && this.#writer.isWritten(record) && clock.now() - this.#writer.writtenAt <= MAX_UNSAVED_MS,
 		};
 	}
--- a/src/rollout/record-writer.ts
+++ b/src/rollout/record-writer.ts
@@ -120,7 +120,10 @@
 			return;
 		}
 
-		this.reset();
+		if (written.isOk) {
+			this.reset();
+		}
+
 		this.#delay();
 		log.warn('State of a roll-out not written; trying again.', {pool, phase: stored.phase, err: written.isErr ? written.error.detail : 'rows or leader changed'});
 	}
--- a/src/rollout/version-rules.ts
+++ b/src/rollout/version-rules.ts
@@ -37,17 +37,24 @@
 export function versionRules(facts: PoolFacts): Map<string, VersionRule> {
 	const {listed} = facts;
 	const rules = new Map([...listed.keys()].map(version => [version, ruleOf(version, facts)]));
-	const opens = (rule: VersionRule) => [...rules.values()].includes(rule);
-	if (!opens(VersionRule.Open)) {
+	if (hasNoBase(facts)) {
+		openAll(rules, VersionRule.Canary);
+	}
+
+	// Requests are not refused for a version that nobody ordered, if there is no other.
+	openAll(rules, VersionRule.Held);
+	return rules;
+}
+
+/** Opens the versions with a rule, if none is open yet. */
+function openAll(rules: Map<string, VersionRule>, closed: VersionRule): void {
+	if (![...rules.values()].includes(VersionRule.Open)) {
 		for (const [version, rule] of rules) {
-			// Requests are not refused for a version that nobody ordered, if there is no other.
-			if (rule === VersionRule.Held || (rule === VersionRule.Canary && hasNoBase(facts))) {
+			if (rule === closed) {
 				rules.set(version, VersionRule.Open);
 			}
 		}
 	}
-
-	return rules;
 }
 
 /** @returns The version that was listed first, of those that no order is known to have brought: at a first start, the one in force. */
--- /dev/null
+++ b/test/rollout/rollouts.test.ts
@@ -0,0 +1,210 @@
+import {expect} from 'chai';
+import {VirtualClock} from '../../src/base/virtual-clock.js';
+import {RolloutPhase} from '../../src/rollout/rollout-course.js';
+import {
+	answers, createUpstreams, failsAt, MemoryRows, RolloutVm,
+} from '../support/rollout-vm.js';
+
+const base = createUpstreams('v1', 6);
+const candidates = createUpstreams('v2', 6);
+
+describe('roll-outs', () => {
+	let clock: VirtualClock;
+	let rows: MemoryRows;
+	let vm: RolloutVm;
+
+	beforeEach(() => {
+		clock = VirtualClock.create();
+		rows = new MemoryRows();
+		vm = RolloutVm.create(clock, rows);
+		vm.list(...base);
+		vm.lead(rows.leader);
+	});
+
+	async function order(to: string, periodMs?: number): Promise<void> {
+		vm.rollouts.setOrders([rows.putOrder(to, periodMs)], false, rows.era);
+		await clock.advanceAsync(0);
+	}
+
+	// Guards against work for upstreams of a version whose order has not been read yet: 2 s at most.
+	it('hold a version that nobody ordered for 2 s, and then use it', async () => {
+		vm.list(...base, ...candidates);
+		await vm.run(1900);
+		expect(vm.takeGranted('v2')).to.equal(0);
+		await vm.run(1000);
+		expect(vm.takeGranted('v2')).to.be.above(0);
+		expect(vm.refused).to.equal(0);
+	});
+
+	// Guards against a switch that is never made, or told as completed while old upstreams are in use.
+	it('complete a good version within its period, and use only it from then on', async () => {
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(5500);
+		expect(rows.phases).to.deep.equal([RolloutPhase.Canary]);
+		await vm.run(5500);
+		expect(rows.phases).to.deep.equal([RolloutPhase.Canary, RolloutPhase.Switching, RolloutPhase.Completed]);
+		vm.takeGranted('v1');
+		await vm.run(1000);
+		expect([vm.takeGranted('v1'), vm.refused]).to.deep.equal([0, 0]);
+	});
+
+	// Guards against requests for a version that was found bad, also after its period.
+	it('roll a failing version back, and never use it again without another order', async () => {
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(12_000, failsAt('v2'));
+		expect(rows.phases).to.deep.equal([RolloutPhase.Canary, RolloutPhase.RolledBack]);
+		expect(vm.takeGranted('v2')).to.be.below(60);
+		await vm.run(8000);
+		expect([vm.takeGranted('v2'), vm.refused]).to.deep.equal([0, 0]);
+		await order('v2');
+		await vm.run(1000);
+		expect(vm.takeGranted('v2')).to.be.above(0);
+	});
+
+	// Guards against canary requests of which a successor would know nothing.
+	it('send nothing to a candidate before the store has the roll-out, and write the verdict when it is back', async () => {
+		vm.list(...base, ...candidates);
+		rows.isAway = true;
+		await order('v2');
+		await vm.run(1500);
+		expect(vm.takeGranted('v2')).to.equal(0);
+		rows.isAway = false;
+		await vm.run(2500);
+		expect(vm.takeGranted('v2')).to.be.above(0);
+		const behaviour = failsAt('v2');
+		rows.isAway = true;
+		await vm.run(4000, behaviour);
+		expect([vm.phase, rows.phases.at(-1)]).to.deep.equal([RolloutPhase.RolledBack, RolloutPhase.Canary]);
+		rows.isAway = false;
+		await vm.run(2500, behaviour);
+		expect(rows.phases.at(-1)).to.equal(RolloutPhase.RolledBack);
+	});
+
+	// Guards against a leader that was killed in the canary: the candidate would stay half in use, or the slack be granted twice.
+	it('are continued by a successor that reads the rows', async () => {
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(3000, answers);
+		const next = RolloutVm.create(clock, rows);
+		next.list(...base, ...candidates);
+		rows.leader = 2;
+		next.lead(2, ['vm']);
+		next.rollouts.setOrders([rows.order!], true, rows.era);
+		// Without the slack, the share alone has to bring the evidence.
+		await next.run(9500, answers, 300);
+		expect(rows.phases).to.deep.equal([RolloutPhase.Canary, RolloutPhase.Switching, RolloutPhase.Completed]);
+	});
+
+	// Guards against a leader that was killed after the switch: both versions would get work, and the switch never be completed.
+	it('are completed by a successor that was told of the switch', async () => {
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(6300);
+		expect(vm.phase).to.equal(RolloutPhase.Switching);
+		const next = RolloutVm.create(clock, rows);
+		next.list(...base, ...candidates);
+		next.rollouts.merge(vm.rollouts.message.rollouts);
+		rows.leader = 2;
+		next.lead(2, ['vm']);
+		next.rollouts.setOrders([rows.order!], true, rows.era);
+		await next.run(5500);
+		expect(next.takeGranted('v1')).to.equal(0);
+		expect(rows.phases.at(-1)).to.equal(RolloutPhase.Completed);
+	});
+
+	// Guards against a frozen leader that comes back and undoes what its successor has written.
+	it('are not written by a leader that was replaced, which sends nothing to the candidate', async () => {
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(2000);
+		rows.leader = 2;
+		await vm.run(2500);
+		vm.takeGranted('v2');
+		await vm.run(6000, failsAt('v2'));
+		expect(vm.takeGranted('v2')).to.equal(0);
+		expect(rows.phases).to.deep.equal([RolloutPhase.Canary]);
+	});
+
+	// Guards against exposure through VMs that are cut off, each of which would have a canary of its own.
+	it('send nothing to a candidate from a VM that decides alone, also where it knows the order only', async () => {
+		const alone = RolloutVm.create(clock, rows);
+		alone.list(...base, ...candidates);
+		alone.rollouts.setOrders([rows.putOrder('v2')], true, rows.era);
+		alone.beAlone();
+		await alone.run(4000);
+		expect([alone.takeGranted('v2'), alone.refused]).to.deep.equal([0, 0]);
+		await order('v2');
+		await vm.run(12_000, failsAt('v2'));
+		alone.rollouts.setRecords([rows.stored!]);
+		await alone.run(4000);
+		expect(alone.takeGranted('v2')).to.equal(0);
+	});
+
+	// Guards against `completed` while a VM could still send to the old upstreams, which are stopped without draining.
+	it('are not completed before each VM has acknowledged the switch or what it holds has lapsed', async () => {
+		vm.list(...base, ...candidates);
+		vm.rollouts.informed.noteLinked('other');
+		await order('v2');
+		await vm.run(8500);
+		expect(rows.phases.at(-1)).to.equal(RolloutPhase.Switching);
+		vm.rollouts.informed.noteAcknowledged('other', vm.rollouts.message.revision);
+		await vm.run(1000);
+		expect(rows.phases.at(-1)).to.equal(RolloutPhase.Completed);
+	});
+
+	// Guards against a first start, or a return of power at all VMs, in the middle of a roll-out.
+	it('leave a candidate alone that a VM finds at its start, and use the base at once', async () => {
+		const first = RolloutVm.create(clock, rows);
+		rows.putOrder('v2');
+		first.list(...candidates, ...base);
+		first.lead(rows.leader);
+		await first.run(1000);
+		expect([first.takeGranted('v2'), first.refused]).to.deep.equal([0, 0]);
+	});
+
+	// Guards against a store from an older copy, which lists an order again that was carried out, and lacks the verdict.
+	it('write a verdict again after the store went back, and do not carry the order out again', async () => {
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(500);
+		const copy = rows.stored;
+		vm.rollouts.setOrders([rows.order!], true, rows.era);
+		await vm.run(8000, failsAt('v2'));
+		expect(vm.phase).to.equal(RolloutPhase.RolledBack);
+		rows.era = 2;
+		rows.stored = copy;
+		const restored = {...rows.order!, orderedAt: {...rows.order!.orderedAt, era: 2}};
+		rows.order = restored;
+		rows.leader = 40;
+		vm.rollouts.setOrders([restored], true, 2);
+		vm.rollouts.renew({
+			name: 'vm', linkAddress: '10.0.1.1:80', boot: 'vm-1', term: {era: 2, version: 40}, vmCount: 1,
+		});
+		vm.takeGranted('v2');
+		await vm.run(4000);
+		expect(rows.stored?.phase).to.equal(RolloutPhase.RolledBack);
+		expect(vm.takeGranted('v2')).to.equal(0);
+	});
+
+	// Guards against orders that the operator did not mean as a new roll-out, and ones that cannot be carried out.
+	it('answer orders during a roll-out, for the version in force and for a version without upstreams', async () => {
+		vm.list(...base, ...candidates);
+		await order('v1');
+		await vm.run(500);
+		expect([vm.phase, rows.stored?.to]).to.deep.equal([RolloutPhase.Completed, 'v1']);
+		await order('v2');
+		await vm.run(3000);
+		await order('v2');
+		await vm.run(500);
+		expect(rows.phases).to.deep.equal([RolloutPhase.Completed, RolloutPhase.Canary]);
+		await order('v3', 4000);
+		await vm.run(5000);
+		expect([rows.stored?.to, rows.stored?.phase]).to.deep.equal(['v3', RolloutPhase.RolledBack]);
+		vm.takeGranted('v2');
+		await vm.run(2500);
+		expect([vm.takeGranted('v2'), vm.refused]).to.deep.equal([0, 0]);
+	});
+});
+
