Roll-outs: a bad version is rolled back and a good one completed over real processes

Two tests start three VMs with a stand-in store: a failing version is rolled back at all VMs within its bounds, and after a completed one the old servers are stopped at once without a failed call.

--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -171,15 +171,16 @@
 		this.#folder = folder;
 	}
 
-	async addServer(service: string, slots: number): Promise<PlatformServer> {
+	async addServer(service: string, slots: number, changes: Partial<Pick<PlatformServer, 'version' | 'mode'>> = {}): Promise<PlatformServer> {
 		const server = await PlatformServer.start(`i-${this.#allServers.length}`, slots);
+		Object.assign(server, changes);
 		server.isDeadly = prompt => promptParts(prompt).some(part => this.deadlyParts.has(part));
 		Object.assign(server, this.deadlyCrash);
 		server.onCrash = () => {
 			this.deadlyCrashes.push(performance.now());
 			this.crashServer(server.id);
 			setTimeout(() => {
-				void this.addServer(service, slots);
+				void this.addServer(service, slots, {version: server.version});
 			}, RESTART_MS).unref();
 		};
 
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -103,6 +103,8 @@
 		return server;
 	}
 
+	/** Version of its software, as its entry states it. */
+	version = 'v1';
 	/** Value of the limit that each response states; `undefined` for none. */
 	limit: string | undefined;
 	/** Tells whether a prompt crashes the server while it answers. */
@@ -151,7 +153,7 @@
 	/** @returns The registry entry of this server. */
 	entry(service: string, state: 'ready' | 'draining' = 'ready'): Record<string, unknown> {
 		return {
-			service, address: this.address, zone: 'zone-a', version: 'v1', slots: this.slots, state, coldLeftMs: 0, sequence: 1, born: 1,
+			service, address: this.address, zone: 'zone-a', version: this.version, slots: this.slots, state, coldLeftMs: 0, sequence: 1, born: 1,
 		};
 	}
 
--- a/test/link/message-schemas.test.ts
+++ b/test/link/message-schemas.test.ts
@@ -5,6 +5,7 @@
 import {Ending} from '../../src/gateway/exchange-ending.js';
 import {Operation} from '../../src/gateway/routing-table.js';
 import {decodeFromLeader, decodeFromPeer, decodeToVm} from '../../src/link/message-schemas.js';
+import {RolloutPhase} from '../../src/rollout/rollout-course.js';
 import {type FromLeader, type ToLeader, type ToPeer} from '../../src/link/messages.js';
 import {parseJson} from '../../src/base/parse-json.js';
 import {foreignText} from '../support/foreign-values.js';
@@ -46,6 +47,13 @@
 	},
 	hasCustomers: true,
 };
+const rollouts = [{pool: 'p', known: ['v1']}, {
+	pool: 'q',
+	known: ['v1', 'v2'],
+	record: {
+		pool: 'q', orderedAt: {era: 1, version: 4}, to: 'v2', periodMs: 12_000, phase: RolloutPhase.Canary, reason: '', base: ['v1'], rejected: [], ageMs: 3.5,
+	},
+}];
 const report = {
 	ending: Ending.Answered, firstMs: 3.5, streamMs: 1, events: 2, load: 3,
 };
@@ -67,6 +75,8 @@
 	{kind: 'departed', departures: [{id: 'x', startedAt: 1, era: 2}]},
 	{kind: 'limits', limits},
 	{kind: 'suspicions', suspicions},
+	{kind: 'rollouts', rollouts},
+	{kind: 'rollouts-known', revision: 3},
 	{kind: 'need-configuration'},
 	{kind: 'configuration', configuration},
 	{kind: 'beat'},
@@ -89,6 +99,7 @@
 	{kind: 'departed', departures: [{id: 'x', startedAt: 1, era: 2}]},
 	{kind: 'limits', limits},
 	{kind: 'suspicions', suspicions},
+	{kind: 'rollouts', revision: 3, rollouts},
 	{
 		kind: 'members', isWhole: false, changed: [member], removed: ['y'],
 	},
--- /dev/null
+++ b/test/platform/rollouts.test.ts
@@ -0,0 +1,111 @@
+import {readFileSync, writeFileSync} from 'node:fs';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {PlatformDeployment} from '../../soak/platform-deployment.js';
+import {Random} from '../../src/base/random.js';
+import {type PlatformServer, ServerMode} from '../../standins/platform-server.js';
+import {AddressLayout, LayoutKind} from '../support/address-layout.js';
+import {eventually} from '../support/eventually.js';
+
+const SERVERS = 4;
+const SLOTS = 6;
+/** Period of the roll-outs, in s. */
+const PERIOD_S = 10;
+const CALL_INTERVAL_MS = 8;
+const POLL_MS = 20;
+const STATUS_KEY = 'rollout/desk';
+
+describe('roll-outs over processes', function () {
+	this.timeout(60_000);
+	let deployment: PlatformDeployment;
+	let candidates: PlatformServer[];
+	let statuses: number[];
+	let isCalling: boolean;
+
+	beforeEach(async () => {
+		deployment = await PlatformDeployment.create(SERVERS, {vmCount: 3, layout: AddressLayout.create(LayoutKind.OneAddress, Random.create(7))});
+		for (const vm of deployment.vms) {
+			const settings = JSON.parse(readFileSync(vm.settingsPath, 'utf8')) as {bounds: Record<string, number>};
+			const bounds = {
+				...settings.bounds, exposeShare: 0.1, exposeSlack: 50, rollbackMs: 5000,
+			};
+			writeFileSync(vm.settingsPath, JSON.stringify({...settings, contracts: ['rollout'], bounds}));
+			vm.start();
+		}
+
+		await deployment.ready();
+		await eventually(() => deployment.recordedLeader !== undefined, 50);
+		statuses = [];
+		isCalling = true;
+	});
+
+	afterEach(async () => {
+		isCalling = false;
+		await deployment.stop();
+	});
+
+	/** Adds servers of a new version, and orders the roll-out. */
+	async function order(mode: ServerMode): Promise<void> {
+		candidates = await Promise.all(Array.from({length: SERVERS}, async () => deployment.addServer('desk', SLOTS, {version: 'v2', mode})));
+		await sleep(POLL_MS);
+		deployment.store.put('op', STATUS_KEY, {service: 'desk', to: 'v2', periodS: PERIOD_S});
+	}
+
+	/** Sends requests at an even rate to all VMs until `isCalling` is false. */
+	async function callAll(): Promise<void> {
+		const calls: Array<Promise<unknown>> = [];
+		for (let index = 0; isCalling; index += 1) {
+			const vm = deployment.vms[index % deployment.vms.length]!;
+			calls.push(deployment.call(vm, index % 3 === 0 ? 'unsafe' : 'safe').then(({status}) => statuses.push(status))); // eslint-disable-line promise/prefer-await-to-then -- sent at intervals
+			await sleep(CALL_INTERVAL_MS); // eslint-disable-line no-await-in-loop
+		}
+
+		await Promise.all(calls);
+	}
+
+	/** @returns The state in the status row once it is final, or after the period. */
+	async function finalState(): Promise<string | undefined> {
+		const endsAt = performance.now() + (PERIOD_S * 1000);
+		let state: string | undefined;
+		while (performance.now() < endsAt && state !== 'completed' && state !== 'rolled_back') {
+			await sleep(POLL_MS); // eslint-disable-line no-await-in-loop -- polling
+			({state} = (deployment.store.get('status', STATUS_KEY) ?? {}) as {state?: string});
+		}
+
+		return state;
+	}
+
+	function runCount(): number {
+		return candidates.reduce((sum, server) => sum + server.runs.length, 0);
+	}
+
+	// Guards against a failing version that stays in use, at any VM, or that costs callers more than the bounds allow.
+	it('roll a failing version back at all VMs', async () => {
+		const calls = callAll();
+		await order(ServerMode.Fails);
+		expect(await finalState()).to.equal('rolled_back');
+		const atVerdict = runCount();
+		await sleep(2000);
+		isCalling = false;
+		await calls;
+		expect(runCount() - atVerdict).to.be.at.most(SERVERS);
+		expect(runCount()).to.be.below(50 + (statuses.length / 10));
+		expect(deployment.store.get('status', STATUS_KEY)).to.deep.equal({state: 'rolled_back', to: 'v2'});
+	});
+
+	// Guards against old upstreams that are stopped while a VM still sends to them or waits for their responses.
+	it('complete a good version, so that the old upstreams can be stopped at once', async () => {
+		const old = [...deployment.servers].filter(([, {service}]) => service === 'desk').map(([id]) => id);
+		const calls = callAll();
+		await order(ServerMode.Healthy);
+		expect(await finalState()).to.equal('completed');
+		for (const id of old) {
+			deployment.crashServer(id);
+		}
+
+		await sleep(2000);
+		isCalling = false;
+		await calls;
+		expect([...new Set(statuses)]).to.deep.equal([200]);
+	});
+});
