Roll-outs: tests of links, rows, and of a leader that is killed or frozen; unrestricted pools skip the gate

A version that nobody ordered beside a completed one was confirmed again and again; it now waits for an order without calls.

--- a/src/allocation/placement-filter.ts
+++ b/src/allocation/placement-filter.ts
@@ -6,6 +6,11 @@
 
 /** Restricts the upstreams that a request may use. */
 export abstract class PlacementFilter {
+	/** @returns Whether any upstream of the pool may be restricted now; otherwise the filter is not asked further. */
+	restricts(_pool: string): boolean {
+		return true;
+	}
+
 	/** @returns Whether ordinary requests may use the upstream; others are no capacity, and get only the requests that `accepts` selects. */
 	isOpen(_target: TrackedUpstream): boolean {
 		return true;
--- a/src/allocation/placement.ts
+++ b/src/allocation/placement.ts
@@ -67,10 +67,11 @@
 	/** @returns The placement with the lowest cost; `undefined` if no candidate may run the request. */
 	choose({waiting, candidates, mustBeOnTime, canWait, now}: PlacementQuery): Grant | undefined {
 		const {ask} = waiting;
+		const filters = this.#filters.filter(filter => filter.restricts(ask.pool));
 		let best: Grant | undefined;
 		let bestCost = Number.POSITIVE_INFINITY;
 		for (const target of candidates) {
-			if (ask.excluded.includes(target.upstream.id) || !this.#filters.every(filter => filter.accepts(ask, target, now))) {
+			if (ask.excluded.includes(target.upstream.id) || !filters.every(filter => filter.accepts(ask, target, now))) {
 				continue;
 			}
 
@@ -80,7 +81,11 @@
 				continue;
 			}
 
-			const cost = this.#cost(ask, target, expectedFirstMs, now);
+			let cost = this.#cost(ask, target, expectedFirstMs, now);
+			for (const filter of filters) {
+				cost += filter.costMs(ask, target, now);
+			}
+
 			if (cost < bestCost) {
 				bestCost = cost;
 				best = {waiting, target, expectedFirstMs};
@@ -111,10 +116,6 @@
 			+ (TOTAL_TIME_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}, now))
 			+ this.#locality.costMs(ask, upstream, now)
 			+ (FAILURE_COST_MS * standing.failureRate(now));
-		for (const filter of this.#filters) {
-			cost += filter.costMs(ask, target, now);
-		}
-
 		if (ask.maxPauseMs > 0 && pace.interferenceMs(ask.promptTokens, now) + pace.eventMs(now) > MAX_PREFILL_PAUSE_RATIO * ask.maxPauseMs) {
 			cost += DELAYED_STREAM_COST_MS * held.size;
 		}
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -370,11 +370,15 @@
 
 	/** Number of upstreams that ordinary requests may use. */
 	get #openCount(): number {
-		return this.#filters.length === 0 ? this.upstreams.size : this.#openAmong([...this.upstreams.values()]).length;
+		return this.#isRestricted ? this.#openAmong([...this.upstreams.values()]).length : this.upstreams.size;
+	}
+
+	get #isRestricted(): boolean {
+		return this.#filters.some(filter => filter.restricts(this.name));
 	}
 
 	#openAmong(targets: readonly TrackedUpstream[]): readonly TrackedUpstream[] {
-		return this.#filters.length === 0 ? targets : targets.filter(target => this.#isOpen(target));
+		return this.#isRestricted ? targets.filter(target => this.#isOpen(target)) : targets;
 	}
 
 	#isOpen(target: TrackedUpstream): boolean {
--- a/src/rollout/pool-knowledge.ts
+++ b/src/rollout/pool-knowledge.ts
@@ -4,8 +4,9 @@
  */
 import {type Clock} from '../base/clock.js';
 import {type Upstream} from '../gateway/upstream-list.js';
+import {RolloutPhase} from './rollout-course.js';
 import {
-	isLaterRecord, isPending, type PoolVersions, type ReadOrder, type RolloutRecord,
+	changesVersions, isLaterRecord, isPending, type PoolVersions, type ReadOrder, type RolloutRecord,
 } from './rollout-record.js';
 import {
 	earliestVersion, NO_VERSION, VersionRule, versionRules,
@@ -161,12 +162,14 @@
 		}
 
 		pool.rules = versionRules(pool);
+		// A completed roll-out needs another order; waiting for one changes nothing.
+		const isCompleted = pool.record?.phase === RolloutPhase.Completed && !changesVersions(pool.order, pool.record);
 		for (const [version, rule] of pool.rules) {
 			if (rule === VersionRule.Open) {
 				pool.known.add(version);
 			}
 
-			if (rule !== VersionRule.Held) {
+			if (rule !== VersionRule.Held || isCompleted) {
 				pool.heldSince.delete(version);
 			} else if (!pool.heldSince.has(version)) {
 				pool.heldSince.set(version, this.#clock.now());
--- a/src/rollout/version-gate.ts
+++ b/src/rollout/version-gate.ts
@@ -40,6 +40,10 @@
 		this.#gates = gates;
 	}
 
+	override restricts(pool: string): boolean {
+		return this.#gates.has(pool);
+	}
+
 	override isOpen({upstream}: TrackedUpstream): boolean {
 		const rule = this.#ruleOf(upstream);
 		return rule === undefined || rule === VersionRule.Open;
--- a/src/rollout/version-rules.ts
+++ b/src/rollout/version-rules.ts
@@ -90,7 +90,7 @@
 		}
 
 		case RolloutPhase.Completed: {
-			return isTarget ? VersionRule.Open : (isRejected || record.base.includes(version) || known.has(version) ? VersionRule.Closed : VersionRule.Held);
+			return isTarget ? VersionRule.Open : (isRejected || record.base.includes(version) ? VersionRule.Closed : VersionRule.Held);
 		}
 
 		case RolloutPhase.RolledBack: {
--- a/test/platform/rollouts.test.ts
+++ b/test/platform/rollouts.test.ts
@@ -93,6 +93,40 @@
 		expect(deployment.store.get('status', STATUS_KEY)).to.deep.equal({state: 'rolled_back', to: 'v2'});
 	});
 
+	async function untilRunning(): Promise<void> {
+		await eventually(() => (deployment.store.get('status', STATUS_KEY) as {state?: string} | undefined)?.state === 'running', 50);
+	}
+
+	// Guards against a candidate that stays half in use, or gets the slack again, because the leader ended in the canary.
+	it('roll a failing version back although the leader is killed in the canary', async () => {
+		const calls = callAll();
+		await order(ServerMode.Fails);
+		await untilRunning();
+		await deployment.recordedLeader!.terminate('SIGKILL');
+		expect(await finalState()).to.equal('rolled_back');
+		await sleep(1000);
+		isCalling = false;
+		await calls;
+		expect(runCount()).to.be.below(50 + (statuses.length / 10));
+	});
+
+	// Guards against a leader that was frozen, and goes on with the canary when it comes back, or overwrites the verdict.
+	it('keep a verdict although the leader that was frozen in the canary comes back', async () => {
+		const calls = callAll();
+		await order(ServerMode.Fails);
+		await untilRunning();
+		const frozen = deployment.recordedLeader!;
+		frozen.child!.kill('SIGSTOP');
+		expect(await finalState()).to.equal('rolled_back');
+		frozen.child!.kill('SIGCONT');
+		const atReturn = runCount();
+		await sleep(2000);
+		isCalling = false;
+		await calls;
+		expect(runCount() - atReturn).to.be.at.most(SERVERS);
+		expect(deployment.store.get('status', STATUS_KEY)).to.deep.equal({state: 'rolled_back', to: 'v2'});
+	});
+
 	// Guards against old upstreams that are stopped while a VM still sends to them or waits for their responses.
 	it('complete a good version, so that the old upstreams can be stopped at once', async () => {
 		const old = [...deployment.servers].filter(([, {service}]) => service === 'desk').map(([id]) => id);
--- a/test/rollout/rollouts.test.ts
+++ b/test/rollout/rollouts.test.ts
@@ -164,6 +164,36 @@
 		expect([first.takeGranted('v2'), first.refused]).to.deep.equal([0, 0]);
 	});
 
+	// Guards against versions that are in use again after all VMs lost power, as no process remembers what was ordered.
+	it('go on from the rows where all VMs start anew', async () => {
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(11_000);
+		expect(rows.phases.at(-1)).to.equal(RolloutPhase.Completed);
+		rows.leader = 2;
+		const first = RolloutVm.create(clock, rows);
+		first.rollouts.setOrders([rows.order!], true, rows.era);
+		first.rollouts.setRecords([rows.stored!]);
+		first.list(...base, ...candidates);
+		first.lead(2);
+		await first.run(3000);
+		expect([first.takeGranted('v1'), first.refused]).to.deep.equal([0, 0]);
+		expect(rows.phases.at(-1)).to.equal(RolloutPhase.Completed);
+	});
+
+	// Guards against a roll-out that starts again because the store lists its rows again, as after a compaction.
+	it('are not started again by rows that are listed again', async () => {
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(3000, failsAt('v2'));
+		expect(vm.phase).to.equal(RolloutPhase.RolledBack);
+		vm.takeGranted('v2');
+		vm.rollouts.setOrders([rows.order!], true, rows.era);
+		vm.rollouts.setRecords([rows.stored!]);
+		await vm.run(3000, failsAt('v2'));
+		expect([vm.takeGranted('v2'), vm.phase]).to.deep.equal([0, RolloutPhase.RolledBack]);
+	});
+
 	// Guards against a store from an older copy, which lists an order again that was carried out, and lacks the verdict.
 	it('write a verdict again after the store went back, and do not carry the order out again', async () => {
 		vm.list(...base, ...candidates);
