--- a/test/platform/rollout-rows.test.ts
+++ b/test/platform/rollout-rows.test.ts
@@ -5,6 +5,7 @@
 import {SystemClock} from '../../src/base/clock.js';
 import {Log} from '../../src/base/log.js';
 import {RolloutPhase} from '../../src/rollout/rollout-course.js';
+import {type RowVersions} from '../../src/rollout/rollout-register.js';
 import {type StoredRollout} from '../../src/rollout/rollout-record.js';
 import {PlatformStore, StoreMode} from '../../standins/platform-store.js';
 
@@ -40,32 +41,36 @@
 		});
 	}
 
+	/** @returns The versions after the write; `undefined` if a condition failed. */
+	async function write(rollout: StoredRollout, at: RowVersions, version: number): Promise<RowVersions | undefined> {
+		const written = await rows.write(rollout, at, {era: 1, version});
+		return written.unwrapOr(undefined);
+	}
+
 	// Guards against a leader that was replaced, or another writer of the status, whose verdict would be overwritten.
 	it('are written only under the leader\'s term and on the versions that were read', async () => {
 		const {at, leader} = await readRows();
-		const term = {era: 1, version: leader};
-		const written = await rows.write(stored, at, term);
-		const next = written.unwrapOr(undefined)!;
+		const next = await write(stored, at, leader);
 		expect(store.get('status', KEY)).to.deep.equal({state: 'running', to: 'v2'});
-		expect((await readRows()).stored).to.deep.equal(stored);
-		expect((await rows.write(stored, at, term)).unwrapOr(undefined)).to.equal(undefined);
+		const read = await readRows();
+		expect(read.stored).to.deep.equal(stored);
+		expect(await write(stored, at, leader)).to.equal(undefined);
 		store.put('status', KEY, {state: 'other'});
-		expect((await rows.write(stored, next, term)).unwrapOr(undefined)).to.equal(undefined);
+		expect(await write(stored, next!, leader)).to.equal(undefined);
 		store.put(LEADER_TABLE, LEADER_KEY, {});
 		const later = await readRows();
-		expect((await rows.write({...stored, phase: RolloutPhase.Completed}, later.at, term)).unwrapOr(undefined)).to.equal(undefined);
+		expect(await write({...stored, phase: RolloutPhase.Completed}, later.at, leader)).to.equal(undefined);
 		expect(store.get('status', KEY)).to.deep.equal({state: 'other'});
 	});
 
 	// Guards against a change of the status row with each checkpoint, which operators would have to read.
 	it('leave the status row alone while the state stays the same', async () => {
 		const {at, leader} = await readRows();
-		const term = {era: 1, version: leader};
-		const first = (await rows.write(stored, at, term)).unwrapOr(undefined)!;
-		const second = (await rows.write({...stored, phase: RolloutPhase.Switching}, first, term)).unwrapOr(undefined)!;
-		expect(second.status).to.equal(first.status);
-		const third = (await rows.write({...stored, phase: RolloutPhase.RolledBack}, second, term)).unwrapOr(undefined)!;
-		expect(third.status).to.be.above(second.status);
+		const first = await write(stored, at, leader);
+		const second = await write({...stored, phase: RolloutPhase.Switching}, first!, leader);
+		expect(second!.status).to.equal(first!.status);
+		const third = await write({...stored, phase: RolloutPhase.RolledBack}, second!, leader);
+		expect(third!.status).to.be.above(second!.status);
 		expect(store.get('status', KEY)).to.deep.equal({state: 'rolled_back', to: 'v2'});
 	});
 
@@ -73,9 +78,11 @@
 	it('show a write that took effect without a response', async () => {
 		const {at, leader} = await readRows();
 		store.mode = StoreMode.LosesAnswers;
-		expect((await rows.write(stored, at, {era: 1, version: leader})).isErr).to.equal(true);
+		const written = await rows.write(stored, at, {era: 1, version: leader});
+		expect(written.isErr).to.equal(true);
 		store.mode = StoreMode.Healthy;
-		expect((await readRows()).stored?.phase).to.equal(RolloutPhase.Canary);
+		const read = await readRows();
+		expect(read.stored?.phase).to.equal(RolloutPhase.Canary);
 	});
 
 	// Guards against orders of other writers that end the process, start a roll-out, or give it no period.
--- a/test/platform/rollouts.test.ts
+++ b/test/platform/rollouts.test.ts
@@ -20,7 +20,7 @@
 	let deployment: PlatformDeployment;
 	let candidates: PlatformServer[];
 	let statuses: number[];
-	let isCalling: boolean;
+	let calling: AbortController;
 
 	beforeEach(async () => {
 		deployment = await PlatformDeployment.create(SERVERS, {vmCount: 3, layout: AddressLayout.create(LayoutKind.OneAddress, Random.create(7))});
@@ -36,11 +36,11 @@
 		await deployment.ready();
 		await eventually(() => deployment.recordedLeader !== undefined, 50);
 		statuses = [];
-		isCalling = true;
+		calling = new AbortController();
 	});
 
 	afterEach(async () => {
-		isCalling = false;
+		calling.abort();
 		await deployment.stop();
 	});
 
@@ -51,13 +51,18 @@
 		deployment.store.put('op', STATUS_KEY, {service: 'desk', to: 'v2', periodS: PERIOD_S});
 	}
 
-	/** Sends requests at an even rate to all VMs until `isCalling` is false. */
+	async function callOne(index: number): Promise<void> {
+		const vm = deployment.vms[index % deployment.vms.length]!;
+		const {status} = await deployment.call(vm, index % 3 === 0 ? 'unsafe' : 'safe');
+		statuses.push(status);
+	}
+
+	/** Sends requests at an even rate to all VMs until `calling` is aborted. */
 	async function callAll(): Promise<void> {
-		const calls: Array<Promise<unknown>> = [];
-		for (let index = 0; isCalling; index += 1) {
-			const vm = deployment.vms[index % deployment.vms.length]!;
-			calls.push(deployment.call(vm, index % 3 === 0 ? 'unsafe' : 'safe').then(({status}) => statuses.push(status))); // eslint-disable-line promise/prefer-await-to-then -- sent at intervals
-			await sleep(CALL_INTERVAL_MS); // eslint-disable-line no-await-in-loop
+		const calls: Array<Promise<void>> = [];
+		while (!calling.signal.aborted) {
+			calls.push(callOne(calls.length));
+			await sleep(CALL_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- at intervals
 		}
 
 		await Promise.all(calls);
@@ -86,7 +91,7 @@
 		expect(await finalState()).to.equal('rolled_back');
 		const atVerdict = runCount();
 		await sleep(2000);
-		isCalling = false;
+		calling.abort();
 		await calls;
 		expect(runCount() - atVerdict).to.be.at.most(SERVERS);
 		expect(runCount()).to.be.below(50 + (statuses.length / 10));
@@ -105,7 +110,7 @@
 		await deployment.recordedLeader!.terminate('SIGKILL');
 		expect(await finalState()).to.equal('rolled_back');
 		await sleep(1000);
-		isCalling = false;
+		calling.abort();
 		await calls;
 		expect(runCount()).to.be.below(50 + (statuses.length / 10));
 	});
@@ -121,7 +126,7 @@
 		frozen.child!.kill('SIGCONT');
 		const atReturn = runCount();
 		await sleep(2000);
-		isCalling = false;
+		calling.abort();
 		await calls;
 		expect(runCount() - atReturn).to.be.at.most(SERVERS);
 		expect(deployment.store.get('status', STATUS_KEY)).to.deep.equal({state: 'rolled_back', to: 'v2'});
@@ -138,7 +143,7 @@
 		}
 
 		await sleep(2000);
-		isCalling = false;
+		calling.abort();
 		await calls;
 		expect([...new Set(statuses)]).to.deep.equal([200]);
 	});
