Roll-outs: a period begins when its order was read, and a successor without the row starts no second one

The age of a course began with its first write, so that a roll-out during an outage of the store could end after its period.

--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -138,7 +138,8 @@
 	readonly #unhandledErrors: Counter;
 	readonly #rolloutRequests: Counter<'version'>;
 	readonly #rolloutFailures: Counter<'version'>;
-	readonly #rollouts: Gauge<'phase'>;
+	/** Phase of the latest roll-out of each pool. */
+	readonly #rolloutPhases = new Map<string, string>();
 
 	private constructor() {
 		this.#requests = new Counter({
@@ -168,8 +169,15 @@
 		this.#rolloutFailures = new Counter({
 			name: 'redwingspool_rollout_failures_total', help: 'Exchanges that failed during roll-outs, by version: base or candidate.', labelNames: ['version'], registers: [this.registry],
 		});
-		this.#rollouts = new Gauge({
-			name: 'redwingspool_rollouts', help: 'Pools by the phase of their latest roll-out.', labelNames: ['phase'], registers: [this.registry],
+		const rolloutPhases = this.#rolloutPhases;
+		// eslint-disable-next-line no-new -- the constructor registers the metric
+		new Gauge({
+			name: 'redwingspool_rollouts', help: 'Pools by the phase of their latest roll-out.', labelNames: ['phase'], registers: [this.registry], collect() {
+				this.reset();
+				for (const phase of rolloutPhases.values()) {
+					this.inc({phase});
+				}
+			},
 		});
 		this.#registerGauge('redwingspool_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
 		this.#registerGauge('redwingspool_open_descriptors', 'Open file descriptors of the process; 0 where the system does not list them.', countOpenDescriptors);
@@ -195,14 +203,9 @@
 		this.#rolloutFailures.inc({version: isCandidate ? 'candidate' : 'base'});
 	}
 
-	/** @param phases - Phase of the latest roll-out of each pool; `undefined` if there was none. */
-	setRollouts(phases: ReadonlyArray<string | undefined>): void {
-		this.#rollouts.reset();
-		for (const phase of phases) {
-			if (phase !== undefined) {
-				this.#rollouts.inc({phase});
-			}
-		}
+	/** Records the phase of the latest roll-out of a pool. */
+	setRollout(pool: string, phase: string): void {
+		this.#rolloutPhases.set(pool, phase);
 	}
 
 	/** Registers metrics whose values are kept by other components. */
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -13,7 +13,8 @@
 import {Ending} from '../gateway/exchange-ending.js';
 import {type UpstreamChanges} from '../gateway/upstream-list.js';
 import {type Suspicion} from '../policy/suspicion.js';
-import {type Rollouts, type RolloutsMessage} from '../rollout/rollouts.js';
+import {type RolloutsMessage} from '../rollout/rollout-record.js';
+import {type Rollouts} from '../rollout/rollouts.js';
 import {type Channel, encodeLine} from './link-network.js';
 import {
 	type FromLeader, type Leader, type Member, type ToLeader,
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -9,7 +9,7 @@
 import {type Departure} from '../gateway/departed-upstreams.js';
 import {type UpstreamBoot} from '../gateway/upstream-boot.js';
 import {type Upstream} from '../gateway/upstream-list.js';
-import {type PoolVersions} from '../rollout/rollout-record.js';
+import {type PoolVersions, type RolloutsMessage} from '../rollout/rollout-record.js';
 import {type Suspicion} from '../policy/suspicion.js';
 import {type StoreVersion} from './store-version.js';
 
@@ -87,7 +87,7 @@
 	/** Features that were in several crashes or are quarantined, and those that are cleared; to a VM that has just linked, all of them. */
 	| {readonly kind: 'suspicions'; readonly suspicions: readonly Suspicion[]}
 	/** The versions in force of all pools, and their roll-outs; `revision` rises with each change under one leader. */
-	| {readonly kind: 'rollouts'; readonly revision: number; readonly rollouts: readonly PoolVersions[]}
+	| RolloutsMessage
 	/** VMs that joined or changed, and names of those that left; `isWhole` replaces the list. */
 	| {readonly kind: 'members'; readonly isWhole: boolean; readonly changed: readonly Member[]; readonly removed: readonly string[]}
 	/** The leader was recorded again, since the store had gone back; the link stays. */
--- a/src/rollout/pool-knowledge.ts
+++ b/src/rollout/pool-knowledge.ts
@@ -27,6 +27,8 @@
 	/** When the record's age was told, in ms. */
 	recordAt: number;
 	order: ReadOrder | undefined;
+	/** When the order was read first, in ms. */
+	orderAt: number;
 	/** Whether the order was in the first list of the present era, so that it may be one that was carried out before. */
 	isOrderRestored: boolean;
 	rules: Map<string, VersionRule>;
@@ -57,7 +59,7 @@
 		let pool = this.#pools.get(name);
 		if (pool === undefined) {
 			pool = {
-				name, listed: new Map(), known: new Set(), heldSince: new Map(), record: undefined, recordAt: 0, order: undefined, isOrderRestored: false, rules: new Map(),
+				name, listed: new Map(), known: new Set(), heldSince: new Map(), record: undefined, recordAt: 0, order: undefined, orderAt: 0, isOrderRestored: false, rules: new Map(),
 			};
 			this.#pools.set(name, pool);
 		}
@@ -93,8 +95,12 @@
 		this.#ordersEra = era;
 		for (const order of orders) {
 			const pool = this.get(order.pool);
-			pool.order = order;
-			pool.isOrderRestored = isRestored;
+			if (order.orderedAt.version !== pool.order?.orderedAt.version || order.orderedAt.era !== pool.order.orderedAt.era) {
+				pool.order = order;
+				pool.orderAt = this.#clock.now();
+				pool.isOrderRestored = isRestored;
+			}
+
 			this.#adoptRestoredOrder(pool);
 			this.update(pool);
 		}
--- a/src/rollout/pool-rollout.ts
+++ b/src/rollout/pool-rollout.ts
@@ -1,37 +1,27 @@
 /**
  * The leader's part in the roll-out of one pool: takes up orders, advances the course, and has each phase told and written.
  */
-import {type HeldRequest, type TrackedUpstream} from '../allocation/tracked-upstream.js';
 import {type Clock} from '../base/clock.js';
 import {type Log, type LogFields} from '../base/log.js';
 import {type StoreVersion} from '../link/store-version.js';
 import {type KnownPool, type PoolKnowledge} from './pool-knowledge.js';
+import {PoolPlaces, type RolloutAllocator} from './pool-places.js';
 import {RecordWriter} from './record-writer.js';
 import {type RolloutBounds} from './rollout-bounds.js';
-import {
-	CANARY_UPSTREAMS, RolloutCourse, RolloutPhase, type RolloutSnapshot,
-} from './rollout-course.js';
+import {RolloutCourse, RolloutPhase, type RolloutSnapshot} from './rollout-course.js';
 import {
 	baseVersions, isFinal, isPending, type ReadOrder, rejectedBefore, type RolloutRecord, type StoredRollout,
 } from './rollout-record.js';
 import {type PoolRows, type RolloutRegister} from './rollout-register.js';
 import {type SampledCourse} from './rollout-samples.js';
 import {type Canary} from './version-gate.js';
-import {NO_VERSION, VersionRule} from './version-rules.js';
+import {VersionRule} from './version-rules.js';
 
 /** Interval at which the evidence and the exposure are written, in ms; what a successor does not know is at most what the canary gets in this time. */
 const CHECKPOINT_MS = 2000;
 /** Age of the last write at which the canary gets nothing more, in ms, since a successor would not know of it. */
 const MAX_UNSAVED_MS = 5000;
 
-/** The allocator, as far as roll-outs depend on it. */
-export type RolloutAllocator = {
-	/** Whether it decides for all VMs, and no other allocator is likely to. */
-	readonly decidesForAll: boolean;
-	upstreamsOf(pool: string): ReadonlyMap<string, TrackedUpstream>;
-	placesOf(pool: string): ReadonlyMap<string, HeldRequest>;
-};
-
 /** Dependencies and callbacks of a pool's roll-out. */
 export type PoolRolloutOptions = {
 	readonly clock: Clock;
@@ -59,14 +49,16 @@
 	readonly #options: PoolRolloutOptions;
 	readonly #writer: RecordWriter;
 	#course: RolloutCourse | undefined;
+	/** The version that the course tries. */
+	#courseTo = '';
 	/** State that a predecessor wrote. */
 	#snapshot: RolloutSnapshot | undefined;
-	/** Upstreams whose version is known, also after they are no longer listed. */
-	readonly #versionById = new Map<string, string>();
+	readonly #places: PoolPlaces;
 
 	private constructor(options: PoolRolloutOptions) {
 		this.#options = options;
-		const {clock, log, register, pool, term, onRows} = options;
+		const {clock, log, register, pool, term, onRows, allocator} = options;
+		this.#places = PoolPlaces.create(pool, allocator);
 		this.#writer = RecordWriter.create({
 			clock, log, register, pool: pool.name, term, onRows: rows => {
 				this.#snapshot = rows.stored?.snapshot;
@@ -96,26 +88,23 @@
 
 	/** The canary, while there is one. */
 	get canary(): Canary | undefined {
-		const {clock, allocator, pool: {record, name}} = this.#options;
+		const {clock, pool: {record}} = this.#options;
 		const course = this.#course;
 		if (course === undefined || record?.phase !== RolloutPhase.Canary) {
 			return undefined;
 		}
 
-		const upstreams = [...allocator().upstreamsOf(name).values()].filter(({upstream}) => !upstream.isLeaving);
-		const isCandidate = (version: string | undefined) => (version ?? NO_VERSION) === record.to;
-		const candidates = upstreams.filter(({upstream}) => isCandidate(upstream.version)).map(({upstream}) => upstream.id).toSorted();
 		return {
 			course,
-			upstreamIds: new Set(candidates.slice(0, CANARY_UPSTREAMS)),
-			isAllowed: () => allocator().decidesForAll && this.#writer.isWritten(record) && clock.now() - this.#writer.writtenAt <= MAX_UNSAVED_MS,
+			upstreamIds: this.#places.canaryIds(record.to),
+			isAllowed: () => this.#places.decidesForAll && this.#writer.isWritten(record) && clock.now() - this.#writer.writtenAt <= MAX_UNSAVED_MS,
 		};
 	}
 
 	/** The record may have been replaced by a later one. */
 	noteMerged(): void {
 		const {record} = this.#options.pool;
-		if (this.#course !== undefined && record?.phase !== this.#course.phase) {
+		if (this.#course !== undefined && (record?.phase !== this.#course.phase || record.to !== this.#courseTo)) {
 			this.#course = undefined;
 		}
 	}
@@ -156,7 +145,7 @@
 	}
 
 	#takeUp(order: ReadOrder): void {
-		const {pool, log, knowledge} = this.#options;
+		const {pool, log, knowledge, clock} = this.#options;
 		const {record} = pool;
 		if (record?.to === order.to && !isFinal(record.phase)) {
 			log.info('Order repeated; the roll-out goes on.', {pool: pool.name, to: order.to, phase: record.phase});
@@ -181,7 +170,8 @@
 		log.info(isInForce ? 'Roll-out ordered for the version in force.' : 'Roll-out started.', {
 			pool: pool.name, to: order.to, base: base.join(','), periodMs: order.periodMs,
 		});
-		this.#setRecord(next, 0);
+		// The period began when the order was read, also if the rows could not be read until now.
+		this.#setRecord(next, clock.now() - pool.orderAt);
 	}
 
 	#advance(): void {
@@ -202,16 +192,22 @@
 				return;
 			}
 
-			const ageMs = Math.max(knowledge.ageMs(pool), this.#snapshot?.ageMs ?? 0);
-			const isContinued = ageMs > 0 && (this.#snapshot !== undefined || this.#writer.isWritten(record));
-			const snapshot = isContinued
-				? {
-					switchedMs: 0, tests: {}, ...this.#snapshot, phase: record.phase, reason: record.reason, ageMs,
-				}
-				: undefined;
+			// No request went to the candidate of a roll-out that the store does not have.
+			const isContinued = this.#writer.hasRollout(record);
+			const ageMs = Math.max(knowledge.ageMs(pool), isContinued ? this.#snapshot?.ageMs ?? 0 : 0);
 			this.#course = RolloutCourse.create({
-				order: record, bounds, now: clock.now(), ...(snapshot === undefined ? {} : {snapshot}),
+				order: record,
+				bounds,
+				now: isContinued ? clock.now() : clock.now() - ageMs,
+				...(isContinued
+					? {
+						snapshot: {
+							switchedMs: 0, tests: {}, ...this.#snapshot, phase: record.phase, reason: record.reason, ageMs,
+						},
+					}
+					: {}),
 			});
+			this.#courseTo = record.to;
 			if (isContinued) {
 				log.info('Roll-out continued.', {
 					pool: pool.name, to: record.to, phase: record.phase, ageMs: Math.round(ageMs),
@@ -222,7 +218,7 @@
 		const course = this.#course;
 		// The gate is set anew, since the candidates may have changed.
 		knowledge.update(pool);
-		const isChanged = course.advance({...this.#countUpstreams(record.to), heldAtBase: this.#heldElsewhere(record.to), allVmsInformed: areAllInformed()}, clock.now());
+		const isChanged = course.advance({...this.#places.countUpstreams(record.to), heldAtBase: this.#places.heldElsewhere(record.to), allVmsInformed: areAllInformed()}, clock.now());
 		if (isChanged) {
 			this.#notePhase(course);
 		}
@@ -232,7 +228,7 @@
 	#advanceWithoutBase(record: RolloutRecord): void {
 		const {pool, knowledge, areAllInformed} = this.#options;
 		const ageMs = knowledge.ageMs(pool);
-		if (pool.listed.has(record.to) && this.#heldElsewhere(record.to) === 0 && areAllInformed()) {
+		if (pool.listed.has(record.to) && this.#places.heldElsewhere(record.to) === 0 && areAllInformed()) {
 			this.#setRecord({...record, phase: RolloutPhase.Completed}, ageMs);
 			this.#logPhase(record.reason);
 		} else if (ageMs > record.periodMs && !pool.listed.has(record.to)) {
@@ -288,29 +284,4 @@
 			log.warn('Roll-out rolled back.', fields);
 		}
 	}
-
-	#countUpstreams(to: string): {readonly candidateUpstreams: number; readonly baseUpstreams: number} {
-		const {allocator, pool: {name, rules, record}} = this.#options;
-		let candidateUpstreams = 0;
-		let baseUpstreams = 0;
-		for (const {upstream: {isLeaving, version = NO_VERSION}} of allocator().upstreamsOf(name).values()) {
-			if (!isLeaving && version === to) {
-				candidateUpstreams += 1;
-			} else if (!isLeaving && (rules.get(version) === VersionRule.Open || record?.base.includes(version))) {
-				baseUpstreams += 1;
-			}
-		}
-
-		return {candidateUpstreams, baseUpstreams};
-	}
-
-	/** @returns Number of places that are held at upstreams of other versions, listed or not. */
-	#heldElsewhere(to: string): number {
-		const {allocator, pool: {name}} = this.#options;
-		for (const {upstream} of allocator().upstreamsOf(name).values()) {
-			this.#versionById.set(upstream.id, upstream.version ?? NO_VERSION);
-		}
-
-		return [...allocator().placesOf(name).values()].filter(({upstreamId}) => this.#versionById.get(upstreamId) !== to).length;
-	}
 }
--- a/src/rollout/record-writer.ts
+++ b/src/rollout/record-writer.ts
@@ -6,7 +6,7 @@
 import {type Log} from '../base/log.js';
 import {isLater, type StoreVersion} from '../link/store-version.js';
 import {type PoolRows, type RolloutRegister, type RowVersions} from './rollout-register.js';
-import {type RolloutRecord, type StoredRollout} from './rollout-record.js';
+import {isFinal, type RolloutRecord, type StoredRollout} from './rollout-record.js';
 
 /** Time between attempts after a failed call, in ms; each attempt calls the store. */
 const RETRY_MS = 1000;
@@ -56,6 +56,12 @@
 		return this.#written !== undefined && isSameState(this.#written, record);
 	}
 
+	/** @returns Whether the store has a state of the record's roll-out. */
+	hasRollout(record: RolloutRecord): boolean {
+		const written = this.#written;
+		return written !== undefined && (isSameOrder(written, record) || (written.to === record.to && !isFinal(written.phase)));
+	}
+
 	/** Reads the rows again before the next write, as the store has gone back or another leader may have written. */
 	reset(): void {
 		this.#at = undefined;
@@ -134,5 +140,9 @@
 }
 
 function isSameState(one: RolloutRecord, other: RolloutRecord): boolean {
-	return one.phase === other.phase && !isLater(one.orderedAt, other.orderedAt) && !isLater(other.orderedAt, one.orderedAt);
+	return one.phase === other.phase && isSameOrder(one, other);
+}
+
+function isSameOrder(one: RolloutRecord, other: RolloutRecord): boolean {
+	return !isLater(one.orderedAt, other.orderedAt) && !isLater(other.orderedAt, one.orderedAt);
 }
--- a/src/rollout/rollout-record.ts
+++ b/src/rollout/rollout-record.ts
@@ -35,6 +35,9 @@
 	readonly record?: RolloutRecord;
 };
 
+/** What a VM tells others of all pools; `revision` rises with each change under one leader. */
+export type RolloutsMessage = {readonly kind: 'rollouts'; readonly revision: number; readonly rollouts: readonly PoolVersions[]};
+
 const phaseOrder: readonly RolloutPhase[] = [RolloutPhase.Canary, RolloutPhase.Switching, RolloutPhase.Completed, RolloutPhase.RolledBack];
 
 /** Whether the phase is final. */
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -11,10 +11,11 @@
 import {type Leader} from '../link/messages.js';
 import {InformedVms} from './informed-vms.js';
 import {PoolKnowledge, type KnownPool} from './pool-knowledge.js';
-import {PoolRollout, type RolloutAllocator} from './pool-rollout.js';
+import {type RolloutAllocator} from './pool-places.js';
+import {PoolRollout} from './pool-rollout.js';
 import {type RolloutBounds} from './rollout-bounds.js';
 import {
-	type PoolVersions, type ReadOrder, type RolloutRecord, type StoredRollout,
+	type PoolVersions, type ReadOrder, type RolloutRecord, type RolloutsMessage, type StoredRollout,
 } from './rollout-record.js';
 import {type PoolRows, type RolloutRegister} from './rollout-register.js';
 import {RolloutSamples} from './rollout-samples.js';
@@ -37,9 +38,6 @@
 	readonly allocator: () => RolloutAllocator;
 };
 
-/** The state of the versions, as sent to other VMs. */
-export type RolloutsMessage = {readonly kind: 'rollouts'; readonly revision: number; readonly rollouts: readonly PoolVersions[]};
-
 /** Takes part in the roll-outs for one VM. */
 export class Rollouts {
 	static create(options: RolloutsOptions): Rollouts {
@@ -199,7 +197,7 @@
 
 	/** @returns The part of the pool's roll-out that the leader has; `undefined` if nothing was ordered. */
 	#rolloutOf(pool: KnownPool): PoolRollout | undefined {
-		const {clock, log, bounds, register, metrics, allocator} = this.#options;
+		const {clock, log, bounds, register, allocator} = this.#options;
 		let rollout = this.#rollouts.get(pool.name);
 		if (rollout === undefined && (pool.order !== undefined || pool.record !== undefined)) {
 			rollout = PoolRollout.create({
@@ -217,7 +215,6 @@
 				},
 				onChange: () => {
 					this.#publish();
-					metrics.setRollouts(this.#knowledge.all.map(({record}) => record?.phase));
 				},
 			});
 			this.#rollouts.set(pool.name, rollout);
@@ -272,12 +269,16 @@
 	}
 
 	#updateGate(pool: KnownPool): void {
-		const {rules} = pool;
+		const {rules, record, name} = pool;
+		if (record !== undefined) {
+			this.#options.metrics.setRollout(name, record.phase);
+		}
+
 		// Without a restricted version, the pool needs no gate.
 		if ([...rules.values()].every(rule => rule === VersionRule.Open)) {
-			this.#gates.delete(pool.name);
+			this.#gates.delete(name);
 		} else {
-			this.#gates.set(pool.name, {rules, canary: this.#rollouts.get(pool.name)?.canary});
+			this.#gates.set(name, {rules, canary: this.#rollouts.get(name)?.canary});
 		}
 	}
 
