Roll-outs: sequential tests, exposure budget and course

Cause: versions are not read, so that a bad version gets any share of the requests. Change: a course compares the candidate with the base at the same time, per route, at busy upstreams and over all requests.

--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -1,7 +1,39 @@
 /**
  * Course of the roll-out of one pool: canary, switch to the new version, completion or roll-back.
  */
+import {Exposure} from './exposure.js';
 import {type RolloutBounds} from './rollout-bounds.js';
+import {type RolloutSample, type TestCounts} from './rollout-sample.js';
+import {VersionComparison} from './version-comparison.js';
+
+export {type RolloutCounts, type RolloutSample, type TestCounts} from './rollout-sample.js';
+
+/** Part of the period that has to pass before the switch; some faults show only after seconds. */
+const CANARY_SHARE = 0.5;
+/** Part of the period after which answers count as evidence for the version over all routes. */
+const LATE_SHARE = 0.3;
+/** Part of the period that is kept for the requests at the base version to finish; places are held for some seconds. */
+const DRAIN_SHARE = 0.33;
+/** Part of the period that is kept for writing the outcome. */
+const WRITING_SHARE = 0.04;
+/** Shortest time between the switch and the completion, in ms; faults under full load show in it. */
+const MIN_SWITCHING_MS = 1000;
+/** Canary requests that each route gets with priority; about what a test needs to accept a version. */
+const ROUTE_TARGET = 12;
+/** Requests of the budget that are kept for each route below its target, and for all of them. */
+const ROUTE_RESERVE = 2;
+const MAX_RESERVE = 6;
+/** Number of requests sent at once so that a candidate upstream gets busy. */
+const BURST = 10;
+/** Requests between two such bursts that go to any candidate upstream. */
+const SPREAD = 6;
+/** Part of the candidate upstreams that may be missing, e.g. after a crash. */
+const TOLERATED_LOSS = 0.2;
+/** Part of the needed upstreams below which a switch is undone. */
+const MIN_REMAINING = 0.5;
+
+/** Candidate upstreams that the canary should use: up to six must agree to condemn, and some of them may have crashed. */
+export const CANARY_UPSTREAMS = 8;
 
 /** An order to move the traffic of a pool to another version. */
 export type RolloutOrder = {
@@ -23,21 +55,6 @@
 
 export type RolloutPhase = typeof RolloutPhase[keyof typeof RolloutPhase];
 
-/** What became of one request at an upstream of the pool. */
-export type RolloutSample = {
-	readonly isCandidate: boolean;
-	readonly upstreamId: string;
-	readonly route: string;
-	readonly isFailure: boolean;
-	/** Ratio of the time to the first event or answer to that expected at an upstream of average pace, if one came. */
-	readonly slowness: number | undefined;
-	/** Ratio of the mean pause between events to that expected at an upstream of average pace, if there was one. */
-	readonly pauseSlowness: number | undefined;
-	/** Occupancy of the upstream when the request was granted: 0 when idle, 1 when full, above 1 with a queue. */
-	readonly load: number;
-	readonly sentAt: number;
-};
-
 /** State of the pool that the course depends on. */
 export type RolloutProgress = {
 	readonly candidateUpstreams: number;
@@ -48,9 +65,6 @@
 	readonly allVmsInformed: boolean;
 };
 
-/** Number of judged requests, and how many of them were bad. */
-export type RolloutCounts = readonly [total: number, bad: number];
-
 /** State that a successor continues from; plain data that can be written as JSON. */
 export type RolloutSnapshot = {
 	readonly phase: RolloutPhase;
@@ -59,8 +73,7 @@
 	readonly ageMs: number;
 	/** Time since the switch; 0 before it. */
 	readonly switchedMs: number;
-	/** Counts of each test, by its name, for the candidate and for the base. */
-	readonly tests: Readonly<Record<string, {readonly candidate: RolloutCounts; readonly base: RolloutCounts}>>;
+	readonly tests: TestCounts;
 };
 
 /** Figures for log lines and metrics. */
@@ -71,7 +84,7 @@
 	readonly candidateBad: number;
 	readonly baseAnswers: number;
 	readonly baseBad: number;
-	/** Names of the tests that have not yet shown that the candidate is good. */
+	/** Names of the tests that had not shown at the last `advance` that the candidate is good. */
 	readonly open: readonly string[];
 };
 
@@ -90,24 +103,44 @@
 		return new RolloutCourse(options);
 	}
 
-	readonly #options: RolloutCourseOptions;
+	readonly #periodMs: number;
+	readonly #startedAt: number;
+	readonly #exposure: Exposure;
+	readonly #comparison: VersionComparison;
+	#phase: RolloutPhase;
+	#reason: string;
+	#switchedAt: number;
+	#lacksBusy = false;
+	#isBursting = false;
+	#spreadLeft = 0;
+	#open: readonly string[] = [];
 
-	private constructor(options: RolloutCourseOptions) {
-		this.#options = options;
+	private constructor({order, bounds, now, snapshot}: RolloutCourseOptions) {
+		this.#periodMs = order.periodMs;
+		this.#startedAt = now - (snapshot?.ageMs ?? 0);
+		this.#switchedAt = now - (snapshot?.switchedMs ?? 0);
+		this.#phase = snapshot?.phase ?? RolloutPhase.Canary;
+		this.#reason = snapshot?.reason ?? 'ordered';
+		this.#exposure = Exposure.create({bounds, slackMs: CANARY_SHARE * order.periodMs, hasSlack: !snapshot});
+		this.#comparison = VersionComparison.create(this.#startedAt + (LATE_SHARE * order.periodMs));
+		if (snapshot) {
+			this.#comparison.restore(snapshot.tests);
+		}
 	}
 
 	get phase(): RolloutPhase {
-		return this.#options.snapshot?.phase ?? RolloutPhase.Canary;
+		return this.#phase;
 	}
 
 	/** Why the phase was entered. */
 	get reason(): string {
-		return this.#options.snapshot?.reason ?? '';
+		return this.#reason;
 	}
 
 	get evidence(): RolloutEvidence {
+		const {requests, candidateRequests} = this.#exposure;
 		return {
-			requests: 0, candidateRequests: 0, candidateAnswers: 0, candidateBad: 0, baseAnswers: 0, baseBad: 0, open: [],
+			requests, candidateRequests, ...this.#comparison.overall, open: this.#open,
 		};
 	}
 
@@ -116,20 +149,60 @@
 	 * cheapest. The candidate has to be seen at high occupancy before it takes over.
 	 */
 	prefersBusy(_now: number): boolean {
-		return false;
+		return this.#phase === RolloutPhase.Canary && this.#lacksBusy && this.#isBursting;
 	}
 
-	/** @returns Whether a new request, first attempt, of the route goes to the candidate; otherwise it goes to the base. */
-	wantsCanary(_route: string, _now: number): boolean {
-		return this.phase === RolloutPhase.Switching || this.phase === RolloutPhase.Completed;
+	/** @returns Whether a new request of the route, first attempt, goes to the candidate; otherwise it goes to the base. */
+	wantsCanary(route: string, now: number): boolean {
+		if (this.#phase !== RolloutPhase.Canary) {
+			return this.#phase !== RolloutPhase.RolledBack;
+		}
+
+		const available = this.#exposure.available(now - this.#startedAt);
+		if (this.#isBursting && available < 1) {
+			this.#isBursting = false;
+			this.#spreadLeft = SPREAD;
+		}
+
+		if (available < 1 || this.#comparison.isSuspect) {
+			return false;
+		}
+
+		// At least half of the requests of a route stay at the base, to compare with.
+		const {granted, candidateGranted} = this.#comparison.grantedOf(route);
+		if (2 * candidateGranted > granted) {
+			return false;
+		}
+
+		if (candidateGranted < ROUTE_TARGET) {
+			return true;
+		}
+
+		const reserve = Math.min(MAX_RESERVE, this.#comparison.missing(ROUTE_TARGET, ROUTE_RESERVE));
+		const maySend = available >= 1 + reserve;
+		if (!this.#lacksBusy || this.#spreadLeft > 0) {
+			return maySend;
+		}
+
+		this.#isBursting ||= available >= BURST + reserve;
+		return this.#isBursting && maySend;
 	}
 
 	/** Counts a granted request of the pool, whichever version it went to. */
-	noteGranted(_isCandidate: boolean, _route: string, _now: number): void {}
+	noteGranted(isCandidate: boolean, route: string, _now: number): void {
+		this.#exposure.note(isCandidate);
+		this.#comparison.noteGranted(isCandidate, route);
+		this.#spreadLeft -= isCandidate ? 1 : 0;
+	}
 
 	/** @returns Whether the phase changed. */
-	note(_sample: RolloutSample, _now: number): boolean {
-		return false;
+	note(sample: RolloutSample, now: number): boolean {
+		if (this.#isFinal()) {
+			return false;
+		}
+
+		this.#comparison.note(sample, now);
+		return this.#judge(now);
 	}
 
 	/**
@@ -137,13 +210,96 @@
 	 *
 	 * @returns Whether the phase changed.
 	 */
-	advance(_progress: RolloutProgress, _now: number): boolean {
-		return false;
+	advance(progress: RolloutProgress, now: number): boolean {
+		if (this.#isFinal()) {
+			return false;
+		}
+
+		this.#comparison.candidateUpstreams = progress.candidateUpstreams;
+		this.#lacksBusy = this.#comparison.lacksBusy(now);
+		if (this.#judge(now)) {
+			return true;
+		}
+
+		return this.#phase === RolloutPhase.Canary ? this.#advanceCanary(progress, now) : this.#advanceSwitching(progress, now);
 	}
 
 	snapshot(now: number): RolloutSnapshot {
 		return {
-			phase: this.phase, reason: this.reason, ageMs: now - this.#options.now, switchedMs: 0, tests: {},
+			phase: this.#phase,
+			reason: this.#reason,
+			ageMs: now - this.#startedAt,
+			switchedMs: this.#phase === RolloutPhase.Canary ? 0 : now - this.#switchedAt,
+			tests: this.#comparison.counts(),
 		};
 	}
+
+	#judge(now: number): boolean {
+		const reason = this.#comparison.verdict(now);
+		return reason !== undefined && this.#enter(RolloutPhase.RolledBack, reason, now);
+	}
+
+	#advanceCanary(progress: RolloutProgress, now: number): boolean {
+		const ageMs = now - this.#startedAt;
+		if (ageMs < CANARY_SHARE * this.#periodMs) {
+			return false;
+		}
+
+		const obstacle = this.#obstacle(progress, now);
+		if (obstacle === undefined) {
+			return this.#enter(RolloutPhase.Switching, 'the evidence suffices', now);
+		}
+
+		const isTooLate = ageMs >= (1 - DRAIN_SHARE) * this.#periodMs;
+		return isTooLate && this.#enter(RolloutPhase.RolledBack, obstacle, now);
+	}
+
+	#advanceSwitching(progress: RolloutProgress, now: number): boolean {
+		const {candidateUpstreams, heldAtBase, allVmsInformed} = progress;
+		if (candidateUpstreams < MIN_REMAINING * this.#neededUpstreams(progress)) {
+			return this.#enter(RolloutPhase.RolledBack, `only ${candidateUpstreams} candidate upstreams are left`, now);
+		}
+
+		const suspicious = this.#comparison.suspicious(now);
+		const obstacle = (heldAtBase > 0 && `${heldAtBase} places at the base version are still held`)
+			|| (!allVmsInformed && 'not all VMs know of the switch')
+			|| (suspicious.length > 0 && `undecided: ${suspicious.join(', ')}`);
+		if (!obstacle && now - this.#switchedAt >= MIN_SWITCHING_MS) {
+			return this.#enter(RolloutPhase.Completed, 'the base version holds nothing', now);
+		}
+
+		const isTooLate = now - this.#startedAt >= (1 - WRITING_SHARE) * this.#periodMs;
+		return isTooLate && this.#enter(RolloutPhase.RolledBack, obstacle || 'switched too late', now);
+	}
+
+	/** @returns Why the candidate can't take over now. */
+	#obstacle(progress: RolloutProgress, now: number): string | undefined {
+		const {candidateUpstreams, baseUpstreams} = progress;
+		const remainingMs = ((1 - DRAIN_SHARE) * this.#periodMs) - (now - this.#startedAt);
+		this.#open = this.#comparison.open(remainingMs / ((1 - DRAIN_SHARE - CANARY_SHARE) * this.#periodMs), now);
+		if (candidateUpstreams === 0) {
+			return 'the candidate has no upstream';
+		}
+
+		if (candidateUpstreams < this.#neededUpstreams(progress)) {
+			return `${candidateUpstreams} candidate upstreams can't carry the load of ${baseUpstreams}`;
+		}
+
+		return this.#open.length > 0 ? `too little evidence: ${this.#open.join(', ')}` : undefined;
+	}
+
+	#neededUpstreams({baseUpstreams}: RolloutProgress): number {
+		return (1 - TOLERATED_LOSS) * baseUpstreams * this.#comparison.baseLoad;
+	}
+
+	#isFinal(): boolean {
+		return this.#phase === RolloutPhase.Completed || this.#phase === RolloutPhase.RolledBack;
+	}
+
+	#enter(phase: RolloutPhase, reason: string, now: number): true {
+		this.#phase = phase;
+		this.#reason = reason;
+		this.#switchedAt = phase === RolloutPhase.Switching ? now : this.#switchedAt;
+		return true;
+	}
 }
--- /dev/null
+++ b/src/rollout/sequential-test.ts
@@ -0,0 +1,167 @@
+/**
+ * Sequential probability ratio test (A. Wald, Sequential tests of statistical hypotheses, 1945) of whether a version
+ * has more bad answers than the base version. Because a version can turn bad at any time, the test that condemns starts
+ * anew at every answer, as in a cumulative sum test (E. S. Page, Continuous inspection schemes, 1954).
+ */
+
+/** Answers back from the newest one at which a test may start. */
+const WINDOW = 48;
+/** Answers after which the threshold rises, so that many starting points do not add up to false verdicts. */
+const STARTS_PER_LEVEL = 20;
+/** Time in which a fault of both versions may show at the candidate before it shows at the base, in ms. */
+const SETTLING_MS = 200;
+/** Answers in the window from which an overwhelming share of bad ones condemns without regard to upstreams. */
+const OVERWHELMING_ANSWERS = 30;
+/** Additional share of bad answers that is overwhelming; one upstream of a canary of several can't cause it. */
+const OVERWHELMING_EXCESS = 0.36;
+
+/** Error rates and hypotheses of a test. */
+export type SequentialTestOptions = {
+	/** Probability of condemning a good version, for one starting point. */
+	readonly alpha: number;
+	/** Probability of accepting a bad version. */
+	readonly beta: number;
+	/** Share of the base's good answers that are bad at a bad version. */
+	readonly excess: number;
+	/** Number of upstreams that must agree to condemn; the evidence of each is capped accordingly. */
+	readonly condemningUpstreams: number;
+	/** Number of upstreams that must agree to accept. */
+	readonly acceptingUpstreams: number;
+};
+
+type Answer = {
+	readonly upstreamId: string;
+	readonly isBad: boolean;
+	readonly notedAt: number;
+	/** Share of bad answers at the base version at that time. */
+	baseShare: number;
+};
+
+/** An answer of the candidate. */
+export type TestedAnswer = {
+	readonly upstreamId: string;
+	readonly isBad: boolean;
+	/** Whether it counts as evidence that the version is good. */
+	readonly mayAccept: boolean;
+	readonly baseShare: number;
+	readonly now: number;
+};
+
+type Counts = {good: number; bad: number};
+
+/** Evidence of a good and of a bad answer: logarithms of the likelihood ratio of bad to good version. */
+type Weights = {readonly good: number; readonly bad: number};
+
+/** Test of one set of requests. */
+export class SequentialTest {
+	static create(options: SequentialTestOptions): SequentialTest {
+		return new SequentialTest(options);
+	}
+
+	readonly #options: SequentialTestOptions;
+	readonly #window: Answer[] = [];
+	readonly #accepted = new Map<string, Counts>();
+	#total = 0;
+	#bad = 0;
+
+	private constructor(options: SequentialTestOptions) {
+		this.#options = options;
+	}
+
+	get total(): number {
+		return this.#total;
+	}
+
+	get bad(): number {
+		return this.#bad;
+	}
+
+	/** Notes an answer of the candidate. */
+	note({upstreamId, isBad, mayAccept, baseShare, now}: TestedAnswer): void {
+		this.#total += 1;
+		this.#bad += isBad ? 1 : 0;
+		this.#window.push({
+			upstreamId, isBad, notedAt: now, baseShare,
+		});
+		if (this.#window.length > WINDOW) {
+			this.#window.shift();
+		}
+
+		if (mayAccept) {
+			this.#addCounts(upstreamId, isBad ? 0 : 1, isBad ? 1 : 0);
+		}
+	}
+
+	/** Adds counts of an earlier allocator, as the evidence of one upstream. */
+	restore(total: number, bad: number): void {
+		this.#addCounts('', total - bad, bad);
+	}
+
+	/**
+	 * @param baseShare - Present share of bad answers at the base version; it is applied to answers that came just now too.
+	 * @param upstreamCount - Number of upstreams of the candidate.
+	 * @returns Evidence that the version is bad, in parts of what condemns it.
+	 */
+	badness(baseShare: number, upstreamCount: number, now: number): number {
+		const threshold = Math.log((1 - this.#options.beta) / this.#options.alpha) + Math.log(1 + (this.#total / STARTS_PER_LEVEL));
+		const cap = threshold / Math.max(1, Math.min(this.#options.condemningUpstreams, upstreamCount));
+		const byUpstream = new Map<string, number>();
+		let sum = 0;
+		let bad = 0;
+		let highest = 0;
+		for (let index = this.#window.length - 1; index >= 0; index -= 1) {
+			const answer = this.#window[index]!;
+			if (answer.notedAt > now - SETTLING_MS) {
+				answer.baseShare = Math.max(answer.baseShare, baseShare);
+			}
+
+			const {upstreamId, isBad} = answer;
+			const weights = this.#weights(answer.baseShare);
+			const before = byUpstream.get(upstreamId) ?? 0;
+			const after = before + (isBad ? weights.bad : weights.good);
+			byUpstream.set(upstreamId, after);
+			sum += clamp(after, cap) - clamp(before, cap);
+			highest = Math.max(highest, sum);
+			bad += isBad ? 1 : 0;
+			const answers = this.#window.length - index;
+			if (answers >= OVERWHELMING_ANSWERS && bad / answers >= baseShare + ((1 - baseShare) * OVERWHELMING_EXCESS)) {
+				return 1;
+			}
+		}
+
+		// The tolerance covers rounding where the capped evidence of all upstreams together just reaches the threshold.
+		return (highest + 1e-9) / threshold;
+	}
+
+	/** @returns Evidence that the version is good, in parts of what accepts it; negative if it is more likely bad. */
+	goodness(baseShare: number, upstreamCount: number): number {
+		const threshold = Math.log((1 - this.#options.alpha) / this.#options.beta);
+		const cap = threshold / Math.max(1, Math.min(this.#options.acceptingUpstreams, upstreamCount));
+		const weights = this.#weights(baseShare);
+		let sum = 0;
+		for (const {good, bad} of this.#accepted.values()) {
+			sum += clamp(-(good * weights.good) - (bad * weights.bad), cap);
+		}
+
+		return (sum + 1e-9) / threshold;
+	}
+
+	#addCounts(upstreamId: string, good: number, bad: number): void {
+		const counts = this.#accepted.get(upstreamId);
+		if (counts) {
+			counts.good += good;
+			counts.bad += bad;
+		} else {
+			this.#accepted.set(upstreamId, {good, bad});
+		}
+	}
+
+	#weights(baseShare: number): Weights {
+		const badShare = baseShare + ((1 - baseShare) * this.#options.excess);
+		return {good: Math.log((1 - badShare) / (1 - baseShare)), bad: Math.log(badShare / baseShare)};
+	}
+}
+
+function clamp(value: number, cap: number): number {
+	return Math.min(cap, Math.max(-cap, value));
+}
--- /dev/null
+++ b/src/rollout/version-comparison.ts
@@ -0,0 +1,333 @@
+/**
+ * Compares the answers of a candidate version with those of the base version at the same time: over all requests, for
+ * each route, and at busy upstreams; each for failures and for slow answers.
+ */
+import {BaseRate} from './base-rate.js';
+import {type RolloutSample, type TestCounts} from './rollout-sample.js';
+import {SequentialTest, type SequentialTestOptions, type TestedAnswer} from './sequential-test.js';
+import {SLOW_SHARE, SlownessScale} from './slowness-scale.js';
+
+/** Occupancy from which an upstream counts as busy; faults that only show under load have to show there. */
+const BUSY_LOAD = 0.75;
+/** Share of base answers from busy upstreams from which the candidate has to be seen at busy upstreams too. */
+const BUSY_SHARE = 0.1;
+/** Lowest assumed share of failures. */
+const MIN_FAILURE_SHARE = 0.02;
+/** Answers of the base that are needed to condemn; before them, its share of failures is unknown. */
+const MIN_BASE_ANSWERS = 15;
+/** Answers of the candidate with which it can be condemned although the base does not answer. */
+const MIN_LONE_ANSWERS = 30;
+/** Granted requests of a route from which it needs full evidence; below, evidence in proportion. */
+const FULL_ROUTE_REQUESTS = 48;
+/** Part of the full evidence that is needed at busy upstreams; the canary can keep few upstreams busy. */
+const BUSY_EVIDENCE = 0.3;
+/** Evidence of one test, in parts of what condemns, above which a version is not yet accepted. */
+const SUSPICIOUS = 0.5;
+/** Routes that are compared on their own; further ones only count in the comparison of all requests. */
+const MAX_ROUTES = 24;
+
+/** Error rates: at about ten tests in a roll-out, false roll-backs stay well below 1% (docs/design/rollouts.md). */
+const FAILURE_TEST: SequentialTestOptions = {
+	alpha: 0.0005, beta: 0.01, excess: 0.45, condemningUpstreams: 3, acceptingUpstreams: 2,
+};
+const SLOWNESS_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.7, condemningUpstreams: 4};
+/** Upstreams without any answer of usual length that condemn; with one slow upstream in three, 0.14% of good versions. */
+const LENGTH_UPSTREAMS = 6;
+const LENGTH_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.9, condemningUpstreams: LENGTH_UPSTREAMS};
+/** Part of the full evidence that is needed for the length of answers: some upstream has to be as fast as usual. */
+const LENGTH_EVIDENCE = 0.5;
+/** Lowest assumed share of long answers. */
+const MIN_LONG_SHARE = 0.1;
+/** Part of the full evidence that suffices when the time for the canary runs out. */
+const LAST_EVIDENCE = 0.4;
+/** Time for which a verdict is withheld, so that a fault of both versions shows at the base too, in ms. */
+const CONFIRMATION_MS = 50;
+
+/** A test and the base version's share for it. */
+type Comparison = {readonly name: string; readonly test: SequentialTest; readonly base: BaseRate};
+
+/** The tests of one set of requests. */
+class Stratum {
+	static create(name: string, parent?: Stratum): Stratum {
+		return new Stratum(name, parent);
+	}
+
+	readonly name: string;
+	readonly failures: Comparison;
+	readonly slowness: Comparison;
+	granted = 0;
+	candidateGranted = 0;
+
+	private constructor(name: string, parent: Stratum | undefined) {
+		this.name = name;
+		this.failures = {
+			name: `failures ${name}`, test: SequentialTest.create(FAILURE_TEST), base: BaseRate.create(MIN_FAILURE_SHARE, parent?.failures.base),
+		};
+		this.slowness = {
+			name: `slowness ${name}`, test: SequentialTest.create(SLOWNESS_TEST), base: BaseRate.create(SLOW_SHARE, parent?.slowness.base),
+		};
+	}
+
+	get comparisons(): readonly Comparison[] {
+		return [this.failures, this.slowness];
+	}
+}
+
+/** Evidence about one candidate version. */
+export class VersionComparison {
+	/** @param lateAt - Answers over all routes count as evidence for the version only if they were sent after this time. */
+	static create(lateAt: number): VersionComparison {
+		return new VersionComparison(lateAt);
+	}
+
+	/** Upstreams that the candidate has. */
+	candidateUpstreams = Number.POSITIVE_INFINITY;
+	readonly #lateAt: number;
+	readonly #all = Stratum.create('all');
+	readonly #busy = Stratum.create('busy', this.#all);
+	readonly #routes = new Map<string, Stratum>();
+	readonly #firsts = SlownessScale.create();
+	readonly #pauses = SlownessScale.create();
+	/** Whether no candidate upstream is as fast as usual; separate, as a slow upstream's answers are all long. */
+	readonly #length: Comparison = {name: 'length all', test: SequentialTest.create(LENGTH_TEST), base: BaseRate.create(MIN_LONG_SHARE)};
+	#restored: TestCounts | undefined;
+	#suspect: {readonly comparison: Comparison; readonly since: number} | undefined;
+	#baseLoad = 0;
+
+	private constructor(lateAt: number) {
+		this.#lateAt = lateAt;
+	}
+
+	/** Failures over all routes, for log lines. */
+	get overall(): {readonly candidateAnswers: number; readonly candidateBad: number; readonly baseAnswers: number; readonly baseBad: number} {
+		const {test, base} = this.#all.failures;
+		return {
+			candidateAnswers: test.total,
+			candidateBad: test.bad + this.#all.slowness.test.bad,
+			baseAnswers: base.total,
+			baseBad: base.bad + this.#all.slowness.base.bad,
+		};
+	}
+
+	/** Mean occupancy of base upstreams when requests were granted, none counted above full. */
+	get baseLoad(): number {
+		return this.#baseLoad / Math.max(1, this.#all.failures.base.total);
+	}
+
+	/** Whether the base version is often busy, so that the candidate has to be seen at busy upstreams. */
+	get needsBusy(): boolean {
+		const {total} = this.#all.failures.base;
+		return total >= MIN_BASE_ANSWERS && this.#busy.failures.base.total >= BUSY_SHARE * total;
+	}
+
+	/** Whether an answer suffices to condemn, but a fault of both versions is not excluded yet. */
+	get isSuspect(): boolean {
+		return this.#suspect !== undefined;
+	}
+
+	/** @returns Whether the candidate has to be seen at busy upstreams for longer. */
+	lacksBusy(now: number): boolean {
+		return this.needsBusy && this.#busy.comparisons.some(comparison => this.#goodness(comparison, now) < BUSY_EVIDENCE);
+	}
+
+	/** @returns Counts of a route's granted requests. */
+	grantedOf(route: string): {readonly granted: number; readonly candidateGranted: number} {
+		return this.#routes.get(route) ?? {granted: 0, candidateGranted: 0};
+	}
+
+	/** @returns Sum over the routes of the missing canary requests, up to `each` of a route. */
+	missing(target: number, each: number): number {
+		let sum = 0;
+		for (const {candidateGranted} of this.#routes.values()) {
+			sum += Math.min(each, Math.max(0, target - candidateGranted));
+		}
+
+		return sum;
+	}
+
+	noteGranted(isCandidate: boolean, route: string): void {
+		const stratum = this.#route(route);
+		if (stratum) {
+			stratum.granted += 1;
+			stratum.candidateGranted += isCandidate ? 1 : 0;
+		}
+	}
+
+	note(sample: RolloutSample, now: number): void {
+		const isSlow = this.#isSlow(sample, now);
+		const route = this.#route(sample.route);
+		const strata = [this.#all, ...(route ? [route] : []), ...(sample.load >= BUSY_LOAD ? [this.#busy] : [])];
+		if (!sample.isCandidate) {
+			this.#baseLoad += Math.min(1, sample.load);
+			for (const {failures, slowness} of strata) {
+				failures.base.note(sample.isFailure, now);
+				if (isSlow !== undefined) {
+					slowness.base.note(isSlow, now);
+				}
+			}
+
+			if (isSlow !== undefined && sample.slowness !== undefined) {
+				this.#length.base.note(this.#firsts.isLong(sample.slowness, sample.load), now);
+			}
+
+			return;
+		}
+
+		for (const stratum of strata) {
+			const mayAccept = stratum !== this.#all || sample.sentAt >= this.#lateAt;
+			this.#judge(stratum.failures, {
+				upstreamId: sample.upstreamId, isBad: sample.isFailure, mayAccept, now,
+			});
+			if (isSlow !== undefined) {
+				this.#judge(stratum.slowness, {
+					upstreamId: sample.upstreamId, isBad: isSlow, mayAccept, now,
+				});
+			}
+		}
+
+		if (isSlow !== undefined && sample.slowness !== undefined) {
+			const isBad = this.#firsts.isLong(sample.slowness, sample.load);
+			this.#judge(this.#length, {
+				upstreamId: sample.upstreamId, isBad, mayAccept: true, now,
+			});
+		}
+	}
+
+	/** @returns Why the version is bad, if the answers show it and the base does not show the same. */
+	verdict(now: number): string | undefined {
+		if (!this.#suspect || now < this.#suspect.since + CONFIRMATION_MS) {
+			return undefined;
+		}
+
+		const {name, test, base} = this.#suspect.comparison;
+		const isConfirmed = this.#badness(this.#suspect.comparison, now) >= 1;
+		this.#suspect = undefined;
+		return isConfirmed
+			? `${name}: ${test.bad} of ${test.total} at the candidate, ${base.bad} of ${base.total} at the base`
+			: undefined;
+	}
+
+	/**
+	 * @param remaining - Part of the time for the canary that is left after its shortest duration, from 1 to 0.
+	 * @returns Names of the tests that have not yet shown that the candidate is good.
+	 */
+	open(remaining: number, now: number): string[] {
+		const open: string[] = [];
+		const part = LAST_EVIDENCE + ((1 - LAST_EVIDENCE) * Math.max(0, remaining));
+		for (const stratum of [this.#all, ...this.#routes.values(), ...(this.needsBusy ? [this.#busy] : [])]) {
+			const needed = part * this.#neededEvidence(stratum);
+			for (const comparison of stratum.comparisons) {
+				// Slowness can't be judged while the base gives no times.
+				const isJudged = comparison.base.total > 0 || stratum.failures.base.total === 0;
+				if (isJudged && this.#goodness(comparison, now) < needed) {
+					open.push(comparison.name);
+				}
+			}
+		}
+
+		if (this.#length.base.total > 0 && this.#goodness(this.#length, now) < LENGTH_EVIDENCE) {
+			open.push(this.#length.name);
+		}
+
+		return [...new Set([...open, ...this.suspicious(now)])];
+	}
+
+	/** @returns Names of the tests with evidence against the candidate that does not suffice to condemn it. */
+	suspicious(now: number): string[] {
+		return this.#comparisons().filter(comparison => this.#badness(comparison, now) >= SUSPICIOUS).map(({name}) => name);
+	}
+
+	counts(): TestCounts {
+		const counts: Record<string, TestCounts[string]> = {};
+		for (const {name, test, base} of this.#comparisons()) {
+			const before = this.#restored?.[name]?.candidate ?? [0, 0];
+			counts[name] = {candidate: [before[0] + test.total, before[1] + test.bad], base: [base.total, base.bad]};
+		}
+
+		return counts;
+	}
+
+	/** Continues with the counts of an earlier allocator; they alone never suffice for a verdict. */
+	restore(counts: TestCounts): void {
+		this.#restored = counts;
+		const prefix = 'failures route ';
+		for (const name of Object.keys(counts)) {
+			if (name.startsWith(prefix)) {
+				this.#route(name.slice(prefix.length));
+			}
+		}
+
+		for (const {name, test, base} of this.#comparisons()) {
+			const earlier = counts[name];
+			if (earlier) {
+				test.restore(...earlier.candidate);
+				base.restore(...earlier.base);
+			}
+		}
+	}
+
+	#comparisons(): Comparison[] {
+		return [this.#length, ...[this.#all, this.#busy, ...this.#routes.values()].flatMap(stratum => stratum.comparisons)];
+	}
+
+	#judge(comparison: Comparison, answer: Omit<TestedAnswer, 'baseShare'>): void {
+		const {now} = answer;
+		comparison.test.note({...answer, baseShare: this.#baseShare(comparison, now)});
+		const hasBase = this.#all.failures.base.total >= MIN_BASE_ANSWERS || comparison.test.total >= MIN_LONE_ANSWERS;
+		if (answer.isBad && hasBase && !this.#suspect && this.#badness(comparison, now) >= 1) {
+			this.#suspect = {comparison, since: now};
+		}
+	}
+
+	#baseShare({base}: Comparison, now: number): number {
+		const share = base.share(now);
+		return base === this.#length.base ? Math.max(share, this.#firsts.longShare) : share;
+	}
+
+	#badness(comparison: Comparison, now: number): number {
+		// Few upstreams can all be slow ones, so that the length of answers needs its number of upstreams in any case.
+		const upstreams = comparison === this.#length ? LENGTH_UPSTREAMS : this.candidateUpstreams;
+		return comparison.test.badness(this.#baseShare(comparison, now), upstreams, now);
+	}
+
+	#goodness(comparison: Comparison, now: number): number {
+		return comparison.test.goodness(this.#baseShare(comparison, now), this.candidateUpstreams);
+	}
+
+	#isSlow({isCandidate, upstreamId, slowness, pauseSlowness, load}: RolloutSample, now: number): boolean | undefined {
+		let isSlow: boolean | undefined;
+		for (const [scale, value] of [[this.#firsts, slowness], [this.#pauses, pauseSlowness]] as const) {
+			if (value === undefined || !(value > 0)) {
+				continue;
+			}
+
+			if (!isCandidate) {
+				scale.note(upstreamId, value);
+			}
+
+			const isValueSlow = scale.isSlow(value, load, now);
+			isSlow = isSlow === undefined ? isValueSlow : isSlow || isValueSlow;
+		}
+
+		return isSlow;
+	}
+
+	/** @returns Part of the full evidence that is needed before the version takes over. */
+	#neededEvidence(stratum: Stratum): number {
+		if (stratum === this.#all) {
+			return 1;
+		}
+
+		return stratum === this.#busy ? BUSY_EVIDENCE : Math.min(1, stratum.granted / FULL_ROUTE_REQUESTS);
+	}
+
+	#route(route: string): Stratum | undefined {
+		let stratum = this.#routes.get(route);
+		if (!stratum && this.#routes.size < MAX_ROUTES) {
+			stratum = Stratum.create(`route ${route}`, this.#all);
+			this.#routes.set(route, stratum);
+		}
+
+		return stratum;
+	}
+}
