Roll-outs: bursts to busy upstreams, rare routes first

Change: rare routes get canary requests with priority; the rest of the budget is saved for bursts to one upstream.

--- a/src/rollout/exposure.ts
+++ b/src/rollout/exposure.ts
@@ -6,7 +6,7 @@
 /** Part of the exposed share that is used; the rest covers the time until a verdict after the switch. */
 const USED_SHARE = 0.5;
 /** Part of the slack that the first allocator uses; the rest covers requests granted while a verdict is on its way. */
-const USED_SLACK = 0.4;
+const USED_SLACK = 0.5;
 /** Part of the used slack that is available at the start; the rest follows evenly, as some faults show late only. */
 const INITIAL_SLACK = 0.3;
 
--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -12,21 +12,21 @@
 const CANARY_SHARE = 0.5;
 /** Part of the period after which answers count as evidence for the version over all routes. */
 const LATE_SHARE = 0.3;
-/** Part of the period that is kept for the requests at the base version to finish; places are held for some seconds. */
-const DRAIN_SHARE = 0.33;
+/** Greatest part of the period that is kept for the requests at the base version to finish. */
+const MAX_DRAIN_SHARE = 0.4;
+/** Time that is kept beside the longest that a request took at the base version, until all VMs know of the switch, in ms. */
+const INFORM_MS = 1000;
 /** Part of the period that is kept for writing the outcome. */
 const WRITING_SHARE = 0.04;
 /** Shortest time between the switch and the completion, in ms; faults under full load show in it. */
 const MIN_SWITCHING_MS = 1000;
-/** Canary requests that each route gets with priority; about what a test needs to accept a version. */
-const ROUTE_TARGET = 12;
-/** Requests of the budget that are kept for each route below its target, and for all of them. */
+/** Requests of the budget that are kept for each route that has to get more, and for all of them. */
 const ROUTE_RESERVE = 2;
-const MAX_RESERVE = 6;
+const MAX_RESERVE = 4;
+/** Part of the period in which the canary goes to any candidate upstream, before some of them are made busy. */
+const SPREAD_SHARE = 0.15;
 /** Number of requests sent at once so that a candidate upstream gets busy. */
-const BURST = 10;
-/** Requests between two such bursts that go to any candidate upstream. */
-const SPREAD = 6;
+const BURST = 8;
 /** Part of the candidate upstreams that may be missing, e.g. after a crash. */
 const TOLERATED_LOSS = 0.2;
 /** Part of the needed upstreams below which a switch is undone. */
@@ -112,7 +112,6 @@
 	#switchedAt: number;
 	#lacksBusy = false;
 	#isBursting = false;
-	#spreadLeft = 0;
 	#open: readonly string[] = [];
 
 	private constructor({order, bounds, now, snapshot}: RolloutCourseOptions) {
@@ -148,8 +147,8 @@
 	 * Whether a canary request is to be placed at the busiest candidate upstream that has room, rather than at the
 	 * cheapest. The candidate has to be seen at high occupancy before it takes over.
 	 */
-	prefersBusy(_now: number): boolean {
-		return this.#phase === RolloutPhase.Canary && this.#lacksBusy && this.#isBursting;
+	prefersBusy(now: number): boolean {
+		return this.#phase === RolloutPhase.Canary && this.#lacksBusy && now >= this.#startedAt + (SPREAD_SHARE * this.#periodMs);
 	}
 
 	/** @returns Whether a new request of the route, first attempt, goes to the candidate; otherwise it goes to the base. */
@@ -159,11 +158,7 @@
 		}
 
 		const available = this.#exposure.available(now - this.#startedAt);
-		if (this.#isBursting && available < 1) {
-			this.#isBursting = false;
-			this.#spreadLeft = SPREAD;
-		}
-
+		this.#isBursting &&= available >= 1;
 		if (available < 1 || this.#comparison.isSuspect) {
 			return false;
 		}
@@ -174,25 +169,20 @@
 			return false;
 		}
 
-		if (candidateGranted < ROUTE_TARGET) {
+		const {requests} = this.#exposure;
+		if (this.#comparison.missing(route, requests) > 0) {
 			return true;
 		}
 
-		const reserve = Math.min(MAX_RESERVE, this.#comparison.missing(ROUTE_TARGET, ROUTE_RESERVE));
-		const maySend = available >= 1 + reserve;
-		if (!this.#lacksBusy || this.#spreadLeft > 0) {
-			return maySend;
-		}
-
-		this.#isBursting ||= available >= BURST + reserve;
-		return this.#isBursting && maySend;
+		const reserve = Math.min(MAX_RESERVE, ROUTE_RESERVE * this.#comparison.missingRoutes(requests));
+		this.#isBursting ||= !this.prefersBusy(now) || available >= BURST + reserve;
+		return this.#isBursting && available >= 1 + reserve;
 	}
 
 	/** Counts a granted request of the pool, whichever version it went to. */
 	noteGranted(isCandidate: boolean, route: string, _now: number): void {
 		this.#exposure.note(isCandidate);
 		this.#comparison.noteGranted(isCandidate, route);
-		this.#spreadLeft -= isCandidate ? 1 : 0;
 	}
 
 	/** @returns Whether the phase changed. */
@@ -240,18 +230,19 @@
 	}
 
 	#advanceCanary(progress: RolloutProgress, now: number): boolean {
-		const ageMs = now - this.#startedAt;
-		if (ageMs < CANARY_SHARE * this.#periodMs) {
+		const earliestAt = this.#startedAt + (CANARY_SHARE * this.#periodMs);
+		if (now < earliestAt) {
 			return false;
 		}
 
-		const obstacle = this.#obstacle(progress, now);
+		const drainMs = INFORM_MS + Math.max(MIN_SWITCHING_MS, this.#comparison.longestBaseMs) + (WRITING_SHARE * this.#periodMs);
+		const latestAt = this.#startedAt + this.#periodMs - Math.min(MAX_DRAIN_SHARE * this.#periodMs, drainMs);
+		const obstacle = this.#obstacle(progress, (latestAt - now) / (latestAt - earliestAt), now);
 		if (obstacle === undefined) {
 			return this.#enter(RolloutPhase.Switching, 'the evidence suffices', now);
 		}
 
-		const isTooLate = ageMs >= (1 - DRAIN_SHARE) * this.#periodMs;
-		return isTooLate && this.#enter(RolloutPhase.RolledBack, obstacle, now);
+		return now >= latestAt && this.#enter(RolloutPhase.RolledBack, obstacle, now);
 	}
 
 	#advanceSwitching(progress: RolloutProgress, now: number): boolean {
@@ -272,11 +263,13 @@
 		return isTooLate && this.#enter(RolloutPhase.RolledBack, obstacle || 'switched too late', now);
 	}
 
-	/** @returns Why the candidate can't take over now. */
-	#obstacle(progress: RolloutProgress, now: number): string | undefined {
+	/**
+	 * @param remaining - Part of the time for a switch that is left.
+	 * @returns Why the candidate can't take over now.
+	 */
+	#obstacle(progress: RolloutProgress, remaining: number, now: number): string | undefined {
 		const {candidateUpstreams, baseUpstreams} = progress;
-		const remainingMs = ((1 - DRAIN_SHARE) * this.#periodMs) - (now - this.#startedAt);
-		this.#open = this.#comparison.open(remainingMs / ((1 - DRAIN_SHARE - CANARY_SHARE) * this.#periodMs), now);
+		this.#open = this.#comparison.open(remaining, now);
 		if (candidateUpstreams === 0) {
 			return 'the candidate has no upstream';
 		}
--- a/src/rollout/sequential-test.ts
+++ b/src/rollout/sequential-test.ts
@@ -5,13 +5,21 @@
  */
 
 /** Answers back from the newest one at which a test may start. */
-const WINDOW = 48;
+const WINDOW = 160;
 /** Answers after which the threshold rises, so that many starting points do not add up to false verdicts. */
 const STARTS_PER_LEVEL = 20;
 /** Time in which a fault of both versions may show at the candidate before it shows at the base, in ms. */
 const SETTLING_MS = 200;
+/**
+ * Length of the intervals whose evidence is capped, in ms, and the number that must agree to condemn. A link that is cut
+ * or a VM that stops loses many requests at one moment, at whichever version they are.
+ */
+const INTERVAL_MS = 50;
+const CONDEMNING_INTERVALS = 3;
 /** Answers in the window from which an overwhelming share of bad ones condemns without regard to upstreams. */
 const OVERWHELMING_ANSWERS = 30;
+/** Shortest time from the first of them to the last, in ms. */
+const OVERWHELMING_MS = 200;
 /** Additional share of bad answers that is overwhelming; one upstream of a canary of several can't cause it. */
 const OVERWHELMING_EXCESS = 0.36;
 
@@ -27,6 +35,8 @@
 	readonly condemningUpstreams: number;
 	/** Number of upstreams that must agree to accept. */
 	readonly acceptingUpstreams: number;
+	/** Whether one upstream's answers can be bad as a whole at a good version, so that those of the others suffice to accept. */
+	readonly isByUpstream: boolean;
 };
 
 type Answer = {
@@ -52,6 +62,32 @@
 /** Evidence of a good and of a bad answer: logarithms of the likelihood ratio of bad to good version. */
 type Weights = {readonly good: number; readonly bad: number};
 
+/** Sum of evidence in which the part of each source is capped. */
+class CappedSum<Source> {
+	static create<Source>(cap: number): CappedSum<Source> {
+		return new CappedSum<Source>(cap);
+	}
+
+	readonly #cap: number;
+	readonly #bySource = new Map<Source, number>();
+	#sum = 0;
+
+	private constructor(cap: number) {
+		this.#cap = cap;
+	}
+
+	get sum(): number {
+		return this.#sum;
+	}
+
+	add(source: Source, evidence: number): void {
+		const before = this.#bySource.get(source) ?? 0;
+		const after = before + evidence;
+		this.#bySource.set(source, after);
+		this.#sum += clamp(after, this.#cap) - clamp(before, this.#cap);
+	}
+}
+
 /** Test of one set of requests. */
 export class SequentialTest {
 	static create(options: SequentialTestOptions): SequentialTest {
@@ -105,8 +141,8 @@
 	badness(baseShare: number, upstreamCount: number, now: number): number {
 		const threshold = Math.log((1 - this.#options.beta) / this.#options.alpha) + Math.log(1 + (this.#total / STARTS_PER_LEVEL));
 		const cap = threshold / Math.max(1, Math.min(this.#options.condemningUpstreams, upstreamCount));
-		const byUpstream = new Map<string, number>();
-		let sum = 0;
+		const byUpstream = CappedSum.create(cap);
+		const byInterval = CappedSum.create(threshold / CONDEMNING_INTERVALS);
 		let bad = 0;
 		let highest = 0;
 		for (let index = this.#window.length - 1; index >= 0; index -= 1) {
@@ -117,14 +153,14 @@
 
 			const {upstreamId, isBad} = answer;
 			const weights = this.#weights(answer.baseShare);
-			const before = byUpstream.get(upstreamId) ?? 0;
-			const after = before + (isBad ? weights.bad : weights.good);
-			byUpstream.set(upstreamId, after);
-			sum += clamp(after, cap) - clamp(before, cap);
-			highest = Math.max(highest, sum);
+			const evidence = isBad ? weights.bad : weights.good;
+			byUpstream.add(upstreamId, evidence);
+			byInterval.add(Math.floor((now - answer.notedAt) / INTERVAL_MS), evidence);
+			highest = Math.max(highest, Math.min(byUpstream.sum, byInterval.sum));
 			bad += isBad ? 1 : 0;
 			const answers = this.#window.length - index;
-			if (answers >= OVERWHELMING_ANSWERS && bad / answers >= baseShare + ((1 - baseShare) * OVERWHELMING_EXCESS)) {
+			const isLasting = !this.#options.isByUpstream && answers >= OVERWHELMING_ANSWERS && now - answer.notedAt >= OVERWHELMING_MS;
+			if (isLasting && bad / answers >= baseShare + ((1 - baseShare) * OVERWHELMING_EXCESS)) {
 				return 1;
 			}
 		}
@@ -140,7 +176,8 @@
 		const weights = this.#weights(baseShare);
 		let sum = 0;
 		for (const {good, bad} of this.#accepted.values()) {
-			sum += clamp(-(good * weights.good) - (bad * weights.bad), cap);
+			const evidence = clamp(-(good * weights.good) - (bad * weights.bad), cap);
+			sum += this.#options.isByUpstream ? Math.max(0, evidence) : evidence;
 		}
 
 		return (sum + 1e-9) / threshold;
--- a/src/rollout/slowness-scale.ts
+++ b/src/rollout/slowness-scale.ts
@@ -7,8 +7,11 @@
 export const SLOW_SHARE = 0.1;
 /** An answer is slow if it took this many times longer than the usual range of the base version. */
 const MARGIN = 1.3;
-/** An answer is never slow unless it took this many times longer than the median of the base version. */
-const MIN_MEDIAN_RATIO = 3;
+/**
+ * An answer is not slow unless it took this many times longer than the median of the base version. Base upstreams that
+ * are 4.4 times slower may be unused for a while and then are missing in the usual range.
+ */
+const MIN_MEDIAN_RATIO = 4.5;
 /** An answer is long if it took this many times longer than the median; answers of slow upstreams are, by nature. */
 const LONG_MEDIAN_RATIO = 3;
 /** Occupancy from which upstreams may be slower than usual, because requests delay each other. */
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -28,18 +28,27 @@
 
 /** Error rates: at about ten tests in a roll-out, false roll-backs stay well below 1% (docs/design/rollouts.md). */
 const FAILURE_TEST: SequentialTestOptions = {
-	alpha: 0.0005, beta: 0.01, excess: 0.45, condemningUpstreams: 3, acceptingUpstreams: 2,
+	alpha: 0.0005, beta: 0.01, excess: 0.45, condemningUpstreams: 4, acceptingUpstreams: 2, isByUpstream: false,
 };
-const SLOWNESS_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.7, condemningUpstreams: 4};
+const SLOWNESS_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.7};
 /** Upstreams without any answer of usual length that condemn; with one slow upstream in three, 0.14% of good versions. */
 const LENGTH_UPSTREAMS = 6;
-const LENGTH_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.9, condemningUpstreams: LENGTH_UPSTREAMS};
+const LENGTH_TEST: SequentialTestOptions = {
+	...FAILURE_TEST, excess: 0.9, isByUpstream: true, condemningUpstreams: LENGTH_UPSTREAMS,
+};
 /** Part of the full evidence that is needed for the length of answers: some upstream has to be as fast as usual. */
 const LENGTH_EVIDENCE = 0.5;
 /** Lowest assumed share of long answers. */
 const MIN_LONG_SHARE = 0.1;
-/** Part of the full evidence that suffices when the time for the canary runs out. */
-const LAST_EVIDENCE = 0.4;
+/** Parts of the full evidence that suffice when the time for the canary runs out, over all routes and for one of them. */
+const LAST_EVIDENCE = 0.25;
+const LAST_ROUTE_EVIDENCE = 0.1;
+/** Canary requests that each route gets with priority. */
+const ROUTE_TARGET = 6;
+/** Canary requests that a rare route gets with priority; about what a test needs to accept a version. */
+const RARE_ROUTE_TARGET = 16;
+/** Share of the pool's requests below which a route is rare. */
+const RARE_ROUTE_SHARE = 0.2;
 /** Time for which a verdict is withheld, so that a fault of both versions shows at the base too, in ms. */
 const CONFIRMATION_MS = 50;
 
@@ -93,6 +102,7 @@
 	#restored: TestCounts | undefined;
 	#suspect: {readonly comparison: Comparison; readonly since: number} | undefined;
 	#baseLoad = 0;
+	#longestBaseMs = 0;
 
 	private constructor(lateAt: number) {
 		this.#lateAt = lateAt;
@@ -114,6 +124,11 @@
 		return this.#baseLoad / Math.max(1, this.#all.failures.base.total);
 	}
 
+	/** Longest time that a request took at the base version, in ms. */
+	get longestBaseMs(): number {
+		return this.#longestBaseMs;
+	}
+
 	/** Whether the base version is often busy, so that the candidate has to be seen at busy upstreams. */
 	get needsBusy(): boolean {
 		const {total} = this.#all.failures.base;
@@ -135,14 +150,23 @@
 		return this.#routes.get(route) ?? {granted: 0, candidateGranted: 0};
 	}
 
-	/** @returns Sum over the routes of the missing canary requests, up to `each` of a route. */
-	missing(target: number, each: number): number {
-		let sum = 0;
-		for (const {candidateGranted} of this.#routes.values()) {
-			sum += Math.min(each, Math.max(0, target - candidateGranted));
+	/**
+	 * @param requests - Granted requests of the pool.
+	 * @returns Number of canary requests that the route still gets with priority.
+	 */
+	missing(route: string, requests: number): number {
+		const {granted, candidateGranted} = this.grantedOf(route);
+		return Math.max(0, (granted < RARE_ROUTE_SHARE * requests ? RARE_ROUTE_TARGET : ROUTE_TARGET) - candidateGranted);
+	}
+
+	/** @returns Number of routes that still get canary requests with priority. */
+	missingRoutes(requests: number): number {
+		let count = 0;
+		for (const route of this.#routes.keys()) {
+			count += this.missing(route, requests) > 0 ? 1 : 0;
 		}
 
-		return sum;
+		return count;
 	}
 
 	noteGranted(isCandidate: boolean, route: string): void {
@@ -159,6 +183,7 @@
 		const strata = [this.#all, ...(route ? [route] : []), ...(sample.load >= BUSY_LOAD ? [this.#busy] : [])];
 		if (!sample.isCandidate) {
 			this.#baseLoad += Math.min(1, sample.load);
+			this.#longestBaseMs = Math.max(this.#longestBaseMs, now - sample.sentAt);
 			for (const {failures, slowness} of strata) {
 				failures.base.note(sample.isFailure, now);
 				if (isSlow !== undefined) {
@@ -213,9 +238,9 @@
 	 */
 	open(remaining: number, now: number): string[] {
 		const open: string[] = [];
-		const part = LAST_EVIDENCE + ((1 - LAST_EVIDENCE) * Math.max(0, remaining));
 		for (const stratum of [this.#all, ...this.#routes.values(), ...(this.needsBusy ? [this.#busy] : [])]) {
-			const needed = part * this.#neededEvidence(stratum);
+			const last = stratum === this.#all ? LAST_EVIDENCE : LAST_ROUTE_EVIDENCE;
+			const needed = (last + ((1 - last) * Math.max(0, remaining))) * this.#neededEvidence(stratum);
 			for (const comparison of stratum.comparisons) {
 				// Slowness can't be judged while the base gives no times.
 				const isJudged = comparison.base.total > 0 || stratum.failures.base.total === 0;
@@ -234,7 +259,7 @@
 
 	/** @returns Names of the tests with evidence against the candidate that does not suffice to condemn it. */
 	suspicious(now: number): string[] {
-		return this.#comparisons().filter(comparison => this.#badness(comparison, now) >= SUSPICIOUS).map(({name}) => name);
+		return this.#comparisons().filter(comparison => comparison !== this.#length && this.#badness(comparison, now) >= SUSPICIOUS).map(({name}) => name);
 	}
 
 	counts(): TestCounts {
