Roll-outs: evidence keeps the base's share at the time of each answer

Cause: losses that meet both versions at one moment counted against the candidate once the base's share had fallen again.

--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -124,6 +124,7 @@
 		this.#comparison = VersionComparison.create(this.#startedAt + (LATE_SHARE * order.periodMs));
 		if (snapshot) {
 			this.#comparison.restore(snapshot.tests);
+			this.#comparison.isSwitched = this.#phase === RolloutPhase.Switching;
 		}
 	}
 
@@ -206,6 +207,7 @@
 		}
 
 		this.#comparison.candidateUpstreams = progress.candidateUpstreams;
+		this.#comparison.settle(now);
 		this.#lacksBusy = this.#comparison.lacksBusy(now);
 		if (this.#judge(now)) {
 			return true;
@@ -293,6 +295,7 @@
 		this.#phase = phase;
 		this.#reason = reason;
 		this.#switchedAt = phase === RolloutPhase.Switching ? now : this.#switchedAt;
+		this.#comparison.isSwitched = phase === RolloutPhase.Switching;
 		return true;
 	}
 }
--- a/src/rollout/sequential-test.ts
+++ b/src/rollout/sequential-test.ts
@@ -3,6 +3,7 @@
  * has more bad answers than the base version. Because a version can turn bad at any time, the test that condemns starts
  * anew at every answer, as in a cumulative sum test (E. S. Page, Continuous inspection schemes, 1954).
  */
+import {type RolloutCounts} from './rollout-sample.js';
 
 /** Answers back from the newest one at which a test may start. */
 const WINDOW = 160;
@@ -42,6 +43,7 @@
 type Answer = {
 	readonly upstreamId: string;
 	readonly isBad: boolean;
+	readonly mayAccept: boolean;
 	readonly notedAt: number;
 	/** Share of bad answers at the base version at that time. */
 	baseShare: number;
@@ -57,8 +59,6 @@
 	readonly now: number;
 };
 
-type Counts = {good: number; bad: number};
-
 /** Evidence of a good and of a bad answer: logarithms of the likelihood ratio of bad to good version. */
 type Weights = {readonly good: number; readonly bad: number};
 
@@ -96,7 +96,7 @@
 
 	readonly #options: SequentialTestOptions;
 	readonly #window: Answer[] = [];
-	readonly #accepted = new Map<string, Counts>();
+	#restored: RolloutCounts = [0, 0];
 	#total = 0;
 	#bad = 0;
 
@@ -117,40 +117,41 @@
 		this.#total += 1;
 		this.#bad += isBad ? 1 : 0;
 		this.#window.push({
-			upstreamId, isBad, notedAt: now, baseShare,
+			upstreamId, isBad, mayAccept, notedAt: now, baseShare,
 		});
 		if (this.#window.length > WINDOW) {
 			this.#window.shift();
 		}
-
-		if (mayAccept) {
-			this.#addCounts(upstreamId, isBad ? 0 : 1, isBad ? 1 : 0);
-		}
 	}
 
 	/** Adds counts of an earlier allocator, as the evidence of one upstream. */
-	restore(total: number, bad: number): void {
-		this.#addCounts('', total - bad, bad);
+	restore(counts: RolloutCounts): void {
+		this.#restored = counts;
+	}
+
+	/** Applies a present share of bad answers at the base version to the answers that came just now too. */
+	settle(baseShare: number, now: number): void {
+		for (let index = this.#window.length - 1; index >= 0 && this.#window[index]!.notedAt > now - SETTLING_MS; index -= 1) {
+			const answer = this.#window[index]!;
+			answer.baseShare = Math.max(answer.baseShare, baseShare);
+		}
 	}
 
 	/**
-	 * @param baseShare - Present share of bad answers at the base version; it is applied to answers that came just now too.
+	 * @param baseShare - Present share of bad answers at the base version.
 	 * @param upstreamCount - Number of upstreams of the candidate.
 	 * @returns Evidence that the version is bad, in parts of what condemns it.
 	 */
 	badness(baseShare: number, upstreamCount: number, now: number): number {
 		const threshold = Math.log((1 - this.#options.beta) / this.#options.alpha) + Math.log(1 + (this.#total / STARTS_PER_LEVEL));
 		const cap = threshold / Math.max(1, Math.min(this.#options.condemningUpstreams, upstreamCount));
+		this.settle(baseShare, now);
 		const byUpstream = CappedSum.create(cap);
 		const byInterval = CappedSum.create(threshold / CONDEMNING_INTERVALS);
 		let bad = 0;
 		let highest = 0;
 		for (let index = this.#window.length - 1; index >= 0; index -= 1) {
 			const answer = this.#window[index]!;
-			if (answer.notedAt > now - SETTLING_MS) {
-				answer.baseShare = Math.max(answer.baseShare, baseShare);
-			}
-
 			const {upstreamId, isBad} = answer;
 			const weights = this.#weights(answer.baseShare);
 			const evidence = isBad ? weights.bad : weights.good;
@@ -173,26 +174,25 @@
 	goodness(baseShare: number, upstreamCount: number): number {
 		const threshold = Math.log((1 - this.#options.alpha) / this.#options.beta);
 		const cap = threshold / Math.max(1, Math.min(this.#options.acceptingUpstreams, upstreamCount));
+		const byUpstream = new Map<string, number>();
+		const [total, bad] = this.#restored;
 		const weights = this.#weights(baseShare);
+		byUpstream.set('', ((bad - total) * weights.good) - (bad * weights.bad));
+		for (const answer of this.#window) {
+			if (answer.mayAccept) {
+				const {good, bad} = this.#weights(answer.baseShare);
+				byUpstream.set(answer.upstreamId, (byUpstream.get(answer.upstreamId) ?? 0) - (answer.isBad ? bad : good));
+			}
+		}
+
 		let sum = 0;
-		for (const {good, bad} of this.#accepted.values()) {
-			const evidence = clamp(-(good * weights.good) - (bad * weights.bad), cap);
-			sum += this.#options.isByUpstream ? Math.max(0, evidence) : evidence;
+		for (const evidence of byUpstream.values()) {
+			sum += Math.min(cap, Math.max(this.#options.isByUpstream ? 0 : -cap, evidence));
 		}
 
 		return (sum + 1e-9) / threshold;
 	}
 
-	#addCounts(upstreamId: string, good: number, bad: number): void {
-		const counts = this.#accepted.get(upstreamId);
-		if (counts) {
-			counts.good += good;
-			counts.bad += bad;
-		} else {
-			this.#accepted.set(upstreamId, {good, bad});
-		}
-	}
-
 	#weights(baseShare: number): Weights {
 		const badShare = baseShare + ((1 - baseShare) * this.#options.excess);
 		return {good: Math.log((1 - badShare) / (1 - baseShare)), bad: Math.log(badShare / baseShare)};
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -10,7 +10,7 @@
 /** Occupancy from which an upstream counts as busy; faults that only show under load have to show there. */
 const BUSY_LOAD = 0.75;
 /** Share of base answers from busy upstreams from which the candidate has to be seen at busy upstreams too. */
-const BUSY_SHARE = 0.1;
+const BUSY_SHARE = 0.2;
 /** Lowest assumed share of failures. */
 const MIN_FAILURE_SHARE = 0.02;
 /** Answers of the base that are needed to condemn; before them, its share of failures is unknown. */
@@ -49,6 +49,8 @@
 const RARE_ROUTE_TARGET = 16;
 /** Share of the pool's requests below which a route is rare. */
 const RARE_ROUTE_SHARE = 0.2;
+/** Evidence that condemns after the switch, in parts of the full one, if the answers as a whole speak against the version. */
+const SWITCHED_EVIDENCE = 0.5;
 /** Time for which a verdict is withheld, so that a fault of both versions shows at the base too, in ms. */
 const CONFIRMATION_MS = 50;
 
@@ -91,6 +93,8 @@
 
 	/** Upstreams that the candidate has. */
 	candidateUpstreams = Number.POSITIVE_INFINITY;
+	/** Whether all requests go to the candidate, so that a late verdict costs more. */
+	isSwitched = false;
 	readonly #lateAt: number;
 	readonly #all = Stratum.create('all');
 	readonly #busy = Stratum.create('busy', this.#all);
@@ -218,6 +222,13 @@
 		}
 	}
 
+	/** Applies faults that the base shows now to the answers that the candidate gave just before. */
+	settle(now: number): void {
+		for (const comparison of this.#comparisons()) {
+			comparison.test.settle(this.#baseShare(comparison, now), now);
+		}
+	}
+
 	/** @returns Why the version is bad, if the answers show it and the base does not show the same. */
 	verdict(now: number): string | undefined {
 		if (!this.#suspect || now < this.#suspect.since + CONFIRMATION_MS) {
@@ -225,7 +236,7 @@
 		}
 
 		const {name, test, base} = this.#suspect.comparison;
-		const isConfirmed = this.#badness(this.#suspect.comparison, now) >= 1;
+		const isConfirmed = this.#isCondemned(this.#suspect.comparison, now);
 		this.#suspect = undefined;
 		return isConfirmed
 			? `${name}: ${test.bad} of ${test.total} at the candidate, ${base.bad} of ${base.total} at the base`
@@ -285,7 +296,7 @@
 		for (const {name, test, base} of this.#comparisons()) {
 			const earlier = counts[name];
 			if (earlier) {
-				test.restore(...earlier.candidate);
+				test.restore(earlier.candidate);
 				base.restore(...earlier.base);
 			}
 		}
@@ -299,11 +310,16 @@
 		const {now} = answer;
 		comparison.test.note({...answer, baseShare: this.#baseShare(comparison, now)});
 		const hasBase = this.#all.failures.base.total >= MIN_BASE_ANSWERS || comparison.test.total >= MIN_LONE_ANSWERS;
-		if (answer.isBad && hasBase && !this.#suspect && this.#badness(comparison, now) >= 1) {
+		if (answer.isBad && hasBase && !this.#suspect && this.#isCondemned(comparison, now)) {
 			this.#suspect = {comparison, since: now};
 		}
 	}
 
+	#isCondemned(comparison: Comparison, now: number): boolean {
+		const badness = this.#badness(comparison, now);
+		return badness >= 1 || (this.isSwitched && badness >= SWITCHED_EVIDENCE && comparison !== this.#length && this.#goodness(comparison, now) < 0);
+	}
+
 	#baseShare({base}: Comparison, now: number): number {
 		const share = base.share(now);
 		return base === this.#length.base ? Math.max(share, this.#firsts.longShare) : share;
