Roll-outs: the canary's budget goes to routes that lack evidence

Cause: single failures on rare routes or at one upstream kept good versions from being accepted. Change: tiers of the budget; evidence against a version from one upstream is capped lower than evidence for it.

--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -23,6 +23,8 @@
 /** Requests of the budget that are kept for each route that has to get more, and for all of them. */
 const ROUTE_RESERVE = 2;
 const MAX_RESERVE = 4;
+/** Requests of the budget that are kept for routes that lack evidence. */
+const OPEN_RESERVE = 2;
 /** Part of the period in which the canary goes to any candidate upstream, before some of them are made busy. */
 const SPREAD_SHARE = 0.15;
 /** Number of requests sent at once so that a candidate upstream gets busy. */
@@ -176,8 +178,12 @@
 		}
 
 		const reserve = Math.min(MAX_RESERVE, ROUTE_RESERVE * this.#comparison.missingRoutes(requests));
-		this.#isBursting ||= !this.prefersBusy(now) || available >= BURST + reserve;
-		return this.#isBursting && available >= 1 + reserve;
+		if (this.prefersBusy(now)) {
+			this.#isBursting ||= available >= BURST + reserve;
+			return this.#isBursting && available >= 1 + reserve;
+		}
+
+		return available >= 1 + reserve + (this.#comparison.isSettled(route) ? OPEN_RESERVE : 0);
 	}
 
 	/** Counts a granted request of the pool, whichever version it went to. */
@@ -208,6 +214,7 @@
 
 		this.#comparison.candidateUpstreams = progress.candidateUpstreams;
 		this.#comparison.settle(now);
+		this.#comparison.updateOpenRoutes(now);
 		this.#lacksBusy = this.#comparison.lacksBusy(now);
 		if (this.#judge(now)) {
 			return true;
--- a/src/rollout/sequential-test.ts
+++ b/src/rollout/sequential-test.ts
@@ -36,6 +36,8 @@
 	readonly condemningUpstreams: number;
 	/** Number of upstreams that must agree to accept. */
 	readonly acceptingUpstreams: number;
+	/** Number of upstreams whose evidence against a version outweighs what accepts it. */
+	readonly opposingUpstreams: number;
 	/** Whether one upstream's answers can be bad as a whole at a good version, so that those of the others suffice to accept. */
 	readonly isByUpstream: boolean;
 };
@@ -174,6 +176,7 @@
 	goodness(baseShare: number, upstreamCount: number): number {
 		const threshold = Math.log((1 - this.#options.alpha) / this.#options.beta);
 		const cap = threshold / Math.max(1, Math.min(this.#options.acceptingUpstreams, upstreamCount));
+		const lowest = this.#options.isByUpstream ? 0 : -threshold / this.#options.opposingUpstreams;
 		const byUpstream = new Map<string, number>();
 		const [total, bad] = this.#restored;
 		const weights = this.#weights(baseShare);
@@ -187,7 +190,7 @@
 
 		let sum = 0;
 		for (const evidence of byUpstream.values()) {
-			sum += Math.min(cap, Math.max(this.#options.isByUpstream ? 0 : -cap, evidence));
+			sum += Math.min(cap, Math.max(lowest, evidence));
 		}
 
 		return (sum + 1e-9) / threshold;
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -28,7 +28,7 @@
 
 /** Error rates: at about ten tests in a roll-out, false roll-backs stay well below 1% (docs/design/rollouts.md). */
 const FAILURE_TEST: SequentialTestOptions = {
-	alpha: 0.0005, beta: 0.01, excess: 0.45, condemningUpstreams: 4, acceptingUpstreams: 2, isByUpstream: false,
+	alpha: 0.0005, beta: 0.01, excess: 0.5, condemningUpstreams: 4, acceptingUpstreams: 2, opposingUpstreams: 3, isByUpstream: false,
 };
 const SLOWNESS_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.7};
 /** Upstreams without any answer of usual length that condemn; with one slow upstream in three, 0.14% of good versions. */
@@ -107,6 +107,7 @@
 	#suspect: {readonly comparison: Comparison; readonly since: number} | undefined;
 	#baseLoad = 0;
 	#longestBaseMs = 0;
+	readonly #openRoutes = new Set<string>();
 
 	private constructor(lateAt: number) {
 		this.#lateAt = lateAt;
@@ -160,7 +161,23 @@
 	 */
 	missing(route: string, requests: number): number {
 		const {granted, candidateGranted} = this.grantedOf(route);
-		return Math.max(0, (granted < RARE_ROUTE_SHARE * requests ? RARE_ROUTE_TARGET : ROUTE_TARGET) - candidateGranted);
+		const target = granted < RARE_ROUTE_SHARE * requests ? RARE_ROUTE_TARGET : ROUTE_TARGET;
+		return Math.max(0, target - candidateGranted);
+	}
+
+	/** @returns Whether other routes lack evidence, but this one does not. */
+	isSettled(route: string): boolean {
+		return this.#openRoutes.size > 0 && !this.#openRoutes.has(route);
+	}
+
+	/** Determines the routes that lack evidence; they get canary requests before the others. */
+	updateOpenRoutes(now: number): void {
+		this.#openRoutes.clear();
+		for (const [route, stratum] of this.#routes) {
+			if (stratum.comparisons.some(comparison => this.#goodness(comparison, now) < this.#neededEvidence(stratum))) {
+				this.#openRoutes.add(route);
+			}
+		}
 	}
 
 	/** @returns Number of routes that still get canary requests with priority. */
