--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -20,6 +20,8 @@
 const WRITING_SHARE = 0.04;
 /** Shortest time between the switch and the completion, in ms; faults under full load show in it. */
 const MIN_SWITCHING_MS = 1000;
+/** Greatest part of a route's requests that the canary gets; the others stay at the base, to compare with. */
+const MAX_ROUTE_SHARE = 0.6;
 /** Requests of the budget that are kept for each route that has to get more, and for all of them. */
 const ROUTE_RESERVE = 2;
 const MAX_RESERVE = 4;
@@ -166,9 +168,8 @@
 			return false;
 		}
 
-		// At least half of the requests of a route stay at the base, to compare with.
 		const {granted, candidateGranted} = this.#comparison.grantedOf(route);
-		if (2 * candidateGranted > granted) {
+		if (candidateGranted > MAX_ROUTE_SHARE * granted) {
 			return false;
 		}
 
--- a/src/rollout/sequential-test.ts
+++ b/src/rollout/sequential-test.ts
@@ -49,6 +49,8 @@
 	readonly notedAt: number;
 	/** Share of bad answers at the base version at that time. */
 	baseShare: number;
+	/** Logarithm of the likelihood ratio of bad to good version, at that share. */
+	evidence: number;
 };
 
 /** An answer of the candidate. */
@@ -61,9 +63,6 @@
 	readonly now: number;
 };
 
-/** Evidence of a good and of a bad answer: logarithms of the likelihood ratio of bad to good version. */
-type Weights = {readonly good: number; readonly bad: number};
-
 /** Sum of evidence in which the part of each source is capped. */
 class CappedSum<Source> {
 	static create<Source>(cap: number): CappedSum<Source> {
@@ -101,6 +100,7 @@
 	#restored: RolloutCounts = [0, 0];
 	#total = 0;
 	#bad = 0;
+	#windowBad = 0;
 
 	private constructor(options: SequentialTestOptions) {
 		this.#options = options;
@@ -119,10 +119,11 @@
 		this.#total += 1;
 		this.#bad += isBad ? 1 : 0;
 		this.#window.push({
-			upstreamId, isBad, mayAccept, notedAt: now, baseShare,
+			upstreamId, isBad, mayAccept, notedAt: now, baseShare, evidence: this.#evidence(isBad, baseShare),
 		});
+		this.#windowBad += isBad ? 1 : 0;
 		if (this.#window.length > WINDOW) {
-			this.#window.shift();
+			this.#windowBad -= this.#window.shift()!.isBad ? 1 : 0;
 		}
 	}
 
@@ -135,7 +136,10 @@
 	settle(baseShare: number, now: number): void {
 		for (let index = this.#window.length - 1; index >= 0 && this.#window[index]!.notedAt > now - SETTLING_MS; index -= 1) {
 			const answer = this.#window[index]!;
-			answer.baseShare = Math.max(answer.baseShare, baseShare);
+			if (baseShare > answer.baseShare) {
+				answer.baseShare = baseShare;
+				answer.evidence = this.#evidence(answer.isBad, baseShare);
+			}
 		}
 	}
 
@@ -147,6 +151,10 @@
 	badness(baseShare: number, upstreamCount: number, now: number): number {
 		const threshold = Math.log((1 - this.#options.beta) / this.#options.alpha) + Math.log(1 + (this.#total / STARTS_PER_LEVEL));
 		const cap = threshold / Math.max(1, Math.min(this.#options.condemningUpstreams, upstreamCount));
+		if (this.#windowBad === 0) {
+			return 0;
+		}
+
 		this.settle(baseShare, now);
 		const byUpstream = CappedSum.create(cap);
 		const byInterval = CappedSum.create(threshold / CONDEMNING_INTERVALS);
@@ -154,13 +162,10 @@
 		let highest = 0;
 		for (let index = this.#window.length - 1; index >= 0; index -= 1) {
 			const answer = this.#window[index]!;
-			const {upstreamId, isBad} = answer;
-			const weights = this.#weights(answer.baseShare);
-			const evidence = isBad ? weights.bad : weights.good;
-			byUpstream.add(upstreamId, evidence);
-			byInterval.add(Math.floor((now - answer.notedAt) / INTERVAL_MS), evidence);
+			byUpstream.add(answer.upstreamId, answer.evidence);
+			byInterval.add(Math.floor((now - answer.notedAt) / INTERVAL_MS), answer.evidence);
 			highest = Math.max(highest, Math.min(byUpstream.sum, byInterval.sum));
-			bad += isBad ? 1 : 0;
+			bad += answer.isBad ? 1 : 0;
 			const answers = this.#window.length - index;
 			const isLasting = !this.#options.isByUpstream && answers >= OVERWHELMING_ANSWERS && now - answer.notedAt >= OVERWHELMING_MS;
 			if (isLasting && bad / answers >= baseShare + ((1 - baseShare) * OVERWHELMING_EXCESS)) {
@@ -179,12 +184,10 @@
 		const lowest = this.#options.isByUpstream ? 0 : -threshold / this.#options.opposingUpstreams;
 		const byUpstream = new Map<string, number>();
 		const [total, bad] = this.#restored;
-		const weights = this.#weights(baseShare);
-		byUpstream.set('', ((bad - total) * weights.good) - (bad * weights.bad));
+		byUpstream.set('', ((bad - total) * this.#evidence(false, baseShare)) - (bad * this.#evidence(true, baseShare)));
 		for (const answer of this.#window) {
 			if (answer.mayAccept) {
-				const {good, bad} = this.#weights(answer.baseShare);
-				byUpstream.set(answer.upstreamId, (byUpstream.get(answer.upstreamId) ?? 0) - (answer.isBad ? bad : good));
+				byUpstream.set(answer.upstreamId, (byUpstream.get(answer.upstreamId) ?? 0) - answer.evidence);
 			}
 		}
 
@@ -196,9 +199,9 @@
 		return (sum + 1e-9) / threshold;
 	}
 
-	#weights(baseShare: number): Weights {
+	#evidence(isBad: boolean, baseShare: number): number {
 		const badShare = baseShare + ((1 - baseShare) * this.#options.excess);
-		return {good: Math.log((1 - badShare) / (1 - baseShare)), bad: Math.log(badShare / baseShare)};
+		return isBad ? Math.log(badShare / baseShare) : Math.log((1 - badShare) / (1 - baseShare));
 	}
 }
 
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -20,7 +20,7 @@
 /** Granted requests of a route from which it needs full evidence; below, evidence in proportion. */
 const FULL_ROUTE_REQUESTS = 48;
 /** Part of the full evidence that is needed at busy upstreams; the canary can keep few upstreams busy. */
-const BUSY_EVIDENCE = 0.3;
+const BUSY_EVIDENCE = 0.5;
 /** Evidence of one test, in parts of what condemns, above which a version is not yet accepted. */
 const SUSPICIOUS = 0.5;
 /** Routes that are compared on their own; further ones only count in the comparison of all requests. */
@@ -28,7 +28,7 @@
 
 /** Error rates: at about ten tests in a roll-out, false roll-backs stay well below 1% (docs/design/rollouts.md). */
 const FAILURE_TEST: SequentialTestOptions = {
-	alpha: 0.0005, beta: 0.01, excess: 0.5, condemningUpstreams: 4, acceptingUpstreams: 2, opposingUpstreams: 3, isByUpstream: false,
+	alpha: 0.0002, beta: 0.01, excess: 0.5, condemningUpstreams: 4, acceptingUpstreams: 2, opposingUpstreams: 3, isByUpstream: false,
 };
 const SLOWNESS_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.7};
 /** Upstreams without any answer of usual length that condemn; with one slow upstream in three, 0.14% of good versions. */
