--- a/src/rollout/sequential-test.ts
+++ b/src/rollout/sequential-test.ts
@@ -3,15 +3,24 @@
  * has more bad answers than the base version. Because a version can turn bad at any time, the test that condemns starts
  * anew at every answer, as in a cumulative sum test (E. S. Page, Continuous inspection schemes, 1954).
  */
+import {type RolloutCounts} from './rollout-sample.js';
 
 /** Answers back from the newest one at which a test may start. */
-const WINDOW = 48;
+const WINDOW = 160;
 /** Answers after which the threshold rises, so that many starting points do not add up to false verdicts. */
 const STARTS_PER_LEVEL = 20;
 /** Time in which a fault of both versions may show at the candidate before it shows at the base, in ms. */
 const SETTLING_MS = 200;
+/**
+ * Length of the intervals whose evidence is capped, in ms, and the number that must agree to condemn. A link that is cut
+ * or a VM that stops loses many requests at one moment, at whichever version they are.
+ */
+const INTERVAL_MS = 50;
+const CONDEMNING_INTERVALS = 3;
 /** Answers in the window from which an overwhelming share of bad ones condemns without regard to upstreams. */
 const OVERWHELMING_ANSWERS = 30;
+/** Shortest time from the first of them to the last, in ms. */
+const OVERWHELMING_MS = 200;
 /** Additional share of bad answers that is overwhelming; one upstream of a canary of several can't cause it. */
 const OVERWHELMING_EXCESS = 0.36;
 
@@ -27,14 +36,21 @@
 	readonly condemningUpstreams: number;
 	/** Number of upstreams that must agree to accept. */
 	readonly acceptingUpstreams: number;
+	/** Number of upstreams whose evidence against a version outweighs what accepts it. */
+	readonly opposingUpstreams: number;
+	/** Whether one upstream's answers can be bad as a whole at a good version, so that those of the others suffice to accept. */
+	readonly isByUpstream: boolean;
 };
 
 type Answer = {
 	readonly upstreamId: string;
 	readonly isBad: boolean;
+	readonly mayAccept: boolean;
 	readonly notedAt: number;
 	/** Share of bad answers at the base version at that time. */
 	baseShare: number;
+	/** Logarithm of the likelihood ratio of bad to good version, at that share. */
+	evidence: number;
 };
 
 /** An answer of the candidate. */
@@ -47,10 +63,31 @@
 	readonly now: number;
 };
 
-type Counts = {good: number; bad: number};
+/** Sum of evidence in which the part of each source is capped. */
+class CappedSum<Source> {
+	static create<Source>(cap: number): CappedSum<Source> {
+		return new CappedSum<Source>(cap);
+	}
+
+	readonly #cap: number;
+	readonly #bySource = new Map<Source, number>();
+	#sum = 0;
+
+	private constructor(cap: number) {
+		this.#cap = cap;
+	}
+
+	get sum(): number {
+		return this.#sum;
+	}
 
-/** Evidence of a good and of a bad answer: logarithms of the likelihood ratio of bad to good version. */
-type Weights = {readonly good: number; readonly bad: number};
+	add(source: Source, evidence: number): void {
+		const before = this.#bySource.get(source) ?? 0;
+		const after = before + evidence;
+		this.#bySource.set(source, after);
+		this.#sum += clamp(after, this.#cap) - clamp(before, this.#cap);
+	}
+}
 
 /** Test of one set of requests. */
 export class SequentialTest {
@@ -60,9 +97,10 @@
 
 	readonly #options: SequentialTestOptions;
 	readonly #window: Answer[] = [];
-	readonly #accepted = new Map<string, Counts>();
+	#restored: RolloutCounts = [0, 0];
 	#total = 0;
 	#bad = 0;
+	#windowBad = 0;
 
 	private constructor(options: SequentialTestOptions) {
 		this.#options = options;
@@ -81,50 +119,56 @@
 		this.#total += 1;
 		this.#bad += isBad ? 1 : 0;
 		this.#window.push({
-			upstreamId, isBad, notedAt: now, baseShare,
+			upstreamId, isBad, mayAccept, notedAt: now, baseShare, evidence: this.#evidence(isBad, baseShare),
 		});
+		this.#windowBad += isBad ? 1 : 0;
 		if (this.#window.length > WINDOW) {
-			this.#window.shift();
-		}
-
-		if (mayAccept) {
-			this.#addCounts(upstreamId, isBad ? 0 : 1, isBad ? 1 : 0);
+			this.#windowBad -= this.#window.shift()!.isBad ? 1 : 0;
 		}
 	}
 
 	/** Adds counts of an earlier allocator, as the evidence of one upstream. */
-	restore(total: number, bad: number): void {
-		this.#addCounts('', total - bad, bad);
+	restore(counts: RolloutCounts): void {
+		this.#restored = counts;
+	}
+
+	/** Applies a present share of bad answers at the base version to the answers that came just now too. */
+	settle(baseShare: number, now: number): void {
+		for (let index = this.#window.length - 1; index >= 0 && this.#window[index]!.notedAt > now - SETTLING_MS; index -= 1) {
+			const answer = this.#window[index]!;
+			if (baseShare > answer.baseShare) {
+				answer.baseShare = baseShare;
+				answer.evidence = this.#evidence(answer.isBad, baseShare);
+			}
+		}
 	}
 
 	/**
-	 * @param baseShare - Present share of bad answers at the base version; it is applied to answers that came just now too.
+	 * @param baseShare - Present share of bad answers at the base version.
 	 * @param upstreamCount - Number of upstreams of the candidate.
 	 * @returns Evidence that the version is bad, in parts of what condemns it.
 	 */
 	badness(baseShare: number, upstreamCount: number, now: number): number {
 		const threshold = Math.log((1 - this.#options.beta) / this.#options.alpha) + Math.log(1 + (this.#total / STARTS_PER_LEVEL));
 		const cap = threshold / Math.max(1, Math.min(this.#options.condemningUpstreams, upstreamCount));
-		const byUpstream = new Map<string, number>();
-		let sum = 0;
+		if (this.#windowBad === 0) {
+			return 0;
+		}
+
+		this.settle(baseShare, now);
+		const byUpstream = CappedSum.create(cap);
+		const byInterval = CappedSum.create(threshold / CONDEMNING_INTERVALS);
 		let bad = 0;
 		let highest = 0;
 		for (let index = this.#window.length - 1; index >= 0; index -= 1) {
 			const answer = this.#window[index]!;
-			if (answer.notedAt > now - SETTLING_MS) {
-				answer.baseShare = Math.max(answer.baseShare, baseShare);
-			}
-
-			const {upstreamId, isBad} = answer;
-			const weights = this.#weights(answer.baseShare);
-			const before = byUpstream.get(upstreamId) ?? 0;
-			const after = before + (isBad ? weights.bad : weights.good);
-			byUpstream.set(upstreamId, after);
-			sum += clamp(after, cap) - clamp(before, cap);
-			highest = Math.max(highest, sum);
-			bad += isBad ? 1 : 0;
+			byUpstream.add(answer.upstreamId, answer.evidence);
+			byInterval.add(Math.floor((now - answer.notedAt) / INTERVAL_MS), answer.evidence);
+			highest = Math.max(highest, Math.min(byUpstream.sum, byInterval.sum));
+			bad += answer.isBad ? 1 : 0;
 			const answers = this.#window.length - index;
-			if (answers >= OVERWHELMING_ANSWERS && bad / answers >= baseShare + ((1 - baseShare) * OVERWHELMING_EXCESS)) {
+			const isLasting = !this.#options.isByUpstream && answers >= OVERWHELMING_ANSWERS && now - answer.notedAt >= OVERWHELMING_MS;
+			if (isLasting && bad / answers >= baseShare + ((1 - baseShare) * OVERWHELMING_EXCESS)) {
 				return 1;
 			}
 		}
@@ -137,28 +181,27 @@
 	goodness(baseShare: number, upstreamCount: number): number {
 		const threshold = Math.log((1 - this.#options.alpha) / this.#options.beta);
 		const cap = threshold / Math.max(1, Math.min(this.#options.acceptingUpstreams, upstreamCount));
-		const weights = this.#weights(baseShare);
+		const lowest = this.#options.isByUpstream ? 0 : -threshold / this.#options.opposingUpstreams;
+		const byUpstream = new Map<string, number>();
+		const [total, bad] = this.#restored;
+		byUpstream.set('', ((bad - total) * this.#evidence(false, baseShare)) - (bad * this.#evidence(true, baseShare)));
+		for (const answer of this.#window) {
+			if (answer.mayAccept) {
+				byUpstream.set(answer.upstreamId, (byUpstream.get(answer.upstreamId) ?? 0) - answer.evidence);
+			}
+		}
+
 		let sum = 0;
-		for (const {good, bad} of this.#accepted.values()) {
-			sum += clamp(-(good * weights.good) - (bad * weights.bad), cap);
+		for (const evidence of byUpstream.values()) {
+			sum += Math.min(cap, Math.max(lowest, evidence));
 		}
 
 		return (sum + 1e-9) / threshold;
 	}
 
-	#addCounts(upstreamId: string, good: number, bad: number): void {
-		const counts = this.#accepted.get(upstreamId);
-		if (counts) {
-			counts.good += good;
-			counts.bad += bad;
-		} else {
-			this.#accepted.set(upstreamId, {good, bad});
-		}
-	}
-
-	#weights(baseShare: number): Weights {
+	#evidence(isBad: boolean, baseShare: number): number {
 		const badShare = baseShare + ((1 - baseShare) * this.#options.excess);
-		return {good: Math.log((1 - badShare) / (1 - baseShare)), bad: Math.log(badShare / baseShare)};
+		return isBad ? Math.log(badShare / baseShare) : Math.log((1 - badShare) / (1 - baseShare));
 	}
 }
 
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -10,7 +10,7 @@
 /** Occupancy from which an upstream counts as busy; faults that only show under load have to show there. */
 const BUSY_LOAD = 0.75;
 /** Share of base answers from busy upstreams from which the candidate has to be seen at busy upstreams too. */
-const BUSY_SHARE = 0.1;
+const BUSY_SHARE = 0.2;
 /** Lowest assumed share of failures. */
 const MIN_FAILURE_SHARE = 0.02;
 /** Answers of the base that are needed to condemn; before them, its share of failures is unknown. */
@@ -20,7 +20,7 @@
 /** Granted requests of a route from which it needs full evidence; below, evidence in proportion. */
 const FULL_ROUTE_REQUESTS = 48;
 /** Part of the full evidence that is needed at busy upstreams; the canary can keep few upstreams busy. */
-const BUSY_EVIDENCE = 0.3;
+const BUSY_EVIDENCE = 0.5;
 /** Evidence of one test, in parts of what condemns, above which a version is not yet accepted. */
 const SUSPICIOUS = 0.5;
 /** Routes that are compared on their own; further ones only count in the comparison of all requests. */
@@ -28,18 +28,29 @@
 
 /** Error rates: at about ten tests in a roll-out, false roll-backs stay well below 1% (docs/design/rollouts.md). */
 const FAILURE_TEST: SequentialTestOptions = {
-	alpha: 0.0005, beta: 0.01, excess: 0.45, condemningUpstreams: 3, acceptingUpstreams: 2,
+	alpha: 0.0002, beta: 0.01, excess: 0.5, condemningUpstreams: 4, acceptingUpstreams: 2, opposingUpstreams: 3, isByUpstream: false,
 };
-const SLOWNESS_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.7, condemningUpstreams: 4};
+const SLOWNESS_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.7};
 /** Upstreams without any answer of usual length that condemn; with one slow upstream in three, 0.14% of good versions. */
 const LENGTH_UPSTREAMS = 6;
-const LENGTH_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.9, condemningUpstreams: LENGTH_UPSTREAMS};
+const LENGTH_TEST: SequentialTestOptions = {
+	...FAILURE_TEST, excess: 0.9, isByUpstream: true, condemningUpstreams: LENGTH_UPSTREAMS,
+};
 /** Part of the full evidence that is needed for the length of answers: some upstream has to be as fast as usual. */
 const LENGTH_EVIDENCE = 0.5;
 /** Lowest assumed share of long answers. */
 const MIN_LONG_SHARE = 0.1;
-/** Part of the full evidence that suffices when the time for the canary runs out. */
-const LAST_EVIDENCE = 0.4;
+/** Parts of the full evidence that suffice when the time for the canary runs out, over all routes and for one of them. */
+const LAST_EVIDENCE = 0.25;
+const LAST_ROUTE_EVIDENCE = 0.1;
+/** Canary requests that each route gets with priority. */
+const ROUTE_TARGET = 6;
+/** Canary requests that a rare route gets with priority; about what a test needs to accept a version. */
+const RARE_ROUTE_TARGET = 16;
+/** Share of the pool's requests below which a route is rare. */
+const RARE_ROUTE_SHARE = 0.2;
+/** Evidence that condemns after the switch, in parts of the full one, if the answers as a whole speak against the version. */
+const SWITCHED_EVIDENCE = 0.5;
 /** Time for which a verdict is withheld, so that a fault of both versions shows at the base too, in ms. */
 const CONFIRMATION_MS = 50;
 
@@ -82,6 +93,8 @@
 
 	/** Upstreams that the candidate has. */
 	candidateUpstreams = Number.POSITIVE_INFINITY;
+	/** Whether all requests go to the candidate, so that a late verdict costs more. */
+	isSwitched = false;
 	readonly #lateAt: number;
 	readonly #all = Stratum.create('all');
 	readonly #busy = Stratum.create('busy', this.#all);
@@ -93,6 +106,8 @@
 	#restored: TestCounts | undefined;
 	#suspect: {readonly comparison: Comparison; readonly since: number} | undefined;
 	#baseLoad = 0;
+	#longestBaseMs = 0;
+	readonly #openRoutes = new Set<string>();
 
 	private constructor(lateAt: number) {
 		this.#lateAt = lateAt;
@@ -114,6 +129,11 @@
 		return this.#baseLoad / Math.max(1, this.#all.failures.base.total);
 	}
 
+	/** Longest time that a request took at the base version, in ms. */
+	get longestBaseMs(): number {
+		return this.#longestBaseMs;
+	}
+
 	/** Whether the base version is often busy, so that the candidate has to be seen at busy upstreams. */
 	get needsBusy(): boolean {
 		const {total} = this.#all.failures.base;
@@ -135,14 +155,39 @@
 		return this.#routes.get(route) ?? {granted: 0, candidateGranted: 0};
 	}
 
-	/** @returns Sum over the routes of the missing canary requests, up to `each` of a route. */
-	missing(target: number, each: number): number {
-		let sum = 0;
-		for (const {candidateGranted} of this.#routes.values()) {
-			sum += Math.min(each, Math.max(0, target - candidateGranted));
+	/**
+	 * @param requests - Granted requests of the pool.
+	 * @returns Number of canary requests that the route still gets with priority.
+	 */
+	missing(route: string, requests: number): number {
+		const {granted, candidateGranted} = this.grantedOf(route);
+		const target = granted < RARE_ROUTE_SHARE * requests ? RARE_ROUTE_TARGET : ROUTE_TARGET;
+		return Math.max(0, target - candidateGranted);
+	}
+
+	/** @returns Whether other routes lack evidence, but this one does not. */
+	isSettled(route: string): boolean {
+		return this.#openRoutes.size > 0 && !this.#openRoutes.has(route);
+	}
+
+	/** Determines the routes that lack evidence; they get canary requests before the others. */
+	updateOpenRoutes(now: number): void {
+		this.#openRoutes.clear();
+		for (const [route, stratum] of this.#routes) {
+			if (stratum.comparisons.some(comparison => this.#goodness(comparison, now) < this.#neededEvidence(stratum))) {
+				this.#openRoutes.add(route);
+			}
 		}
+	}
 
-		return sum;
+	/** @returns Number of routes that still get canary requests with priority. */
+	missingRoutes(requests: number): number {
+		let count = 0;
+		for (const route of this.#routes.keys()) {
+			count += this.missing(route, requests) > 0 ? 1 : 0;
+		}
+
+		return count;
 	}
 
 	noteGranted(isCandidate: boolean, route: string): void {
@@ -159,6 +204,7 @@
 		const strata = [this.#all, ...(route ? [route] : []), ...(sample.load >= BUSY_LOAD ? [this.#busy] : [])];
 		if (!sample.isCandidate) {
 			this.#baseLoad += Math.min(1, sample.load);
+			this.#longestBaseMs = Math.max(this.#longestBaseMs, now - sample.sentAt);
 			for (const {failures, slowness} of strata) {
 				failures.base.note(sample.isFailure, now);
 				if (isSlow !== undefined) {
@@ -193,6 +239,13 @@
 		}
 	}
 
+	/** Applies faults that the base shows now to the answers that the candidate gave just before. */
+	settle(now: number): void {
+		for (const comparison of this.#comparisons()) {
+			comparison.test.settle(this.#baseShare(comparison, now), now);
+		}
+	}
+
 	/** @returns Why the version is bad, if the answers show it and the base does not show the same. */
 	verdict(now: number): string | undefined {
 		if (!this.#suspect || now < this.#suspect.since + CONFIRMATION_MS) {
@@ -200,7 +253,7 @@
 		}
 
 		const {name, test, base} = this.#suspect.comparison;
-		const isConfirmed = this.#badness(this.#suspect.comparison, now) >= 1;
+		const isConfirmed = this.#isCondemned(this.#suspect.comparison, now);
 		this.#suspect = undefined;
 		return isConfirmed
 			? `${name}: ${test.bad} of ${test.total} at the candidate, ${base.bad} of ${base.total} at the base`
@@ -213,9 +266,9 @@
 	 */
 	open(remaining: number, now: number): string[] {
 		const open: string[] = [];
-		const part = LAST_EVIDENCE + ((1 - LAST_EVIDENCE) * Math.max(0, remaining));
 		for (const stratum of [this.#all, ...this.#routes.values(), ...(this.needsBusy ? [this.#busy] : [])]) {
-			const needed = part * this.#neededEvidence(stratum);
+			const last = stratum === this.#all ? LAST_EVIDENCE : LAST_ROUTE_EVIDENCE;
+			const needed = (last + ((1 - last) * Math.max(0, remaining))) * this.#neededEvidence(stratum);
 			for (const comparison of stratum.comparisons) {
 				// Slowness can't be judged while the base gives no times.
 				const isJudged = comparison.base.total > 0 || stratum.failures.base.total === 0;
@@ -234,7 +287,7 @@
 
 	/** @returns Names of the tests with evidence against the candidate that does not suffice to condemn it. */
 	suspicious(now: number): string[] {
-		return this.#comparisons().filter(comparison => this.#badness(comparison, now) >= SUSPICIOUS).map(({name}) => name);
+		return this.#comparisons().filter(comparison => comparison !== this.#length && this.#badness(comparison, now) >= SUSPICIOUS).map(({name}) => name);
 	}
 
 	counts(): TestCounts {
@@ -260,7 +313,7 @@
 		for (const {name, test, base} of this.#comparisons()) {
 			const earlier = counts[name];
 			if (earlier) {
-				test.restore(...earlier.candidate);
+				test.restore(earlier.candidate);
 				base.restore(...earlier.base);
 			}
 		}
@@ -274,11 +327,16 @@
 		const {now} = answer;
 		comparison.test.note({...answer, baseShare: this.#baseShare(comparison, now)});
 		const hasBase = this.#all.failures.base.total >= MIN_BASE_ANSWERS || comparison.test.total >= MIN_LONE_ANSWERS;
-		if (answer.isBad && hasBase && !this.#suspect && this.#badness(comparison, now) >= 1) {
+		if (answer.isBad && hasBase && !this.#suspect && this.#isCondemned(comparison, now)) {
 			this.#suspect = {comparison, since: now};
 		}
 	}
 
+	#isCondemned(comparison: Comparison, now: number): boolean {
+		const badness = this.#badness(comparison, now);
+		return badness >= 1 || (this.isSwitched && badness >= SWITCHED_EVIDENCE && comparison !== this.#length && this.#goodness(comparison, now) < 0);
+	}
+
 	#baseShare({base}: Comparison, now: number): number {
 		const share = base.share(now);
 		return base === this.#length.base ? Math.max(share, this.#firsts.longShare) : share;
