--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -10,7 +10,7 @@
 import {Capacity} from './capacity.js';
 import {type Locality} from './locality.js';
 import {type StatedPace} from './momentary-pace.js';
-import {Pace, PoolPace} from './pace.js';
+import {Pace, PoolPace, usualFactor} from './pace.js';
 import {type Grant, Placement} from './placement.js';
 import {type PlacementFilter} from './placement-filter.js';
 import {PoolRetryBudget, type RetryBounds} from './pool-retry-budget.js';
@@ -20,6 +20,7 @@
 	type HeldRequest, hasRoom, pendingTokensOf, type TrackedUpstream,
 } from './tracked-upstream.js';
 import {UpstreamHealth} from './upstream-health.js';
+import {UpstreamMemory} from './upstream-memory.js';
 import {type WaitingRequest, WaitingQueue} from './waiting-queue.js';
 
 /** A waiting request counts as late when its earliest possible first event leaves less than this margin to its objective, in ms. */
@@ -61,6 +62,8 @@
 	readonly scope: Scope;
 	readonly filters?: readonly PlacementFilter[];
 	readonly locality?: Locality;
+	/** Whether estimates are detailed before an upstream states its pace, and the memory of upstreams is accounted for. */
+	readonly isUnderPressure?: boolean;
 };
 
 /** The upstreams and the queue of one service. */
@@ -74,37 +77,50 @@
 	readonly held = new Map<string, HeldRequest>();
 	readonly upstreams = new Map<string, TrackedUpstream>();
 	readonly retryBudget: PoolRetryBudget;
+	/** Whether an upstream has stated its momentary pace. */
+	statesPace = false;
+	/** Without a limit unless the deployment is under pressure. */
+	readonly memory = UpstreamMemory.create();
 	/** Upstreams with fewer requests than slots; whether they accept one also depends on time, such as on an ejection. */
 	readonly #withFreeSlots = new Set<TrackedUpstream>();
 	readonly #random: Random;
 	readonly #limits: UpstreamLimits;
 	readonly #placement: Placement;
 	readonly #filters: readonly PlacementFilter[];
+	readonly #isUnderPressure: boolean;
 	#scope: Scope;
 	#pace: PoolPace;
 	#capacity = Capacity.create([]);
 	#capacityAt = Number.NEGATIVE_INFINITY;
+	/** Factor of the upstreams that requests usually get; 1 unless the estimates are detailed. */
+	#usualFactor = 1;
 
 	private constructor({
-		name, settings, repeatBounds, limits, random, scope, filters = [], locality,
+		name, settings, repeatBounds, limits, random, scope, filters = [], locality, isUnderPressure = false,
 	}: PoolOptions) {
 		this.name = name;
 		this.#random = random;
 		this.#limits = limits;
 		this.#scope = scope;
 		this.#filters = filters;
-		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters, locality});
+		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters: isUnderPressure ? [...filters, this.memory] : filters, locality});
 		this.waiting = WaitingQueue.create({
 			levelOf: (waiting, now) => this.#levelOf(waiting, now),
 			serviceMs: ask => this.serviceMs(ask),
 		});
 		this.retryBudget = PoolRetryBudget.create(repeatBounds);
-		this.#pace = PoolPace.create(settings?.isEngine ?? false);
+		this.#isUnderPressure = isUnderPressure;
+		this.#pace = this.#createPace(settings?.isEngine ?? false);
+		this.setSettings(settings);
 	}
 
 	setSettings(settings: PoolSettings | undefined): void {
+		if (settings !== undefined && this.#isUnderPressure) {
+			this.memory.setSettings(settings);
+		}
+
 		if (settings !== undefined && settings.isEngine !== this.#pace.isEngine) {
-			this.#pace = PoolPace.create(settings.isEngine);
+			this.#pace = this.#createPace(settings.isEngine);
 			for (const target of this.upstreams.values()) {
 				target.pace = Pace.create(this.#pace);
 			}
@@ -285,7 +301,7 @@
 
 	/** @returns The latest time at which a place is still useful: the answer meets the deadline and begins before the caller disconnects. */
 	latestStartAt({ask, deadlineAt, patienceEndsAt}: WaitingRequest): number {
-		return Math.min(deadlineAt - this.serviceMs(ask), patienceEndsAt - this.#pace.firstMs(ask.promptTokens) - PATIENCE_MARGIN_MS);
+		return Math.min(deadlineAt - (this.#usualFactor * this.serviceMs(ask)), patienceEndsAt - this.#usualFirstMs(ask) - PATIENCE_MARGIN_MS);
 	}
 
 	/** @returns Waiting requests that are not expected to get a place in time. */
@@ -363,9 +379,23 @@
 		return undefined;
 	}
 
-	/** @returns Whether the request is expected to be on time if it waits for a better upstream. False unless upstreams state their pace. */
+	/** @returns Whether the request is expected to be on time if it waits for a better upstream. False unless the estimates are detailed. */
 	#canWait(waiting: WaitingRequest, now: number): boolean {
-		return this.#pace.hasStatements && now + (WAIT_MARGIN * (this.waitMs(waiting, now) + this.#pace.firstMs(waiting.ask.promptTokens))) <= waiting.objectiveAt;
+		return this.#pace.isDetailed && now + (WAIT_MARGIN * (this.waitMs(waiting, now) + this.#usualFirstMs(waiting.ask))) <= waiting.objectiveAt;
+	}
+
+	/** @returns Time to the first event at an idle upstream of usual pace, in ms. */
+	#usualFirstMs({promptTokens}: PlaceRequest): number {
+		return this.#usualFactor * this.#pace.firstMs(promptTokens);
+	}
+
+	#createPace(isEngine: boolean): PoolPace {
+		const pace = PoolPace.create(isEngine);
+		if (this.#isUnderPressure) {
+			pace.refine();
+		}
+
+		return pace;
 	}
 
 	/** Number of upstreams that ordinary requests may use. */
@@ -391,13 +421,14 @@
 
 	/** @returns Whether the objective can no longer be met, even at an idle upstream of average pace. */
 	#isLate(waiting: WaitingRequest, now: number): boolean {
-		return now + this.#pace.firstMs(waiting.ask.promptTokens) + OBJECTIVE_MARGIN_MS > waiting.objectiveAt;
+		return now + this.#usualFirstMs(waiting.ask) + OBJECTIVE_MARGIN_MS > waiting.objectiveAt;
 	}
 
 	#currentCapacity(now: number): Capacity {
 		if (now - this.#capacityAt >= CAPACITY_TTL_MS) {
 			this.#capacityAt = now;
 			const usable = [...this.upstreams.values()].filter(target => !target.upstream.isLeaving && !target.standing.isEjected(now) && this.#isOpen(target));
+			this.#usualFactor = this.#pace.isDetailed ? usualFactor(usable.map(({pace}) => pace)) : 1;
 			this.#capacity = Capacity.create(usable.map(target => {
 				const rate = this.#startRate(target);
 				return {slots: target.upstream.slots / target.pace.factor, startsPerSecond: rate?.perSecond, startDelayMs: target.pacer.delayMs(rate, now)};
