Allocation: customers share scarce room, and refused callers are invited when there is some

With the pressure contract, requests of one level are served by start-time fair queueing between customers, weighted by quotas, and a request that can no longer be on time is refused unless it is served within 100 ms. Callers return at the time with the fewest invited returns. Without the contract decisions are unchanged (digests of test/allocation/decisions-without-pressure.test.ts).

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -47,6 +47,8 @@
 const RETRY_DELAY_RATIO = 0.28;
 /** Retry-After is multiplied by a random factor in this range, so that refused callers do not retry at the same time. */
 const RETRY_JITTER = {min: 0.75, max: 1.2} as const;
+/** Refusals for want of room, after which callers are invited to return when there is some. */
+const invitingKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.Overloaded, ErrorKind.DeadlineUnreachable]);
 /** How long requests with a feature that crashes upstreams are refused, in ms; then one of them is tried again. Three trials a day crash three upstreams at most. */
 const QUARANTINE_MS = 28_800_000;
 
@@ -213,6 +215,7 @@
 		this.#quotas.setCustomers(table.configuration.customers, this.#options.clock.now());
 		for (const pool of this.#pools.values()) {
 			pool.setSettings(table.pool(pool.name));
+			pool.overload?.setCustomers(table.configuration.customers);
 		}
 	}
 
@@ -274,6 +277,10 @@
 			callerLeavesAt,
 		};
 		const refusal = this.#findRefusal(pool, waiting, now);
+		if (refusal !== undefined) {
+			pool.overload?.remove(ask.id);
+		}
+
 		if (refusal?.kind === ErrorKind.RateLimited && this.#scope.isStandalone && ask.patienceMs > STANDALONE_QUOTA_WAIT_MS) {
 			// The allocator of all VMs knows what is left of the quota and usually decides within this time.
 			this.#defer(ask, events);
@@ -285,6 +292,7 @@
 			return;
 		}
 
+		pool.overload?.add(ask, pool.serviceMs(ask));
 		pool.waiting.add(waiting, now);
 		this.#poolByRequest.set(ask.id, pool);
 		this.#grantPlaces(pool);
@@ -372,8 +380,7 @@
 		}
 
 		const hasFreePlace = pool.hasFreePlace(now);
-		const waitMs = hasFreePlace ? 0 : pool.waitMs(waiting, now);
-		if (waitMs > MAX_WAIT_RATIO * (pool.latestStartAt(waiting) - now) || pool.isWaitPointless(waiting, waitMs, now)) {
+		if (pool.overload === undefined ? isQueueTooLong(pool, waiting, hasFreePlace, now) : pool.overload.mustRefuse(pool.overloadQuery(waiting, now), hasFreePlace)) {
 			return {kind: ErrorKind.Overloaded, retryAfterMs: retryDelayMs(pool, waiting, now)};
 		}
 
@@ -399,6 +406,7 @@
 		for (let grant = pool.next(now); grant !== undefined; grant = pool.next(now)) {
 			const {waiting, target, expectedFirstMs} = grant;
 			pool.waiting.delete(waiting.ask.id);
+			pool.overload?.noteGrant(waiting.ask.id);
 			this.#hold(pool, waiting, target, now);
 			this.onDecision?.({
 				ask: waiting.ask, waitedMs: now - waiting.requestedAt, waiting: pool.waiting.size, upstreamId: target.upstream.id, expectedFirstMs, objectiveMs: waiting.objectiveAt - now,
@@ -469,11 +477,13 @@
 		this.onDecision?.({
 			ask, waitedMs: now - requestedAt, waiting: pool.waiting.size, refusal: kind, objectiveMs: objectiveAt - now,
 		});
-		events.refuse(kind, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs * jitter));
+		const invitedMs = invitingKinds.has(kind) ? pool.overload?.invite(pool.overloadQuery(waiting, now)) : undefined;
+		events.refuse(kind, invitedMs ?? Math.max(MIN_RETRY_AFTER_MS, retryAfterMs * jitter));
 	}
 
 	#removeWaiting(pool: Pool, {ask}: WaitingRequest): void {
 		pool.waiting.delete(ask.id);
+		pool.overload?.remove(ask.id);
 		this.#poolByRequest.delete(ask.id);
 	}
 
@@ -492,10 +502,11 @@
 	#getOrCreatePool(name: string): Pool {
 		let pool = this.#pools.get(name);
 		if (pool === undefined) {
-			const {repeatBounds, limits, random, filters, locality} = this.#options;
+			const {repeatBounds, limits, random, filters, locality, isUnderPressure} = this.#options;
 			pool = Pool.create({
-				name, settings: this.#table?.pool(name), repeatBounds, limits, random, scope: this.#scope, filters, locality,
+				name, settings: this.#table?.pool(name), repeatBounds, limits, random, scope: this.#scope, filters, locality, isUnderPressure,
 			});
+			pool.overload?.setCustomers(this.#table?.configuration.customers ?? []);
 			this.#pools.set(name, pool);
 			this.#initRetryBudget(pool);
 		}
@@ -511,6 +522,12 @@
 	};
 }
 
+/** @returns Whether a request is not expected to get a place early enough to wait for it. */
+function isQueueTooLong(pool: Pool, waiting: WaitingRequest, hasFreePlace: boolean, now: number): boolean {
+	const waitMs = hasFreePlace ? 0 : pool.waitMs(waiting, now);
+	return waitMs > MAX_WAIT_RATIO * (pool.latestStartAt(waiting) - now) || pool.isWaitPointless(waiting, waitMs, now);
+}
+
 /** @returns The Retry-After for a request that found too long a queue, in ms. */
 function retryDelayMs(pool: Pool, {deadlineAt}: WaitingRequest, now: number): number {
 	return Math.max(RETRY_DELAY_RATIO * (deadlineAt - now), pool.startDelayMs(now));
--- /dev/null
+++ b/src/allocation/overload.ts
@@ -0,0 +1,148 @@
+/**
+ * Decides, for a pool whose customers share scarce room, which requests are refused and when their callers may return. A
+ * request is refused on arrival, or as soon as it can no longer be on time, unless it is served shortly; a request that
+ * returned is kept as long as its caller has use for it, because a second refusal costs callers most.
+ */
+import {type Random} from '../base/random.js';
+import {type Customer} from '../gateway/routing-table.js';
+import {type PlaceRequest} from './allocation.js';
+import {FairShares} from './fair-shares.js';
+import {ReturnSchedule} from './return-schedule.js';
+import {UsualLoad} from './usual-load.js';
+import {type WaitingRequest, type WaitingQueue} from './waiting-queue.js';
+
+/**
+ * Part of the time until the latest useful start that the expected wait of a request may take; the margin allows for the
+ * accuracy of the expected wait, which is right within a factor of two.
+ */
+const MAX_WAIT_RATIO = 0.6;
+/**
+ * Longest expected wait of a request that misses its objective anyway, in ms. Long enough that no slot stays idle when the
+ * load varies; in a longer queue more important requests would overtake it until its caller leaves.
+ */
+const MAX_LATE_WAIT_MS = 100;
+/** Part of its time after which a waiting request is no longer refused for being late: such a refusal costs its caller more than waiting. */
+const MAX_REFUSAL_AGE_RATIO = 0.25;
+
+/** A request to decide on, with what its pool expects. */
+export type OverloadQuery = {
+	readonly waiting: WaitingRequest;
+	readonly queue: WaitingQueue;
+	/** Levels of the request while it can be on time, and when it is late. */
+	readonly levels: {readonly onTime: number; readonly late: number};
+	readonly isLate: boolean;
+	/** Latest time at which a place still leads to an answer that is on time. */
+	readonly onTimeStartAt: number;
+	/** Latest time at which a place is still useful. */
+	readonly latestStartAt: number;
+	readonly serviceMs: number;
+	/** Slots of the pool, weighted by pace. */
+	readonly slots: number;
+	/** Time until any upstream may get a request, in ms. */
+	readonly startDelayMs: number;
+	readonly now: number;
+};
+
+/** A request that waits, with its expected wait. */
+export type WaitingQuery = Pick<OverloadQuery, 'waiting' | 'isLate' | 'now'> & {readonly waitMs: number};
+
+/** Overload control of one pool. */
+export class Overload {
+	static create(random: Random): Overload {
+		return new Overload(random);
+	}
+
+	readonly shares = FairShares.create();
+	readonly #returns: ReturnSchedule;
+	#usualLoad = UsualLoad.create();
+	/** IDs of waiting requests that were refused before. */
+	readonly #returned = new Set<string>();
+
+	private constructor(random: Random) {
+		this.#returns = ReturnSchedule.create(random);
+	}
+
+	/** Number of invited returns that have not come. */
+	get invitedCount(): number {
+		return this.#returns.size;
+	}
+
+	/** Forgets all requests; a new allocator knows no shares and no returns. */
+	clear(): void {
+		this.shares.clear();
+		this.#returns.clear();
+		this.#returned.clear();
+		this.#usualLoad = UsualLoad.create();
+	}
+
+	setCustomers(customers: readonly Customer[]): void {
+		this.shares.setCustomers(customers);
+	}
+
+	/** @returns Whether a new request is refused before it waits. */
+	mustRefuse({waiting, queue, levels, isLate, onTimeStartAt, latestStartAt, serviceMs, slots, startDelayMs, now}: OverloadQuery, hasFreePlace: boolean): boolean {
+		const {ask} = waiting;
+		const isReturn = this.#noteArrival(ask, serviceMs, now);
+		if (hasFreePlace) {
+			return false;
+		}
+
+		const key = this.shares.nextKey(ask);
+		const maxWaitMs = MAX_WAIT_RATIO * (latestStartAt - now);
+		const waitMs = startDelayMs + (queue.workMsBefore(levels.onTime, key) / slots);
+		if (!isLate && now + waitMs <= onTimeStartAt) {
+			return waitMs > maxWaitMs;
+		}
+
+		const lateWaitMs = startDelayMs + (queue.workMsBefore(levels.late, key) / slots);
+		return lateWaitMs > (isReturn ? latestStartAt - now : Math.min(maxWaitMs, MAX_LATE_WAIT_MS));
+	}
+
+	/** @returns Whether a waiting request is refused because it missed its objective and is not served shortly. */
+	mustGiveUp({waiting: {ask, requestedAt, deadlineAt}, isLate, waitMs, now}: WaitingQuery): boolean {
+		return isLate && waitMs > MAX_LATE_WAIT_MS && ask.attempt === 1 && !this.#returned.has(ask.id)
+			&& now - requestedAt < MAX_REFUSAL_AGE_RATIO * (deadlineAt - requestedAt);
+	}
+
+	/** Charges a request that begins to wait. */
+	add(ask: PlaceRequest, serviceMs: number): void {
+		this.shares.add(ask, serviceMs);
+	}
+
+	/** Records that a waiting request got a place. */
+	noteGrant(id: string): void {
+		this.shares.noteGrant(id);
+		this.#returned.delete(id);
+	}
+
+	/** Records that a request no longer waits and got no place. */
+	remove(id: string): void {
+		this.shares.remove(id);
+		this.#returned.delete(id);
+	}
+
+	/** @returns The Retry-After of a refused request, in ms; its return is expected then. */
+	invite({waiting: {ask, callerLeavesAt, deadlineAt}, queue, levels, serviceMs, slots, startDelayMs, now}: OverloadQuery): number {
+		const spareSlots = Math.max(1, slots - this.#usualLoad.slots(now));
+		const earliestMs = startDelayMs + (queue.workMsUpTo(levels.late) / spareSlots);
+		return this.#returns.invite({
+			fingerprint: ask.fingerprint, serviceMs, remainingMs: Math.min(callerLeavesAt, deadlineAt) - now, earliestMs, spareSlots, now,
+		});
+	}
+
+	/** @returns Whether the caller of the request was refused before. */
+	#noteArrival({id, fingerprint, attempt}: PlaceRequest, serviceMs: number, now: number): boolean {
+		if (attempt > 1) {
+			return false;
+		}
+
+		const isReturn = this.#returns.take(fingerprint);
+		if (isReturn) {
+			this.#returned.add(id);
+		} else {
+			this.#usualLoad.note(serviceMs, now);
+		}
+
+		return isReturn;
+	}
+}
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -10,6 +10,7 @@
 import {Capacity} from './capacity.js';
 import {type Locality} from './locality.js';
 import {type StatedPace} from './momentary-pace.js';
+import {Overload, type OverloadQuery} from './overload.js';
 import {Pace, PoolPace} from './pace.js';
 import {type Grant, Placement} from './placement.js';
 import {type PlacementFilter} from './placement-filter.js';
@@ -61,6 +62,8 @@
 	readonly scope: Scope;
 	readonly filters?: readonly PlacementFilter[];
 	readonly locality?: Locality;
+	/** Whether customers share scarce room. */
+	readonly isUnderPressure?: boolean;
 };
 
 /** The upstreams and the queue of one service. */
@@ -74,6 +77,8 @@
 	readonly held = new Map<string, HeldRequest>();
 	readonly upstreams = new Map<string, TrackedUpstream>();
 	readonly retryBudget: PoolRetryBudget;
+	/** Shares of the customers and invited returns, if customers share scarce room. */
+	readonly overload: Overload | undefined;
 	/** Upstreams with fewer requests than slots; whether they accept one also depends on time, such as on an ejection. */
 	readonly #withFreeSlots = new Set<TrackedUpstream>();
 	readonly #random: Random;
@@ -86,7 +91,7 @@
 	#capacityAt = Number.NEGATIVE_INFINITY;
 
 	private constructor({
-		name, settings, repeatBounds, limits, random, scope, filters = [], locality,
+		name, settings, repeatBounds, limits, random, scope, filters = [], locality, isUnderPressure = false,
 	}: PoolOptions) {
 		this.name = name;
 		this.#random = random;
@@ -94,9 +99,12 @@
 		this.#scope = scope;
 		this.#filters = filters;
 		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters, locality});
+		const overload = isUnderPressure ? Overload.create(random) : undefined;
+		this.overload = overload;
 		this.waiting = WaitingQueue.create({
 			levelOf: (waiting, now) => this.#levelOf(waiting, now),
 			serviceMs: ask => this.serviceMs(ask),
+			shareKeyOf: overload && (({ask: {id}}) => overload.shares.keyOf(id)),
 		});
 		this.retryBudget = PoolRetryBudget.create(repeatBounds);
 		this.#pace = PoolPace.create(settings?.isEngine ?? false);
@@ -155,6 +163,7 @@
 
 	/** Removes all waiting requests and held places. */
 	clear(): void {
+		this.overload?.clear();
 		this.waiting.clear();
 		this.held.clear();
 		for (const target of this.upstreams.values()) {
@@ -269,6 +278,25 @@
 		return this.startDelayMs(now) + (workMs / this.#currentCapacity(now).effectiveSlots(this.serviceMs(waiting.ask)));
 	}
 
+	/** @returns What decisions on a request depend on if customers share scarce room. */
+	overloadQuery(waiting: WaitingRequest, now: number): OverloadQuery {
+		const {ask} = waiting;
+		const capacity = this.#currentCapacity(now);
+		const serviceMs = this.serviceMs(ask);
+		return {
+			waiting,
+			queue: this.waiting,
+			levels: {onTime: ask.rank * LEVELS_PER_RANK, late: (ask.rank * LEVELS_PER_RANK) + LATE_LEVEL_PENALTY},
+			isLate: this.#isLate(waiting, now),
+			onTimeStartAt: waiting.objectiveAt - this.#pace.firstMs(ask.promptTokens) - OBJECTIVE_MARGIN_MS,
+			latestStartAt: this.latestStartAt(waiting),
+			serviceMs,
+			slots: capacity.effectiveSlots(serviceMs),
+			startDelayMs: capacity.startDelayMs,
+			now,
+		};
+	}
+
 	/** @returns Time until any upstream may get a request, as far as limits decide, in ms; 0 unless all usable upstreams have a limit. */
 	startDelayMs(now: number): number {
 		return this.#currentCapacity(now).startDelayMs;
@@ -296,7 +324,7 @@
 		let workMs = 0;
 		for (const waiting of this.waiting) {
 			const serviceMs = this.serviceMs(waiting.ask);
-			if (now + capacity.startDelayMs + (workMs / capacity.effectiveSlots(serviceMs)) > this.latestStartAt(waiting)) {
+			if (this.#isUnservable(waiting, workMs / capacity.effectiveSlots(serviceMs), capacity.startDelayMs, now)) {
 				found.push(waiting);
 			} else {
 				workMs += serviceMs;
@@ -338,6 +366,15 @@
 		return this.#pace.isEngine ? this.#nextOvercommitted(now) : undefined;
 	}
 
+	/** @param queueMs - Expected time until the requests before it have been served, in ms. */
+	#isUnservable(waiting: WaitingRequest, queueMs: number, startDelayMs: number, now: number): boolean {
+		const latestStartAt = this.latestStartAt(waiting);
+		return now + startDelayMs + queueMs > latestStartAt
+			|| this.overload?.mustGiveUp({
+				waiting, isLate: this.#isLate(waiting, now), waitMs: startDelayMs + queueMs, now,
+			}) === true;
+	}
+
 	/** Places one request more than a full engine has slots, if it can be on time and a less important request waits. */
 	#nextOvercommitted(now: number): Grant | undefined {
 		const {maxRank} = this.waiting;
--- a/src/allocation/waiting-queue.ts
+++ b/src/allocation/waiting-queue.ts
@@ -20,8 +20,10 @@
 
 /** Functions that determine the order and the totals of the queue. */
 export type QueueOrder = {
-	/** Lower levels are served first; within a level, the earliest objective is. */
+	/** Lower levels are served first; within a level, the lowest share key is, and within that, the earliest objective. */
 	levelOf(waiting: WaitingRequest, now: number): number;
+	/** Share key of a request when it starts to wait; without it, all requests of a level have the same. */
+	shareKeyOf?(waiting: WaitingRequest): number;
 	/** Expected service time of the request at an upstream of average pace, in ms. */
 	serviceMs(ask: PlaceRequest): number;
 };
@@ -30,6 +32,7 @@
 	readonly waiting: WaitingRequest;
 	/** Sequence number; requests of equal level and objective are served in the order of arrival. */
 	readonly arrival: number;
+	readonly shareKey: number;
 	level: number;
 	serviceMs: number;
 };
@@ -45,6 +48,8 @@
 	#entries: Entry[] = [];
 	/** Total expected service time per level, in ms. */
 	readonly #workMsByLevel = new Map<number, number>();
+	/** The same per level and share key, if requests have share keys. */
+	readonly #workMsByKey = new Map<number, Map<number, number>>();
 	readonly #countByRank = new Map<number, number>();
 	#arrivals = 0;
 
@@ -77,7 +82,7 @@
 		this.delete(ask.id);
 		this.#arrivals += 1;
 		const entry: Entry = {
-			waiting, arrival: this.#arrivals, level: this.#order.levelOf(waiting, now), serviceMs: this.#order.serviceMs(ask),
+			waiting, arrival: this.#arrivals, shareKey: this.#order.shareKeyOf?.(waiting) ?? 0, level: this.#order.levelOf(waiting, now), serviceMs: this.#order.serviceMs(ask),
 		};
 		this.#byId.set(ask.id, entry);
 		this.#entries.splice(this.#indexOf(entry), 0, entry);
@@ -97,16 +102,19 @@
 		this.#byId.clear();
 		this.#entries = [];
 		this.#workMsByLevel.clear();
+		this.#workMsByKey.clear();
 		this.#countByRank.clear();
 	}
 
 	/** Recomputes levels, service times and order: requests become late over time, and the estimates change. */
 	refresh(now: number): void {
 		this.#workMsByLevel.clear();
+		this.#workMsByKey.clear();
 		for (const entry of this.#entries) {
 			entry.level = this.#order.levelOf(entry.waiting, now);
 			entry.serviceMs = this.#order.serviceMs(entry.waiting.ask);
 			this.#workMsByLevel.set(entry.level, (this.#workMsByLevel.get(entry.level) ?? 0) + entry.serviceMs);
+			this.#addToKey(entry, entry.serviceMs);
 		}
 
 		this.#entries.sort(compareEntries);
@@ -122,7 +130,19 @@
 		return sum;
 	}
 
-	#updateTotals({level, serviceMs, waiting: {ask}}: Entry, sign: 1 | -1): void {
+	/** @returns Total expected service time of the requests that are served before a new one of a level and share key, in ms. */
+	workMsBefore(level: number, shareKey: number): number {
+		let sum = this.workMsUpTo(level - 1);
+		for (const [other, workMs] of this.#workMsByKey.get(level) ?? []) {
+			sum += other <= shareKey ? workMs : 0;
+		}
+
+		return sum;
+	}
+
+	#updateTotals(entry: Entry, sign: 1 | -1): void {
+		const {level, serviceMs, waiting: {ask}} = entry;
+		this.#addToKey(entry, sign * serviceMs);
 		this.#workMsByLevel.set(level, (this.#workMsByLevel.get(level) ?? 0) + (sign * serviceMs));
 		const count = (this.#countByRank.get(ask.rank) ?? 0) + sign;
 		if (count === 0) {
@@ -134,6 +154,26 @@
 		if (this.#entries.length === 0) {
 			// Rounding errors would otherwise leave totals slightly off 0 in an empty queue.
 			this.#workMsByLevel.clear();
+			this.#workMsByKey.clear();
+		}
+	}
+
+	#addToKey({level, shareKey}: Entry, workMs: number): void {
+		if (this.#order.shareKeyOf === undefined) {
+			return;
+		}
+
+		let byKey = this.#workMsByKey.get(level);
+		if (byKey === undefined) {
+			byKey = new Map();
+			this.#workMsByKey.set(level, byKey);
+		}
+
+		const sum = (byKey.get(shareKey) ?? 0) + workMs;
+		if (sum > 0) {
+			byKey.set(shareKey, sum);
+		} else {
+			byKey.delete(shareKey);
 		}
 	}
 
@@ -155,5 +195,5 @@
 }
 
 function compareEntries(a: Entry, b: Entry): number {
-	return a.level - b.level || a.waiting.objectiveAt - b.waiting.objectiveAt || a.arrival - b.arrival;
+	return a.level - b.level || a.shareKey - b.shareKey || a.waiting.objectiveAt - b.waiting.objectiveAt || a.arrival - b.arrival;
 }
--- a/test/allocation/decisions-without-pressure.test.ts
+++ b/test/allocation/decisions-without-pressure.test.ts
@@ -69,11 +69,12 @@
 		const isStream = random.next() < 0.7;
 		const remainingMs = random.integer(600, 8000);
 		allocator.ask(createPlaceRequest(id, {
-
 			pool: isStream ? 'engines' : 'plain', customer: `c${random.integer(0, 4)}`, rank: random.integer(0, 3),
-			operation: isStream ? Operation.Stream : Operation.Safe, promptTokens: isStream ? random.integer(50, 6000) : 0, outputEvents: isStream ? random.integer(1, 30) : 0, quotaCost: 1,
+			operation: isStream ? Operation.Stream : Operation.Safe,
+			promptTokens: isStream ? random.integer(50, 6000) : 0, outputEvents: isStream ? random.integer(1, 30) : 0, quotaCost: 1,
 			objectiveMs: random.integer(100, 600), remainingMs, callerLeavesMs: remainingMs, patienceMs: Math.min(remainingMs, 2000),
-			maxPauseMs: 250, dataCentre: `d${random.integer(0, 1)}`, region: `r${random.integer(0, 1)}`, attempt: random.next() < 0.05 ? 2 : 1, fingerprint: `f${random.integer(0, 3000)}`,
+			maxPauseMs: 250, dataCentre: `d${random.integer(0, 1)}`, region: `r${random.integer(0, 1)}`,
+			attempt: random.next() < 0.05 ? 2 : 1, fingerprint: `f${random.integer(0, 3000)}`,
 		}), {
 			grant(upstreamId, expectedFirstMs) {
 				hash.update(`${clock.now()} ${id} ${upstreamId} ${expectedFirstMs}\n`);
--- a/test/allocation/waiting-queue.test.ts
+++ b/test/allocation/waiting-queue.test.ts
@@ -73,6 +73,31 @@
 		});
 	}
 
+	// Guards against expected waits that count the requests of customers beyond their share.
+	it('serves lower share keys first within a level, and totals what is served before a key', () => {
+		const random = Random.create(4);
+		const keys = new Map<string, number>();
+		const queue = WaitingQueue.create({levelOf, serviceMs: ({promptTokens}) => promptTokens, shareKeyOf: ({ask: {id}}) => keys.get(id)!});
+		let all: WaitingRequest[] = [];
+		for (let step = 0; step < 600; step += 1) {
+			const waiting = makeWaiting(`r${step}`, random, 0);
+			keys.set(waiting.ask.id, random.integer(0, 5));
+			queue.add(waiting, 0);
+			all.push(waiting);
+			const removed = all[random.integer(0, all.length - 1)]!;
+			if (random.next() < 0.4) {
+				queue.delete(removed.ask.id);
+				all = all.filter(other => other !== removed);
+			}
+
+			const order = [...queue].map(({ask}) => ask).map(({rank, id}) => (rank * 100) + keys.get(id)!);
+			expect(order).to.deep.equal(order.toSorted((a, b) => a - b));
+			const before = all.filter(({ask: {rank, id}}) => rank < 2 || (rank === 2 && keys.get(id)! <= 3));
+			expect(queue.workMsBefore(4, 3)).to.be.closeTo(before.reduce((sum, {ask: {promptTokens}}) => sum + promptTokens, 0), 0.01);
+			queue.refresh(0);
+		}
+	});
+
 	it('computes the level of a single request per addition and none per removal, regardless of the queue length', () => {
 		let levelCalls = 0;
 		const random = Random.create(1);
