--- a/bench/contention-simulation.ts
+++ b/bench/contention-simulation.ts
@@ -26,6 +26,8 @@
 const IMMEDIATE_RETRIES = 3;
 /** Load before the first disturbance, so that the pace of the engines is learnt, in ms. */
 const WARM_UP_MS = 4000;
+/** Length of the windows by which outcomes are also counted, in ms. */
+const WINDOW_MS = 2000;
 /** Load after the last disturbance, in ms; the last requests end in it. */
 const COOL_DOWN_MS = 10_000;
 const CUSTOMER_COUNT = 16;
@@ -94,6 +96,8 @@
 	/** Requests of the smallest and the largest tenth of their kind. */
 	readonly smallest: Outcomes;
 	readonly largest: Outcomes;
+	/** By time of sending. */
+	readonly byWindow: readonly Outcomes[];
 };
 
 type Caller = {
@@ -184,6 +188,7 @@
 	readonly #all = emptyOutcomes();
 	readonly #smallest = emptyOutcomes();
 	readonly #largest = emptyOutcomes();
+	readonly #byWindow: Outcomes[] = [];
 	#callers = 0;
 	#asks = 0;
 
@@ -232,7 +237,7 @@
 
 		this.clock.advance(WARM_UP_MS + longestMs + (2 * COOL_DOWN_MS));
 		return {
-			all: this.#all, byCustomer: this.#byCustomer, byRank: this.#byRank, smallest: this.#smallest, largest: this.#largest,
+			all: this.#all, byCustomer: this.#byCustomer, byRank: this.#byRank, smallest: this.#smallest, largest: this.#largest, byWindow: this.#byWindow,
 		};
 	}
 
@@ -259,7 +264,7 @@
 			const elapsedMs = this.clock.now() - countedFrom;
 			const factor = Math.max(1, ...surges.filter(({forMs}) => elapsedMs >= 0 && elapsedMs < forMs).map(surge => surge.factor));
 			if (this.#random.next() < factor / highest) {
-				this.#send(customer, elapsedMs >= 0);
+				this.#send(customer, elapsedMs);
 			}
 
 			if (this.clock.now() < until) {
@@ -268,7 +273,7 @@
 		});
 	}
 
-	#send(customer: number, isCounted: boolean): void {
+	#send(customer: number, elapsedMs: number): void {
 		const rank = this.#random.integer(0, classes.length - 1);
 		const {promptTokens, events} = classes[rank]!;
 		const size = this.#random.next();
@@ -282,13 +287,22 @@
 			events,
 			sentAt: this.clock.now(),
 			isImpatient: customer === this.#pattern.retriesImmediately || this.#random.next() < (this.#pattern.impatientShare ?? 0),
-			outcomes: isCounted ? [this.#all, this.#byCustomer[customer]!, this.#byRank[rank]!, ...bySize] : [],
+			outcomes: elapsedMs < 0 ? [] : [this.#all, this.#byCustomer[customer]!, this.#byRank[rank]!, this.#windowAt(elapsedMs), ...bySize],
 			attempts: 0,
 		};
 		count(caller, 'sent');
 		this.#attempt(caller);
 	}
 
+	#windowAt(elapsedMs: number): Outcomes {
+		const index = Math.floor(elapsedMs / WINDOW_MS);
+		while (this.#byWindow.length <= index) {
+			this.#byWindow.push(emptyOutcomes());
+		}
+
+		return this.#byWindow[index]!;
+	}
+
 	#attempt(caller: Caller): void {
 		this.#asks += 1;
 		caller.attempts += 1;
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -20,6 +20,7 @@
 import {type PlacementObserver} from './placement-observer.js';
 import {Pool} from './pool.js';
 import {type RetryBounds} from './pool-retry-budget.js';
+import {type ShareDecision} from './overload.js';
 import {Quotas, type QuotaTolerance} from './quotas.js';
 import {CallerRetries} from './caller-retries.js';
 import {CrashRecorder, type RecordedUpstream} from './crash-recorder.js';
@@ -82,6 +83,8 @@
 	readonly refusal?: ErrorKind;
 	/** Time left until the objective is missed, in ms; for a request that the caller retried, counted from its first attempt. */
 	readonly objectiveMs: number;
+	/** If customers share scarce room. */
+	readonly share?: ShareDecision;
 };
 
 /** Allocates places at the upstreams of all pools. */
@@ -146,6 +149,18 @@
 		return this.#scope.share === 1 && !this.#scope.isStandalone;
 	}
 
+	/** Number of requests that wait for a place, by customer; those without one are under an empty name. */
+	get waitingByCustomer(): ReadonlyMap<string, number> {
+		const counts = new Map<string, number>();
+		for (const pool of this.#pools.values()) {
+			for (const {ask: {customer = ''}} of pool.waiting) {
+				counts.set(customer, (counts.get(customer) ?? 0) + 1);
+			}
+		}
+
+		return counts;
+	}
+
 	/** The pace factor of each upstream, for a successor. */
 	get paces(): ReadonlyMap<string, number> {
 		const paces = new Map<string, number>();
@@ -409,7 +424,13 @@
 			pool.overload?.noteGrant(waiting.ask.id);
 			this.#hold(pool, waiting, target, now);
 			this.onDecision?.({
-				ask: waiting.ask, waitedMs: now - waiting.requestedAt, waiting: pool.waiting.size, upstreamId: target.upstream.id, expectedFirstMs, objectiveMs: waiting.objectiveAt - now,
+				ask: waiting.ask,
+				waitedMs: now - waiting.requestedAt,
+				waiting: pool.waiting.size,
+				upstreamId: target.upstream.id,
+				expectedFirstMs,
+				objectiveMs: waiting.objectiveAt - now,
+				share: pool.shareDecision(waiting.ask),
 			});
 			waiting.events.grant(target.upstream.id, expectedFirstMs);
 		}
@@ -473,12 +494,12 @@
 		const now = this.#options.clock.now();
 		const {ask, events, requestedAt, objectiveAt} = waiting;
 		this.#callerRetries.note(ask.fingerprint, waiting, now);
+		const returnMs = invitingKinds.has(kind) ? pool.overload?.invite(pool.overloadQuery(waiting, now)) : undefined;
 		const jitter = RETRY_JITTER.min + (this.#options.random.next() * (RETRY_JITTER.max - RETRY_JITTER.min));
 		this.onDecision?.({
-			ask, waitedMs: now - requestedAt, waiting: pool.waiting.size, refusal: kind, objectiveMs: objectiveAt - now,
+			ask, waitedMs: now - requestedAt, waiting: pool.waiting.size, refusal: kind, objectiveMs: objectiveAt - now, share: pool.shareDecision(ask, returnMs),
 		});
-		const invitedMs = invitingKinds.has(kind) ? pool.overload?.invite(pool.overloadQuery(waiting, now)) : undefined;
-		events.refuse(kind, invitedMs ?? Math.max(MIN_RETRY_AFTER_MS, retryAfterMs * jitter));
+		events.refuse(kind, returnMs ?? Math.max(MIN_RETRY_AFTER_MS, retryAfterMs * jitter));
 	}
 
 	#removeWaiting(pool: Pool, {ask}: WaitingRequest): void {
--- a/src/allocation/overload.ts
+++ b/src/allocation/overload.ts
@@ -46,6 +46,15 @@
 /** A request that waits, with its expected wait. */
 export type WaitingQuery = Pick<OverloadQuery, 'waiting' | 'isLate' | 'now'> & {readonly waitMs: number};
 
+/** What a decision means for the customer's share of the room. Durations in ms. */
+export type ShareDecision = {
+	readonly serviceMs: number;
+	/** How far the customer is ahead of its share; 0 within its share. */
+	readonly leadMs: number;
+	/** Planned time until the caller of a refused request returns. */
+	readonly returnMs?: number;
+};
+
 /** Overload control of one pool. */
 export class Overload {
 	static create(random: Random): Overload {
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -10,7 +10,7 @@
 import {Capacity} from './capacity.js';
 import {type Locality} from './locality.js';
 import {type StatedPace} from './momentary-pace.js';
-import {Overload, type OverloadQuery} from './overload.js';
+import {Overload, type OverloadQuery, type ShareDecision} from './overload.js';
 import {Pace, PoolPace} from './pace.js';
 import {type Grant, Placement} from './placement.js';
 import {type PlacementFilter} from './placement-filter.js';
@@ -297,6 +297,11 @@
 		};
 	}
 
+	/** @returns What a decision means for the customer's share; `undefined` unless customers share scarce room. */
+	shareDecision(ask: PlaceRequest, returnMs?: number): ShareDecision | undefined {
+		return this.overload && {serviceMs: this.serviceMs(ask), leadMs: this.overload.shares.leadMs(ask), returnMs};
+	}
+
 	/** @returns Time until any upstream may get a request, as far as limits decide, in ms; 0 unless all usable upstreams have a limit. */
 	startDelayMs(now: number): number {
 		return this.#currentCapacity(now).startDelayMs;
--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -7,6 +7,7 @@
 import {
 	Counter, Gauge, type Metric, Registry,
 } from 'prom-client';
+import {CustomerMetrics} from './customer-metrics.js';
 import {type ErrorKind} from './errors.js';
 import {type Invariants} from './invariant.js';
 
@@ -129,6 +130,8 @@
 	readonly queueWait = new DurationSummary('redwingspool_queue_wait_seconds', 'From arrival to dispatch.', this.registry);
 	readonly timeToFirstToken = new DurationSummary('redwingspool_time_to_first_token_seconds', 'From arrival to the first part of a model\'s answer.', this.registry);
 	readonly timeBetweenTokens = new DurationSummary('redwingspool_time_between_tokens_seconds', 'Between two parts of a model\'s answer.', this.registry);
+	/** What customers got where they share scarce room. */
+	readonly customers = CustomerMetrics.create(this.registry);
 	readonly #requests: Counter<'tier' | 'outcome'>;
 	readonly #requestsBegun: Counter;
 	readonly #requestEnds: Counter<'end'>;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
  */
 import process from 'node:process';
 import {Allocator, type Decision} from '../allocation/allocator.js';
+import {type ShareDecision} from '../allocation/overload.js';
 import {type RetryBounds} from '../allocation/pool-retry-budget.js';
 import {type QuotaTolerance} from '../allocation/quotas.js';
 import {CrashRecorder} from '../allocation/crash-recorder.js';
@@ -10,6 +11,7 @@
 import {splitAddress} from '../base/address.js';
 import {runInBackground} from '../base/background.js';
 import {type Clock} from '../base/clock.js';
+import {type ErrorKind} from '../base/errors.js';
 import {type Log, LogPrefix} from '../base/log.js';
 import {type Metrics} from '../base/metrics.js';
 import {Invariants} from '../base/invariant.js';
@@ -121,6 +123,10 @@
 			this.#front.abortQuarantined();
 		};
 
+		if (options.isUnderPressure) {
+			metrics.customers.readWaiting = () => this.#allocator.waitingByCustomer;
+		}
+
 		const allocation = SwitchedAllocation.create(clock, {
 			recorder: CrashRecorder.create(clock, this.#allocator.quarantine), upstreamOf: id => this.state.upstreams.get(id),
 		});
@@ -279,7 +285,8 @@
 		});
 	}
 
-	#logDecision({ask, waitedMs, waiting, upstreamId, expectedFirstMs, refusal, objectiveMs}: Decision): void {
+	#logDecision({ask, waitedMs, waiting, upstreamId, expectedFirstMs, refusal, objectiveMs, share}: Decision): void {
+		this.#countShare(ask.customer, refusal, share);
 		const upstream = upstreamId === undefined ? undefined : this.state.upstreams.get(upstreamId);
 		this.#options.log.part(LogPrefix.Allocation).info(refusal === undefined ? 'Place granted.' : 'Place refused.', {
 			request: ask.requestId,
@@ -295,6 +302,17 @@
 			attempt: ask.attempt,
 			quotaCost: ask.quotaCost === 0 ? undefined : ask.quotaCost,
 			objectiveMs: Math.round(objectiveMs),
+			leadMs: share && Math.round(share.leadMs),
+			returnMs: share?.returnMs === undefined ? undefined : Math.round(share.returnMs),
 		});
 	}
+
+	#countShare(customer: string | undefined, refusal: ErrorKind | undefined, share: ShareDecision | undefined): void {
+		const {customers} = this.#options.metrics;
+		if (share !== undefined && refusal === undefined) {
+			customers.countGrant(customer, share.serviceMs);
+		} else if (share !== undefined && refusal !== undefined) {
+			customers.countRefusal(customer, refusal, share.returnMs !== undefined);
+		}
+	}
 }
