--- a/src/allocation/overload.ts
+++ b/src/allocation/overload.ts
@@ -24,6 +24,9 @@
 /** Part of its time after which a waiting request is no longer refused for being late: such a refusal costs its caller more than waiting. */
 const MAX_REFUSAL_AGE_RATIO = 0.25;
 
+/** Smallest part of the slots that returns are expected to find, however large the usual load. */
+const MIN_SPARE_RATIO = 0.1;
+
 /** A request to decide on, with what its pool expects. */
 export type OverloadQuery = {
 	readonly waiting: WaitingRequest;
@@ -132,11 +135,13 @@
 
 	/** @returns The Retry-After of a refused request, in ms; its return is expected then. */
 	invite({waiting: {ask, callerLeavesAt, deadlineAt}, queue, levels, serviceMs, slots, startDelayMs, now}: OverloadQuery): number {
-		const spareSlots = Math.max(1, slots - this.#usualLoad.slots(now));
+		const spareSlots = Math.max(MIN_SPARE_RATIO * slots, slots - this.#usualLoad.slots(now));
 		const earliestMs = startDelayMs + (queue.workMsUpTo(levels.late) / spareSlots);
-		return this.#returns.invite({
+		const returnMs = this.#returns.invite({
 			fingerprint: ask.fingerprint, serviceMs, remainingMs: Math.min(callerLeavesAt, deadlineAt) - now, earliestMs, spareSlots, now,
 		});
+		// Where limits of the upstreams leave nothing for longer than the caller waits, it is told so rather than invited in vain.
+		return Math.max(returnMs, startDelayMs);
 	}
 
 	/** @returns Whether the caller of the request was refused before. */
