Shares: a floor for each rank, and a bench of decisions with shares

A rank that waits gets a twentieth of the room for requests that can be on time, so that a peak of important requests leaves none without any.

--- a/bench/allocation.ts
+++ b/bench/allocation.ts
@@ -21,6 +21,8 @@
 /** Time for which a request holds its place, in ms. */
 const SERVICE_MS = 600;
 const RANK_COUNT = 3;
+/** Customers that compete, if measured under pressure. */
+const CUSTOMER_COUNT = 16;
 /** Deadline that no request of the benchmark reaches, in ms. */
 const UNREACHED_DEADLINE_MS = 1_000_000_000;
 const US_PER_MS = 1000;
@@ -43,11 +45,11 @@
 }
 
 /** @returns Mean time of a decision, in us. */
-function measureDecisionTime({Allocator, Random, VirtualClock}: Modules, upstreamCount: number, waitingCount: number): number {
+function measureDecisionTime({Allocator, Random, VirtualClock}: Modules, upstreamCount: number, waitingCount: number, isUnderPressure: boolean): number {
 	const random = Random.create(1);
 	const clock = VirtualClock.create();
 	const allocator = Allocator.create({
-		clock, random, nodeId: 'bench', repeatBounds: {ratio: 0.2, slack: 100, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000}, limits: UpstreamLimits.create(),
+		clock, random, nodeId: 'bench', repeatBounds: {ratio: 0.2, slack: 100, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000}, limits: UpstreamLimits.create(), isUnderPressure,
 	});
 	allocator.setUpstreams({
 		changed: Array.from({length: upstreamCount}, (_, index) => ({
@@ -60,12 +62,12 @@
 	const requestPlace = () => {
 		requestCount += 1;
 		const id = `ask-${requestCount}`;
-		const hasMissedObjective = random.next() < 0.5;
+		const hasMissedObjective = !isUnderPressure && random.next() < 0.5;
 		const placeRequest: PlaceRequest = {
 			id,
 			requestId: id,
 			pool: 'advice',
-			customer: undefined,
+			customer: isUnderPressure ? `customer-${requestCount % CUSTOMER_COUNT}` : undefined,
 			rank: Math.floor(random.next() * RANK_COUNT),
 			operation: Operation.Stream,
 			promptTokens: Math.floor(random.next() * 4000),
@@ -120,16 +122,25 @@
 	meta: {name: 'allocation', description: 'Measures the decision time of the allocator under overload.'},
 	args: {
 		earlier: {type: 'string', description: 'Checkout of an earlier version to measure in the same run'},
+		pressure: {type: 'boolean', description: 'Measure this checkout with fair shares, too'},
 	},
 	async run({args}) {
-		const folders = args.earlier === undefined ? ['.'] : ['.', args.earlier];
-		const table = new Table({head: ['upstreams', 'waiting', ...folders.map(folder => `${folder}, us per decision`)]});
+		const variants = [{folder: '.', isUnderPressure: false}];
+		if (args.pressure) {
+			variants.push({folder: '.', isUnderPressure: true});
+		}
+
+		if (args.earlier !== undefined) {
+			variants.push({folder: args.earlier, isUnderPressure: false});
+		}
+
+		const table = new Table({head: ['upstreams', 'waiting', ...variants.map(({folder, isUnderPressure}) => `${folder}${isUnderPressure ? ' with shares' : ''}, us per decision`)]});
 		for (const upstreamCount of UPSTREAM_COUNTS) {
 			for (const waitingCount of WAITING_COUNTS) {
 				const times: string[] = [];
-				for (const folder of folders) {
+				for (const {folder, isUnderPressure} of variants) {
 					const modules = await loadModules(folder); // eslint-disable-line no-await-in-loop -- measurements must not overlap
-					times.push(measureDecisionTime(modules, upstreamCount, waitingCount).toFixed(1));
+					times.push(measureDecisionTime(modules, upstreamCount, waitingCount, isUnderPressure).toFixed(1));
 				}
 
 				table.push([upstreamCount, waitingCount, ...times]);
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -421,7 +421,7 @@
 		for (let grant = pool.next(now); grant !== undefined; grant = pool.next(now)) {
 			const {waiting, target, expectedFirstMs} = grant;
 			pool.waiting.delete(waiting.ask.id);
-			pool.overload?.noteGrant(waiting.ask.id);
+			pool.overload?.noteGrant(waiting.ask, pool.serviceMs(waiting.ask), pool.waiting.ranks);
 			this.#hold(pool, waiting, target, now);
 			this.onDecision?.({
 				ask: waiting.ask,
--- a/src/allocation/overload.ts
+++ b/src/allocation/overload.ts
@@ -8,6 +8,7 @@
 import {type PlaceRequest} from './allocation.js';
 import {FairShares} from './fair-shares.js';
 import {ReturnSchedule} from './return-schedule.js';
+import {FLOOR_RATIO, RankFloor} from './rank-floor.js';
 import {UsualLoad} from './usual-load.js';
 import {type WaitingRequest, type WaitingQueue} from './waiting-queue.js';
 
@@ -65,6 +66,7 @@
 	}
 
 	readonly shares = FairShares.create();
+	readonly floor = RankFloor.create();
 	readonly #returns: ReturnSchedule;
 	#usualLoad = UsualLoad.create();
 	/** IDs of waiting requests that were refused before. */
@@ -82,6 +84,7 @@
 	/** Forgets all requests; a new allocator knows no shares and no returns. */
 	clear(): void {
 		this.shares.clear();
+		this.floor.clear();
 		this.#returns.clear();
 		this.#returned.clear();
 		this.#usualLoad = UsualLoad.create();
@@ -101,7 +104,10 @@
 
 		const key = this.shares.nextKey(ask);
 		const maxWaitMs = MAX_WAIT_RATIO * (latestStartAt - now);
-		const waitMs = startDelayMs + (queue.workMsBefore(levels.onTime, key) / slots);
+		const workMs = queue.workMsBefore(levels.onTime, key);
+		// The rank is served by its order or by its floor, whichever is sooner.
+		const ownWorkMs = workMs - queue.workMsUpTo(levels.onTime - 1);
+		const waitMs = startDelayMs + Math.min(workMs / slots, (serviceMs + ownWorkMs) / (FLOOR_RATIO * slots));
 		if (!isLate && now + waitMs <= onTimeStartAt) {
 			return waitMs > maxWaitMs;
 		}
@@ -122,7 +128,8 @@
 	}
 
 	/** Records that a waiting request got a place. */
-	noteGrant(id: string): void {
+	noteGrant({id, rank}: PlaceRequest, serviceMs: number, waitingRanks: Iterable<number>): void {
+		this.floor.noteGrant(rank, serviceMs, waitingRanks);
 		this.shares.noteGrant(id);
 		this.#returned.delete(id);
 	}
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -350,7 +350,7 @@
 		if (candidates.length > 0) {
 			const isAnyBusy = open.length < this.#openCount;
 			let restrictedScans = 0;
-			for (const waiting of this.waiting) {
+			for (const waiting of this.overload === undefined ? this.waiting : this.#inOrderWithFloors(now)) {
 				if (open.length === 0 && ++restrictedScans > MAX_RESTRICTED_SCAN) {
 					break;
 				}
@@ -380,6 +380,18 @@
 			}) === true;
 	}
 
+	/** Yields the requests for which ranks have credit, then all in their order. */
+	* #inOrderWithFloors(now: number): Generator<WaitingRequest> {
+		for (const rank of this.overload?.floor.ranks ?? []) {
+			const first = this.waiting.firstOf(rank * LEVELS_PER_RANK);
+			if (first !== undefined && !this.#isLate(first, now) && this.overload?.floor.covers(rank, this.serviceMs(first.ask))) {
+				yield first;
+			}
+		}
+
+		yield * this.waiting;
+	}
+
 	/** Places one request more than a full engine has slots, if it can be on time and a less important request waits. */
 	#nextOvercommitted(now: number): Grant | undefined {
 		const {maxRank} = this.waiting;
--- a/src/allocation/waiting-queue.ts
+++ b/src/allocation/waiting-queue.ts
@@ -66,6 +66,28 @@
 		return Math.max(0, ...this.#countByRank.keys());
 	}
 
+	/** Ranks of the requests in the queue. */
+	get ranks(): Iterable<number> {
+		return this.#countByRank.keys();
+	}
+
+	/** @returns The request of a level that is served first. */
+	firstOf(level: number): WaitingRequest | undefined {
+		let low = 0;
+		let high = this.#entries.length;
+		while (low < high) {
+			const middle = Math.floor((low + high) / 2);
+			if (this.#entries[middle]!.level < level) {
+				low = middle + 1;
+			} else {
+				high = middle;
+			}
+		}
+
+		const entry = this.#entries[low];
+		return entry?.level === level ? entry.waiting : undefined;
+	}
+
 	get(id: string): WaitingRequest | undefined {
 		return this.#byId.get(id)?.waiting;
 	}
--- a/test/allocation/fair-shares.test.ts
+++ b/test/allocation/fair-shares.test.ts
@@ -3,6 +3,7 @@
 	type ContentionPattern, ContentionSimulation, type Outcomes, worthOf,
 } from '../../bench/contention-simulation.js';
 import {FairShares} from '../../src/allocation/fair-shares.js';
+import {RankFloor} from '../../src/allocation/rank-floor.js';
 import {ReturnSchedule} from '../../src/allocation/return-schedule.js';
 import {Random} from '../../src/base/random.js';
 import {createPlaceRequest} from '../support/place-request.js';
@@ -121,6 +122,19 @@
 		});
 	});
 
+	// Guards against a peak of important requests that leaves a less important kind without any answer on time.
+	it('keeps a twentieth of the room for a rank that waits', () => {
+		const floor = RankFloor.create();
+		let floorGrants = 0;
+		for (let grant = 0; grant < 1000; grant += 1) {
+			const isCovered = floor.covers(2, 300);
+			floorGrants += isCovered ? 1 : 0;
+			floor.noteGrant(isCovered ? 2 : 0, isCovered ? 300 : 500, [0, 2]);
+		}
+
+		expect(floorGrants * 300 / (1000 * 500)).to.be.within(0.04, 0.06);
+	});
+
 	// Guards against refused callers that all come back at the same time, and against invitations that callers cannot use.
 	it('spreads returns over the third of the remaining time that callers wait', () => {
 		const returns = ReturnSchedule.create(Random.create(1));
