Queue: one total per run of equal levels, and service times computed once per check

The refresh wrote a map entry per request, and the check computed service times that the refresh had just computed.

--- a/src/allocation/overload.ts
+++ b/src/allocation/overload.ts
@@ -47,9 +47,6 @@
 	readonly now: number;
 };
 
-/** A request that waits, with its expected wait. */
-export type WaitingQuery = Pick<OverloadQuery, 'waiting' | 'isLate' | 'now'> & {readonly waitMs: number};
-
 /** What a decision means for the customer's share of the room. Durations in ms. */
 export type ShareDecision = {
 	readonly serviceMs: number;
@@ -116,10 +113,10 @@
 		return lateWaitMs > (isReturn ? latestStartAt - now : Math.min(maxWaitMs, MAX_LATE_WAIT_MS));
 	}
 
-	/** @returns Whether a waiting request is refused because it missed its objective and is not served shortly. */
-	mustGiveUp({waiting: {ask, requestedAt, deadlineAt}, isLate, waitMs, now}: WaitingQuery): boolean {
-		return isLate && waitMs > MAX_LATE_WAIT_MS && ask.attempt === 1 && !this.#returned.has(ask.id)
-			&& now - requestedAt < MAX_REFUSAL_AGE_RATIO * (deadlineAt - requestedAt);
+	/** @returns Whether a waiting request is refused if it can no longer be on time, because it is not served shortly. */
+	mustServeOnTime({ask, requestedAt, deadlineAt}: WaitingRequest, waitMs: number, now: number): boolean {
+		return waitMs > MAX_LATE_WAIT_MS && now - requestedAt < MAX_REFUSAL_AGE_RATIO * (deadlineAt - requestedAt)
+			&& ask.attempt === 1 && !this.#returned.has(ask.id);
 	}
 
 	/** Charges a request that begins to wait. */
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -317,8 +317,8 @@
 	}
 
 	/** @returns The latest time at which a place is still useful: the answer meets the deadline and begins before the caller disconnects. */
-	latestStartAt({ask, deadlineAt, patienceEndsAt}: WaitingRequest): number {
-		return Math.min(deadlineAt - this.serviceMs(ask), patienceEndsAt - this.#pace.firstMs(ask.promptTokens) - PATIENCE_MARGIN_MS);
+	latestStartAt({ask, deadlineAt, patienceEndsAt}: WaitingRequest, serviceMs = this.serviceMs(ask)): number {
+		return Math.min(deadlineAt - serviceMs, patienceEndsAt - this.#pace.firstMs(ask.promptTokens) - PATIENCE_MARGIN_MS);
 	}
 
 	/** @returns Waiting requests that are not expected to get a place in time. */
@@ -327,14 +327,13 @@
 		this.waiting.refresh(now);
 		const found: WaitingRequest[] = [];
 		let workMs = 0;
-		for (const waiting of this.waiting) {
-			const serviceMs = this.serviceMs(waiting.ask);
-			if (this.#isUnservable(waiting, workMs / capacity.effectiveSlots(serviceMs), capacity.startDelayMs, now)) {
+		this.waiting.visitInOrder((waiting, serviceMs) => {
+			if (this.#isUnservable(waiting, serviceMs, workMs / capacity.effectiveSlots(serviceMs), capacity.startDelayMs, now)) {
 				found.push(waiting);
 			} else {
 				workMs += serviceMs;
 			}
-		}
+		});
 
 		return found;
 	}
@@ -372,12 +371,9 @@
 	}
 
 	/** @param queueMs - Expected time until the requests before it have been served, in ms. */
-	#isUnservable(waiting: WaitingRequest, queueMs: number, startDelayMs: number, now: number): boolean {
-		const latestStartAt = this.latestStartAt(waiting);
-		return now + startDelayMs + queueMs > latestStartAt
-			|| this.overload?.mustGiveUp({
-				waiting, isLate: this.#isLate(waiting, now), waitMs: startDelayMs + queueMs, now,
-			}) === true;
+	#isUnservable(waiting: WaitingRequest, serviceMs: number, queueMs: number, startDelayMs: number, now: number): boolean {
+		return now + startDelayMs + queueMs > this.latestStartAt(waiting, serviceMs)
+			|| (this.overload !== undefined && this.#isLate(waiting, now) && this.overload.mustServeOnTime(waiting, startDelayMs + queueMs, now));
 	}
 
 	/** Yields the requests for which ranks have credit, then all in their order. */
--- a/src/allocation/waiting-queue.ts
+++ b/src/allocation/waiting-queue.ts
@@ -99,6 +99,17 @@
 		}
 	}
 
+	/**
+	 * Calls a function for each request, in the order in which they are served.
+	 *
+	 * @param visit - Gets the expected service time of the request as of the last refresh, in ms.
+	 */
+	visitInOrder(visit: (waiting: WaitingRequest, serviceMs: number) => void): void {
+		for (const {waiting, serviceMs} of this.#entries) {
+			visit(waiting, serviceMs);
+		}
+	}
+
 	add(waiting: WaitingRequest, now: number): void {
 		const {ask} = waiting;
 		this.delete(ask.id);
@@ -132,14 +143,30 @@
 	refresh(now: number): void {
 		this.#workMsByLevel.clear();
 		this.#workMsByKey.clear();
+		// Neighbours are mostly of the same level, so that a total is written once per run of equal levels.
+		let level: number | undefined;
+		let workMs = 0;
 		for (const entry of this.#entries) {
 			entry.level = this.#order.levelOf(entry.waiting, now);
 			entry.serviceMs = this.#order.serviceMs(entry.waiting.ask);
-			this.#workMsByLevel.set(entry.level, (this.#workMsByLevel.get(entry.level) ?? 0) + entry.serviceMs);
-			this.#addToKey(entry, entry.serviceMs);
+			if (entry.level !== level) {
+				if (level !== undefined) {
+					this.#workMsByLevel.set(level, workMs);
+				}
+
+				level = entry.level;
+				workMs = this.#workMsByLevel.get(level) ?? 0;
+			}
+
+			workMs += entry.serviceMs;
+		}
+
+		if (level !== undefined) {
+			this.#workMsByLevel.set(level, workMs);
 		}
 
 		this.#entries.sort(compareEntries);
+		this.#totalByKey();
 	}
 
 	/** @returns Total expected service time of all requests up to and including a level, in ms. */
@@ -180,6 +207,29 @@
 		}
 	}
 
+	/** Computes the totals per share key from the sorted entries, with one update per key instead of one per request. */
+	#totalByKey(): void {
+		if (this.#order.shareKeyOf === undefined) {
+			return;
+		}
+
+		let previous: Entry | undefined;
+		let workMs = 0;
+		for (const entry of this.#entries) {
+			if (previous !== undefined && (previous.level !== entry.level || previous.shareKey !== entry.shareKey)) {
+				this.#addToKey(previous, workMs);
+				workMs = 0;
+			}
+
+			workMs += entry.serviceMs;
+			previous = entry;
+		}
+
+		if (previous !== undefined) {
+			this.#addToKey(previous, workMs);
+		}
+	}
+
 	#addToKey({level, shareKey}: Entry, workMs: number): void {
 		if (this.#order.shareKeyOf === undefined) {
 			return;
