--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -21,6 +21,7 @@
 import {Pool} from './pool.js';
 import {type RetryBounds} from './pool-retry-budget.js';
 import {collectStatistics, type PoolStatistics} from './pool-statistics.js';
+import {type ShareDecision} from './overload.js';
 import {Quotas, type QuotaTolerance} from './quotas.js';
 import {CallerRetries} from './caller-retries.js';
 import {CrashRecorder, type RecordedUpstream} from './crash-recorder.js';
@@ -48,6 +49,8 @@
 const RETRY_DELAY_RATIO = 0.28;
 /** Retry-After is multiplied by a random factor in this range, so that refused callers do not retry at the same time. */
 const RETRY_JITTER = {min: 0.75, max: 1.2} as const;
+/** Refusals for want of room, after which callers are invited to return when there is some. */
+const invitingKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.Overloaded, ErrorKind.DeadlineUnreachable]);
 /** How long requests with a feature that crashes upstreams are refused, in ms; then one of them is tried again. Three trials a day crash three upstreams at most. */
 const QUARANTINE_MS = 28_800_000;
 
@@ -81,6 +84,8 @@
 	readonly refusal?: ErrorKind;
 	/** Time left until the objective is missed, in ms; for a request that the caller retried, counted from its first attempt. */
 	readonly objectiveMs: number;
+	/** If customers share scarce room. */
+	readonly share?: ShareDecision;
 };
 
 /** Allocates places at the upstreams of all pools. */
@@ -153,6 +158,18 @@
 		return [...this.#pools.values()].map(pool => collectStatistics(pool, now));
 	}
 
+	/** Number of requests that wait for a place, by customer; those without one are under an empty name. */
+	get waitingByCustomer(): ReadonlyMap<string, number> {
+		const counts = new Map<string, number>();
+		for (const pool of this.#pools.values()) {
+			for (const {ask: {customer = ''}} of pool.waiting) {
+				counts.set(customer, (counts.get(customer) ?? 0) + 1);
+			}
+		}
+
+		return counts;
+	}
+
 	/** The pace factor of each upstream, for a successor. */
 	get paces(): ReadonlyMap<string, number> {
 		const paces = new Map<string, number>();
@@ -222,6 +239,7 @@
 		this.#quotas.setCustomers(table.configuration.customers, this.#options.clock.now());
 		for (const pool of this.#pools.values()) {
 			pool.setSettings(table.pool(pool.name));
+			pool.overload?.setCustomers(table.configuration.customers);
 		}
 	}
 
@@ -283,6 +301,10 @@
 			callerLeavesAt,
 		};
 		const refusal = this.#findRefusal(pool, waiting, now);
+		if (refusal !== undefined) {
+			pool.overload?.remove(ask.id);
+		}
+
 		if (refusal?.kind === ErrorKind.RateLimited && this.#scope.isStandalone && ask.patienceMs > STANDALONE_QUOTA_WAIT_MS) {
 			// The allocator of all VMs knows what is left of the quota and usually decides within this time.
 			this.#defer(ask, events);
@@ -294,6 +316,7 @@
 			return;
 		}
 
+		pool.overload?.add(ask, pool.serviceMs(ask));
 		pool.waiting.add(waiting, now);
 		this.#poolByRequest.set(ask.id, pool);
 		this.#grantPlaces(pool);
@@ -395,8 +418,7 @@
 		}
 
 		const hasFreePlace = pool.hasFreePlace(now);
-		const waitMs = hasFreePlace ? 0 : pool.waitMs(waiting, now);
-		if (waitMs > MAX_WAIT_RATIO * (pool.latestStartAt(waiting) - now) || pool.isWaitPointless(waiting, waitMs, now)) {
+		if (pool.overload === undefined ? isQueueTooLong(pool, waiting, hasFreePlace, now) : pool.overload.mustRefuse(pool.overloadQuery(waiting, now), hasFreePlace)) {
 			return {kind: ErrorKind.Overloaded, retryAfterMs: retryDelayMs(pool, waiting, now)};
 		}
 
@@ -422,9 +444,16 @@
 		for (let grant = pool.next(now); grant !== undefined; grant = pool.next(now)) {
 			const {waiting, target, expectedFirstMs} = grant;
 			pool.waiting.delete(waiting.ask.id);
+			pool.overload?.noteGrant(waiting.ask, pool.serviceMs(waiting.ask), pool.waiting.ranks);
 			this.#hold(pool, waiting, target, now);
 			this.onDecision?.({
-				ask: waiting.ask, waitedMs: now - waiting.requestedAt, waiting: pool.waiting.size, upstreamId: target.upstream.id, expectedFirstMs, objectiveMs: waiting.objectiveAt - now,
+				ask: waiting.ask,
+				waitedMs: now - waiting.requestedAt,
+				waiting: pool.waiting.size,
+				upstreamId: target.upstream.id,
+				expectedFirstMs,
+				objectiveMs: waiting.objectiveAt - now,
+				share: pool.shareDecision(waiting.ask),
 			});
 			waiting.events.grant(target.upstream.id, expectedFirstMs);
 		}
@@ -488,15 +517,17 @@
 		const now = this.#options.clock.now();
 		const {ask, events, requestedAt, objectiveAt} = waiting;
 		this.#callerRetries.note(ask.fingerprint, waiting, now);
+		const returnMs = invitingKinds.has(kind) ? pool.overload?.invite(pool.overloadQuery(waiting, now)) : undefined;
 		const jitter = RETRY_JITTER.min + (this.#options.random.next() * (RETRY_JITTER.max - RETRY_JITTER.min));
 		this.onDecision?.({
-			ask, waitedMs: now - requestedAt, waiting: pool.waiting.size, refusal: kind, objectiveMs: objectiveAt - now,
+			ask, waitedMs: now - requestedAt, waiting: pool.waiting.size, refusal: kind, objectiveMs: objectiveAt - now, share: pool.shareDecision(ask, returnMs),
 		});
-		events.refuse(kind, Math.max(MIN_RETRY_AFTER_MS, retryAfterMs * jitter));
+		events.refuse(kind, returnMs ?? Math.max(MIN_RETRY_AFTER_MS, retryAfterMs * jitter));
 	}
 
 	#removeWaiting(pool: Pool, {ask}: WaitingRequest): void {
 		pool.waiting.delete(ask.id);
+		pool.overload?.remove(ask.id);
 		this.#poolByRequest.delete(ask.id);
 	}
 
@@ -519,6 +550,7 @@
 			pool = Pool.create({
 				name, settings: this.#table?.pool(name), repeatBounds, limits, random, scope: this.#scope, filters, locality, isUnderPressure,
 			});
+			pool.overload?.setCustomers(this.#table?.configuration.customers ?? []);
 			this.#pools.set(name, pool);
 			this.#initRetryBudget(pool);
 		}
@@ -534,6 +566,12 @@
 	};
 }
 
+/** @returns Whether a request is not expected to get a place early enough to wait for it. */
+function isQueueTooLong(pool: Pool, waiting: WaitingRequest, hasFreePlace: boolean, now: number): boolean {
+	const waitMs = hasFreePlace ? 0 : pool.waitMs(waiting, now);
+	return waitMs > MAX_WAIT_RATIO * (pool.latestStartAt(waiting) - now) || pool.isWaitPointless(waiting, waitMs, now);
+}
+
 /** @returns The Retry-After for a request that found too long a queue, in ms. */
 function retryDelayMs(pool: Pool, {deadlineAt}: WaitingRequest, now: number): number {
 	return Math.max(RETRY_DELAY_RATIO * (deadlineAt - now), pool.startDelayMs(now));
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -10,6 +10,7 @@
 import {Capacity} from './capacity.js';
 import {type Locality} from './locality.js';
 import {type StatedPace} from './momentary-pace.js';
+import {Overload, type OverloadQuery, type ShareDecision} from './overload.js';
 import {Pace, PoolPace, usualFactor} from './pace.js';
 import {type Grant, Placement} from './placement.js';
 import {type PlacementFilter} from './placement-filter.js';
@@ -62,7 +63,7 @@
 	readonly scope: Scope;
 	readonly filters?: readonly PlacementFilter[];
 	readonly locality?: Locality;
-	/** Whether estimates are detailed before an upstream states its pace, and the memory of upstreams is accounted for. */
+	/** Whether customers share scarce room, estimates are detailed from the start, and the memory of upstreams is accounted for. */
 	readonly isUnderPressure?: boolean;
 };
 
@@ -81,6 +82,8 @@
 	statesPace = false;
 	/** Without a limit unless the deployment is under pressure. */
 	readonly memory = UpstreamMemory.create();
+	/** Shares of the customers and invited returns, if customers share scarce room. */
+	readonly overload: Overload | undefined;
 	/** Upstreams with fewer requests than slots; whether they accept one also depends on time, such as on an ejection. */
 	readonly #withFreeSlots = new Set<TrackedUpstream>();
 	readonly #random: Random;
@@ -104,9 +107,12 @@
 		this.#scope = scope;
 		this.#filters = filters;
 		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters: isUnderPressure ? [...filters, this.memory] : filters, locality});
+		const overload = isUnderPressure ? Overload.create(random) : undefined;
+		this.overload = overload;
 		this.waiting = WaitingQueue.create({
 			levelOf: (waiting, now) => this.#levelOf(waiting, now),
 			serviceMs: ask => this.serviceMs(ask),
+			shareKeyOf: overload && (({ask: {id}}) => overload.shares.keyOf(id)),
 		});
 		this.retryBudget = PoolRetryBudget.create(repeatBounds);
 		this.#isUnderPressure = isUnderPressure;
@@ -171,6 +177,7 @@
 
 	/** Removes all waiting requests and held places. */
 	clear(): void {
+		this.overload?.clear();
 		this.waiting.clear();
 		this.held.clear();
 		for (const target of this.upstreams.values()) {
@@ -285,6 +292,30 @@
 		return this.startDelayMs(now) + (workMs / this.#currentCapacity(now).effectiveSlots(this.serviceMs(waiting.ask)));
 	}
 
+	/** @returns What decisions on a request depend on if customers share scarce room. */
+	overloadQuery(waiting: WaitingRequest, now: number): OverloadQuery {
+		const {ask} = waiting;
+		const capacity = this.#currentCapacity(now);
+		const serviceMs = this.serviceMs(ask);
+		return {
+			waiting,
+			queue: this.waiting,
+			levels: {onTime: ask.rank * LEVELS_PER_RANK, late: (ask.rank * LEVELS_PER_RANK) + LATE_LEVEL_PENALTY},
+			isLate: this.#isLate(waiting, now),
+			onTimeStartAt: waiting.objectiveAt - this.#pace.firstMs(ask.promptTokens) - OBJECTIVE_MARGIN_MS,
+			latestStartAt: this.latestStartAt(waiting),
+			serviceMs,
+			slots: capacity.effectiveSlots(serviceMs),
+			startDelayMs: capacity.startDelayMs,
+			now,
+		};
+	}
+
+	/** @returns What a decision means for the customer's share; `undefined` unless customers share scarce room. */
+	shareDecision(ask: PlaceRequest, returnMs?: number): ShareDecision | undefined {
+		return this.overload && {serviceMs: this.serviceMs(ask), leadMs: this.overload.shares.leadMs(ask), returnMs};
+	}
+
 	/** @returns Time until any upstream may get a request, as far as limits decide, in ms; 0 unless all usable upstreams have a limit. */
 	startDelayMs(now: number): number {
 		return this.#currentCapacity(now).startDelayMs;
@@ -300,8 +331,8 @@
 	}
 
 	/** @returns The latest time at which a place is still useful: the answer meets the deadline and begins before the caller disconnects. */
-	latestStartAt({ask, deadlineAt, patienceEndsAt}: WaitingRequest): number {
-		return Math.min(deadlineAt - (this.#usualFactor * this.serviceMs(ask)), patienceEndsAt - this.#usualFirstMs(ask) - PATIENCE_MARGIN_MS);
+	latestStartAt({ask, deadlineAt, patienceEndsAt}: WaitingRequest, serviceMs = this.serviceMs(ask)): number {
+		return Math.min(deadlineAt - (this.#usualFactor * serviceMs), patienceEndsAt - this.#usualFirstMs(ask) - PATIENCE_MARGIN_MS);
 	}
 
 	/** @returns Waiting requests that are not expected to get a place in time. */
@@ -310,14 +341,13 @@
 		this.waiting.refresh(now);
 		const found: WaitingRequest[] = [];
 		let workMs = 0;
-		for (const waiting of this.waiting) {
-			const serviceMs = this.serviceMs(waiting.ask);
-			if (now + capacity.startDelayMs + (workMs / capacity.effectiveSlots(serviceMs)) > this.latestStartAt(waiting)) {
+		this.waiting.visitInOrder((waiting, serviceMs) => {
+			if (this.#isUnservable(waiting, serviceMs, workMs / capacity.effectiveSlots(serviceMs), capacity.startDelayMs, now)) {
 				found.push(waiting);
 			} else {
 				workMs += serviceMs;
 			}
-		}
+		});
 
 		return found;
 	}
@@ -333,7 +363,7 @@
 		if (candidates.length > 0) {
 			const isAnyBusy = open.length < this.#openCount;
 			let restrictedScans = 0;
-			for (const waiting of this.waiting) {
+			for (const waiting of this.overload === undefined ? this.waiting : this.#inOrderWithFloors(now)) {
 				if (open.length === 0 && ++restrictedScans > MAX_RESTRICTED_SCAN) {
 					break;
 				}
@@ -354,6 +384,24 @@
 		return this.#pace.isEngine ? this.#nextOvercommitted(now) : undefined;
 	}
 
+	/** @param queueMs - Expected time until the requests before it have been served, in ms. */
+	#isUnservable(waiting: WaitingRequest, serviceMs: number, queueMs: number, startDelayMs: number, now: number): boolean {
+		return now + startDelayMs + queueMs > this.latestStartAt(waiting, serviceMs)
+			|| (this.overload !== undefined && this.#isLate(waiting, now) && this.overload.mustServeOnTime(waiting, startDelayMs + queueMs, now));
+	}
+
+	/** Yields the requests for which ranks have credit, then all in their order. */
+	* #inOrderWithFloors(now: number): Generator<WaitingRequest> {
+		for (const rank of this.overload?.floor.ranks ?? []) {
+			const first = this.waiting.firstOf(rank * LEVELS_PER_RANK);
+			if (first !== undefined && !this.#isLate(first, now) && this.overload?.floor.covers(rank, this.serviceMs(first.ask))) {
+				yield first;
+			}
+		}
+
+		yield * this.waiting;
+	}
+
 	/** Places one request more than a full engine has slots, if it can be on time and a less important request waits. */
 	#nextOvercommitted(now: number): Grant | undefined {
 		const {maxRank} = this.waiting;
