Roll-outs: the canary makes upstreams busy before that evidence is needed

Cause: pools at the edge of what counts as busy spent the canary's budget before they needed evidence at busy upstreams. Change: two thresholds; tests and state in modules of their own.

--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -3,10 +3,16 @@
  */
 import {Exposure} from './exposure.js';
 import {type RolloutBounds} from './rollout-bounds.js';
-import {type RolloutSample, type TestCounts} from './rollout-sample.js';
+import {type RolloutSample} from './rollout-sample.js';
+import {
+	RolloutPhase, type RolloutEvidence, type RolloutOrder, type RolloutProgress, type RolloutSnapshot,
+} from './rollout-state.js';
 import {VersionComparison} from './version-comparison.js';
 
 export {type RolloutCounts, type RolloutSample, type TestCounts} from './rollout-sample.js';
+export {
+	RolloutPhase, type RolloutEvidence, type RolloutOrder, type RolloutProgress, type RolloutSnapshot,
+} from './rollout-state.js';
 
 /** Part of the period that has to pass before the switch; some faults show only after seconds. */
 const CANARY_SHARE = 0.5;
@@ -39,59 +45,6 @@
 /** Candidate upstreams that the canary should use: up to six must agree to condemn, and some of them may have crashed. */
 export const CANARY_UPSTREAMS = 8;
 
-/** An order to move the traffic of a pool to another version. */
-export type RolloutOrder = {
-	readonly pool: string;
-	readonly to: string;
-	/** Time within which the roll-out has to end. */
-	readonly periodMs: number;
-};
-
-/** Phases of a roll-out; the last two are final. */
-export const RolloutPhase = {
-	/** Few requests go to the candidate version. */
-	Canary: 'canary',
-	/** New requests go to the candidate only, while those at the base version finish. */
-	Switching: 'switching',
-	Completed: 'completed',
-	RolledBack: 'rolled-back',
-} as const;
-
-export type RolloutPhase = typeof RolloutPhase[keyof typeof RolloutPhase];
-
-/** State of the pool that the course depends on. */
-export type RolloutProgress = {
-	readonly candidateUpstreams: number;
-	readonly baseUpstreams: number;
-	/** Places still held at base upstreams. */
-	readonly heldAtBase: number;
-	/** Whether every VM that can still send knows the present phase. */
-	readonly allVmsInformed: boolean;
-};
-
-/** State that a successor continues from; plain data that can be written as JSON. */
-export type RolloutSnapshot = {
-	readonly phase: RolloutPhase;
-	readonly reason: string;
-	/** Time since the order was read. */
-	readonly ageMs: number;
-	/** Time since the switch; 0 before it. */
-	readonly switchedMs: number;
-	readonly tests: TestCounts;
-};
-
-/** Figures for log lines and metrics. */
-export type RolloutEvidence = {
-	readonly requests: number;
-	readonly candidateRequests: number;
-	readonly candidateAnswers: number;
-	readonly candidateBad: number;
-	readonly baseAnswers: number;
-	readonly baseBad: number;
-	/** Names of the tests that had not shown at the last `advance` that the candidate is good. */
-	readonly open: readonly string[];
-};
-
 /** What a course is created from. */
 export type RolloutCourseOptions = {
 	readonly order: RolloutOrder;
--- a/src/rollout/sequential-test.ts
+++ b/src/rollout/sequential-test.ts
@@ -20,7 +20,7 @@
 /** Answers in the window from which an overwhelming share of bad ones condemns without regard to upstreams. */
 const OVERWHELMING_ANSWERS = 30;
 /** Shortest time from the first of them to the last, in ms. */
-const OVERWHELMING_MS = 200;
+const OVERWHELMING_MS = 500;
 /** Additional share of bad answers that is overwhelming; one upstream of a canary of several can't cause it. */
 const OVERWHELMING_EXCESS = 0.36;
 
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -2,17 +2,19 @@
  * Compares the answers of a candidate version with those of the base version at the same time: over all requests, for
  * each route, and at busy upstreams; each for failures and for slow answers.
  */
-import {BaseRate} from './base-rate.js';
+import {
+	createLengthComparison, LENGTH_UPSTREAMS, Stratum, type Comparison,
+} from './comparison-stratum.js';
 import {type RolloutSample, type TestCounts} from './rollout-sample.js';
-import {SequentialTest, type SequentialTestOptions, type TestedAnswer} from './sequential-test.js';
-import {SLOW_SHARE, SlownessScale} from './slowness-scale.js';
+import {type TestedAnswer} from './sequential-test.js';
+import {SlownessScale} from './slowness-scale.js';
 
 /** Occupancy from which an upstream counts as busy; faults that only show under load have to show there. */
 const BUSY_LOAD = 0.75;
 /** Share of base answers from busy upstreams from which the candidate has to be seen at busy upstreams too. */
-const BUSY_SHARE = 0.2;
-/** Lowest assumed share of failures. */
-const MIN_FAILURE_SHARE = 0.02;
+const NEEDED_BUSY_SHARE = 0.22;
+/** The same from which the canary makes candidate upstreams busy; lower, so that it has begun when evidence is needed. */
+const STEERED_BUSY_SHARE = 0.12;
 /** Answers of the base that are needed to condemn; before them, its share of failures is unknown. */
 const MIN_BASE_ANSWERS = 15;
 /** Answers of the candidate with which it can be condemned although the base does not answer. */
@@ -26,20 +28,8 @@
 /** Routes that are compared on their own; further ones only count in the comparison of all requests. */
 const MAX_ROUTES = 24;
 
-/** Error rates: at about ten tests in a roll-out, false roll-backs stay well below 1% (docs/design/rollouts.md). */
-const FAILURE_TEST: SequentialTestOptions = {
-	alpha: 0.0002, beta: 0.01, excess: 0.5, condemningUpstreams: 4, acceptingUpstreams: 2, opposingUpstreams: 3, isByUpstream: false,
-};
-const SLOWNESS_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.7};
-/** Upstreams without any answer of usual length that condemn; with one slow upstream in three, 0.14% of good versions. */
-const LENGTH_UPSTREAMS = 6;
-const LENGTH_TEST: SequentialTestOptions = {
-	...FAILURE_TEST, excess: 0.9, isByUpstream: true, condemningUpstreams: LENGTH_UPSTREAMS,
-};
 /** Part of the full evidence that is needed for the length of answers: some upstream has to be as fast as usual. */
 const LENGTH_EVIDENCE = 0.5;
-/** Lowest assumed share of long answers. */
-const MIN_LONG_SHARE = 0.1;
 /** Parts of the full evidence that suffice when the time for the canary runs out, over all routes and for one of them. */
 const LAST_EVIDENCE = 0.25;
 const LAST_ROUTE_EVIDENCE = 0.1;
@@ -50,40 +40,10 @@
 /** Share of the pool's requests below which a route is rare. */
 const RARE_ROUTE_SHARE = 0.2;
 /** Evidence that condemns after the switch, in parts of the full one, if the answers as a whole speak against the version. */
-const SWITCHED_EVIDENCE = 0.5;
+const SWITCHED_EVIDENCE = 0.6;
 /** Time for which a verdict is withheld, so that a fault of both versions shows at the base too, in ms. */
 const CONFIRMATION_MS = 50;
 
-/** A test and the base version's share for it. */
-type Comparison = {readonly name: string; readonly test: SequentialTest; readonly base: BaseRate};
-
-/** The tests of one set of requests. */
-class Stratum {
-	static create(name: string, parent?: Stratum): Stratum {
-		return new Stratum(name, parent);
-	}
-
-	readonly name: string;
-	readonly failures: Comparison;
-	readonly slowness: Comparison;
-	granted = 0;
-	candidateGranted = 0;
-
-	private constructor(name: string, parent: Stratum | undefined) {
-		this.name = name;
-		this.failures = {
-			name: `failures ${name}`, test: SequentialTest.create(FAILURE_TEST), base: BaseRate.create(MIN_FAILURE_SHARE, parent?.failures.base),
-		};
-		this.slowness = {
-			name: `slowness ${name}`, test: SequentialTest.create(SLOWNESS_TEST), base: BaseRate.create(SLOW_SHARE, parent?.slowness.base),
-		};
-	}
-
-	get comparisons(): readonly Comparison[] {
-		return [this.failures, this.slowness];
-	}
-}
-
 /** Evidence about one candidate version. */
 export class VersionComparison {
 	/** @param lateAt - Answers over all routes count as evidence for the version only if they were sent after this time. */
@@ -102,7 +62,7 @@
 	readonly #firsts = SlownessScale.create();
 	readonly #pauses = SlownessScale.create();
 	/** Whether no candidate upstream is as fast as usual; separate, as a slow upstream's answers are all long. */
-	readonly #length: Comparison = {name: 'length all', test: SequentialTest.create(LENGTH_TEST), base: BaseRate.create(MIN_LONG_SHARE)};
+	readonly #length: Comparison = createLengthComparison();
 	#restored: TestCounts | undefined;
 	#suspect: {readonly comparison: Comparison; readonly since: number} | undefined;
 	#baseLoad = 0;
@@ -134,20 +94,14 @@
 		return this.#longestBaseMs;
 	}
 
-	/** Whether the base version is often busy, so that the candidate has to be seen at busy upstreams. */
-	get needsBusy(): boolean {
-		const {total} = this.#all.failures.base;
-		return total >= MIN_BASE_ANSWERS && this.#busy.failures.base.total >= BUSY_SHARE * total;
-	}
-
 	/** Whether an answer suffices to condemn, but a fault of both versions is not excluded yet. */
 	get isSuspect(): boolean {
 		return this.#suspect !== undefined;
 	}
 
-	/** @returns Whether the candidate has to be seen at busy upstreams for longer. */
+	/** @returns Whether the canary has to make candidate upstreams busy, because base upstreams often are. */
 	lacksBusy(now: number): boolean {
-		return this.needsBusy && this.#busy.comparisons.some(comparison => this.#goodness(comparison, now) < BUSY_EVIDENCE);
+		return this.#isBaseBusy(STEERED_BUSY_SHARE) && this.#busy.comparisons.some(comparison => this.#goodness(comparison, now) < BUSY_EVIDENCE);
 	}
 
 	/** @returns Counts of a route's granted requests. */
@@ -266,7 +220,7 @@
 	 */
 	open(remaining: number, now: number): string[] {
 		const open: string[] = [];
-		for (const stratum of [this.#all, ...this.#routes.values(), ...(this.needsBusy ? [this.#busy] : [])]) {
+		for (const stratum of [this.#all, ...this.#routes.values(), ...(this.#isBaseBusy(NEEDED_BUSY_SHARE) ? [this.#busy] : [])]) {
 			const last = stratum === this.#all ? LAST_EVIDENCE : LAST_ROUTE_EVIDENCE;
 			const needed = (last + ((1 - last) * Math.max(0, remaining))) * this.#neededEvidence(stratum);
 			for (const comparison of stratum.comparisons) {
@@ -332,6 +286,11 @@
 		}
 	}
 
+	#isBaseBusy(share: number): boolean {
+		const {total} = this.#all.failures.base;
+		return total >= MIN_BASE_ANSWERS && this.#busy.failures.base.total >= share * total;
+	}
+
 	#isCondemned(comparison: Comparison, now: number): boolean {
 		const badness = this.#badness(comparison, now);
 		return badness >= 1 || (this.isSwitched && badness >= SWITCHED_EVIDENCE && comparison !== this.#length && this.#goodness(comparison, now) < 0);
