Roll-outs: less evidence suffices when the canary's time runs out

Cause: at 50 requests/s and 14% natural failures, good versions ended with too little evidence. Change: 0.12 of the full evidence over all routes, 0.04 of a route's share.

--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -31,8 +31,8 @@
 /** Part of the full evidence that is needed for the length of answers: some upstream has to be as fast as usual. */
 const LENGTH_EVIDENCE = 0.5;
 /** Parts of the full evidence that suffice when the time for the canary runs out, over all routes and for one of them. */
-const LAST_EVIDENCE = 0.25;
-const LAST_ROUTE_EVIDENCE = 0.1;
+const LAST_EVIDENCE = 0.12;
+const LAST_ROUTE_EVIDENCE = 0.04;
 /** Canary requests that each route gets with priority. */
 const ROUTE_TARGET = 6;
 /** Canary requests that a rare route gets with priority; about what a test needs to accept a version. */
