--- a/src/rollout/exposure.ts
+++ b/src/rollout/exposure.ts
@@ -10,6 +10,9 @@
 /** Part of the used slack that is available at the start; the rest follows evenly, as some faults show late only. */
 const INITIAL_SLACK = 0.3;
 
+/** Part of the bound at which the evidence has to suffice; requests arrive between two checks. */
+const NEAR_BOUND = 0.93;
+
 /** What an exposure budget is created from. */
 export type ExposureOptions = {
 	readonly bounds: RolloutBounds;
@@ -28,6 +31,7 @@
 	readonly #share: number;
 	readonly #slack: number;
 	readonly #slackMs: number;
+	readonly #bounds: RolloutBounds;
 	#requests = 0;
 	#candidateRequests = 0;
 
@@ -35,6 +39,7 @@
 		this.#share = USED_SHARE * bounds.exposedShare;
 		this.#slack = hasSlack ? USED_SLACK * bounds.exposedSlack : 0;
 		this.#slackMs = slackMs;
+		this.#bounds = bounds;
 	}
 
 	/** Requests of the pool since the order. */
@@ -52,6 +57,15 @@
 		this.#candidateRequests += isCandidate ? 1 : 0;
 	}
 
+	/**
+	 * @param passed - Part of the period that has passed, above 0.
+	 * @returns Whether the candidate nearly got what a bad version may get until the end of the period.
+	 */
+	isAtBound(passed: number): boolean {
+		const {exposedShare, exposedSlack} = this.#bounds;
+		return this.#candidateRequests >= NEAR_BOUND * ((exposedShare * this.#requests / passed) + exposedSlack);
+	}
+
 	/**
 	 * @param ageMs - Time since the order.
 	 * @returns Number of requests that the candidate may get now.
--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -37,6 +37,11 @@
 const SPREAD_SHARE = 0.15;
 /** Number of requests sent at once so that a candidate upstream gets busy. */
 const BURST = 8;
+/**
+ * Evidence that is needed when the switched candidate has got what a bad version may get: as much as with this part of
+ * the time for the switch left.
+ */
+const BOUND_REMAINING = 0.05;
 /** Part of the candidate upstreams that may be missing, e.g. after a crash. */
 const TOLERATED_LOSS = 0.2;
 /** Part of the needed upstreams below which a switch is undone. */
@@ -69,6 +74,7 @@
 	#switchedAt: number;
 	#lacksBusy = false;
 	#isBursting = false;
+	#isPastBound = false;
 	#open: readonly string[] = [];
 
 	private constructor({order, bounds, now, snapshot}: RolloutCourseOptions) {
@@ -214,6 +220,14 @@
 			return this.#enter(RolloutPhase.RolledBack, `only ${candidateUpstreams} candidate upstreams are left`, now);
 		}
 
+		if (!this.#isPastBound && this.#exposure.isAtBound((now - this.#startedAt) / this.#periodMs)) {
+			this.#isPastBound = true;
+			this.#open = this.#comparison.open(BOUND_REMAINING, now);
+			if (this.#open.length > 0) {
+				return this.#enter(RolloutPhase.RolledBack, `too little evidence after the switch: ${this.#open.join(', ')}`, now);
+			}
+		}
+
 		const suspicious = this.#comparison.suspicious(now);
 		const obstacle = (heldAtBase > 0 && `${heldAtBase} places at the base version are still held`)
 			|| (!allVmsInformed && 'not all VMs know of the switch')
