--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -3,10 +3,16 @@
  */
 import {Exposure} from './exposure.js';
 import {type RolloutBounds} from './rollout-bounds.js';
-import {type RolloutSample, type TestCounts} from './rollout-sample.js';
+import {type RolloutSample} from './rollout-sample.js';
+import {
+	RolloutPhase, type RolloutEvidence, type RolloutOrder, type RolloutProgress, type RolloutSnapshot,
+} from './rollout-state.js';
 import {VersionComparison} from './version-comparison.js';
 
 export {type RolloutCounts, type RolloutSample, type TestCounts} from './rollout-sample.js';
+export {
+	RolloutPhase, type RolloutEvidence, type RolloutOrder, type RolloutProgress, type RolloutSnapshot,
+} from './rollout-state.js';
 
 /** Part of the period that has to pass before the switch; some faults show only after seconds. */
 const CANARY_SHARE = 0.5;
@@ -31,6 +37,11 @@
 const SPREAD_SHARE = 0.15;
 /** Number of requests sent at once so that a candidate upstream gets busy. */
 const BURST = 8;
+/**
+ * Evidence that is needed when the switched candidate has got what a bad version may get: as much as with this part of
+ * the time for the switch left.
+ */
+const BOUND_REMAINING = 0.05;
 /** Part of the candidate upstreams that may be missing, e.g. after a crash. */
 const TOLERATED_LOSS = 0.2;
 /** Part of the needed upstreams below which a switch is undone. */
@@ -39,59 +50,6 @@
 /** Candidate upstreams that the canary should use: up to six must agree to condemn, and some of them may have crashed. */
 export const CANARY_UPSTREAMS = 8;
 
-/** An order to move the traffic of a pool to another version. */
-export type RolloutOrder = {
-	readonly pool: string;
-	readonly to: string;
-	/** Time within which the roll-out has to end. */
-	readonly periodMs: number;
-};
-
-/** Phases of a roll-out; the last two are final. */
-export const RolloutPhase = {
-	/** Few requests go to the candidate version. */
-	Canary: 'canary',
-	/** New requests go to the candidate only, while those at the base version finish. */
-	Switching: 'switching',
-	Completed: 'completed',
-	RolledBack: 'rolled-back',
-} as const;
-
-export type RolloutPhase = typeof RolloutPhase[keyof typeof RolloutPhase];
-
-/** State of the pool that the course depends on. */
-export type RolloutProgress = {
-	readonly candidateUpstreams: number;
-	readonly baseUpstreams: number;
-	/** Places still held at base upstreams. */
-	readonly heldAtBase: number;
-	/** Whether every VM that can still send knows the present phase. */
-	readonly allVmsInformed: boolean;
-};
-
-/** State that a successor continues from; plain data that can be written as JSON. */
-export type RolloutSnapshot = {
-	readonly phase: RolloutPhase;
-	readonly reason: string;
-	/** Time since the order was read. */
-	readonly ageMs: number;
-	/** Time since the switch; 0 before it. */
-	readonly switchedMs: number;
-	readonly tests: TestCounts;
-};
-
-/** Figures for log lines and metrics. */
-export type RolloutEvidence = {
-	readonly requests: number;
-	readonly candidateRequests: number;
-	readonly candidateAnswers: number;
-	readonly candidateBad: number;
-	readonly baseAnswers: number;
-	readonly baseBad: number;
-	/** Names of the tests that had not shown at the last `advance` that the candidate is good. */
-	readonly open: readonly string[];
-};
-
 /** What a course is created from. */
 export type RolloutCourseOptions = {
 	readonly order: RolloutOrder;
@@ -116,6 +74,7 @@
 	#switchedAt: number;
 	#lacksBusy = false;
 	#isBursting = false;
+	#isPastBound = false;
 	#open: readonly string[] = [];
 
 	private constructor({order, bounds, now, snapshot}: RolloutCourseOptions) {
@@ -261,6 +220,14 @@
 			return this.#enter(RolloutPhase.RolledBack, `only ${candidateUpstreams} candidate upstreams are left`, now);
 		}
 
+		if (!this.#isPastBound && this.#exposure.isAtBound((now - this.#startedAt) / this.#periodMs)) {
+			this.#isPastBound = true;
+			this.#open = this.#comparison.open(BOUND_REMAINING, now);
+			if (this.#open.length > 0) {
+				return this.#enter(RolloutPhase.RolledBack, `too little evidence after the switch: ${this.#open.join(', ')}`, now);
+			}
+		}
+
 		const suspicious = this.#comparison.suspicious(now);
 		const obstacle = (heldAtBase > 0 && `${heldAtBase} places at the base version are still held`)
 			|| (!allVmsInformed && 'not all VMs know of the switch')
