--- a/src/rollout/pool-knowledge.ts
+++ b/src/rollout/pool-knowledge.ts
@@ -55,6 +55,11 @@
 		return [...this.#pools.values()];
 	}
 
+	/** Number of versions that need no order, in all pools. */
+	get knownCount(): number {
+		return this.all.reduce((sum, {known}) => sum + known.size, 0);
+	}
+
 	get(name: string): KnownPool {
 		let pool = this.#pools.get(name);
 		if (pool === undefined) {
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -84,9 +84,9 @@
 
 	/** Takes the complete list of upstreams, before the allocator does. */
 	setUpstreams(upstreams: readonly Upstream[]): void {
-		const before = this.#countKnown();
+		const before = this.#knowledge.knownCount;
 		this.#knowledge.setUpstreams(upstreams);
-		this.#publishIf(this.#countKnown() > before);
+		this.#publishIf(this.#knowledge.knownCount > before);
 		this.#schedule();
 	}
 
@@ -282,10 +282,6 @@
 		}
 	}
 
-	#countKnown(): number {
-		return this.#knowledge.all.reduce((sum, {known}) => sum + known.size, 0);
-	}
-
 	#publishIf(isChanged: boolean): void {
 		if (isChanged) {
 			this.#publish();
--- a/test/rollout/rollouts.test.ts
+++ b/test/rollout/rollouts.test.ts
@@ -8,6 +8,9 @@
 const base = createUpstreams('v1', 6);
 const candidates = createUpstreams('v2', 6);
 
+/** Most canary requests of the first second at 100 requests/s: 20 of the slack and half of the share. Ordinary work would be 50. */
+const MAX_CANARY = 25;
+
 describe('roll-outs', () => {
 	let clock: VirtualClock;
 	let rows: MemoryRows;
@@ -49,6 +52,33 @@
 		expect([vm.takeGranted('v1'), vm.refused]).to.deep.equal([0, 0]);
 	});
 
+	// Guards against ordinary work for a version that is listed after its order, or whose order is read late.
+	it('send only canary requests to a version that is listed after its order, or 1.9 s before it', async () => {
+		await order('v2');
+		await vm.run(500);
+		vm.list(...base, ...candidates);
+		await vm.run(1000);
+		expect(vm.takeGranted('v2')).to.be.within(1, MAX_CANARY);
+		const other = RolloutVm.create(clock, rows);
+		rows.order = undefined;
+		rows.stored = undefined;
+		other.list(...base);
+		other.lead(rows.leader);
+		other.list(...base, ...candidates);
+		await other.run(1900);
+		other.rollouts.setOrders([rows.putOrder('v2')], false, rows.era);
+		await other.run(1000);
+		expect(other.takeGranted('v2')).to.be.within(1, MAX_CANARY);
+	});
+
+	// Guards against `running` for ever where the period ends with too few upstreams or requests.
+	it('roll a version back that has too few upstreams for the load when its period ends', async () => {
+		vm.list(...base, ...candidates.slice(0, 1));
+		await order('v2');
+		await vm.run(12_000, answers, 400);
+		expect(rows.phases).to.deep.equal([RolloutPhase.Canary, RolloutPhase.RolledBack]);
+	});
+
 	// Guards against requests for a version that was found bad, also after its period.
 	it('roll a failing version back, and never use it again without another order', async () => {
 		vm.list(...base, ...candidates);
@@ -154,6 +184,32 @@
 		expect(rows.phases.at(-1)).to.equal(RolloutPhase.Completed);
 	});
 
+	// Guards against a VM that is cut off after the switch and uses the old upstreams, which may be stopped by then.
+	it('use only the new version at a VM that is alone and was told of the switch', async () => {
+		const alone = RolloutVm.create(clock, rows);
+		alone.list(...base, ...candidates);
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(6300);
+		expect(vm.phase).to.equal(RolloutPhase.Switching);
+		alone.rollouts.merge(vm.rollouts.message.rollouts);
+		alone.beAlone();
+		await alone.run(3000);
+		expect([alone.takeGranted('v1'), alone.refused]).to.deep.equal([0, 0]);
+	});
+
+	// Guards against the canary of a leader that has lost VMs, which may have another leader with a canary of its own.
+	it('send nothing to a candidate while another allocator may decide', async () => {
+		vm.list(...base, ...candidates);
+		vm.allocator.setShare(0.5);
+		await order('v2');
+		await vm.run(2000);
+		expect(vm.takeGranted('v2')).to.equal(0);
+		vm.allocator.setShare(1);
+		await vm.run(2000);
+		expect(vm.takeGranted('v2')).to.be.above(0);
+	});
+
 	// Guards against a first start, or a return of power at all VMs, in the middle of a roll-out.
 	it('leave a candidate alone that a VM finds at its start, and use the base at once', async () => {
 		const first = RolloutVm.create(clock, rows);
