Roll-outs: an order that a store from a copy brings back was carried out again after a restart of all VMs

An order read in a new era looked later than the record of the copy. What the first list of an era, or a single read before it, names of the versions of the record is the old order now.

--- a/src/rollout/pool-knowledge.ts
+++ b/src/rollout/pool-knowledge.ts
@@ -44,7 +44,8 @@
 	readonly #clock: Clock;
 	readonly #onRules: (pool: KnownPool) => void;
 	readonly #pools = new Map<string, KnownPool>();
-	#ordersEra: number | undefined;
+	/** Era of the store in which all orders were read last. */
+	#listedEra: number | undefined;
 
 	private constructor(clock: Clock, onRules: (pool: KnownPool) => void) {
 		this.#clock = clock;
@@ -96,8 +97,8 @@
 	 * @param isWhole - Whether these are all orders.
 	 */
 	setOrders(orders: readonly ReadOrder[], isWhole: boolean, era: number): void {
-		const isRestored = isWhole && this.#ordersEra !== undefined && this.#ordersEra !== era;
-		this.#ordersEra = era;
+		const isRestored = this.#listedEra !== era;
+		this.#listedEra = isWhole ? era : this.#listedEra;
 		for (const order of orders) {
 			const pool = this.get(order.pool);
 			if (order.orderedAt.version !== pool.order?.orderedAt.version || order.orderedAt.era !== pool.order.orderedAt.era) {
--- a/test/rollout/rollouts.test.ts
+++ b/test/rollout/rollouts.test.ts
@@ -272,6 +272,21 @@
 		await vm.run(4000);
 		expect(rows.stored?.phase).to.equal(RolloutPhase.RolledBack);
 		expect(vm.takeGranted('v2')).to.equal(0);
+		// The same where all VMs start after the return of a copy with the verdict, whichever row they read first.
+		const verdict = {...rows.stored!, orderedAt: {...restored.orderedAt, era: 1}};
+		for (const readsOrderFirst of [true, false]) {
+			const next = RolloutVm.create(clock, rows);
+			const reads = [() => next.rollouts.setOrders([restored], true, 2), () => next.rollouts.setRecords([verdict])];
+			rows.stored = verdict;
+			for (const read of readsOrderFirst ? reads : reads.toReversed()) {
+				read();
+			}
+
+			next.list(...base, ...candidates);
+			next.lead(40, [], 2);
+			await next.run(4000); // eslint-disable-line no-await-in-loop -- one after the other
+			expect([next.takeGranted('v2'), next.phase]).to.deep.equal([0, RolloutPhase.RolledBack]);
+		}
 	});
 
 	// Guards against orders that the operator did not mean as a new roll-out, and ones that cannot be carried out.
--- a/test/support/rollout-vm.ts
+++ b/test/support/rollout-vm.ts
@@ -141,9 +141,9 @@
 		this.allocator.setUpstreams({changed: upstreams, removed});
 	}
 
-	lead(version: number, others: readonly string[] = []): void {
+	lead(version: number, others: readonly string[] = [], era = 1): void {
 		const leader: Leader = {
-			name: 'vm', linkAddress: '10.0.1.1:80', boot: `vm-${version}`, term: {era: 1, version}, vmCount: 1,
+			name: 'vm', linkAddress: '10.0.1.1:80', boot: `vm-${version}`, term: {era, version}, vmCount: 1,
 		};
 		this.rollouts.beginLeading(leader, others);
 		this.allocator.restart(globalScope(false));
