--- a/test/platform/rollouts.test.ts
+++ b/test/platform/rollouts.test.ts
@@ -1,6 +1,7 @@
 import {readFileSync, writeFileSync} from 'node:fs';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {LEADER_TABLE} from '../../platform/leader-row.js';
 import {PlatformDeployment} from '../../soak/platform-deployment.js';
 import {Random} from '../../src/base/random.js';
 import {type PlatformServer, ServerMode} from '../../standins/platform-server.js';
@@ -148,3 +149,21 @@
 		expect([...new Set(statuses)]).to.deep.equal([200]);
 	});
 });
+
+describe('processes whose settings name no roll-outs', function () {
+	this.timeout(60_000);
+
+	// Guards against versions that are held, or rows that are written, in deployments without roll-outs.
+	it('use each version at once and leave the rows alone', async () => {
+		const deployment = await PlatformDeployment.start(1, 1);
+		deployment.store.put('op', STATUS_KEY, {service: 'desk', to: 'v2', periodS: PERIOD_S});
+		const server = await deployment.addServer('desk', SLOTS, {version: 'v2'});
+		await eventually(async () => {
+			await Promise.all(Array.from({length: SLOTS * 2}, async () => deployment.call(deployment.vms[0]!, 'safe')));
+			return server.runs.length > 0;
+		}, 50);
+		const lines = deployment.vms.flatMap(({log}) => log.filter(line => line.includes('rollout: ')));
+		expect([deployment.store.get('status', STATUS_KEY), deployment.store.get(LEADER_TABLE, STATUS_KEY), lines]).to.deep.equal([undefined, undefined, []]);
+		await deployment.stop();
+	});
+});
