--- a/test/rollout/rollouts.test.ts
+++ b/test/rollout/rollouts.test.ts
@@ -8,6 +8,11 @@
 const base = createUpstreams('v1', 6);
 const candidates = createUpstreams('v2', 6);
 
+/** Most canary requests of the first second at 100 requests/s: 20 of the slack and half of the share. Ordinary work would be 50. */
+const MAX_CANARY = 25;
+/** Time until the switch, in ms: a quarter of the period of 12 s is left for what runs at the base. */
+const MAX_CANARY_MS = 9000;
+
 describe('roll-outs', () => {
 	let clock: VirtualClock;
 	let rows: MemoryRows;
@@ -26,6 +31,15 @@
 		await clock.advanceAsync(0);
 	}
 
+	/** Serves until the switch. */
+	async function untilSwitching(): Promise<void> {
+		for (let ms = 0; ms < MAX_CANARY_MS && vm.phase !== RolloutPhase.Switching; ms += 100) {
+			await vm.run(100, answers, 300); // eslint-disable-line no-await-in-loop -- one after the other
+		}
+
+		expect(vm.phase).to.equal(RolloutPhase.Switching);
+	}
+
 	// Guards against work for upstreams of a version whose order has not been read yet: 2 s at most.
 	it('hold a version that nobody ordered for 2 s, and then use it', async () => {
 		vm.list(...base, ...candidates);
@@ -49,6 +63,33 @@
 		expect([vm.takeGranted('v1'), vm.refused]).to.deep.equal([0, 0]);
 	});
 
+	// Guards against ordinary work for a version that is listed after its order, or whose order is read late.
+	it('send only canary requests to a version that is listed after its order, or 1.9 s before it', async () => {
+		await order('v2');
+		await vm.run(500);
+		vm.list(...base, ...candidates);
+		await vm.run(1000);
+		expect(vm.takeGranted('v2')).to.be.within(1, MAX_CANARY);
+		const other = RolloutVm.create(clock, rows);
+		rows.order = undefined;
+		rows.stored = undefined;
+		other.list(...base);
+		other.lead(rows.leader);
+		other.list(...base, ...candidates);
+		await other.run(1900);
+		other.rollouts.setOrders([rows.putOrder('v2')], false, rows.era);
+		await other.run(1000);
+		expect(other.takeGranted('v2')).to.be.within(1, MAX_CANARY);
+	});
+
+	// Guards against `running` for ever where the period ends with too few upstreams or requests.
+	it('roll a version back that has too few upstreams for the load when its period ends', async () => {
+		vm.list(...base, ...candidates.slice(0, 1));
+		await order('v2');
+		await vm.run(12_000, answers, 400);
+		expect(rows.phases).to.deep.equal([RolloutPhase.Canary, RolloutPhase.RolledBack]);
+	});
+
 	// Guards against requests for a version that was found bad, also after its period.
 	it('roll a failing version back, and never use it again without another order', async () => {
 		vm.list(...base, ...candidates);
@@ -101,8 +142,7 @@
 	it('are completed by a successor that was told of the switch', async () => {
 		vm.list(...base, ...candidates);
 		await order('v2');
-		await vm.run(6300);
-		expect(vm.phase).to.equal(RolloutPhase.Switching);
+		await untilSwitching();
 		const next = RolloutVm.create(clock, rows);
 		next.list(...base, ...candidates);
 		next.rollouts.merge(vm.rollouts.message.rollouts);
@@ -154,6 +194,31 @@
 		expect(rows.phases.at(-1)).to.equal(RolloutPhase.Completed);
 	});
 
+	// Guards against a VM that is cut off after the switch and uses the old upstreams, which may be stopped by then.
+	it('use only the new version at a VM that is alone and was told of the switch', async () => {
+		const alone = RolloutVm.create(clock, rows);
+		alone.list(...base, ...candidates);
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await untilSwitching();
+		alone.rollouts.merge(vm.rollouts.message.rollouts);
+		alone.beAlone();
+		await alone.run(3000);
+		expect([alone.takeGranted('v1'), alone.refused]).to.deep.equal([0, 0]);
+	});
+
+	// Guards against the canary of a leader that has lost VMs, which may have another leader with a canary of its own.
+	it('send nothing to a candidate while another allocator may decide', async () => {
+		vm.list(...base, ...candidates);
+		vm.allocator.setShare(0.5);
+		await order('v2');
+		await vm.run(2000);
+		expect(vm.takeGranted('v2')).to.equal(0);
+		vm.allocator.setShare(1);
+		await vm.run(2000);
+		expect(vm.takeGranted('v2')).to.be.above(0);
+	});
+
 	// Guards against a first start, or a return of power at all VMs, in the middle of a roll-out.
 	it('leave a candidate alone that a VM finds at its start, and use the base at once', async () => {
 		const first = RolloutVm.create(clock, rows);
@@ -216,6 +281,22 @@
 		await vm.run(4000);
 		expect(rows.stored?.phase).to.equal(RolloutPhase.RolledBack);
 		expect(vm.takeGranted('v2')).to.equal(0);
+		// The same where all VMs start after the return of a copy with the verdict, whichever row they read first.
+		const verdict = {...rows.stored!, orderedAt: {...restored.orderedAt, era: 1}};
+		for (const readsOrderFirst of [true, false]) {
+			const next = RolloutVm.create(clock, rows);
+			rows.stored = verdict;
+			if (readsOrderFirst) {
+				next.rollouts.setOrders([restored], true, 2);
+			}
+
+			next.rollouts.setRecords([verdict]);
+			next.rollouts.setOrders([restored], true, 2);
+			next.list(...base, ...candidates);
+			next.lead(40, [], 2);
+			await next.run(4000); // eslint-disable-line no-await-in-loop -- one after the other
+			expect([next.takeGranted('v2'), next.phase]).to.deep.equal([0, RolloutPhase.RolledBack]);
+		}
 	});
 
 	// Guards against orders that the operator did not mean as a new roll-out, and ones that cannot be carried out.
--- a/test/support/rollout-vm.ts
+++ b/test/support/rollout-vm.ts
@@ -115,7 +115,8 @@
 	private constructor(clock: VirtualClock, register: RolloutRegister) {
 		this.#clock = clock;
 		this.rollouts = Rollouts.create({
-			clock, log: Log.create('silent'), metrics: Metrics.create(), bounds: {exposedShare: 0.1, exposedSlack: 50, rollbackMs: 5000}, register, allocator: () => this.allocator,
+			clock, log: Log.create('silent'), metrics: Metrics.create(), bounds: {exposedShare: 0.1, exposedSlack: 50, rollbackMs: 5000}, register,
+			allocator: () => this.allocator,
 		});
 		this.allocator = Allocator.create({
 			clock,
@@ -141,9 +142,9 @@
 		this.allocator.setUpstreams({changed: upstreams, removed});
 	}
 
-	lead(version: number, others: readonly string[] = []): void {
+	lead(version: number, others: readonly string[] = [], era = 1): void {
 		const leader: Leader = {
-			name: 'vm', linkAddress: '10.0.1.1:80', boot: `vm-${version}`, term: {era: 1, version}, vmCount: 1,
+			name: 'vm', linkAddress: '10.0.1.1:80', boot: `vm-${version}`, term: {era, version}, vmCount: 1,
 		};
 		this.rollouts.beginLeading(leader, others);
 		this.allocator.restart(globalScope(false));
