Pace and memory: tests of wrong statements, memory of upstreams accounted for, metrics by pool

An upstream whose requests exceed its memory crashes with all of them. Under pressure the allocator keeps what is held at an upstream, counted with the stated maximum of the output, within 0.9 of the stated memory, and refuses at once a request that fits nowhere (crash-suspect, 422: no use in sending it again).

--- a/src/allocation/allocation.ts
+++ b/src/allocation/allocation.ts
@@ -27,6 +27,8 @@
 	readonly promptTokens: number;
 	/** Expected number of events in the answer's stream; 0 for plain services. */
 	readonly outputEvents: number;
+	/** Maximum number of output tokens, as stated by the caller; `undefined` for plain services. */
+	readonly maxOutputTokens?: number;
 	/** Units that the request consumes from its customer's quota. */
 	readonly quotaCost: number;
 	/** The quota was already charged for this request: an earlier place was released before a byte was sent. */
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -20,6 +20,7 @@
 import {type PlacementObserver} from './placement-observer.js';
 import {Pool} from './pool.js';
 import {type RetryBounds} from './pool-retry-budget.js';
+import {collectStatistics, type PoolStatistics} from './pool-statistics.js';
 import {Quotas, type QuotaTolerance} from './quotas.js';
 import {CallerRetries} from './caller-retries.js';
 import {CrashRecorder, type RecordedUpstream} from './crash-recorder.js';
@@ -90,6 +91,8 @@
 
 	/** Called for each decision. */
 	onDecision: ((decision: Decision) => void) | undefined;
+	/** Called when an upstream of a pool is the first to state its momentary pace. */
+	onPaceStated: ((pool: string, upstreamId: string) => void) | undefined;
 	/** Called when something is learnt of what crashes upstreams, by requests that this allocator decided on. */
 	onSuspicion: ((suspicion: Suspicion) => void) | undefined;
 	/** Called when requests with a feature are quarantined. */
@@ -144,6 +147,12 @@
 		return this.#scope.share === 1 && !this.#scope.isStandalone;
 	}
 
+	/** What the pools know of the pace and the memory of their upstreams. */
+	get statistics(): PoolStatistics[] {
+		const now = this.#options.clock.now();
+		return [...this.#pools.values()].map(pool => collectStatistics(pool, now));
+	}
+
 	/** The pace factor of each upstream, for a successor. */
 	get paces(): ReadonlyMap<string, number> {
 		const paces = new Map<string, number>();
@@ -310,6 +319,7 @@
 		const held = pool?.held.get(id);
 		if (pool !== undefined && held !== undefined) {
 			this.#crashRecorder.noteBegun(recordedUpstream(pool, held));
+			this.#notePaceStated(pool, held, stated);
 			pool.noteFirst(id, firstMs, stated, this.#options.clock.now());
 		}
 	}
@@ -330,6 +340,7 @@
 		const now = this.#options.clock.now();
 		this.#crashRecorder.noteEnding(held.ask, recordedUpstream(pool, held), report.ending, report.streamMs);
 		this.#options.observer?.noteRelease({askId: id, report, ...pool.expectedTimes(held)}, now);
+		this.#notePaceStated(pool, held, report.pace);
 		pool.release(held, report, now, this.#scope.isStandalone);
 		if (report.ending !== Ending.Answered) {
 			this.#callerRetries.note(held.ask.fingerprint, held, now);
@@ -338,6 +349,13 @@
 		this.#grantPlaces(pool);
 	}
 
+	#notePaceStated(pool: Pool, {upstreamId}: HeldRequest, stated: StatedPace | undefined): void {
+		if (stated !== undefined && !pool.statesPace) {
+			pool.statesPace = true;
+			this.onPaceStated?.(pool.name, upstreamId);
+		}
+	}
+
 	/** Tells the recorder that the listed start of an upstream has ended. */
 	#noteGone(id: string): void {
 		const target = this.#poolByUpstream.get(id)?.upstreams.get(id);
@@ -367,6 +385,11 @@
 			return {kind: ErrorKind.NoUpstream, retryAfterMs: NO_UPSTREAM_RETRY_AFTER_MS};
 		}
 
+		if (pool.memory.isTooLarge(ask)) {
+			// Upstreams crash when they run out of memory, and it is no use to send the request again.
+			return {kind: ErrorKind.CrashSuspect, retryAfterMs: 0};
+		}
+
 		if (ask.remainingMs <= 0) {
 			return {kind: ErrorKind.DeadlineUnreachable, retryAfterMs: MIN_RETRY_AFTER_MS};
 		}
@@ -492,9 +515,9 @@
 	#getOrCreatePool(name: string): Pool {
 		let pool = this.#pools.get(name);
 		if (pool === undefined) {
-			const {repeatBounds, limits, random, filters, locality} = this.#options;
+			const {repeatBounds, limits, random, filters, locality, isUnderPressure} = this.#options;
 			pool = Pool.create({
-				name, settings: this.#table?.pool(name), repeatBounds, limits, random, scope: this.#scope, filters, locality,
+				name, settings: this.#table?.pool(name), repeatBounds, limits, random, scope: this.#scope, filters, locality, isUnderPressure,
 			});
 			this.#pools.set(name, pool);
 			this.#initRetryBudget(pool);
--- a/src/allocation/pace.ts
+++ b/src/allocation/pace.ts
@@ -2,9 +2,9 @@
  * Estimates how fast upstreams are from the answers they gave. This handles deployments in which one engine in three is
  * several times slower than the others while load reports are seconds old.
  *
- * In a pool whose upstreams state their momentary pace, the factor of an upstream is learnt from answers divided by the
- * momentary factor, both terms of the time to the first event are learnt, and short streams count. Other pools keep the
- * simpler model, so that their decisions do not change.
+ * Of a pool whose upstreams state their momentary pace, or whose deployment is under pressure, the estimates are detailed:
+ * the factor of an upstream is learnt from answers divided by the momentary factor, both terms of the time to the first event
+ * are learnt, and short streams count. Other pools keep the simpler model, so that their decisions do not change.
  */
 import {FirstEventModel} from './first-event-model.js';
 import {MomentaryPace, type StatedPace} from './momentary-pace.js';
@@ -23,13 +23,13 @@
 const POOL_SAMPLE_WEIGHT = 0.05;
 /** Streams with fewer events are too short to estimate the pace from. */
 const MIN_PACE_EVENTS = 4;
-/** The same where upstreams state their pace: half of the streams at engines with 7 tokens an event have 7 events or fewer. */
+/** The same where estimates are detailed: half of the streams at engines with 7 tokens an event have 7 events or fewer. */
 const MIN_STATED_PACE_EVENTS = 2;
 /** Events from which the time between them counts fully; shorter streams count in proportion to their gaps. */
 const FULL_SAMPLE_EVENTS = 6;
 /** Weight of the time to the first event in an upstream's factor; lower, as other prompts disturb it. */
 const FIRST_SAMPLE_WEIGHT = 0.1;
-/** Weight of the initial factor of an upstream relative to its samples, where upstreams state their pace. */
+/** Weight of the initial factor of an upstream relative to its samples, where estimates are detailed. */
 const INITIAL_FACTOR_WEIGHT = 0.1;
 /** Limits each sample, so that one slow answer does not make an upstream unusable. */
 const MAX_PACE_FACTOR = 12;
@@ -51,20 +51,19 @@
 	#firstScale = 1;
 	#plainMs = INITIAL_PLAIN_SERVICE_MS;
 	#eventMs = INITIAL_EVENT_MS;
-	/** `undefined` until an upstream of the pool states its pace. */
+	/** `undefined` unless the estimates are detailed. */
 	#firstEvent: FirstEventModel | undefined;
 
 	private constructor(isEngine: boolean) {
 		this.isEngine = isEngine;
 	}
 
-	/** Whether upstreams of the pool state their momentary pace. */
-	get hasStatements(): boolean {
+	get isDetailed(): boolean {
 		return this.#firstEvent !== undefined;
 	}
 
-	/** Records that an upstream of the pool stated its pace. */
-	noteStatement(): void {
+	/** Makes the estimates detailed from now on. */
+	refine(): void {
 		if (this.#firstEvent === undefined) {
 			const scale = this.#firstScale;
 			this.#firstEvent = FirstEventModel.create(promptTokens => scale * (INITIAL_FIRST_MS + (promptTokens * INITIAL_PREFILL_MS_PER_TOKEN)));
@@ -134,16 +133,16 @@
 		return this.#factor;
 	}
 
-	/** Whether upstreams of the pool state their momentary pace. */
-	get hasStatements(): boolean {
-		return this.#pool.hasStatements;
-	}
-
 	/** When the upstream stated its pace last; `undefined` if it has not. */
 	get statedAt(): number | undefined {
 		return this.#moment.statedAt;
 	}
 
+	/** @returns The factor at this time, relative to the long-term factor. */
+	momentAt(now: number): number {
+		return this.#moment.at(now);
+	}
+
 	/** @returns The factor at this time. */
 	factorAt(now: number): number {
 		return this.#factor * this.#moment.at(now);
@@ -180,7 +179,7 @@
 
 	/** Records what the upstream stated about its pace at the moment. */
 	noteStated(stated: StatedPace, now: number): void {
-		this.#pool.noteStatement();
+		this.#pool.refine();
 		this.#moment.note(stated, now);
 	}
 
@@ -189,7 +188,7 @@
 		const usualMs = firstMs / this.#moment.mean(now - firstMs, now);
 		if (!this.#pool.isEngine) {
 			this.#updateFactor(usualMs / this.#pool.firstMs(0), SAMPLE_WEIGHT);
-		} else if (this.#pool.hasStatements) {
+		} else if (this.#pool.isDetailed) {
 			this.#updateFactor(usualMs / this.#pool.firstMs(promptTokens + pendingPromptTokens), FIRST_SAMPLE_WEIGHT);
 		}
 
@@ -198,10 +197,10 @@
 
 	/** Updates the estimates with the duration of a stream that has just ended. */
 	noteStream(events: number, streamMs: number, now: number): void {
-		const {hasStatements} = this.#pool;
-		if (events >= (hasStatements ? MIN_STATED_PACE_EVENTS : MIN_PACE_EVENTS)) {
+		const {isDetailed} = this.#pool;
+		if (events >= (isDetailed ? MIN_STATED_PACE_EVENTS : MIN_PACE_EVENTS)) {
 			const eventMs = streamMs / this.#moment.mean(now - streamMs, now) / (events - 1);
-			const weight = hasStatements ? Math.min(1, (events - 1) / (FULL_SAMPLE_EVENTS - 1)) : 1;
+			const weight = isDetailed ? Math.min(1, (events - 1) / (FULL_SAMPLE_EVENTS - 1)) : 1;
 			this.#updateFactor(eventMs / this.#pool.eventMs, weight * SAMPLE_WEIGHT);
 			this.#pool.noteEvents(eventMs / this.#factor);
 		}
@@ -215,7 +214,7 @@
 	#updateFactor(factor: number, weight: number): void {
 		this.#sampleCount += weight;
 		// The first samples count fully: a new upstream that is several times slower would otherwise get too much work.
-		const earlyWeight = this.#pool.hasStatements ? weight / (this.#sampleCount + INITIAL_FACTOR_WEIGHT) : 0;
+		const earlyWeight = this.#pool.isDetailed ? weight / (this.#sampleCount + INITIAL_FACTOR_WEIGHT) : 0;
 		this.#factor += Math.max(weight, earlyWeight) * (Math.min(MAX_PACE_FACTOR, factor) - this.#factor);
 	}
 }
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -20,6 +20,7 @@
 	type HeldRequest, hasRoom, pendingTokensOf, type TrackedUpstream,
 } from './tracked-upstream.js';
 import {UpstreamHealth} from './upstream-health.js';
+import {UpstreamMemory} from './upstream-memory.js';
 import {type WaitingRequest, WaitingQueue} from './waiting-queue.js';
 
 /** A waiting request counts as late when its earliest possible first event leaves less than this margin to its objective, in ms. */
@@ -61,6 +62,8 @@
 	readonly scope: Scope;
 	readonly filters?: readonly PlacementFilter[];
 	readonly locality?: Locality;
+	/** Whether estimates are detailed before an upstream states its pace, and the memory of upstreams is accounted for. */
+	readonly isUnderPressure?: boolean;
 };
 
 /** The upstreams and the queue of one service. */
@@ -74,37 +77,48 @@
 	readonly held = new Map<string, HeldRequest>();
 	readonly upstreams = new Map<string, TrackedUpstream>();
 	readonly retryBudget: PoolRetryBudget;
+	/** Whether an upstream has stated its momentary pace. */
+	statesPace = false;
+	/** Without a limit unless the deployment is under pressure. */
+	readonly memory = UpstreamMemory.create();
 	/** Upstreams with fewer requests than slots; whether they accept one also depends on time, such as on an ejection. */
 	readonly #withFreeSlots = new Set<TrackedUpstream>();
 	readonly #random: Random;
 	readonly #limits: UpstreamLimits;
 	readonly #placement: Placement;
 	readonly #filters: readonly PlacementFilter[];
+	readonly #isUnderPressure: boolean;
 	#scope: Scope;
 	#pace: PoolPace;
 	#capacity = Capacity.create([]);
 	#capacityAt = Number.NEGATIVE_INFINITY;
 
 	private constructor({
-		name, settings, repeatBounds, limits, random, scope, filters = [], locality,
+		name, settings, repeatBounds, limits, random, scope, filters = [], locality, isUnderPressure = false,
 	}: PoolOptions) {
 		this.name = name;
 		this.#random = random;
 		this.#limits = limits;
 		this.#scope = scope;
 		this.#filters = filters;
-		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters, locality});
+		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters: isUnderPressure ? [...filters, this.memory] : filters, locality});
 		this.waiting = WaitingQueue.create({
 			levelOf: (waiting, now) => this.#levelOf(waiting, now),
 			serviceMs: ask => this.serviceMs(ask),
 		});
 		this.retryBudget = PoolRetryBudget.create(repeatBounds);
-		this.#pace = PoolPace.create(settings?.isEngine ?? false);
+		this.#isUnderPressure = isUnderPressure;
+		this.#pace = this.#createPace(settings?.isEngine ?? false);
+		this.setSettings(settings);
 	}
 
 	setSettings(settings: PoolSettings | undefined): void {
+		if (settings !== undefined && this.#isUnderPressure) {
+			this.memory.setSettings(settings);
+		}
+
 		if (settings !== undefined && settings.isEngine !== this.#pace.isEngine) {
-			this.#pace = PoolPace.create(settings.isEngine);
+			this.#pace = this.#createPace(settings.isEngine);
 			for (const target of this.upstreams.values()) {
 				target.pace = Pace.create(this.#pace);
 			}
@@ -363,9 +377,18 @@
 		return undefined;
 	}
 
-	/** @returns Whether the request is expected to be on time if it waits for a better upstream. False unless upstreams state their pace. */
+	/** @returns Whether the request is expected to be on time if it waits for a better upstream. False unless the estimates are detailed. */
 	#canWait(waiting: WaitingRequest, now: number): boolean {
-		return this.#pace.hasStatements && now + (WAIT_MARGIN * (this.waitMs(waiting, now) + this.#pace.firstMs(waiting.ask.promptTokens))) <= waiting.objectiveAt;
+		return this.#pace.isDetailed && now + (WAIT_MARGIN * (this.waitMs(waiting, now) + this.#pace.firstMs(waiting.ask.promptTokens))) <= waiting.objectiveAt;
+	}
+
+	#createPace(isEngine: boolean): PoolPace {
+		const pace = PoolPace.create(isEngine);
+		if (this.#isUnderPressure) {
+			pace.refine();
+		}
+
+		return pace;
 	}
 
 	/** Number of upstreams that ordinary requests may use. */
--- a/src/allocation/tracked-upstream.ts
+++ b/src/allocation/tracked-upstream.ts
@@ -58,6 +58,10 @@
 		return held.size === 0;
 	}
 
-	const externalLoad = now - target.externalLoadAt < REPORTED_LOAD_TTL_MS ? target.externalLoad : 0;
-	return held.size + externalLoad < upstream.slots + overcommitted;
+	return held.size + currentExternalLoad(target, now) < upstream.slots + overcommitted;
+}
+
+/** @returns Requests at the upstream from VMs that this allocator does not decide for, as far as reported recently. */
+export function currentExternalLoad({externalLoad, externalLoadAt}: TrackedUpstream, now: number): number {
+	return now - externalLoadAt < REPORTED_LOAD_TTL_MS ? externalLoad : 0;
 }
--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -1,5 +1,6 @@
 /**
- * Metrics of a node in the Prometheus exposition format. Label values come only from closed sets.
+ * Metrics of a node in the Prometheus exposition format. Label values come only from closed sets: constants and the
+ * configuration.
  */
 import {readdirSync} from 'node:fs';
 import process from 'node:process';
@@ -11,6 +12,7 @@
 import {type Invariants} from './invariant.js';
 
 const MICROSECONDS_PER_MS = 1000;
+const MS_PER_SECOND = 1000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
 const MAX_TRACKED_MICROSECONDS = 3_600_000_000;
 const SIGNIFICANT_DIGITS = 2;
@@ -77,6 +79,18 @@
 	readonly quarantined?: () => number;
 	/** How often the store came back in an earlier state, as it counts. */
 	readonly storeEra: () => number;
+	/** Pools of the configuration, on the VM that allocates. */
+	readonly pools?: () => readonly PoolMeasures[];
+};
+
+/** Measures of one pool. */
+export type PoolMeasures = {
+	readonly pool: string;
+	/** Mean factor by which work takes longer at this moment than on average; `undefined` if no upstream states its pace. */
+	readonly momentaryPace: number | undefined;
+	readonly paceAgeMs: number | undefined;
+	/** Fraction of its memory that is charged at the fullest upstream. */
+	readonly memoryFillRatio: number;
 };
 
 /** Durations recorded in an HDR histogram and exposed as a summary in seconds, over the lifetime of the process. */
@@ -221,6 +235,11 @@
 			gauge('redwingspool_quarantined', 'Features whose requests are refused because they crash upstreams.', sources.quarantined);
 		}
 
+		const pools = sources.pools ?? (() => []);
+		this.#registerPoolGauge('redwingspool_pool_momentary_pace', 'Mean factor by which work takes longer at this moment than on average.', pools, ({momentaryPace}) => momentaryPace);
+		this.#registerPoolGauge('redwingspool_pool_pace_age_seconds', 'Mean age of what upstreams stated about their pace.', pools, ({paceAgeMs}) => paceAgeMs === undefined ? undefined : paceAgeMs / MS_PER_SECOND);
+		this.#registerPoolGauge('redwingspool_pool_memory_fill_ratio', 'Fraction of the memory charged at the fullest upstream.', pools, ({memoryFillRatio}) => memoryFillRatio);
+
 		for (const state of ['evaluated', 'violated'] as const) {
 			// eslint-disable-next-line no-new -- the constructor registers the metric
 			new Counter({
@@ -260,6 +279,22 @@
 		return this.registry.metrics();
 	}
 
+	/** Registers a gauge by pool; pools without a value are left out. */
+	#registerPoolGauge(name: string, help: string, pools: () => readonly PoolMeasures[], valueOf: (pool: PoolMeasures) => number | undefined): void {
+		// eslint-disable-next-line no-new -- the constructor registers the metric
+		new Gauge({
+			name, help, labelNames: ['pool'], registers: [this.registry], collect() {
+				this.reset();
+				for (const measures of pools()) {
+					const value = valueOf(measures);
+					if (value !== undefined) {
+						this.set({pool: measures.pool}, value);
+					}
+				}
+			},
+		});
+	}
+
 	/** @param read - Called at each scrape. */
 	#registerGauge(name: string, help: string, read: () => number): void {
 		// eslint-disable-next-line no-new -- the constructor registers the metric
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -254,6 +254,7 @@
 			operation: route.operation,
 			promptTokens: head.generation?.promptTokens ?? 0,
 			outputEvents: Math.max(0, this.#call.outputEvents - this.#eventCount),
+			maxOutputTokens: head.generation?.maxOutputTokens,
 			quotaCost,
 			isCharged: this.#isGranted && this.#sentCount === 0,
 			isCounted: false,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -116,6 +116,10 @@
 			this.#logDecision(decision);
 		};
 
+		this.#allocator.onPaceStated = (pool, upstream) => {
+			log.part(LogPrefix.Allocation).info('Upstreams state their momentary pace.', {pool, upstream});
+		};
+
 		this.#allocator.onQuarantined = suspicion => {
 			this.#logQuarantine(suspicion);
 			this.#front.abortQuarantined();
@@ -179,6 +183,7 @@
 			limitedUpstreams: () => this.state.limits.size,
 			storeEra: options.storeEra,
 			quarantined: () => this.quarantined.length,
+			pools: () => this.#allocator.statistics,
 		});
 	}
 
--- a/src/link/message-schemas.ts
+++ b/src/link/message-schemas.ts
@@ -55,6 +55,7 @@
 	operation: z.enum(Operation),
 	promptTokens: amount,
 	outputEvents: amount,
+	maxOutputTokens: z.optional(amount),
 	quotaCost: amount,
 	isCharged: z.boolean(),
 	isCounted: z.boolean(),
--- a/test/gateway/forwarding.test.ts
+++ b/test/gateway/forwarding.test.ts
@@ -49,6 +49,20 @@
 		expect(harness.decisions.filter(({ask}) => !ask.isCharged)).to.have.length(6);
 	});
 
+	// Guards against statements that reach the allocator only with the end of a stream, or count as new when they arrive late.
+	it('passes on the pace that an upstream stated, with its age, at the first event', async () => {
+		await start('slow', ({id, socket}) => {
+			socket.write(formatStreamHead(id).replace('Content-Type', 'X-Server-Load: 1,0,4,250\r\nContent-Type'));
+			setTimeout(() => socket.write(formatChunk('id: 1\ndata: a\n\n')), 150);
+			setTimeout(() => socket.write(`${formatChunk('id: 2\ndata: b\n\n')}0\r\n\r\n`), 400);
+		});
+		const call = harness.call('stream');
+		await eventually(() => harness.pools[0]?.momentaryPace !== undefined);
+		expect(harness.pools[0]!.paceAgeMs).to.be.above(140);
+		expect(harness.pools[0]!.momentaryPace).to.be.within(1.2, 2.2);
+		expect(await call).to.include({status: 200});
+	});
+
 	describe('with an upstream that announces its shutdown', () => {
 		const leavingHeader = 'Server-Leaving: 1\r\n';
 
--- a/test/link/message-schemas.test.ts
+++ b/test/link/message-schemas.test.ts
@@ -69,7 +69,12 @@
 	{kind: 'ask', ask: {...ask, customer: undefined}},
 	{kind: 'withdraw', id: 'vm-1'},
 	{kind: 'first', id: 'vm-1', ms: 2.5},
+	{
+		kind: 'first', id: 'vm-1', ms: 2.5, pace: {factor: 2.5, ageMs: 80},
+	},
+	{kind: 'ask', ask: {...ask, maxOutputTokens: 300}},
 	{kind: 'release', id: 'vm-1', report},
+	{kind: 'release', id: 'vm-1', report: {...report, pace: {factor: 0.9, ageMs: 0}}},
 	{kind: 'release', id: 'vm-1', report: {...report, firstMs: undefined, load: undefined}},
 	{kind: 'leaving', boots: [{id: 'x', startedAt: 1}]},
 	{kind: 'departed', departures: [{id: 'x', startedAt: 1, era: 2}]},
@@ -161,6 +166,9 @@
 			[decodeToVm, {kind: 'hello'}],
 			[decodeToVm, {kind: 'ask', ask: {...ask, quotaCost: -1}}],
 			[decodeToVm, {kind: 'release', id: 'vm-1', report: {...report, ending: 'other'}}],
+			[decodeToVm, {
+				kind: 'first', id: 'vm-1', ms: 1, pace: {factor: 0, ageMs: 1},
+			}],
 			[decodeFromLeader, {
 				kind: 'refuse', id: 'vm-1', error: 'constructor', retryAfterMs: 1,
 			}],
--- a/test/platform/adapter.test.ts
+++ b/test/platform/adapter.test.ts
@@ -256,6 +256,16 @@
 		for (const text of ['-3,1,8', '3,-1,8', '3', ',,', 'NaN,NaN', '']) {
 			expect(load(text), text).to.equal(undefined);
 		}
+
+		for (const [text, pace] of [['250', 2.5], [' 100 ', 1], ['1e-9', 0.01], ['1e9', 100], ['1e999', 100]] as const) {
+			expect(load(`3,1,8,${text}`), text).to.deep.equal({running: 3, waiting: 1, pace});
+		}
+
+		for (const text of ['', '0', '-0', '-250', 'NaN', 'slow', '2;5']) {
+			expect(load(`3,1,8,${text}`), text).to.deep.equal({running: 3, waiting: 1});
+		}
+
+		expect(load('3,1,,250,7')).to.deep.equal({running: 3, waiting: 1, pace: 2.5});
 	});
 
 	it('encodes Retry-After in fractional seconds', () => {
--- a/test/support/front-harness.ts
+++ b/test/support/front-harness.ts
@@ -9,6 +9,7 @@
 } from 'node:net';
 import {HeaderCodec} from '../../platform/header-codec.js';
 import {Allocator, type Decision} from '../../src/allocation/allocator.js';
+import {type PoolStatistics} from '../../src/allocation/pool-statistics.js';
 import {SystemClock} from '../../src/base/clock.js';
 import {Invariants} from '../../src/base/invariant.js';
 import {Log, LogLevel} from '../../src/base/log.js';
@@ -135,6 +136,11 @@
 		clock: this.#clock, random: Random.create(1), nodeId: 'test', repeatBounds: {ratio: 0.2, slack: 50, windowMs: 10_000}, quotaTolerance: {ratio: 0, slack: 0, windowMs: 8000}, limits: this.state.limits,
 	});
 
+	/** What the allocator knows of the pace of the upstreams. */
+	get pools(): readonly PoolStatistics[] {
+		return this.#allocator.statistics;
+	}
+
 	readonly #front: FrontServer;
 	#address = '';
 	#nextId = 1;
