Pace: detailed estimates scale lateness by the usual factor of the pool

With detailed estimates the common scale of the upstreams' factors drifts by a factor of two, so that a request counted as on time for too long and higher levels kept the room. The lower quartile of the factors is taken for the usual upstream.

--- a/src/allocation/pace.ts
+++ b/src/allocation/pace.ts
@@ -31,6 +31,11 @@
 const FIRST_SAMPLE_WEIGHT = 0.1;
 /** Weight of the initial factor of an upstream relative to its samples, where estimates are detailed. */
 const INITIAL_FACTOR_WEIGHT = 0.1;
+/**
+ * Quantile of the upstreams' factors that is taken for the usual one. Factors are relative to each other, and their common
+ * scale drifts by a factor of two as estimates are detailed; most requests go to the faster upstreams.
+ */
+const USUAL_QUANTILE = 0.25;
 /** Limits each sample, so that one slow answer does not make an upstream unusable. */
 const MAX_PACE_FACTOR = 12;
 
@@ -218,3 +223,9 @@
 		this.#factor += Math.max(weight, earlyWeight) * (Math.min(MAX_PACE_FACTOR, factor) - this.#factor);
 	}
 }
+
+/** @returns Long-term factor of the upstreams that most requests get; 1 without upstreams. */
+export function usualFactor(paces: readonly Pace[]): number {
+	const factors = paces.map(({factor}) => factor).toSorted((a, b) => a - b);
+	return factors[Math.floor(factors.length * USUAL_QUANTILE)] ?? 1;
+}
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -10,7 +10,7 @@
 import {Capacity} from './capacity.js';
 import {type Locality} from './locality.js';
 import {type StatedPace} from './momentary-pace.js';
-import {Pace, PoolPace} from './pace.js';
+import {Pace, PoolPace, usualFactor} from './pace.js';
 import {type Grant, Placement} from './placement.js';
 import {type PlacementFilter} from './placement-filter.js';
 import {PoolRetryBudget, type RetryBounds} from './pool-retry-budget.js';
@@ -92,6 +92,8 @@
 	#pace: PoolPace;
 	#capacity = Capacity.create([]);
 	#capacityAt = Number.NEGATIVE_INFINITY;
+	/** Factor of the upstreams that requests usually get; 1 unless the estimates are detailed. */
+	#usualFactor = 1;
 
 	private constructor({
 		name, settings, repeatBounds, limits, random, scope, filters = [], locality, isUnderPressure = false,
@@ -242,7 +244,7 @@
 
 	/** @returns What a place at an upstream of average pace is expected to take, in ms. */
 	expectedTimes({ask, pendingPromptTokens}: HeldRequest): {readonly expectedFirstMs: number; readonly expectedEventMs: number} {
-		return {expectedFirstMs: this.#pace.firstMs(ask.promptTokens + pendingPromptTokens), expectedEventMs: this.#pace.eventMs};
+		return {expectedFirstMs: this.#usualFactor * this.#pace.firstMs(ask.promptTokens + pendingPromptTokens), expectedEventMs: this.#usualFactor * this.#pace.eventMs};
 	}
 
 	/** @returns Requests that are past their deadline by a margin, but whose VM did not release the place. */
@@ -299,7 +301,7 @@
 
 	/** @returns The latest time at which a place is still useful: the answer meets the deadline and begins before the caller disconnects. */
 	latestStartAt({ask, deadlineAt, patienceEndsAt}: WaitingRequest): number {
-		return Math.min(deadlineAt - this.serviceMs(ask), patienceEndsAt - this.#pace.firstMs(ask.promptTokens) - PATIENCE_MARGIN_MS);
+		return Math.min(deadlineAt - (this.#usualFactor * this.serviceMs(ask)), patienceEndsAt - this.#usualFirstMs(ask) - PATIENCE_MARGIN_MS);
 	}
 
 	/** @returns Waiting requests that are not expected to get a place in time. */
@@ -379,7 +381,12 @@
 
 	/** @returns Whether the request is expected to be on time if it waits for a better upstream. False unless the estimates are detailed. */
 	#canWait(waiting: WaitingRequest, now: number): boolean {
-		return this.#pace.isDetailed && now + (WAIT_MARGIN * (this.waitMs(waiting, now) + this.#pace.firstMs(waiting.ask.promptTokens))) <= waiting.objectiveAt;
+		return this.#pace.isDetailed && now + (WAIT_MARGIN * (this.waitMs(waiting, now) + this.#usualFirstMs(waiting.ask))) <= waiting.objectiveAt;
+	}
+
+	/** @returns Time to the first event at an idle upstream of usual pace, in ms. */
+	#usualFirstMs({promptTokens}: PlaceRequest): number {
+		return this.#usualFactor * this.#pace.firstMs(promptTokens);
 	}
 
 	#createPace(isEngine: boolean): PoolPace {
@@ -414,13 +421,14 @@
 
 	/** @returns Whether the objective can no longer be met, even at an idle upstream of average pace. */
 	#isLate(waiting: WaitingRequest, now: number): boolean {
-		return now + this.#pace.firstMs(waiting.ask.promptTokens) + OBJECTIVE_MARGIN_MS > waiting.objectiveAt;
+		return now + this.#usualFirstMs(waiting.ask) + OBJECTIVE_MARGIN_MS > waiting.objectiveAt;
 	}
 
 	#currentCapacity(now: number): Capacity {
 		if (now - this.#capacityAt >= CAPACITY_TTL_MS) {
 			this.#capacityAt = now;
 			const usable = [...this.upstreams.values()].filter(target => !target.upstream.isLeaving && !target.standing.isEjected(now) && this.#isOpen(target));
+			this.#usualFactor = this.#pace.isDetailed ? usualFactor(usable.map(({pace}) => pace)) : 1;
 			this.#capacity = Capacity.create(usable.map(target => {
 				const rate = this.#startRate(target);
 				return {slots: target.upstream.slots / target.pace.factor, startsPerSecond: rate?.perSecond, startDelayMs: target.pacer.delayMs(rate, now)};
