--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -95,7 +95,6 @@
 	#pace: PoolPace;
 	#capacity = Capacity.create([]);
 	#capacityAt = Number.NEGATIVE_INFINITY;
-	/** Factor of the upstreams that requests usually get; 1 unless the estimates are detailed. */
 	#usualFactor = 1;
 
 	private constructor({
@@ -175,6 +174,11 @@
 		}
 	}
 
+	/** Factor of the upstreams that requests usually get; 1 unless the estimates are detailed. */
+	get usualFactor(): number {
+		return this.#usualFactor;
+	}
+
 	/** Removes all waiting requests and held places. */
 	clear(): void {
 		this.overload?.clear();
@@ -251,7 +255,7 @@
 
 	/** @returns What a place at an upstream of average pace is expected to take, in ms. */
 	expectedTimes({ask, pendingPromptTokens}: HeldRequest): {readonly expectedFirstMs: number; readonly expectedEventMs: number} {
-		return {expectedFirstMs: this.#pace.firstMs(ask.promptTokens + pendingPromptTokens), expectedEventMs: this.#pace.eventMs};
+		return {expectedFirstMs: this.#usualFactor * this.#pace.firstMs(ask.promptTokens + pendingPromptTokens), expectedEventMs: this.#usualFactor * this.#pace.eventMs};
 	}
 
 	/** @returns Requests that are past their deadline by a margin, but whose VM did not release the place. */
