--- a/test/allocation/fair-shares.test.ts
+++ b/test/allocation/fair-shares.test.ts
@@ -2,10 +2,13 @@
 import {
 	type ContentionPattern, ContentionSimulation, type Outcomes, worthOf,
 } from '../../bench/contention-simulation.js';
+import {emptyReport} from '../../src/allocation/allocation.js';
 import {FairShares} from '../../src/allocation/fair-shares.js';
 import {RankFloor} from '../../src/allocation/rank-floor.js';
 import {ReturnSchedule} from '../../src/allocation/return-schedule.js';
+import {globalScope, standaloneScope} from '../../src/allocation/scope.js';
 import {Random} from '../../src/base/random.js';
+import {Ending} from '../../src/gateway/exchange-ending.js';
 import {createPlaceRequest} from '../support/place-request.js';
 
 const SEEDS = [1, 2, 3, 4];
@@ -61,6 +64,62 @@
 		}
 	}).timeout(20_000);
 
+	// Guards against a new leader, or a VM that decides alone, that holds against customers what another allocator granted.
+	for (const [name, scope] of Object.entries({'a new leader': globalScope(false), 'a VM on its own': standaloneScope(8)})) {
+		it(`starts with equal shares and keeps them at ${name}`, () => {
+			const simulation = ContentionSimulation.create({
+				usualLoad: 0.75, shares: unequal, surges: [hotSurge], hasOneRank: true,
+			}, 1, true);
+			simulation.clock.setTimer(6000, () => {
+				simulation.allocator.restart(scope);
+			});
+			const {byCustomer} = simulation.run();
+			const others = byCustomer.filter((_, index) => index !== HOT);
+			// What waits and runs at the change is lost to the simulated callers; linked VMs ask again for what waits.
+			expect(ratio(others, 'onTime')).to.be.above(0.95);
+			expect(ratio(others, 'refusedAgain')).to.be.below(0.01);
+		});
+	}
+
+	// Guards against customers that pay for what a lost VM or link had asked for.
+	it('takes back the charge of waiting requests whose VM was lost', () => {
+		const {allocator} = ContentionSimulation.create({usualLoad: 0.5, surges: []}, 1, true);
+		const granted: string[] = [];
+		const ask = (id: string, customer = 'c1') => {
+			allocator.ask(createPlaceRequest(id, {
+				customer, objectiveMs: 5000, promptTokens: 1000, outputEvents: 20,
+			}), {
+				grant() {
+					granted.push(id);
+				},
+				refuse() {
+					expect.fail('The requests have time.');
+				},
+			});
+		};
+
+		const ids = Array.from({length: 150}, (_, index) => `r${index}`);
+		for (const id of ids) {
+			ask(id);
+		}
+
+		expect(allocator.waitingCount).to.be.above(50);
+		for (const id of ids) {
+			allocator.withdraw(id);
+		}
+
+		ask('next');
+		for (let index = 0; index < 8; index += 1) {
+			ask(`other-${index}`, 'c2');
+		}
+
+		for (const id of granted.slice(0, 5)) {
+			allocator.release(id, emptyReport(Ending.Cancelled));
+		}
+
+		expect(granted.slice(-5)).to.include('next');
+	});
+
 	describe('virtual times', () => {
 		const serviceMs = 1000;
 		const quota = (perSecond: number) => ({
