--- a/src/rollout/comparison-stratum.ts
+++ b/src/rollout/comparison-stratum.ts
@@ -24,18 +24,17 @@
 
 /** The tests of one set of requests. */
 export class Stratum {
-	static create(name: string, parent?: Stratum): Stratum {
-		return new Stratum(name, parent);
+	static create(name: string, parent?: Stratum, route = ''): Stratum {
+		return new Stratum(name, parent, route);
 	}
 
-	readonly name: string;
+	/** Route of its requests; empty if they are of all routes. */
+	readonly route: string;
 	readonly failures: Comparison;
 	readonly slowness: Comparison;
-	granted = 0;
-	candidateGranted = 0;
 
-	private constructor(name: string, parent: Stratum | undefined) {
-		this.name = name;
+	private constructor(name: string, parent: Stratum | undefined, route: string) {
+		this.route = route;
 		this.failures = {
 			name: `failures ${name}`, test: SequentialTest.create(FAILURE_TEST), base: BaseRate.create(MIN_FAILURE_SHARE, parent?.failures.base),
 		};
--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -127,29 +127,29 @@
 			return false;
 		}
 
-		const {granted, candidateGranted} = this.#comparison.grantedOf(route);
+		const {routes} = this.#comparison;
+		const {granted, candidateGranted} = routes.of(route);
 		if (candidateGranted > MAX_ROUTE_SHARE * granted) {
 			return false;
 		}
 
-		const {requests} = this.#exposure;
-		if (this.#comparison.missing(route, requests) > 0) {
+		if (routes.isMissing(route)) {
 			return true;
 		}
 
-		const reserve = Math.min(MAX_RESERVE, ROUTE_RESERVE * this.#comparison.missingRoutes(requests));
+		const reserve = Math.min(MAX_RESERVE, ROUTE_RESERVE * routes.missingRoutes);
 		if (this.prefersBusy(now)) {
 			this.#isBursting ||= available >= BURST + reserve;
 			return this.#isBursting && available >= 1 + reserve;
 		}
 
-		return available >= 1 + reserve + (this.#comparison.isSettled(route) ? OPEN_RESERVE : 0);
+		return available >= 1 + reserve + (routes.isSettled(route) ? OPEN_RESERVE : 0);
 	}
 
 	/** Counts a granted request of the pool, whichever version it went to. */
 	noteGranted(isCandidate: boolean, route: string, _now: number): void {
 		this.#exposure.note(isCandidate);
-		this.#comparison.noteGranted(isCandidate, route);
+		this.#comparison.routes.noteGranted(isCandidate, route);
 	}
 
 	/** @returns Whether the phase changed. */
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -2,6 +2,7 @@
  * Compares the answers of a candidate version with those of the base version at the same time: over all requests, for
  * each route, and at busy upstreams; each for failures and for slow answers.
  */
+import {CanaryRoutes, MAX_ROUTES} from './canary-routes.js';
 import {
 	createLengthComparison, LENGTH_UPSTREAMS, Stratum, type Comparison,
 } from './comparison-stratum.js';
@@ -25,20 +26,12 @@
 const BUSY_EVIDENCE = 0.5;
 /** Evidence of one test, in parts of what condemns, above which a version is not yet accepted. */
 const SUSPICIOUS = 0.5;
-/** Routes that are compared on their own; further ones only count in the comparison of all requests. */
-const MAX_ROUTES = 24;
 
 /** Part of the full evidence that is needed for the length of answers: some upstream has to be as fast as usual. */
 const LENGTH_EVIDENCE = 0.5;
 /** Parts of the full evidence that suffice when the time for the canary runs out, over all routes and for one of them. */
 const LAST_EVIDENCE = 0.12;
 const LAST_ROUTE_EVIDENCE = 0.04;
-/** Canary requests that each route gets with priority. */
-const ROUTE_TARGET = 6;
-/** Canary requests that a rare route gets with priority; about what a test needs to accept a version. */
-const RARE_ROUTE_TARGET = 16;
-/** Share of the pool's requests below which a route is rare. */
-const RARE_ROUTE_SHARE = 0.2;
 /** Evidence that condemns after the switch, in parts of the full one, if the answers as a whole speak against the version. */
 const SWITCHED_EVIDENCE = 0.6;
 /** Time for which a verdict is withheld, so that a fault of both versions shows at the base too, in ms. */
@@ -55,10 +48,12 @@
 	candidateUpstreams = Number.POSITIVE_INFINITY;
 	/** Whether all requests go to the candidate, so that a late verdict costs more. */
 	isSwitched = false;
+	readonly routes = CanaryRoutes.create();
 	readonly #lateAt: number;
 	readonly #all = Stratum.create('all');
 	readonly #busy = Stratum.create('busy', this.#all);
-	readonly #routes = new Map<string, Stratum>();
+	/** Tests of each route. */
+	readonly #strata = new Map<string, Stratum>();
 	readonly #firsts = SlownessScale.create();
 	readonly #pauses = SlownessScale.create();
 	/** Whether no candidate upstream is as fast as usual; separate, as a slow upstream's answers are all long. */
@@ -67,7 +62,6 @@
 	#suspect: {readonly comparison: Comparison; readonly since: number} | undefined;
 	#baseLoad = 0;
 	#longestBaseMs = 0;
-	readonly #openRoutes = new Set<string>();
 
 	private constructor(lateAt: number) {
 		this.#lateAt = lateAt;
@@ -104,52 +98,11 @@
 		return this.#isBaseBusy(STEERED_BUSY_SHARE) && this.#busy.comparisons.some(comparison => this.#goodness(comparison, now) < BUSY_EVIDENCE);
 	}
 
-	/** @returns Counts of a route's granted requests. */
-	grantedOf(route: string): {readonly granted: number; readonly candidateGranted: number} {
-		return this.#routes.get(route) ?? {granted: 0, candidateGranted: 0};
-	}
-
-	/**
-	 * @param requests - Granted requests of the pool.
-	 * @returns Number of canary requests that the route still gets with priority.
-	 */
-	missing(route: string, requests: number): number {
-		const {granted, candidateGranted} = this.grantedOf(route);
-		const target = granted < RARE_ROUTE_SHARE * requests ? RARE_ROUTE_TARGET : ROUTE_TARGET;
-		return Math.max(0, target - candidateGranted);
-	}
-
-	/** @returns Whether other routes lack evidence, but this one does not. */
-	isSettled(route: string): boolean {
-		return this.#openRoutes.size > 0 && !this.#openRoutes.has(route);
-	}
-
-	/** Determines the routes that lack evidence; they get canary requests before the others. */
+	/** Determines the routes that lack evidence. */
 	updateOpenRoutes(now: number): void {
-		this.#openRoutes.clear();
-		for (const [route, stratum] of this.#routes) {
-			if (stratum.comparisons.some(comparison => this.#goodness(comparison, now) < this.#neededEvidence(stratum))) {
-				this.#openRoutes.add(route);
-			}
-		}
-	}
-
-	/** @returns Number of routes that still get canary requests with priority. */
-	missingRoutes(requests: number): number {
-		let count = 0;
-		for (const route of this.#routes.keys()) {
-			count += this.missing(route, requests) > 0 ? 1 : 0;
-		}
-
-		return count;
-	}
-
-	noteGranted(isCandidate: boolean, route: string): void {
-		const stratum = this.#route(route);
-		if (stratum) {
-			stratum.granted += 1;
-			stratum.candidateGranted += isCandidate ? 1 : 0;
-		}
+		const open = [...this.#strata].filter(([, stratum]) =>
+			stratum.comparisons.some(comparison => this.#goodness(comparison, now) < this.#neededEvidence(stratum)));
+		this.routes.setOpen(open.map(([route]) => route));
 	}
 
 	note(sample: RolloutSample, now: number): void {
@@ -220,7 +173,7 @@
 	 */
 	open(remaining: number, now: number): string[] {
 		const open: string[] = [];
-		for (const stratum of [this.#all, ...this.#routes.values(), ...(this.#isBaseBusy(NEEDED_BUSY_SHARE) ? [this.#busy] : [])]) {
+		for (const stratum of [this.#all, ...this.#strata.values(), ...(this.#isBaseBusy(NEEDED_BUSY_SHARE) ? [this.#busy] : [])]) {
 			const last = stratum === this.#all ? LAST_EVIDENCE : LAST_ROUTE_EVIDENCE;
 			const needed = (last + ((1 - last) * Math.max(0, remaining))) * this.#neededEvidence(stratum);
 			for (const comparison of stratum.comparisons) {
@@ -274,7 +227,7 @@
 	}
 
 	#comparisons(): Comparison[] {
-		return [this.#length, ...[this.#all, this.#busy, ...this.#routes.values()].flatMap(stratum => stratum.comparisons)];
+		return [this.#length, ...[this.#all, this.#busy, ...this.#strata.values()].flatMap(stratum => stratum.comparisons)];
 	}
 
 	#judge(comparison: Comparison, answer: Omit<TestedAnswer, 'baseShare'>): void {
@@ -335,14 +288,14 @@
 			return 1;
 		}
 
-		return stratum === this.#busy ? BUSY_EVIDENCE : Math.min(1, stratum.granted / FULL_ROUTE_REQUESTS);
+		return stratum === this.#busy ? BUSY_EVIDENCE : Math.min(1, this.routes.of(stratum.route).granted / FULL_ROUTE_REQUESTS);
 	}
 
 	#route(route: string): Stratum | undefined {
-		let stratum = this.#routes.get(route);
-		if (!stratum && this.#routes.size < MAX_ROUTES) {
-			stratum = Stratum.create(`route ${route}`, this.#all);
-			this.#routes.set(route, stratum);
+		let stratum = this.#strata.get(route);
+		if (!stratum && this.#strata.size < MAX_ROUTES) {
+			stratum = Stratum.create(`route ${route}`, this.#all, route);
+			this.#strata.set(route, stratum);
 		}
 
 		return stratum;
