--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -170,12 +170,12 @@
 		return counts;
 	}
 
-	/** The pace factor of each upstream, for a successor. */
+	/** The pace factor of each upstream relative to the usual one of its pool, for a successor. */
 	get paces(): ReadonlyMap<string, number> {
 		const paces = new Map<string, number>();
 		for (const pool of this.#pools.values()) {
 			for (const target of pool.upstreams.values()) {
-				paces.set(target.upstream.id, target.pace.factor);
+				paces.set(target.upstream.id, target.pace.factor / pool.usualFactor);
 			}
 		}
 
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -95,7 +95,6 @@
 	#pace: PoolPace;
 	#capacity = Capacity.create([]);
 	#capacityAt = Number.NEGATIVE_INFINITY;
-	/** Factor of the upstreams that requests usually get; 1 unless the estimates are detailed. */
 	#usualFactor = 1;
 
 	private constructor({
@@ -175,6 +174,11 @@
 		}
 	}
 
+	/** Factor of the upstreams that requests usually get; 1 unless the estimates are detailed. */
+	get usualFactor(): number {
+		return this.#usualFactor;
+	}
+
 	/** Removes all waiting requests and held places. */
 	clear(): void {
 		this.overload?.clear();
--- a/test/allocation/momentary-pace.test.ts
+++ b/test/allocation/momentary-pace.test.ts
@@ -23,6 +23,9 @@
 		expect(pace.at(1400) - 1).to.be.closeTo((pace.at(1000) - 1) / Math.E, 0.001);
 		expect(pace.at(9000)).to.be.closeTo(1, 0.001);
 		expect(pace.mean(1000, 1400)).to.be.within(pace.at(1400), pace.at(1000));
+		// A VM that was frozen reports what it read before.
+		pace.note({factor: 2.5, ageMs: 3000}, 12_000);
+		expect(pace.at(12_000)).to.be.closeTo(1, 0.001);
 	});
 
 	// Guards against an upstream that is avoided, or gets everything, because its statement is frozen, unbounded or of another scale.
