--- a/src/allocation/upstream-memory.ts
+++ b/src/allocation/upstream-memory.ts
@@ -48,11 +48,11 @@
 		return MAX_FILL_RATIO * this.usedTokens(target) / this.#budgetTokens;
 	}
 
-	accepts(ask: PlaceRequest, target: TrackedUpstream, now: number): boolean {
-		if (this.#budgetTokens === Number.POSITIVE_INFINITY) {
-			return true;
-		}
+	override restricts(): boolean {
+		return this.#budgetTokens < Number.POSITIVE_INFINITY;
+	}
 
+	accepts(ask: PlaceRequest, target: TrackedUpstream, now: number): boolean {
 		// Of other VMs' requests only the number is known; each is taken to fill its slot's share.
 		const freeSlotsRatio = Math.max(0, 1 - (currentExternalLoad(target, now) / target.upstream.slots));
 		return this.usedTokens(target) + this.#chargedTokens(ask) <= this.#budgetTokens * freeSlotsRatio;
