Overload: a request that an upstream had begun is kept as long as its caller waits

A retry after a failed exchange has usually missed its objective, and was refused behind more than 100 ms of work. The caller then got the failure of the first exchange. The new test fails without the change.

--- a/src/allocation/overload.ts
+++ b/src/allocation/overload.ts
@@ -94,7 +94,8 @@
 	/** @returns Whether a new request is refused before it waits. */
 	mustRefuse({waiting, queue, levels, isLate, onTimeStartAt, latestStartAt, serviceMs, slots, startDelayMs, now}: OverloadQuery, hasFreePlace: boolean): boolean {
 		const {ask} = waiting;
-		const isReturn = this.#noteArrival(ask, serviceMs, now);
+		// A refusal of a request that an upstream had begun, or that was refused before, costs its caller most.
+		const isKept = this.#noteArrival(ask, serviceMs, now) || ask.attempt > 1 || ask.isContinuation;
 		if (hasFreePlace) {
 			return false;
 		}
@@ -110,13 +111,13 @@
 		}
 
 		const lateWaitMs = startDelayMs + (queue.workMsBefore(levels.late, key) / slots);
-		return lateWaitMs > (isReturn ? latestStartAt - now : Math.min(maxWaitMs, MAX_LATE_WAIT_MS));
+		return lateWaitMs > (isKept ? latestStartAt - now : Math.min(maxWaitMs, MAX_LATE_WAIT_MS));
 	}
 
 	/** @returns Whether a waiting request is refused if it can no longer be on time, because it is not served shortly. */
 	mustServeOnTime({ask, requestedAt, deadlineAt}: WaitingRequest, waitMs: number, now: number): boolean {
 		return waitMs > MAX_LATE_WAIT_MS && now - requestedAt < MAX_REFUSAL_AGE_RATIO * (deadlineAt - requestedAt)
-			&& ask.attempt === 1 && !this.#returned.has(ask.id);
+			&& ask.attempt === 1 && !ask.isContinuation && !this.#returned.has(ask.id);
 	}
 
 	/** Charges a request that begins to wait. */
--- a/test/allocation/fair-shares.test.ts
+++ b/test/allocation/fair-shares.test.ts
@@ -2,7 +2,8 @@
 import {
 	type ContentionPattern, ContentionSimulation, type Outcomes, worthOf,
 } from '../../bench/contention-simulation.js';
-import {emptyReport} from '../../src/allocation/allocation.js';
+import {type Allocator} from '../../src/allocation/allocator.js';
+import {emptyReport, type PlaceRequest} from '../../src/allocation/allocation.js';
 import {FairShares} from '../../src/allocation/fair-shares.js';
 import {RankFloor} from '../../src/allocation/rank-floor.js';
 import {ReturnSchedule} from '../../src/allocation/return-schedule.js';
@@ -81,43 +82,62 @@
 		});
 	}
 
-	// Guards against customers that pay for what a lost VM or link had asked for.
-	it('takes back the charge of waiting requests whose VM was lost', () => {
-		const {allocator} = ContentionSimulation.create({usualLoad: 0.5, surges: []}, 1, true);
-		const granted: string[] = [];
-		const ask = (id: string, customer = 'c1') => {
+	describe('at full engines', () => {
+		let allocator: Allocator;
+		let granted: string[];
+		let refused: string[];
+
+		function ask(id: string, customer: string, changes: Partial<PlaceRequest> = {}): void {
 			allocator.ask(createPlaceRequest(id, {
-				customer, objectiveMs: 5000, promptTokens: 1000, outputEvents: 20,
+				customer, objectiveMs: 5000, promptTokens: 1000, outputEvents: 20, ...changes,
 			}), {
 				grant() {
 					granted.push(id);
 				},
 				refuse() {
-					expect.fail('The requests have time.');
+					refused.push(id);
 				},
 			});
-		};
-
-		const ids = Array.from({length: 150}, (_, index) => `r${index}`);
-		for (const id of ids) {
-			ask(id);
 		}
 
-		expect(allocator.waitingCount).to.be.above(50);
-		for (const id of ids) {
-			allocator.withdraw(id);
-		}
+		beforeEach(() => {
+			({allocator} = ContentionSimulation.create({usualLoad: 0.5, surges: []}, 1, true));
+			granted = [];
+			refused = [];
+			for (let index = 0; index < 150; index += 1) {
+				ask(`r${index}`, 'c1');
+			}
+		});
 
-		ask('next');
-		for (let index = 0; index < 8; index += 1) {
-			ask(`other-${index}`, 'c2');
-		}
+		// Guards against customers that pay for what a lost VM or link had asked for.
+		it('takes back the charge of waiting requests whose VM was lost', () => {
+			expect(allocator.waitingCount).to.be.above(50);
+			for (let index = 0; index < 150; index += 1) {
+				allocator.withdraw(`r${index}`);
+			}
 
-		for (const id of granted.slice(0, 5)) {
-			allocator.release(id, emptyReport(Ending.Cancelled));
-		}
+			ask('next', 'c1');
+			for (let index = 0; index < 8; index += 1) {
+				ask(`other-${index}`, 'c2');
+			}
+
+			for (const id of granted.slice(0, 5)) {
+				allocator.release(id, emptyReport(Ending.Cancelled));
+			}
 
-		expect(granted.slice(-5)).to.include('next');
+			expect(granted.slice(-5)).to.include('next');
+		});
+
+		// Guards against requests that failed at an upstream and are then refused, although their callers still wait.
+		it('refuses a late request at once, but not one that returned or that an upstream had begun', () => {
+			const late = {objectiveMs: 10, fingerprint: 'same'};
+			ask('late', 'c1', late);
+			expect(refused).to.deep.equal(['late']);
+			ask('returned', 'c1', late);
+			ask('begun', 'c1', {objectiveMs: 10, attempt: 2, isCounted: true});
+			ask('continued', 'c1', {objectiveMs: 10, isContinuation: true});
+			expect(refused).to.deep.equal(['late']);
+		});
 	});
 
 	describe('virtual times', () => {
