--- a/test/support/built-vms.ts
+++ b/test/support/built-vms.ts
@@ -116,14 +116,18 @@
 
 /** The deployment. */
 export class BuiltVms {
-	/** Builds the program, and starts the store and the servers; neither are registered nor do VMs run yet. */
-	static async create(): Promise<BuiltVms> {
+	/**
+	 * Builds the program, and starts the store and the servers; neither are registered nor do VMs run yet.
+	 *
+	 * @param limits - Limits in the settings of the VMs, besides those of each deployment.
+	 */
+	static async create(limits: Readonly<Record<string, number>> = {}): Promise<BuiltVms> {
 		execFileSync(process.execPath, ['scripts/build-platform.js']);
 		const store = await PlatformStore.start();
 		const folder = await mkdtemp(path.join(tmpdir(), 'redwingspool-vms-'));
 		const servers = await Promise.all(Array.from({length: SERVER_COUNT * 2}, async (_, index) => PlatformServer.start(`i-${index}`, 6)));
 		const deployment = new BuiltVms(store, folder, servers);
-		await deployment.#addVms();
+		await deployment.#addVms(limits);
 		return deployment;
 	}
 
@@ -168,7 +172,7 @@
 		await rm(this.#folder, {recursive: true});
 	}
 
-	async #addVms(): Promise<void> {
+	async #addVms(extraLimits: Readonly<Record<string, number>>): Promise<void> {
 		const ports = {
 			front: await freePort(), ready: await freePort(), control: await freePort(), directory: await freePort(),
 		};
@@ -189,7 +193,9 @@
 				listen,
 				internalPorts: [metricsPort, metricsPort],
 				seeds,
-				limits: {cpuShare: 0.675, cores: 1, linkMbps: 1000},
+				limits: {
+					cpuShare: 0.675, cores: 1, linkMbps: 1000, ...extraLimits,
+				},
 				bounds: {
 					graceS: 8, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 56, quotaWindowS: 8, quotaOver: 0.1, quotaSlack: 190_000,
 				},
