Account of held bytes: bodies and responses are bounded for each process

Cause: bytes that callers and upstreams sent were held without a common bound, and callers that stopped short of their end kept them for as long as they liked. Change: one account (src/base/memory-account.ts), half for bodies and half for responses, bounded from GatewayOptions.memoryBytes and by 64 MB at serve. Reading stops without room; bodies that wait 1 s are refused with 503, least important first; bodies without progress get 408; callers that do not read are cut off; a refused head's body is not read; connections are bounded.

--- a/src/base/byte-collector.ts
+++ b/src/base/byte-collector.ts
@@ -12,18 +12,21 @@
  * pieces. Pieces are copied, because a piece can be a view of a network buffer many times its size.
  */
 export class ByteCollector {
-	static create(): ByteCollector {
-		return new ByteCollector();
+	/** @param expectedBytes - Stated length of the message, if it is known: it is then collected in one block, without a copy at its end. */
+	static create(expectedBytes = 0): ByteCollector {
+		return new ByteCollector(expectedBytes);
 	}
 
+	readonly #expectedBytes: number;
+
 	readonly #fullBlocks: Uint8Array[] = [];
 	#block: Uint8Array = Buffer.alloc(0);
 	/** Number of bytes in the last block. */
 	#used = 0;
 	#length = 0;
 
-	private constructor() {
-		// Instances come from `create`.
+	private constructor(expectedBytes: number) {
+		this.#expectedBytes = expectedBytes;
 	}
 
 	/** Number of collected bytes. */
@@ -75,7 +78,8 @@
 			this.#fullBlocks.push(this.#block);
 		}
 
-		const size = Math.min(MAX_BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, this.#length, pieceBytes));
+		const isFirst = this.#length === 0 && this.#expectedBytes > 0;
+		const size = isFirst ? this.#expectedBytes : Math.min(MAX_BLOCK_BYTES, Math.max(MIN_BLOCK_BYTES, this.#length, pieceBytes));
 		// Not from the buffer pool, of which a small block would retain a larger part.
 		this.#block = Buffer.allocUnsafeSlow(size);
 		this.#used = 0;
--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -9,6 +9,7 @@
 } from 'prom-client';
 import {type ErrorKind} from './errors.js';
 import {type Invariants} from './invariant.js';
+import {type MemoryAccount, type Relief} from './memory-account.js';
 
 const MICROSECONDS_PER_MS = 1000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
@@ -75,6 +76,10 @@
 	readonly openRequests?: () => number;
 	/** Number of features whose requests are refused because they crash upstreams. */
 	readonly quarantined?: () => number;
+	/** Account of the bytes that are held for callers and upstreams. */
+	readonly memory: MemoryAccount;
+	/** Number of connections of callers. */
+	readonly connections: () => number;
 	/** How often the store came back in an earlier state, as it counts. */
 	readonly storeEra: () => number;
 };
@@ -140,6 +145,8 @@
 	readonly #rolloutFailures: Counter<'version'>;
 	/** Phase of the latest roll-out of each pool. */
 	readonly #rolloutPhases = new Map<string, string>();
+	readonly #reliefs: Counter<'relief'>;
+	readonly #closedConnections: Counter;
 
 	private constructor() {
 		this.#requests = new Counter({
@@ -179,6 +186,12 @@
 				}
 			},
 		});
+		this.#reliefs = new Counter({
+			name: 'redwingspool_reliefs_total', help: 'Messages that were ended to bound the held bytes, by reason.', labelNames: ['relief'], registers: [this.registry],
+		});
+		this.#closedConnections = new Counter({
+			name: 'redwingspool_connections_closed_total', help: 'Connections that were closed because there were too many.', registers: [this.registry],
+		});
 		this.#registerGauge('redwingspool_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
 		this.#registerGauge('redwingspool_open_descriptors', 'Open file descriptors of the process; 0 where the system does not list them.', countOpenDescriptors);
 	}
@@ -188,6 +201,16 @@
 		this.#unhandledErrors.inc();
 	}
 
+	/** Counts a message that the account of held bytes ended. */
+	countRelief(relief: Relief): void {
+		this.#reliefs.inc({relief});
+	}
+
+	/** Counts a connection that was closed because there were too many. */
+	countClosedConnection(): void {
+		this.#closedConnections.inc();
+	}
+
 	/** Counts a feature whose requests are refused from now on. */
 	countQuarantine(): void {
 		this.#quarantines.inc();
@@ -215,6 +238,10 @@
 		gauge('redwingspool_in_flight', 'Requests that are not answered yet.', sources.inFlight);
 		gauge('redwingspool_requests_open', 'Requests that were read completely and have not ended.', sources.openRequests ?? (() => 0));
 		gauge('redwingspool_waiting', 'Requests that wait in the queues.', sources.waiting);
+		gauge('redwingspool_held_bytes', 'Bytes that are held for bodies of requests and for responses.', () => sources.memory.heldBytes);
+		gauge('redwingspool_held_limit_bytes', 'Bound on the bytes that are held.', () => sources.memory.limitBytes);
+		gauge('redwingspool_held_waiting', 'Messages that are not read on for want of room.', () => sources.memory.waitingCount);
+		gauge('redwingspool_connections', 'Connections of callers.', sources.connections);
 		gauge('redwingspool_limited_upstreams', 'Upstreams that limit the requests they take.', sources.limitedUpstreams);
 		gauge('redwingspool_store_era', 'Era of the store: rises each time it comes back in an earlier state.', sources.storeEra);
 		if (sources.quarantined !== undefined) {
--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -1,47 +1,14 @@
 /**
- * Reads request bodies, limiting the size of each body and the memory of all buffered bodies together.
+ * Reads request bodies, limiting the size of each body; the memory of all of them is limited by the account of held bytes.
  */
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import Result, {ok} from 'true-myth/result';
-import {ByteCollector} from '../base/byte-collector.js';
 import {ErrorKind, SchedulerError} from '../base/errors.js';
-import {MessageReader} from '../base/message-reader.js';
+import {type BodyOptions, readHeldBody, UnusableBody} from '../base/held-body.js';
+import {type MemoryAccount} from '../base/memory-account.js';
 
-/** Maximum size of all buffered bodies of a node; keeps the whole process under 256 MB. */
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
-
-/** Memory budget of request bodies, which stay buffered until their requests end. */
-export class BodyBudget {
-	static create(maxBytes = MAX_BUFFERED_BYTES): BodyBudget {
-		return new BodyBudget(maxBytes);
-	}
-
-	readonly #maxBytes: number;
-	#bufferedBytes = 0;
-
-	private constructor(maxBytes: number) {
-		this.#maxBytes = maxBytes;
-	}
-
-	/** Number of bytes that are reserved now. */
-	get bufferedBytes(): number {
-		return this.#bufferedBytes;
-	}
-
-	/** @returns Whether the bytes were reserved; the caller must then `release` them. */
-	reserve(bytes: number): boolean {
-		if (this.#bufferedBytes + bytes > this.#maxBytes) {
-			return false;
-		}
-
-		this.#bufferedBytes += bytes;
-		return true;
-	}
-
-	release(bytes: number): void {
-		this.#bufferedBytes -= bytes;
-	}
-}
+/** Longest time without progress of a body, in ms; the time within which a complete request must arrive is as long. */
+const BODY_IDLE_MS = 60_000;
 
 /** @returns The body size declared by a request: 0 without a body, `undefined` for chunked transfer. */
 export function declaredLength(req: IncomingMessage): number | undefined {
@@ -63,65 +30,40 @@
 	}
 }
 
+/** Whose body is read, and its limit. */
+export type BodyOwner = Pick<BodyOptions, 'party' | 'rank' | 'maxBytes'>;
+
 /**
  * Reads a complete body. On an error the request stream stays open, so that an error response can still be sent.
  *
  * @param res - The response of the request whose body is read.
- * @param limitBytes - Maximum size; a larger body is rejected without being buffered.
- * @param budget - Budget from which the bytes are reserved until the response closes.
+ * @param memory - Account that the bytes are charged to until the response closes.
  */
-export async function readBody(res: ServerResponse, limitBytes: number, budget: BodyBudget): Promise<Result<Uint8Array, SchedulerError>> {
+export async function readBody(res: ServerResponse, memory: MemoryAccount, owner: BodyOwner): Promise<Result<Uint8Array, SchedulerError>> {
 	const {req} = res;
-	if ((declaredLength(req) ?? 0) > limitBytes) {
-		return rejectTooLarge(limitBytes);
+	const {maxBytes} = owner;
+	if ((declaredLength(req) ?? 0) > maxBytes) {
+		return rejectTooLarge(maxBytes);
 	}
 
-	const bodyError = bodyErrors.get(req);
-	if (bodyError !== undefined) {
-		return Result.err(bodyError);
+	const earlyError = bodyErrors.get(req);
+	if (earlyError !== undefined) {
+		return Result.err(earlyError);
 	}
 
 	sendContinue(res);
-	return bufferBody(res, limitBytes, budget);
-}
+	const body = await readHeldBody(res, memory, {...owner, idleMs: BODY_IDLE_MS});
+	if (typeof body !== 'string') {
+		return ok(body);
+	}
 
-/** Uses event listeners, because an async iterator would allocate several promises per request. */
-async function bufferBody(res: ServerResponse, limitBytes: number, budget: BodyBudget): Promise<Result<Uint8Array, SchedulerError>> {
-	const {req} = res;
-	const body = ByteCollector.create();
-	let reservedBytes = 0;
-	return new Promise(resolve => {
-		const settle = (result: Result<Uint8Array, SchedulerError>) => {
-			reader.close();
-			resolve(result);
-		};
+	if (body === UnusableBody.TooLarge) {
+		return rejectTooLarge(maxBytes);
+	}
 
-		const reader = MessageReader.start(req, {
-			onBytes(bytes) {
-				if (body.length + bytes.length > limitBytes) {
-					settle(rejectTooLarge(limitBytes));
-				} else if (budget.reserve(bytes.length)) {
-					reservedBytes += bytes.length;
-					body.add(bytes);
-				} else {
-					settle(Result.err(SchedulerError.create(ErrorKind.Overloaded, 'There is no memory for the body now.')));
-				}
-			},
-			onEnd() {
-				settle(ok(body.take()));
-			},
-		});
-		req.once('error', err => {
-			settle(Result.err(err instanceof SchedulerError ? err : SchedulerError.create(ErrorKind.RequestTimeout, 'The request body broke off.')));
-		});
-		res.once('close', () => {
-			reader.close();
-			budget.release(reservedBytes);
-			if (!req.readableEnded) {
-				settle(Result.err(SchedulerError.create(ErrorKind.RequestTimeout, 'The request body broke off.')));
-			}
-		});
-	});
+	return Result.err(body === UnusableBody.NoRoom
+		? SchedulerError.create(ErrorKind.Overloaded, 'There is no memory for the body now.')
+		: bodyErrors.get(req) ?? SchedulerError.create(ErrorKind.RequestTimeout, 'The request body broke off.'));
 }
 
 function rejectTooLarge(limitBytes: number): Result<Uint8Array, SchedulerError> {
--- a/src/entry/completions-controller.ts
+++ b/src/entry/completions-controller.ts
@@ -56,7 +56,9 @@
 			return Result.err(caller.error);
 		}
 
-		const body = await readBody(reply.raw, this.#findBodyLimit(caller.value.customer), this.context.bodyBudget);
+		const body = await readBody(reply.raw, this.context.memory, {
+			party: caller.value.customer.id, rank: 0, maxBytes: this.#findBodyLimit(caller.value.customer),
+		});
 		return body.andThen(bytes => this.#toJob(req, reply, caller.value, bytes));
 	}
 
--- a/src/entry/context.ts
+++ b/src/entry/context.ts
@@ -8,6 +8,7 @@
 	ErrorKind, type KeyKnowledge, ranOf, SchedulerError,
 } from '../base/errors.js';
 import {type Invariants} from '../base/invariant.js';
+import {type MemoryAccount} from '../base/memory-account.js';
 import {type Metrics} from '../base/metrics.js';
 import {type RequestTrace, type Tracing} from '../base/trace.js';
 import {type Customer} from '../config/deployment.js';
@@ -15,7 +16,6 @@
 import {type TierSettings} from '../config/schema.js';
 import {type Dispatcher} from '../dispatch/dispatcher.js';
 import {type EntriesAnswer} from '../members/entries.js';
-import {type BodyBudget} from './body.js';
 import {type ErrorFormat} from './error-body.js';
 import {type RateLimiter} from './rate-limiter.js';
 import {sendError} from './send-error.js';
@@ -26,6 +26,8 @@
 /** Services of the node that the callers' interface depends on. */
 export type EntryDependencies = {
 	readonly clock: Clock;
+	/** Account of the bytes that are held for callers. */
+	readonly memory: MemoryAccount;
 	readonly invariants: Invariants;
 	readonly settings: CurrentSettings;
 	readonly dispatcher: Dispatcher;
@@ -48,7 +50,6 @@
 /** Dependencies and per-node state of the controllers. */
 export type EntryContext = EntryDependencies & {
 	readonly rateLimiter: RateLimiter;
-	readonly bodyBudget: BodyBudget;
 };
 
 const MAX_IDEMPOTENCY_KEY_LENGTH = 255;
--- a/src/entry/entry-part.ts
+++ b/src/entry/entry-part.ts
@@ -8,14 +8,14 @@
 import {NestFactory} from '@nestjs/core';
 import {FastifyAdapter, type NestFastifyApplication} from '@nestjs/platform-fastify';
 import {type FastifyReply, type FastifyRequest} from 'fastify';
+import {ConnectionLimit} from '../base/connection-limit.js';
 import {listen} from '../base/listening.js';
 import {Log, LogPrefix} from '../base/log.js';
 import {Part} from '../supervisor/part.js';
-import {BodyBudget} from './body.js';
 import {CompletionsController} from './completions-controller.js';
 import {ENTRY_CONTEXT, type EntryContext, type EntryDependencies} from './context.js';
 import {
-	ClientErrorHandler, defaultHttpLimits, findAmbiguity, type HttpLimits, toServerOptions,
+	ClientErrorHandler, defaultHttpLimits, findAmbiguity, type HttpLimits, MAX_CONNECTIONS, toServerOptions,
 } from './http-limits.js';
 import {NodeController} from './node-controller.js';
 import {OPERATOR_CONTEXT, type OperatorContext} from './operator-context.js';
@@ -60,7 +60,7 @@
 	 */
 	static create(dependencies: EntryDependencies, options: ListenOptions, operators?: OperatorContext): EntryPart {
 		const {clock} = dependencies;
-		const context = {...dependencies, rateLimiter: RateLimiter.create(clock), bodyBudget: BodyBudget.create()};
+		const context = {...dependencies, rateLimiter: RateLimiter.create(clock)};
 		return new EntryPart(context, options, operators);
 	}
 
@@ -70,12 +70,26 @@
 	#app: NestFastifyApplication | undefined;
 	#reloader: TlsReloader | undefined;
 	#stopping = new AbortController();
+	readonly #connectionLimit: ConnectionLimit;
 
 	private constructor(context: EntryContext, options: ListenOptions, operators: OperatorContext | undefined) {
 		super();
 		this.#context = context;
 		this.#options = options;
 		this.#operators = operators;
+		this.#connectionLimit = ConnectionLimit.create({
+			clock: context.clock,
+			log: (options.log ?? Log.create('silent')).part(LogPrefix.Entry),
+			maxConnections: options.limits?.maxConnections ?? MAX_CONNECTIONS,
+			onClosed() {
+				context.instruments?.countClosedConnection();
+			},
+		});
+	}
+
+	/** Number of callers' connections. */
+	get connectionCount(): number {
+		return this.#connectionLimit.size;
 	}
 
 	get name(): string {
@@ -121,6 +135,7 @@
 		app.useGlobalFilters(filter);
 		this.#app = app;
 		clientErrorHandler.attach(this.#server);
+		this.#connectionLimit.attach(this.#server);
 		await app.init();
 		await adapter.getInstance().ready();
 		const listenLog = log ?? Log.create('silent');
--- a/src/entry/http-limits.ts
+++ b/src/entry/http-limits.ts
@@ -17,8 +17,13 @@
 	readonly headersTimeoutMs: number;
 	/** Time within which the complete request must arrive. */
 	readonly requestTimeoutMs: number;
+	/** Maximum number of connections; `MAX_CONNECTIONS` by default. */
+	readonly maxConnections?: number;
 };
 
+/** Maximum number of connections; with unfinished heads they take about 50 MB. */
+export const MAX_CONNECTIONS = 2000;
+
 export const defaultHttpLimits: HttpLimits = {
 	maxHeaderBytes: 16 * 1024,
 	headersTimeoutMs: 10_000,
--- a/src/entry/http-sink.ts
+++ b/src/entry/http-sink.ts
@@ -4,29 +4,56 @@
 import {type OutgoingHttpHeaders, type ServerResponse} from 'node:http';
 import {type Ran, type SchedulerError} from '../base/errors.js';
 import {type ResponseHeaders, ResponseSink} from '../dispatch/response-sink.js';
+import {
+	HoldingKind, type HoldingOptions, type MemoryAccount,
+} from '../base/memory-account.js';
+import {UnreadBytes} from '../base/unread-bytes.js';
 import {ErrorFormat, formatError} from './error-body.js';
 import {sendError} from './send-error.js';
 
 /** Time in which a slow caller must read the error event that ends an incomplete stream. */
 const ERROR_EVENT_TIMEOUT_MS = 5000;
 
+/** Maximum size of what one caller has not read, in bytes. */
+const MAX_UNREAD_BYTES = 1_048_576;
+
+/** Who reads a response, and the account that what is not read is charged to. */
+export type Reader = Pick<HoldingOptions, 'party' | 'rank' | 'idleMs'> & {
+	readonly account: MemoryAccount;
+};
+
 /** Answer sink that writes to an HTTP/1.1 response. */
 export class HttpSink extends ResponseSink {
 	/**
 	 * @param res - The response of Node's HTTP server.
 	 * @param errorFormat - Format of error bodies on this route.
+	 * @param reader - The caller, who may read slowly.
 	 */
-	static create(res: ServerResponse, errorFormat: ErrorFormat): HttpSink {
-		return new HttpSink(res, errorFormat);
+	static create(res: ServerResponse, errorFormat: ErrorFormat, reader: Reader): HttpSink {
+		return new HttpSink(res, errorFormat, reader);
 	}
 
 	readonly #res: ServerResponse;
 	readonly #errorFormat: ErrorFormat;
+	readonly #unread: UnreadBytes;
 	#isEventStream = false;
 
-	private constructor(res: ServerResponse, errorFormat: ErrorFormat) {
+	private constructor(res: ServerResponse, errorFormat: ErrorFormat, {account, ...owner}: Reader) {
 		super();
 		this.#res = res;
+		const holding = account.open({
+			...owner,
+			kind: HoldingKind.Response,
+			// Watched only while nothing is taken.
+			progress: () => 0,
+			onStalled() {
+				res.destroy();
+			},
+		});
+		res.once('close', () => {
+			holding.close();
+		});
+		this.#unread = UnreadBytes.create(res, holding, MAX_UNREAD_BYTES);
 		this.#errorFormat = errorFormat;
 	}
 
@@ -57,7 +84,7 @@
 	}
 
 	write(chunk: Uint8Array): boolean {
-		return this.#res.write(chunk);
+		return this.#unread.write(chunk);
 	}
 
 	onDrain(resume: () => void): void {
--- a/src/entry/job.ts
+++ b/src/entry/job.ts
@@ -57,7 +57,9 @@
 		claimRequest: createClaimRequest(call, digest, details.keepsAnswer),
 		trace,
 		traceId: resolveTraceId(req.raw, trace),
-		sink: HttpSink.create(reply.raw, errorFormat),
+		sink: HttpSink.create(reply.raw, errorFormat, {
+			account: context.memory, party: caller.customer.id, rank: tier.rank, idleMs: request.idleTimeoutMs,
+		}),
 	};
 }
 
--- a/src/entry/operator-context.ts
+++ b/src/entry/operator-context.ts
@@ -7,11 +7,12 @@
 import Result, {ok} from 'true-myth/result';
 import {type Clock} from '../base/clock.js';
 import {ErrorKind, Ran, SchedulerError} from '../base/errors.js';
+import {type MemoryAccount} from '../base/memory-account.js';
 import {type ConfigError, createConfigError} from '../config/config-error.js';
 import {type ConfigService} from '../config/config-service.js';
 import {type ConfigSync} from '../config/config-sync.js';
 import {digestKey} from '../config/deployment.js';
-import {type BodyBudget, readBody} from './body.js';
+import {readBody} from './body.js';
 import {ErrorFormat, formatError} from './error-body.js';
 import {type NodeOperations} from './node-status.js';
 import {type SubtreeWatches} from './operator-watch.js';
@@ -22,11 +23,13 @@
 /** Maximum size of a subtree in a request body. */
 export const MAX_SUBTREE_BYTES = 8 * 1024 * 1024;
 const BODY_TIMEOUT_MS = 10_000;
+/** Party of the account of held bytes that all operators are; no customer has this name. */
+const OPERATOR_PARTY = 'operators:';
 
 /** Services of the node that the operators' routes depend on. */
 export type OperatorContext = {
 	readonly clock: Clock;
-	readonly bodyBudget: BodyBudget;
+	readonly memory: MemoryAccount;
 	readonly service: ConfigService;
 	readonly sync: ConfigSync;
 	readonly watches: SubtreeWatches;
@@ -114,11 +117,11 @@
 }
 
 /** Reads and parses a JSON body, within `MAX_SUBTREE_BYTES` and `BODY_TIMEOUT_MS`. */
-export async function readJson(res: ServerResponse, {clock, bodyBudget}: OperatorContext): Promise<Result<unknown, ConfigError>> {
+export async function readJson(res: ServerResponse, {clock, memory}: OperatorContext): Promise<Result<unknown, ConfigError>> {
 	const timer = clock.setTimer(BODY_TIMEOUT_MS, () => {
 		res.req.destroy(new Error('The request body did not arrive in time.'));
 	});
-	const body = await readBody(res, MAX_SUBTREE_BYTES, bodyBudget);
+	const body = await readBody(res, memory, {party: OPERATOR_PARTY, rank: 0, maxBytes: MAX_SUBTREE_BYTES});
 	timer.cancel();
 	if (body.isErr) {
 		return Result.err({err: body.error});
--- a/src/entry/services-controller.ts
+++ b/src/entry/services-controller.ts
@@ -77,7 +77,9 @@
 			return ok(this.#toJob(req, reply, resolved.value, CallerBody.create(reply.raw, length)));
 		}
 
-		const body = await readBody(reply.raw, bodyLimitBytes, this.context.bodyBudget);
+		const body = await readBody(reply.raw, this.context.memory, {
+			party: resolved.value.caller.customer.id, rank: resolved.value.tier.rank, maxBytes: bodyLimitBytes,
+		});
 		return body.map(bytes => this.#toJob(req, reply, resolved.value, bytes));
 	}
 
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -7,10 +7,10 @@
 	type Allocation, type PlaceRequest, emptyReport, type PlaceReport,
 } from '../allocation/allocation.js';
 import {type StatedPace} from '../allocation/momentary-pace.js';
-import {ByteCollector} from '../base/byte-collector.js';
 import {type Clock, type Timer} from '../base/clock.js';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
 import {type Log} from '../base/log.js';
+import {type MemoryAccount} from '../base/memory-account.js';
 import {
 	type Metrics, RequestEnd, RequestOutcome,
 } from '../base/metrics.js';
@@ -25,6 +25,7 @@
 import {writeErrorResponse} from './error-response.js';
 import {type Decision, type LedgerEntry, type RequestLedger} from './request-ledger.js';
 import {DEADLINE_GRACE_MS, requestDeadline} from './request-deadline.js';
+import {type BufferedResponse, ResponseDelivery, type ResponseFlow} from './response-delivery.js';
 import {findResponseFault} from './response-fault.js';
 import {Operation, type Route} from './routing-table.js';
 import {callerPatienceMs, stallTimeoutMs} from './stall-timeout.js';
@@ -42,8 +43,6 @@
 const MAX_FALLBACK_BYTES = 262_144;
 /** Maximum number of prompt parts in one log line. */
 const MAX_LOGGED_PARTS = 8;
-/** Maximum size of a response buffered before it is relayed, in bytes; a VM has some hundred MB for all requests. */
-const MAX_BUFFERED_BYTES = 8_388_608;
 
 /** Dependencies shared by all requests of a VM. */
 export type ForwardingContext = {
@@ -55,6 +54,7 @@
 	readonly pauses: UpstreamPauses;
 	readonly quarantine: Quarantine;
 	readonly ledger: RequestLedger;
+	readonly memory: MemoryAccount;
 	/** Requests that are not answered completely yet. */
 	readonly running: Set<Forwarding>;
 	readonly codec: CallCodec;
@@ -98,13 +98,6 @@
 	pace: {readonly factor: number; readonly at: number} | undefined;
 };
 
-/** A completely received response of an upstream. */
-type BufferedResponse = {
-	readonly status: number;
-	readonly headers: IncomingHttpHeaders;
-	readonly body: Uint8Array;
-};
-
 /** State of one request while it is forwarded. */
 export class Forwarding {
 	static start(context: ForwardingContext, call: Call): Forwarding {
@@ -131,7 +124,7 @@
 	#connectFailures = 0;
 	#status = 0;
 	#headers: IncomingHttpHeaders = {};
-	readonly #collected = ByteCollector.create();
+	readonly #delivery: ResponseDelivery;
 	/** Error response of an upstream, which the caller gets unless a later attempt succeeds. */
 	#fallback: BufferedResponse | undefined;
 	#mayHaveRun = false;
@@ -151,11 +144,20 @@
 	private constructor(context: ForwardingContext, call: Call) {
 		this.#context = context;
 		this.#call = call;
-		const {route, head, arrivedAt} = call;
+		const {route, head, arrivedAt, res, customer, rank} = call;
 		this.#deadlineAt = requestDeadline(route, head, arrivedAt);
 		this.#isResumable = route.operation === Operation.Stream && route.isResumable;
 		this.#splitter.lastId = head.lastEventId;
 		this.#waitsSince = arrivedAt;
+		this.#delivery = ResponseDelivery.create(context.memory, {
+			res,
+			party: customer ?? res.socket?.remoteAddress ?? '',
+			rank,
+			maxUnreadMs: route.timeoutMs,
+			onUnread() {
+				context.log.info('Caller does not read its response; its connection is closed.', {request: head.id, afterMs: Math.round(context.clock.now() - arrivedAt)});
+			},
+		});
 	}
 
 	/** Aborts an exchange whose answer has not begun, if requests like this one crash upstreams. */
@@ -392,7 +394,7 @@
 	#beginAttempt(attempt: Attempt): void {
 		this.#attempt = attempt;
 		this.#splitter.reset();
-		this.#collected.clear();
+		this.#delivery.clear();
 	}
 
 	/** Ends the exchange that makes no progress before the request is sent to another upstream: it never runs at both. */
@@ -433,15 +435,21 @@
 		if (fault === undefined) {
 			this.#status = status;
 			this.#headers = headers;
+			if (this.#isCollected) {
+				this.#delivery.expect(Number(headers['content-length'] ?? Number.NaN), this.#flowOf(attempt));
+			}
 		} else {
 			this.#abortAttempt(attempt, fault.ending, fault.detail);
 		}
 	}
 
 	#onData(attempt: Attempt, chunk: Uint8Array): void {
-		if (this.#call.route.operation !== Operation.Stream || this.#status >= FIRST_ERROR_STATUS) {
+		if (this.#isCollected) {
 			this.#recordProgress(attempt);
-			this.#buffer(attempt, chunk);
+			if (!this.#delivery.collect(chunk, this.#flowOf(attempt))) {
+				this.#abortAttempt(attempt, Ending.Flooded, 'response exceeds the size limit');
+			}
+
 			return;
 		}
 
@@ -464,7 +472,7 @@
 		}
 
 		this.#beginStream();
-		if (!this.#call.res.write(bytes)) {
+		if (!this.#delivery.write(bytes)) {
 			this.#pauseUntilDrained(attempt);
 		}
 	}
@@ -507,12 +515,25 @@
 		this.#restartStallTimer(attempt);
 	}
 
-	#buffer(attempt: Attempt, chunk: Uint8Array): void {
-		if (this.#collected.length + chunk.length > MAX_BUFFERED_BYTES) {
-			this.#abortAttempt(attempt, Ending.Flooded, 'response exceeds the size limit');
-		} else {
-			this.#collected.add(chunk);
-		}
+	/** Whether the response is received completely before it is sent. */
+	get #isCollected(): boolean {
+		return this.#call.route.operation !== Operation.Stream || this.#status >= FIRST_ERROR_STATUS;
+	}
+
+	/** Stops reading the response while there is no room to hold it; the silence meanwhile is not the upstream's. */
+	#flowOf(attempt: Attempt): ResponseFlow {
+		return {
+			pause: () => {
+				this.#stallTimer?.cancel();
+				attempt.exchange?.pause();
+			},
+			resume: () => {
+				if (this.#attempt === attempt) {
+					attempt.exchange?.resume();
+					this.#restartStallTimer(attempt);
+				}
+			},
+		};
 	}
 
 	#onEnd(attempt: Attempt): void {
@@ -533,7 +554,7 @@
 			return;
 		}
 
-		const response: BufferedResponse = {status: this.#status, headers: this.#headers, body: this.#collected.take()};
+		const response: BufferedResponse = {status: this.#status, headers: this.#headers, body: this.#delivery.take()};
 		if (isError && response.body.length <= MAX_FALLBACK_BYTES && this.#mayRetry(Ending.UpstreamError)) {
 			this.#fallback = response;
 			this.#retryOrGiveUp(Ending.UpstreamError);
@@ -546,7 +567,7 @@
 			return;
 		}
 
-		this.#sendResponse(response);
+		this.#delivery.send(response);
 		this.#finish(RequestEnd.Answered, isError ? RequestOutcome.Failed : RequestOutcome.Done, isError ? Ending.UpstreamError : Ending.Answered);
 	}
 
@@ -761,13 +782,6 @@
 		}
 	}
 
-	#sendResponse({status, headers, body}: BufferedResponse): void {
-		const forwarded = endToEndHeaders(headers, ['content-length']);
-		const hasBody = status !== 204 && status !== 304;
-		this.#call.res.writeHead(status, hasBody ? {...forwarded, 'content-length': String(body.length)} : forwarded);
-		this.#call.res.end(hasBody ? body : undefined);
-	}
-
 	/** Sends an error response, or the error response that an upstream sent earlier. */
 	#fail(kind: ErrorKind, retryAfterMs?: number): void {
 		if (this.#isDone) {
@@ -783,7 +797,7 @@
 		}
 
 		if (this.#fallback !== undefined) {
-			this.#sendResponse(this.#fallback);
+			this.#delivery.send(this.#fallback);
 			this.#finish(RequestEnd.Answered, RequestOutcome.Failed, Ending.UpstreamError);
 			return;
 		}
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -8,6 +8,7 @@
 import {type Socket, Server as TcpServer} from 'node:net';
 import {errorAnswers, ErrorKind, Ran} from '../base/errors.js';
 import {runInBackground} from '../base/background.js';
+import {ConnectionLimit} from '../base/connection-limit.js';
 import {listen} from '../base/listening.js';
 import {RequestEnd} from '../base/metrics.js';
 import {type Random} from '../base/random.js';
@@ -16,22 +17,29 @@
 	combinedRank, expectedOutputEvents, quotaCost, requestFingerprint,
 } from './call-attributes.js';
 import {type CallHead} from './call-codec.js';
+import {type Caller, findCaller} from './caller-lookup.js';
 import {CallerConnections} from './caller-connections.js';
 import {Forwarding, type ForwardingContext} from './forwarding.js';
 import {writeErrorResponse} from './error-response.js';
 import {LingeringClose} from './lingering-close.js';
-import {readBody, type UnusableBody} from './request-body.js';
+import {hasBody, readBody} from './request-body.js';
 import {type LedgerEntry} from './request-ledger.js';
 import {type PlannedStop} from './planned-stop.js';
 import {requestDeadline} from './request-deadline.js';
 import {
-	type CallerLimits, type Customer, pickTarget, type PoolSettings, type Route, type RoutingTable,
+	type CallerLimits, pickTarget, type PoolSettings, type RoutingTable,
 } from './routing-table.js';
 
 /** Maximum bytes of request headers that are read; the configured limit is meant to be lower. */
 const MAX_HEADER_BYTES = 65_536;
 /** Maximum bytes of a body that are read before there is a configuration; the request is refused anyway. */
 const MAX_UNCONFIGURED_BODY_BYTES = 65_536;
+/** Longest time without progress of such a body, in ms. */
+const UNCONFIGURED_IDLE_MS = 15_000;
+/** Stated length up to which the body of a refused request is discarded, so that its connection can go on, in bytes. */
+const MAX_DISCARDED_BYTES = 65_536;
+/** Rank of requests whose route and customer are not known. */
+const UNKNOWN_RANK = Number.MAX_SAFE_INTEGER;
 /** How much longer idle connections stay open than callers are told, in ms: none should close as a request arrives. */
 const KEEP_ALIVE_MARGIN_MS = 2000;
 /** The caller closed the connection inside a request. */
@@ -42,10 +50,18 @@
 	400: '400 Bad Request', 405: '405 Method Not Allowed', 408: '408 Request Timeout', 431: '431 Request Header Fields Too Large',
 };
 
+/** A request that is refused without its complete body. */
+type Refusal = {
+	readonly refusal: ErrorKind;
+	/** Whether the rest of its body is discarded, rather than the connection closed. */
+	readonly discardsBody: boolean;
+};
+
 /** HTTP server for callers' requests. */
 export class FrontServer {
-	static create(context: ForwardingContext, random: Random): FrontServer {
-		return new FrontServer(context, random);
+	/** @param maxConnections - Maximum number of callers' connections. */
+	static create(context: ForwardingContext, random: Random, maxConnections: number): FrontServer {
+		return new FrontServer(context, random, maxConnections);
 	}
 
 	readonly #context: ForwardingContext;
@@ -53,6 +69,7 @@
 	readonly #server: Server;
 	readonly #closing: LingeringClose;
 	readonly #connections: CallerConnections;
+	readonly #connectionLimit: ConnectionLimit;
 	/** Ends the reading of each request whose body is not complete yet. */
 	readonly #unread = new Set<() => void>();
 	/** Responses that have not been sent completely. */
@@ -61,7 +78,7 @@
 	readonly #listening = new AbortController();
 	#stop: PlannedStop | undefined;
 
-	private constructor(context: ForwardingContext, random: Random) {
+	private constructor(context: ForwardingContext, random: Random, maxConnections: number) {
 		this.#context = context;
 		this.#random = random;
 		this.#server = createServer({maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, connectionsCheckingInterval: 1000}, (req, res) => {
@@ -76,6 +93,15 @@
 		this.#server.on('connection', socket => {
 			this.#connections.attach(socket);
 		});
+		this.#connectionLimit = ConnectionLimit.create({
+			clock: context.clock,
+			log: context.log,
+			maxConnections,
+			onClosed() {
+				context.metrics.countClosedConnection();
+			},
+		});
+		this.#connectionLimit.attach(this.#server);
 		this.#server.on('clientError', (err, socket) => {
 			this.#rejectMalformed(err, socket as Socket);
 		});
@@ -94,6 +120,11 @@
 		return this.#open.size;
 	}
 
+	/** Number of callers' connections. */
+	get connectionCount(): number {
+		return this.#connectionLimit.size;
+	}
+
 	/** Whether a response, or the end of a connection behind it, may not have reached its caller yet. */
 	get isBusy(): boolean {
 		return this.#open.size > 0 || this.#closing.size > 0;
@@ -199,15 +230,20 @@
 		}
 
 		const limits = state.table?.configuration.limits;
-		const body = await this.#readBody(req, limits?.maxBodyBytes ?? MAX_UNCONFIGURED_BODY_BYTES);
-		// A body can take long to arrive: the request is handled by the configuration that is in force now.
-		const {table} = state;
 		const head = codec.decode(req);
+		const body = await this.#readBody(res, head, limits);
 		if (body === 'aborted') {
 			return;
 		}
 
+		// A body can take long to arrive: the request is handled by the configuration that is in force now.
+		const {table} = state;
 		const entry = ledger.begin(res, head?.id);
+		if (typeof body === 'object' && 'refusal' in body) {
+			this.#reject(res, entry, head, body.refusal, body.discardsBody);
+			return;
+		}
+
 		if (body === 'stopped') {
 			this.#reject(res, entry, head, ErrorKind.Draining);
 			return;
@@ -254,7 +290,17 @@
 		});
 	}
 
-	async #readBody(req: IncomingMessage, maxBytes: number): Promise<Uint8Array | undefined | UnusableBody | 'stopped'> {
+	/** Reads the body, unless the head of the request already tells why it is refused. */
+	async #readBody(res: ServerResponse, head: CallHead | undefined, limits: CallerLimits | undefined): Promise<Uint8Array | undefined | 'too-large' | 'aborted' | 'stopped' | Refusal> {
+		const {state: {table}, memory} = this.#context;
+		const {req} = res;
+		const maxBytes = limits?.maxBodyBytes ?? MAX_UNCONFIGURED_BODY_BYTES;
+		const isAnnouncedTooLarge = Number(req.headers['content-length']) > maxBytes;
+		const caller = table === undefined || isAnnouncedTooLarge || !hasBody(req) ? undefined : findCaller(table, req, head);
+		if (typeof caller === 'string') {
+			return {refusal: caller, discardsBody: Number(req.headers['content-length']) <= MAX_DISCARDED_BYTES};
+		}
+
 		let endReading!: () => void;
 		const stopped = new Promise<'stopped'>(resolve => {
 			endReading = () => {
@@ -262,36 +308,37 @@
 			};
 		});
 		this.#unread.add(endReading);
-		const body = await Promise.race([readBody(req, maxBytes), stopped]);
+		const reading = readBody(res, memory, {
+			maxBytes,
+			party: caller?.customer?.name ?? req.socket.remoteAddress ?? '',
+			rank: caller === undefined ? UNKNOWN_RANK : combinedRank(caller.route, caller.customer),
+			idleMs: limits?.idleTimeoutMs ?? UNCONFIGURED_IDLE_MS,
+		});
+		const body = await Promise.race([reading, stopped]);
 		this.#unread.delete(endReading);
-		return body;
-	}
-
-	#resolve(table: RoutingTable, req: IncomingMessage, head: CallHead | undefined): {route: Route; customer: Customer | undefined; pool: PoolSettings} | ErrorKind {
-		if (head === undefined) {
-			return ErrorKind.MalformedRequest;
+		if (body === 'no-room' || body === 'stalled') {
+			return {refusal: body === 'no-room' ? ErrorKind.Overloaded : ErrorKind.RequestTimeout, discardsBody: false};
 		}
 
-		const route = table.findRoute(head.host, req.url!);
-		if (route === undefined) {
-			return ErrorKind.NotFound;
-		}
+		return body;
+	}
 
-		const customer = head.apiKey === undefined ? undefined : table.findCustomer(head.apiKey);
-		if (table.configuration.hasCustomers && !route.isPublic && customer === undefined) {
-			return ErrorKind.Unauthenticated;
+	#resolve(table: RoutingTable, req: IncomingMessage, head: CallHead | undefined): (Caller & {pool: PoolSettings}) | ErrorKind {
+		const caller = findCaller(table, req, head);
+		if (typeof caller === 'string') {
+			return caller;
 		}
 
-		const target = pickTarget(route.targets, this.#random.next());
+		const target = pickTarget(caller.route.targets, this.#random.next());
 		const pool = target === undefined ? undefined : table.pool(target.pool);
-		return pool === undefined ? ErrorKind.NoUpstream : {route, customer, pool};
+		return pool === undefined ? ErrorKind.NoUpstream : {...caller, pool};
 	}
 
-	#reject(res: ServerResponse, entry: LedgerEntry, head: CallHead | undefined, kind: ErrorKind): void {
+	#reject(res: ServerResponse, entry: LedgerEntry, head: CallHead | undefined, kind: ErrorKind, discardsBody = false): void {
 		const {codec, metrics} = this.#context;
 		const {ran, status} = errorAnswers[kind];
 		metrics.countError(kind);
-		if (!res.req.complete && !res.headersSent) {
+		if (!res.req.complete && !res.headersSent && !discardsBody) {
 			// The rest of the body is not read.
 			res.setHeader('connection', 'close');
 		}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,6 +13,7 @@
 import {type Log, LogPrefix} from '../base/log.js';
 import {type Metrics} from '../base/metrics.js';
 import {Invariants} from '../base/invariant.js';
+import {MemoryAccount} from '../base/memory-account.js';
 import {type Random} from '../base/random.js';
 import {Coordinator} from '../link/coordinator.js';
 import {type LeaderRegister} from '../link/leader-register.js';
@@ -25,6 +26,7 @@
 import {type CallCodec} from './call-codec.js';
 import {DeploymentState} from './deployment-state.js';
 import {FrontServer} from './front-server.js';
+import {heldLimitBytes, maxCallerConnections} from './process-limits.js';
 import {RequestLedger} from './request-ledger.js';
 import {PlannedStop} from './planned-stop.js';
 import {UpstreamPauses} from './upstream-pauses.js';
@@ -136,6 +138,14 @@
 				this.#publishReadiness();
 			},
 		});
+		const memory = MemoryAccount.create({
+			clock,
+			log: log.part(LogPrefix.Gateway),
+			limitBytes: heldLimitBytes(options.memoryBytes),
+			onRelief(relief) {
+				metrics.countRelief(relief);
+			},
+		});
 		let askCount = 0;
 		this.#front = FrontServer.create({
 			clock,
@@ -146,6 +156,7 @@
 			pauses: UpstreamPauses.create(clock, log.part(LogPrefix.Gateway)),
 			quarantine: this.#allocator.quarantine,
 			ledger: this.#ledger,
+			memory,
 			running: new Set(),
 			codec,
 			dataCentre: self.dataCentre,
@@ -154,7 +165,7 @@
 				askCount += 1;
 				return `${self.boot}-${askCount}`;
 			},
-		}, random);
+		}, random, maxCallerConnections(options.memoryBytes, options.maxDescriptors));
 		this.coordinator = Coordinator.create({
 			clock,
 			random,
@@ -174,6 +185,8 @@
 		metrics.registerSources({
 			invariants,
 			inFlight: () => this.#front.inFlight,
+			memory,
+			connections: () => this.#front.connectionCount,
 			openRequests: () => this.#ledger.counts.open,
 			waiting: () => this.#allocator.waitingCount,
 			limitedUpstreams: () => this.state.limits.size,
--- a/src/serve/node.ts
+++ b/src/serve/node.ts
@@ -6,13 +6,13 @@
 import {type Clock} from '../base/clock.js';
 import {Invariants, PromiseId} from '../base/invariant.js';
 import {type Log, LogPrefix} from '../base/log.js';
+import {MemoryAccount} from '../base/memory-account.js';
 import {Metrics} from '../base/metrics.js';
 import {Random} from '../base/random.js';
 import {type Tracing} from '../base/trace.js';
 import {CurrentSettings} from '../config/current-settings.js';
 import {registerConfigMetrics} from '../config/config-metrics.js';
 import {type Dispatcher} from '../dispatch/dispatcher.js';
-import {BodyBudget} from '../entry/body.js';
 import {EntryPart} from '../entry/entry-part.js';
 import {type NodeOperations} from '../entry/node-status.js';
 import {type HttpLimits} from '../entry/http-limits.js';
@@ -29,6 +29,8 @@
 import {readNodeStatus} from './node-status.js';
 import {waitUntil} from './wait-until.js';
 
+/** Bound on the bytes that are held for callers, for bodies and for responses half each; keeps the whole process under 256 MB. */
+const HELD_LIMIT_BYTES = 64 * 1024 * 1024;
 const PEER_KEY_BYTES = 32;
 const DEFAULT_MAX_DRAIN_MS = 300_000;
 const CANCEL_TIMEOUT_MS = 1000;
@@ -95,7 +97,7 @@
 	readonly #authenticator: Authenticator;
 	readonly #transport: ConnectTransport;
 	readonly #peer: PeerPart;
-	readonly #bodyBudget = BodyBudget.create();
+	readonly #memory: MemoryAccount;
 	/** Filled right after the peer server has started, because the handlers depend on its address. */
 	readonly #handlers: {-readonly [Method in keyof PeerHandlers]: PeerHandlers[Method]} = {};
 	#core: NodeCore | undefined;
@@ -126,6 +128,14 @@
 		this.#peer = PeerPart.create({
 			host, port, authenticator: this.#authenticator, tls, handlers: this.#handlers, clock: options.clock, log: options.log.part(LogPrefix.Peer),
 		});
+		this.#memory = MemoryAccount.create({
+			clock: options.clock,
+			log: options.log.part(LogPrefix.Entry),
+			limitBytes: HELD_LIMIT_BYTES,
+			onRelief: relief => {
+				this.metrics.countRelief(relief);
+			},
+		});
 		this.#supervisor = Supervisor.create({
 			name: 'node', parts: [], clock: options.clock, log: options.log,
 		});
@@ -263,11 +273,19 @@
 		} = this.#options;
 		const {dispatcher, config: {sync, service}} = core;
 		this.metrics.registerSources({
-			invariants: this.invariants, inFlight: () => dispatcher.inFlightCount, waiting: () => dispatcher.scheduler.waitingCount, limitedUpstreams: () => 0, storeEra: () => 0, quarantined: () => dispatcher.scheduler.quarantinedCount,
+			invariants: this.invariants,
+			inFlight: () => dispatcher.inFlightCount,
+			memory: this.#memory,
+			connections: () => this.#entry?.connectionCount ?? 0,
+			waiting: () => dispatcher.scheduler.waitingCount,
+			limitedUpstreams: () => 0,
+			storeEra: () => 0,
+			quarantined: () => dispatcher.scheduler.quarantinedCount,
 		});
 		registerConfigMetrics(this.metrics.registry, sync);
 		return EntryPart.create({
 			clock,
+			memory: this.#memory,
 			invariants: this.invariants,
 			settings: this.settings,
 			dispatcher,
@@ -281,7 +299,7 @@
 		}, {
 			host, port, limits, log, tls,
 		}, {
-			clock, bodyBudget: this.#bodyBudget, service, sync, watches: SubtreeWatches.create(clock, sync), bootstrapDigest, node: this.#createOperations(core),
+			clock, memory: this.#memory, service, sync, watches: SubtreeWatches.create(clock, sync), bootstrapDigest, node: this.#createOperations(core),
 		});
 	}
 
