--- a/src/base/unread-bytes.ts
+++ b/src/base/unread-bytes.ts
@@ -18,8 +18,13 @@
 	readonly #res: ServerResponse;
 	readonly #holding: Holding;
 	readonly #maxBytes: number;
-	/** Number of writes since the caller last took everything. */
-	#writeCount = 0;
+	/** Writes that follow once the connection takes more. They are passed on a few at a time, so that progress shows. */
+	#queue: Uint8Array[] = [];
+	#queuedBytes = 0;
+	#passedBytes = 0;
+	/** The connection takes no more for now. */
+	#isFull = false;
+	#isEnded = false;
 
 	private constructor(res: ServerResponse, holding: Holding, maxBytes: number) {
 		this.#res = res;
@@ -27,23 +32,23 @@
 		this.#maxBytes = maxBytes;
 	}
 
+	/** Number of bytes that the connection took while its caller was slow. */
+	get passedBytes(): number {
+		return this.#passedBytes;
+	}
+
 	/** @returns Whether to read on: the caller takes the bytes, or there is room to hold them meanwhile. */
 	write(bytes: Uint8Array): boolean {
-		if (this.#res.write(bytes)) {
+		if (this.#isFull) {
+			this.#queue.push(bytes);
+			this.#queuedBytes += bytes.length;
+		} else if (this.#pass(bytes)) {
 			return true;
-		}
-
-		this.#writeCount += 1;
-		if (this.#writeCount === 1) {
+		} else {
 			this.#holding.watch();
-			this.#res.once('drain', () => {
-				this.#writeCount = 0;
-				this.#holding.unwatch();
-				this.#holding.set(0);
-			});
 		}
 
-		const heldBytes = this.#res.writableLength + (this.#writeCount * WRITE_BYTES);
+		const heldBytes = this.#heldBytes;
 		if (heldBytes < this.#maxBytes && this.#holding.tryGrow(heldBytes)) {
 			return true;
 		}
@@ -51,4 +56,52 @@
 		this.#holding.set(heldBytes);
 		return false;
 	}
+
+	/** Ends the response behind what is held. */
+	end(): void {
+		this.#isEnded = true;
+		if (this.#queue.length === 0) {
+			this.#res.end();
+		}
+	}
+
+	get #heldBytes(): number {
+		return this.#res.writableLength + this.#queuedBytes + (this.#queue.length * WRITE_BYTES);
+	}
+
+	/** @returns Whether the connection takes more. */
+	#pass(bytes: Uint8Array): boolean {
+		this.#isFull = !this.#res.write(bytes);
+		if (this.#isFull) {
+			this.#res.once('drain', () => {
+				this.#passedBytes += bytes.length;
+				this.#passQueue();
+			});
+		}
+
+		return !this.#isFull;
+	}
+
+	#passQueue(): void {
+		this.#isFull = false;
+		let count = 0;
+		while (count < this.#queue.length && !this.#isFull) {
+			const bytes = this.#queue[count]!;
+			this.#queuedBytes -= bytes.length;
+			count += 1;
+			this.#pass(bytes);
+		}
+
+		this.#queue = this.#queue.slice(count);
+		if (this.#isFull) {
+			this.#holding.set(this.#heldBytes);
+			return;
+		}
+
+		this.#holding.unwatch();
+		this.#holding.set(0);
+		if (this.#isEnded) {
+			this.#res.end();
+		}
+	}
 }
--- a/src/entry/http-sink.ts
+++ b/src/entry/http-sink.ts
@@ -14,8 +14,8 @@
 /** Time in which a slow caller must read the error event that ends an incomplete stream. */
 const ERROR_EVENT_TIMEOUT_MS = 5000;
 
-/** Maximum size of what one caller has not read, in bytes. */
-const MAX_UNREAD_BYTES = 1_048_576;
+/** Maximum size of what one caller has not read, in bytes; so large that most responses leave their upstream at once. */
+const MAX_UNREAD_BYTES = 8_388_608;
 
 /** Who reads a response, and the account that what is not read is charged to. */
 export type Reader = Pick<HoldingOptions, 'party' | 'rank' | 'idleMs'> & {
@@ -44,8 +44,7 @@
 		const holding = account.open({
 			...owner,
 			kind: HoldingKind.Response,
-			// Watched only while nothing is taken.
-			progress: () => 0,
+			progress: () => this.#unread.passedBytes,
 			onStalled() {
 				res.destroy();
 			},
@@ -92,7 +91,7 @@
 	}
 
 	end(): void {
-		this.#res.end();
+		this.#unread.end();
 	}
 
 	fail(err: SchedulerError, ran: Ran): void {
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -549,7 +549,7 @@
 		this.#endAttempt(attempt, isError ? Ending.UpstreamError : Ending.Answered);
 		if (isStream) {
 			this.#beginStream();
-			this.#call.res.end();
+			this.#delivery.end();
 			this.#finish(RequestEnd.Answered, RequestOutcome.Done, Ending.Answered);
 			return;
 		}
--- a/src/gateway/response-delivery.ts
+++ b/src/gateway/response-delivery.ts
@@ -62,7 +62,7 @@
 			party,
 			rank,
 			idleMs: maxUnreadMs,
-			progress: () => this.#passedBytes,
+			progress: () => this.#passedBytes + this.#unread.passedBytes,
 			onStalled() {
 				onUnread();
 				res.destroy();
@@ -122,6 +122,11 @@
 		return this.#unread.write(bytes);
 	}
 
+	/** Ends a stream. */
+	end(): void {
+		this.#unread.end();
+	}
+
 	/** Sends a complete response. */
 	send({status, headers, body}: BufferedResponse): void {
 		const forwarded = endToEndHeaders(headers, ['content-length']);
