--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -38,6 +38,8 @@
 const UNCONFIGURED_IDLE_MS = 15_000;
 /** Stated length up to which the body of a refused request is discarded, so that its connection can go on, in bytes. */
 const MAX_DISCARDED_BYTES = 65_536;
+/** Refusals that the head of a request alone calls for. */
+const headRefusals: ReadonlySet<ErrorKind> = new Set([ErrorKind.MalformedRequest, ErrorKind.NotFound, ErrorKind.Unauthenticated]);
 /** Rank of requests whose route and customer are not known. */
 const UNKNOWN_RANK = Number.MAX_SAFE_INTEGER;
 /** How much longer idle connections stay open than callers are told, in ms: none should close as a request arrives. */
@@ -53,8 +55,6 @@
 /** A request that is refused without its complete body. */
 type Refusal = {
 	readonly refusal: ErrorKind;
-	/** Whether the rest of its body is discarded, rather than the connection closed. */
-	readonly discardsBody: boolean;
 };
 
 /** HTTP server for callers' requests. */
@@ -240,7 +240,7 @@
 		const {table} = state;
 		const entry = ledger.begin(res, head?.id);
 		if (typeof body === 'object' && 'refusal' in body) {
-			this.#reject(res, entry, head, body.refusal, body.discardsBody);
+			this.#reject(res, entry, head, body.refusal);
 			return;
 		}
 
@@ -298,7 +298,7 @@
 		const isAnnouncedTooLarge = Number(req.headers['content-length']) > maxBytes;
 		const caller = table === undefined || isAnnouncedTooLarge || !hasBody(req) ? undefined : findCaller(table, req, head);
 		if (typeof caller === 'string') {
-			return {refusal: caller, discardsBody: Number(req.headers['content-length']) <= MAX_DISCARDED_BYTES};
+			return {refusal: caller};
 		}
 
 		let endReading!: () => void;
@@ -317,7 +317,7 @@
 		const body = await Promise.race([reading, stopped]);
 		this.#unread.delete(endReading);
 		if (body === 'no-room' || body === 'stalled') {
-			return {refusal: body === 'no-room' ? ErrorKind.Overloaded : ErrorKind.RequestTimeout, discardsBody: false};
+			return {refusal: body === 'no-room' ? ErrorKind.Overloaded : ErrorKind.RequestTimeout};
 		}
 
 		return body;
@@ -334,11 +334,12 @@
 		return pool === undefined ? ErrorKind.NoUpstream : {...caller, pool};
 	}
 
-	#reject(res: ServerResponse, entry: LedgerEntry, head: CallHead | undefined, kind: ErrorKind, discardsBody = false): void {
+	#reject(res: ServerResponse, entry: LedgerEntry, head: CallHead | undefined, kind: ErrorKind): void {
 		const {codec, metrics} = this.#context;
 		const {ran, status} = errorAnswers[kind];
 		metrics.countError(kind);
-		if (!res.req.complete && !res.headersSent && !discardsBody) {
+		const isDiscarded = headRefusals.has(kind) && Number(res.req.headers['content-length']) <= MAX_DISCARDED_BYTES;
+		if (!res.req.complete && !res.headersSent && !isDiscarded) {
 			// The rest of the body is not read.
 			res.setHeader('connection', 'close');
 		}
--- a/test/base/memory-account.test.ts
+++ b/test/base/memory-account.test.ts
@@ -2,10 +2,12 @@
 import {
 	type Holding, HoldingKind, type HoldingOptions, MemoryAccount, Relief,
 } from '../../src/base/memory-account.js';
+import {heldLimitBytes} from '../../src/gateway/process-limits.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
 import {Log} from '../../src/base/log.js';
 
-const LIMIT_BYTES = 80_000_000;
+/** Account of the smallest VMs. */
+const LIMIT_BYTES = heldLimitBytes(250_000_000);
 const BODY_BYTES = 4_194_304;
 
 describe('account of held bytes', () => {
