--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import {type Log, LogPrefix} from '../base/log.js';
 import {type Metrics} from '../base/metrics.js';
 import {Invariants} from '../base/invariant.js';
+import {MemoryAccount} from '../base/memory-account.js';
 import {type Random} from '../base/random.js';
 import {Coordinator} from '../link/coordinator.js';
 import {type LeaderRegister} from '../link/leader-register.js';
@@ -27,6 +28,7 @@
 import {type CallCodec} from './call-codec.js';
 import {DeploymentState} from './deployment-state.js';
 import {FrontServer} from './front-server.js';
+import {heldLimitBytes, maxCallerConnections} from './process-limits.js';
 import {RequestLedger} from './request-ledger.js';
 import {PlannedStop} from './planned-stop.js';
 import {UpstreamPauses} from './upstream-pauses.js';
@@ -146,6 +148,14 @@
 				this.#publishReadiness();
 			},
 		});
+		const memory = MemoryAccount.create({
+			clock,
+			log: log.part(LogPrefix.Gateway),
+			limitBytes: heldLimitBytes(options.memoryBytes),
+			onRelief(relief) {
+				metrics.countRelief(relief);
+			},
+		});
 		let askCount = 0;
 		this.#front = FrontServer.create({
 			clock,
@@ -156,6 +166,7 @@
 			pauses: UpstreamPauses.create(clock, log.part(LogPrefix.Gateway)),
 			quarantine: this.#allocator.quarantine,
 			ledger: this.#ledger,
+			memory,
 			running: new Set(),
 			codec,
 			dataCentre: self.dataCentre,
@@ -164,7 +175,7 @@
 				askCount += 1;
 				return `${self.boot}-${askCount}`;
 			},
-		}, random);
+		}, random, maxCallerConnections(options.memoryBytes, options.maxDescriptors));
 		this.coordinator = Coordinator.create({
 			clock,
 			random,
@@ -184,6 +195,8 @@
 		metrics.registerSources({
 			invariants,
 			inFlight: () => this.#front.inFlight,
+			memory,
+			connections: () => this.#front.connectionCount,
 			openRequests: () => this.#ledger.counts.open,
 			waiting: () => this.#allocator.waitingCount,
 			limitedUpstreams: () => this.state.limits.size,
--- a/test/support/front-harness.ts
+++ b/test/support/front-harness.ts
@@ -13,6 +13,7 @@
 import {SystemClock} from '../../src/base/clock.js';
 import {Invariants} from '../../src/base/invariant.js';
 import {Log, LogLevel} from '../../src/base/log.js';
+import {MemoryAccount} from '../../src/base/memory-account.js';
 import {Metrics} from '../../src/base/metrics.js';
 import {Random} from '../../src/base/random.js';
 import {DeploymentState} from '../../src/gateway/deployment-state.js';
@@ -28,6 +29,8 @@
 import {RawConnection, type RawResponse, sendRaw} from './raw-http.js';
 
 const HOST = 'desk.example';
+const MEMORY_BYTES = 100_000_000;
+const MAX_CONNECTIONS = 1000;
 
 /** A request that an upstream received. */
 export type ReceivedRequest = {
@@ -175,6 +178,9 @@
 			pauses: UpstreamPauses.create(this.#clock, Log.create('silent')),
 			quarantine: this.#allocator.quarantine,
 			ledger: this.ledger,
+			memory: MemoryAccount.create({
+				clock: this.#clock, log, limitBytes: MEMORY_BYTES, onRelief: () => undefined,
+			}),
 			running: new Set(),
 			codec: this.codec,
 			dataCentre: 'a',
@@ -183,7 +189,7 @@
 				askCount += 1;
 				return `ask-${askCount}`;
 			},
-		}, Random.create(1));
+		}, Random.create(1), MAX_CONNECTIONS);
 	}
 
 	/** How each request ended, by ID, in order of the ends. */
