--- a/test/allocation/momentary-pace.test.ts
+++ b/test/allocation/momentary-pace.test.ts
@@ -1,7 +1,8 @@
 import {expect} from 'chai';
 import {MomentaryPace} from '../../src/allocation/momentary-pace.js';
 import {Pace, PoolPace} from '../../src/allocation/pace.js';
-import {type DayOptions, Figures, SimulatedDay} from './simulated-day.js';
+import {type DayOptions, Figures} from './day-options.js';
+import {SimulatedDay} from './simulated-day.js';
 
 /** @returns Share of the grants that an engine of average speed got, relative to an even share among such engines. */
 function relativeGrants(engine: number, changes: Partial<DayOptions>): number {
--- a/test/allocation/simulated-day.ts
+++ b/test/allocation/simulated-day.ts
@@ -4,13 +4,14 @@
  */
 import {createHash} from 'node:crypto';
 import {emptyReport, type PlaceRequest} from '../../src/allocation/allocation.js';
-import {Allocator, type AllocatorOptions} from '../../src/allocation/allocator.js';
+import {Allocator} from '../../src/allocation/allocator.js';
 import {Random} from '../../src/base/random.js';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
 import {Ending} from '../../src/gateway/exchange-ending.js';
 import {Operation, RoutingTable} from '../../src/gateway/routing-table.js';
 import {UpstreamLimits} from '../../src/gateway/upstream-limits.js';
 import {createPlaceRequest} from '../support/place-request.js';
+import {type DayOptions, type DayResult, Figures} from './day-options.js';
 import {SimulatedEngine} from './simulated-engine.js';
 
 const POOL = 'advice';
@@ -29,53 +30,6 @@
 	{promptTokens: 1110, events: 25, objectiveMs: 400},
 ] as const;
 
-/** Where the allocator gets the upstreams' statements from. */
-export const Figures = {
-	None: 'none',
-	Responses: 'responses',
-	/** Responses, and one probe of a random upstream at each interval. */
-	Probes: 'probes',
-	/** Each change is known at once: a bound on what knowledge can give. */
-	Always: 'always',
-} as const;
-
-export type Figures = (typeof Figures)[keyof typeof Figures];
-
-export type DayOptions = {
-	readonly seed: number;
-	readonly figures: Figures;
-	readonly requestsPerSecond: number;
-	readonly seconds?: number;
-	readonly engineCount?: number;
-	readonly isEngine?: boolean;
-	readonly momentMs?: number;
-	readonly failureRatio?: number;
-	/** Interval at which an upstream leaves the list and comes back as a new one, in ms. */
-	readonly replacementMs?: number;
-	readonly probeIntervalMs?: number;
-	readonly allocator?: Partial<AllocatorOptions>;
-	/** What an engine states, as a factor of the usual, where it differs from the truth. */
-	readonly stated?: (engine: number, moment: number) => number;
-	readonly failureRatioOf?: (engine: number) => number;
-};
-
-export type DayResult = {
-	readonly requests: number;
-	readonly onTime: number;
-	readonly refused: number;
-	/** On-time share of the class with the smallest one. */
-	readonly worstClass: number;
-	/** On-time share of the worst tenth of the half-second windows. */
-	readonly worstWindows: number;
-	/** Shares of the served requests that missed the objective, and whose longest pause was over its bound. */
-	readonly late: number;
-	readonly paused: number;
-	readonly firstMs: {readonly mean: number; readonly p95: number};
-	readonly grantsOf: readonly number[];
-	/** Digest of all decisions in order. */
-	readonly digest: string;
-};
-
 type Outcome = {readonly at: number; readonly kind: number; isOnTime: boolean; isLate: boolean; isPaused: boolean};
 
 /** Runs one day. */
--- a/test/allocation/unchanged-decisions.test.ts
+++ b/test/allocation/unchanged-decisions.test.ts
@@ -1,7 +1,8 @@
 import {createHash} from 'node:crypto';
 import {expect} from 'chai';
 import {Random} from '../../src/base/random.js';
-import {Figures, SimulatedDay} from './simulated-day.js';
+import {Figures} from './day-options.js';
+import {SimulatedDay} from './simulated-day.js';
 
 const DAYS = 24;
 /** Computed on commit 7641fd3, before upstreams' statements of their momentary pace were read. */
