--- a/src/base/connection-limit.ts
+++ b/src/base/connection-limit.ts
@@ -23,6 +23,8 @@
 	readonly address: string;
 	/** Requests whose response has not been sent. */
 	openCount: number;
+	/** Rises with each connection and each response. */
+	usedAt: number;
 };
 
 /** Counts the connections of one server. */
@@ -32,11 +34,11 @@
 	}
 
 	readonly #options: ConnectionLimitOptions;
-	/** In order of their last request, or of the connection. */
 	readonly #connections = new Map<Socket, Connection>();
 	readonly #countByAddress = new Map<string, number>();
 	#loggedAt = Number.NEGATIVE_INFINITY;
 	#closedCount = 0;
+	#useCount = 0;
 
 	private constructor(options: ConnectionLimitOptions) {
 		this.#options = options;
@@ -57,7 +59,8 @@
 
 	#add(socket: Socket): void {
 		const address = socket.remoteAddress ?? '';
-		this.#connections.set(socket, {address, openCount: 0});
+		this.#useCount += 1;
+		this.#connections.set(socket, {address, openCount: 0, usedAt: this.#useCount});
 		this.#countByAddress.set(address, (this.#countByAddress.get(address) ?? 0) + 1);
 		socket.once('close', () => {
 			this.#remove(socket);
@@ -89,9 +92,8 @@
 		connection.openCount += 1;
 		res.once('close', () => {
 			connection.openCount -= 1;
-			if (this.#connections.delete(socket)) {
-				this.#connections.set(socket, connection);
-			}
+			this.#useCount += 1;
+			connection.usedAt = this.#useCount;
 		});
 	}
 
@@ -110,18 +112,18 @@
 	}
 
 	#findVictim(): Socket | undefined {
-		const maxCount = Math.max(...this.#countByAddress.values());
-		let fallback: Socket | undefined;
-		for (const [socket, {address, openCount}] of this.#connections) {
-			if (openCount === 0) {
-				if (this.#countByAddress.get(address) === maxCount) {
-					return socket;
-				}
-
-				fallback ??= socket;
+		let victim: Socket | undefined;
+		let victimCount = 0;
+		let victimUsedAt = 0;
+		for (const [socket, {address, openCount, usedAt}] of this.#connections) {
+			const count = this.#countByAddress.get(address)!;
+			if (openCount === 0 && (count > victimCount || (count === victimCount && usedAt < victimUsedAt))) {
+				victim = socket;
+				victimCount = count;
+				victimUsedAt = usedAt;
 			}
 		}
 
-		return fallback;
+		return victim;
 	}
 }
--- a/src/base/memory-account.ts
+++ b/src/base/memory-account.ts
@@ -92,11 +92,14 @@
 	/** Progress from which `MIN_PROGRESS_BYTES` are counted, and its time. */
 	mark = 0;
 	markAt = 0;
+	/** Kind and party whose shares are charged. */
+	readonly shareKey: string;
 	readonly #account: MemoryAccount;
 
 	constructor(account: MemoryAccount, options: HoldingOptions) {
 		this.#account = account;
 		this.options = options;
+		this.shareKey = `${options.kind} ${options.party}`;
 	}
 
 	/** Charges bytes that are held already, whether or not there is room. */
@@ -222,16 +225,19 @@
 	}
 
 	cancelWait(holding: Holding): void {
-		holding.waiter = undefined;
-		this.#waiting.delete(holding);
+		if (holding.waiter !== undefined) {
+			holding.waiter = undefined;
+			this.#waiting.delete(holding);
+		}
 	}
 
 	restart(holding: Holding): void {
 		const now = this.#options.clock.now();
 		const progress = holding.options.progress();
-		Object.assign(holding, {
-			seen: progress, seenAt: now, mark: progress, markAt: now,
-		});
+		holding.seen = progress;
+		holding.seenAt = now;
+		holding.mark = progress;
+		holding.markAt = now;
 	}
 
 	close(holding: Holding): void {
@@ -254,10 +260,13 @@
 	}
 
 	#charge(holding: Holding, change: number): void {
-		const {kind, party} = holding.options;
+		if (change === 0) {
+			return;
+		}
+
+		const key = holding.shareKey;
 		holding.bytes += change;
-		this.#byKind[kind] += change;
-		const key = `${kind} ${party}`;
+		this.#byKind[holding.options.kind] += change;
 		const sum = (this.#byParty.get(key) ?? 0) + change;
 		if (sum === 0) {
 			this.#byParty.delete(key);
@@ -266,7 +275,7 @@
 		}
 	}
 
-	#fits({options: {kind, party}, bytes}: Holding, totalBytes: number): boolean {
+	#fits({options: {kind}, shareKey, bytes}: Holding, totalBytes: number): boolean {
 		const extra = totalBytes - bytes;
 		const held = this.#byKind[kind];
 		const maxBytes = this.limitBytes / 2;
@@ -276,7 +285,7 @@
 
 		// A message that is larger than all of its part is held alone.
 		const maxLargeBytes = LARGE_RATIO * maxBytes;
-		return held === bytes || (held + extra <= maxLargeBytes && (this.#byParty.get(`${kind} ${party}`) ?? 0) + extra <= PARTY_RATIO * maxLargeBytes);
+		return held === bytes || (held + extra <= maxLargeBytes && (this.#byParty.get(shareKey) ?? 0) + extra <= PARTY_RATIO * maxLargeBytes);
 	}
 
 	#isPressed(kind: HoldingKind): boolean {
--- a/src/base/unread-bytes.ts
+++ b/src/base/unread-bytes.ts
@@ -10,13 +10,17 @@
 
 /** Writes one response. */
 export class UnreadBytes {
-	/** @param maxBytes - Maximum size of what is held for the caller. */
-	static create(res: ServerResponse, holding: Holding, maxBytes: number): UnreadBytes {
-		return new UnreadBytes(res, holding, maxBytes);
+	/**
+	 * @param maxBytes - Maximum size of what is held for the caller.
+	 * @param openHolding - Called once the caller is slow for the first time: most never are.
+	 */
+	static create(res: ServerResponse, maxBytes: number, openHolding: () => Holding): UnreadBytes {
+		return new UnreadBytes(res, maxBytes, openHolding);
 	}
 
 	readonly #res: ServerResponse;
-	readonly #holding: Holding;
+	readonly #openHolding: () => Holding;
+	#opened: Holding | undefined;
 	readonly #maxBytes: number;
 	/** Writes that follow once the connection takes more. They are passed on a few at a time, so that progress shows. */
 	#queue: Uint8Array[] = [];
@@ -26,9 +30,9 @@
 	#isFull = false;
 	#isEnded = false;
 
-	private constructor(res: ServerResponse, holding: Holding, maxBytes: number) {
+	private constructor(res: ServerResponse, maxBytes: number, openHolding: () => Holding) {
 		this.#res = res;
-		this.#holding = holding;
+		this.#openHolding = openHolding;
 		this.#maxBytes = maxBytes;
 	}
 
@@ -65,6 +69,11 @@
 		}
 	}
 
+	get #holding(): Holding {
+		this.#opened ??= this.#openHolding();
+		return this.#opened;
+	}
+
 	get #heldBytes(): number {
 		return this.#res.writableLength + this.#queuedBytes + (this.#queue.length * WRITE_BYTES);
 	}
--- a/src/entry/http-sink.ts
+++ b/src/entry/http-sink.ts
@@ -41,18 +41,20 @@
 	private constructor(res: ServerResponse, errorFormat: ErrorFormat, {account, ...owner}: Reader) {
 		super();
 		this.#res = res;
-		const holding = account.open({
-			...owner,
-			kind: HoldingKind.Response,
-			progress: () => this.#unread.passedBytes,
-			onStalled() {
-				res.destroy();
-			},
+		this.#unread = UnreadBytes.create(res, MAX_UNREAD_BYTES, () => {
+			const holding = account.open({
+				...owner,
+				kind: HoldingKind.Response,
+				progress: () => this.#unread.passedBytes,
+				onStalled() {
+					res.destroy();
+				},
+			});
+			res.once('close', () => {
+				holding.close();
+			});
+			return holding;
 		});
-		res.once('close', () => {
-			holding.close();
-		});
-		this.#unread = UnreadBytes.create(res, holding, MAX_UNREAD_BYTES);
 		this.#errorFormat = errorFormat;
 	}
 
--- a/src/gateway/response-delivery.ts
+++ b/src/gateway/response-delivery.ts
@@ -68,7 +68,7 @@
 				res.destroy();
 			},
 		});
-		this.#unread = UnreadBytes.create(res, this.#holding, MAX_UNREAD_BYTES);
+		this.#unread = UnreadBytes.create(res, MAX_UNREAD_BYTES, () => this.#holding);
 		res.once('close', () => {
 			this.#holding.close();
 		});
