Locality: the price of leaving rises while the home data centre has room

Cause: constant costs send requests abroad for a few ms although their own data centre would serve them in time. Change: in pools whose upstreams state their pace, the cost is the link's delay and the price of the bytes, times up to 5 while the home data centre has room; other pools cost as before.

--- a/src/allocation/pace.ts
+++ b/src/allocation/pace.ts
@@ -52,6 +52,8 @@
 	}
 
 	readonly isEngine: boolean;
+	/** Whether an upstream of the pool has stated its momentary pace. */
+	hasStatements = false;
 	/** Ratio of the observed to the initially estimated time to the first event, at an upstream of factor 1. */
 	#firstScale = 1;
 	#plainMs = INITIAL_PLAIN_SERVICE_MS;
@@ -184,6 +186,7 @@
 
 	/** Records what the upstream stated about its pace at the moment. */
 	noteStated(stated: StatedPace, now: number): void {
+		this.#pool.hasStatements = true;
 		this.#pool.refine();
 		this.#moment.note(stated, now);
 	}
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -6,6 +6,7 @@
 import {type PoolSettings} from '../gateway/routing-table.js';
 import {type UpstreamLimits} from '../gateway/upstream-limits.js';
 import {type Upstream} from '../gateway/upstream-list.js';
+import {AdaptiveLocality, type LinkCosts} from './adaptive-locality.js';
 import {type PlaceRequest, type PlaceReport} from './allocation.js';
 import {Capacity} from './capacity.js';
 import {type Locality} from './locality.js';
@@ -62,9 +63,11 @@
 	readonly random: Random;
 	readonly scope: Scope;
 	readonly filters?: readonly PlacementFilter[];
+	/** Replaces the decision by room, links and prices. */
 	readonly locality?: Locality;
 	/** Whether customers share scarce room, estimates are detailed from the start, and the memory of upstreams is accounted for. */
 	readonly isUnderPressure?: boolean;
+	readonly links?: LinkCosts;
 };
 
 /** The upstreams and the queue of one service. */
@@ -98,14 +101,14 @@
 	#usualFactor = 1;
 
 	private constructor({
-		name, settings, repeatBounds, limits, random, scope, filters = [], locality, isUnderPressure = false,
+		name, settings, repeatBounds, limits, random, scope, filters = [], locality, links, isUnderPressure = false,
 	}: PoolOptions) {
 		this.name = name;
 		this.#random = random;
 		this.#limits = limits;
 		this.#scope = scope;
 		this.#filters = filters;
-		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters: isUnderPressure ? [...filters, this.memory] : filters, locality});
+		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters: isUnderPressure ? [...filters, this.memory] : filters, locality: locality ?? AdaptiveLocality.create(this, links)});
 		const overload = isUnderPressure ? Overload.create(random) : undefined;
 		this.overload = overload;
 		this.waiting = WaitingQueue.create({
@@ -119,6 +122,16 @@
 		this.setSettings(settings);
 	}
 
+	/** Whether upstreams of the pool state their momentary pace. */
+	get hasStatements(): boolean {
+		return this.#pace.hasStatements;
+	}
+
+	/** Whether other VMs use the upstreams without this allocator's knowledge. */
+	get isStandalone(): boolean {
+		return this.#scope.isStandalone;
+	}
+
 	setSettings(settings: PoolSettings | undefined): void {
 		if (settings !== undefined && this.#isUnderPressure) {
 			this.memory.setSettings(settings);
