--- a/src/allocation/locality.ts
+++ b/src/allocation/locality.ts
@@ -29,3 +29,12 @@
 		return upstream.dataCentre === dataCentre ? 0 : OTHER_DATA_CENTRE_COST_MS;
 	}
 }
+
+/** @returns What a request leaves if it is sent to the upstream; `undefined` if it stays in its data centre. */
+export function leftArea({region, dataCentre}: PlaceRequest, upstream: Upstream): 'region' | 'data-centre' | undefined {
+	if (upstream.region !== region) {
+		return 'region';
+	}
+
+	return upstream.dataCentre === dataCentre ? undefined : 'data-centre';
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import process from 'node:process';
 import {Allocator, type Decision} from '../allocation/allocator.js';
 import {type ShareDecision} from '../allocation/overload.js';
+import {leftArea} from '../allocation/locality.js';
 import {type RetryBounds} from '../allocation/pool-retry-budget.js';
 import {type QuotaTolerance} from '../allocation/quotas.js';
 import {CrashRecorder} from '../allocation/crash-recorder.js';
@@ -317,6 +318,7 @@
 			waitedMs: Math.round(waitedMs),
 			waiting,
 			expectedFirstMs: expectedFirstMs === undefined ? undefined : Math.round(expectedFirstMs),
+			leaves: upstream === undefined ? undefined : leftArea(ask, upstream),
 			attempt: ask.attempt,
 			quotaCost: ask.quotaCost === 0 ? undefined : ask.quotaCost,
 			objectiveMs: Math.round(objectiveMs),
