--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -205,6 +205,7 @@
 	/** Gives up leadership and stops claiming it, so that another VM takes over while this one still serves its callers. */
 	resign(): void {
 		this.#election.resign();
+		this.#client?.send({kind: 'resigned'});
 		if (this.#role === Role.Leading) {
 			this.#options.log.info('Resigned as the allocator.');
 			const hasSuccessor = this.#host.handOver(0);
--- a/src/link/leader-host.ts
+++ b/src/link/leader-host.ts
@@ -75,6 +75,8 @@
 	lastSentAt: number;
 	/** Whether this leader reached the store, as the VM was told last. */
 	toldReachesStore: boolean;
+	/** Whether the VM stops as planned. */
+	hasResigned: boolean;
 	/** Whether the whole member list was sent; from then on only changes are. */
 	hasMemberList: boolean;
 };
@@ -152,7 +154,7 @@
 		const now = clock.now();
 		const before = [...this.#links.values()].findLast(({member}) => member.name === hello.member.name);
 		const link: Link = {
-			member: hello.member, channel, askIds: new Set(), configurationVersion: hello.configurationVersion, before, lastReceivedAt: now, lastSentAt: now, toldReachesStore: true, hasMemberList: false,
+			member: hello.member, channel, askIds: new Set(), configurationVersion: hello.configurationVersion, before, lastReceivedAt: now, lastSentAt: now, toldReachesStore: true, hasResigned: false, hasMemberList: false,
 		};
 		this.#links.set(channel, link);
 		log.info('VM linked.', {vm: hello.member.name, links: this.#links.size});
@@ -234,6 +236,11 @@
 				break;
 			}
 
+			case 'resigned': {
+				link.hasResigned = true;
+				break;
+			}
+
 			case 'leaving': {
 				state.noteLeaving(message.boots);
 				break;
@@ -299,6 +306,11 @@
 			log, rollouts, allocator, clock,
 		} = this.#options;
 		this.#links.delete(channel);
+		if (link.hasResigned) {
+			// It cannot have another leader, unlike a VM whose link was lost.
+			this.#knownVmCount = Math.max(0, this.#knownVmCount - 1);
+		}
+
 		if ([...this.#links.values()].every(({member}) => member.name !== link.member.name)) {
 			rollouts?.informed.noteLost(link.member.name, Math.max(0, ...[...link.askIds].map(id => allocator.remainingMs(id))), clock.now());
 		}
--- a/src/link/message-schemas.ts
+++ b/src/link/message-schemas.ts
@@ -176,6 +176,7 @@
 	suspicions: z.object({suspicions}),
 	rollouts: z.object({rollouts}),
 	'rollouts-known': z.object({revision: count}),
+	resigned: empty,
 	'need-configuration': empty,
 	configuration: z.object({configuration}),
 	beat: empty,
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -65,6 +65,8 @@
 	| {readonly kind: 'rollouts'; readonly rollouts: readonly PoolVersions[]}
 	/** The VM acts on the state of the roll-outs with this number. */
 	| {readonly kind: 'rollouts-known'; readonly revision: number}
+	/** The VM stops as planned and never claims leadership again; sent before its link ends. */
+	| {readonly kind: 'resigned'}
 	/** The VM cannot read the configuration from the store. */
 	| {readonly kind: 'need-configuration'}
 	/** The configuration in force at the VM, which the leader has asked for. */
--- a/test/link/leader-host.test.ts
+++ b/test/link/leader-host.test.ts
@@ -217,6 +217,25 @@
 		expect(shares.at(-1)).to.equal(1);
 	});
 
+	// Guards against customers that are refused for half of their quota: VMs that stopped in turn while the store was away
+	// counted as lost ones, which may have another leader.
+	it('grant the whole of the quotas after a VM has stopped as planned, also without the store', () => {
+		const shares: number[] = [];
+		allocator.setShare = share => {
+			shares.push(share);
+		};
+
+		reachesStore = false;
+		host.start({
+			name: 'vm', linkAddress: 'vm:81', boot: 'vm-1', term: {era: 1, version: 1}, vmCount: 2,
+		});
+		clock.advance(300);
+		host.receive(channel, {kind: 'resigned'});
+		host.remove(channel);
+		clock.advance(1000);
+		expect(new Set(shares)).to.deep.equal(new Set([1]));
+	});
+
 	it('release all places and queue entries of a VM whose link is lost', () => {
 		host.receive(channel, {kind: 'ask', ask: makeDeskAsk('granted')});
 		host.receive(channel, {kind: 'ask', ask: makeDeskAsk('waiting')});
