--- a/bench/locality-simulation.ts
+++ b/bench/locality-simulation.ts
@@ -48,7 +48,7 @@
 	readonly distantFactor?: number;
 };
 
-export const tenantDesk: Deployment = {
+export const swingingDemand: Deployment = {
 	engineCount: 98, slots: 4, promptTokensPerMs: 61.2, stepMs: 3.37, tokensPerEvent: 7, dataCentreDelayMs: 1.4, regionDelayMs: 8, maxPauseMs: 400, slowMomentRatio: 0.15,
 	classes: [{promptTokens: 3720, events: 17, objectiveMs: 600}, {promptTokens: 2890, events: 7, objectiveMs: 600}, {promptTokens: 1110, events: 25, objectiveMs: 400}],
 	requestsPerSecond: 260,
@@ -56,7 +56,7 @@
 };
 
 /** One customer of 16 sends five times its usual load in the middle third, mostly in its own data centre, at a peak of 1.6. */
-export const bookkeeping: Deployment = {
+export const hotCustomer: Deployment = {
 	engineCount: 78, slots: 5, promptTokensPerMs: 157, stepMs: 3.55, tokensPerEvent: 8, dataCentreDelayMs: 0.5, regionDelayMs: 8, maxPauseMs: 250, slowMomentRatio: 0,
 	classes: [{promptTokens: 3720, events: 15, objectiveMs: 500}, {promptTokens: 2890, events: 7, objectiveMs: 300}, {promptTokens: 1110, events: 22, objectiveMs: 300}],
 	requestsPerSecond: 200,
--- a/bench/locality.ts
+++ b/bench/locality.ts
@@ -7,7 +7,7 @@
 import {type PlaceRequest} from '../src/allocation/allocation.js';
 import {FixedLocality, Locality} from '../src/allocation/locality.js';
 import {
-	bookkeeping, type DayReport, type Deployment, LocalitySimulation, tenantDesk,
+	hotCustomer, type DayReport, type Deployment, LocalitySimulation, swingingDemand,
 } from './locality-simulation.js';
 
 const SEEDS = Number(process.argv[2] ?? 3);
@@ -31,12 +31,12 @@
 }
 
 const days: ReadonlyArray<readonly [string, Deployment]> = [
-	['tenant desk, 260/s', tenantDesk],
-	['tenant desk, 450/s', {...tenantDesk, requestsPerSecond: 450}],
-	['tenant desk, 260/s, a dead data centre', {...tenantDesk, deadDataCentre: 1}],
-	['tenant desk, 260/s, a slow region', {...tenantDesk, distantFactor: 3}],
-	['bookkeeping, 200/s', bookkeeping],
-	['bookkeeping, 360/s', {...bookkeeping, requestsPerSecond: 360}],
+	['swinging demand, 260/s', swingingDemand],
+	['swinging demand, 450/s', {...swingingDemand, requestsPerSecond: 450}],
+	['swinging demand, 260/s, a dead data centre', {...swingingDemand, deadDataCentre: 1}],
+	['swinging demand, 260/s, a slow region', {...swingingDemand, distantFactor: 3}],
+	['a hot customer, 200/s', hotCustomer],
+	['a hot customer, 360/s', {...hotCustomer, requestsPerSecond: 360}],
 ];
 const rules: ReadonlyArray<readonly [string, Locality | undefined]> = [
 	['never leaves', ConstantCost.create(Number.POSITIVE_INFINITY)],
@@ -49,7 +49,7 @@
 for (const [day, deployment] of days) {
 	for (const [rule, locality] of rules) {
 		// Waiting lists of some thousand requests make the overloaded days of this rule slow.
-		if (rule === 'never leaves' && deployment !== tenantDesk) {
+		if (rule === 'never leaves' && deployment !== swingingDemand) {
 			continue;
 		}
 
--- a/src/allocation/adaptive-locality.ts
+++ b/src/allocation/adaptive-locality.ts
@@ -18,7 +18,7 @@
 const MIN_CHARGED_BYTES = 20_000;
 const BYTES_PER_GB = 1e9;
 /**
- * Factor of the price while the home data centre has ample room. In the simulation of the tenant desk at light load, 5 sends
+ * Factor of the price while the home data centre has ample room. In the simulation of swinging demand at light load, 5 sends
  * fewer bytes to other regions than constant costs, with the same on-time share and time to the first event.
  */
 const ROOM_PRICE_FACTOR = 5;
--- a/test/allocation/adaptive-locality.test.ts
+++ b/test/allocation/adaptive-locality.test.ts
@@ -6,7 +6,7 @@
 import {type HeldRequest, type TrackedUpstream} from '../../src/allocation/tracked-upstream.js';
 import {UpstreamHealth} from '../../src/allocation/upstream-health.js';
 import {Random} from '../../src/base/random.js';
-import {bookkeeping, LocalitySimulation, tenantDesk} from '../../bench/locality-simulation.js';
+import {hotCustomer, LocalitySimulation, swingingDemand} from '../../bench/locality-simulation.js';
 import {createPlaceRequest} from '../support/place-request.js';
 
 const SLOTS = 10;
@@ -75,7 +75,7 @@
 
 	// Guards against requests that wait or are late at home while a neighbour has room: demand that swings with a phase of its own
 	// in each data centre, a hot customer in one of them, and a data centre that dies.
-	for (const [name, deployment] of [['swinging demand', tenantDesk], ['a hot customer', bookkeeping], ['a dead data centre', {...tenantDesk, deadDataCentre: 1}]] as const) {
+	for (const [name, deployment] of [['swinging demand', swingingDemand], ['a hot customer', hotCustomer], ['a dead data centre', {...swingingDemand, deadDataCentre: 1}]] as const) {
 		it(`serves as well as with constant costs, with less traffic between regions: ${name}`, () => {
 			const before = LocalitySimulation.run(deployment, 5, {locality: FixedLocality.create()}, 12);
 			const after = LocalitySimulation.run(deployment, 5, {}, 12);
--- a/test/allocation/momentary-pace.test.ts
+++ b/test/allocation/momentary-pace.test.ts
@@ -57,7 +57,7 @@
 		expect(slow.factor / changing.factor).to.be.within(3.3, 4.8);
 	});
 
-	// Load of customer N below its capacity: guards against statements that have no effect on the choice.
+	// Swinging demand below the capacity: guards against statements that have no effect on the choice.
 	it('shortens the time to the first event, compared with upstreams that state their average', () => {
 		for (const seed of [11, 12, 13]) {
 			const options = {
@@ -68,7 +68,7 @@
 		}
 	});
 
-	// Load of customer N below its capacity: guards against estimates that need long streams and many answers.
+	// Swinging demand below the capacity: guards against estimates that need long streams and many answers.
 	it('lets more streams be on time in the worst windows than the estimates of pools without statements', () => {
 		const options = {seed: 11, requestsPerSecond: 90, seconds: 20};
 		const before = SimulatedDay.run({...options, figures: Figures.None});
--- a/test/allocation/simulated-day.ts
+++ b/test/allocation/simulated-day.ts
@@ -23,7 +23,7 @@
 const MS_PER_SECOND = 1000;
 const WINDOW_MS = 500;
 
-/** Classes of streams, as at the tenant desk: mean prompt tokens, mean events, objective in ms. */
+/** Classes of streams of a deployment with swinging demand: mean prompt tokens, mean events, objective in ms. */
 const classes = [
 	{promptTokens: 3720, events: 17, objectiveMs: 600},
 	{promptTokens: 2890, events: 7, objectiveMs: 600},
