Memory of upstreams: a request that fits nowhere is refused with 503

422 said that such requests crash upstreams, and a 4xx tells the caller that a proper request is improper. Upstreams themselves refuse it as if they were full.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -413,8 +413,8 @@
 		}
 
 		if (pool.memory.isTooLarge(ask)) {
-			// Upstreams crash when they run out of memory, and it is no use to send the request again.
-			return {kind: ErrorKind.CrashSuspect, retryAfterMs: 0};
+			// An upstream refuses such a request as if it were full. The request is proper, and another configuration may have room for it.
+			return {kind: ErrorKind.Overloaded, retryAfterMs: retryDelayMs(pool, waiting, now)};
 		}
 
 		if (ask.remainingMs <= 0) {
