--- a/src/link/leader-election.ts
+++ b/src/link/leader-election.ts
@@ -25,11 +25,6 @@
 const DEFAULT_VM_COUNT = 8;
 /** How long a leader may be unable to reach the store before a VM that can reach it takes over, in ms. */
 const LEADER_STORE_TIMEOUT_MS = 250;
-/**
- * Time that a leader has to reach the store again after an outage that this VM saw too, in ms; above the longest delay between
- * the leader's own attempts. A takeover costs more than this wait: the VM that is first to reach the store may be a weak one.
- */
-const LEADER_RETURN_MS = 1200;
 /** Time between two attempts of a VM to replace such a leader, in ms; each attempt calls the store. */
 const REPLACE_RETRY_MS = 2000;
 
@@ -76,8 +71,6 @@
 	#isResigned = false;
 	#leaderWithoutStoreSince: number | undefined;
 	#replaceAttemptedAt = Number.NEGATIVE_INFINITY;
-	/** Whether this VM was unable to reach the store too since the leader lost it. */
-	#sawOutage = false;
 
 	private constructor(options: LeaderElectionOptions) {
 		this.#options = options;
@@ -175,7 +168,6 @@
 	noteLeaderStoreAccess(reachesStore: boolean): void {
 		if (reachesStore) {
 			this.#leaderWithoutStoreSince = undefined;
-			this.#sawOutage = false;
 			return;
 		}
 
@@ -306,16 +298,7 @@
 		}
 
 		const read = await register.read();
-		if (read.isErr) {
-			this.#sawOutage = true;
-			return;
-		}
-
-		if (this.#sawOutage) {
-			await clock.sleep(LEADER_RETURN_MS);
-		}
-
-		if (!isStillNeeded()) {
+		if (read.isErr || !isStillNeeded()) {
 			return;
 		}
 
--- a/src/link/store-observers.ts
+++ b/src/link/store-observers.ts
@@ -15,8 +15,7 @@
  * @returns Whether the VM tries the store now.
  */
 export function isStoreObserver(name: string, members: readonly Member[], elapsedMs: number): boolean {
-	// The strongest first, as one that reaches the store takes over.
-	const names = [...members].sort((a, b) => b.strength - a.strength || (a.name < b.name ? -1 : 1)).map(member => member.name);
+	const names = members.map(member => member.name).sort();
 	const index = names.indexOf(name);
 	if (index === -1 || names.length <= OBSERVER_COUNT) {
 		return true;
