--- a/src/link/coordinator.ts
+++ b/src/link/coordinator.ts
@@ -90,10 +90,6 @@
 	#leader: Leader | undefined;
 	#client: LeaderClient | undefined;
 	#watchTimer: Timer | undefined;
-	/** When the leader of this VM's link lost the store. */
-	#leaderStoreLostAt: number | undefined;
-	/** Whether this VM watches the store in place of its leader. */
-	#isObserving = false;
 	#startupTimer: Timer | undefined;
 	/** Whether an allocation has been in use since process start. */
 	#hasStartedAllocating = false;
@@ -363,8 +359,6 @@
 		this.#leader = leader;
 		this.#election.reset();
 		this.#watchTimer?.cancel();
-		this.#leaderStoreLostAt = undefined;
-		this.#isObserving = false;
 		log.info('Linked to the allocator.', {vm: leader.name, ...termFields(leader)});
 		this.#hasStartedAllocating = true;
 		state.upstreams.departed.beginEra(leader.term.era);
@@ -622,23 +616,20 @@
 		}
 	}
 
-	/**
-	 * Watches the store directly while the leader cannot reach it, if this VM is one of those that try, so that changes come
-	 * into force even if no VM can take over. The leader repeats several times a second that it does not reach the store.
-	 */
+	/** Watches the store directly while the leader cannot reach it, so that changes come into force here all the same. */
 	#handleLeaderStoreAccess(reachesStore: boolean): void {
 		const {clock, onWatchNeeded} = this.#options;
+		const wasWithoutStore = this.#election.isLeaderWithoutStore;
 		this.#election.noteLeaderStoreAccess(reachesStore);
-		if (reachesStore) {
-			this.#leaderStoreLostAt = undefined;
-		} else {
-			this.#leaderStoreLostAt ??= clock.now();
-		}
-
-		const isObserving = this.#leaderStoreLostAt !== undefined && clock.now() - this.#leaderStoreLostAt >= WATCH_DELAY_MS && this.#election.isStoreObserver;
-		if (isObserving !== this.#isObserving) {
-			this.#isObserving = isObserving;
-			onWatchNeeded(isObserving);
+		if (reachesStore && wasWithoutStore) {
+			onWatchNeeded(false);
+		} else if (!reachesStore && !wasWithoutStore) {
+			this.#watchTimer?.cancel();
+			this.#watchTimer = clock.setTimer(WATCH_DELAY_MS, () => {
+				if (this.#election.isLeaderWithoutStore) {
+					onWatchNeeded(true);
+				}
+			});
 		}
 	}
 }
--- a/src/link/leader-election.ts
+++ b/src/link/leader-election.ts
@@ -12,7 +12,6 @@
 import {type Leader, type Member} from './messages.js';
 import {type PeerCalls} from './peer-calls.js';
 import {RecordKeeper} from './record-keeper.js';
-import {isStoreObserver} from './store-observers.js';
 import {isLater, type StoreVersion} from './store-version.js';
 
 /** Time between two searches for the leader, in ms. */
@@ -97,12 +96,6 @@
 		return this.#leaderWithoutStoreSince !== undefined;
 	}
 
-	/** Whether this VM is one of those that try the store while the leader cannot reach it. */
-	get isStoreObserver(): boolean {
-		const {clock, self, state} = this.#options;
-		return this.#leaderWithoutStoreSince !== undefined && isStoreObserver(self().name, state.members, clock.now() - this.#leaderWithoutStoreSince);
-	}
-
 	/** Searches for the leader after a delay, and again until this VM leads or is linked. */
 	scheduleSearch(delayMs: number): void {
 		this.#timer?.cancel();
@@ -173,7 +166,7 @@
 
 		const now = this.#options.clock.now();
 		this.#leaderWithoutStoreSince ??= now;
-		if (this.isStoreObserver && now - this.#leaderWithoutStoreSince >= LEADER_STORE_TIMEOUT_MS && now - this.#replaceAttemptedAt >= REPLACE_RETRY_MS) {
+		if (now - this.#leaderWithoutStoreSince >= LEADER_STORE_TIMEOUT_MS && now - this.#replaceAttemptedAt >= REPLACE_RETRY_MS) {
 			this.#replaceAttemptedAt = now;
 			runInBackground(this.#options.log, 'replacing the allocator', async () => this.#replaceLeader());
 		}
