--- a/test/platform/rollouts.test.ts
+++ b/test/platform/rollouts.test.ts
@@ -81,6 +81,11 @@
 		return state;
 	}
 
+	/** @returns The log lines on roll-outs of all VMs, to be printed if a check fails. */
+	function rolloutLines(): string {
+		return deployment.vms.flatMap(({name, log}) => log.filter(line => line.includes('rollout: ')).map(line => `${name}: ${line}`)).join('\n');
+	}
+
 	function runCount(): number {
 		return candidates.reduce((sum, server) => sum + server.runs.length, 0);
 	}
@@ -138,7 +143,7 @@
 		const old = [...deployment.servers].filter(([, {service}]) => service === 'desk').map(([id]) => id);
 		const calls = callAll();
 		await order(ServerMode.Healthy);
-		expect(await finalState()).to.equal('completed');
+		expect(await finalState(), rolloutLines()).to.equal('completed');
 		for (const id of old) {
 			deployment.crashServer(id);
 		}
