Roll-outs: a few bad answers in a row do not stop a switched version at its bound

A good version was rolled back at the bound if a test had half of the evidence that condemns at that moment, whatever all other answers said; with one answer in thirty lost, two in a row are common. Such a test now counts only if its answers do not speak for the version with half of the full evidence.

--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -37,11 +37,6 @@
 const SPREAD_SHARE = 0.15;
 /** Number of requests sent at once so that a candidate upstream gets busy. */
 const BURST = 8;
-/**
- * Evidence that is needed when the switched candidate has got what a bad version may get: as much as with this part of
- * the time for the switch left.
- */
-const BOUND_REMAINING = 0;
 /** Part of the candidate upstreams that may be missing, e.g. after a crash. */
 const TOLERATED_LOSS = 0.2;
 /** Part of the needed upstreams below which a switch is undone. */
@@ -222,7 +217,7 @@
 
 		if (!this.#isPastBound && this.#exposure.isAtBound((now - this.#startedAt) / this.#periodMs)) {
 			this.#isPastBound = true;
-			this.#open = this.#comparison.open(BOUND_REMAINING, now);
+			this.#open = this.#comparison.openAtBound(now);
 			if (this.#open.length > 0) {
 				return this.#enter(RolloutPhase.RolledBack, `too little evidence after the switch: ${this.#open.join(', ')}`, now);
 			}
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -32,6 +32,11 @@
 /** Parts of the full evidence that suffice when the time for the canary runs out, over all routes and for one of them. */
 const LAST_EVIDENCE = 0.12;
 const LAST_ROUTE_EVIDENCE = 0.02;
+/**
+ * Evidence for the version, in parts of the full one, with which a few bad answers in a row do not stop it at its bound. With
+ * one answer in thirty lost, two in a row are common.
+ */
+const TRUSTED_EVIDENCE = 0.5;
 /** Evidence that condemns after the switch, in parts of the full one, if the answers as a whole speak against the version. */
 const SWITCHED_EVIDENCE = 0.6;
 /** Time for which a verdict is withheld, so that a fault of both versions shows at the base too, in ms. */
@@ -172,6 +177,26 @@
 	 * @returns Names of the tests that have not yet shown that the candidate is good.
 	 */
 	open(remaining: number, now: number): string[] {
+		return [...new Set([...this.#lacking(remaining, now), ...this.suspicious(now)])];
+	}
+
+	/** @returns Names of the tests that speak against the switched candidate when it has got what a bad version may get. */
+	openAtBound(now: number): string[] {
+		const suspicious = this.#suspicious(now).filter(comparison => this.#goodness(comparison, now) < TRUSTED_EVIDENCE);
+		return [...new Set([...this.#lacking(0, now), ...suspicious.map(({name}) => name)])];
+	}
+
+	/** @returns Names of the tests with evidence against the candidate that does not suffice to condemn it. */
+	suspicious(now: number): string[] {
+		return this.#suspicious(now).map(({name}) => name);
+	}
+
+	#suspicious(now: number): Comparison[] {
+		return this.#comparisons().filter(comparison => comparison !== this.#length && this.#badness(comparison, now) >= SUSPICIOUS);
+	}
+
+	/** @returns Names of the tests without the evidence that is needed. */
+	#lacking(remaining: number, now: number): string[] {
 		const open: string[] = [];
 		for (const stratum of [this.#all, ...this.#strata.values(), ...(this.#isBaseBusy(NEEDED_BUSY_SHARE) ? [this.#busy] : [])]) {
 			const last = stratum === this.#all ? LAST_EVIDENCE : LAST_ROUTE_EVIDENCE;
@@ -189,12 +214,7 @@
 			open.push(this.#length.name);
 		}
 
-		return [...new Set([...open, ...this.suspicious(now)])];
-	}
-
-	/** @returns Names of the tests with evidence against the candidate that does not suffice to condemn it. */
-	suspicious(now: number): string[] {
-		return this.#comparisons().filter(comparison => comparison !== this.#length && this.#badness(comparison, now) >= SUSPICIOUS).map(({name}) => name);
+		return open;
 	}
 
 	counts(): TestCounts {
