Locality: the rule of leaving the data centre is a setting of the allocator

Cause: AllocatorOptions could replace the link costs only; an operator who must keep requests at home, or whose links cost nothing, had no rule for it. Change: createLocality makes the rule of each pool: by-room (default), fixed, never or free.

--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -14,8 +14,8 @@
 import {
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, emptyReport, type HeldPlace, type PlaceReport,
 } from './allocation.js';
-import {type LinkCosts} from './adaptive-locality.js';
 import {type Locality} from './locality.js';
+import {type LocalitySettings} from './locality-rule.js';
 import {type StatedPace} from './momentary-pace.js';
 import {type PlacementFilter} from './placement-filter.js';
 import {type PlacementObserver} from './placement-observer.js';
@@ -70,12 +70,12 @@
 	readonly isUnderPressure?: boolean;
 	/** Rules that restrict which upstreams a request may use. */
 	readonly filters?: readonly PlacementFilter[];
-	/** Replaces the decision by room, links and prices. */
+	/** Replaces the rule of `localitySettings`. */
 	readonly locality?: Locality;
 	/** Follows grants and their ends. */
 	readonly observer?: PlacementObserver;
-	/** Delays of the links between data centres, and prices of their traffic. */
-	readonly links?: LinkCosts;
+	/** When requests leave their data centre; by room, with the default delays and prices of links, if absent. */
+	readonly localitySettings?: LocalitySettings;
 };
 
 /** A decision on a place request, for logs and metrics. */
@@ -550,9 +550,9 @@
 	#getOrCreatePool(name: string): Pool {
 		let pool = this.#pools.get(name);
 		if (pool === undefined) {
-			const {repeatBounds, limits, random, filters, locality, links, isUnderPressure} = this.#options;
+			const {repeatBounds, limits, random, filters, locality, localitySettings, isUnderPressure} = this.#options;
 			pool = Pool.create({
-				name, settings: this.#table?.pool(name), repeatBounds, limits, random, scope: this.#scope, filters, locality, links, isUnderPressure,
+				name, settings: this.#table?.pool(name), repeatBounds, limits, random, scope: this.#scope, filters, locality, localitySettings, isUnderPressure,
 			});
 			pool.overload?.setCustomers(this.#table?.configuration.customers ?? []);
 			this.#pools.set(name, pool);
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -6,10 +6,10 @@
 import {type PoolSettings} from '../gateway/routing-table.js';
 import {type UpstreamLimits} from '../gateway/upstream-limits.js';
 import {type Upstream} from '../gateway/upstream-list.js';
-import {AdaptiveLocality, type LinkCosts} from './adaptive-locality.js';
 import {type PlaceRequest, type PlaceReport} from './allocation.js';
 import {Capacity} from './capacity.js';
 import {type Locality} from './locality.js';
+import {createLocality, type LocalitySettings} from './locality-rule.js';
 import {type StatedPace} from './momentary-pace.js';
 import {Overload, type OverloadQuery, type ShareDecision} from './overload.js';
 import {Pace, PoolPace, usualFactor} from './pace.js';
@@ -63,11 +63,11 @@
 	readonly random: Random;
 	readonly scope: Scope;
 	readonly filters?: readonly PlacementFilter[];
-	/** Replaces the decision by room, links and prices. */
+	/** Replaces the rule of `localitySettings`. */
 	readonly locality?: Locality;
 	/** Whether customers share scarce room, estimates are detailed from the start, and the memory of upstreams is accounted for. */
 	readonly isUnderPressure?: boolean;
-	readonly links?: LinkCosts;
+	readonly localitySettings?: LocalitySettings;
 };
 
 /** The upstreams and the queue of one service. */
@@ -101,14 +101,18 @@
 	#usualFactor = 1;
 
 	private constructor({
-		name, settings, repeatBounds, limits, random, scope, filters = [], locality, links, isUnderPressure = false,
+		name, settings, repeatBounds, limits, random, scope, filters = [], locality, localitySettings, isUnderPressure = false,
 	}: PoolOptions) {
 		this.name = name;
 		this.#random = random;
 		this.#limits = limits;
 		this.#scope = scope;
 		this.#filters = filters;
-		this.#placement = Placement.create({serviceMs: ask => this.serviceMs(ask), filters: isUnderPressure ? [...filters, this.memory] : filters, locality: locality ?? AdaptiveLocality.create(this, links)});
+		this.#placement = Placement.create({
+			serviceMs: ask => this.serviceMs(ask),
+			filters: isUnderPressure ? [...filters, this.memory] : filters,
+			locality: locality ?? createLocality(this, localitySettings),
+		});
 		const overload = isUnderPressure ? Overload.create(random) : undefined;
 		this.overload = overload;
 		this.waiting = WaitingQueue.create({
@@ -132,6 +136,11 @@
 		return this.#scope.isStandalone;
 	}
 
+	/** @returns Whether ordinary requests may use the upstream, apart from its room and health. */
+	isOpen(target: TrackedUpstream): boolean {
+		return this.#filters.every(filter => filter.isOpen(target));
+	}
+
 	setSettings(settings: PoolSettings | undefined): void {
 		if (settings !== undefined && this.#isUnderPressure) {
 			this.memory.setSettings(settings);
@@ -290,7 +299,7 @@
 	/** @returns Whether any upstream has a free place. */
 	hasFreePlace(now: number): boolean {
 		for (const target of this.#withFreeSlots) {
-			if (this.#isOpen(target) && this.#canAccept(target, now, 0)) {
+			if (this.isOpen(target) && this.#canAccept(target, now, 0)) {
 				return true;
 			}
 		}
@@ -428,7 +437,7 @@
 				continue;
 			}
 
-			candidates ??= [...this.upstreams.values()].filter(target => this.#isOpen(target) && this.#canAccept(target, now, OVERCOMMITTED_PLACES));
+			candidates ??= [...this.upstreams.values()].filter(target => this.isOpen(target) && this.#canAccept(target, now, OVERCOMMITTED_PLACES));
 			if (candidates.length === 0) {
 				return undefined;
 			}
@@ -473,11 +482,7 @@
 	}
 
 	#openAmong(targets: readonly TrackedUpstream[]): readonly TrackedUpstream[] {
-		return this.#isRestricted ? targets.filter(target => this.#isOpen(target)) : targets;
-	}
-
-	#isOpen(target: TrackedUpstream): boolean {
-		return this.#filters.every(filter => filter.isOpen(target));
+		return this.#isRestricted ? targets.filter(target => this.isOpen(target)) : targets;
 	}
 
 	#levelOf(waiting: WaitingRequest, now: number): number {
@@ -492,7 +497,7 @@
 	#currentCapacity(now: number): Capacity {
 		if (now - this.#capacityAt >= CAPACITY_TTL_MS) {
 			this.#capacityAt = now;
-			const usable = [...this.upstreams.values()].filter(target => !target.upstream.isLeaving && !target.standing.isEjected(now) && this.#isOpen(target));
+			const usable = [...this.upstreams.values()].filter(target => !target.upstream.isLeaving && !target.standing.isEjected(now) && this.isOpen(target));
 			this.#usualFactor = this.#pace.isDetailed ? usualFactor(usable.map(({pace}) => pace)) : 1;
 			this.#capacity = Capacity.create(usable.map(target => {
 				const rate = this.#startRate(target);
