Metrics: requests and bytes by pair of data centres

Cause: nothing showed operators the traffic between data centres, which is billed by volume. Change: each VM counts the requests that it sends to other known data centres, and the bytes of the bodies in both directions. Unknown data centres are not counted, so that the number of time series is bounded. The gateway takes the list of data centres and the rule of leaving them as options. The cost per request has not been measured.

--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -9,6 +9,7 @@
 	Counter, Gauge, type Metric, Registry,
 } from 'prom-client';
 import {CustomerMetrics} from './customer-metrics.js';
+import {DataCentreMetrics} from './data-centre-metrics.js';
 import {type ErrorKind} from './errors.js';
 import {type Invariants} from './invariant.js';
 import {type MemoryAccount, type Relief} from './memory-account.js';
@@ -151,6 +152,8 @@
 	readonly timeBetweenTokens = new DurationSummary('redwingspool_time_between_tokens_seconds', 'Between two parts of a model\'s answer.', this.registry);
 	/** What customers got where they share scarce room. */
 	readonly customers = CustomerMetrics.create(this.registry);
+	/** Traffic with other data centres. */
+	readonly dataCentres = DataCentreMetrics.create(this.registry);
 	readonly #requests: Counter<'tier' | 'outcome'>;
 	readonly #requestsBegun: Counter;
 	readonly #requestEnds: Counter<'end'>;
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -359,13 +359,15 @@
 	}
 
 	#eventsOf(attempt: Attempt): ExchangeEvents {
-		const {clock} = this.#context;
+		const {clock, metrics: {dataCentres}} = this.#context;
+		const {dataCentre} = attempt.upstream;
 		return {
 			onSending: () => {
 				this.#guard(() => {
 					this.#takeOver(attempt);
 					attempt.sentAt = clock.now();
 					this.#sentCount += 1;
+					dataCentres.countRequest(dataCentre, this.#call.body?.length ?? 0);
 					this.#restartStallTimer(attempt);
 				});
 			},
@@ -376,6 +378,7 @@
 			},
 			onData: chunk => {
 				this.#guard(() => {
+					dataCentres.countResponse(dataCentre, chunk.length);
 					this.#onData(attempt, chunk);
 				});
 			},
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import {Allocator, type Decision} from '../allocation/allocator.js';
 import {type ShareDecision} from '../allocation/overload.js';
 import {leftArea} from '../allocation/locality.js';
+import {type LocalitySettings} from '../allocation/locality-rule.js';
 import {type RetryBounds} from '../allocation/pool-retry-budget.js';
 import {type QuotaTolerance} from '../allocation/quotas.js';
 import {CrashRecorder} from '../allocation/crash-recorder.js';
@@ -55,6 +56,10 @@
 	readonly graceMs: number;
 	/** Whether customers share scarce room, and the memory of upstreams is accounted for. */
 	readonly isUnderPressure?: boolean;
+	/** When requests leave their data centre, as this VM decides it while it allocates. */
+	readonly locality?: LocalitySettings;
+	/** Data centres whose traffic with this VM's is counted. */
+	readonly dataCentres?: readonly string[];
 	/** Bounds of roll-outs; without them, versions of upstreams are not distinguished. */
 	readonly rollout?: RolloutBounds & {readonly register: RolloutRegister};
 	/** Memory at which the process is ended, in bytes, if it is limited. */
@@ -116,6 +121,7 @@
 			isUnderPressure: options.isUnderPressure,
 			filters: this.rollouts === undefined ? [] : [this.rollouts.gate],
 			observer: this.rollouts?.samples,
+			localitySettings: options.locality,
 		});
 		this.#allocator.onDecision = decision => {
 			this.#logDecision(decision);
@@ -193,6 +199,7 @@
 			onVersion: options.onVersion,
 			onWatchNeeded: options.onWatchNeeded,
 		});
+		metrics.dataCentres.setKnown(self.dataCentre, options.dataCentres ?? []);
 		metrics.registerSources({
 			invariants,
 			inFlight: () => this.#front.inFlight,
