Test: a few lost answers before the bound do not roll a switched version back

A change of the course had no test of its own: at the bound, a few bad answers in a row stopped a good version although its other answers spoke for it. The test loses four answers within 100 ms before the bound.

--- a/test/rollout/rollout-course.test.ts
+++ b/test/rollout/rollout-course.test.ts
@@ -85,6 +85,23 @@
 		expect(course.phase).to.equal(RolloutPhase.RolledBack);
 	});
 
+	// Guards against a false roll-back at the bound because of a few lost answers in a row, whatever all other answers say.
+	it('completes a good version that loses a few answers just before its bound', () => {
+		const lostAtMs = [7010, 7040, 7070, 7100];
+		progress = {...calm, heldAtBase: 1};
+		runUntil(8000, ({isCandidate}) => {
+			const index = lostAtMs.indexOf(now - 1000);
+			return {
+				isFailure: isCandidate ? index !== -1 : now % 300 === 0, ...(isCandidate && index !== -1 && {upstreamId: `new-${index}`}),
+			};
+		});
+		expect(course.phase, course.reason).to.equal(RolloutPhase.Switching);
+		expect(course.evidence).to.deep.include({candidateBad: lostAtMs.length, open: []});
+		progress = calm;
+		runUntil(8500);
+		expect(course.phase).to.equal(RolloutPhase.Completed);
+	});
+
 	// Guards against requests lost with old upstreams that are stopped while places are held there.
 	it('rolls back when the base version still holds places at the end', () => {
 		progress = {...calm, heldAtBase: 1};
