Servers that are added at the same time get different IDs

"complete a good version, so that the old upstreams can be stopped at once" ended with rolled_back where the calling process stalled. The log gave "1 candidate upstreams can't carry the load of 4": addServer took the ID from the number of servers before it waited for the listening socket, so that the four candidates shared one ID and one entry, and the VMs knew one of them. One is enough while the old upstreams are at most 31% busy; stalls raise their occupancy. The decision was right.

The ID is taken before the wait now, and the test checks that the IDs differ.

--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -161,6 +161,7 @@
 	/** When VMs may receive changes of the store late. */
 	readonly #disturbed = new Spans();
 	#nextId = 1;
+	#nextServer = 0;
 	#isStopped = false;
 
 	private constructor(store: PlatformStore, storeProxies: readonly TcpProxy[], folder: string) {
@@ -172,7 +173,10 @@
 	}
 
 	async addServer(service: string, slots: number, changes: Partial<Pick<PlatformServer, 'version' | 'mode'>> = {}): Promise<PlatformServer> {
-		const server = await PlatformServer.start(`i-${this.#allServers.length}`, slots);
+		// Taken before the wait, so that servers that are added at the same time do not share an ID and thereby one entry.
+		const id = `i-${this.#nextServer}`;
+		this.#nextServer += 1;
+		const server = await PlatformServer.start(id, slots);
 		Object.assign(server, changes);
 		server.isDeadly = prompt => promptParts(prompt).some(part => this.deadlyParts.has(part));
 		Object.assign(server, this.deadlyCrash);
--- a/test/platform/rollouts.test.ts
+++ b/test/platform/rollouts.test.ts
@@ -48,6 +48,8 @@
 	/** Adds servers of a new version, and orders the roll-out. */
 	async function order(mode: ServerMode): Promise<void> {
 		candidates = await Promise.all(Array.from({length: SERVERS}, async () => deployment.addServer('desk', SLOTS, {version: 'v2', mode})));
+		// Servers with the same ID share one entry; one server alone cannot carry the load when it is high.
+		expect(new Set(candidates.map(({id}) => id)).size).to.equal(SERVERS);
 		await sleep(POLL_MS);
 		deployment.store.put('op', STATUS_KEY, {service: 'desk', to: 'v2', periodS: PERIOD_S});
 	}
