Metrics: slow responses during roll-outs, by version

The metrics by version counted requests and failures only, so that a version that was rolled back for its slowness showed nothing. redwingspool_rollout_slow_responses_total counts the responses that the comparison judges to be slow, of the base and of the candidate; the state is in redwingspool_rollouts as before. A course's note() tells whether the sample was slow and whether it led to a verdict.

--- a/src/base/metrics.ts
+++ b/src/base/metrics.ts
@@ -160,6 +160,7 @@
 	readonly #unhandledErrors: Counter;
 	readonly #rolloutRequests: Counter<'version'>;
 	readonly #rolloutFailures: Counter<'version'>;
+	readonly #rolloutSlowResponses: Counter<'version'>;
 	/** Phase of the latest roll-out of each pool. */
 	readonly #rolloutPhases = new Map<string, string>();
 	readonly #reliefs: Counter<'relief'>;
@@ -193,6 +194,9 @@
 		this.#rolloutFailures = new Counter({
 			name: 'redwingspool_rollout_failures_total', help: 'Exchanges that failed during roll-outs, by version: base or candidate.', labelNames: ['version'], registers: [this.registry],
 		});
+		this.#rolloutSlowResponses = new Counter({
+			name: 'redwingspool_rollout_slow_responses_total', help: 'Responses that were slow during roll-outs, by version: base or candidate.', labelNames: ['version'], registers: [this.registry],
+		});
 		const rolloutPhases = this.#rolloutPhases;
 		// eslint-disable-next-line no-new -- the constructor registers the metric
 		new Gauge({
@@ -243,6 +247,11 @@
 		this.#rolloutFailures.inc({version: isCandidate ? 'candidate' : 'base'});
 	}
 
+	/** Counts a response that was slow compared with the base version during a roll-out. */
+	countRolloutSlowResponse(isCandidate: boolean): void {
+		this.#rolloutSlowResponses.inc({version: isCandidate ? 'candidate' : 'base'});
+	}
+
 	/** Records the phase of the latest roll-out of a pool. */
 	setRollout(pool: string, phase: string): void {
 		this.#rolloutPhases.set(pool, phase);
--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -3,7 +3,7 @@
  */
 import {Exposure} from './exposure.js';
 import {type RolloutBounds} from './rollout-bounds.js';
-import {type RolloutSample} from './rollout-sample.js';
+import {type JudgedSample, type RolloutSample} from './rollout-sample.js';
 import {
 	RolloutPhase, type RolloutEvidence, type RolloutOrder, type RolloutProgress, type RolloutSnapshot,
 } from './rollout-state.js';
@@ -147,14 +147,14 @@
 		this.#comparison.routes.noteGranted(isCandidate, route);
 	}
 
-	/** @returns Whether the phase changed. */
-	note(sample: RolloutSample, now: number): boolean {
+	/** Counts an answer, and judges the version by it. */
+	note(sample: RolloutSample, now: number): JudgedSample {
 		if (this.#isFinal()) {
-			return false;
+			return {isSlow: false, hasVerdict: false};
 		}
 
-		this.#comparison.note(sample, now);
-		return this.#judge(now);
+		const isSlow = this.#comparison.note(sample, now);
+		return {isSlow, hasVerdict: this.#judge(now)};
 	}
 
 	/**
--- a/src/rollout/rollout-sample.ts
+++ b/src/rollout/rollout-sample.ts
@@ -17,6 +17,14 @@
 	readonly sentAt: number;
 };
 
+/** What an answer showed. */
+export type JudgedSample = {
+	/** Whether it was slow in comparison with those of the base version. */
+	readonly isSlow: boolean;
+	/** Whether it led to a verdict on the candidate. */
+	readonly hasVerdict: boolean;
+};
+
 /** Number of judged requests, and how many of them were bad. */
 export type RolloutCounts = readonly [total: number, bad: number];
 
--- a/src/rollout/rollout-samples.ts
+++ b/src/rollout/rollout-samples.ts
@@ -77,12 +77,16 @@
 			this.#metrics.countRolloutFailure(granted.isCandidate);
 		}
 
-		const hasVerdict = sampled.course.note({
+		const {isSlow, hasVerdict} = sampled.course.note({
 			...request,
 			isFailure,
 			slowness: firstMs === undefined ? undefined : firstMs / expectedFirstMs,
 			pauseSlowness: events > 1 ? streamMs / (events - 1) / expectedEventMs : undefined,
 		}, now);
+		if (isSlow) {
+			this.#metrics.countRolloutSlowResponse(granted.isCandidate);
+		}
+
 		if (hasVerdict) {
 			sampled.onVerdict();
 		}
--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -110,7 +110,8 @@
 		this.routes.setOpen(open.map(([route]) => route));
 	}
 
-	note(sample: RolloutSample, now: number): void {
+	/** @returns Whether the answer counts as slow. */
+	note(sample: RolloutSample, now: number): boolean {
 		const isSlow = this.#isSlow(sample, now);
 		const route = this.#route(sample.route);
 		const strata = [this.#all, ...(route ? [route] : []), ...(sample.load >= BUSY_LOAD ? [this.#busy] : [])];
@@ -128,7 +129,7 @@
 				this.#length.base.note(this.#firsts.isLong(sample.slowness, sample.load), now);
 			}
 
-			return;
+			return isSlow ?? false;
 		}
 
 		for (const stratum of strata) {
@@ -149,6 +150,8 @@
 				upstreamId: sample.upstreamId, isBad, mayAccept: true, now,
 			});
 		}
+
+		return isSlow ?? false;
 	}
 
 	/** Applies faults that the base shows now to the answers that the candidate gave just before. */
@@ -191,32 +194,6 @@
 		return this.#suspicious(now).map(({name}) => name);
 	}
 
-	#suspicious(now: number): Comparison[] {
-		return this.#comparisons().filter(comparison => comparison !== this.#length && this.#badness(comparison, now) >= SUSPICIOUS);
-	}
-
-	/** @returns Names of the tests without the evidence that is needed. */
-	#lacking(remaining: number, now: number): string[] {
-		const open: string[] = [];
-		for (const stratum of [this.#all, ...this.#strata.values(), ...(this.#isBaseBusy(NEEDED_BUSY_SHARE) ? [this.#busy] : [])]) {
-			const last = stratum === this.#all ? LAST_EVIDENCE : LAST_ROUTE_EVIDENCE;
-			const needed = (last + ((1 - last) * Math.max(0, remaining))) * this.#neededEvidence(stratum);
-			for (const comparison of stratum.comparisons) {
-				// Slowness can't be judged while the base gives no times.
-				const isJudged = comparison.base.total > 0 || stratum.failures.base.total === 0;
-				if (isJudged && this.#goodness(comparison, now) < needed) {
-					open.push(comparison.name);
-				}
-			}
-		}
-
-		if (this.#length.base.total > 0 && this.#goodness(this.#length, now) < LENGTH_EVIDENCE) {
-			open.push(this.#length.name);
-		}
-
-		return open;
-	}
-
 	counts(): TestCounts {
 		const counts: Record<string, TestCounts[string]> = {};
 		for (const {name, test, base} of this.#comparisons()) {
@@ -246,6 +223,32 @@
 		}
 	}
 
+	#suspicious(now: number): Comparison[] {
+		return this.#comparisons().filter(comparison => comparison !== this.#length && this.#badness(comparison, now) >= SUSPICIOUS);
+	}
+
+	/** @returns Names of the tests without the evidence that is needed. */
+	#lacking(remaining: number, now: number): string[] {
+		const open: string[] = [];
+		for (const stratum of [this.#all, ...this.#strata.values(), ...(this.#isBaseBusy(NEEDED_BUSY_SHARE) ? [this.#busy] : [])]) {
+			const last = stratum === this.#all ? LAST_EVIDENCE : LAST_ROUTE_EVIDENCE;
+			const needed = (last + ((1 - last) * Math.max(0, remaining))) * this.#neededEvidence(stratum);
+			for (const comparison of stratum.comparisons) {
+				// Slowness can't be judged while the base gives no times.
+				const isJudged = comparison.base.total > 0 || stratum.failures.base.total === 0;
+				if (isJudged && this.#goodness(comparison, now) < needed) {
+					open.push(comparison.name);
+				}
+			}
+		}
+
+		if (this.#length.base.total > 0 && this.#goodness(this.#length, now) < LENGTH_EVIDENCE) {
+			open.push(this.#length.name);
+		}
+
+		return open;
+	}
+
 	#comparisons(): Comparison[] {
 		return [this.#length, ...[this.#all, this.#busy, ...this.#strata.values()].flatMap(stratum => stratum.comparisons)];
 	}
--- a/test/rollout/rollouts.test.ts
+++ b/test/rollout/rollouts.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {VirtualClock} from '../../src/base/virtual-clock.js';
+import {Ending} from '../../src/gateway/exchange-ending.js';
 import {RolloutPhase} from '../../src/rollout/rollout-course.js';
 import {
 	answers, createUpstreams, failsAt, MemoryRows, RolloutVm,
@@ -90,6 +91,20 @@
 		expect(rows.phases).to.deep.equal([RolloutPhase.Canary, RolloutPhase.RolledBack]);
 	});
 
+	// Guards against a slow version of which operators see no number, and against failures or usual responses counted as slow.
+	it('count the slow responses by version', async () => {
+		vm.list(...base, ...candidates);
+		await order('v2');
+		await vm.run(6000, upstreamId => ({ending: Ending.Answered, ms: upstreamId.startsWith('v2') ? 600 : 40}));
+		expect(vm.phase).to.equal(RolloutPhase.RolledBack);
+		const text = await vm.metrics.registry.metrics();
+		const slow = Number(/^redwingspool_rollout_slow_responses_total{version="candidate"} (\d+)$/m.exec(text)?.[1]);
+		expect(slow).to.be.within(3, MAX_CANARY);
+		expect(text).not.to.match(/^redwingspool_rollout_slow_responses_total{version="base"}/m);
+		expect(text).not.to.match(/^redwingspool_rollout_failures_total{/m);
+		expect(text).to.match(/^redwingspool_rollouts{phase="rolled-back"} 1$/m);
+	});
+
 	// Guards against requests for a version that was found bad, also after its period.
 	it('roll a failing version back, and never use it again without another order', async () => {
 		vm.list(...base, ...candidates);
--- a/test/support/rollout-vm.ts
+++ b/test/support/rollout-vm.ts
@@ -105,6 +105,7 @@
 
 	readonly rollouts: Rollouts;
 	readonly allocator: Allocator;
+	readonly metrics = Metrics.create();
 	/** Number of places granted, by version. */
 	readonly granted = new Map<string, number>();
 	refused = 0;
@@ -115,7 +116,7 @@
 	private constructor(clock: VirtualClock, register: RolloutRegister) {
 		this.#clock = clock;
 		this.rollouts = Rollouts.create({
-			clock, log: Log.create('silent'), metrics: Metrics.create(), bounds: {exposedShare: 0.1, exposedSlack: 50, rollbackMs: 5000}, register,
+			clock, log: Log.create('silent'), metrics: this.metrics, bounds: {exposedShare: 0.1, exposedSlack: 50, rollbackMs: 5000}, register,
 			allocator: () => this.allocator,
 		});
 		this.allocator = Allocator.create({
