Simulated roll-outs: good versions beside stalled processes

No simulated course had a stall, although stalls were suspected behind a false roll-back over processes. The fault stalled-processes stops the allocator, or the callers and the upstreams, for 50 to 600 ms, 1.2 s apart on average: what is due comes at the end of the stall and takes longer, and the requests of the time come at once or not at all.

--- a/test/rollout/simulated-rollout.ts
+++ b/test/rollout/simulated-rollout.ts
@@ -11,6 +11,9 @@
 /** Time after the switch until all VMs know of it. */
 const INFORM_MS = 300;
 const CRASH_MS = 2000;
+/** Longest stall of a process, and mean time from the end of one to the start of the next, in ms. */
+const MAX_STALL_MS = 600;
+const STALL_GAP_MS = 1200;
 
 export const bounds = {exposedShare: 0.1, exposedSlack: 50, rollbackMs: 5000};
 
@@ -20,7 +23,7 @@
 export type BadKind = typeof BadKind[keyof typeof BadKind];
 
 export const FaultKind = {
-	None: 'none', Lost: 'lost-answers', FailingUpstreams: 'failing-upstreams', Crashes: 'crashes', SlowMoments: 'slow-moments', Cut: 'cut-off-vms',
+	None: 'none', Lost: 'lost-answers', FailingUpstreams: 'failing-upstreams', Crashes: 'crashes', SlowMoments: 'slow-moments', Cut: 'cut-off-vms', Stalls: 'stalled-processes',
 } as const;
 export type FaultKind = typeof FaultKind[keyof typeof FaultKind];
 
@@ -56,7 +59,9 @@
 type SimulatedUpstream = {
 	readonly id: string; readonly isCandidate: boolean; readonly pace: number; readonly fails: boolean; held: number; downUntil: number; slowUntil: number; slowFactor: number; failureRate: number;
 };
-type Exchange = {target: SimulatedUpstream; route: string; load: number; sentAt: number; isFailure: boolean; isBad: boolean; slowness: number; endsAt: number};
+type Exchange = {
+	readonly target: SimulatedUpstream; readonly route: string; readonly load: number; readonly sentAt: number; readonly isBad: boolean; isFailure: boolean; slowness: number; endsAt: number;
+};
 
 /** Draws a pool as customers have them. */
 export function drawPool(random: Random, bad: BadKind | undefined, fault: FaultKind): SimulatedPool {
@@ -87,6 +92,7 @@
 	let course = RolloutCourse.create({...options, now: 0});
 	let running: Exchange[] = [];
 	let nextAt = 0;
+	let advanceAt = 0;
 	let [requests, candidateRequests, candidateBad, sentLate] = [0, 0, 0, 0];
 	let [firstBadAt, fiftiethBadAt, switchedAt] = [0, Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY];
 	const startsBadAt = pool.bad === BadKind.Late ? 2000 + (1000 * random.next()) : 0;
@@ -202,14 +208,36 @@
 		}
 	};
 
+	/**
+	 * Lets the process stall in which the allocator, or the callers and the upstreams, run: what is due comes at its end, and takes longer.
+	 * Callers that stall send nothing for the time; the requests of others wait for the allocator.
+	 */
+	const stall = (now: number): number => {
+		const endsAt = now + (STEP_MS * random.integer(5, MAX_STALL_MS / STEP_MS));
+		for (const exchange of running.filter(exchange => exchange.endsAt < endsAt)) {
+			exchange.endsAt = endsAt;
+			exchange.slowness = Math.max(exchange.slowness, (endsAt - exchange.sentAt) / serviceMs);
+		}
+
+		nextAt += random.next() < 0.5 ? endsAt - now : 0;
+		return endsAt;
+	};
+
 	let now = 0;
+	let stallsAt = pool.fault === FaultKind.Stalls ? random.exponential(STALL_GAP_MS) : Number.POSITIVE_INFINITY;
 	for (; now < pool.periodMs && !isFinal(); now += STEP_MS) {
+		if (now >= stallsAt) {
+			now = stall(now);
+			stallsAt = now + random.exponential(STALL_GAP_MS);
+		}
+
 		finish(now);
 		for (; nextAt <= now; nextAt += random.exponential(1000 / pool.ratePerS)) {
 			send(now);
 		}
 
-		if (now % ADVANCE_MS === 0) {
+		if (now >= advanceAt) {
+			advanceAt = (Math.floor(now / ADVANCE_MS) + 1) * ADVANCE_MS;
 			disturb(now);
 			advance(now);
 		}
