--- a/src/rollout/version-comparison.ts
+++ b/src/rollout/version-comparison.ts
@@ -110,7 +110,8 @@
 		this.routes.setOpen(open.map(([route]) => route));
 	}
 
-	note(sample: RolloutSample, now: number): void {
+	/** @returns Whether the answer counts as slow. */
+	note(sample: RolloutSample, now: number): boolean {
 		const isSlow = this.#isSlow(sample, now);
 		const route = this.#route(sample.route);
 		const strata = [this.#all, ...(route ? [route] : []), ...(sample.load >= BUSY_LOAD ? [this.#busy] : [])];
@@ -128,7 +129,7 @@
 				this.#length.base.note(this.#firsts.isLong(sample.slowness, sample.load), now);
 			}
 
-			return;
+			return isSlow ?? false;
 		}
 
 		for (const stratum of strata) {
@@ -149,6 +150,8 @@
 				upstreamId: sample.upstreamId, isBad, mayAccept: true, now,
 			});
 		}
+
+		return isSlow ?? false;
 	}
 
 	/** Applies faults that the base shows now to the answers that the candidate gave just before. */
