Explanation of a decision, without changing it

Cause: nothing told an operator where a request would be sent now, and why. Change: Allocator.explain evaluates a request with the code of the decision (findRefusal, Placement.choose) on state that it restores: capacity, occupancy, decaying failure counts, pacers, the usual load, a canary's burst and the quota. Placement.choose tells a listener the components of each cost; a decision allocates none. A request that waits and gets a place first is not foreseen.

--- a/src/allocation/adaptive-locality.ts
+++ b/src/allocation/adaptive-locality.ts
@@ -7,6 +7,7 @@
 import {type PlaceRequest} from './allocation.js';
 import {FixedLocality, Locality} from './locality.js';
 import {type TrackedUpstream} from './tracked-upstream.js';
+import {type Restore} from './unchanged-state.js';
 
 /** How long the computed occupancy of the data centres is used, in ms; the interval at which queues are checked. */
 const OCCUPANCY_TTL_MS = 25;
@@ -82,6 +83,17 @@
 		this.#links = links;
 	}
 
+	override snapshot(): Restore {
+		const placesOf = this.#placesOf;
+		const meanSpeed = this.#meanSpeed;
+		const countedAt = this.#countedAt;
+		return () => {
+			this.#placesOf = placesOf;
+			this.#meanSpeed = meanSpeed;
+			this.#countedAt = countedAt;
+		};
+	}
+
 	costMs(ask: PlaceRequest, upstream: Upstream, now: number): number {
 		if (!this.#view.hasStatements) {
 			return this.#fixed.costMs(ask, upstream);
--- a/src/allocation/allocator.ts
+++ b/src/allocation/allocator.ts
@@ -15,6 +15,9 @@
 	agePlaceRequest, Allocation, type PlaceRequest, type PlaceRequestEvents, emptyReport, type HeldPlace, type PlaceReport,
 } from './allocation.js';
 import {type LinkCosts} from './adaptive-locality.js';
+import {
+	explain, type Explanation, ignoredEvents, UNKNOWN_CALL,
+} from './explanation.js';
 import {type Locality} from './locality.js';
 import {type StatedPace} from './momentary-pace.js';
 import {type PlacementFilter} from './placement-filter.js';
@@ -26,8 +29,10 @@
 import {Quotas, type QuotaTolerance} from './quotas.js';
 import {CallerRetries} from './caller-retries.js';
 import {CrashRecorder, type RecordedUpstream} from './crash-recorder.js';
+import {invitingKinds, MIN_RETRY_AFTER_MS, RETRY_JITTER} from './retry-after.js';
 import {type Scope, globalScope} from './scope.js';
 import {type HeldRequest, type TrackedUpstream} from './tracked-upstream.js';
+import {evaluateUnchanged} from './unchanged-state.js';
 import {type WaitingRequest} from './waiting-queue.js';
 
 /** Interval at which waiting requests are re-evaluated, in ms; small compared to the shortest response-time objective. */
@@ -39,8 +44,6 @@
 const MAX_WAIT_RATIO = 0.6;
 /** How long a standalone VM delays a request that exceeds its share of a quota, in ms. */
 const STANDALONE_QUOTA_WAIT_MS = 500;
-/** Shortest Retry-After, in ms; a short queue can clear within this time. */
-const MIN_RETRY_AFTER_MS = 100;
 /** Retry-After when no upstream is available, in ms; a replacement registers within about a second. */
 const NO_UPSTREAM_RETRY_AFTER_MS = 500;
 /**
@@ -48,10 +51,6 @@
  * and callers retry once: a shorter delay would meet the same queue, a longer one leaves too little time for the answer.
  */
 const RETRY_DELAY_RATIO = 0.28;
-/** Retry-After is multiplied by a random factor in this range, so that refused callers do not retry at the same time. */
-const RETRY_JITTER = {min: 0.75, max: 1.2} as const;
-/** Refusals for want of room, after which callers are invited to return when there is some. */
-const invitingKinds: ReadonlySet<ErrorKind> = new Set([ErrorKind.Overloaded, ErrorKind.DeadlineUnreachable]);
 /** How long requests with a feature that crashes upstreams are refused, in ms; then one of them is tried again. Three trials a day crash three upstreams at most. */
 const QUARANTINE_MS = 28_800_000;
 
@@ -290,20 +289,9 @@
 	}
 
 	ask(ask: PlaceRequest, events: PlaceRequestEvents): void {
-		const {clock} = this.#options;
-		const now = clock.now();
+		const now = this.#options.clock.now();
 		const pool = this.#getOrCreatePool(ask.pool);
-		const callerLeavesAt = now + ask.callerLeavesMs;
-		const originalObjectiveAt = this.#callerRetries.objectiveAt(ask.fingerprint, callerLeavesAt);
-		const waiting: WaitingRequest = {
-			ask,
-			events,
-			requestedAt: now,
-			objectiveAt: Math.min(now + ask.objectiveMs, originalObjectiveAt ?? Number.POSITIVE_INFINITY),
-			deadlineAt: now + ask.remainingMs,
-			patienceEndsAt: now + ask.patienceMs,
-			callerLeavesAt,
-		};
+		const waiting = this.#createWaiting(ask, events, now);
 		const refusal = this.#findRefusal(pool, waiting, now);
 		if (refusal !== undefined) {
 			pool.overload?.remove(ask.id);
@@ -376,6 +364,36 @@
 		this.#grantPlaces(pool);
 	}
 
+	/** @returns What would be decided on a request now; `undefined` if the pool has never had an upstream or a request. Changes nothing. */
+	explain(ask: PlaceRequest): Explanation | undefined {
+		const pool = this.#pools.get(ask.pool);
+		const now = this.#options.clock.now();
+		const waiting = this.#createWaiting({...ask, ...UNKNOWN_CALL}, ignoredEvents, now);
+		return pool && evaluateUnchanged([this.#quotas.snapshot(ask.customer), ...pool.snapshots()], () => explain({
+			// The evaluation of a refusal spends the quota, so that its state is read before.
+			quota: this.#quotas.stateOf(ask.customer, now),
+			refusal: this.#findRefusal(pool, waiting, now),
+			pool,
+			waiting,
+			isStandalone: this.#scope.isStandalone,
+			now,
+		}));
+	}
+
+	#createWaiting(ask: PlaceRequest, events: PlaceRequestEvents, requestedAt: number): WaitingRequest {
+		const callerLeavesAt = requestedAt + ask.callerLeavesMs;
+		const originalObjectiveAt = this.#callerRetries.objectiveAt(ask.fingerprint, callerLeavesAt);
+		return {
+			ask,
+			events,
+			requestedAt,
+			objectiveAt: Math.min(requestedAt + ask.objectiveMs, originalObjectiveAt ?? Number.POSITIVE_INFINITY),
+			deadlineAt: requestedAt + ask.remainingMs,
+			patienceEndsAt: requestedAt + ask.patienceMs,
+			callerLeavesAt,
+		};
+	}
+
 	#notePaceStated(pool: Pool, {upstreamId}: HeldRequest, stated: StatedPace | undefined): void {
 		if (stated !== undefined && !pool.statesPace) {
 			pool.statesPace = true;
--- a/src/allocation/locality.ts
+++ b/src/allocation/locality.ts
@@ -3,6 +3,7 @@
  */
 import {type Upstream} from '../gateway/upstream-list.js';
 import {type PlaceRequest} from './allocation.js';
+import {type Restore} from './unchanged-state.js';
 
 /** Extra cost of an upstream in another region, in ms: 8 ms of latency each way, and traffic there is billed by volume. */
 const OTHER_REGION_COST_MS = 24;
@@ -11,6 +12,11 @@
 
 /** Decides what leaving the data centre costs. */
 export abstract class Locality {
+	/** @returns A function that restores the current state, after an evaluation that must change nothing. */
+	snapshot(): Restore {
+		return () => undefined;
+	}
+
 	/** @returns Extra cost of sending the request to the upstream, in ms. */
 	abstract costMs(ask: PlaceRequest, upstream: Upstream, now: number): number;
 }
--- a/src/allocation/overage-window.ts
+++ b/src/allocation/overage-window.ts
@@ -3,6 +3,7 @@
  * times its quota, any span of the window's length may contain the quota's own grants plus the tolerated overage.
  */
 import {SlidingWindow} from './sliding-window.js';
+import {type Restore} from './unchanged-state.js';
 
 /** Number of intervals that the window is divided into. */
 const WINDOW_INTERVALS = 16;
@@ -22,6 +23,16 @@
 		this.#levels = SlidingWindow.create(windowMs, WINDOW_INTERVALS);
 	}
 
+	/** @returns A function that restores the current state, after an evaluation that must change nothing. */
+	snapshot(): Restore {
+		const restores = [this.#granted.snapshot(), this.#levels.snapshot()];
+		return () => {
+			for (const restore of restores) {
+				restore();
+			}
+		};
+	}
+
 	/** @param level - Current level of the quota's token bucket. */
 	noteLevel(level: number, now: number): void {
 		this.#levels.raiseTo(level, now);
--- a/src/allocation/overload.ts
+++ b/src/allocation/overload.ts
@@ -7,8 +7,9 @@
 import {type Customer} from '../gateway/routing-table.js';
 import {type PlaceRequest} from './allocation.js';
 import {FairShares} from './fair-shares.js';
-import {ReturnSchedule} from './return-schedule.js';
+import {returnRange, ReturnSchedule} from './return-schedule.js';
 import {FLOOR_RATIO, RankFloor} from './rank-floor.js';
+import {type Restore} from './unchanged-state.js';
 import {UsualLoad} from './usual-load.js';
 import {type WaitingRequest, type WaitingQueue} from './waiting-queue.js';
 
@@ -91,6 +92,17 @@
 		this.shares.setCustomers(customers);
 	}
 
+	/** @returns A function that restores what the arrival of a request without a fingerprint changes. */
+	snapshot(): Restore {
+		return this.#usualLoad.snapshot();
+	}
+
+	/** @returns Bounds of the Retry-After that `invite` chooses, in ms. */
+	returnRange({waiting: {callerLeavesAt, deadlineAt}, startDelayMs, now}: OverloadQuery): {readonly min: number; readonly max: number} {
+		const {min, max} = returnRange(Math.min(callerLeavesAt, deadlineAt) - now);
+		return {min: Math.max(min, startDelayMs), max: Math.max(max, startDelayMs)};
+	}
+
 	/** @returns Whether a new request is refused before it waits. */
 	mustRefuse({waiting, queue, levels, isLate, onTimeStartAt, latestStartAt, serviceMs, slots, startDelayMs, now}: OverloadQuery, hasFreePlace: boolean): boolean {
 		const {ask} = waiting;
--- a/src/allocation/placement-filter.ts
+++ b/src/allocation/placement-filter.ts
@@ -3,9 +3,15 @@
  */
 import {type PlaceRequest} from './allocation.js';
 import {type TrackedUpstream} from './tracked-upstream.js';
+import {type Restore} from './unchanged-state.js';
 
 /** Restricts the upstreams that a request may use. */
 export abstract class PlacementFilter {
+	/** @returns A function that restores the current state for a pool, after an evaluation that must change nothing. */
+	snapshot(_pool: string): Restore {
+		return () => undefined;
+	}
+
 	/** @returns Whether any upstream of the pool may be restricted now; otherwise the filter is not asked further. */
 	restricts(_pool: string): boolean {
 		return true;
--- a/src/allocation/placement.ts
+++ b/src/allocation/placement.ts
@@ -5,6 +5,7 @@
 import {FixedLocality, type Locality} from './locality.js';
 import {type PlacementFilter} from './placement-filter.js';
 import {type TrackedUpstream} from './tracked-upstream.js';
+import {type Restore} from './unchanged-state.js';
 import {type WaitingRequest} from './waiting-queue.js';
 
 /** Cost of an upstream where every request fails, in ms; about the time that a retry takes. */
@@ -29,6 +30,41 @@
 	readonly expectedFirstMs: number;
 };
 
+/** The components of the cost of an upstream for one request, in ms. */
+export type CostParts = {
+	firstEvent: number;
+	totalTime: number;
+	locality: number;
+	failures: number;
+	delayedStreams: number;
+	rules: number;
+};
+
+/** Why a candidate was left out. */
+export const LeftOut = {
+	/** The request must not get it, such as because it failed there. */
+	Excluded: 'excluded',
+	/** A rule beside room and health, such as a roll-out or too little memory. */
+	Rule: 'rule',
+	/** The request would or might be late there, and waits for a better upstream. */
+	Late: 'late',
+} as const;
+
+export type LeftOut = (typeof LeftOut)[keyof typeof LeftOut];
+
+/** What the choice found out about one candidate. */
+export type CandidateVerdict = {
+	readonly target: TrackedUpstream;
+	/** `undefined` if it was compared by its cost. */
+	readonly leftOut?: LeftOut;
+	readonly expectedFirstMs?: number;
+	readonly costMs?: number;
+	readonly parts?: Readonly<CostParts>;
+};
+
+/** Called for each candidate, for explanations. */
+export type VerdictListener = (verdict: CandidateVerdict) => void;
+
 /** What the choice depends on. */
 export type PlacementOptions = {
 	/** Expected service time of a request at an upstream of average pace, in ms. */
@@ -64,28 +100,55 @@
 		this.#locality = locality;
 	}
 
+	/** @returns A function that restores the current state, after an evaluation for a pool that must change nothing. */
+	snapshot(pool: string): Restore {
+		const restores = [this.#locality.snapshot(), ...this.#filters.map(filter => filter.snapshot(pool))];
+		return () => {
+			for (const restore of restores) {
+				restore();
+			}
+		};
+	}
+
 	/** @returns The placement with the lowest cost; `undefined` if no candidate may run the request. */
-	choose({waiting, candidates, mustBeOnTime, canWait, now}: PlacementQuery): Grant | undefined {
+	choose({waiting, candidates, mustBeOnTime, canWait, now}: PlacementQuery, onVerdict?: VerdictListener): Grant | undefined {
 		const {ask} = waiting;
 		const filters = this.#filters.filter(filter => filter.restricts(ask.pool));
 		let best: Grant | undefined;
 		let bestCost = Number.POSITIVE_INFINITY;
 		for (const target of candidates) {
-			if (ask.excluded.includes(target.upstream.id) || !filters.every(filter => filter.accepts(ask, target, now))) {
+			if (ask.excluded.includes(target.upstream.id)) {
+				onVerdict?.({target, leftOut: LeftOut.Excluded});
+				continue;
+			}
+
+			if (!filters.every(filter => filter.accepts(ask, target, now))) {
+				onVerdict?.({target, leftOut: LeftOut.Rule});
 				continue;
 			}
 
 			const expectedFirstMs = this.#slotWaitMs(target, ask, now) + target.pace.firstMs(ask.promptTokens, target.pendingPromptTokens, now);
 			// A request that can be on time at some upstream waits for it, rather than taking a place where it would be late.
 			if (mustBeOnTime && (now + expectedFirstMs > waiting.objectiveAt || (canWait && !this.#isLikelyOnTime(waiting, target, expectedFirstMs, now)))) {
+				onVerdict?.({target, leftOut: LeftOut.Late, expectedFirstMs});
 				continue;
 			}
 
-			let cost = this.#cost(ask, target, expectedFirstMs, now);
+			// Only explanations need the components; a decision allocates none.
+			const parts = onVerdict && emptyParts();
+			let cost = this.#cost(ask, target, expectedFirstMs, now, parts);
 			for (const filter of filters) {
-				cost += filter.costMs(ask, target, now);
+				const ruleMs = filter.costMs(ask, target, now);
+				cost += ruleMs;
+				if (parts !== undefined) {
+					parts.rules += ruleMs;
+				}
 			}
 
+			onVerdict?.({
+				target, expectedFirstMs, costMs: cost, parts,
+			});
+
 			if (cost < bestCost) {
 				bestCost = cost;
 				best = {waiting, target, expectedFirstMs};
@@ -110,16 +173,25 @@
 		return held.size < upstream.slots ? 0 : pace.factorAt(now) * this.#serviceMs(ask) / upstream.slots;
 	}
 
-	#cost(ask: PlaceRequest, target: TrackedUpstream, expectedFirstMs: number, now: number): number {
+	#cost(ask: PlaceRequest, target: TrackedUpstream, expectedFirstMs: number, now: number, parts?: CostParts): number {
 		const {upstream, pace, standing, held} = target;
-		let cost = expectedFirstMs
-			+ (TOTAL_TIME_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}, now))
-			+ this.#locality.costMs(ask, upstream, now)
-			+ (FAILURE_COST_MS * standing.failureRate(now));
-		if (ask.maxPauseMs > 0 && pace.interferenceMs(ask.promptTokens, now) + pace.eventMs(now) > MAX_PREFILL_PAUSE_RATIO * ask.maxPauseMs) {
-			cost += DELAYED_STREAM_COST_MS * held.size;
+		const totalTime = TOTAL_TIME_WEIGHT * pace.totalMs({promptTokens: ask.promptTokens, events: ask.outputEvents}, now);
+		const locality = this.#locality.costMs(ask, upstream, now);
+		const failures = FAILURE_COST_MS * standing.failureRate(now);
+		const isDelaying = ask.maxPauseMs > 0 && pace.interferenceMs(ask.promptTokens, now) + pace.eventMs(now) > MAX_PREFILL_PAUSE_RATIO * ask.maxPauseMs;
+		const delayedStreams = isDelaying ? DELAYED_STREAM_COST_MS * held.size : 0;
+		if (parts !== undefined) {
+			Object.assign(parts, {
+				firstEvent: expectedFirstMs, totalTime, locality, failures, delayedStreams,
+			});
 		}
 
-		return cost;
+		return expectedFirstMs + totalTime + locality + failures + delayedStreams;
 	}
 }
+
+function emptyParts(): CostParts {
+	return {
+		firstEvent: 0, totalTime: 0, locality: 0, failures: 0, delayedStreams: 0, rules: 0,
+	};
+}
--- a/src/allocation/pool.ts
+++ b/src/allocation/pool.ts
@@ -13,7 +13,7 @@
 import {type StatedPace} from './momentary-pace.js';
 import {Overload, type OverloadQuery, type ShareDecision} from './overload.js';
 import {Pace, PoolPace, usualFactor} from './pace.js';
-import {type Grant, Placement} from './placement.js';
+import {type Grant, Placement, type VerdictListener} from './placement.js';
 import {type PlacementFilter} from './placement-filter.js';
 import {PoolRetryBudget, type RetryBounds} from './pool-retry-budget.js';
 import {type Scope} from './scope.js';
@@ -21,6 +21,7 @@
 import {
 	type HeldRequest, hasRoom, pendingTokensOf, type TrackedUpstream,
 } from './tracked-upstream.js';
+import {type Restore} from './unchanged-state.js';
 import {UpstreamHealth} from './upstream-health.js';
 import {UpstreamMemory} from './upstream-memory.js';
 import {type WaitingRequest, WaitingQueue} from './waiting-queue.js';
@@ -249,6 +250,7 @@
 		}
 
 		this.#removeHeld(target, held.ask.id);
+		target.reportedAt = now;
 		target.standing.note(report.ending, now);
 		// The first event has already brought the same statement.
 		if (report.pace !== undefined && !held.hasFirst) {
@@ -303,9 +305,12 @@
 		return this.#pace.totalMs({promptTokens, events: outputEvents});
 	}
 
-	/** @returns Expected time until a waiting request gets a place, in ms. */
-	waitMs(waiting: WaitingRequest, now: number): number {
-		const workMs = this.waiting.workMsUpTo(this.#levelOf(waiting, now));
+	/**
+	 * @param ownWorkMs - Service time of the request if it is not in the queue, in ms.
+	 * @returns Expected time until a waiting request gets a place, in ms.
+	 */
+	waitMs(waiting: WaitingRequest, now: number, ownWorkMs = 0): number {
+		const workMs = this.waiting.workMsUpTo(this.#levelOf(waiting, now)) + ownWorkMs;
 		return this.startDelayMs(now) + (workMs / this.#currentCapacity(now).effectiveSlots(this.serviceMs(waiting.ask)));
 	}
 
@@ -401,6 +406,39 @@
 		return this.#pace.isEngine ? this.#nextOvercommitted(now) : undefined;
 	}
 
+	/** @returns Functions that restore the current state, after an evaluation that must change nothing. */
+	snapshots(): Restore[] {
+		const capacity = this.#capacity;
+		const capacityAt = this.#capacityAt;
+		const factor = this.#usualFactor;
+		const restores = [this.#placement.snapshot(this.name), () => {
+			this.#capacity = capacity;
+			this.#capacityAt = capacityAt;
+			this.#usualFactor = factor;
+		}];
+		for (const {standing, pacer} of this.upstreams.values()) {
+			restores.push(standing.snapshot(), pacer.snapshot());
+		}
+
+		return this.overload === undefined ? restores : [...restores, this.overload.snapshot()];
+	}
+
+	/** @returns The grant that a request which does not wait yet would get if no waiting request got a place before it. */
+	findPlace(waiting: WaitingRequest, now: number, onVerdict: VerdictListener): Grant | undefined {
+		const choose = (candidates: readonly TrackedUpstream[], openCount: number): Grant | undefined => this.#placement.choose({
+			waiting, candidates, mustBeOnTime: !this.#isLate(waiting, now) && openCount < this.#openCount, canWait: this.#canWait(waiting, now, this.serviceMs(waiting.ask)), now,
+		}, onVerdict);
+		const free = [...this.#withFreeSlots].filter(target => this.#canAccept(target, now, 0));
+		const openCount = this.#openAmong(free).length;
+		const grant = free.length === 0 ? undefined : choose(free, openCount);
+		if (grant !== undefined || openCount > 0 || !this.#pace.isEngine || waiting.ask.rank >= this.waiting.maxRank || this.#isLate(waiting, now)) {
+			return grant;
+		}
+
+		const overcommitted = [...this.upstreams.values()].filter(target => this.#isOpen(target) && this.#canAccept(target, now, OVERCOMMITTED_PLACES));
+		return choose(overcommitted, overcommitted.length);
+	}
+
 	/** @param queueMs - Expected time until the requests before it have been served, in ms. */
 	#isUnservable(waiting: WaitingRequest, serviceMs: number, queueMs: number, startDelayMs: number, now: number): boolean {
 		return now + startDelayMs + queueMs > this.latestStartAt(waiting, serviceMs)
@@ -445,8 +483,8 @@
 	}
 
 	/** @returns Whether the request is expected to be on time if it waits for a better upstream. False unless the estimates are detailed. */
-	#canWait(waiting: WaitingRequest, now: number): boolean {
-		return this.#pace.isDetailed && now + (WAIT_MARGIN * (this.waitMs(waiting, now) + this.#usualFirstMs(waiting.ask))) <= waiting.objectiveAt;
+	#canWait(waiting: WaitingRequest, now: number, ownWorkMs = 0): boolean {
+		return this.#pace.isDetailed && now + (WAIT_MARGIN * (this.waitMs(waiting, now, ownWorkMs) + this.#usualFirstMs(waiting.ask))) <= waiting.objectiveAt;
 	}
 
 	/** @returns Time to the first event at an idle upstream of usual pace, in ms. */
--- a/src/allocation/quotas.ts
+++ b/src/allocation/quotas.ts
@@ -5,6 +5,7 @@
 import {type Customer, type Quota} from '../gateway/routing-table.js';
 import {STANDALONE_INITIAL_FILL, STANDALONE_SHARE, SUCCESSOR_INITIAL_FILL} from './scope.js';
 import {OverageWindow} from './overage-window.js';
+import {type Restore} from './unchanged-state.js';
 
 const MS_PER_SECOND = 1000;
 /** Longest time that a customer is told to wait for its quota, in ms. */
@@ -32,6 +33,16 @@
  */
 const ALLOCATOR_CHANGES_PER_WINDOW = 3;
 
+/** State of a customer's quota, in tokens or requests. */
+export type QuotaState = {
+	readonly perSecond: number;
+	readonly burst: number;
+	/** What is left of it; negative after a request that costs more than the burst. */
+	readonly left: number;
+	/** Share of the quota that this process may grant. */
+	readonly share: number;
+};
+
 type Bucket = {
 	quota: Quota;
 	/** Tokens left of the customer's quota; negative after a request that costs more than the burst. */
@@ -149,6 +160,36 @@
 		return Math.min(MAX_WAIT_MS, Math.max(1, (needed - bucket.tokens) * MS_PER_SECOND / (bucket.quota.perSecond * share)));
 	}
 
+	/** @returns A function that restores the current state of a customer's quota, after an evaluation that must change nothing. */
+	snapshot(customer: string | undefined): Restore {
+		const bucket = customer === undefined ? undefined : this.#buckets.get(customer);
+		if (bucket === undefined) {
+			return () => undefined;
+		}
+
+		const {tokens, refilledAt} = bucket;
+		const restoreOverage = bucket.overage.snapshot();
+		return () => {
+			bucket.tokens = tokens;
+			bucket.refilledAt = refilledAt;
+			restoreOverage();
+		};
+	}
+
+	/** @returns State of a customer's quota at a time; `undefined` if it has none. Refills the bucket like any decision. */
+	stateOf(customer: string | undefined, now: number): QuotaState | undefined {
+		const bucket = customer === undefined ? undefined : this.#buckets.get(customer);
+		if (bucket === undefined) {
+			return undefined;
+		}
+
+		this.#refill(bucket, now);
+		const {quota, tokens} = bucket;
+		return {
+			perSecond: quota.perSecond, burst: quota.burst, left: tokens, share: this.#grantableShare(quota),
+		};
+	}
+
 	/** Refunds the cost of a request that did not run. */
 	refund(customer: string | undefined, cost: number): void {
 		const bucket = customer === undefined ? undefined : this.#buckets.get(customer);
--- a/src/allocation/return-schedule.ts
+++ b/src/allocation/return-schedule.ts
@@ -73,7 +73,7 @@
 	/** @returns The Retry-After of a refused request, in ms: the earliest time at which room is expected, or the one with the fewest returns. */
 	invite({fingerprint, serviceMs, remainingMs, earliestMs, spareSlots, now}: ReturnQuery): number {
 		this.#prune(now);
-		const latestMs = Math.max(MIN_RETURN_MS, MAX_RETURN_RATIO * remainingMs);
+		const latestMs = returnRange(remainingMs).max;
 		const last = intervalOf(now + latestMs);
 		const first = Math.min(last, intervalOf(now + Math.max(MIN_RETURN_MS, earliestMs)));
 		const roomMs = spareSlots * INTERVAL_MS;
@@ -129,3 +129,8 @@
 function intervalOf(at: number): number {
 	return Math.floor(at / INTERVAL_MS);
 }
+
+/** @returns Bounds of the time until a refused caller is invited, in ms. */
+export function returnRange(remainingMs: number): {readonly min: number; readonly max: number} {
+	return {min: MIN_RETURN_MS, max: Math.max(MIN_RETURN_MS, MAX_RETURN_RATIO * remainingMs)};
+}
--- a/src/allocation/sliding-window.ts
+++ b/src/allocation/sliding-window.ts
@@ -1,6 +1,7 @@
 /**
  * Sums and maxima over a sliding time window, kept per interval of the window.
  */
+import {type Restore} from './unchanged-state.js';
 
 /**
  * A ring buffer of intervals. It holds one interval more than the window, so that any span of the window's length is
@@ -26,6 +27,16 @@
 		this.#amounts = Array.from({length: intervalCount + 1}, () => 0);
 	}
 
+	/** @returns A function that restores the current state, after an evaluation that must change nothing. */
+	snapshot(): Restore {
+		const amounts = [...this.#amounts];
+		const interval = this.#interval;
+		return () => {
+			this.#amounts.splice(0, amounts.length, ...amounts);
+			this.#interval = interval;
+		};
+	}
+
 	/** Adds an amount to the current interval. */
 	add(amount: number, now: number): void {
 		this.#amounts[this.#advance(now)]! += amount;
--- a/src/allocation/start-pacer.ts
+++ b/src/allocation/start-pacer.ts
@@ -4,6 +4,7 @@
  */
 import {type Random} from '../base/random.js';
 import {SlidingWindow} from './sliding-window.js';
+import {type Restore} from './unchanged-state.js';
 
 /** Length of the window in which the upstream gets no more than its limit allows, in ms. */
 const WINDOW_MS = 4000;
@@ -14,6 +15,8 @@
 /** How long a standalone VM may use an unused turn, in ms: the turns of hundreds of VMs must not add up to one burst. */
 const STANDALONE_TURN_MS = 1000;
 const MS_PER_SECOND = 1000;
+/** Point of its interval at which a new limit is taken to start in an evaluation, which must draw no random number. */
+const MEAN_PHASE = 0.5;
 
 /** How many requests may be sent. */
 export type StartRate = {
@@ -34,6 +37,7 @@
 	#perSecond: number | undefined;
 	/** When the next request is due; earlier by the burst, if the limit allows one. */
 	#nextAt = 0;
+	#isEvaluating = false;
 
 	private constructor(random: Random) {
 		this.#random = random;
@@ -60,6 +64,20 @@
 		return Math.max(0, this.#nextAt - burstMs - now, this.#starts.msUntil(allowedInWindow - 1, now));
 	}
 
+	/** @returns A function that restores the current state, after an evaluation that must change nothing. */
+	snapshot(): Restore {
+		const perSecond = this.#perSecond;
+		const nextAt = this.#nextAt;
+		const restoreStarts = this.#starts.snapshot();
+		this.#isEvaluating = true;
+		return () => {
+			this.#perSecond = perSecond;
+			this.#nextAt = nextAt;
+			this.#isEvaluating = false;
+			restoreStarts();
+		};
+	}
+
 	/** Records a request that is sent now. */
 	noteStart(now: number): void {
 		this.#starts.add(1, now);
@@ -85,7 +103,8 @@
 
 		const isNew = this.#perSecond === undefined;
 		this.#perSecond = perSecond;
-		this.#nextAt = isNew ? now + (this.#random.next() * this.#intervalMs) : Math.min(this.#nextAt, now + this.#intervalMs);
+		const phase = () => this.#isEvaluating ? MEAN_PHASE : this.#random.next();
+		this.#nextAt = isNew ? now + (phase() * this.#intervalMs) : Math.min(this.#nextAt, now + this.#intervalMs);
 	}
 
 	#skipUnusedTurns(now: number): void {
--- a/src/allocation/tracked-upstream.ts
+++ b/src/allocation/tracked-upstream.ts
@@ -37,6 +37,8 @@
 	/** Requests from VMs that this allocator does not decide for. */
 	externalLoad: number;
 	externalLoadAt: number;
+	/** When a place there was released last; `undefined` before the first time. */
+	reportedAt?: number;
 };
 
 /** @returns Tokens of the request's prompt that the upstream has not read yet. */
--- a/src/allocation/upstream-health.ts
+++ b/src/allocation/upstream-health.ts
@@ -3,6 +3,7 @@
  * their requests although their own health check passes, that stop responding, and that go down and up repeatedly.
  */
 import {failureEndings, Ending} from '../gateway/exchange-ending.js';
+import {type Restore} from './unchanged-state.js';
 
 /** Half-life of recorded outcomes, in ms; upstreams that fail some of their requests do so for several seconds. */
 const HALF_LIFE_MS = 2500;
@@ -51,6 +52,18 @@
 		return this.#failures / (this.#failures + this.#successes + 1);
 	}
 
+	/** @returns A function that restores the current state, after an evaluation that must change nothing. */
+	snapshot(): Restore {
+		const failures = this.#failures;
+		const successes = this.#successes;
+		const updatedAt = this.#updatedAt;
+		return () => {
+			this.#failures = failures;
+			this.#successes = successes;
+			this.#updatedAt = updatedAt;
+		};
+	}
+
 	note(ending: Ending, now: number): void {
 		this.#decay(now);
 		if (ending === Ending.Answered) {
--- a/src/allocation/usual-load.ts
+++ b/src/allocation/usual-load.ts
@@ -1,6 +1,7 @@
 /**
  * The load that callers usually offer to a pool, without the requests that they send again.
  */
+import {type Restore} from './unchanged-state.js';
 
 /** Time constant of the average, in ms; several times longer than a load peak of 2 to 6 s. */
 const AVERAGE_TIME_MS = 20_000;
@@ -21,6 +22,18 @@
 		// Instances come from `create`.
 	}
 
+	/** @returns A function that restores the current state, after an evaluation that must change nothing. */
+	snapshot(): Restore {
+		const value = this.#value;
+		const updatedAt = this.#updatedAt;
+		const startedAt = this.#startedAt;
+		return () => {
+			this.#value = value;
+			this.#updatedAt = updatedAt;
+			this.#startedAt = startedAt;
+		};
+	}
+
 	/** Records a request with its expected service time. */
 	note(serviceMs: number, now: number): void {
 		this.#startedAt ??= now;
--- a/src/rollout/rollout-course.ts
+++ b/src/rollout/rollout-course.ts
@@ -1,6 +1,7 @@
 /**
  * Course of the roll-out of one pool: canary, switch to the new version, completion or roll-back.
  */
+import {type Restore} from '../allocation/unchanged-state.js';
 import {Exposure} from './exposure.js';
 import {type RolloutBounds} from './rollout-bounds.js';
 import {type RolloutSample} from './rollout-sample.js';
@@ -110,6 +111,14 @@
 		return this.#phase === RolloutPhase.Canary && this.#lacksBusy && now >= this.#startedAt + (SPREAD_SHARE * this.#periodMs);
 	}
 
+	/** @returns A function that restores what `wantsCanary` changes, after an evaluation that must change nothing. */
+	preserveBurst(): Restore {
+		const isBursting = this.#isBursting;
+		return () => {
+			this.#isBursting = isBursting;
+		};
+	}
+
 	/** @returns Whether a new request of the route, first attempt, goes to the candidate; otherwise it goes to the base. */
 	wantsCanary(route: string, now: number): boolean {
 		if (this.#phase !== RolloutPhase.Canary) {
--- a/src/rollout/version-gate.ts
+++ b/src/rollout/version-gate.ts
@@ -4,6 +4,7 @@
 import {type PlaceRequest} from '../allocation/allocation.js';
 import {PlacementFilter} from '../allocation/placement-filter.js';
 import {type TrackedUpstream} from '../allocation/tracked-upstream.js';
+import {type Restore} from '../allocation/unchanged-state.js';
 import {type RolloutCourse} from './rollout-course.js';
 import {NO_VERSION, VersionRule} from './version-rules.js';
 
@@ -40,6 +41,10 @@
 		this.#gates = gates;
 	}
 
+	override snapshot(pool: string): Restore {
+		return this.#gates.get(pool)?.canary?.course.preserveBurst() ?? (() => undefined);
+	}
+
 	override restricts(pool: string): boolean {
 		return this.#gates.has(pool);
 	}
--- a/test/allocation/day-options.ts
+++ b/test/allocation/day-options.ts
@@ -1,7 +1,8 @@
 /**
  * What a simulated day is run with, and what it gives.
  */
-import {type AllocatorOptions} from '../../src/allocation/allocator.js';
+import {type PlaceRequest} from '../../src/allocation/allocation.js';
+import {type Allocator, type AllocatorOptions} from '../../src/allocation/allocator.js';
 
 /** Where the allocator gets the upstreams' statements from. */
 export const Figures = {
@@ -30,6 +31,8 @@
 	readonly allocator?: Partial<AllocatorOptions>;
 	/** What an engine states, as a factor of the usual, where it differs from the truth. */
 	readonly stated?: (engine: number, moment: number) => number;
+	/** Called before each request for a place; the function that it returns, after the allocator has taken the request. */
+	readonly onAsk?: (allocator: Allocator, ask: PlaceRequest, attempt: number) => () => void;
 	readonly failureRatioOf?: (engine: number) => number;
 };
 
--- a/test/allocation/simulated-day.ts
+++ b/test/allocation/simulated-day.ts
@@ -182,6 +182,7 @@
 		const ask = createPlaceRequest(id, {
 			...changes, pool: POOL, remainingMs, callerLeavesMs: remainingMs, patienceMs: Math.min(2400, remainingMs),
 		});
+		const onAsked = this.#options.onAsk?.(this.#allocator, ask, attempt);
 		this.#allocator.ask(ask, {
 			grant: upstreamId => {
 				this.#start(outcome, ask, tokens, Number(upstreamId.slice('engine-'.length)));
@@ -195,6 +196,7 @@
 				}
 			},
 		});
+		onAsked?.();
 	}
 
 	#start(outcome: Outcome, ask: PlaceRequest, tokens: number, engine: number): void {
