Endpoint /explain at the operator address

Cause: the explanation of a decision could not be read from a running VM. A VM that follows a leader answers with the leader's operator address, which VMs now tell each other as an optional field of a member; no new message and no new call of the platform. quotaCost takes the size in place of the whole head.

--- a/src/allocation/explanation.ts
+++ b/src/allocation/explanation.ts
@@ -2,7 +2,7 @@
  * What would be decided on a request now, and why. Uses the code of the decision itself, on a state that the allocator
  * restores afterwards.
  */
-import {type ErrorKind} from '../base/errors.js';
+import {errorAnswers, type ErrorKind} from '../base/errors.js';
 import {type PlaceRequest, type PlaceRequestEvents} from './allocation.js';
 import {type CandidateVerdict, type CostParts, type LeftOut} from './placement.js';
 import {type Pool} from './pool.js';
@@ -82,7 +82,7 @@
 	/** The upstream that the request would be sent to. */
 	readonly upstreamId?: string;
 	/** The Retry-After has a random part, so that it is given as a range. */
-	readonly refusal?: {readonly kind: ErrorKind; readonly retryAfterMs: Range};
+	readonly refusal?: {readonly kind: ErrorKind; readonly status: number; readonly retryAfterMs: Range};
 	/** Candidates in the order of their cost, then the others. */
 	readonly upstreams: readonly ExplainedUpstream[];
 	readonly unlistedUpstreams: number;
@@ -125,7 +125,7 @@
 		pool: pool.name,
 		outcome: refusal === undefined ? (grant === undefined ? Outcome.Waits : Outcome.Granted) : Outcome.Refused,
 		upstreamId: refusal === undefined ? grant?.target.upstream.id : undefined,
-		refusal: refusal && {kind: refusal.kind, retryAfterMs: retryAfterRange(pool, waiting, refusal, now)},
+		refusal: refusal && {kind: refusal.kind, status: errorAnswers[refusal.kind].status, retryAfterMs: retryAfterRange(pool, waiting, refusal, now)},
 		upstreams: upstreams.slice(0, MAX_LISTED_UPSTREAMS),
 		unlistedUpstreams: Math.max(0, upstreams.length - MAX_LISTED_UPSTREAMS),
 		queue: {waiting: pool.waiting.size, waitingOfCustomer: countOfCustomer(pool, ask.customer), expectedWaitMs: grant === undefined ? pool.waitMs(waiting, now) : 0},
--- a/src/gateway/call-attributes.ts
+++ b/src/gateway/call-attributes.ts
@@ -3,7 +3,7 @@
  */
 import {createHash} from 'node:crypto';
 import {type IncomingMessage} from 'node:http';
-import {type CallHead} from './call-codec.js';
+import {type CallHead, type GenerationSize} from './call-codec.js';
 import {
 	type Customer, type PoolSettings, type Quota, type Route,
 } from './routing-table.js';
@@ -20,7 +20,7 @@
 }
 
 /** @returns What a request costs of its customer's quota, in the quota's unit. */
-export function quotaCost(quota: Quota | undefined, {generation}: CallHead): number {
+export function quotaCost(quota: Quota | undefined, generation: GenerationSize | undefined): number {
 	if (quota === undefined) {
 		return 0;
 	}
--- a/src/gateway/front-server.ts
+++ b/src/gateway/front-server.ts
@@ -281,7 +281,7 @@
 			pool: pool.name,
 			customer: customer?.name,
 			rank: combinedRank(route, customer),
-			quotaCost: quotaCost(customer?.quota, head!),
+			quotaCost: quotaCost(customer?.quota, head!.generation),
 			outputEvents: expectedOutputEvents(head!, pool),
 			body,
 			fingerprint,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,9 @@
  * The gateway of one VM between callers and upstreams: HTTP server, allocation, links to other VMs, graceful shutdown.
  */
 import process from 'node:process';
+import {type PlaceRequest} from '../allocation/allocation.js';
 import {Allocator, type Decision} from '../allocation/allocator.js';
+import {type Explanation} from '../allocation/explanation.js';
 import {type ShareDecision} from '../allocation/overload.js';
 import {leftArea} from '../allocation/locality.js';
 import {type RetryBounds} from '../allocation/pool-retry-budget.js';
@@ -227,6 +229,11 @@
 		return this.coordinator.liftQuarantine(feature);
 	}
 
+	/** @returns What this VM's allocator would decide on a request now; `undefined` if its service is not known. Changes nothing. */
+	explain(ask: PlaceRequest): Explanation | undefined {
+		return this.#allocator.explain(ask);
+	}
+
 	/** Accepts callers and joins the other VMs, each as soon as the address for it is available; unless it was told to stop before. */
 	start(): void {
 		if (this.#isStopping) {
--- a/src/link/message-schemas.ts
+++ b/src/link/message-schemas.ts
@@ -32,6 +32,7 @@
 	name: z.string(),
 	frontAddress: address,
 	linkAddress: address,
+	operatorAddress: z.optional(address),
 	dataCentre: z.string(),
 	region: z.string(),
 	strength: z.number(),
--- a/src/link/messages.ts
+++ b/src/link/messages.ts
@@ -20,6 +20,8 @@
 	readonly frontAddress: string;
 	/** Address for other VMs, as `IP:PORT`. */
 	readonly linkAddress: string;
+	/** Address for operators, as `IP:PORT`, if the VM tells it. */
+	readonly operatorAddress?: string;
 	readonly dataCentre: string;
 	readonly region: string;
 	/** Relative CPU and network capacity, by which the leader is elected; higher is better. */
