--- a/src/main.ts
+++ b/src/main.ts
@@ -34,6 +34,10 @@
 			const {statusCommand} = await import('./cli/status.js');
 			return statusCommand;
 		},
+		async explain() {
+			const {explainCommand} = await import('./cli/explain.js');
+			return explainCommand;
+		},
 		async drain() {
 			const {drainCommand} = await import('./cli/drain.js');
 			return drainCommand;
