--- a/src/allocation/locality-rule.ts
+++ b/src/allocation/locality-rule.ts
@@ -8,6 +8,7 @@
 } from './adaptive-locality.js';
 import {FixedLocality, Locality} from './locality.js';
 import {type TrackedUpstream} from './tracked-upstream.js';
+import {type Restore} from './unchanged-state.js';
 
 /** How long the list of usable upstreams is used, in ms; the interval at which queues are checked. */
 const USABLE_TTL_MS = 25;
@@ -90,6 +91,15 @@
 		this.#view = view;
 	}
 
+	override snapshot(): Restore {
+		const usable = this.#usable;
+		const listedAt = this.#listedAt;
+		return () => {
+			this.#usable = usable;
+			this.#listedAt = listedAt;
+		};
+	}
+
 	/** @returns Infinity, which `Placement` never chooses, for an upstream elsewhere while one at home is usable. */
 	costMs(ask: PlaceRequest, upstream: Upstream, now: number): number {
 		if (upstream.dataCentre === ask.dataCentre && upstream.region === ask.region) {
