Soak of processes: roll-outs of good and bad versions beside the faults

Cause: the soak never ordered a roll-out, so that versions were not tried beside kills, cut links, pauses and a store that goes back. Change: settings of even seeds name the contracts pressure and rollout. A pool of its own then gets good and bad versions in turn. Checked are the bound of a bad version, 5 s after its 50th bad response, requests after rolled_back, requests at old upstreams after completed, and that a bad version is not completed. Decisions come from a separate random stream, so that odd seeds mean what they meant, and even seeds choose the same faults.

--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -40,6 +40,10 @@
 /** Prefixes of routes that come and go. */
 export const extraPrefixes = ['/extra-1/', '/extra-2/', '/extra-3/'] as const;
 
+/** Pool whose versions are rolled out, and the prefixes of its routes, which changes of the manifest leave alone. */
+export const ROLLOUT_SERVICE = 'shop';
+export const rolloutPrefixes = {safe: '/shop/', unsafe: '/shop-unsafe/'} as const;
+
 const VERSION_PREFIX = '/version-';
 
 /** @returns Prefix of the route that only this version has, which shows whether a VM has applied it. */
@@ -93,7 +97,7 @@
 		manifest.tenants = hasGuest ? manifest.tenants.filter(({name}) => name !== 'guest') : [...manifest.tenants, {name: 'guest', apiKeys: ['key-3']}];
 	},
 	timeout(manifest: Manifest, random: Random) {
-		random.pick(manifest.routes.filter(({prefix}) => !prefix.startsWith(VERSION_PREFIX))).timeoutMs = random.pick(TIMEOUTS_MS);
+		random.pick(manifest.routes.filter(({prefix, service}) => !prefix.startsWith(VERSION_PREFIX) && service !== ROLLOUT_SERVICE)).timeoutMs = random.pick(TIMEOUTS_MS);
 	},
 	idleLimit(manifest: Manifest, random: Random) {
 		manifest.limits.idleTimeoutMs = random.pick(IDLE_TIMEOUTS_MS);
@@ -116,17 +120,20 @@
 
 /** Writes manifests, each with a later version. */
 export class Operator {
-	static create(store: PlatformStore): Operator {
-		return new Operator(store);
+	/** @param hasRollouts - Whether the manifest has the pool whose versions are rolled out. */
+	static create(store: PlatformStore, hasRollouts = false): Operator {
+		return new Operator(store, hasRollouts);
 	}
 
 	/** All versions that were written, in order. */
 	readonly written: WrittenManifest[] = [];
 	readonly #store: PlatformStore;
+	readonly #hasRollouts: boolean;
 	#version = 0;
 
-	private constructor(store: PlatformStore) {
+	private constructor(store: PlatformStore, hasRollouts: boolean) {
 		this.#store = store;
+		this.#hasRollouts = hasRollouts;
 	}
 
 	/** The newest manifest. */
@@ -147,12 +154,14 @@
 				createRoute('stream', 'streaming', '/stream/', 'engines'),
 				createRoute('safe', 'idempotent', '/safe/', 'desk'),
 				createRoute('unsafe', 'non_idempotent', '/unsafe/', 'desk'),
+				...(this.#hasRollouts ? [createRoute('shop', 'idempotent', rolloutPrefixes.safe, ROLLOUT_SERVICE), createRoute('shop-unsafe', 'non_idempotent', rolloutPrefixes.unsafe, ROLLOUT_SERVICE)] : []),
 				...extraRoutes.map(prefix => createRoute(prefix, 'idempotent', prefix, 'desk')),
 			],
 			services: [
 				createService('engines', {slots: 4, stride: 1}),
 				createService('desk'),
 				createService('counter'),
+				...(this.#hasRollouts ? [createService(ROLLOUT_SERVICE)] : []),
 			],
 			limits: {
 				maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -12,7 +12,7 @@
 import {splitAddress} from '../src/base/address.js';
 import {Random} from '../src/base/random.js';
 import {
-	PlatformServer, expectedBody, expectedStreamBody, type Run, targetParameter,
+	PlatformServer, expectedBody, expectedStreamBody, type Run, type ServerMode, targetParameter,
 } from '../standins/platform-server.js';
 import {PlatformStore, type StoreCopy} from '../standins/platform-store.js';
 import {Spans} from '../standins/spans.js';
@@ -21,7 +21,9 @@
 import {findConfigurationFaults} from './configuration-rule.js';
 import {findLimitExcess, type LimitSpan} from './limit-rule.js';
 import {type CallCircumstances, findEndingFault} from './ending-rule.js';
-import {CALLER_TIMEOUT_MS, Operator} from './operator.js';
+import {
+	CALLER_TIMEOUT_MS, Operator, ROLLOUT_SERVICE, rolloutPrefixes,
+} from './operator.js';
 import {findAccountFaults} from './request-account.js';
 import {type CallKind, type CallerAnswer, type SentCall} from './sent-call.js';
 import {VmProcess} from './vm-process.js';
@@ -70,6 +72,8 @@
 	readonly isSupervised?: boolean;
 	/** Number of ways to the store that can be disturbed by themselves. */
 	readonly storeProxyCount?: number;
+	/** Contracts that the settings of the VMs name. */
+	readonly contracts?: readonly string[];
 };
 
 type RunsById = Map<string, Array<{readonly run: Run; readonly server: PlatformServer}>>;
@@ -111,11 +115,11 @@
 
 	/** Creates a deployment of which no VM runs yet. */
 	static async create(serverCount: number, options: DeploymentOptions): Promise<PlatformDeployment> {
-		const {storeProxyCount = 1} = options;
+		const {storeProxyCount = 1, contracts = []} = options;
 		const store = await PlatformStore.start();
 		const storeProxies = await Promise.all(Array.from({length: storeProxyCount}, async () => TcpProxy.start(store.address)));
 		const folder = await mkdtemp(path.join(tmpdir(), 'redwingspool-'));
-		const deployment = new PlatformDeployment(store, storeProxies, folder);
+		const deployment = new PlatformDeployment(store, storeProxies, folder, contracts.includes('rollout'));
 		for (let index = 0; index < serverCount; index += 1) {
 			await deployment.addServer('engines', 4); // eslint-disable-line no-await-in-loop
 			await deployment.addServer('desk', 6); // eslint-disable-line no-await-in-loop
@@ -124,7 +128,7 @@
 		deployment.setConfiguration();
 		deployment.firstCopy = store.copy();
 		await deployment.#createVms({
-			zones: ['zone-a'], program: SourceProgram.create(), isSupervised: false, storeProxyCount, ...options,
+			zones: ['zone-a'], program: SourceProgram.create(), isSupervised: false, storeProxyCount, contracts, ...options,
 		});
 		return deployment;
 	}
@@ -163,9 +167,9 @@
 	#nextId = 1;
 	#isStopped = false;
 
-	private constructor(store: PlatformStore, storeProxies: readonly TcpProxy[], folder: string) {
+	private constructor(store: PlatformStore, storeProxies: readonly TcpProxy[], folder: string, hasRollouts: boolean) {
 		this.store = store;
-		this.operator = Operator.create(store);
+		this.operator = Operator.create(store, hasRollouts);
 		this.storeProxies = storeProxies;
 		this.firstCopy = store.copy();
 		this.#folder = folder;
@@ -192,6 +196,19 @@
 		return server;
 	}
 
+	/** Adds a server of the pool whose versions are rolled out. It is not in `servers`, so that faults of servers do not choose it. */
+	async addVersionServer(slots: number, version: string, mode: ServerMode): Promise<PlatformServer> {
+		const server = await this.addServer(ROLLOUT_SERVICE, slots, {version, mode});
+		this.servers.delete(server.id);
+		return server;
+	}
+
+	/** Stops a server immediately and removes its entry. */
+	removeServer(server: PlatformServer): void {
+		server.crash();
+		this.#putEntry(server.id, undefined);
+	}
+
 	/** Sets how all servers crash by deadly parts. */
 	setDeadlyCrash(deadlyCrash: Partial<PlatformDeployment['deadlyCrash']>): void {
 		this.deadlyCrash = {...this.deadlyCrash, ...deadlyCrash};
@@ -469,6 +486,11 @@
 		return this.#disturbed.begin();
 	}
 
+	/** @returns Whether the store, or a way to it, was disturbed. */
+	isStoreDisturbed(from: number, until: number): boolean {
+		return this.#storeDisturbed.overlaps(from, until);
+	}
+
 	/** Records a violation that a caller of this class found. */
 	addViolation(detail: string): void {
 		this.check(false, detail);
@@ -512,6 +534,11 @@
 		await rm(this.#folder, {recursive: true});
 	}
 
+	/** @returns Whether a server of the pool with roll-outs, or one of the others, was faulty. A bad version explains no failure at the others. */
+	#isServerUnsound(isOfRollouts: boolean, from: number, until: number): boolean {
+		return this.#allServers.some(({id, unsound}) => (this.#serviceByServer.get(id) === ROLLOUT_SERVICE) === isOfRollouts && unsound.overlaps(from, until));
+	}
+
 	#circumstancesOf({startedAt, endedAt, vm, prefix}: SentCall, runs: ReadonlyArray<{readonly run: Run; readonly server: PlatformServer}>): CallCircumstances {
 		const inOrder = [...runs].sort((a, b) => a.run.at - b.run.at);
 		const last = inOrder.at(-1);
@@ -521,7 +548,7 @@
 			runs: inOrder.map(({run}) => run),
 			isVmDisturbed: vm.disturbed.overlaps(startedAt, endedAt),
 			isLastRunDisturbed: last !== undefined && (last.run.isTorn || last.server.unsound.overlaps(last.run.at, endedAt)),
-			isServerDisturbed: this.#allServers.some(({unsound}) => unsound.overlaps(startedAt, endedAt)),
+			isServerDisturbed: this.#isServerUnsound(Object.values<string>(rolloutPrefixes).includes(prefix), startedAt, endedAt),
 			timeLimitMs: {min: Math.min(CALLER_TIMEOUT_MS, ...timeLimits), max: Math.max(0, ...timeLimits)},
 		};
 	}
@@ -561,7 +588,7 @@
 	}
 
 	/** Creates the VMs' processes without starting them. */
-	async #createVms({vmCount, layout, zones, program, isSupervised}: Required<DeploymentOptions>): Promise<void> {
+	async #createVms({vmCount, layout, zones, program, isSupervised, contracts}: Required<DeploymentOptions>): Promise<void> {
 		const allAddresses: VmAddresses[] = [];
 		for (let index = 0; index < vmCount; index += 1) {
 			allAddresses.push(await layout.assign(index)); // eslint-disable-line no-await-in-loop -- ports in order
@@ -571,7 +598,7 @@
 			const settingsPath = path.join(this.#folder, `vm-${index}.json`);
 			const vm = new VmProcess(`vm-${index}`, settingsPath, addresses, program);
 			writeFileSync(settingsPath, encodeVmSettings({
-				index, addresses, zone: zones[index % zones.length]!, zones: [...new Set(zones)], seeds: allAddresses.slice(0, MAX_SEEDS).map(({control}) => control), storeAddress: this.storeProxies[index % this.storeProxies.length]!.address,
+				index, addresses, zone: zones[index % zones.length]!, zones: [...new Set(zones)], seeds: allAddresses.slice(0, MAX_SEEDS).map(({control}) => control), storeAddress: this.storeProxies[index % this.storeProxies.length]!.address, contracts,
 			}));
 			if (isSupervised) {
 				vm.onUnexpectedEnd = detail => {
--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -13,6 +13,7 @@
 import {PlatformDeployment, timestamp} from './platform-deployment.js';
 import {faultChoices, type FaultKind, faults} from './process-faults.js';
 import {ResourceGauge} from './resource-gauge.js';
+import {RolloutRun} from './rollout-run.js';
 import {type VmProcess} from './vm-process.js';
 import {BundleProgram, SourceProgram, type VmProgram} from './vm-program.js';
 
@@ -47,6 +48,8 @@
 export const VM_COUNT = 4;
 const SERVER_COUNT = 3;
 const ROUND_INTERVAL_MS = 100;
+/** Added to the seed for the decisions of roll-outs, so that the other decisions of each seed stay as they were. */
+const ROLLOUT_SEED_OFFSET = 1_000_000_000;
 
 export type ProcessRunOptions = {
 	readonly layout?: LayoutKind;
@@ -57,19 +60,22 @@
 	readonly vmCount?: number;
 	/** Kinds of faults, as often as they are chosen. */
 	readonly kinds?: readonly FaultKind[];
+	/** Whether the settings name the contracts `pressure` and `rollout`; those of even seeds do by default. */
+	readonly hasContracts?: boolean;
 };
 
 /** One run. */
 export class ProcessRun {
 	static async create(seed: number, options: ProcessRunOptions = {}): Promise<ProcessRun> {
-		const {layout = LayoutKind.OneAddress, isLarge = false, isBundled = false, vmCount = isLarge ? largeZones.length : VM_COUNT, kinds = faultChoices} = options;
+		const {layout = LayoutKind.OneAddress, isLarge = false, isBundled = false, vmCount = isLarge ? largeZones.length : VM_COUNT, kinds = faultChoices, hasContracts = seed % 2 === 0} = options;
 		const random = Random.create(seed);
 		const program = isBundled ? await BundleProgram.create() : SourceProgram.create();
 		const addresses = AddressLayout.create(layout, random);
 		const deployment = await PlatformDeployment.create(SERVER_COUNT, {
-			vmCount, layout: addresses, zones: isLarge ? largeZones : ['zone-a'], program, isSupervised: true, storeProxyCount: STORE_PROXY_COUNT,
+			vmCount, layout: addresses, zones: isLarge ? largeZones : ['zone-a'], program, isSupervised: true, storeProxyCount: STORE_PROXY_COUNT, contracts: hasContracts ? ['pressure', 'rollout'] : [],
 		});
-		const run = new ProcessRun(random, deployment, program, addresses.isShared, kinds);
+		const rollouts = hasContracts ? await RolloutRun.create(deployment, Random.create(seed + ROLLOUT_SEED_OFFSET)) : undefined;
+		const run = new ProcessRun(random, deployment, program, addresses.isShared, kinds, rollouts);
 		await run.#start();
 		await deployment.addServer('counter', 6);
 		await deployment.addServer('counter', 6);
@@ -88,17 +94,20 @@
 	rateFactor = 1;
 	/** Time from the first start of a process until all were ready, in ms. */
 	readyAfterMs = Number.NaN;
+	/** Roll-outs beside the faults; `undefined` without the contracts. */
+	readonly rollouts: RolloutRun | undefined;
 	readonly injectedFaults = new Map<FaultKind, number>();
 	/** What was done to the deployment, with its times. */
 	readonly events: string[] = [];
 	readonly #kinds: readonly FaultKind[];
 
-	private constructor(random: Random, deployment: PlatformDeployment, program: VmProgram, sharesAddress: boolean, kinds: readonly FaultKind[]) {
+	private constructor(random: Random, deployment: PlatformDeployment, program: VmProgram, sharesAddress: boolean, kinds: readonly FaultKind[], rollouts: RolloutRun | undefined) { // eslint-disable-line max-params -- called in one place
 		this.random = random;
 		this.deployment = deployment;
 		this.program = program;
 		this.sharesAddress = sharesAddress;
 		this.#kinds = kinds;
+		this.rollouts = rollouts;
 		this.gauge = ResourceGauge.start(deployment.vms, detail => {
 			deployment.addViolation(detail);
 		});
@@ -156,6 +165,12 @@
 			}
 		}
 
+		if (this.rollouts !== undefined) {
+			this.#track(pending, this.rollouts.execute(end, event => {
+				this.note(event);
+			}));
+		}
+
 		let nextFaultAt = performance.now() + MEAN_FAULT_INTERVAL_MS;
 		while (performance.now() < end) {
 			this.#track(pending, this.deployment.call(this.random.pick(this.deployment.vms), this.random.pick(['unsafe', 'safe', 'stream'])));
@@ -176,6 +191,7 @@
 		this.deployment.setConfiguration();
 		await this.#recover();
 		await this.deployment.checkAccounts();
+		this.rollouts?.check();
 		this.deployment.checkServers();
 		this.deployment.checkConfigurations();
 	}
--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -24,6 +24,7 @@
 		vms: {type: 'string', description: `Number of VMs, each with a process of about 100 MB; ${VM_COUNT} by default, 9 with mahabir`},
 		layout: {type: 'string', default: 'seed', description: `Addresses of the VMs: ${layoutNames.join(', ')}; chosen by the seed by default`},
 		bundle: {type: 'boolean', default: false, description: 'Run the bundle with the flags of deploy/system.toml, and check its memory'},
+		contracts: {type: 'string', default: 'seed', description: 'Whether the settings name the contracts pressure and rollout: on, off, or seed (those of even seeds)'},
 		faults: {type: 'string', description: 'Kinds of faults, separated by commas; all by default'},
 	},
 	async run({args}) {
@@ -39,7 +40,7 @@
 			const layout = args.layout === 'seed' ? layoutNames[seed % layoutNames.length]! : args.layout;
 			/* eslint-disable no-await-in-loop -- runs are sequential */
 			const run = await ProcessRun.create(seed, {
-				...layouts[layout], isBundled: args.bundle, ...(args.vms === undefined ? {} : {vmCount: Number(args.vms)}), ...(kinds === undefined ? {} : {kinds}),
+				...layouts[layout], isBundled: args.bundle, ...(args.vms === undefined ? {} : {vmCount: Number(args.vms)}), ...(kinds === undefined ? {} : {kinds}), ...(args.contracts === 'seed' ? {} : {hasContracts: args.contracts === 'on'}),
 			});
 			try {
 				await run.execute(Number(args.seconds));
@@ -47,7 +48,7 @@
 				run.deployment.addViolation(`the soak failed: ${(error as Error).stack}`);
 			}
 
-			const {deployment, injectedFaults, gauge, readyAfterMs} = run;
+			const {deployment, injectedFaults, gauge, readyAfterMs, rollouts} = run;
 			if (deployment.violations.length > 0) {
 				await deployment.saveLogs(run.events);
 			}
@@ -56,7 +57,7 @@
 			/* eslint-enable no-await-in-loop */
 			violations += deployment.violations.length;
 			console.log(JSON.stringify({
-				seed, layout, processes: deployment.vms.length, readyAfterMs, peak: gauge.peak, faults: Object.fromEntries(injectedFaults), answers: Object.fromEntries(deployment.counts), checks: deployment.checks, endedBeforeFirstLine: deployment.vms.reduce((sum, vm) => sum + vm.earlyHupCount, 0), violations: deployment.violations,
+				seed, layout, processes: deployment.vms.length, readyAfterMs, peak: gauge.peak, faults: Object.fromEntries(injectedFaults), answers: Object.fromEntries(deployment.counts), ...(rollouts === undefined ? {} : {rollouts: rollouts.outcomes}), checks: deployment.checks, endedBeforeFirstLine: deployment.vms.reduce((sum, vm) => sum + vm.earlyHupCount, 0), violations: deployment.violations,
 			}));
 		}
 
--- a/soak/vm-settings.ts
+++ b/soak/vm-settings.ts
@@ -9,6 +9,8 @@
 /** Resident memory, in MB, and descriptors at which the platform kills a process. */
 export const MEMORY_LIMIT_MB = 350;
 export const MAX_DESCRIPTORS = 4100;
+/** Bounds on the requests that a bad version gets: share, additional requests, and the time in ms after its 50th bad response. */
+export const ROLLOUT_BOUNDS = {exposeShare: 0.1, exposeSlack: 50, rollbackMs: 5000} as const;
 
 /** What differs between the VMs. */
 export type VmSettings = {
@@ -18,6 +20,8 @@
 	readonly zones: readonly string[];
 	readonly seeds: readonly string[];
 	readonly storeAddress: string;
+	/** Contracts that the settings name. */
+	readonly contracts: readonly string[];
 };
 
 type ListenSettings = {
@@ -35,7 +39,7 @@
 }
 
 /** @returns The text of the settings file. */
-export function encodeVmSettings({index, addresses, zone, zones, seeds, storeAddress}: VmSettings): string {
+export function encodeVmSettings({index, addresses, zone, zones, seeds, storeAddress, contracts}: VmSettings): string {
 	return JSON.stringify({
 		nodeName: `vm-${index}`,
 		zone,
@@ -48,7 +52,9 @@
 		},
 		bounds: {
 			graceS: 8, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 50, quotaWindowS: 8, quotaOver: 0.1, quotaSlack: 1000,
+			...(contracts.includes('rollout') ? ROLLOUT_BOUNDS : {}),
 		},
+		...(contracts.length === 0 ? {} : {contracts}),
 		platform: {address: storeAddress},
 	});
 }
