Soak of processes: servers state their pace

Cause: the stand-in servers never stated the fourth number of X-Server-Load, so that the contract pressure was not tried beside faults. Change: in the runs with the contracts, servers state a pace that changes, is absent, not usable or frozen; its decisions come from a random stream of their own. Long lines are split.

--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -154,7 +154,7 @@
 				createRoute('stream', 'streaming', '/stream/', 'engines'),
 				createRoute('safe', 'idempotent', '/safe/', 'desk'),
 				createRoute('unsafe', 'non_idempotent', '/unsafe/', 'desk'),
-				...(this.#hasRollouts ? [createRoute('shop', 'idempotent', rolloutPrefixes.safe, ROLLOUT_SERVICE), createRoute('shop-unsafe', 'non_idempotent', rolloutPrefixes.unsafe, ROLLOUT_SERVICE)] : []),
+				...(this.#hasRollouts ? createRolloutRoutes() : []),
 				...extraRoutes.map(prefix => createRoute(prefix, 'idempotent', prefix, 'desk')),
 			],
 			services: [
@@ -216,6 +216,13 @@
 	});
 }
 
+function createRolloutRoutes(): ManifestRoute[] {
+	return [
+		createRoute('shop', 'idempotent', rolloutPrefixes.safe, ROLLOUT_SERVICE),
+		createRoute('shop-unsafe', 'non_idempotent', rolloutPrefixes.unsafe, ROLLOUT_SERVICE),
+	];
+}
+
 function createService(name: string, engine?: {readonly slots: number; readonly stride: number}): Manifest['services'][number] {
 	const service = {name, healthPath: '/health', maxConns: 100};
 	return engine === undefined ? service : Object.assign(service, {engine});
--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -598,7 +598,8 @@
 			const settingsPath = path.join(this.#folder, `vm-${index}.json`);
 			const vm = new VmProcess(`vm-${index}`, settingsPath, addresses, program);
 			writeFileSync(settingsPath, encodeVmSettings({
-				index, addresses, zone: zones[index % zones.length]!, zones: [...new Set(zones)], seeds: allAddresses.slice(0, MAX_SEEDS).map(({control}) => control), storeAddress: this.storeProxies[index % this.storeProxies.length]!.address, contracts,
+				index, addresses, zone: zones[index % zones.length]!, zones: [...new Set(zones)], seeds: allAddresses.slice(0, MAX_SEEDS).map(({control}) => control), contracts,
+				storeAddress: this.storeProxies[index % this.storeProxies.length]!.address,
 			}));
 			if (isSupervised) {
 				vm.onUnexpectedEnd = detail => {
--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -10,6 +10,7 @@
 import {canConnect, findForeignPorts} from '../test/support/port-table.js';
 import {callOnConnection} from './connection-callers.js';
 import {versionPrefix} from './operator.js';
+import {ContractLoad} from './contract-load.js';
 import {PlatformDeployment, timestamp} from './platform-deployment.js';
 import {faultChoices, type FaultKind, faults} from './process-faults.js';
 import {ResourceGauge} from './resource-gauge.js';
@@ -48,8 +49,9 @@
 export const VM_COUNT = 4;
 const SERVER_COUNT = 3;
 const ROUND_INTERVAL_MS = 100;
-/** Added to the seed for the decisions of roll-outs, so that the other decisions of each seed stay as they were. */
+/** Added to the seed for the decisions of roll-outs and of the load, so that the other decisions of each seed stay as they were. */
 const ROLLOUT_SEED_OFFSET = 1_000_000_000;
+const LOAD_SEED_OFFSET = 2_000_000_000;
 
 export type ProcessRunOptions = {
 	readonly layout?: LayoutKind;
@@ -64,18 +66,24 @@
 	readonly hasContracts?: boolean;
 };
 
+/** What a run with the contracts has beside the faults. */
+type AdditionalLoad = Pick<ProcessRun, 'rollouts' | 'contractLoad'>;
+
 /** One run. */
 export class ProcessRun {
 	static async create(seed: number, options: ProcessRunOptions = {}): Promise<ProcessRun> {
-		const {layout = LayoutKind.OneAddress, isLarge = false, isBundled = false, vmCount = isLarge ? largeZones.length : VM_COUNT, kinds = faultChoices, hasContracts = seed % 2 === 0} = options;
+		const {layout = LayoutKind.OneAddress, isLarge = false, isBundled = false, kinds = faultChoices, hasContracts = seed % 2 === 0} = options;
+		const {vmCount = isLarge ? largeZones.length : VM_COUNT} = options;
 		const random = Random.create(seed);
 		const program = isBundled ? await BundleProgram.create() : SourceProgram.create();
 		const addresses = AddressLayout.create(layout, random);
 		const deployment = await PlatformDeployment.create(SERVER_COUNT, {
-			vmCount, layout: addresses, zones: isLarge ? largeZones : ['zone-a'], program, isSupervised: true, storeProxyCount: STORE_PROXY_COUNT, contracts: hasContracts ? ['pressure', 'rollout'] : [],
+			vmCount, layout: addresses, zones: isLarge ? largeZones : ['zone-a'], program, isSupervised: true, storeProxyCount: STORE_PROXY_COUNT,
+			contracts: hasContracts ? ['pressure', 'rollout'] : [],
 		});
+		const contractLoad = hasContracts ? ContractLoad.create(deployment, Random.create(seed + LOAD_SEED_OFFSET)) : undefined;
 		const rollouts = hasContracts ? await RolloutRun.create(deployment, Random.create(seed + ROLLOUT_SEED_OFFSET)) : undefined;
-		const run = new ProcessRun(random, deployment, program, addresses.isShared, kinds, rollouts);
+		const run = new ProcessRun(random, deployment, program, addresses.isShared, kinds, {rollouts, contractLoad});
 		await run.#start();
 		await deployment.addServer('counter', 6);
 		await deployment.addServer('counter', 6);
@@ -96,18 +104,22 @@
 	readyAfterMs = Number.NaN;
 	/** Roll-outs beside the faults; `undefined` without the contracts. */
 	readonly rollouts: RolloutRun | undefined;
+	/** Load that the contracts call for; `undefined` without them. */
+	readonly contractLoad: ContractLoad | undefined;
 	readonly injectedFaults = new Map<FaultKind, number>();
 	/** What was done to the deployment, with its times. */
 	readonly events: string[] = [];
 	readonly #kinds: readonly FaultKind[];
 
-	private constructor(random: Random, deployment: PlatformDeployment, program: VmProgram, sharesAddress: boolean, kinds: readonly FaultKind[], rollouts: RolloutRun | undefined) { // eslint-disable-line max-params -- called in one place
+	// eslint-disable-next-line max-params -- called in one place
+	private constructor(random: Random, deployment: PlatformDeployment, program: VmProgram, sharesAddress: boolean, kinds: readonly FaultKind[], {rollouts, contractLoad}: AdditionalLoad) {
 		this.random = random;
 		this.deployment = deployment;
 		this.program = program;
 		this.sharesAddress = sharesAddress;
 		this.#kinds = kinds;
 		this.rollouts = rollouts;
+		this.contractLoad = contractLoad;
 		this.gauge = ResourceGauge.start(deployment.vms, detail => {
 			deployment.addViolation(detail);
 		});
@@ -165,6 +177,10 @@
 			}
 		}
 
+		if (this.contractLoad !== undefined) {
+			this.#track(pending, this.contractLoad.execute(end));
+		}
+
 		if (this.rollouts !== undefined) {
 			this.#track(pending, this.rollouts.execute(end, event => {
 				this.note(event);
--- a/soak/rollout-run.ts
+++ b/soak/rollout-run.ts
@@ -13,8 +13,8 @@
 const SLOTS = 6;
 const PERIOD_S = 6;
 const PERIOD_MS = PERIOD_S * 1000;
-/** Time after the period within which a verdict is awaited, in ms; longer than a disturbance of the store. */
-const VERDICT_GRACE_MS = 6000;
+/** Time after the period within which a verdict is awaited, in ms. VMs that were all killed led again 9 s later at load 25. */
+const VERDICT_GRACE_MS = 12_000;
 const CALL_INTERVAL_MS = 10;
 const POLL_MS = 20;
 /** Longest time between the start of a version's servers and its order, in ms. */
--- a/standins/platform-server.ts
+++ b/standins/platform-server.ts
@@ -107,6 +107,8 @@
 	version = 'v1';
 	/** Value of the limit that each response states; `undefined` for none. */
 	limit: string | undefined;
+	/** Fourth number of the stated load, the pace; `undefined` for none. */
+	pace: string | undefined;
 	/** Tells whether a prompt crashes the server while it answers. */
 	isDeadly: ((prompt: string) => boolean) | undefined;
 	/** Number of events that it writes before such a crash. */
@@ -223,7 +225,7 @@
 
 	async #respond(req: IncomingMessage, res: ServerResponse, run: Run): Promise<void> {
 		const {id} = run;
-		const headers = {'x-request-id': this.mode === ServerMode.WrongRequestId ? 'another' : id, 'x-server-seal': `${this.id}.${id}`, 'x-server-load': `${this.#runningCount},0,${this.slots}`};
+		const headers = {'x-request-id': this.mode === ServerMode.WrongRequestId ? 'another' : id, 'x-server-seal': `${this.id}.${id}`, 'x-server-load': `${this.#runningCount},0,${this.slots}${this.pace === undefined ? '' : `,${this.pace}`}`};
 		if (this.mode === ServerMode.Unframed) {
 			res.useChunkedEncodingByDefault = false;
 			res.shouldKeepAlive = false;
