Soak of processes: customers of unequal load

Cause: all requests but a few came from one customer, so that the shares of customers under pressure were not tried beside faults. Change: in the runs with the contracts, one customer sends at 6 times its usual load in phases, beside one with a fifth of that usual load. Their requests are checked like those of the others, also for the customer that servers are told.

--- a/soak/contract-load.ts
+++ b/soak/contract-load.ts
@@ -1,10 +1,19 @@
 /**
- * Load of a `ProcessRun` whose settings name the contract `pressure`: servers that state their pace.
+ * Load of a `ProcessRun` whose settings name the contract `pressure`: servers that state their pace, and customers of
+ * unequal load.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {type Random} from '../src/base/random.js';
+import {Random} from '../src/base/random.js';
+import {type CallKind} from './sent-call.js';
 import {type PlatformDeployment} from './platform-deployment.js';
 
+/** Customers by API key, with the mean time between two requests, in ms, and the factor on the rate of an overload. */
+const customers = [
+	{apiKey: 'key-4', intervalMs: 60, overload: 6},
+	{apiKey: 'key-5', intervalMs: 300, overload: 1},
+] as const;
+/** Longest time for which a customer has its usual load, and its overload, in ms. */
+const MAX_PHASE_MS = 4000;
 /** Longest time between two changes of what a server states, in ms. */
 const MAX_PACE_INTERVAL_MS = 150;
 /** Usual range of a stated pace; 100 is the usual pace. */
@@ -16,6 +25,8 @@
 /** How long a frozen statement stays, in ms; longer than the estimates follow a statement. */
 const MAX_FROZEN_MS = 4000;
 
+const MAX_SEED = (2 ** 31) - 1;
+
 /** The additional load of one run. */
 export class ContractLoad {
 	static create(deployment: PlatformDeployment, random: Random): ContractLoad {
@@ -31,7 +42,30 @@
 	}
 
 	async execute(end: number): Promise<void> {
-		await this.#varyPaces(end);
+		await Promise.all([
+			this.#varyPaces(end),
+			...customers.map(async customer => this.#callAs(customer, end)),
+		]);
+	}
+
+	/** Sends requests of a customer, at its usual rate and at that of its overload in turn. */
+	async #callAs({apiKey, intervalMs, overload}: (typeof customers)[number], end: number): Promise<void> {
+		// A random stream for each customer, as their requests interleave by the speed of the machine.
+		const random = Random.create(this.#random.integer(0, MAX_SEED));
+		const pending: Array<Promise<unknown>> = [];
+		let [factor, phaseEndsAt] = [1, performance.now() + random.integer(0, MAX_PHASE_MS)];
+		while (performance.now() < end) {
+			if (performance.now() >= phaseEndsAt) {
+				factor = factor === 1 ? overload : 1;
+				phaseEndsAt += random.integer(0, MAX_PHASE_MS);
+			}
+
+			const kind: CallKind = random.pick(['unsafe', 'safe', 'stream']);
+			pending.push(this.#deployment.sendCall(this.#deployment.createCall(random.pick(this.#deployment.vms), kind, {apiKey})));
+			await sleep(random.exponential(intervalMs / factor)); // eslint-disable-line no-await-in-loop -- paces the requests
+		}
+
+		await Promise.all(pending);
 	}
 
 	/** Changes what servers state about their pace, one server at a time. */
--- a/soak/operator.ts
+++ b/soak/operator.ts
@@ -166,7 +166,10 @@
 			limits: {
 				maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 			},
-			tenants: [{name: 'crew', apiKeys: [...apiKeys]}],
+			tenants: [
+				{name: 'crew', apiKeys: [...apiKeys]},
+				...(this.#hasRollouts ? [{name: 'bulk', apiKeys: ['key-4']}, {name: 'small', apiKeys: ['key-5']}] : []),
+			],
 		});
 	}
 
--- a/soak/platform-deployment.ts
+++ b/soak/platform-deployment.ts
@@ -76,6 +76,9 @@
 	readonly contracts?: readonly string[];
 };
 
+/** Customers by API key; the other keys are those of `crew`. */
+const customersByKey: ReadonlyMap<string, string> = new Map([['key-3', 'guest'], ['key-4', 'bulk'], ['key-5', 'small']]);
+
 type RunsById = Map<string, Array<{readonly run: Run; readonly server: PlatformServer}>>;
 
 /** Options of a request. */
@@ -691,5 +694,5 @@
 }
 
 function customerOf(apiKey: string | undefined): string {
-	return apiKey === 'key-3' ? 'guest' : 'crew';
+	return customersByKey.get(apiKey ?? '') ?? 'crew';
 }
