--- a/test/soak/processes.test.ts
+++ b/test/soak/processes.test.ts
@@ -18,6 +18,8 @@
 			await run.stop();
 			expect(run.deployment.checks).to.be.above(1000);
 			expect([...run.injectedFaults.values()].reduce((sum, count) => sum + count, 0)).to.be.above(1);
+			// Even seeds have the contracts, and so roll-outs.
+			expect(run.rollouts !== undefined && Object.keys(run.rollouts.outcomes).length > 0).to.equal(seed % 2 === 0);
 			expect(run.deployment.violations).to.deep.equal([]);
 		});
 	}
