Soak of processes: callers that stop reading

Cause: slow readers of the soak always read their response to the end; no caller stopped reading. Change: in the runs with the contracts, two callers at a time request 5 MB, read nothing and leave after 0.2 to 1.1 s.

--- a/soak/contract-load.ts
+++ b/soak/contract-load.ts
@@ -1,9 +1,10 @@
 /**
- * Load of a `ProcessRun` whose settings name the contract `pressure`: servers that state their pace, and customers of
- * unequal load.
+ * Load of a `ProcessRun` whose settings name the contract `pressure`: servers that state their pace, customers of
+ * unequal load, and callers that stop reading.
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Random} from '../src/base/random.js';
+import {CallerConnection} from './caller-connection.js';
 import {type CallKind} from './sent-call.js';
 import {type PlatformDeployment} from './platform-deployment.js';
 
@@ -14,6 +15,13 @@
 ] as const;
 /** Longest time for which a customer has its usual load, and its overload, in ms. */
 const MAX_PHASE_MS = 4000;
+/** Callers that stop reading, bytes of the response, which no buffer on the way holds, and how long they stay, in ms: less than any time limit. */
+const UNREAD_CALLERS = 2;
+const UNREAD_BYTES = 5_000_000;
+const UNREAD_MS = {min: 200, max: 1100} as const;
+const CONNECT_TIMEOUT_MS = 1000;
+/** Longest time between two such callers, in ms. */
+const MAX_UNREAD_INTERVAL_MS = 800;
 /** Longest time between two changes of what a server states, in ms. */
 const MAX_PACE_INTERVAL_MS = 150;
 /** Usual range of a stated pace; 100 is the usual pace. */
@@ -45,9 +53,37 @@
 		await Promise.all([
 			this.#varyPaces(end),
 			...customers.map(async customer => this.#callAs(customer, end)),
+			...Array.from({length: UNREAD_CALLERS}, async () => this.#leaveUnread(end)),
 		]);
 	}
 
+	/** Sends requests, one after the other, whose responses are not read until the caller leaves. */
+	async #leaveUnread(end: number): Promise<void> {
+		const random = Random.create(this.#random.integer(0, MAX_SEED));
+		while (performance.now() < end) {
+			/* eslint-disable no-await-in-loop -- one connection after the other */
+			const vm = random.pick(this.#deployment.vms);
+			const unreadMs = random.integer(UNREAD_MS.min, UNREAD_MS.max);
+			const connection = await CallerConnection.open(vm.front, CONNECT_TIMEOUT_MS);
+			if (connection !== undefined) {
+				const call = this.#deployment.createCall(vm, 'safe', {query: `bytes=${UNREAD_BYTES}`});
+				const head = Object.entries(this.#deployment.headersOf(call)).map(([name, value]) => `${name}: ${value}\r\n`).join('');
+				const answered = connection.answer();
+				connection.pause();
+				call.startedAt = performance.now();
+				call.sentAt = connection.write(`${call.method} ${call.target} HTTP/1.1\r\n${head}\r\n`) ? performance.now() : Number.NaN;
+				// The VM may cut off a caller that does not read.
+				call.hasCallerLeft = true;
+				await sleep(unreadMs);
+				connection.close();
+				this.#deployment.endCall(call, await answered);
+			}
+
+			await sleep(random.integer(0, MAX_UNREAD_INTERVAL_MS));
+			/* eslint-enable no-await-in-loop */
+		}
+	}
+
 	/** Sends requests of a customer, at its usual rate and at that of its overload in turn. */
 	async #callAs({apiKey, intervalMs, overload}: (typeof customers)[number], end: number): Promise<void> {
 		// A random stream for each customer, as their requests interleave by the speed of the machine.
