--- a/soak/processes.ts
+++ b/soak/processes.ts
@@ -40,7 +40,8 @@
 			const layout = args.layout === 'seed' ? layoutNames[seed % layoutNames.length]! : args.layout;
 			/* eslint-disable no-await-in-loop -- runs are sequential */
 			const run = await ProcessRun.create(seed, {
-				...layouts[layout], isBundled: args.bundle, ...(args.vms === undefined ? {} : {vmCount: Number(args.vms)}), ...(kinds === undefined ? {} : {kinds}), ...(args.contracts === 'seed' ? {} : {hasContracts: args.contracts === 'on'}),
+				...layouts[layout], isBundled: args.bundle, ...(args.vms === undefined ? {} : {vmCount: Number(args.vms)}), ...(kinds === undefined ? {} : {kinds}),
+				...(args.contracts === 'seed' ? {} : {hasContracts: args.contracts === 'on'}),
 			});
 			try {
 				await run.execute(Number(args.seconds));
@@ -57,7 +58,9 @@
 			/* eslint-enable no-await-in-loop */
 			violations += deployment.violations.length;
 			console.log(JSON.stringify({
-				seed, layout, processes: deployment.vms.length, readyAfterMs, peak: gauge.peak, faults: Object.fromEntries(injectedFaults), answers: Object.fromEntries(deployment.counts), ...(rollouts === undefined ? {} : {rollouts: rollouts.outcomes}), checks: deployment.checks, endedBeforeFirstLine: deployment.vms.reduce((sum, vm) => sum + vm.earlyHupCount, 0), violations: deployment.violations,
+				seed, layout, processes: deployment.vms.length, readyAfterMs, peak: gauge.peak, faults: Object.fromEntries(injectedFaults),
+				answers: Object.fromEntries(deployment.counts), ...(rollouts === undefined ? {} : {rollouts: rollouts.outcomes}), checks: deployment.checks,
+				endedBeforeFirstLine: deployment.vms.reduce((sum, vm) => sum + vm.earlyHupCount, 0), violations: deployment.violations,
 			}));
 		}
 
