--- a/soak/process-run.ts
+++ b/soak/process-run.ts
@@ -10,9 +10,11 @@
 import {canConnect, findForeignPorts} from '../test/support/port-table.js';
 import {callOnConnection} from './connection-callers.js';
 import {versionPrefix} from './operator.js';
+import {ContractLoad} from './contract-load.js';
 import {PlatformDeployment, timestamp} from './platform-deployment.js';
 import {faultChoices, type FaultKind, faults} from './process-faults.js';
 import {ResourceGauge} from './resource-gauge.js';
+import {RolloutRun} from './rollout-run.js';
 import {type VmProcess} from './vm-process.js';
 import {BundleProgram, SourceProgram, type VmProgram} from './vm-program.js';
 
@@ -47,6 +49,9 @@
 export const VM_COUNT = 4;
 const SERVER_COUNT = 3;
 const ROUND_INTERVAL_MS = 100;
+/** Added to the seed for the decisions of roll-outs and of the load, so that the other decisions of each seed stay as they were. */
+const ROLLOUT_SEED_OFFSET = 1_000_000_000;
+const LOAD_SEED_OFFSET = 2_000_000_000;
 
 export type ProcessRunOptions = {
 	readonly layout?: LayoutKind;
@@ -57,19 +62,28 @@
 	readonly vmCount?: number;
 	/** Kinds of faults, as often as they are chosen. */
 	readonly kinds?: readonly FaultKind[];
+	/** Whether the settings name the contracts `pressure` and `rollout`; those of even seeds do by default. */
+	readonly hasContracts?: boolean;
 };
 
+/** What a run with the contracts has beside the faults. */
+type AdditionalLoad = Pick<ProcessRun, 'rollouts' | 'contractLoad'>;
+
 /** One run. */
 export class ProcessRun {
 	static async create(seed: number, options: ProcessRunOptions = {}): Promise<ProcessRun> {
-		const {layout = LayoutKind.OneAddress, isLarge = false, isBundled = false, vmCount = isLarge ? largeZones.length : VM_COUNT, kinds = faultChoices} = options;
+		const {layout = LayoutKind.OneAddress, isLarge = false, isBundled = false, kinds = faultChoices, hasContracts = seed % 2 === 0} = options;
+		const {vmCount = isLarge ? largeZones.length : VM_COUNT} = options;
 		const random = Random.create(seed);
 		const program = isBundled ? await BundleProgram.create() : SourceProgram.create();
 		const addresses = AddressLayout.create(layout, random);
 		const deployment = await PlatformDeployment.create(SERVER_COUNT, {
 			vmCount, layout: addresses, zones: isLarge ? largeZones : ['zone-a'], program, isSupervised: true, storeProxyCount: STORE_PROXY_COUNT,
+			contracts: hasContracts ? ['pressure', 'rollout'] : [],
 		});
-		const run = new ProcessRun(random, deployment, program, addresses.isShared, kinds);
+		const contractLoad = hasContracts ? ContractLoad.create(deployment, Random.create(seed + LOAD_SEED_OFFSET)) : undefined;
+		const rollouts = hasContracts ? await RolloutRun.create(deployment, Random.create(seed + ROLLOUT_SEED_OFFSET)) : undefined;
+		const run = new ProcessRun(random, deployment, program, addresses.isShared, kinds, {rollouts, contractLoad});
 		await run.#start();
 		await deployment.addServer('counter', 6);
 		await deployment.addServer('counter', 6);
@@ -88,17 +102,24 @@
 	rateFactor = 1;
 	/** Time from the first start of a process until all were ready, in ms. */
 	readyAfterMs = Number.NaN;
+	/** Roll-outs beside the faults; `undefined` without the contracts. */
+	readonly rollouts: RolloutRun | undefined;
+	/** Load that the contracts call for; `undefined` without them. */
+	readonly contractLoad: ContractLoad | undefined;
 	readonly injectedFaults = new Map<FaultKind, number>();
 	/** What was done to the deployment, with its times. */
 	readonly events: string[] = [];
 	readonly #kinds: readonly FaultKind[];
 
-	private constructor(random: Random, deployment: PlatformDeployment, program: VmProgram, sharesAddress: boolean, kinds: readonly FaultKind[]) {
+	// eslint-disable-next-line max-params -- called in one place
+	private constructor(random: Random, deployment: PlatformDeployment, program: VmProgram, sharesAddress: boolean, kinds: readonly FaultKind[], {rollouts, contractLoad}: AdditionalLoad) {
 		this.random = random;
 		this.deployment = deployment;
 		this.program = program;
 		this.sharesAddress = sharesAddress;
 		this.#kinds = kinds;
+		this.rollouts = rollouts;
+		this.contractLoad = contractLoad;
 		this.gauge = ResourceGauge.start(deployment.vms, detail => {
 			deployment.addViolation(detail);
 		});
@@ -156,6 +177,16 @@
 			}
 		}
 
+		if (this.contractLoad !== undefined) {
+			this.#track(pending, this.contractLoad.execute(end));
+		}
+
+		if (this.rollouts !== undefined) {
+			this.#track(pending, this.rollouts.execute(end, event => {
+				this.note(event);
+			}));
+		}
+
 		let nextFaultAt = performance.now() + MEAN_FAULT_INTERVAL_MS;
 		while (performance.now() < end) {
 			this.#track(pending, this.deployment.call(this.random.pick(this.deployment.vms), this.random.pick(['unsafe', 'safe', 'stream'])));
@@ -176,6 +207,7 @@
 		this.deployment.setConfiguration();
 		await this.#recover();
 		await this.deployment.checkAccounts();
+		this.rollouts?.check();
 		this.deployment.checkServers();
 		this.deployment.checkConfigurations();
 	}
