--- a/test/platform/program-settings.test.ts
+++ b/test/platform/program-settings.test.ts
@@ -13,16 +13,17 @@
 	// Guards against decisions that change although nothing is set, and against a start that fails for a flag of another program.
 	it('have the costs of the code by default, and ignore unknown flags', () => {
 		for (const flags of [[], ['--no-such-flag', 'x']]) {
-			expect(read(flags).unwrapOr(undefined)).to.deep.equal({locality: defaultLocalitySettings});
+			expect(read(flags).unwrapOr(undefined)).to.deep.equal({explainKey: undefined, locality: defaultLocalitySettings});
 		}
 	});
 
 	// Guards against settings that reach the wrong link, and flags that do not override the environment.
 	it('come from flags and environment variables', () => {
 		const settings = read(['--locality', 'never', '--link-delay-region-ms=12.5', '--link-price-data-centre-ms-per-gb', '7'], {
-			REDWINGSPOOL_LOCALITY: 'free', REDWINGSPOOL_LINK_DELAY_DATA_CENTRE_MS: '3', REDWINGSPOOL_LINK_PRICE_REGION_MS_PER_GB: '0',
+			REDWINGSPOOL_LOCALITY: 'free', REDWINGSPOOL_LINK_DELAY_DATA_CENTRE_MS: '3', REDWINGSPOOL_LINK_PRICE_REGION_MS_PER_GB: '0', REDWINGSPOOL_EXPLAIN_KEY: 'key-of-operators',
 		});
 		expect(settings.unwrapOr(undefined)).to.deep.equal({
+			explainKey: 'key-of-operators',
 			locality: {rule: 'never', links: {delayMs: {region: 12.5, dataCentre: 3}, priceMsPerGb: {region: 0, dataCentre: 7}}},
 		});
 	});
@@ -36,6 +37,7 @@
 			['link-delay-data-centre-ms', '3600001'],
 			['link-price-region-ms-per-gb', '1e3'],
 			['link-price-data-centre-ms-per-gb', ' '],
+			['explain-key', ''],
 		] as const;
 		for (const [flag, text] of invalid) {
 			const settings = read([`--${flag}=${text}`]);
