Review case 7: requests that crash silent servers are not held back

BUDGET is broken. A server begins to write an answer on a deadly part of a prompt and falls silent; the requester leaves after 2.4 s, before the server's entry expires, and the machine forgets the request. The part is never held back, and sound streams are lost with each crash.

--- a/review/7/run.js
+++ b/review/7/run.js
@@ -1,84 +1,152 @@
 /**
- * Case 7: streams that may be resumed, and whose servers write an empty line between two events and after the last one.
+ * Case 7: a part of a prompt crashes each server that begins to write an answer on it, and the crashed server falls silent
+ * in place of closing its channels.
  *
- * Half of the streams come in chunks, half with a length. Without the disruption there are no empty lines beyond those that
- * end the events.
+ * Without the disruption the part is harmless.
  */
 import {once} from 'node:events';
 import {createServer} from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {Machines} from '../common-2/machines.js';
+import {bounds, Machines} from '../common-2/machines.js';
 import {isTroubled, runCase} from '../common-2/outcome.js';
 import {
 	HOST, KEY, limits, Requester, TENANT,
 } from '../common-2/requester.js';
 import {Store} from '../common-2/store.js';
 
-const SECONDS = 15;
-/** Time between two requests, in ms; the sheet has 5.14 of them a second. */
-const INTERVAL_MS = 250;
-const LIMIT_MS = 5000;
+/** As in the site file: servers of the service, their slots, the time between two reports, aim, pause and time limit in ms. */
+const SERVERS = 9;
+const SLOTS = 4;
+const HEARTBEAT_MS = 1200;
 const AIM_MS = 600;
-const GAP_MS = 300;
-/** Events of a stream, and the time between two of them, in ms. */
-const EVENTS = 10;
-const EVENT_INTERVAL_MS = 15;
-
-/** @returns The events of the answer to a request. */
-function createEvents(requestId) {
-	return Array.from({length: EVENTS}, (_, index) => `id: ${index + 1}\ndata: ${requestId} ${index + 1}\n\n${isTroubled && index % 3 === 0 ? '\n' : ''}`);
-}
+const PAUSE_MS = 300;
+const LIMIT_MS = 8000;
+/** After a gap of this length a requester abandons its stream: two seconds, four times the aim or eight times the pause. */
+const PATIENCE_MS = Math.max(2000, 4 * AIM_MS, 8 * PAUSE_MS);
+const FIRST_MS = 60;
+const EVENTS = 20;
+const EVENT_INTERVAL_MS = 20;
+const BACK_MS = 5000;
+const SECONDS = 40;
+const STREAMS_PER_S = 8;
+const MS_PER_SECOND = 1000;
+/** One of so many streams has the deadly part. */
+const DEADLY_EVERY = 10;
+const COMMON_PART = '5c1e07a2';
+const DEADLY_PART = 'dead0001';
+
+class Server {
+	static count = 0;
+
+	static async start(log, store) {
+		const server = new Server();
+		Server.count += 1;
+		server.id = `i-kettle-${Server.count}`;
+		server.log = log;
+		server.store = store;
+		server.startedAt = performance.now();
+		server.server = createServer((req, res) => {
+			server.handle(req, res);
+		});
+		server.server.on('connection', socket => {
+			server.sockets.add(socket);
+			socket.on('error', () => undefined);
+			socket.once('close', () => {
+				server.sockets.delete(socket);
+			});
+		});
+		server.server.listen(0, '127.0.0.1');
+		await once(server.server, 'listening');
+		store.put('servers', server.id, {
+			service: 'kettle', address: `127.0.0.1:${server.server.address().port}`, zone: 'maracas-a', version: 'v1', slots: SLOTS, state: 'ready', coldLeftMs: 0, sequence: 1, born: Date.now(),
+		});
+		return server;
+	}
+
+	id;
+	log;
+	store;
+	startedAt;
+	server;
+	sockets = new Set();
+	isDark = false;
+
+	end() {
+		this.server.close();
+		for (const socket of this.sockets) {
+			socket.destroy();
+		}
+	}
+
+	/** Says nothing more on its channels, and takes no new ones. Its entry expires, and another server takes its place. */
+	crash() {
+		this.isDark = true;
+		this.server.close();
+		const now = performance.now();
+		this.log.crashes.push(now);
+		const sinceReportMs = (now - this.startedAt) % HEARTBEAT_MS;
+		setTimeout(() => {
+			this.store.remove('servers', this.id);
+		}, (3 * HEARTBEAT_MS) - sinceReportMs);
+		setTimeout(async () => {
+			this.log.servers.push(await Server.start(this.log, this.store));
+		}, BACK_MS);
+	}
 
-async function startServer(id) {
-	let count = 0;
-	const server = createServer((req, res) => {
+	handle(req, res) {
 		req.resume();
 		req.once('end', async () => {
 			const requestId = req.headers['x-request-id'];
-			if (req.headers['x-expect-instance'] !== id) {
+			if (this.isDark) {
+				return;
+			}
+
+			if (req.headers['x-expect-instance'] !== this.id) {
 				res.writeHead(421, {'x-request-id': requestId, 'x-not-run': '1', 'content-length': '0'}).end();
 				return;
 			}
 
-			const events = createEvents(requestId).slice(Number(req.headers['last-event-id'] ?? 0));
-			count += 1;
-			res.writeHead(200, {
-				'x-request-id': requestId, 'x-server-seal': `${id}.${requestId}`, 'content-type': 'text/event-stream', ...(count % 2 === 0 ? {'content-length': String(events.join('').length)} : {}),
-			});
-			for (const event of events) {
-				res.write(event);
+			const isDeadly = req.headers['x-prompt-prefix'].includes(DEADLY_PART);
+			this.log.arrivals.push({requestId, at: performance.now(), isDeadly});
+			await sleep(FIRST_MS);
+			if (this.isDark) {
+				return;
+			}
+
+			res.writeHead(200, {'x-request-id': requestId, 'x-server-seal': `${this.id}.${requestId}`, 'content-type': 'text/event-stream'});
+			for (let event = 1; event <= EVENTS && !this.isDark; event += 1) {
+				res.write(`id: ${event}\ndata: ${requestId} ${event}\n\n`);
+				if (isDeadly && isTroubled) {
+					this.crash();
+					return;
+				}
+
 				await sleep(EVENT_INTERVAL_MS); // eslint-disable-line no-await-in-loop -- one event after the other
 			}
 
-			res.end();
+			if (!this.isDark) {
+				res.end();
+			}
 		});
-	});
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	return server;
+	}
 }
 
 async function play() {
 	const store = await Store.start();
-	const servers = [];
-	for (const [index, zone] of ['maracas-a', 'chaguanas-a', 'sanfernando-a'].entries()) {
-		const id = `i-kettle-${index}`;
-		const server = await startServer(id); // eslint-disable-line no-await-in-loop -- one after the other
-		servers.push(server);
-		store.put('servers', id, {
-			service: 'kettle', address: `127.0.0.1:${server.address().port}`, zone, version: 'v1', slots: 4, state: 'ready', coldLeftMs: 0, sequence: 1, born: 1,
-		});
+	const log = {servers: [], arrivals: [], crashes: []};
+	for (let index = 0; index < SERVERS; index += 1) {
+		log.servers.push(await Server.start(log, store)); // eslint-disable-line no-await-in-loop -- one after the other
 	}
 
 	store.put('op', 'config', {
 		version: 1,
 		routes: [{
-			name: 'reply', host: HOST, prefix: '/reply/', kind: 'streaming', timeoutMs: LIMIT_MS, targetLatencyMs: AIM_MS, gapTargetMs: GAP_MS, priority: 1,
-			service: 'kettle', maxAttempts: 2, public: false, sticky: true, resumable: true,
+			name: 'letter', host: HOST, prefix: '/letter/', kind: 'streaming', timeoutMs: LIMIT_MS, targetLatencyMs: AIM_MS, gapTargetMs: PAUSE_MS, priority: 0,
+			service: 'kettle', maxAttempts: 1, public: false, sticky: true, resumable: false,
 		}],
 		services: [{
 			name: 'kettle', healthPath: '/health', maxConns: 370, protocol: 'h1', tls: false, engine: {
-				slots: 4, kvCapacity: 618_340, stride: 5,
+				slots: SLOTS, kvCapacity: 618_340, stride: 5,
 			},
 		}],
 		limits,
@@ -89,40 +157,51 @@
 	try {
 		await machines.start();
 		await sleep(2000);
+		const startedAt = performance.now();
 		const answers = [];
 		const sending = [];
-		for (let count = 0; count < SECONDS * 1000 / INTERVAL_MS; count += 1) {
+		for (let count = 0; count < SECONDS * STREAMS_PER_S; count += 1) {
+			const isDeadly = count % DEADLY_EVERY === DEADLY_EVERY - 1;
 			const {front} = machines.all[count % machines.all.length].listen;
+			const sentAt = performance.now();
 			sending.push((async () => {
-				answers.push(await requester.send(front, {
-					method: 'POST', path: `/reply/${count}`, body: 'tea for two', limitMs: LIMIT_MS, headers: {'x-model': 'm', 'x-token-count': '200,50'},
-				}));
+				answers.push({
+					sentAt, isDeadly, ...await requester.send(front, {
+						method: 'POST', path: `/letter/${count}`, body: `letter ${count}`, limitMs: LIMIT_MS, patienceMs: PATIENCE_MS, headers: {
+							'x-model': 'm', 'x-token-count': '1500,100', 'x-prompt-prefix': `${COMMON_PART}:60,${isDeadly ? `${DEADLY_PART}:410,` : ''}${(0x10_00_00_00 + count).toString(16)}:900`,
+						},
+					}),
+				});
 			})());
-			await sleep(INTERVAL_MS); // eslint-disable-line no-await-in-loop -- paces the requests
+			await sleep(Math.max(0, startedAt + ((count + 1) * MS_PER_SECOND / STREAMS_PER_S) - performance.now())); // eslint-disable-line no-await-in-loop -- paces the requests
 		}
 
 		await Promise.all(sending);
-		return judge(answers);
+		return judge(answers, log, startedAt);
 	} finally {
 		requester.close();
 		await machines.end();
+		await sleep(BACK_MS + MS_PER_SECOND);
 		store.close();
-		for (const server of servers) {
-			server.closeAllConnections();
-			server.close();
+		for (const server of log.servers) {
+			server.end();
 		}
 	}
 }
 
-function judge(answers) {
-	const isOther = ({id, status, isWhole, body}) => status === 200 && isWhole && body !== createEvents(id).join('');
-	const isEndless = ({status, isWhole}) => status === 200 && !isWhole;
-	const describe = answer => isOther(answer) ? 'complete, but not the whole body of the server' : (isEndless(answer) ? 'not ended at the time limit, channel open' : 'ended');
-	const record = answers.map(answer => `${answer.id}: ${answer.status}, ${answer.body.length} of ${createEvents(answer.id).join('').length} bytes, ${describe(answer)}`);
-	const others = answers.filter(answer => isOther(answer)).length;
-	const endless = answers.filter(answer => isEndless(answer)).length;
-	record.push(`requests: ${answers.length}; complete with another body: ${others}; never ended: ${endless}`);
-	return {record, broken: others > 0 ? [`MIXED: ${others} of ${answers.length} successes are complete, but not with the server's whole body; ${endless} never ended`] : []};
+function judge(answers, {arrivals, crashes}, startedAt) {
+	const seconds = at => ((at - startedAt) / MS_PER_SECOND).toFixed(2);
+	const record = [
+		...answers.map(({id, sentAt, isDeadly, status, isWhole}) => `${seconds(sentAt)} s ${id}${isDeadly ? ' with the part' : ''}: ${status}, ${isWhole ? 'whole' : 'not whole'}`),
+		`crashes at ${crashes.map(at => seconds(at)).join(', ')} s`,
+	];
+	const fifth = crashes[4];
+	const late = fifth === undefined ? [] : arrivals.filter(({isDeadly, at}) => isDeadly && at > fifth + bounds.contactMs);
+	const sound = answers.filter(({isDeadly}) => !isDeadly);
+	const cut = sound.filter(({status, isWhole}) => status !== 200 || !isWhole).length;
+	const summary = `requests with the part at servers later than ${bounds.contactMs} ms after the fifth crash: ${late.length}; crashes: ${crashes.length}; sound streams broken off or not served: ${cut} of ${sound.length}`;
+	record.push(summary);
+	return {record, broken: late.length > 3 ? [`BUDGET: ${summary}`] : []};
 }
 
 await runCase(import.meta.dirname, play);
--- a/review/common-2/requester.js
+++ b/review/common-2/requester.js
@@ -27,8 +27,11 @@
 		this.prefix = prefix;
 	}
 
-	/** @returns The answer; status 0 if the channel ended, or the time limit passed, without one. */
-	async send(address, {method, path, body, limitMs, headers = {}}) {
+	/**
+	 * @param request - With `patienceMs`, the requester leaves after a gap of that length.
+	 * @returns The answer; status 0 if the channel ended, or the time limit passed, without one.
+	 */
+	async send(address, {method, path, body, limitMs, patienceMs, headers = {}}) {
 		this.count += 1;
 		const id = `${this.prefix}-${this.count}`;
 		const [host, port] = address.split(':');
@@ -36,11 +39,23 @@
 			const answer = {
 				id, status: 0, seal: undefined, body: '', isWhole: false,
 			};
+			let gapTimer;
 			const finish = () => {
 				clearTimeout(timer);
+				clearTimeout(gapTimer);
 				resolve(answer);
 			};
 
+			const restartGap = () => {
+				clearTimeout(gapTimer);
+				if (patienceMs !== undefined) {
+					gapTimer = setTimeout(() => {
+						req.destroy();
+						finish();
+					}, patienceMs);
+				}
+			};
+
 			const req = request({
 				host, port, method, path, agent: this.agent, headers: {
 					host: HOST,
@@ -56,6 +71,7 @@
 				res.setEncoding('utf8');
 				res.on('data', text => {
 					answer.body += text;
+					restartGap();
 				});
 				res.once('end', () => {
 					answer.isWhole = res.complete;
@@ -70,6 +86,7 @@
 				finish();
 			}, limitMs + 1000);
 			req.once('error', finish);
+			restartGap();
 			req.end(body);
 		});
 	}
