--- a/review/common-2/machines.js
+++ b/review/common-2/machines.js
@@ -3,6 +3,7 @@
  * with the fields and the figures of the site `mahabir-tables`. All addresses are loopback addresses.
  */
 import {spawn} from 'node:child_process';
+import {randomInt} from 'node:crypto';
 import {once} from 'node:events';
 import {
 	mkdtempSync, readFileSync, rmSync, writeFileSync,
@@ -19,23 +20,47 @@
 const READY_TIMEOUT_MS = 20_000;
 /** Index of the control port among the ports of a machine. */
 const CONTROL_INDEX = 2;
+const PORTS_PER_MACHINE = 5;
 
-/** Figures of the site file and of the sheet. */
+/** Bounds on the sheet of mahabir-tables. */
 export const bounds = {
 	seedLagS: 3, reuseAfterS: 2, contactMs: 3000, ackMs: 4000, catchUpS: 4, drainMs: 2500, graceS: 8, lossSlackMs: 200, configApplyMs: 2500,
 	rollbackSlackMs: 250, stretchMaxMs: 5000, revokeStrict: false, revokeMs: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, budgetSlack: 58,
 	quotaWindowS: 8, quotaOver: 0.1, quotaSlack: 190_000, recoverS: 12, passMs: 200, reuseWindowS: 10, ttl_max_s: 5, // eslint-disable-line camelcase -- as on the users' pages
 };
+/** Those of mahabir-tables-grown that differ. */
+export const grownBounds = {
+	...bounds, contactMs: 4000, ackMs: 6000, catchUpS: 6, drainMs: 4000, configApplyMs: 4000, stretchMaxMs: 6000, budgetSlack: 202, recoverS: 15, passMs: 250,
+};
 const contracts = ['base', 'drain', 'config', 'cost', 'retry', 'recover', 'engine', 'stream', 'tenants', 'quota', 'platform'];
 
-async function freePort() {
+/** Ports below those that the system gives to outgoing connections. */
+const PORTS = {min: 20_000, max: 32_000};
+const givenPorts = new Set();
+
+async function isFree(port) {
 	const server = createServer();
-	server.listen(0, LOCALHOST);
-	await once(server, 'listening');
-	const {port} = server.address();
-	server.close();
-	await once(server, 'close');
-	return port;
+	return new Promise(resolve => {
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, LOCALHOST, () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
+
+async function freePort() {
+	for (;;) {
+		const port = randomInt(PORTS.min, PORTS.max);
+		// eslint-disable-next-line no-await-in-loop -- one after the other
+		if (!givenPorts.has(port) && await isFree(port)) {
+			givenPorts.add(port);
+			return port;
+		}
+	}
 }
 
 /** @returns The command of the deploy file, without the program's name. */
@@ -130,7 +155,12 @@
 		const machines = new Machines();
 		const ports = [];
 		for (let index = 0; index < count; index += 1) {
-			ports.push(await Promise.all(Array.from({length: 5}, async () => freePort()))); // eslint-disable-line no-await-in-loop
+			const own = [];
+			while (own.length < PORTS_PER_MACHINE) {
+				own.push(await freePort()); // eslint-disable-line no-await-in-loop -- one after the other
+			}
+
+			ports.push(own);
 		}
 
 		for (const [index, [front, ready, control, directory, internal]] of ports.entries()) {
--- a/review/common-2/outcome.js
+++ b/review/common-2/outcome.js
@@ -2,7 +2,6 @@
  * The end of a script: its record and its exit status.
  */
 import {writeFileSync} from 'node:fs';
-import path from 'node:path';
 import process from 'node:process';
 
 /** Whether the script runs with its disruption. */
@@ -14,10 +13,10 @@
 /**
  * Runs a case.
  *
- * @param folder - Folder of the case, in which `record.txt` is written.
+ * @param recordPath - `record.txt` in the folder of the case, which is written anew.
  * @param play - Plays the case; returns the lines of the record and what broke the rule.
  */
-export async function runCase(folder, play) {
+export async function runCase(recordPath, play) {
 	const lines = [`disruption: ${isTroubled ? 'yes' : 'no'}`];
 	let status = NOT_RUN_STATUS;
 	try {
@@ -28,7 +27,7 @@
 		lines.push(`the case could not run: ${error.message}`);
 	}
 
-	writeFileSync(path.join(folder, 'record.txt'), `${lines.join('\n')}\n`);
+	writeFileSync(recordPath, `${lines.join('\n')}\n`);
 	console.log(lines.slice(-Math.min(lines.length, 12)).join('\n'));
 	process.exit(status); // eslint-disable-line unicorn/no-process-exit -- the status is the result
 }
