--- a/review/7/run.js
+++ b/review/7/run.js
@@ -6,6 +6,7 @@
  */
 import {once} from 'node:events';
 import {createServer} from 'node:http';
+import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {bounds, Machines} from '../common-2/machines.js';
 import {isTroubled, runCase} from '../common-2/outcome.js';
@@ -27,11 +28,14 @@
 const EVENTS = 20;
 const EVENT_INTERVAL_MS = 20;
 const BACK_MS = 5000;
-const SECONDS = 40;
-const STREAMS_PER_S = 8;
+const SECONDS = 32;
+/** The sheet has 11.8. */
+const STREAMS_PER_S = 11;
 const MS_PER_SECOND = 1000;
-/** One of so many streams has the deadly part. */
-const DEADLY_EVERY = 10;
+/** As in the users' day: one of so many streams has the deadly part, from when on and for how long, in ms. */
+const DEADLY_EVERY = 20;
+const DEADLY_FROM_MS = 4000;
+const DEADLY_FOR_MS = 22_000;
 const COMMON_PART = '5c1e07a2';
 const DEADLY_PART = 'dead0001';
 
@@ -107,7 +111,9 @@
 			}
 
 			const isDeadly = req.headers['x-prompt-prefix'].includes(DEADLY_PART);
-			this.log.arrivals.push({requestId, at: performance.now(), isDeadly});
+			this.log.arrivals.push({
+				requestId, server: this.id, at: performance.now(), isDeadly,
+			});
 			await sleep(FIRST_MS);
 			if (this.isDark) {
 				return;
@@ -161,9 +167,10 @@
 		const answers = [];
 		const sending = [];
 		for (let count = 0; count < SECONDS * STREAMS_PER_S; count += 1) {
-			const isDeadly = count % DEADLY_EVERY === DEADLY_EVERY - 1;
 			const {front} = machines.all[count % machines.all.length].listen;
 			const sentAt = performance.now();
+			const sinceStartMs = sentAt - startedAt;
+			const isDeadly = count % DEADLY_EVERY === DEADLY_EVERY - 1 && sinceStartMs >= DEADLY_FROM_MS && sinceStartMs < DEADLY_FROM_MS + DEADLY_FOR_MS;
 			sending.push((async () => {
 				answers.push({
 					sentAt, isDeadly, ...await requester.send(front, {
@@ -191,8 +198,10 @@
 
 function judge(answers, {arrivals, crashes}, startedAt) {
 	const seconds = at => ((at - startedAt) / MS_PER_SECOND).toFixed(2);
+	const servers = new Map(arrivals.map(({requestId, server}) => [requestId, server]));
 	const record = [
-		...answers.map(({id, sentAt, isDeadly, status, isWhole}) => `${seconds(sentAt)} s ${id}${isDeadly ? ' with the part' : ''}: ${status}, ${isWhole ? 'whole' : 'not whole'}`),
+		...answers.map(({id, sentAt, isDeadly, status, isWhole}) =>
+			`${seconds(sentAt)} s ${id}${isDeadly ? ' with the part' : ''}: ${status}, ${isWhole ? 'whole' : 'not whole'}, ${servers.has(id) ? `at ${servers.get(id)}` : 'at no server'}`),
 		`crashes at ${crashes.map(at => seconds(at)).join(', ')} s`,
 	];
 	const fifth = crashes[4];
@@ -204,4 +213,4 @@
 	return {record, broken: late.length > 3 ? [`BUDGET: ${summary}`] : []};
 }
 
-await runCase(import.meta.dirname, play);
+await runCase(path.join(import.meta.dirname, 'record.txt'), play);
